--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+RUN = $(VENV)/bin/python
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: test lint format demo measure slopes soak mutants
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+test: $(VENV)/.installed
+	$(RUN) -m pytest -q
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(RUN) -m flake8 .
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+
+demo: $(VENV)/.installed
+	$(RUN) -m demo.run
+
+measure: $(VENV)/.installed
+	$(RUN) -m measure.run --seed $(SEED)
+
+slopes: $(VENV)/.installed
+	$(RUN) -m measure.slopes
+
+soak: $(VENV)/.installed
+	$(RUN) -m demo.soak --seconds $(SECONDS) --seed $(SEED)
+
+mutants: $(VENV)/.installed
+	$(RUN) -m tests.mutants
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration and the randomised run on real processes."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of the daemons."""
--- /dev/null
+++ b/oleanderwood/daemon.py
@@ -0,0 +1,105 @@
+"""Access to what all daemons share: logs, health, metrics, state dump.
+
+A daemon serves on its ``--admin-listen`` address ``/healthz``, ``/readyz``,
+``/metrics`` and ``/dump``, writes the dump to its log on SIGUSR1, and stops
+in an orderly way on SIGTERM and SIGINT.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+import signal
+import typing
+
+import curio
+import prometheus_client
+
+from oleanderwood import codec
+from oleanderwood import http
+from oleanderwood import http_server
+from oleanderwood import ids
+
+LOG = logging.getLogger('daemon')
+
+LOG_FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
+
+Dump = collections.abc.Callable[[], dict[str, typing.Any]]
+Ready = collections.abc.Callable[[], str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Probes:
+    """What a daemon tells of itself.
+
+    :ivar dump: gives its state as plain data for JSON
+    :ivar ready: gives '' if ready, else the reason why not
+    :ivar registry: its metrics
+    """
+
+    dump: Dump
+    ready: Ready
+    registry: prometheus_client.CollectorRegistry
+
+
+def log_to_stderr(level: str) -> None:
+    """Set up logging for a daemon."""
+    logging.basicConfig(format=LOG_FORMAT, level=level.upper())
+
+
+def probe_handler(probes: Probes) -> http.Handler:
+    """Make the handler of the probe addresses."""
+
+    async def handle(request: http.Request) -> http.Response:
+        path = request.target.partition('?')[0]
+        if path == '/healthz':
+            return http.Response(200, [], b'ok\n')
+        if path == '/readyz':
+            return _readiness(probes.ready())
+        if path == '/metrics':
+            return _metrics(probes.registry)
+        if path == '/dump':
+            return json_response(200, probes.dump())
+        return http.Response(404, [], b'not found\n')
+
+    return handle
+
+
+def json_response(status: int, value: typing.Any) -> http.Response:
+    """Make a response of a struct or of plain data."""
+    headers = [(b'content-type', b'application/json')]
+    return http.Response(status, headers, codec.to_json(value) + b'\n')
+
+
+def _readiness(reason: str) -> http.Response:
+    if reason:
+        return http.Response(503, [], reason.encode() + b'\n')
+    return http.Response(200, [], b'ready\n')
+
+
+def _metrics(registry: prometheus_client.CollectorRegistry) -> http.Response:
+    headers = [(b'content-type', b'text/plain; version=0.0.4')]
+    body = prometheus_client.generate_latest(registry)
+    return http.Response(200, headers, body)
+
+
+async def serve_probes(listen: ids.Address, probes: Probes) -> None:
+    """Serve the probe addresses, and dump on SIGUSR1, until cancelled."""
+    server = http_server.listen(listen, probe_handler(probes))
+    LOG.info('Probes listen on %s.', server.address)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(http_server.run, server)
+        await group.spawn(_dump_on_signal, probes.dump)
+
+
+async def _dump_on_signal(dump: Dump) -> None:
+    async with curio.SignalQueue(signal.SIGUSR1) as signals:
+        while True:
+            await signals.get()
+            LOG.info('State: %s', codec.to_json(dump()).decode())
+
+
+async def until_stopped() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        number = await signals.get()
+    LOG.info('Stopping on signal %s.', number)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems: store, VM list and others."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of oleanderwood."""
