--- /dev/null
+++ b/oleanderwood/reserve.py
@@ -0,0 +1,318 @@
+"""Access to the reserve: what each pool keeps to survive a failure.
+
+A pool is safe against the loss of a failure domain when enough of its own
+VMs stay up, or shared spares outside that domain can join it. One loss hits
+several pools at once, so their shortages are added up and matched against
+the spares that may reach them (Hall's condition over sets of data centres).
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+
+from oleanderwood import configuration
+from oleanderwood import fleet
+from oleanderwood import ids
+
+Group = frozenset[ids.DataCentre]
+"""The data centres whose spares may join a pool."""
+
+_RANK = {
+    configuration.Survives.NOTHING: 0,
+    configuration.Survives.VM: 1,
+    configuration.Survives.RACK: 2,
+    configuration.Survives.DATA_CENTRE: 3,
+}
+
+
+class Domain(typing.NamedTuple):
+    """What fails at once: a VM of a pool, a rack, or a data centre."""
+
+    kind: configuration.Survives
+    data_centre: ids.DataCentre | None
+    name: str
+
+
+class Site(typing.NamedTuple):
+    """Where a VM stands."""
+
+    data_centre: ids.DataCentre
+    rack: ids.Rack
+
+
+class Shortage(typing.NamedTuple):
+    """A failure domain whose loss the fleet would not survive now.
+
+    ``missing`` is the number of spares lacking in ``data_centres``.
+    """
+
+    domain: Domain
+    data_centres: Group
+    missing: int
+
+
+@dataclasses.dataclass
+class PoolState:
+    """A pool as it is now.
+
+    ``loss`` counts the VMs up by failure domain, ``homes`` by data centre.
+    """
+
+    pool: configuration.Pool
+    group: Group
+    needed: int
+    up: int = 0
+    out: int = 0
+    loss: dict[Domain, int] = dataclasses.field(default_factory=dict)
+    homes: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+@dataclasses.dataclass
+class Census:
+    """What is up, and what each possible loss would lack.
+
+    ``lacking[domain][group]`` adds up the shortages beyond ``base``, which
+    holds those that exist before any further loss. ``lost_spares`` counts
+    by domain and data centre the spares that go with the domain.
+    """
+
+    pools: dict[ids.PoolId, PoolState]
+    sites: collections.abc.Mapping[ids.VmId, Site]
+    rows: dict[ids.VmId, fleet.VmRow]
+    unions: tuple[Group, ...]
+    spares: collections.Counter
+    base: collections.Counter
+    lacking: dict[Domain, collections.Counter]
+    lost_spares: dict[Domain, collections.Counter]
+
+
+def domains_of(site: Site) -> tuple[Domain, Domain]:
+    """Name the rack and the data centre that a VM fails with."""
+    rack = Domain(configuration.Survives.RACK, site.data_centre, site.rack)
+    data_centre = Domain(
+        configuration.Survives.DATA_CENTRE, site.data_centre, ''
+    )
+    return rack, data_centre
+
+
+def take_census(
+    pools: collections.abc.Iterable[configuration.Pool],
+    rows: collections.abc.Iterable[fleet.VmRow],
+    sites: collections.abc.Mapping[ids.VmId, Site],
+    needed: collections.abc.Mapping[ids.PoolId, int] | None = None,
+) -> Census:
+    """Count what is up.
+
+    :param rows: of all shards of the region
+    :param needed: VMs that must serve, where that is not ``min_up``
+    """
+    needed = needed or {}
+    states = {}
+    for pool in pools:
+        pool_id = ids.PoolId(pool.name)
+        group = frozenset(map(ids.DataCentre, pool.data_centres))
+        wanted = needed.get(pool_id, pool.min_up)
+        states[pool_id] = PoolState(pool, group, wanted)
+    census = Census(
+        pools=states,
+        sites=sites,
+        rows={row.vm: row for row in rows if row.vm in sites},
+        unions=_unions({state.group for state in states.values()}),
+        spares=collections.Counter(),
+        base=collections.Counter(),
+        lacking=collections.defaultdict(collections.Counter),
+        lost_spares=collections.defaultdict(collections.Counter),
+    )
+    for row in census.rows.values():
+        _count(census, row)
+    for state in states.values():
+        _contribute(census, state, 1)
+    return census
+
+
+def is_up(row: fleet.VmRow) -> bool:
+    """Say whether a VM counts as up."""
+    return row.state is fleet.VmState.SERVING
+
+
+def is_spare(row: fleet.VmRow) -> bool:
+    """Say whether a VM belongs to the shared spare."""
+    return row.pool.startswith(fleet.SPARE_PREFIX)
+
+
+def take(census: Census, vm: ids.VmId) -> None:
+    """Count a VM that is up as out."""
+    _shift(census, census.rows[vm], -1)
+
+
+def put_back(census: Census, vm: ids.VmId) -> None:
+    """Undo :func:`take`."""
+    _shift(census, census.rows[vm], 1)
+
+
+def move(census: Census, vm: ids.VmId, pool: ids.PoolId) -> None:
+    """Count a VM that is up as a member of another pool."""
+    row = census.rows[vm]
+    _shift(census, row, -1)
+    _absent(census, row, -1)
+    row = msgspec.structs.replace(row, pool=pool)
+    census.rows[vm] = row
+    _absent(census, row, 1)
+    _shift(census, row, 1)
+
+
+def holds_without(census: Census, vm: ids.VmId) -> bool:
+    """Say whether every promise holds once a VM that is up is taken.
+
+    Only failures that taking it makes worse are judged: one that could not
+    be survived before stops no VM that has nothing to do with it.
+    """
+    row = census.rows[vm]
+    state = census.pools.get(row.pool)
+    if state is not None and state.up - 1 < state.needed:
+        return False
+    whole = state is None or _extra(state) > 0
+    take(census, vm)
+    held = _holds(census, None if whole else tuple(state.loss))
+    put_back(census, vm)
+    return held
+
+
+def shortages(census: Census, absent: int = 0) -> list[Shortage]:
+    """List the failures that would not be survived now, worst first.
+
+    :param absent: VMs that may be out besides, of whichever pools
+    """
+    found = []
+    for domain in _all_domains(census):
+        worst = _worst(census, domain, absent)
+        if worst is not None:
+            found.append(worst)
+    return sorted(found, key=lambda item: (-item.missing, str(item.domain)))
+
+
+def _unions(groups: set[Group]) -> tuple[Group, ...]:
+    """Close sets of data centres under union."""
+    closed = set(groups)
+    for group in groups:
+        closed |= {group | other for other in closed}
+    return tuple(sorted(closed, key=lambda item: (len(item), sorted(item))))
+
+
+def _count(census: Census, row: fleet.VmRow) -> None:
+    """Count one row without its pool's shortages."""
+    state = census.pools.get(row.pool)
+    if not is_up(row):
+        _absent(census, row, 1)
+        return
+    site = census.sites[row.vm]
+    if state is None:
+        _count_spare(census, row, site, 1)
+        return
+    state.up += 1
+    _count_losses(state, site, 1)
+
+
+def _absent(census: Census, row: fleet.VmRow, change: int) -> None:
+    state = census.pools.get(row.pool)
+    if state is not None:
+        state.out += change
+
+
+def _count_spare(
+    census: Census, row: fleet.VmRow, site: Site, change: int
+) -> None:
+    if not is_spare(row):
+        return
+    census.spares[site.data_centre] += change
+    for domain in domains_of(site):
+        census.lost_spares[domain][site.data_centre] += change
+
+
+def _count_losses(state: PoolState, site: Site, change: int) -> None:
+    own = Domain(configuration.Survives.VM, None, state.pool.name)
+    state.loss[own] = min(1, state.up)
+    state.homes[site.data_centre] += change
+    for domain in domains_of(site):
+        state.loss[domain] = state.loss.get(domain, 0) + change
+        if not state.loss[domain]:
+            del state.loss[domain]
+
+
+def _shift(census: Census, row: fleet.VmRow, change: int) -> None:
+    """Count a row as up (1) or out (-1)."""
+    site = census.sites[row.vm]
+    state = census.pools.get(row.pool)
+    if state is None:
+        _count_spare(census, row, site, change)
+        return
+    _contribute(census, state, -1)
+    state.up += change
+    state.out -= change
+    _count_losses(state, site, change)
+    _contribute(census, state, 1)
+
+
+def _extra(state: PoolState) -> int:
+    """Count VMs on loan beyond the pool's size: they can be lent on."""
+    return max(0, state.up - max(state.pool.size, state.needed))
+
+
+def _extra_home(state: PoolState) -> ids.DataCentre:
+    """Name the data centre that the pool's extra VMs count for."""
+    return max(state.homes, key=lambda name: (state.homes[name], name))
+
+
+def _contribute(census: Census, state: PoolState, sign: int) -> None:
+    """Add a pool's shortages to the sums, or take them off."""
+    below = max(0, state.needed - state.up)
+    census.base[state.group] += sign * below
+    extra = _extra(state)
+    if extra:
+        home = _extra_home(state)
+        census.spares[home] += sign * extra
+    promised = _RANK[state.pool.survives]
+    for domain, lost in state.loss.items():
+        if extra:
+            census.lost_spares[domain][home] += sign * min(extra, lost)
+        if _RANK[domain.kind] > promised:
+            continue
+        lacking = max(0, state.needed - state.up + lost) - below
+        census.lacking[domain][state.group] += sign * lacking
+
+
+def _all_domains(census: Census) -> list[Domain]:
+    return list(census.lacking.keys() | census.lost_spares.keys())
+
+
+def _holds(
+    census: Census, domains: collections.abc.Iterable[Domain] | None
+) -> bool:
+    if domains is None:
+        domains = _all_domains(census)
+    return all(_worst(census, domain) is None for domain in domains)
+
+
+def _worst(census: Census, domain: Domain, absent: int = 0) -> Shortage | None:
+    """Find the set of data centres that lacks most after a loss."""
+    lacking = census.lacking.get(domain, {})
+    lost = census.lost_spares.get(domain, {})
+    worst = None
+    for union in census.unions:
+        demand = absent
+        for counts in (census.base, lacking):
+            for group, count in counts.items():
+                if count and group <= union:
+                    demand += count
+        if not demand:
+            continue
+        supply = sum(census.spares[name] - lost.get(name, 0) for name in union)
+        missing = demand - max(0, supply)
+        if missing > 0 and (worst is None or missing > worst.missing):
+            worst = Shortage(domain, union, missing)
+    return worst
