Choose batches by promises, assign and size the shared spare

Batches respect the minimum, the quarter's budget and the promised failure domains; loans are asked for where they are the only way on.

--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -1,5 +1,6 @@
 """Access to the shared spare: its size, and which VM goes to which pool."""
 
+import collections
 import collections.abc
 import enum
 
@@ -49,16 +50,17 @@
     extra: int
 
 
-class Sizing(msgspec.Struct, frozen=True):
-    """The spare VMs to hold: which, by data centre, and what is lacking.
+class _Plan(msgspec.Struct):
+    """The moves so far, and the census as if they had been carried out.
 
-    ``surplus`` are VMs that no promise needs; they may be handed back.
+    ``lent`` is how many VMs beyond its size each pool keeps for a wave,
+    ``coming`` how many VMs are on their way into it.
     """
 
-    held: tuple[ids.VmId, ...]
-    by_data_centre: dict[ids.DataCentre, int]
-    surplus: tuple[ids.VmId, ...]
-    lacking: tuple[reserve.Shortage, ...]
+    census: reserve.Census
+    lent: collections.Counter
+    coming: collections.Counter
+    moves: list[Move]
 
 
 def assign(
@@ -76,19 +78,237 @@
 
     :param rows: of all shards of the region
     :param sites: data centre and rack of all listed VMs of the region
+    :param now_s: kept for policies that change with the time
     :param loans: what the waves ask for, most urgent first
-    :param pending: earlier moves that are still under way
+    :param pending: earlier moves that are still under way; their VMs count
+        as members of the pool that they go to
     """
+    del now_s
     census = reserve.take_census(pools, rows, sites)
-    del weights, now_s, loans
-    known = {move.vm for move in pending}
-    return tuple(
-        Move(
+    _redirect(census, pending)
+    lent = collections.Counter()
+    for loan in loans:
+        lent[loan.pool] = max(lent[loan.pool], loan.extra)
+    coming = collections.Counter(move.to_pool for move in pending)
+    plan = _Plan(census, lent, coming, [])
+    _adopt(plan, {move.vm for move in pending})
+    _fill_minimum(plan)
+    _fill_size(plan)
+    for loan in loans:
+        _lend(plan, loan)
+    if weights.buffer > weights.moves:
+        _take_back(plan)
+    return tuple(plan.moves)
+
+
+def members(state: reserve.PoolState) -> int:
+    """Count the VMs that a pool has or gets back without replacement."""
+    return state.up + state.out - state.broken
+
+
+def _redirect(
+    census: reserve.Census, pending: collections.abc.Iterable[Move]
+) -> None:
+    """Count VMs under way as members of the pool that they go to."""
+    for move in pending:
+        row = census.rows.get(move.vm)
+        if row is None or row.pool == move.to_pool:
+            continue
+        if reserve.is_up(row):
+            reserve.take(census, move.vm)
+        old = census.pools.get(row.pool)
+        new = census.pools.get(move.to_pool)
+        if old is not None:
+            old.out -= 1
+        if new is not None:
+            new.out += 1
+
+
+def _adopt(plan: _Plan, under_way: set[ids.VmId]) -> None:
+    """Put VMs without a known pool into the spare of their data centre."""
+    census = plan.census
+    for vm, site in sorted(census.sites.items()):
+        row = census.rows.get(vm)
+        spare = fleet.spare_pool(site.data_centre)
+        if vm in under_way:
+            continue
+        if row is None:
+            plan.moves.append(Move(vm, NO_POOL, spare, MoveReason.ADOPTED))
+        elif reserve.is_up(row) and _homeless(census, row, spare):
+            _move(plan, vm, spare, MoveReason.ADOPTED)
+
+
+def _homeless(
+    census: reserve.Census, row: fleet.VmRow, spare: ids.PoolId
+) -> bool:
+    return row.pool not in census.pools and row.pool != spare
+
+
+def _fill_minimum(plan: _Plan) -> None:
+    """Bring pools up to their minimum, the worst off first."""
+    states = [
+        state
+        for state in plan.census.pools.values()
+        if state.up < state.needed
+    ]
+    states.sort(key=lambda state: (state.up - state.needed, state.pool.name))
+    for state in states:
+        name = ids.PoolId(state.pool.name)
+        short = state.needed - state.up - plan.coming[name]
+        for _ in range(short):
+            vm = _spare_for(plan, state)
+            vm = vm or _lender_vm(plan, state, _can_lend_extra)
+            vm = vm or _lender_vm(plan, state, _can_lend_slack)
+            if vm is None:
+                break
+            _move(plan, vm, name, MoveReason.BELOW_MINIMUM)
+
+
+def _fill_size(plan: _Plan) -> None:
+    """Bring pools up to their size, where the reserve gets no worse."""
+    states = sorted(
+        plan.census.pools.values(),
+        key=lambda state: (
+            state.pool.size - state.needed,
+            state.pool.name,
+        ),
+    )
+    for state in states:
+        while state.up + state.out < state.pool.size:
+            vm = _spare_for(plan, state)
+            if vm is None:
+                break
+            _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
+
+
+def _lend(plan: _Plan, loan: Loan) -> None:
+    """Lend VMs to a pool, from pools that no longer need theirs first."""
+    state = plan.census.pools.get(loan.pool)
+    if state is None:
+        return
+    while members(state) < state.pool.size + loan.extra:
+        vm = _lender_vm(plan, state, _can_lend_extra)
+        vm = vm or _spare_for(plan, state)
+        if vm is None or not _useful(plan, vm, loan.pool):
+            return
+        _move(plan, vm, loan.pool, MoveReason.LOAN)
+
+
+def _useful(plan: _Plan, vm: ids.VmId, pool: ids.PoolId) -> bool:
+    """Say whether the pool could then do without one of its VMs."""
+    census = plan.census
+    origin = census.rows[vm].pool
+    reserve.move(census, vm, pool)
+    held = reserve.holds_without(census, vm)
+    reserve.move(census, vm, origin)
+    return held
+
+
+def _take_back(plan: _Plan) -> None:
+    """Return VMs beyond a pool's size to the spare."""
+    census = plan.census
+    for name, state in sorted(census.pools.items()):
+        while members(state) > state.pool.size + plan.lent[name]:
+            vm = _extra_vm(plan, state, state.group)
+            if vm is None:
+                break
+            spare = fleet.spare_pool(census.sites[vm].data_centre)
+            _move(plan, vm, spare, MoveReason.RETURN)
+
+
+def _move(
+    plan: _Plan, vm: ids.VmId, pool: ids.PoolId, reason: MoveReason
+) -> None:
+    origin = plan.census.rows[vm].pool
+    reserve.move(plan.census, vm, pool)
+    plan.moves.append(Move(vm, origin, pool, reason))
+
+
+def _spare_for(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
+    """Choose the spare VM that joins a pool, where it spreads best."""
+    census = plan.census
+    best = None
+    for vm, row in census.rows.items():
+        if not reserve.is_spare(row) or not reserve.is_up(row):
+            continue
+        site = census.sites[vm]
+        if site.data_centre not in state.group:
+            continue
+        key = (_crowding(census, state, site), vm)
+        if best is None or key < best:
+            best = key
+    return best[1] if best else None
+
+
+def _crowding(
+    census: reserve.Census, state: reserve.PoolState, site: reserve.Site
+) -> tuple[int, ...]:
+    """Rank a place for one more VM of a pool; lower is better.
+
+    The pool's own spread goes first, then racks whose loss lacks least,
+    then data centres with the most spares.
+    """
+    rack, data_centre = reserve.domains_of(site)
+    lacking = sum(census.lacking.get(rack, {}).values())
+    return (
+        state.loss.get(rack, 0),
+        state.loss.get(data_centre, 0),
+        lacking,
+        -census.spares[site.data_centre],
+    )
+
+
+def _can_lend_extra(plan: _Plan, state: reserve.PoolState) -> bool:
+    name = ids.PoolId(state.pool.name)
+    return members(state) > state.pool.size + plan.lent[name]
+
+
+def _can_lend_slack(plan: _Plan, state: reserve.PoolState) -> bool:
+    del plan
+    return state.up > state.needed
+
+
+def _lender_vm(
+    plan: _Plan,
+    borrower: reserve.PoolState,
+    can_lend: collections.abc.Callable[[_Plan, reserve.PoolState], bool],
+) -> ids.VmId | None:
+    """Choose a VM of the pool that can best do without it."""
+    lenders = [
+        state
+        for state in plan.census.pools.values()
+        if state is not borrower
+        and state.up > state.needed
+        and can_lend(plan, state)
+    ]
+    lenders.sort(key=lambda state: (state.needed - state.up, state.pool.name))
+    for lender in lenders:
+        vm = _extra_vm(plan, lender, borrower.group)
+        if vm is not None:
+            return vm
+    return None
+
+
+def _extra_vm(
+    plan: _Plan, state: reserve.PoolState, group: reserve.Group
+) -> ids.VmId | None:
+    """Choose a VM that a pool gives away: from its fullest rack."""
+    census = plan.census
+    best = None
+    if state.up <= state.needed:
+        return None
+    for vm, row in census.rows.items():
+        if row.pool != state.pool.name or not reserve.is_up(row):
+            continue
+        site = census.sites[vm]
+        if site.data_centre not in group:
+            continue
+        rack, data_centre = reserve.domains_of(site)
+        key = (
+            -state.loss.get(rack, 0),
+            -state.loss.get(data_centre, 0),
             vm,
-            NO_POOL,
-            fleet.spare_pool(site.data_centre),
-            MoveReason.ADOPTED,
         )
-        for vm, site in sorted(sites.items())
-        if vm not in census.rows and vm not in known
-    )
+        if best is None or key < best:
+            best = key
+    return best[2] if best else None
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -66,6 +66,9 @@
     needed: int
     up: int = 0
     out: int = 0
+    """VMs of the pool that are not up, ``broken`` ones included."""
+
+    broken: int = 0
     loss: dict[Domain, int] = dataclasses.field(default_factory=dict)
     homes: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -183,6 +186,27 @@
     return held
 
 
+def holds(census: Census, absent: int = 0) -> bool:
+    """Say whether every promise holds now.
+
+    :param absent: VMs that may be out besides, of whichever pools
+    """
+    return _holds(census, None, absent)
+
+
+def free(census: Census) -> int:
+    """Count the VMs that could still be lent and then taken.
+
+    At least one is lacking when the result is negative.
+    """
+    margins = [
+        _margin(census, domain, union)
+        for domain in _all_domains(census)
+        for union in census.unions
+    ]
+    return min(margins, default=0)
+
+
 def shortages(census: Census, absent: int = 0) -> list[Shortage]:
     """List the failures that would not be survived now, worst first.
 
@@ -220,8 +244,11 @@
 
 def _absent(census: Census, row: fleet.VmRow, change: int) -> None:
     state = census.pools.get(row.pool)
-    if state is not None:
-        state.out += change
+    if state is None:
+        return
+    state.out += change
+    if row.state is fleet.VmState.BROKEN:
+        state.broken += change
 
 
 def _count_spare(
@@ -291,28 +318,36 @@
 
 
 def _holds(
-    census: Census, domains: collections.abc.Iterable[Domain] | None
+    census: Census,
+    domains: collections.abc.Iterable[Domain] | None,
+    absent: int = 0,
 ) -> bool:
     if domains is None:
         domains = _all_domains(census)
-    return all(_worst(census, domain) is None for domain in domains)
+    return all(
+        _margin(census, domain, union) >= absent
+        for domain in domains
+        for union in census.unions
+    )
+
+
+def _margin(census: Census, domain: Domain, union: Group) -> int:
+    """Count the spares left in some data centres after a loss."""
+    lost = census.lost_spares.get(domain, {})
+    supply = sum(census.spares[name] - lost.get(name, 0) for name in union)
+    demand = 0
+    for counts in (census.base, census.lacking.get(domain, {})):
+        for group, count in counts.items():
+            if count and group <= union:
+                demand += count
+    return max(0, supply) - demand
 
 
 def _worst(census: Census, domain: Domain, absent: int = 0) -> Shortage | None:
     """Find the set of data centres that lacks most after a loss."""
-    lacking = census.lacking.get(domain, {})
-    lost = census.lost_spares.get(domain, {})
     worst = None
     for union in census.unions:
-        demand = absent
-        for counts in (census.base, lacking):
-            for group, count in counts.items():
-                if count and group <= union:
-                    demand += count
-        if not demand:
-            continue
-        supply = sum(census.spares[name] - lost.get(name, 0) for name in union)
-        missing = demand - max(0, supply)
+        missing = absent - _margin(census, domain, union)
         if missing > 0 and (worst is None or missing > worst.missing):
             worst = Shortage(domain, union, missing)
     return worst
--- a/oleanderwood/wave.py
+++ b/oleanderwood/wave.py
@@ -4,12 +4,15 @@
 VMs is ever followed blindly.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import enum
+import statistics
 
 import msgspec
 
+from oleanderwood import batch as batches
 from oleanderwood import budget
 from oleanderwood import buffer
 from oleanderwood import configuration
@@ -18,6 +21,15 @@
 from oleanderwood import ids
 from oleanderwood import reserve
 
+DEFAULT_VM_TIME_S = 300.0
+"""Drain and reboot of one VM, before any was seen."""
+
+ABSENCE_MARGIN = 2.0
+"""A VM is charged to the quarter for this multiple of the typical time."""
+
+_DAY_S = 24 * 3600.0
+_MINUTE_S = 60.0
+
 
 class Phase(enum.Enum):
     """Where a wave stands."""
@@ -38,37 +50,6 @@
     DONE = 'done'
 
 
-class BlockReason(enum.Enum):
-    """Why a VM isn't taken now."""
-
-    MIN_UP = 'min-up'
-    """Its pool would have too few VMs up; a loan would help."""
-
-    RESERVE = 'reserve'
-    """A promised failure domain could no longer be lost."""
-
-    QUARTER = 'quarter'
-    """The pool's unavailability budget of the quarter is used up."""
-
-    WIDTH = 'width'
-    """As many are out as the wave's failures so far allow."""
-
-    QUIET_HOURS = 'quiet-hours'
-    STOPPED = 'stopped'
-    PAUSED = 'paused'
-    BROKEN = 'broken'
-    OUT = 'out'
-    """It is out already, for this wave or for another reason."""
-
-
-class Blocked(msgspec.Struct, frozen=True):
-    """A VM that is not taken now."""
-
-    vm: ids.VmId
-    pool: ids.PoolId
-    reason: BlockReason
-
-
 class Progress(msgspec.Struct, frozen=True):
     """What has happened in a wave.
 
@@ -101,19 +82,28 @@
     """What a wave does now.
 
     ``loans`` are for :func:`buffer.assign`. ``reason`` is a short sentence
-    for operators. ``failure_share`` is the estimate for the next VM.
+    for operators. ``estimated_end_s`` is None while no end is in sight.
+    ``failure_share`` is the estimate for the next VM.
     """
 
     phase: Phase
     reason: str
     take: tuple[ids.VmId, ...]
-    blocked: tuple[Blocked, ...]
+    blocked: tuple[batches.Blocked, ...]
     loans: tuple[buffer.Loan, ...]
-    estimated_end_s: float
+    estimated_end_s: float | None
     meets_deadline: bool
     failure_share: float
 
 
+class _Gate(msgspec.Struct, frozen=True):
+    """Whether a wave may take VMs, and how many may be out at once."""
+
+    phase: Phase
+    reason: str
+    width: int
+
+
 def begin(
     wave: configuration.Wave,
     rows: collections.abc.Iterable[fleet.VmRow],
@@ -125,6 +115,35 @@
     return Progress(ids.WaveId(wave.name), now_s, targets)
 
 
+def typical_s(
+    outcomes: collections.abc.Sequence[failure_estimate.Outcome],
+) -> float:
+    """Say how long a VM is out, from those that came back."""
+    seen = [
+        outcome.ended_at_s - outcome.taken_at_s
+        for outcome in outcomes
+        if not outcome.failed
+    ]
+    return statistics.median(seen) if seen else DEFAULT_VM_TIME_S
+
+
+def quiet_until_s(wave: configuration.Wave, now_s: float) -> float | None:
+    """Say when the present quiet hours end; None outside of them.
+
+    :raises ValueError: an entry of ``not_between`` is no span of time
+    """
+    of_day_s = now_s % _DAY_S
+    ends = []
+    for span in wave.not_between:
+        first, _, last = span.partition('-')
+        start_s = _time_of_day_s(first)
+        length_s = (_time_of_day_s(last) - start_s) % _DAY_S
+        inside_s = (of_day_s - start_s) % _DAY_S
+        if inside_s < length_s:
+            ends.append(now_s + length_s - inside_s)
+    return max(ends, default=None)
+
+
 def next_batch(
     wave: configuration.Wave,
     progress: Progress,
@@ -137,31 +156,114 @@
     """Choose the VMs to take now.
 
     :param rows: of all shards of the region, as they are now
+    :raises ValueError: an entry of ``wave.not_between`` is no span of time
     """
-    del weights
-    census = reserve.take_census(pools, rows, conditions.sites)
+    vm_time_s = typical_s(progress.outcomes)
+    absence_s = vm_time_s * ABSENCE_MARGIN
+    census = _census(pools, rows, now_s, absence_s, conditions)
     finished = {outcome.vm for outcome in progress.outcomes}
-    take = []
-    blocked = []
-    for vm in progress.targets:
-        row = census.rows.get(vm)
-        if vm in finished or row is None:
-            continue
-        if not reserve.is_up(row):
-            blocked.append(Blocked(vm, row.pool, BlockReason.OUT))
-        elif reserve.holds_without(census, vm):
-            reserve.take(census, vm)
-            take.append(vm)
-        else:
-            blocked.append(Blocked(vm, row.pool, BlockReason.RESERVE))
-    phase = Phase.RUNNING if take or blocked else Phase.DONE
+    left = batches.left_of(census, progress.targets, finished)
+    judgement = failure_estimate.judge(progress.outcomes, now_s)
+    gate = _gate(wave, progress, judgement, left, now_s)
+    quarter = batches.Quarter(conditions.spent, absence_s)
+    choice = batches.choose(census, left, gate.width, quarter)
+    deadline_s = progress.started_at_s + wave.deadline_s
+    end_s = _estimated_end_s(census, left, choice, vm_time_s, now_s)
+    urgent = end_s > deadline_s
+    loans = batches.loans(census, left, choice, gate.width, weights, urgent)
+    gate = _blocked(gate, left, choice, loans)
+    sees_end = gate.phase not in (Phase.BLOCKED, Phase.GIVEN_UP)
     return Batch(
-        phase=phase,
-        reason='',
-        take=tuple(take),
-        blocked=tuple(blocked),
-        loans=(),
-        estimated_end_s=now_s,
-        meets_deadline=now_s <= progress.started_at_s + wave.deadline_s,
-        failure_share=0.0,
+        phase=gate.phase,
+        reason=gate.reason,
+        take=choice.take,
+        blocked=choice.blocked,
+        loans=loans,
+        estimated_end_s=end_s if sees_end else None,
+        meets_deadline=sees_end and not urgent,
+        failure_share=judgement.share,
+    )
+
+
+def _census(
+    pools: collections.abc.Iterable[configuration.Pool],
+    rows: collections.abc.Iterable[fleet.VmRow],
+    now_s: float,
+    absence_s: float,
+    conditions: Conditions,
+) -> reserve.Census:
+    pools = tuple(pools)
+    needed = {
+        load.pool: budget.needed_up(pool, load, now_s, now_s + absence_s)
+        for pool in pools
+        if (load := conditions.loads.get(ids.PoolId(pool.name)))
+    }
+    return reserve.take_census(pools, rows, conditions.sites, needed)
+
+
+def _gate(
+    wave: configuration.Wave,
+    progress: Progress,
+    judgement: failure_estimate.Judgement,
+    left: batches.Left,
+    now_s: float,
+) -> _Gate:
+    """Say whether the wave may take VMs now, apart from budgets."""
+    if not left.up and not left.out:
+        return _Gate(Phase.DONE, 'All VMs are done.', 0)
+    if progress.paused:
+        return _Gate(Phase.PAUSED, 'An operator paused the wave.', 0)
+    modes = failure_estimate.Mode
+    share = f'{judgement.share:.0%} of VMs expected to fail'
+    if judgement.mode is modes.GIVEN_UP:
+        return _Gate(Phase.GIVEN_UP, f'{share}; all probes failed.', 0)
+    if judgement.mode is modes.STOPPED:
+        wait_s = judgement.probe_at_s - now_s
+        reason = f'{share}; one VM is tried in {wait_s:.0f} s.'
+        return _Gate(Phase.STOPPED, reason, 0)
+    until_s = quiet_until_s(wave, now_s)
+    if until_s is not None:
+        reason = f'Quiet hours for another {until_s - now_s:.0f} s.'
+        return _Gate(Phase.QUIET_HOURS, reason, 0)
+    if judgement.mode is modes.PROBE_DUE:
+        return _Gate(Phase.PROBING, f'{share}; one VM is tried.', 1)
+    return _Gate(Phase.RUNNING, '', judgement.width)
+
+
+def _blocked(
+    gate: _Gate,
+    left: batches.Left,
+    choice: batches.Choice,
+    loans: tuple[buffer.Loan, ...],
+) -> _Gate:
+    """Tell a wave that waits for a VM or a loan from one that is stuck."""
+    if gate.width == 0 or choice.take or left.out or loans:
+        return gate
+    reasons = collections.Counter(item.reason.value for item in choice.blocked)
+    text = ', '.join(
+        f'{count} by {name}' for name, count in reasons.most_common()
     )
+    return _Gate(Phase.BLOCKED, f'No VM can be taken: {text}.', gate.width)
+
+
+def _estimated_end_s(
+    census: reserve.Census,
+    left: batches.Left,
+    choice: batches.Choice,
+    vm_time_s: float,
+    now_s: float,
+) -> float:
+    """Say when the wave ends if it goes on as now."""
+    remaining = len(left.up) + len(left.out)
+    free = max(0, reserve.free(census))
+    at_once = max(1, len(left.out) + choice.fitting + free)
+    rounds = max(
+        (batches.rounds_of(census, left, name) for name in left.by_pool),
+        default=0,
+    )
+    return now_s + vm_time_s * max(rounds, remaining / at_once)
+
+
+def _time_of_day_s(text: str) -> float:
+    hours, _, minutes = text.strip().partition(':')
+    return int(hours) * 3600.0 + int(minutes) * _MINUTE_S
