--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -171,12 +171,18 @@
     new = [
         buffer.Loan(name, 1)
         for name in order
-        if not held[name] and name in blocked
+        if not held[name] and name in blocked and _idle(census, name)
     ]
     del weights, urgent
     return tuple(kept + new[: max(0, width - len(kept))])
 
 
+def _idle(census: reserve.Census, pool: ids.PoolId) -> bool:
+    """Say whether no VM of a pool is on its way back."""
+    state = census.pools[pool]
+    return state.out == state.broken
+
+
 def _whole_rack(
     census: reserve.Census, rows: list[fleet.VmRow], quarter: Quarter
 ) -> list[ids.VmId]:
--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -15,6 +15,10 @@
 """Where a VM comes from that the list has and no shard does."""
 
 
+MAX_SWAPS = 3
+"""VMs exchanged with the spare at one step to mend the reserve."""
+
+
 class MoveReason(enum.Enum):
     """Why a VM changes its pool."""
 
@@ -30,6 +34,9 @@
     LOAN = 'loan'
     """Lent, so that a wave can take VMs of the pool."""
 
+    REBALANCE = 'rebalance'
+    """Too much of a pool or of the spare would go with one domain."""
+
     RETURN = 'return'
     """A loan comes back."""
 
@@ -94,6 +101,7 @@
     _adopt(plan, {move.vm for move in pending})
     _fill_minimum(plan)
     _fill_size(plan)
+    _rebalance(plan)
     for loan in loans:
         _lend(plan, loan)
     if weights.buffer > weights.moves:
@@ -181,6 +189,74 @@
             _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
 
 
+def _rebalance(plan: _Plan) -> None:
+    """Swap VMs with the spare until the worst loss lacks less.
+
+    Nothing moves when a few swaps don't get there.
+    """
+    census = plan.census
+    before = reserve.free(census)
+    if before >= 0 or any(state.out for state in census.pools.values()):
+        return
+    swaps = []
+    while len(swaps) < MAX_SWAPS and reserve.free(census) == before:
+        swap = _best_swap(census, reserve.shortages(census)[0].domain)
+        if swap is None:
+            break
+        _swap(census, swap)
+        swaps.append(swap)
+    better = reserve.free(census) > before
+    for swap in reversed(swaps):
+        _swap(census, swap)
+    if not better:
+        return
+    for vm, spare in swaps:
+        pool = census.rows[vm].pool
+        _move(plan, spare, pool, MoveReason.REBALANCE)
+        _move(plan, vm, _spare_of(plan, vm), MoveReason.REBALANCE)
+
+
+def _best_swap(
+    census: reserve.Census, domain: reserve.Domain
+) -> tuple[ids.VmId, ids.VmId] | None:
+    """Choose a VM of a domain and a spare outside that takes its place."""
+    inside = {}
+    outside = {}
+    for vm, row in sorted(census.rows.items()):
+        if not reserve.is_up(row):
+            continue
+        within = domain in reserve.domains_of(census.sites[vm])
+        if within and row.pool in census.pools:
+            inside.setdefault(row.pool, vm)
+        elif not within and reserve.is_spare(row):
+            outside.setdefault(census.sites[vm], vm)
+    best = None
+    now = _deficit(census)
+    for pool, vm in inside.items():
+        for site, spare in outside.items():
+            if site.data_centre not in census.pools[pool].group:
+                continue
+            _swap(census, (vm, spare))
+            key = (_deficit(census), vm, spare)
+            _swap(census, (vm, spare))
+            if key[0] < now and (best is None or key < best):
+                best = key
+    return best[1:] if best else None
+
+
+def _deficit(census: reserve.Census) -> int:
+    return sum(item.missing for item in reserve.shortages(census))
+
+
+def _swap(census: reserve.Census, swap: tuple[ids.VmId, ids.VmId]) -> None:
+    """Let two VMs change pools."""
+    first, second = swap
+    pool = census.rows[first].pool
+    other = census.rows[second].pool
+    reserve.move(census, first, other)
+    reserve.move(census, second, pool)
+
+
 def _lend(plan: _Plan, loan: Loan) -> None:
     """Lend VMs to a pool, from pools that no longer need theirs first."""
     state = plan.census.pools.get(loan.pool)
@@ -198,8 +274,12 @@
     """Say whether the pool could then do without one of its VMs."""
     census = plan.census
     origin = census.rows[vm].pool
+    if origin in census.pools and not reserve.holds_without(census, vm):
+        return False
+    before = reserve.free(census)
     reserve.move(census, vm, pool)
     held = reserve.holds_without(census, vm)
+    held = held and reserve.free(census) >= min(0, before)
     reserve.move(census, vm, origin)
     return held
 
@@ -209,11 +289,16 @@
     census = plan.census
     for name, state in sorted(census.pools.items()):
         while members(state) > state.pool.size + plan.lent[name]:
-            vm = _extra_vm(plan, state, state.group)
-            if vm is None:
+            vm = _extra_vm(
+                plan, state, state.group, lambda vm: _spare_of(plan, vm)
+            )
+            if vm is None or not reserve.holds_without(census, vm):
                 break
-            spare = fleet.spare_pool(census.sites[vm].data_centre)
-            _move(plan, vm, spare, MoveReason.RETURN)
+            _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
+
+
+def _spare_of(plan: _Plan, vm: ids.VmId) -> ids.PoolId:
+    return fleet.spare_pool(plan.census.sites[vm].data_centre)
 
 
 def _move(
@@ -221,23 +306,52 @@
 ) -> None:
     origin = plan.census.rows[vm].pool
     reserve.move(plan.census, vm, pool)
+    if origin in plan.census.pools:
+        # It serves nobody until its old grants are released.
+        reserve.take(plan.census, vm)
     plan.moves.append(Move(vm, origin, pool, reason))
 
 
 def _spare_for(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
-    """Choose the spare VM that joins a pool, where it spreads best."""
+    """Choose the spare VM that joins a pool.
+
+    In each data centre the one that spreads the pool best; of these the one
+    that leaves the best reserve.
+    """
     census = plan.census
-    best = None
+    best = {}
     for vm, row in census.rows.items():
         if not reserve.is_spare(row) or not reserve.is_up(row):
             continue
         site = census.sites[vm]
-        if site.data_centre not in state.group:
-            continue
-        key = (_crowding(census, state, site), vm)
-        if best is None or key < best:
-            best = key
-    return best[1] if best else None
+        if site.data_centre in state.group:
+            key = (_crowding(census, state, site), vm)
+            _keep_lowest(best, site.data_centre, key)
+    return _best_move(plan, best, lambda vm: ids.PoolId(state.pool.name))
+
+
+def _keep_lowest(best: dict, data_centre: ids.DataCentre, key: tuple) -> None:
+    if data_centre not in best or key < best[data_centre]:
+        best[data_centre] = key
+
+
+def _best_move(
+    plan: _Plan,
+    best: dict,
+    destination: collections.abc.Callable[[ids.VmId], ids.PoolId],
+) -> ids.VmId | None:
+    """Choose the candidate whose move leaves the best reserve."""
+    if len(best) == 1:
+        ((_, vm),) = best.values()
+        return vm
+    census = plan.census
+    ranked = []
+    for key, vm in best.values():
+        origin = census.rows[vm].pool
+        reserve.move(census, vm, destination(vm))
+        ranked.append((-reserve.free(census), key, vm))
+        reserve.move(census, vm, origin)
+    return min(ranked)[-1] if ranked else None
 
 
 def _crowding(
@@ -281,20 +395,28 @@
         and state.up > state.needed
         and can_lend(plan, state)
     ]
+    name = ids.PoolId(borrower.pool.name)
     lenders.sort(key=lambda state: (state.needed - state.up, state.pool.name))
     for lender in lenders:
-        vm = _extra_vm(plan, lender, borrower.group)
+        vm = _extra_vm(plan, lender, borrower.group, lambda vm: name)
         if vm is not None:
             return vm
     return None
 
 
 def _extra_vm(
-    plan: _Plan, state: reserve.PoolState, group: reserve.Group
+    plan: _Plan,
+    state: reserve.PoolState,
+    group: reserve.Group,
+    destination: collections.abc.Callable[[ids.VmId], ids.PoolId],
 ) -> ids.VmId | None:
-    """Choose a VM that a pool gives away: from its fullest rack."""
+    """Choose a VM that a pool gives away.
+
+    In each data centre one of its fullest rack; of these the one that
+    leaves the best reserve.
+    """
     census = plan.census
-    best = None
+    best = {}
     if state.up <= state.needed:
         return None
     for vm, row in census.rows.items():
@@ -304,11 +426,6 @@
         if site.data_centre not in group:
             continue
         rack, data_centre = reserve.domains_of(site)
-        key = (
-            -state.loss.get(rack, 0),
-            -state.loss.get(data_centre, 0),
-            vm,
-        )
-        if best is None or key < best:
-            best = key
-    return best[2] if best else None
+        spread = (-state.loss.get(rack, 0), -state.loss.get(data_centre, 0))
+        _keep_lowest(best, site.data_centre, (spread, vm))
+    return _best_move(plan, best, destination)
