Keep margins and costs of the reserve by set of data centres

Loans are recalled, least urgent first, when the reserve is short; before that a wave could hold all loans and wait for ever after the loss of a rack.

--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -165,6 +165,11 @@
     blocked = {
         item.pool for item in choice.blocked if item.reason in LOAN_HELPS
     }
+    blocked -= {
+        item.pool
+        for item in choice.blocked
+        if item.reason is BlockReason.WIDTH
+    }
     rounds = {name: rounds_of(census, left, name) for name in held}
     order = sorted(held, key=lambda name: (-rounds[name], name))
     kept = [buffer.Loan(name, held[name]) for name in order if held[name]]
--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -101,6 +101,7 @@
     _adopt(plan, {move.vm for move in pending})
     _fill_minimum(plan)
     _fill_size(plan)
+    _recall(plan, loans)
     _rebalance(plan)
     for loan in loans:
         _lend(plan, loan)
@@ -189,6 +190,33 @@
             _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
 
 
+def _recall(plan: _Plan, loans: collections.abc.Sequence[Loan]) -> None:
+    """Return loans, the least urgent first, while the reserve is short.
+
+    A VM on loan helps only its pool against a loss that hits this pool.
+    """
+    census = plan.census
+    wanted = [loan.pool for loan in loans]
+    others = sorted(set(census.pools) - set(wanted))
+    for name in others + wanted[::-1]:
+        state = census.pools.get(name)
+        before = reserve.free(census)
+        if before >= 0:
+            return
+        if state is None or members(state) <= state.pool.size:
+            continue
+        vm = _extra_vm(
+            plan, state, state.group, lambda vm: _spare_of(plan, vm)
+        )
+        if vm is None:
+            continue
+        reserve.move(census, vm, _spare_of(plan, vm))
+        after = reserve.free(census)
+        reserve.move(census, vm, name)
+        if after > before:
+            _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
+
+
 def _rebalance(plan: _Plan) -> None:
     """Swap VMs with the spare until the worst loss lacks less.
 
@@ -363,11 +391,10 @@
     then data centres with the most spares.
     """
     rack, data_centre = reserve.domains_of(site)
-    lacking = sum(census.lacking.get(rack, {}).values())
     return (
         state.loss.get(rack, 0),
         state.loss.get(data_centre, 0),
-        lacking,
+        reserve.exposure(census, rack),
         -census.spares[site.data_centre],
     )
 
--- a/oleanderwood/buffer_size.py
+++ b/oleanderwood/buffer_size.py
@@ -102,5 +102,4 @@
 def _weight(census: reserve.Census, vm: ids.VmId) -> int:
     """Rank a spare by what goes with its rack; it helps least there."""
     rack, _ = reserve.domains_of(census.sites[vm])
-    lost = sum(census.lost_spares.get(rack, {}).values())
-    return lost + sum(census.lacking.get(rack, {}).values())
+    return reserve.exposure(census, rack)
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import operator
 import typing
 
 import msgspec
@@ -20,18 +21,25 @@
 Group = frozenset[ids.DataCentre]
 """The data centres whose spares may join a pool."""
 
-_RANK = {
+VM_LEVEL = 1
+RACK_LEVEL = 2
+DATA_CENTRE_LEVEL = 3
+
+_LEVELS = {
     configuration.Survives.NOTHING: 0,
-    configuration.Survives.VM: 1,
-    configuration.Survives.RACK: 2,
-    configuration.Survives.DATA_CENTRE: 3,
+    configuration.Survives.VM: VM_LEVEL,
+    configuration.Survives.RACK: RACK_LEVEL,
+    configuration.Survives.DATA_CENTRE: DATA_CENTRE_LEVEL,
 }
 
 
 class Domain(typing.NamedTuple):
-    """What fails at once: a VM of a pool, a rack, or a data centre."""
+    """What fails at once: a VM of a pool, a rack, or a data centre.
+
+    ``level`` is a number, since it is hashed often.
+    """
 
-    kind: configuration.Survives
+    level: int
     data_centre: ids.DataCentre | None
     name: str
 
@@ -79,28 +87,34 @@
 class Census:
     """What is up, and what each possible loss would lack.
 
-    ``lacking[domain][group]`` adds up the shortages beyond ``base``, which
-    holds those that exist before any further loss. ``lost_spares`` counts
-    by domain and data centre the spares that go with the domain.
+    Lists run over ``unions``, the sets of data centres that matter.
+    ``margin`` is the spares up in each set less the VMs that its pools lack
+    already; ``cost`` is what the loss of a domain would take off it: spares
+    that go with it, and VMs that pools would lack besides. Every promise
+    holds while no cost is above its margin.
     """
 
     pools: dict[ids.PoolId, PoolState]
     sites: collections.abc.Mapping[ids.VmId, Site]
     rows: dict[ids.VmId, fleet.VmRow]
     unions: tuple[Group, ...]
+    unions_above: dict[Group, tuple[int, ...]]
+    """The unions that contain a pool's data centres, by index."""
+
+    unions_with: dict[ids.DataCentre, tuple[int, ...]]
+    """The unions that contain a data centre, by index."""
+
     spares: collections.Counter
-    base: collections.Counter
-    lacking: dict[Domain, collections.Counter]
-    lost_spares: dict[Domain, collections.Counter]
+    margin: list[int]
+    cost: dict[Domain, list[int]]
 
 
 def domains_of(site: Site) -> tuple[Domain, Domain]:
     """Name the rack and the data centre that a VM fails with."""
-    rack = Domain(configuration.Survives.RACK, site.data_centre, site.rack)
-    data_centre = Domain(
-        configuration.Survives.DATA_CENTRE, site.data_centre, ''
+    return (
+        Domain(RACK_LEVEL, site.data_centre, site.rack),
+        Domain(DATA_CENTRE_LEVEL, site.data_centre, ''),
     )
-    return rack, data_centre
 
 
 def take_census(
@@ -121,16 +135,7 @@
         group = frozenset(map(ids.DataCentre, pool.data_centres))
         wanted = needed.get(pool_id, pool.min_up)
         states[pool_id] = PoolState(pool, group, wanted)
-    census = Census(
-        pools=states,
-        sites=sites,
-        rows={row.vm: row for row in rows if row.vm in sites},
-        unions=_unions({state.group for state in states.values()}),
-        spares=collections.Counter(),
-        base=collections.Counter(),
-        lacking=collections.defaultdict(collections.Counter),
-        lost_spares=collections.defaultdict(collections.Counter),
-    )
+    census = _empty_census(states, rows, sites)
     for row in census.rows.values():
         _count(census, row)
     for state in states.values():
@@ -199,12 +204,15 @@
 
     At least one is lacking when the result is negative.
     """
-    margins = [
-        _margin(census, domain, union)
-        for domain in _all_domains(census)
-        for union in census.unions
-    ]
-    return min(margins, default=0)
+    if not census.cost:
+        return min(census.margin, default=0)
+    highest = map(max, zip(*census.cost.values()))
+    return min(map(operator.sub, census.margin, highest), default=0)
+
+
+def exposure(census: Census, domain: Domain) -> int:
+    """Count the VMs lacking, and the spares lost, with a domain."""
+    return max(census.cost.get(domain, ()), default=0)
 
 
 def shortages(census: Census, absent: int = 0) -> list[Shortage]:
@@ -213,13 +221,49 @@
     :param absent: VMs that may be out besides, of whichever pools
     """
     found = []
-    for domain in _all_domains(census):
-        worst = _worst(census, domain, absent)
-        if worst is not None:
-            found.append(worst)
+    for domain, costs in census.cost.items():
+        margins = list(map(operator.sub, census.margin, costs))
+        least = min(margins, default=0)
+        if least < absent:
+            union = census.unions[margins.index(least)]
+            found.append(Shortage(domain, union, absent - least))
     return sorted(found, key=lambda item: (-item.missing, str(item.domain)))
 
 
+def _empty_census(
+    states: dict[ids.PoolId, PoolState],
+    rows: collections.abc.Iterable[fleet.VmRow],
+    sites: collections.abc.Mapping[ids.VmId, Site],
+) -> Census:
+    groups = {state.group for state in states.values()}
+    unions = _unions(groups)
+    zeros = [0] * len(unions)
+    return Census(
+        pools=states,
+        sites=sites,
+        rows={row.vm: row for row in rows if row.vm in sites},
+        unions=unions,
+        unions_above={
+            group: _indices(unions, group.issubset) for group in groups
+        },
+        unions_with={
+            name: _indices(unions, lambda union, name=name: name in union)
+            for group in groups
+            for name in group
+        },
+        spares=collections.Counter(),
+        margin=list(zeros),
+        cost=collections.defaultdict(zeros.copy),
+    )
+
+
+def _indices(
+    unions: tuple[Group, ...],
+    matches: collections.abc.Callable[[Group], bool],
+) -> tuple[int, ...]:
+    return tuple(index for index, union in enumerate(unions) if matches(union))
+
+
 def _unions(groups: set[Group]) -> tuple[Group, ...]:
     """Close sets of data centres under union."""
     closed = set(groups)
@@ -257,12 +301,17 @@
     if not is_spare(row):
         return
     census.spares[site.data_centre] += change
+    indices = census.unions_with.get(site.data_centre, ())
+    for index in indices:
+        census.margin[index] += change
     for domain in domains_of(site):
-        census.lost_spares[domain][site.data_centre] += change
+        costs = census.cost[domain]
+        for index in indices:
+            costs[index] += change
 
 
 def _count_losses(state: PoolState, site: Site, change: int) -> None:
-    own = Domain(configuration.Survives.VM, None, state.pool.name)
+    own = Domain(VM_LEVEL, None, state.pool.name)
     state.loss[own] = min(1, state.up)
     state.homes[site.data_centre] += change
     for domain in domains_of(site):
@@ -298,23 +347,30 @@
 def _contribute(census: Census, state: PoolState, sign: int) -> None:
     """Add a pool's shortages to the sums, or take them off."""
     below = max(0, state.needed - state.up)
-    census.base[state.group] += sign * below
+    above = census.unions_above[state.group]
     extra = _extra(state)
+    homes = ()
     if extra:
         home = _extra_home(state)
+        homes = census.unions_with[home]
         census.spares[home] += sign * extra
-    promised = _RANK[state.pool.survives]
+        for index in homes:
+            census.margin[index] += sign * extra
+    if below:
+        for index in above:
+            census.margin[index] -= sign * below
+    promised = _LEVELS[state.pool.survives]
     for domain, lost in state.loss.items():
-        if extra:
-            census.lost_spares[domain][home] += sign * min(extra, lost)
-        if _RANK[domain.kind] > promised:
+        lacking = 0
+        if domain.level <= promised:
+            lacking = max(0, state.needed - state.up + lost) - below
+        if not lacking and not extra:
             continue
-        lacking = max(0, state.needed - state.up + lost) - below
-        census.lacking[domain][state.group] += sign * lacking
-
-
-def _all_domains(census: Census) -> list[Domain]:
-    return list(census.lacking.keys() | census.lost_spares.keys())
+        costs = census.cost[domain]
+        for index in above:
+            costs[index] += sign * lacking
+        for index in homes:
+            costs[index] += sign * min(extra, lost)
 
 
 def _holds(
@@ -323,31 +379,9 @@
     absent: int = 0,
 ) -> bool:
     if domains is None:
-        domains = _all_domains(census)
-    return all(
-        _margin(census, domain, union) >= absent
+        return free(census) >= absent
+    return not any(
+        any(map(operator.gt, census.cost[domain], census.margin))
         for domain in domains
-        for union in census.unions
+        if domain in census.cost
     )
-
-
-def _margin(census: Census, domain: Domain, union: Group) -> int:
-    """Count the spares left in some data centres after a loss."""
-    lost = census.lost_spares.get(domain, {})
-    supply = sum(census.spares[name] - lost.get(name, 0) for name in union)
-    demand = 0
-    for counts in (census.base, census.lacking.get(domain, {})):
-        for group, count in counts.items():
-            if count and group <= union:
-                demand += count
-    return max(0, supply) - demand
-
-
-def _worst(census: Census, domain: Domain, absent: int = 0) -> Shortage | None:
-    """Find the set of data centres that lacks most after a loss."""
-    worst = None
-    for union in census.unions:
-        missing = absent - _margin(census, domain, union)
-        if missing > 0 and (worst is None or missing > worst.missing):
-            worst = Shortage(domain, union, missing)
-    return worst
