--- a/measure/bounds.py
+++ b/measure/bounds.py
@@ -49,7 +49,10 @@
     for site, count in racks.items():
         there = [placed[key] for key in placed if key[1] == site]
         solver.addConstr(_total([*there, spare[site]]) <= count)
+    deepest = max(_RANKS[pool.survives] for pool in drawn.pools)
     for domain, sites in _domains(racks).items():
+        if domain.level > deepest:
+            continue
         _keep_promises(solver, drawn, domain, sites, spare, placed)
     solver.minimize(_total(list(spare.values())))
     info = solver.getInfo()
--- a/measure/inputs.py
+++ b/measure/inputs.py
@@ -5,6 +5,7 @@
 
 from oleanderwood import buffer
 from oleanderwood import buffer_size
+from oleanderwood import buffer_swap
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -16,6 +17,9 @@
 SPARE_SHARE = 0.4
 """VMs offered beyond the pools' sizes, before the sizing."""
 
+MAX_SWAPS = 4
+"""Swaps that one spare less is worth, before anything serves."""
+
 DAY_S = 24 * 3600.0
 VM_FAILURES_A_DAY = 16 / 1000
 """Per VM: 16 of the design's 1,000 fail on an ordinary day."""
@@ -108,8 +112,13 @@
         ),
     )
     sizing = buffer_size.size(
-        assigned.pools, assigned.rows, assigned.sites, assigned.absent
+        assigned.pools,
+        assigned.rows,
+        assigned.sites,
+        assigned.absent,
+        MAX_SWAPS if shape is not DESIGN else 0,
     )
+    assigned = _exchange(assigned, sizing.swaps)
     surplus = set(sizing.surplus)
     return dataclasses.replace(
         assigned,
@@ -153,6 +162,13 @@
     return Fleet(shape.name, pools, rows, sites, shape.weights, wave, absent)
 
 
+def _exchange(drawn: Fleet, swaps: tuple[buffer_swap.Swap, ...]) -> Fleet:
+    census = reserve.take_census(drawn.pools, drawn.rows, drawn.sites)
+    for swap in swaps:
+        buffer_swap.carry_out(census, swap)
+    return dataclasses.replace(drawn, rows=tuple(census.rows.values()))
+
+
 def carry_out(drawn: Fleet, moves: tuple[buffer.Move, ...]) -> Fleet:
     """Put VMs into the pools that they were moved to."""
     target = {move.vm: move.to_pool for move in moves}
--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oleanderwood import buffer_swap
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -218,73 +219,21 @@
 
 
 def _rebalance(plan: _Plan) -> None:
-    """Swap VMs with the spare until the worst loss lacks less.
+    """Swap VMs with the spare when the reserve is short.
 
-    Nothing moves when a few swaps don't get there.
+    Nothing moves when a few swaps don't suffice, or while VMs are out that
+    come back by themselves.
     """
     census = plan.census
-    before = reserve.free(census)
-    if before >= 0 or any(state.out for state in census.pools.values()):
-        return
-    swaps = []
-    while len(swaps) < MAX_SWAPS and reserve.free(census) == before:
-        swap = _best_swap(census, reserve.shortages(census)[0].domain)
-        if swap is None:
-            break
-        _swap(census, swap)
-        swaps.append(swap)
-    better = reserve.free(census) > before
-    for swap in reversed(swaps):
-        _swap(census, swap)
-    if not better:
+    short = reserve.free(census) < 0
+    if not short or any(state.out for state in census.pools.values()):
         return
-    for vm, spare in swaps:
+    for vm, spare in buffer_swap.find(census, 0, MAX_SWAPS):
         pool = census.rows[vm].pool
         _move(plan, spare, pool, MoveReason.REBALANCE)
         _move(plan, vm, _spare_of(plan, vm), MoveReason.REBALANCE)
 
 
-def _best_swap(
-    census: reserve.Census, domain: reserve.Domain
-) -> tuple[ids.VmId, ids.VmId] | None:
-    """Choose a VM of a domain and a spare outside that takes its place."""
-    inside = {}
-    outside = {}
-    for vm, row in sorted(census.rows.items()):
-        if not reserve.is_up(row):
-            continue
-        within = domain in reserve.domains_of(census.sites[vm])
-        if within and row.pool in census.pools:
-            inside.setdefault(row.pool, vm)
-        elif not within and reserve.is_spare(row):
-            outside.setdefault(census.sites[vm], vm)
-    best = None
-    now = _deficit(census)
-    for pool, vm in inside.items():
-        for site, spare in outside.items():
-            if site.data_centre not in census.pools[pool].group:
-                continue
-            _swap(census, (vm, spare))
-            key = (_deficit(census), vm, spare)
-            _swap(census, (vm, spare))
-            if key[0] < now and (best is None or key < best):
-                best = key
-    return best[1:] if best else None
-
-
-def _deficit(census: reserve.Census) -> int:
-    return sum(item.missing for item in reserve.shortages(census))
-
-
-def _swap(census: reserve.Census, swap: tuple[ids.VmId, ids.VmId]) -> None:
-    """Let two VMs change pools."""
-    first, second = swap
-    pool = census.rows[first].pool
-    other = census.rows[second].pool
-    reserve.move(census, first, other)
-    reserve.move(census, second, pool)
-
-
 def _lend(plan: _Plan, loan: Loan) -> None:
     """Lend VMs to a pool, from pools that no longer need theirs first."""
     state = plan.census.pools.get(loan.pool)
@@ -387,14 +336,25 @@
 ) -> tuple[int, ...]:
     """Rank a place for one more VM of a pool; lower is better.
 
-    The pool's own spread goes first, then racks whose loss lacks least,
-    then data centres with the most spares.
+    A VM whose loss the pool would lack goes where least is lacking. One
+    that is covered by the pool's own slack goes where most is lacking: it
+    leaves better places to others and to the spare.
     """
     rack, data_centre = reserve.domains_of(site)
+    slack = state.pool.size - state.needed
+    ranks = []
+    for domain in (data_centre, rack):
+        if not reserve.promises(state.pool, domain):
+            ranks.append(0)
+        elif state.loss.get(domain, 0) < slack:
+            ranks.append(0)
+        else:
+            ranks.append(1 + census.lacking[domain])
     return (
+        *ranks,
         state.loss.get(rack, 0),
         state.loss.get(data_centre, 0),
-        reserve.exposure(census, rack),
+        -census.lacking[rack],
         -census.spares[site.data_centre],
     )
 
--- a/oleanderwood/buffer_size.py
+++ b/oleanderwood/buffer_size.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oleanderwood import buffer_swap
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -18,13 +19,15 @@
 class Sizing(msgspec.Struct, frozen=True):
     """The spare VMs to hold, by data centre, and what is lacking.
 
-    ``surplus`` are VMs that no promise needs; they may be handed back.
+    ``surplus`` are VMs that no promise needs once each pair of ``swaps``
+    has changed places; they may be handed back.
     """
 
     held: tuple[ids.VmId, ...]
     by_data_centre: dict[ids.DataCentre, int]
     surplus: tuple[ids.VmId, ...]
     lacking: tuple[reserve.Shortage, ...]
+    swaps: tuple[buffer_swap.Swap, ...] = ()
 
 
 def absent_for(
@@ -58,48 +61,91 @@
     rows: collections.abc.Iterable[fleet.VmRow],
     sites: collections.abc.Mapping[ids.VmId, reserve.Site],
     absent: int,
+    max_swaps: int = 0,
 ) -> Sizing:
     """Choose the spare VMs to hold.
 
     Drops spares one by one, from the racks that the promises lean on least,
-    while every promise holds with ``absent`` VMs out.
+    while every promise holds with ``absent`` VMs out. Then lets VMs change
+    places where that makes one more spare superfluous.
+
+    :param max_swaps: swaps that one spare less is worth
     """
     census = reserve.take_census(pools, rows, sites)
-    held = {
+    lacking = tuple(reserve.shortages(census, absent))
+    swaps = []
+    while not lacking:
+        _drop(census, absent)
+        more = buffer_swap.find(census, absent + 1, max_swaps)
+        if not more:
+            break
+        for swap in more:
+            buffer_swap.carry_out(census, swap)
+        swaps += more
+    held = _spares(census)
+    counts = collections.Counter(census.sites[vm].data_centre for vm in held)
+    surplus = [
         vm
         for vm, row in census.rows.items()
-        if reserve.is_spare(row) and reserve.is_up(row)
-    }
-    lacking = tuple(reserve.shortages(census, absent))
-    surplus = [] if lacking else _drop(census, held, absent)
-    counts = collections.Counter(
-        census.sites[vm].data_centre for vm in held.difference(surplus)
-    )
+        if row.pool == buffer_swap.SURPLUS
+    ]
     return Sizing(
-        tuple(sorted(held.difference(surplus))),
+        tuple(sorted(held)),
         dict(counts),
         tuple(sorted(surplus)),
         lacking,
+        tuple(swaps),
     )
 
 
-def _drop(
-    census: reserve.Census, held: set[ids.VmId], absent: int
-) -> list[ids.VmId]:
-    surplus = []
-    left = set(held)
+def _drop(census: reserve.Census, absent: int) -> None:
+    """Drop spares one by one, in the order that drops the most."""
+    fewest = None
+    for rank in (_by_rack, _by_data_centre):
+        dropped = _drop_by(census, absent, rank)
+        if fewest is None or len(dropped) > len(fewest):
+            fewest = dropped
+        for vm, spare in dropped.items():
+            reserve.move(census, vm, spare)
+    for vm in fewest:
+        reserve.move(census, vm, buffer_swap.SURPLUS)
+
+
+def _drop_by(
+    census: reserve.Census, absent: int, rank: collections.abc.Callable
+) -> dict[ids.VmId, ids.PoolId]:
+    """Drop the spare of the highest rank first; name the dropped."""
+    dropped = {}
+    left = set(_spares(census))
     while left:
-        vm = max(left, key=lambda vm: (_weight(census, vm), vm))
+        vm = max(left, key=lambda vm: (rank(census, vm), vm))
         left.discard(vm)
-        reserve.take(census, vm)
+        spare = census.rows[vm].pool
+        reserve.move(census, vm, buffer_swap.SURPLUS)
         if reserve.holds(census, absent):
-            surplus.append(vm)
+            dropped[vm] = spare
         else:
-            reserve.put_back(census, vm)
-    return surplus
+            reserve.move(census, vm, spare)
+    return dropped
 
 
-def _weight(census: reserve.Census, vm: ids.VmId) -> int:
+def _spares(census: reserve.Census) -> list[ids.VmId]:
+    return [
+        vm
+        for vm, row in census.rows.items()
+        if reserve.is_spare(row) and reserve.is_up(row)
+    ]
+
+
+def _by_rack(census: reserve.Census, vm: ids.VmId) -> tuple[int, ...]:
     """Rank a spare by what goes with its rack; it helps least there."""
-    rack, _ = reserve.domains_of(census.sites[vm])
-    return reserve.exposure(census, rack)
+    rack, data_centre = reserve.domains_of(census.sites[vm])
+    return (
+        reserve.exposure(census, rack),
+        reserve.exposure(census, data_centre),
+    )
+
+
+def _by_data_centre(census: reserve.Census, vm: ids.VmId) -> tuple[int, ...]:
+    """Rank a spare by what goes with its data centre."""
+    return _by_rack(census, vm)[::-1]
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -104,9 +104,14 @@
     unions_with: dict[ids.DataCentre, tuple[int, ...]]
     """The unions that contain a data centre, by index."""
 
+    deepest: int
+    """The highest level that any pool promises to survive."""
+
     spares: collections.Counter
     margin: list[int]
     cost: dict[Domain, list[int]]
+    lacking: collections.Counter
+    """VMs that pools would lack with a domain, without lost spares."""
 
 
 def domains_of(site: Site) -> tuple[Domain, Domain]:
@@ -215,6 +220,11 @@
     return max(census.cost.get(domain, ()), default=0)
 
 
+def promises(pool: configuration.Pool, domain: Domain) -> bool:
+    """Say whether a pool promises to survive the loss of a domain."""
+    return domain.level <= _LEVELS[pool.survives]
+
+
 def shortages(census: Census, absent: int = 0) -> list[Shortage]:
     """List the failures that would not be survived now, worst first.
 
@@ -251,9 +261,14 @@
             for group in groups
             for name in group
         },
+        deepest=max(
+            (_LEVELS[state.pool.survives] for state in states.values()),
+            default=0,
+        ),
         spares=collections.Counter(),
         margin=list(zeros),
         cost=collections.defaultdict(zeros.copy),
+        lacking=collections.Counter(),
     )
 
 
@@ -305,6 +320,8 @@
     for index in indices:
         census.margin[index] += change
     for domain in domains_of(site):
+        if domain.level > census.deepest:
+            continue
         costs = census.cost[domain]
         for index in indices:
             costs[index] += change
@@ -359,14 +376,14 @@
     if below:
         for index in above:
             census.margin[index] -= sign * below
-    promised = _LEVELS[state.pool.survives]
     for domain, lost in state.loss.items():
         lacking = 0
-        if domain.level <= promised:
+        if promises(state.pool, domain):
             lacking = max(0, state.needed - state.up + lost) - below
-        if not lacking and not extra:
+        if domain.level > census.deepest or not (lacking or extra):
             continue
         costs = census.cost[domain]
+        census.lacking[domain] += sign * lacking
         for index in above:
             costs[index] += sign * lacking
         for index in homes:
