--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -166,7 +166,7 @@
         name = ids.PoolId(state.pool.name)
         short = state.needed - state.up - plan.coming[name]
         for _ in range(short):
-            vm = _spare_for(plan, state)
+            vm = _spare_to_keep(plan, state)
             vm = vm or _lender_vm(plan, state, _can_lend_extra)
             vm = vm or _lender_vm(plan, state, _can_lend_slack)
             if vm is None:
@@ -185,7 +185,7 @@
     )
     for state in states:
         while state.up + state.out < state.pool.size:
-            vm = _spare_for(plan, state)
+            vm = _spare_to_keep(plan, state)
             if vm is None:
                 break
             _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
@@ -241,7 +241,7 @@
         return
     while members(state) < state.pool.size + loan.extra:
         vm = _lender_vm(plan, state, _can_lend_extra)
-        vm = vm or _spare_for(plan, state)
+        vm = vm or _spare_to_lend(plan, state)
         if vm is None or not _useful(plan, vm, loan.pool):
             return
         _move(plan, vm, loan.pool, MoveReason.LOAN)
@@ -289,12 +289,22 @@
     plan.moves.append(Move(vm, origin, pool, reason))
 
 
-def _spare_for(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
-    """Choose the spare VM that joins a pool.
+def _spare_to_lend(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
+    """Choose the spare VM to lend: the one that leaves the best reserve."""
+    name = ids.PoolId(state.pool.name)
+    return _best_move(plan, _spares_for(plan, state), lambda vm: name)
 
-    In each data centre the one that spreads the pool best; of these the one
-    that leaves the best reserve.
-    """
+
+def _spare_to_keep(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
+    """Choose the spare VM to join a pool: the one that spreads it best."""
+    best = _spares_for(plan, state)
+    return min(best.values())[-1] if best else None
+
+
+def _spares_for(
+    plan: _Plan, state: reserve.PoolState
+) -> dict[ids.DataCentre, tuple]:
+    """Rank the spare VMs that may join a pool, by data centre."""
     census = plan.census
     best = {}
     for vm, row in census.rows.items():
@@ -304,7 +314,7 @@
         if site.data_centre in state.group:
             key = (_crowding(census, state, site), vm)
             _keep_lowest(best, site.data_centre, key)
-    return _best_move(plan, best, lambda vm: ids.PoolId(state.pool.name))
+    return best
 
 
 def _keep_lowest(best: dict, data_centre: ids.DataCentre, key: tuple) -> None:
--- a/oleanderwood/buffer_size.py
+++ b/oleanderwood/buffer_size.py
@@ -72,16 +72,14 @@
     :param max_swaps: swaps that one spare less is worth
     """
     census = reserve.take_census(pools, rows, sites)
+    swaps = _swap(census, absent, max_swaps)
     lacking = tuple(reserve.shortages(census, absent))
-    swaps = []
     while not lacking:
         _drop(census, absent)
-        more = buffer_swap.find(census, absent + 1, max_swaps)
+        more = _swap(census, absent + 1, max_swaps)
+        swaps += more
         if not more:
             break
-        for swap in more:
-            buffer_swap.carry_out(census, swap)
-        swaps += more
     held = _spares(census)
     counts = collections.Counter(census.sites[vm].data_centre for vm in held)
     surplus = [
@@ -98,27 +96,46 @@
     )
 
 
+def _swap(
+    census: reserve.Census, target: int, limit: int
+) -> list[buffer_swap.Swap]:
+    swaps = buffer_swap.find(census, target, limit)
+    for swap in swaps:
+        buffer_swap.carry_out(census, swap)
+    return swaps
+
+
 def _drop(census: reserve.Census, absent: int) -> None:
     """Drop spares one by one, in the order that drops the most."""
-    fewest = None
-    for rank in (_by_rack, _by_data_centre):
+    most = {}
+    for rank in (_by_rack, _by_data_centre, _by_use, _by_harm):
         dropped = _drop_by(census, absent, rank)
-        if fewest is None or len(dropped) > len(fewest):
-            fewest = dropped
+        if len(dropped) > len(most):
+            most = dropped
         for vm, spare in dropped.items():
             reserve.move(census, vm, spare)
-    for vm in fewest:
+    for vm in most:
         reserve.move(census, vm, buffer_swap.SURPLUS)
 
 
 def _drop_by(
     census: reserve.Census, absent: int, rank: collections.abc.Callable
 ) -> dict[ids.VmId, ids.PoolId]:
-    """Drop the spare of the highest rank first; name the dropped."""
+    """Drop spares while every promise holds, those of low rank first.
+
+    :returns: the dropped VMs, with their pools
+    """
     dropped = {}
     left = set(_spares(census))
     while left:
-        vm = max(left, key=lambda vm: (rank(census, vm), vm))
+        candidates = {}
+        for vm in left:
+            site = census.sites[vm]
+            rack, _ = reserve.domains_of(site)
+            key = (reserve.exposure(census, rack), vm)
+            best = candidates.get(site.data_centre, key)
+            candidates[site.data_centre] = max(best, key)
+        _, vm = min((rank(census, vm), vm) for _, vm in candidates.values())
         left.discard(vm)
         spare = census.rows[vm].pool
         reserve.move(census, vm, buffer_swap.SURPLUS)
@@ -129,23 +146,38 @@
     return dropped
 
 
-def _spares(census: reserve.Census) -> list[ids.VmId]:
-    return [
-        vm
-        for vm, row in census.rows.items()
-        if reserve.is_spare(row) and reserve.is_up(row)
-    ]
-
-
 def _by_rack(census: reserve.Census, vm: ids.VmId) -> tuple[int, ...]:
     """Rank a spare by what goes with its rack; it helps least there."""
     rack, data_centre = reserve.domains_of(census.sites[vm])
     return (
-        reserve.exposure(census, rack),
-        reserve.exposure(census, data_centre),
+        -reserve.exposure(census, rack),
+        -reserve.exposure(census, data_centre),
     )
 
 
 def _by_data_centre(census: reserve.Census, vm: ids.VmId) -> tuple[int, ...]:
     """Rank a spare by what goes with its data centre."""
     return _by_rack(census, vm)[::-1]
+
+
+def _by_use(census: reserve.Census, vm: ids.VmId) -> tuple[int, ...]:
+    """Rank a spare by how few sets of data centres can use it."""
+    unions = census.unions_with.get(census.sites[vm].data_centre, ())
+    return len(unions), *_by_rack(census, vm)
+
+
+def _by_harm(census: reserve.Census, vm: ids.VmId) -> float:
+    """Rank a spare by the margins without it; the tightest count most."""
+    spare = census.rows[vm].pool
+    reserve.move(census, vm, buffer_swap.SURPLUS)
+    harm = sum(2.0**-margin for margin in reserve.margins(census))
+    reserve.move(census, vm, spare)
+    return harm
+
+
+def _spares(census: reserve.Census) -> list[ids.VmId]:
+    return [
+        vm
+        for vm, row in census.rows.items()
+        if reserve.is_spare(row) and reserve.is_up(row)
+    ]
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -209,10 +209,15 @@
 
     At least one is lacking when the result is negative.
     """
+    return min(margins(census), default=0)
+
+
+def margins(census: Census) -> list[int]:
+    """List by union the spares left after the worst loss for it."""
     if not census.cost:
-        return min(census.margin, default=0)
+        return census.margin
     highest = map(max, zip(*census.cost.values()))
-    return min(map(operator.sub, census.margin, highest), default=0)
+    return list(map(operator.sub, census.margin, highest))
 
 
 def exposure(census: Census, domain: Domain) -> int:
