--- a/measure/bounds.py
+++ b/measure/bounds.py
@@ -112,6 +112,24 @@
     return best
 
 
+def least_roll_out_in_place_s(
+    drawn: inputs.Fleet, duration_s: dict[ids.VmId, float]
+) -> float:
+    """Bound a wave with the least moves, each VM done in its own pool.
+
+    A pool without slack then has one VM beyond its size and takes its VMs
+    one by one; another one takes as many at once as its slack.
+    """
+    best = least_roll_out_s(drawn, duration_s)
+    pools = {row.vm: row.pool for row in drawn.rows}
+    for pool in drawn.pools:
+        work_s = sum(
+            duration_s[vm] for vm, name in pools.items() if name == pool.name
+        )
+        best = max(best, work_s / max(1, pool.size - pool.min_up))
+    return best
+
+
 def least_moves(drawn: inputs.Fleet) -> int:
     """Count the pools that need another VM before one of theirs can go."""
     return sum(pool.size <= pool.min_up for pool in drawn.pools)
--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -108,8 +108,9 @@
 ) -> Choice:
     """Take VMs while every promise holds, at most ``width`` at once.
 
-    Whole racks go first, then single VMs; within each, the pools that
-    would need the most rounds. The census is left with the chosen VMs out.
+    Pools that would need the most rounds go first. Once as many VMs may be
+    out as there are racks left, whole racks go before single VMs. The
+    census is left with the chosen VMs out.
     """
     racks = collections.defaultdict(list)
     for row in left.up:
@@ -121,7 +122,7 @@
     )
     room = width - len(left.out)
     taken = []
-    for site in order:
+    for site in order if room >= len(racks) else ():
         if len(taken) + len(racks[site]) <= room:
             taken += _whole_rack(census, racks[site], quarter)
     known = set(taken)
--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -106,7 +106,7 @@
     _rebalance(plan)
     for loan in loans:
         _lend(plan, loan)
-    if weights.buffer > weights.moves:
+    if not weights.moves:
         _take_back(plan)
     return tuple(plan.moves)
 
@@ -363,9 +363,9 @@
     return (
         *ranks,
         state.loss.get(rack, 0),
+        -census.spares[site.data_centre],
         state.loss.get(data_centre, 0),
         -census.lacking[rack],
-        -census.spares[site.data_centre],
     )
 
 
--- a/oleanderwood/failure_estimate.py
+++ b/oleanderwood/failure_estimate.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from oleanderwood import configuration
 from oleanderwood import ids
 
 PRIOR_FAILURES = 0.5
@@ -19,7 +20,7 @@
 HALF_LIFE = 8.0
 """Outcomes after which an earlier one counts half."""
 
-STOP_SHARE = 0.12
+STOP_SHARE = 0.08
 """A wave stops itself once its estimate is above this."""
 
 PROBE_AFTER_S = 600.0
@@ -38,6 +39,17 @@
     failed: bool = False
 
 
+class Ramp(msgspec.Struct, frozen=True):
+    """How a wave widens: VMs out at the start, and more per success."""
+
+    start: int
+    growth: int
+
+
+CAUTIOUS = Ramp(start=1, growth=1)
+SWIFT = Ramp(start=2, growth=2)
+
+
 class Mode(enum.Enum):
     """How a wave may go on, from its outcomes alone."""
 
@@ -78,9 +90,15 @@
     return (PRIOR_FAILURES + failures) / total
 
 
+def ramp_for(weights: configuration.Weights) -> Ramp:
+    """Choose the ramp: swift where roll-out weighs as much as buffer."""
+    return SWIFT if weights.roll_out >= weights.buffer else CAUTIOUS
+
+
 def judge(
     outcomes: collections.abc.Sequence[Outcome],
     now_s: float,
+    ramp: Ramp = CAUTIOUS,
     stop_share: float = STOP_SHARE,
 ) -> Judgement:
     """Replay the outcomes, oldest first, and say how the wave may go on.
@@ -108,7 +126,7 @@
             stopped_at_s = None
     share = estimate(outcomes[since:])
     if stopped_at_s is None:
-        return Judgement(Mode.RUNNING, share, _width(outcomes[since:]))
+        return Judgement(Mode.RUNNING, share, _width(outcomes[since:], ramp))
     if failed_probes >= MAX_PROBES:
         return Judgement(Mode.GIVEN_UP, share, 0)
     probe_at_s = stopped_at_s + PROBE_AFTER_S * 2**failed_probes
@@ -117,9 +135,12 @@
     return Judgement(Mode.PROBE_DUE, share, 1, probe_at_s)
 
 
-def _width(outcomes: collections.abc.Sequence[Outcome]) -> int:
-    """Widen by one with each success, halve with each failure."""
-    width = 1
+def _width(outcomes: collections.abc.Sequence[Outcome], ramp: Ramp) -> int:
+    """Widen with each success, halve with each failure."""
+    width = ramp.start
     for outcome in outcomes:
-        width = max(1, width // 2) if outcome.failed else width + 1
+        if outcome.failed:
+            width = max(ramp.start, width // 2)
+        else:
+            width += ramp.growth
     return width
--- a/oleanderwood/wave.py
+++ b/oleanderwood/wave.py
@@ -163,7 +163,9 @@
     census = _census(pools, rows, now_s, absence_s, conditions)
     finished = {outcome.vm for outcome in progress.outcomes}
     left = batches.left_of(census, progress.targets, finished)
-    judgement = failure_estimate.judge(progress.outcomes, now_s)
+    judgement = failure_estimate.judge(
+        progress.outcomes, now_s, failure_estimate.ramp_for(weights)
+    )
     gate = _gate(wave, progress, judgement, left, now_s)
     quarter = batches.Quarter(conditions.spent, absence_s)
     choice = batches.choose(census, left, gate.width, quarter)
