--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -20,6 +20,10 @@
 """VMs exchanged with the spare at one step to mend the reserve."""
 
 
+LEAST_FREE = 1
+"""VMs that the reserve should allow to be out besides."""
+
+
 class MoveReason(enum.Enum):
     """Why a VM changes its pool."""
 
@@ -102,7 +106,7 @@
     _adopt(plan, {move.vm for move in pending})
     _fill_minimum(plan)
     _fill_size(plan)
-    _recall(plan, loans)
+    _recall(plan, loans, weights)
     _rebalance(plan)
     for loan in loans:
         _lend(plan, loan)
@@ -191,45 +195,69 @@
             _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
 
 
-def _recall(plan: _Plan, loans: collections.abc.Sequence[Loan]) -> None:
-    """Return loans, the least urgent first, while the reserve is short.
+def _recall(
+    plan: _Plan,
+    loans: collections.abc.Sequence[Loan],
+    weights: configuration.Weights,
+) -> None:
+    """Return loans while the reserve has no room for a VM to be out.
 
     A VM on loan helps only its pool against a loss that hits this pool.
+    Those that no wave wants come first; the others, the least urgent
+    first, only when the reserve is short.
     """
     census = plan.census
+    eager = _is_idle(census) or weights.roll_out >= weights.moves
     wanted = [loan.pool for loan in loans]
     others = sorted(set(census.pools) - set(wanted))
+    for name in others if eager else ():
+        _recall_from(plan, name, LEAST_FREE)
     for name in others + wanted[::-1]:
-        state = census.pools.get(name)
-        before = reserve.free(census)
-        if before >= 0:
-            return
-        if state is None or members(state) <= state.pool.size:
-            continue
-        vm = _extra_vm(
-            plan, state, state.group, lambda vm: _spare_of(plan, vm)
-        )
-        if vm is None:
-            continue
-        reserve.move(census, vm, _spare_of(plan, vm))
-        after = reserve.free(census)
-        reserve.move(census, vm, name)
-        if after > before:
-            _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
+        _recall_from(plan, name, 0)
+
+
+def _is_idle(census: reserve.Census) -> bool:
+    """Say whether no VM is out that comes back by itself."""
+    return all(state.out == state.broken for state in census.pools.values())
+
+
+def _recall_from(plan: _Plan, name: ids.PoolId, target: int) -> None:
+    """Return a VM of a pool if the reserve has less room than wanted."""
+    census = plan.census
+    state = census.pools.get(name)
+    before = buffer_swap.deficit(census, target)
+    if not before or state is None or members(state) <= state.pool.size:
+        return
+    vm = _extra_vm(plan, state, state.group, lambda vm: _spare_of(plan, vm))
+    if vm is None:
+        return
+    reserve.move(census, vm, _spare_of(plan, vm))
+    after = buffer_swap.deficit(census, target)
+    reserve.move(census, vm, name)
+    safe = target <= 0 or reserve.holds_without(census, vm)
+    if after < before and safe:
+        _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
 
 
 def _rebalance(plan: _Plan) -> None:
-    """Swap VMs with the spare when the reserve is short.
+    """Swap VMs with the spare when the reserve has no room.
 
     Nothing moves when a few swaps don't suffice, or while VMs are out that
     come back by themselves.
     """
     census = plan.census
-    short = reserve.free(census) < 0
-    if not short or any(state.out for state in census.pools.values()):
+    if reserve.free(census) >= LEAST_FREE or not _is_idle(census):
         return
-    for vm, spare in buffer_swap.find(census, 0, MAX_SWAPS):
+    target = reserve.free(census) + 1
+    for vm, spare in buffer_swap.find(census, target, MAX_SWAPS):
         pool = census.rows[vm].pool
+        origin = census.rows[spare].pool
+        reserve.move(census, spare, pool)
+        safe = target <= 0 or reserve.holds_without(census, vm)
+        reserve.move(census, spare, origin)
+        if not safe:
+            # The reserve would be short while the VM is released.
+            return
         _move(plan, spare, pool, MoveReason.REBALANCE)
         _move(plan, vm, _spare_of(plan, vm), MoveReason.REBALANCE)
 
@@ -336,7 +364,8 @@
     for key, vm in best.values():
         origin = census.rows[vm].pool
         reserve.move(census, vm, destination(vm))
-        ranked.append((-reserve.free(census), key, vm))
+        lacking = buffer_swap.deficit(census, LEAST_FREE)
+        ranked.append((-reserve.free(census), lacking, key, vm))
         reserve.move(census, vm, origin)
     return min(ranked)[-1] if ranked else None
 
--- a/oleanderwood/buffer_swap.py
+++ b/oleanderwood/buffer_swap.py
@@ -44,6 +44,17 @@
     reserve.move(census, second, _like(census, pool, second))
 
 
+def deficit(census: reserve.Census, target: int) -> int:
+    """Add up what all losses lack until each leaves ``target`` spares."""
+    least = [margin - target for margin in census.margin]
+    return sum(
+        cost - margin
+        for costs in census.cost.values()
+        for cost, margin in zip(costs, least)
+        if cost > margin
+    )
+
+
 def _like(
     census: reserve.Census, pool: ids.PoolId, vm: ids.VmId
 ) -> ids.PoolId:
@@ -55,40 +66,63 @@
 
 def _best(census: reserve.Census, target: int) -> Swap | None:
     """Choose a VM of the worst domain and one that takes its place."""
-    domain = reserve.shortages(census, target)[0].domain
-    inside = {}
-    outside = {}
+    worst = reserve.shortages(census, target)[0]
+    best = None
+    now = deficit(census, target)
+    for vm, other in _candidates(census, worst):
+        carry_out(census, (vm, other))
+        key = (deficit(census, target), vm, other)
+        carry_out(census, (vm, other))
+        if key[0] < now and (best is None or key < best):
+            best = key
+    return best[1:] if best else None
+
+
+def _candidates(census: reserve.Census, worst: reserve.Shortage) -> list[Swap]:
+    """List pairs of a VM that is lost or out of reach, and one that isn't.
+
+    Of each pair one is in a pool and the other a spare or surplus, or the
+    first a spare and the second surplus. The VM in a pool comes first.
+    """
+    useless = {}
+    useful = {}
     for vm, row in sorted(census.rows.items()):
         if not reserve.is_up(row):
             continue
         site = census.sites[vm]
-        within = domain in reserve.domains_of(site)
-        in_pool = row.pool in census.pools
-        if within and row.pool != SURPLUS:
-            inside.setdefault((site, row.pool), vm)
-        elif not within and not in_pool:
-            outside.setdefault((site, row.pool), vm)
-    best = None
-    now = _deficit(census, target)
-    for vm in _least_exposed(census, inside):
-        for other in _least_exposed(census, outside):
-            if not _may_swap(census, vm, other):
+        lost = worst.domain in reserve.domains_of(site)
+        reached = site.data_centre in worst.data_centres
+        side = useful if reached and not lost else useless
+        role = _role(census, row)
+        side.setdefault(role, {}).setdefault((site, row.pool), vm)
+    pairs = []
+    for first, second in _ROLES:
+        for near, far in ((useless, useful), (useful, useless)):
+            if near is useful and (first, second) != _POOL_AND_SPARE:
                 continue
-            carry_out(census, (vm, other))
-            key = (_deficit(census, target), vm, other)
-            carry_out(census, (vm, other))
-            if key[0] < now and (best is None or key < best):
-                best = key
-    return best[1:] if best else None
+            pairs += [
+                (vm, other)
+                for vm in _least_exposed(census, near.get(first, {}))
+                for other in _least_exposed(census, far.get(second, {}))
+                if _may_swap(census, vm, other)
+            ]
+    return pairs
+
+
+def _role(census: reserve.Census, row: fleet.VmRow) -> str:
+    if row.pool in census.pools:
+        return 'pool'
+    return 'spare' if reserve.is_spare(row) else 'surplus'
+
+
+_POOL_AND_SPARE = ('pool', 'spare')
+_ROLES = (_POOL_AND_SPARE, ('pool', 'surplus'), ('spare', 'surplus'))
 
 
 def _may_swap(census: reserve.Census, vm: ids.VmId, other: ids.VmId) -> bool:
-    """Say whether the other VM may take the place of the first one."""
-    row = census.rows[vm]
-    state = census.pools.get(row.pool)
-    if state is not None:
-        return census.sites[other].data_centre in state.group
-    return census.rows[other].pool == SURPLUS
+    """Say whether the other VM may join the pool of the first one."""
+    state = census.pools.get(census.rows[vm].pool)
+    return state is None or census.sites[other].data_centre in state.group
 
 
 def _least_exposed(
@@ -101,7 +135,3 @@
         return reserve.exposure(census, rack), vm
 
     return sorted(found.values(), key=key)[:MAX_CANDIDATES]
-
-
-def _deficit(census: reserve.Census, target: int) -> int:
-    return sum(item.missing for item in reserve.shortages(census, target))
