--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -10,7 +10,6 @@
 
 from oleanderwood import budget
 from oleanderwood import buffer
-from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
 from oleanderwood import reserve
@@ -148,14 +147,13 @@
     left: Left,
     choice: Choice,
     width: int,
-    weights: configuration.Weights,
-    urgent: bool,
+    rounds_left: float,
 ) -> tuple[buffer.Loan, ...]:
     """Name the pools that should have VMs on loan, most urgent first.
 
     A pool that has VMs on loan keeps them until its VMs are done. Others
-    get one where a loan is the only way on, and more where the time it
-    saves is worth the move.
+    get one where a loan is the only way on. Once all of these have theirs,
+    pools that need more than ``rounds_left`` get another one.
     """
     held = {}
     for name in left.by_pool:
@@ -179,8 +177,14 @@
         for name in order
         if not held[name] and name in blocked and _idle(census, name)
     ]
-    del weights, urgent
-    return tuple(kept + new[: max(0, width - len(kept))])
+    chosen = kept + new[: max(0, width - len(kept))]
+    if not new:
+        chosen += [
+            buffer.Loan(name, held[name] + 1)
+            for name in order
+            if rounds[name] > max(1.0, rounds_left)
+        ][: max(0, width - len(kept))]
+    return tuple(chosen)
 
 
 def _idle(census: reserve.Census, pool: ids.PoolId) -> bool:
--- a/oleanderwood/wave.py
+++ b/oleanderwood/wave.py
@@ -171,8 +171,10 @@
     choice = batches.choose(census, left, gate.width, quarter)
     deadline_s = progress.started_at_s + wave.deadline_s
     end_s = _estimated_end_s(census, left, choice, vm_time_s, now_s)
-    urgent = end_s > deadline_s
-    loans = batches.loans(census, left, choice, gate.width, weights, urgent)
+    rounds_left = (deadline_s - now_s) / vm_time_s
+    if weights.roll_out > weights.moves:
+        rounds_left = min(rounds_left, _even_rounds(census, left, choice))
+    loans = batches.loans(census, left, choice, gate.width, rounds_left)
     gate = _blocked(gate, left, choice, loans)
     sees_end = gate.phase not in (Phase.BLOCKED, Phase.GIVEN_UP)
     return Batch(
@@ -182,11 +184,53 @@
         blocked=choice.blocked,
         loans=loans,
         estimated_end_s=end_s if sees_end else None,
-        meets_deadline=sees_end and not urgent,
+        meets_deadline=sees_end and end_s <= deadline_s,
         failure_share=judgement.share,
     )
 
 
+def next_batches(
+    waves: collections.abc.Sequence[tuple[configuration.Wave, Progress]],
+    pools: collections.abc.Iterable[configuration.Pool],
+    rows: collections.abc.Iterable[fleet.VmRow],
+    now_s: float,
+    weights: configuration.Weights,
+    conditions: Conditions,
+) -> list[Batch]:
+    """Choose for several waves at once, the nearest deadline first.
+
+    What one wave takes is out for those after it, so waves over the same
+    pools share the budgets.
+
+    :returns: a batch for each wave, in the order of ``waves``
+    """
+    pools = tuple(pools)
+    current = {row.vm: row for row in rows}
+    found = {}
+
+    def deadline_s(index: int) -> float:
+        wave, progress = waves[index]
+        return progress.started_at_s + wave.deadline_s
+
+    for index in sorted(range(len(waves)), key=deadline_s):
+        wave, progress = waves[index]
+        batch = next_batch(
+            wave,
+            progress,
+            pools,
+            current.values(),
+            now_s,
+            weights,
+            conditions,
+        )
+        for vm in batch.take:
+            current[vm] = msgspec.structs.replace(
+                current[vm], state=fleet.VmState.RELEASING
+            )
+        found[index] = batch
+    return [found[index] for index in range(len(waves))]
+
+
 def _census(
     pools: collections.abc.Iterable[configuration.Pool],
     rows: collections.abc.Iterable[fleet.VmRow],
@@ -248,6 +292,15 @@
     return _Gate(Phase.BLOCKED, f'No VM can be taken: {text}.', gate.width)
 
 
+def _even_rounds(
+    census: reserve.Census, left: batches.Left, choice: batches.Choice
+) -> float:
+    """Say how many rounds are left if all of them are as wide as can be."""
+    free = max(0, reserve.free(census))
+    at_once = max(1, len(left.out) + choice.fitting + free)
+    return (len(left.up) + len(left.out)) / at_once
+
+
 def _estimated_end_s(
     census: reserve.Census,
     left: batches.Left,
@@ -256,14 +309,12 @@
     now_s: float,
 ) -> float:
     """Say when the wave ends if it goes on as now."""
-    remaining = len(left.up) + len(left.out)
-    free = max(0, reserve.free(census))
-    at_once = max(1, len(left.out) + choice.fitting + free)
     rounds = max(
         (batches.rounds_of(census, left, name) for name in left.by_pool),
         default=0,
     )
-    return now_s + vm_time_s * max(rounds, remaining / at_once)
+    even = _even_rounds(census, left, choice)
+    return now_s + vm_time_s * max(rounds, even)
 
 
 def _time_of_day_s(text: str) -> float:
