--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,103 @@
+"""Tests of store_client and operations over the fake store."""
+
+import curio
+import pytest
+
+from oleanderwood import errors
+from oleanderwood import operations
+from oleanderwood import verdict as verdicts
+from tests import utils_store
+
+KEY = 'shards/a'
+
+
+def _run(function, *arguments):
+    return curio.run(function, *arguments)
+
+
+def test_swap_hides_the_envelope():
+    fake = utils_store.FakeStore()
+    client = utils_store.connect(fake)
+
+    async def use():
+        version = await client.swap(KEY, b'one', 0, 'op-1', None)
+        version = await client.swap(KEY, b'two', version, 'op-2', None)
+        return version, await client.get(KEY)
+
+    version, item = _run(use)
+    assert (item.version, item.value) == (version, b'two')
+
+
+def test_lost_answer_is_resolved_after_others_wrote():
+    fake = utils_store.FakeStore()
+    writer = utils_store.connect(fake)
+    other = utils_store.connect(fake)
+
+    async def use():
+        await writer.swap(KEY, b'one', 0, 'op-1', None)
+        fake.drop_answers = 1
+        await writer.swap(KEY, b'two', 1, 'op-2', None)
+        await other.swap(KEY, b'three', 2, 'op-3', None)
+
+    _run(use)
+    assert len(fake.history) == 3
+
+
+def test_late_write_takes_effect_once():
+    fake = utils_store.FakeStore()
+    client = utils_store.connect(fake)
+
+    async def use():
+        await client.swap(KEY, b'one', 0, 'op-1', None)
+        fake.hold_writes = 1
+        version = await client.swap(KEY, b'two', 1, 'op-2', None)
+        utils_store.deliver_held(fake)
+        return version
+
+    assert _run(use) == 2
+    assert utils_store.body(fake, KEY) == b'two'
+    assert len(fake.history) == 2
+
+
+def test_conflict_after_lost_answer_is_proven():
+    fake = utils_store.FakeStore()
+    writer = utils_store.connect(fake)
+    other = utils_store.connect(fake)
+
+    async def use():
+        await writer.swap(KEY, b'one', 0, 'op-1', None)
+        await other.swap(KEY, b'two', 1, 'op-2', None)
+        fake.hold_writes = 1
+        with pytest.raises(errors.StoreConflict):
+            await writer.swap(KEY, b'three', 1, 'op-3', None)
+        utils_store.deliver_held(fake)
+
+    _run(use)
+    assert utils_store.body(fake, KEY) == b'two'
+
+
+def test_unreachable_store_is_not_run():
+    fake = utils_store.FakeStore(down=True)
+    client = utils_store.connect(fake)
+    with pytest.raises(errors.StoreUnavailable) as caught:
+        _run(client.swap, KEY, b'one', 0, 'op-1', None)
+    assert caught.value.verdict is verdicts.Verdict.NOT_RUN
+
+
+def test_creation_over_a_deletion_is_unknown():
+    seen = operations.Seen(3, (operations.Write('op-2', 0),))
+    found = operations.resolve_write('op-1', 0, seen)
+    assert found.outcome is operations.Outcome.UNKNOWN
+
+
+def test_lapsed_lease_deletes_its_keys():
+    fake = utils_store.FakeStore()
+    client = utils_store.connect(fake)
+
+    async def use():
+        lease = await client.grant(8.0)
+        await client.swap('members/a', b'', 0, 'op-1', lease)
+        utils_store.lapse(fake, lease)
+        return await client.get('members/a'), await client.keep_alive(lease)
+
+    assert _run(use) == (None, 0.0)
