--- a/oleanderwood/messages.py
+++ b/oleanderwood/messages.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from oleanderwood import configuration
+from oleanderwood import configuration as configurations
 from oleanderwood import fleet
 from oleanderwood import ids
-from oleanderwood import roster
+from oleanderwood import roster as rosters
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -15,26 +15,41 @@
     in_flight: int
 
 
-class GossipRequest(msgspec.Struct, frozen=True):
-    """What an entry tells a peer about once a second.
+class Standing(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry follows and how well it stands, at one moment.
 
-    A reply to it counts as contact for the sender; its arrival is what
-    the receiver reports as heard.
+    ``vouches``: it is on the roster, not isolated and not stopping, so
+    that its reply counts as contact. ``contact_age_s`` is the age of its
+    own contact.
     """
 
     entry: ids.EntryId
     incarnation: str
+    vouches: bool
+    contact_age_s: float
     config_revision: ids.Revision
+    roster_revision: ids.Revision
     shard_revisions: dict[str, int]
+
+
+class GossipRequest(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry tells a peer about once a second.
+
+    Its arrival is what the receiver reports as heard.
+    """
+
+    standing: Standing
     loads: tuple[Load, ...] = ()
 
 
-class GossipReply(msgspec.Struct, frozen=True):
-    """The receiver's own state, by which the sender sees what it lacks."""
+class GossipReply(msgspec.Struct, frozen=True, array_like=True):
+    """The receiver's own state.
 
-    entry: ids.EntryId
-    config_revision: ids.Revision
-    shard_revisions: dict[str, int]
+    It counts as contact for the sender if the receiver vouches and the
+    sender follows each shard at least as far.
+    """
+
+    standing: Standing
     loads: tuple[Load, ...] = ()
 
 
@@ -49,10 +64,32 @@
 class FetchReply(msgspec.Struct, frozen=True):
     """The peer's copies; ``None`` and missing shards mean it has none."""
 
-    head: configuration.Head | None = None
-    configuration: configuration.Configuration | None = None
+    head: configurations.Head | None = None
+    configuration: configurations.Configuration | None = None
     shards: tuple[fleet.Shard, ...] = ()
-    roster: roster.Roster | None = None
+    roster: rosters.Roster | None = None
+
+
+class SponsorRequest(msgspec.Struct, frozen=True):
+    """Asks a rostered entry to answer for one that can't join now.
+
+    Sent again each second; the sponsor names the asker in its replies to
+    :class:`ReleaseRequest` until it hasn't been asked for a while.
+    """
+
+    member: rosters.Member
+
+
+class SponsorReply(msgspec.Struct, frozen=True):
+    """Whether the asker is sponsored.
+
+    If so, the asker's contact is as old as the sponsor's, and the asker
+    must follow each shard at least as far before it sends work.
+    """
+
+    sponsored: bool
+    standing: Standing
+    reason: str = ''
 
 
 class PrepareRequest(msgspec.Struct, frozen=True):
@@ -62,8 +99,8 @@
     moved to this revision or past it, or that the stage was dropped.
     """
 
-    head: configuration.Head
-    configuration: configuration.Configuration
+    head: configurations.Head
+    configuration: configurations.Configuration
 
 
 class PrepareReply(msgspec.Struct, frozen=True):
@@ -95,31 +132,20 @@
 
 
 class ReleaseReply(msgspec.Struct, frozen=True):
-    """What an entry still holds.
-
-    ``revision`` is the shard's revision that the entry follows;
-    ``in_flight`` counts requests at VMs that don't serve under it.
+    """What an entry holds of a shard, at one moment.
+
+    ``revision`` is the shard's revision that the entry follows, 0 for
+    none. ``in_flight`` counts requests at VMs that don't serve under it,
+    or serve under a later epoch. ``heard_ages_s`` gives, by incarnation,
+    the seconds since a process last sent something here; one that isn't
+    named wasn't heard for ``up_s``, the age of this process, or more.
+    ``sponsored`` are the entries that hold grants through this one.
     """
 
     entry: ids.EntryId
     incarnation: str
     revision: ids.Revision
     in_flight: dict[str, int]
-
-
-class HeardRequest(msgspec.Struct, frozen=True):
-    """Asks when a peer last heard of some entries."""
-
-    entries: tuple[ids.EntryId, ...]
-
-
-class HeardReply(msgspec.Struct, frozen=True):
-    """Seconds since each entry's last request arrived here.
-
-    ``up_s`` is how long this process has run: an entry not heard of is as
-    old as that and no older.
-    """
-
-    entry: ids.EntryId
-    ages_s: dict[str, float]
+    heard_ages_s: dict[str, float]
     up_s: float
+    sponsored: tuple[rosters.Member, ...] = ()
--- a/oleanderwood/peer.py
+++ b/oleanderwood/peer.py
@@ -15,6 +15,11 @@
     [ids.Address, typing.Any], collections.abc.Awaitable[typing.Any]
 ]
 
+Handler = collections.abc.Callable[
+    [typing.Any], collections.abc.Awaitable[typing.Any]
+]
+"""Answers one method's requests; serving takes one per method name."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Method:
@@ -29,10 +34,10 @@
 METHODS = (
     Method('gossip', messages.GossipRequest, messages.GossipReply),
     Method('fetch', messages.FetchRequest, messages.FetchReply, 3.0),
+    Method('sponsor', messages.SponsorRequest, messages.SponsorReply),
     Method('prepare', messages.PrepareRequest, messages.PrepareReply, 3.0),
     Method('commit', messages.CommitRequest, messages.CommitReply),
     Method('release', messages.ReleaseRequest, messages.ReleaseReply),
-    Method('heard', messages.HeardRequest, messages.HeardReply),
 )
 
 
@@ -46,7 +51,7 @@
 
     gossip: Call
     fetch: Call
+    sponsor: Call
     prepare: Call
     commit: Call
     release: Call
-    heard: Call
