--- a/oleanderwood/codec.py
+++ b/oleanderwood/codec.py
@@ -31,6 +31,11 @@
 def unpack(data: bytes, kind: type[T]) -> T:
     """Decode and check what :func:`pack` made.
 
+    :raises msgspec.DecodeError: the data is damaged
     :raises msgspec.ValidationError: the data doesn't fit ``kind``
     """
-    return msgspec.msgpack.decode(zlib.decompress(data), type=kind)
+    try:
+        plain = zlib.decompress(data)
+    except zlib.error as error:
+        raise msgspec.DecodeError(f'not compressed: {error}') from error
+    return msgspec.msgpack.decode(plain, type=kind)
--- a/oleanderwood/errors.py
+++ b/oleanderwood/errors.py
@@ -50,6 +50,10 @@
         self.remedy = remedy
 
 
+class WaveConflict(OleanderError):
+    """An order that a wave's present state doesn't allow."""
+
+
 class InvariantBreach(OleanderError):
     """A state that must never be reached; reported, never passed on."""
 
