Add the follower, gossip, sponsoring, peer calls over gRPC

One that can't reach the store is sponsored by a rostered entry, which names it to the leader.

Found by a test: an entry whose store watch was cut right after a peer joined never learnt of that peer, and became isolated in the outage. A gossip request now carries the sender's peer address, and the receiver fetches the roster from there.

--- a/oleanderwood/config_state.py
+++ b/oleanderwood/config_state.py
@@ -20,11 +20,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Stage:
-    """A revision that was acknowledged and whose outcome isn't known."""
+    """A revision that was acknowledged and whose outcome isn't known.
+
+    :ivar base_version: the store's version of the head that is to be
+        swapped for it, None if the operator's side didn't say
+    """
 
     head: configuration.Head
     content: configuration.Configuration
     since_s: float
+    base_version: int | None = None
 
 
 @dataclasses.dataclass
@@ -60,6 +65,7 @@
     head: configuration.Head,
     content: configuration.Configuration,
     now_s: float,
+    base_version: int | None = None,
 ) -> str:
     """Hold a revision ready; gives '' if acknowledged, else why not."""
     if head.revision <= revision(state):
@@ -67,7 +73,8 @@
     known = head.operation in state.stages
     if not known and len(state.stages) >= MAX_STAGES:
         return 'too many staged revisions'
-    state.stages.setdefault(head.operation, Stage(head, content, now_s))
+    found = Stage(head, content, now_s, base_version)
+    state.stages.setdefault(head.operation, found)
     return ''
 
 
@@ -123,12 +130,20 @@
     return True
 
 
-def check(state: ConfigState, sent_s: float) -> None:
+def check(state: ConfigState, sent_s: float, version: int = 0) -> None:
     """Note that a read of the store's head was answered, and applied.
 
-    :param sent_s: when the read was sent: the head wasn't moved on before
+    Stages that were to replace an earlier version of it can't any more.
+
+    :param sent_s: when the read was sent: no stage was in force then
+    :param version: the store's version of the head, 0 if not known
     """
     state.checked_s = max(state.checked_s, sent_s)
+    state.stages = {
+        operation: found
+        for operation, found in state.stages.items()
+        if found.base_version is None or version <= found.base_version
+    }
 
 
 def in_doubt(state: ConfigState, now_s: float) -> ids.Revision:
--- /dev/null
+++ b/oleanderwood/gossip.py
@@ -0,0 +1,101 @@
+"""Access to the peers: telling them, catching up, and being sponsored."""
+
+import logging
+
+from oleanderwood import catch_up
+from oleanderwood import errors
+from oleanderwood import ids
+from oleanderwood import messages
+from oleanderwood import neighbours
+from oleanderwood import node as nodes
+from oleanderwood import view as views
+
+LOG = logging.getLogger('gossip')
+
+
+async def tell_next(node: nodes.Node) -> None:
+    """Exchange news with the next peer in rotation.
+
+    First fetches what a peer was seen to follow further: it may be unknown
+    to our roster.
+    """
+    await _fetch_ahead(node)
+    member = neighbours.next_peer(node.neighbours, nodes.region_peers(node))
+    if member is None:
+        return
+    sent_s = nodes.now_s(node)
+    request = messages.GossipRequest(
+        views.standing(node.view, sent_s),
+        node.view.member.peer,
+        node.settings.give_loads(),
+    )
+    try:
+        reply = await node.peers.gossip(member.peer, request)
+        if reply.standing.incarnation != member.incarnation:
+            return
+        node.settings.take_loads(reply.standing.entry, reply.loads)
+        await catch_up.fetch(node, member.peer, reply.standing)
+    except errors.CallFailed as error:
+        LOG.debug('No news from %s: %s.', member.entry, error)
+        return
+    now_s = nodes.now_s(node)
+    views.peer_contact(node.view, reply.standing, sent_s, now_s)
+
+
+async def _fetch_ahead(node: nodes.Node) -> None:
+    while node.neighbours.ahead:
+        address, theirs = node.neighbours.ahead.popitem()
+        try:
+            await catch_up.fetch(node, address, theirs)
+        except errors.CallFailed as error:
+            LOG.debug('Nothing fetched from %s: %s.', address, error)
+
+
+async def seek_sponsor(node: nodes.Node) -> None:
+    """Ask for a sponsor, if the entry can't stand by itself.
+
+    The present sponsor is asked first, so that a new one is sought only
+    if it refuses or doesn't answer.
+    """
+    view = node.view
+    if view.stopping or (view.granted and not view.sponsor):
+        return
+    for address in _candidates(node):
+        if await _ask(node, address):
+            return
+
+
+def _candidates(node: nodes.Node) -> list[ids.Address]:
+    """Give the peer addresses to ask, the present sponsor's first."""
+    own = node.view.member
+    members = nodes.region_peers(node)
+    others = [member.peer for member in members]
+    node.settings.rng.shuffle(others)
+    seeds = [seed for seed in node.settings.seeds if seed not in others]
+    present = [
+        member.peer
+        for member in members
+        if member.incarnation == node.view.sponsor
+    ]
+    ordered = dict.fromkeys(present + others + seeds)
+    return [address for address in ordered if address != own.peer]
+
+
+async def _ask(node: nodes.Node, address: ids.Address) -> bool:
+    """Ask one peer; catch up if it follows anything further."""
+    request = messages.SponsorRequest(node.view.member)
+    sent_s = nodes.now_s(node)
+    try:
+        reply = await node.peers.sponsor(address, request)
+        if reply.sponsored:
+            await catch_up.fetch(node, address, reply.standing)
+    except errors.CallFailed as error:
+        LOG.debug('%s does not sponsor: %s.', address, error)
+        return False
+    before = node.view.sponsor
+    now_s = nodes.now_s(node)
+    if not views.sponsor_contact(node.view, reply, sent_s, now_s):
+        return False
+    if before != node.view.sponsor:
+        LOG.info('Sponsored by %s.', reply.standing.entry)
+    return True
--- a/oleanderwood/messages.py
+++ b/oleanderwood/messages.py
@@ -35,10 +35,12 @@
 class GossipRequest(msgspec.Struct, frozen=True, array_like=True):
     """What an entry tells a peer about once a second.
 
-    Its arrival is what the receiver reports as heard.
+    Its arrival is what the receiver reports as heard. ``peer`` is where
+    the receiver may fetch what it lacks.
     """
 
     standing: Standing
+    peer: ids.Address
     loads: tuple[Load, ...] = ()
 
 
@@ -97,10 +99,13 @@
 
     An entry that acknowledged is in doubt until it learns that the head
     moved to this revision or past it, or that the stage was dropped.
+    ``base_version`` is the store's version of the head that the swap
+    names: once the head is past it, the stage is void.
     """
 
     head: configurations.Head
     configuration: configurations.Configuration
+    base_version: int | None = None
 
 
 class PrepareReply(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/oleanderwood/peer_grpc.py
@@ -0,0 +1,247 @@
+"""Access to the calls between the system's processes over gRPC.
+
+The only module that knows gRPC. Its threads hand requests to curio through
+a queue and wait for the answer; client calls hand their outcome back
+through a result that curio waits for.
+"""
+
+import collections
+import concurrent.futures
+import dataclasses
+import logging
+import typing
+import zlib
+
+import curio
+import grpc
+import msgspec
+
+from oleanderwood import codec
+from oleanderwood import errors
+from oleanderwood import ids
+from oleanderwood import peer
+from oleanderwood import verdict as verdicts
+
+LOG = logging.getLogger('peer')
+
+SERVICE = 'oleanderwood.Peer'
+THREADS = 2
+MAX_CALLS = 32
+"""Calls that a server takes at once; it refuses more."""
+
+ANSWER_S = 5.0
+"""How long a thread waits for an answer; callers gave up before."""
+
+KEPT_CHANNELS = 64
+STOP_GRACE_S = 0.5
+
+_OPTIONS = [
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.so_reuseport', 0),
+    ('grpc.min_reconnect_backoff_ms', 500),
+    ('grpc.initial_reconnect_backoff_ms', 200),
+    ('grpc.max_reconnect_backoff_ms', 2000),
+    ('grpc.max_receive_message_length', 16 << 20),
+]
+
+_NOT_CONNECTED = 'failed to connect'
+"""Part of gRPC's words for a call that never left this process."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Incoming:
+    """A call that waits for curio; ``answer`` takes the reply's bytes."""
+
+    method: str
+    request: bytes
+    answer: concurrent.futures.Future
+
+
+@dataclasses.dataclass
+class Server:
+    """A server of peer calls.
+
+    :ivar address: the address it listens on, its port resolved
+    """
+
+    address: ids.Address
+    grpc_server: grpc.Server
+    incoming: curio.UniversalQueue
+
+
+@dataclasses.dataclass
+class Client:
+    """Channels to peers, the one used last at the end."""
+
+    channels: collections.OrderedDict[ids.Address, grpc.Channel] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
+
+
+def listen(address: ids.Address) -> Server:
+    """Listen for peer calls; :func:`run` answers them.
+
+    :raises OSError: the address can't be bound
+    """
+    incoming = curio.UniversalQueue()
+    threads = concurrent.futures.ThreadPoolExecutor(
+        THREADS, thread_name_prefix='peer'
+    )
+    server = grpc.server(
+        threads, options=_OPTIONS, maximum_concurrent_rpcs=MAX_CALLS
+    )
+    handlers = {
+        method.name: grpc.unary_unary_rpc_method_handler(
+            _hand_over(incoming, method.name)
+        )
+        for method in peer.METHODS
+    }
+    generic = grpc.method_handlers_generic_handler(SERVICE, handlers)
+    server.add_generic_rpc_handlers((generic,))
+    host = address.rpartition(':')[0]
+    try:
+        port = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise OSError(f'{address} can not be bound: {error}') from error
+    server.start()
+    return Server(ids.Address(f'{host}:{port}'), server, incoming)
+
+
+def _hand_over(incoming: curio.UniversalQueue, name: str) -> typing.Any:
+    """Make a method's behaviour, which runs in a thread of gRPC."""
+
+    def behaviour(request: bytes, context: grpc.ServicerContext) -> bytes:
+        answer: concurrent.futures.Future = concurrent.futures.Future()
+        incoming.put(_Incoming(name, request, answer))
+        try:
+            return answer.result(ANSWER_S)
+        except concurrent.futures.TimeoutError:
+            context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, 'no answer')
+        except concurrent.futures.CancelledError:
+            context.abort(grpc.StatusCode.UNAVAILABLE, 'stopping')
+        except errors.BadMessage as error:
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+
+    return behaviour
+
+
+async def run(server: Server, handlers: dict[str, peer.Handler]) -> None:
+    """Answer calls until cancelled.
+
+    :param handlers: by the method's name; all of ``peer.METHODS``
+    """
+    methods = {method.name: method for method in peer.METHODS}
+    async with curio.TaskGroup(wait=all) as group:
+        while True:
+            call = await server.incoming.get()
+            method = methods[call.method]
+            handler = handlers[call.method]
+            await group.spawn(_answer, call, method, handler)
+
+
+async def _answer(
+    call: _Incoming, method: peer.Method, handler: peer.Handler
+) -> None:
+    try:
+        request = _unpacked(call.request, method.request)
+        reply = codec.pack(await handler(request))
+    except curio.TaskCancelled:
+        call.answer.cancel()
+        raise
+    except errors.BadMessage as error:
+        call.answer.set_exception(error)
+    except Exception as error:
+        LOG.exception('Answering %s failed.', method.name)
+        call.answer.set_exception(error)
+    else:
+        call.answer.set_result(reply)
+
+
+def _unpacked(data: bytes, kind: type) -> typing.Any:
+    try:
+        return codec.unpack(data, kind)
+    except (msgspec.MsgspecError, zlib.error) as error:
+        raise errors.BadMessage(400, f'{kind.__name__}: {error}') from error
+
+
+async def stop(server: Server) -> None:
+    """Stop listening; calls in progress get a moment to end."""
+    stopped = server.grpc_server.stop(STOP_GRACE_S)
+    await curio.run_in_thread(stopped.wait)
+
+
+def connect() -> Client:
+    """Make a client; channels open when needed."""
+    return Client()
+
+
+def close(client: Client) -> None:
+    """Close all channels."""
+    while client.channels:
+        _, channel = client.channels.popitem()
+        channel.close()
+
+
+def calls(client: Client) -> peer.Peers:
+    """Give the calls to peers."""
+    made = {method.name: _call(client, method) for method in peer.METHODS}
+    return peer.Peers(**made)
+
+
+def _call(client: Client, method: peer.Method) -> peer.Call:
+    path = f'/{SERVICE}/{method.name}'
+
+    async def call(address: ids.Address, request: typing.Any) -> typing.Any:
+        send = _channel(client, address).unary_unary(path)
+        pending = send.future(codec.pack(request), timeout=method.timeout_s)
+        ended = curio.UniversalEvent()
+        pending.add_done_callback(lambda _: ended.set())
+        try:
+            await ended.wait()
+        finally:
+            pending.cancel()
+        return _outcome(pending, address, method)
+
+    return call
+
+
+def _outcome(
+    pending: typing.Any, address: ids.Address, method: peer.Method
+) -> typing.Any:
+    """Give the reply of a call that has ended.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    if pending.code() is not grpc.StatusCode.OK:
+        raise errors.CallFailed(
+            _verdict(pending), f'{method.name} at {address}: {pending.code()}'
+        )
+    try:
+        return _unpacked(pending.result(), method.reply)
+    except errors.BadMessage as error:
+        raise errors.CallFailed(
+            verdicts.Verdict.RAN, f'{method.name} at {address}: {error}'
+        ) from error
+
+
+def _verdict(pending: typing.Any) -> verdicts.Verdict:
+    """Say what is known of a call that failed."""
+    code = pending.code()
+    if code is grpc.StatusCode.UNIMPLEMENTED:
+        return verdicts.Verdict.NOT_RUN
+    words = pending.details() or ''
+    if code is grpc.StatusCode.UNAVAILABLE and _NOT_CONNECTED in words:
+        return verdicts.Verdict.NOT_RUN
+    return verdicts.Verdict.MAY_HAVE_RUN
+
+
+def _channel(client: Client, address: ids.Address) -> grpc.Channel:
+    channel = client.channels.get(address)
+    if channel is None:
+        channel = grpc.insecure_channel(address, options=_OPTIONS)
+        client.channels[address] = channel
+    client.channels.move_to_end(address)
+    if len(client.channels) > KEPT_CHANNELS:
+        _, oldest = client.channels.popitem(last=False)
+        oldest.close()
+    return channel
--- a/oleanderwood/view.py
+++ b/oleanderwood/view.py
@@ -188,11 +188,31 @@
     )
 
 
+def lags(view: View, theirs: messages.Standing) -> bool:
+    """Say whether a peer follows anything further than this entry."""
+    if theirs.config_revision > config_state.revision(view.config):
+        return True
+    return bool(behind(view, theirs))
+
+
+def offers(view: View, theirs: messages.Standing) -> bool:
+    """Say whether a peer has anything that is worth fetching."""
+    if theirs.roster_revision > view.roster.revision:
+        return True
+    return lags(view, theirs)
+
+
 def peer_contact(
     view: View, theirs: messages.Standing, sent_s: float, now_s: float
 ) -> bool:
-    """Count a peer's reply as contact if it may be; say whether it was."""
-    if not theirs.vouches or behind(view, theirs):
+    """Count a peer's reply as contact if it may be; say whether it was.
+
+    An entry that isn't on the roster has contact with its sponsor alone:
+    the leader knows of it from there.
+    """
+    if not view.granted or view.sponsor:
+        return False
+    if not theirs.vouches or lags(view, theirs):
         return False
     contact(view, sent_s, now_s)
     return True
@@ -203,13 +223,14 @@
 ) -> bool:
     """Count a sponsor's reply; the contact is as old as the sponsor's own.
 
-    The caller grants (:func:`grant`) once the shards were read from it.
+    With it the entry holds grants under the sponsor, as it follows each
+    shard as far. Say whether it does.
     """
-    if not reply.sponsored or not reply.standing.vouches:
-        return False
-    if behind(view, reply.standing):
+    theirs = reply.standing
+    if not reply.sponsored or not theirs.vouches or lags(view, theirs):
         return False
-    contact(view, sent_s - reply.standing.contact_age_s, now_s)
+    contact(view, sent_s - theirs.contact_age_s, now_s)
+    grant(view, theirs.incarnation)
     return True
 
 
--- /dev/null
+++ b/tests/test_peer_grpc.py
@@ -0,0 +1,72 @@
+"""Tests of peer_grpc over loopback."""
+
+import curio
+import pytest
+
+from oleanderwood import errors
+from oleanderwood import messages
+from oleanderwood import node as nodes
+from oleanderwood import peer_answers
+from oleanderwood import peer_grpc
+from oleanderwood import verdict as verdicts
+from tests import utils_membership as build
+
+
+def _serve(use, handlers=None):
+    async def run():
+        server = peer_grpc.listen('127.0.0.1:0')
+        client = peer_grpc.connect()
+        node = nodes.make(nodes.Settings(), None, None, build.joined())
+        answers = peer_answers.handlers(node) | (handlers or {})
+        task = await curio.spawn(peer_grpc.run, server, answers)
+        try:
+            return await use(peer_grpc.calls(client), server)
+        finally:
+            await task.cancel()
+            await peer_grpc.stop(server)
+            peer_grpc.close(client)
+
+    return curio.run(run)
+
+
+def test_release_over_the_wire():
+    async def use(peers, server):
+        request = messages.ReleaseRequest(build.shard(7, []))
+        return await peers.release(server.address, request)
+
+    reply = _serve(use)
+    assert (reply.entry, reply.revision) == ('e1', 7)
+
+
+def test_calls_run_side_by_side():
+    async def use(peers, server):
+        request = messages.FetchRequest(shards=(build.DATA_CENTRE,))
+        async with curio.TaskGroup(wait=all) as group:
+            for _ in range(20):
+                await group.spawn(peers.fetch, server.address, request)
+        return group.results
+
+    assert all(len(reply.shards) == 1 for reply in _serve(use))
+
+
+def test_unreachable_peer_is_not_run():
+    async def use(peers, server):
+        await peer_grpc.stop(server)
+        with pytest.raises(errors.CallFailed) as caught:
+            await peers.fetch(server.address, messages.FetchRequest())
+        return caught.value.verdict
+
+    assert _serve(use) is verdicts.Verdict.NOT_RUN
+
+
+def test_handler_that_fails_may_have_run():
+    async def broken(request):
+        raise ValueError('broken')
+
+    async def use(peers, server):
+        with pytest.raises(errors.CallFailed) as caught:
+            await peers.fetch(server.address, messages.FetchRequest())
+        return caught.value.verdict
+
+    verdict = _serve(use, {'fetch': broken})
+    assert verdict is verdicts.Verdict.MAY_HAVE_RUN
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -3,7 +3,6 @@
 from oleanderwood import config_state
 from oleanderwood import fleet
 from oleanderwood import grants
-from oleanderwood import platform_api
 from oleanderwood import view
 from tests import utils_membership as build
 
@@ -48,15 +47,7 @@
 
 def test_leaving_vm_gets_no_new_work():
     entry = build.joined()
-    leaving = platform_api.ListedVm(
-        'vm-1',
-        build.REGION,
-        build.DATA_CENTRE,
-        'rack-1',
-        '127.0.0.1:9',
-        platform_api.VmStatus.LEAVING,
-    )
-    grants.apply_listing(entry.grants, platform_api.VmListing(1, (leaving,)))
+    grants.apply_listing(entry.grants, build.leaving())
     assert not _may_send(entry)
     assert view.serving(entry, build.POOL) == ()
 
--- a/tests/utils_membership.py
+++ b/tests/utils_membership.py
@@ -5,6 +5,7 @@
 from oleanderwood import fleet
 from oleanderwood import grants
 from oleanderwood import messages
+from oleanderwood import platform_api
 from oleanderwood import roster
 from oleanderwood import view
 
@@ -72,3 +73,16 @@
     return messages.ReleaseReply(
         of.entry, of.incarnation, revision, in_flight or {}, ages or {}, up_s
     )
+
+
+def leaving(vm='vm-1', version=1):
+    """Make a VM list by which one VM is leaving."""
+    listed = platform_api.ListedVm(
+        vm,
+        REGION,
+        DATA_CENTRE,
+        'rack-1',
+        '127.0.0.1:9',
+        platform_api.VmStatus.LEAVING,
+    )
+    return platform_api.VmListing(version, (listed,))
--- a/tests/utils_store.py
+++ b/tests/utils_store.py
@@ -50,6 +50,7 @@
     hold_writes: int = 0
     held: list = dataclasses.field(default_factory=list)
     calls: int = 0
+    granted: int = 0
     history: list = dataclasses.field(default_factory=list)
     poll_s: float = 0.005
 
@@ -93,7 +94,8 @@
 
     async def grant(ttl_s):
         def effect():
-            name = f'lease-{len(fake.leases) + 1}'
+            fake.granted += 1
+            name = f'lease-{fake.granted}'
             fake.leases[name] = Lease(ttl_s, fake.clock() + ttl_s)
             return name
 
