--- a/oleanderwood/membership.py
+++ b/oleanderwood/membership.py
@@ -55,7 +55,8 @@
         node.lease = None
         return
     await catch_up.read_config(node)
-    for data_centre in views.followed(view):
+    # Copies that came from peers count too, though nothing is routed there.
+    for data_centre in {*views.followed(view), *view.grants.shards}:
         await catch_up.read_shard(node, data_centre)
     views.contact(view, sent_s, nodes.now_s(node))
     views.grant(view)
