Rework the HTTP server and client for the request path

Bodies were async generators, which curio can't finalise when the garbage collector finds one half read; they are plain iterators now. The server watches all its connections with one task: slow peers are ended, work for callers that left is cancelled, and idle connections are ended by input, so that a request that has arrived is still answered. The client's verdict is NOT_RUN until the kernel took a byte.

--- a/oleanderwood/http.py
+++ b/oleanderwood/http.py
@@ -20,21 +20,25 @@
 
 
 @dataclasses.dataclass
-class Request:
-    """A request's head, and its body as it arrives.
+class Body:
+    """A body as it arrives, to be iterated once.
 
-    Header names are lower case, as h11 gives them.
+    An iterator that is no generator: one that is left half read needs no
+    clean-up by the garbage collector, which curio can't await.
+
+    :ivar read: gives the next piece, b'' at the end
     """
 
-    method: str
-    target: str
-    headers: Headers
-    body: Chunks
-    peer: str = ''
+    read: collections.abc.Callable[[], collections.abc.Awaitable[bytes]]
 
-    def header(self, name: str) -> str | None:
-        """Give the first value of a header, None if there is none."""
-        return find(self.headers, name)
+    def __aiter__(self) -> 'Body':
+        return self
+
+    async def __anext__(self) -> bytes:
+        piece = await self.read()
+        if not piece:
+            raise StopAsyncIteration
+        return piece
 
 
 @dataclasses.dataclass
@@ -50,8 +54,40 @@
         return find(self.headers, name)
 
 
+Respond = collections.abc.Callable[[Response], collections.abc.Awaitable[None]]
+
+
+async def _cannot_respond(response: Response) -> None:
+    raise RuntimeError('this request did not come from a server')
+
+
+@dataclasses.dataclass
+class Request:
+    """A request's head, and its body as it arrives.
+
+    Header names are lower case, as h11 gives them.
+
+    :ivar awaits_continue: the caller sends the body once it is read from
+    :ivar respond: sends the answer before the handler returns; a handler
+        that used it returns None
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: Chunks
+    peer: str = ''
+    http_version: str = '1.1'
+    awaits_continue: bool = False
+    respond: Respond = _cannot_respond
+
+    def header(self, name: str) -> str | None:
+        """Give the first value of a header, None if there is none."""
+        return find(self.headers, name)
+
+
 Handler = collections.abc.Callable[
-    [Request], collections.abc.Awaitable[Response]
+    [Request], collections.abc.Awaitable[Response | None]
 ]
 
 
--- a/oleanderwood/http_client.py
+++ b/oleanderwood/http_client.py
@@ -4,8 +4,8 @@
 ``NOT_RUN`` only where nothing was written to the connection.
 """
 
-import collections.abc
 import dataclasses
+import select
 import socket
 import typing
 
@@ -26,12 +26,14 @@
     """A connection to one address; it carries one request at a time.
 
     :ivar written: whether any byte of the current request was written
+    :ivar carried: requests whose answers were read whole
     """
 
     address: ids.Address
     sock: typing.Any
     protocol: h11.Connection
     written: bool = False
+    carried: int = 0
 
 
 async def connect(address: ids.Address, timeout_s: float) -> Connection:
@@ -64,64 +66,63 @@
     return connection.protocol.our_state is h11.IDLE
 
 
-async def exchange(
-    connection: Connection,
-    method: str,
-    target: str,
-    headers: http.Headers,
-    body: bytes | http.Chunks = b'',
-) -> http.Response:
-    """Send one request; the response's body is read as it arrives.
+def silent(connection: Connection) -> bool:
+    """Say whether an idle connection is open and has nothing to read.
 
-    The headers must carry ``host``, and ``content-length`` or
-    ``transfer-encoding`` for a body that isn't ``bytes``. The caller bounds
-    the time and closes the connection after any failure.
+    The peer may still be about to close it.
+    """
+    poll = select.poll()
+    poll.register(connection.sock.fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
+def failure(
+    connection: Connection, error: BaseException | str
+) -> errors.CallFailed:
+    """Make the error of a call that failed on this connection."""
+    verdict = verdicts.Verdict.NOT_RUN
+    if connection.written:
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+    return errors.CallFailed(verdict, f'{connection.address}: {error}')
+
+
+async def send_events(
+    connection: Connection, *events: h11.Event | h11.Request
+) -> None:
+    """Send h11 events in one piece.
 
     :raises errors.CallFailed: with the verdict
     """
-    connection.written = False
     try:
-        await _send(connection, method, target, headers, body)
-        event = await _head(connection)
+        data = b''.join(map(connection.protocol.send, events))
+        await _write(connection, data)
     except (OSError, h11.ProtocolError) as error:
-        raise errors.CallFailed(
-            _verdict(connection), f'{connection.address}: {error!r}'
-        ) from error
-    return http.Response(
-        event.status_code, list(event.headers), _body(connection)
-    )
+        raise failure(connection, repr(error)) from error
 
 
-def _verdict(connection: Connection) -> verdicts.Verdict:
-    if connection.written:
-        return verdicts.Verdict.MAY_HAVE_RUN
-    return verdicts.Verdict.NOT_RUN
+async def _write(connection: Connection, data: bytes) -> None:
+    while data:
+        # The flag may only rise once the kernel took a byte: a send that
+        # fails before is the proof that nothing ran.
+        sent = await connection.sock.send(data)
+        connection.written = True
+        if sent == len(data):
+            return
+        data = memoryview(data)[sent:]
 
 
-async def _send(
-    connection: Connection,
-    method: str,
-    target: str,
-    headers: http.Headers,
-    body: bytes | http.Chunks,
-) -> None:
-    whole = isinstance(body, bytes)
-    if whole:
-        headers = headers + [(b'content-length', b'%d' % len(body))]
-    request = h11.Request(method=method, target=target, headers=headers)
-    data = connection.protocol.send(request)
-    connection.written = True
-    await connection.sock.sendall(data)
-    if whole:
-        if body:
-            event = h11.Data(data=body)
-            await http.send(connection.sock, connection.protocol, event)
-    else:
-        async for piece in body:
-            event = h11.Data(data=piece)
-            await http.send(connection.sock, connection.protocol, event)
-    end = h11.EndOfMessage()
-    await http.send(connection.sock, connection.protocol, end)
+async def read_head(connection: Connection) -> http.Response:
+    """Read the answer's head; its body is read as it arrives.
+
+    May be called again after a timeout.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    try:
+        event = await _head(connection)
+    except (OSError, h11.ProtocolError) as error:
+        raise failure(connection, repr(error)) from error
+    return http.Response(event.status_code, event.headers, _body(connection))
 
 
 async def _head(connection: Connection) -> h11.Response:
@@ -133,24 +134,83 @@
             raise ConnectionResetError('closed before the answer')
 
 
-async def _body(
-    connection: Connection,
-) -> collections.abc.AsyncIterator[bytes]:
+def _body(connection: Connection) -> http.Body:
+    async def read() -> bytes:
+        try:
+            return await _piece(connection)
+        except (OSError, h11.ProtocolError) as error:
+            raise failure(connection, repr(error)) from error
+
+    return http.Body(read)
+
+
+async def _piece(connection: Connection) -> bytes:
     protocol = connection.protocol
-    try:
-        while protocol.their_state is h11.SEND_BODY:
-            event = await http.next_event(connection.sock, protocol)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError('answer was cut')
-    except (OSError, h11.ProtocolError) as error:
-        raise errors.CallFailed(
-            verdicts.Verdict.MAY_HAVE_RUN,
-            f'{connection.address}: {error!r}',
-        ) from error
-    if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+    while protocol.their_state is h11.SEND_BODY:
+        event = await http.next_event(connection.sock, protocol)
+        if isinstance(event, h11.Data):
+            if event.data:
+                return bytes(event.data)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError('answer was cut')
+    end_cycle(connection)
+    return b''
+
+
+def end_cycle(connection: Connection) -> None:
+    """Ready the connection for its next request, if it may carry one."""
+    protocol = connection.protocol
+    states = (protocol.our_state, protocol.their_state)
+    if states == (h11.DONE, h11.DONE) and not protocol.trailing_data[0]:
         protocol.start_next_cycle()
+        connection.carried += 1
+        connection.written = False
+
+
+async def exchange(
+    connection: Connection,
+    method: str,
+    target: str,
+    headers: http.Headers,
+    body: bytes | http.Chunks = b'',
+) -> http.Response:
+    """Send one request; the response's body is read as it arrives.
+
+    The headers must carry ``host``, and ``content-length`` or
+    ``transfer-encoding`` for a body that isn't ``bytes``. The caller bounds
+    the time and closes the connection after any failure.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    connection.written = False
+    if isinstance(body, bytes):
+        events = whole_request(method, target, headers, body)
+        await send_events(connection, *events)
+    else:
+        request = h11.Request(method=method, target=target, headers=headers)
+        await send_events(connection, request)
+        async for piece in body:
+            await send_events(connection, h11.Data(data=piece))
+        await send_events(connection, h11.EndOfMessage())
+    return await read_head(connection)
+
+
+def whole_request(
+    method: str, target: str, headers: http.Headers, body: bytes
+) -> list[typing.Any]:
+    """Make the events of a request whose body is at hand.
+
+    ``content-length`` is added, unless there is no body to a method that
+    usually has none.
+    """
+    if not body and method in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
+        request = h11.Request(method=method, target=target, headers=headers)
+        return [request, h11.EndOfMessage()]
+    length = (b'content-length', b'%d' % len(body))
+    request = h11.Request(
+        method=method, target=target, headers=headers + [length]
+    )
+    return [request, h11.Data(data=body), h11.EndOfMessage()]
 
 
 async def call(
@@ -172,9 +232,7 @@
             response = await exchange(connection, method, target, sent, body)
             whole = await http.read_all(response.body, SMALL_BODY_BYTES)
     except curio.TaskTimeout as error:
-        raise errors.CallFailed(
-            _verdict(connection), f'{address}: no answer in {timeout_s} s'
-        ) from error
+        raise failure(connection, f'no answer in {timeout_s} s') from error
     finally:
         await http.close(connection.sock)
     return http.Response(response.status, response.headers, whole)
--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -1,9 +1,11 @@
 """Access to an HTTP/1.1 server over curio and h11."""
 
-import collections.abc
+import contextlib
 import dataclasses
 import logging
+import math
 import socket
+import time
 import typing
 
 import curio
@@ -11,6 +13,7 @@
 
 from oleanderwood import errors
 from oleanderwood import http
+from oleanderwood import http_watch
 from oleanderwood import ids
 
 LOG = logging.getLogger('http-server')
@@ -18,25 +21,43 @@
 KEEP_ALIVE_S = 75.0
 """How long a connection may wait for its next request."""
 
+HEAD_S = 10.0
+"""How long a request's head may take from its first byte."""
+
 BODY_IDLE_S = 30.0
 """How long a body or an answer may make no headway."""
 
+SLOWEST_BODY_BYTES_S = 1024
+"""Average rate that a caller's body must keep up after ``BODY_IDLE_S``."""
+
+LINGER_S = 1.0
+"""How long unread input is discarded after a last answer.
+
+A socket closed on unread input resets the connection, which may destroy
+the answer on its way.
+"""
+
 BACKLOG = 1024
+MAX_CONNECTIONS = 4096
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Server:
     """A listening server.
 
     :ivar address: the address it listens on, its port resolved
-    :ivar open: connections, by what they do now
+    :ivar closing: answers announce that their connection ends
+    :ivar stopping: nothing new is accepted
     """
 
     address: ids.Address
     sock: typing.Any
     handler: http.Handler
+    max_connections: int = MAX_CONNECTIONS
+    closing: bool = False
     stopping: bool = False
     accepting: curio.Task | None = None
+    stopped: curio.Event = dataclasses.field(default_factory=curio.Event)
     connections: set['Connection'] = dataclasses.field(default_factory=set)
 
 
@@ -45,14 +66,28 @@
     """One accepted connection.
 
     :ivar busy: set from a request's head to the end of its answer
+    :ivar limit_at_s: monotonic time by which the peer must make headway
+    :ivar waited_s: seconds spent in waiting for the request's body
+    :ivar body_bytes: size of the request's body so far
+    :ivar cancelled: set once its task was cancelled
     """
 
     sock: typing.Any
     peer: str
+    protocol: h11.Connection
+    task: curio.Task | None = None
     busy: bool = False
+    limit_at_s: float = math.inf
+    waited_s: float = 0.0
+    body_bytes: int = 0
+    cancelled: bool = False
 
 
-def listen(address: ids.Address, handler: http.Handler) -> Server:
+def listen(
+    address: ids.Address,
+    handler: http.Handler,
+    max_connections: int = MAX_CONNECTIONS,
+) -> Server:
     """Bind and listen; :func:`run` accepts.
 
     :raises OSError: the address can't be bound
@@ -63,13 +98,26 @@
     sock.bind((host, port))
     sock.listen(BACKLOG)
     bound_host, bound_port = sock.getsockname()
-    return Server(ids.Address(f'{bound_host}:{bound_port}'), sock, handler)
+    bound = ids.Address(f'{bound_host}:{bound_port}')
+    return Server(bound, sock, handler, max_connections)
 
 
 async def run(server: Server) -> None:
-    """Accept connections until :func:`stop`."""
-    async with curio.TaskGroup(wait=all) as group:
-        server.accepting = await group.spawn(_accept, server, group)
+    """Accept connections until :func:`stop`; cut them when cancelled."""
+    watching = await curio.spawn(http_watch.run, server)
+    server.accepting = await curio.spawn(_accept, server)
+    try:
+        await server.stopped.wait()
+    finally:
+        await server.accepting.cancel()
+        await watching.cancel()
+        for connection in list(server.connections):
+            await connection.task.cancel()
+
+
+def retire(server: Server) -> None:
+    """Go on serving, but announce with each answer that it is the last."""
+    server.closing = True
 
 
 async def stop(server: Server, poll_s: float = 0.05) -> None:
@@ -78,6 +126,7 @@
     Idle connections are closed; busy ones get ``Connection: close`` with
     their answer. Returns when none is left.
     """
+    server.closing = True
     server.stopping = True
     if server.accepting is not None:
         await server.accepting.cancel()
@@ -85,141 +134,240 @@
     while server.connections:
         for connection in list(server.connections):
             if not connection.busy:
-                _shut(connection)
+                await http_watch.end_input(connection)
         await curio.sleep(poll_s)
+    await server.stopped.set()
 
 
-def _shut(connection: Connection) -> None:
-    try:
-        connection.sock._socket.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
-
-
-async def _accept(server: Server, group: curio.TaskGroup) -> None:
-    while not server.stopping:
+async def _accept(server: Server) -> None:
+    while True:
+        while len(server.connections) >= server.max_connections:
+            await curio.sleep(http_watch.TICK_S)
         try:
             sock, peer = await server.sock.accept()
-        except OSError:
-            return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
-        connection = Connection(sock, f'{peer[0]}:{peer[1]}')
-        await group.spawn(_serve, server, connection)
+        except OSError as error:
+            LOG.warning('Accepting failed: %s.', error)
+            await curio.sleep(http_watch.TICK_S)
+            continue
+        await _spawn(server, sock, f'{peer[0]}:{peer[1]}')
 
 
-async def _serve(server: Server, connection: Connection) -> None:
+async def _spawn(server: Server, sock: typing.Any, peer: str) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+    protocol = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=http.MAX_HEAD_BYTES
+    )
+    connection = Connection(sock, peer, protocol)
     server.connections.add(connection)
+    connection.task = await curio.spawn(
+        _serve, server, connection, daemon=True
+    )
+
+
+async def _serve(server: Server, connection: Connection) -> None:
     try:
         await _requests(server, connection)
-    except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+    except (OSError, h11.ProtocolError, errors.CallFailed) as error:
         LOG.debug('Connection of %s ended: %s', connection.peer, error)
+    except curio.CancelledError:
+        LOG.debug('Connection of %s was cut.', connection.peer)
+    except Exception:
+        LOG.exception('Connection of %s was cut by a fault.', connection.peer)
     finally:
         server.connections.discard(connection)
         await http.close(connection.sock)
 
 
 async def _requests(server: Server, connection: Connection) -> None:
-    protocol = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=http.MAX_HEAD_BYTES
-    )
     while True:
         try:
-            request = await _head(connection, protocol)
+            request = await _head(server, connection)
         except h11.RemoteProtocolError as error:
-            await _refuse(connection, protocol, error)
+            await _refuse(connection, error)
             return
         if request is None:
             return
-        connection.busy = True
-        await _answer(server, connection, protocol, request)
-        if not await _reusable(server, connection, protocol):
+        await _answer(server, connection, request)
+        if not _reusable(server, connection):
+            await _linger(connection)
             return
         connection.busy = False
 
 
-async def _head(
-    connection: Connection, protocol: h11.Connection
-) -> http.Request | None:
-    async with curio.timeout_after(KEEP_ALIVE_S):
-        event = await http.next_event(connection.sock, protocol)
+async def _head(server: Server, connection: Connection) -> http.Request | None:
+    """Read a request's head; None when the connection ended."""
+    protocol = connection.protocol
+    now_s = time.monotonic()
+    started = bool(protocol.trailing_data[0])
+    connection.limit_at_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            break
+        data = await connection.sock.recv(http.READ_BYTES)
+        if not started:
+            started = True
+            connection.limit_at_s = time.monotonic() + HEAD_S
+        protocol.receive_data(data)
     if not isinstance(event, h11.Request):
         return None
+    connection.busy = True
+    connection.limit_at_s = math.inf
+    connection.waited_s = 0.0
+    connection.body_bytes = 0
+    return _request(server, connection, event)
+
+
+def _request(
+    server: Server, connection: Connection, event: h11.Request
+) -> http.Request:
+    async def read() -> bytes:
+        return await _piece(connection)
+
+    async def respond(response: http.Response) -> None:
+        await _respond(server, connection, event.method, response)
+
     return http.Request(
         method=event.method.decode('ascii'),
         target=event.target.decode('latin-1'),
-        headers=list(event.headers),
-        body=_body(connection, protocol),
+        headers=event.headers,
+        body=http.Body(read),
         peer=connection.peer,
+        http_version=event.http_version.decode('ascii'),
+        awaits_continue=(
+            connection.protocol.they_are_waiting_for_100_continue
+        ),
+        respond=respond,
     )
 
 
-async def _body(
-    connection: Connection, protocol: h11.Connection
-) -> collections.abc.AsyncIterator[bytes]:
+async def _piece(connection: Connection) -> bytes:
+    """Read the next piece of a request's body.
+
+    :raises errors.BadMessage: the body is malformed or comes too slowly
+    :raises OSError: the connection was cut
+    """
+    protocol = connection.protocol
     if protocol.they_are_waiting_for_100_continue:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await http.send(connection.sock, protocol, go_on)
     while protocol.their_state is h11.SEND_BODY:
-        async with curio.timeout_after(BODY_IDLE_S):
-            event = await http.next_event(connection.sock, protocol)
-        if isinstance(event, h11.Data):
-            yield bytes(event.data)
-        elif not isinstance(event, h11.EndOfMessage):
-            raise ConnectionResetError('request body was cut')
+        try:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await _body_data(connection))
+                continue
+        except h11.RemoteProtocolError as error:
+            raise _body_fault(connection, error) from error
+        if isinstance(event, h11.Data) and event.data:
+            connection.body_bytes += len(event.data)
+            return bytes(event.data)
+    return b''
+
+
+def _body_fault(
+    connection: Connection, error: h11.RemoteProtocolError
+) -> Exception:
+    if connection.protocol.trailing_data[1]:
+        return ConnectionResetError('request body was cut')
+    return errors.BadMessage(error.error_status_hint, str(error))
+
+
+async def _body_data(connection: Connection) -> bytes:
+    began_s = time.monotonic()
+    connection.limit_at_s = began_s + BODY_IDLE_S
+    data = await connection.sock.recv(http.READ_BYTES)
+    connection.limit_at_s = math.inf
+    connection.waited_s += time.monotonic() - began_s
+    allowed_s = BODY_IDLE_S + connection.body_bytes / SLOWEST_BODY_BYTES_S
+    if connection.waited_s > allowed_s:
+        raise errors.BadMessage(408, 'the body comes too slowly')
+    return data
 
 
 async def _answer(
-    server: Server,
-    connection: Connection,
-    protocol: h11.Connection,
-    request: http.Request,
+    server: Server, connection: Connection, request: http.Request
 ) -> None:
     try:
         response = await server.handler(request)
+        if response is not None:
+            await request.respond(response)
     except errors.BadMessage as error:
-        response = http.Response(error.status, [], error.reason.encode())
-    await write(connection.sock, protocol, response, server.stopping)
+        if connection.protocol.our_state is not h11.SEND_RESPONSE:
+            raise
+        body = error.reason.encode() + b'\n'
+        await request.respond(http.Response(error.status, [], body))
+    except (OSError, h11.ProtocolError, errors.CallFailed):
+        raise
+    except Exception:
+        if connection.protocol.our_state is not h11.SEND_RESPONSE:
+            raise
+        LOG.exception('The handler failed; the answer is 500.')
+        await request.respond(http.Response(500, [], b'internal fault\n'))
+
+
+async def _respond(
+    server: Server,
+    connection: Connection,
+    method: bytes,
+    response: http.Response,
+) -> None:
+    closing = server.closing or _unread(connection.protocol)
+    await write(connection, response, closing, method == b'HEAD')
+
+
+def _unread(protocol: h11.Connection) -> bool:
+    return protocol.their_state not in (
+        h11.DONE,
+        h11.MUST_CLOSE,
+        h11.MIGHT_SWITCH_PROTOCOL,
+    )
 
 
 async def write(
-    sock: typing.Any,
-    protocol: h11.Connection,
+    connection: Connection,
     response: http.Response,
     closing: bool,
+    bodiless: bool = False,
 ) -> None:
     """Send a response whole; a body that fails midway cuts the connection.
 
     :param closing: whether to announce that the connection ends
+    :param bodiless: whether it answers a HEAD request
     """
+    protocol = connection.protocol
+    body = response.body
     headers = list(response.headers)
     if closing:
         headers.append((b'connection', b'close'))
-    if isinstance(response.body, bytes):
-        headers.append((b'content-length', b'%d' % len(response.body)))
+    bodiless = bodiless or response.status in (204, 304)
+    if isinstance(body, bytes) and not bodiless:
+        headers.append((b'content-length', b'%d' % len(body)))
     head = h11.Response(status_code=response.status, headers=headers)
-    async with curio.timeout_after(BODY_IDLE_S):
-        await http.send(sock, protocol, head)
-    async for piece in _pieces(response.body):
-        async with curio.timeout_after(BODY_IDLE_S):
-            await http.send(sock, protocol, h11.Data(data=piece))
-    await http.send(sock, protocol, h11.EndOfMessage())
-
-
-async def _pieces(
-    body: bytes | http.Chunks,
-) -> collections.abc.AsyncIterator[bytes]:
+    data = protocol.send(head)
     if isinstance(body, bytes):
-        if body:
-            yield body
+        if body and not bodiless:
+            data += protocol.send(h11.Data(data=body))
+    else:
+        await _send(connection, data)
+        async for piece in body:
+            await _send(connection, protocol.send(h11.Data(data=piece)))
+        data = b''
+    data += protocol.send(h11.EndOfMessage())
+    await _send(connection, data)
+
+
+async def _send(connection: Connection, data: bytes) -> None:
+    if not data:
         return
-    async for piece in body:
-        yield piece
+    connection.limit_at_s = time.monotonic() + BODY_IDLE_S
+    await connection.sock.sendall(data)
+    connection.limit_at_s = math.inf
 
 
-async def _reusable(
-    server: Server, connection: Connection, protocol: h11.Connection
-) -> bool:
-    if server.stopping or protocol.our_state is not h11.DONE:
+def _reusable(server: Server, connection: Connection) -> bool:
+    protocol = connection.protocol
+    if server.closing or protocol.our_state is not h11.DONE:
         return False
     if protocol.their_state is not h11.DONE:
         return False
@@ -227,13 +375,21 @@
     return True
 
 
+async def _linger(connection: Connection) -> None:
+    """End the output, and discard input for a while."""
+    with contextlib.suppress(OSError):
+        await connection.sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_S):
+            while await connection.sock.recv(http.READ_BYTES):
+                pass
+
+
 async def _refuse(
-    connection: Connection,
-    protocol: h11.Connection,
-    error: h11.RemoteProtocolError,
+    connection: Connection, error: h11.RemoteProtocolError
 ) -> None:
-    if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+    if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    status = error.error_status_hint
-    response = http.Response(status, [], f'{error}\n'.encode())
-    await write(connection.sock, protocol, response, True)
+    body = f'{error}\n'.encode()
+    response = http.Response(error.error_status_hint, [], body)
+    await write(connection, response, True)
+    await _linger(connection)
--- /dev/null
+++ b/oleanderwood/http_watch.py
@@ -0,0 +1,66 @@
+"""Access to the watch over a server's connections.
+
+One task looks at all connections of a server a few times a second, which
+costs less than a timer and a reader for each request. It ends those whose
+peer makes no headway, and cancels the work for callers that are gone.
+"""
+
+import contextlib
+import logging
+import math
+import select
+import socket
+import time
+import typing
+
+import curio
+
+LOG = logging.getLogger('http-server')
+
+TICK_S = 0.25
+
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+async def run(server: typing.Any) -> None:
+    """Watch the connections of a server until cancelled."""
+    while True:
+        await curio.sleep(TICK_S)
+        await end_overdue(server, time.monotonic())
+        await cancel_gone(server)
+
+
+async def end_input(connection: typing.Any) -> None:
+    """End an idle connection; a request that has arrived is answered."""
+    with contextlib.suppress(OSError):
+        await connection.sock.shutdown(socket.SHUT_RD)
+
+
+async def end_overdue(server: typing.Any, now_s: float) -> None:
+    """End the connections whose peer made no headway in time."""
+    overdue = [c for c in server.connections if c.limit_at_s <= now_s]
+    for connection in overdue:
+        connection.limit_at_s = math.inf
+        if connection.busy:
+            await _cancel(connection)
+        else:
+            await end_input(connection)
+
+
+async def cancel_gone(server: typing.Any) -> None:
+    """Cancel the work on requests whose caller closed the connection."""
+    poll = select.poll()
+    busy = {c.sock.fileno(): c for c in server.connections if c.busy}
+    for descriptor in busy:
+        poll.register(descriptor, select.POLLRDHUP)
+    for descriptor, events in poll.poll(0) if busy else ():
+        if events & _GONE:
+            LOG.debug('Caller %s is gone.', busy[descriptor].peer)
+            await _cancel(busy[descriptor])
+
+
+async def _cancel(connection: typing.Any) -> None:
+    # Once only: a second one would interrupt the clean-up of the first.
+    if not connection.cancelled:
+        connection.cancelled = True
+        await connection.task.cancel(blocking=False)
