Decide on requests: a first thin version

messages.py did not import: a field named configuration hid the module of that name in its own class body. The modules are imported under plural names there.

--- /dev/null
+++ b/oleanderwood/ejection.py
@@ -0,0 +1,98 @@
+"""Access to the ejection of upstreams that fail what they are sent."""
+
+import dataclasses
+
+from oleanderwood import ids
+
+FAILURES_TO_EJECT = 3
+"""Failures in a row that eject an upstream."""
+
+MAX_EJECTED_SHARE = 0.5
+"""Share of a service's upstreams that may be ejected at once."""
+
+BASE_EJECTION_S = 2.0
+"""First ejection; it doubles each time, up to the maximum."""
+
+MAX_EJECTION_S = 30.0
+
+RE_ENTRY_S = 5.0
+"""Time over which the slots used of a returning upstream grow to all."""
+
+
+@dataclasses.dataclass
+class Health:
+    """What one entry saw of one upstream.
+
+    :ivar failures: failures in a row
+    :ivar ejections: ejections since the last full recovery
+    :ivar until_s: end of the present or latest ejection
+    """
+
+    failures: int = 0
+    ejections: int = 0
+    until_s: float = 0.0
+
+
+def is_ejected(health: Health, now_s: float) -> bool:
+    """Say whether an upstream gets no work at the moment."""
+    return now_s < health.until_s
+
+
+def usable_slots(health: Health, slots: int, now_s: float) -> int:
+    """Give how many of some slots a returning upstream may use.
+
+    One at first, and no more until that one succeeded; then more with
+    time, and all after ``RE_ENTRY_S``.
+    """
+    if is_ejected(health, now_s):
+        return 0
+    if not health.ejections:
+        return slots
+    if health.failures:
+        return min(1, slots)
+    share = min(1.0, (now_s - health.until_s) / RE_ENTRY_S)
+    return max(1, int(slots * share))
+
+
+def succeeded(health: Health, now_s: float) -> None:
+    """Count an answer."""
+    health.failures = 0
+    if now_s >= health.until_s + RE_ENTRY_S:
+        health.ejections = 0
+
+
+def failed(
+    healths: dict[ids.VmId, Health], vm: ids.VmId, now_s: float
+) -> bool:
+    """Count a failure, and eject the upstream if that is due.
+
+    The cap comes first: an upstream over it stays in use.
+
+    :param healths: all upstreams of the service
+    :returns: whether the upstream was ejected by this failure
+    """
+    health = healths[vm]
+    health.failures += 1
+    if is_ejected(health, now_s):
+        return False
+    due = health.failures >= FAILURES_TO_EJECT or health.ejections > 0
+    if not due or not _room_under_cap(healths, now_s):
+        return False
+    length_s = BASE_EJECTION_S * 2**health.ejections
+    health.until_s = now_s + min(MAX_EJECTION_S, length_s)
+    health.ejections += 1
+    return True
+
+
+def ejected_count(healths: dict[ids.VmId, Health], now_s: float) -> int:
+    """Count the upstreams that are ejected."""
+    return sum(is_ejected(health, now_s) for health in healths.values())
+
+
+def max_ejected(upstreams: int) -> int:
+    """Give how many of a service's upstreams may be ejected at once."""
+    return int(upstreams * MAX_EJECTED_SHARE)
+
+
+def _room_under_cap(healths: dict[ids.VmId, Health], now_s: float) -> bool:
+    return ejected_count(healths, now_s) < max_ejected(len(healths))
--- a/oleanderwood/messages.py
+++ b/oleanderwood/messages.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from oleanderwood import configuration
+from oleanderwood import configuration as configurations
 from oleanderwood import fleet
 from oleanderwood import ids
-from oleanderwood import roster
+from oleanderwood import roster as rosters
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -49,10 +49,10 @@
 class FetchReply(msgspec.Struct, frozen=True):
     """The peer's copies; ``None`` and missing shards mean it has none."""
 
-    head: configuration.Head | None = None
-    configuration: configuration.Configuration | None = None
+    head: configurations.Head | None = None
+    configuration: configurations.Configuration | None = None
     shards: tuple[fleet.Shard, ...] = ()
-    roster: roster.Roster | None = None
+    roster: rosters.Roster | None = None
 
 
 class PrepareRequest(msgspec.Struct, frozen=True):
@@ -62,8 +62,8 @@
     moved to this revision or past it, or that the stage was dropped.
     """
 
-    head: configuration.Head
-    configuration: configuration.Configuration
+    head: configurations.Head
+    configuration: configurations.Configuration
 
 
 class PrepareReply(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,35 @@
+"""Tests of dispatch."""
+
+from oleanderwood import dispatch
+from oleanderwood import verdict as verdicts
+from tests import utils_admission as utils
+
+RAN = dispatch.Outcome(verdicts.Verdict.RAN, 200, 0.1)
+NOT_RUN = dispatch.Outcome(verdicts.Verdict.NOT_RUN, 0, 0.0)
+MAY_HAVE_RUN = dispatch.Outcome(verdicts.Verdict.MAY_HAVE_RUN, 0, 0.1)
+
+
+def test_request_starts_at_once():
+    state = utils.make_state()
+    (start,) = dispatch.arrive(state, utils.make_ask(1), 0.0, utils.make_rng())
+    assert isinstance(start, dispatch.Start)
+    assert dispatch.finish(state, 1, RAN, 0.1, utils.make_rng()) == []
+    assert not state.requests
+
+
+def test_not_run_is_retried_within_budget_only():
+    state = utils.make_state()
+    rng = utils.make_rng()
+    dispatch.arrive(state, utils.make_ask(1), 0.0, rng)
+    (again,) = dispatch.finish(state, 1, NOT_RUN, 0.1, rng)
+    assert isinstance(again, dispatch.Start)
+    (refusal,) = dispatch.finish(state, 1, NOT_RUN, 0.1, rng)
+    assert refusal.verdict is verdicts.Verdict.NOT_RUN
+
+
+def test_may_have_run_is_final():
+    state = utils.make_state()
+    rng = utils.make_rng()
+    dispatch.arrive(state, utils.make_ask(1), 0.0, rng)
+    (refusal,) = dispatch.finish(state, 1, MAY_HAVE_RUN, 0.1, rng)
+    assert refusal.verdict is verdicts.Verdict.MAY_HAVE_RUN
