--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -65,11 +65,15 @@
 
     :ivar status: the upstream's status, 0 for none
     :ivar latency_s: from the start of the attempt
+    :ivar repeatable: whether the request is still there to be sent again
+    :ivar upstream_failed: whether a failure was the upstream's
     """
 
     verdict: verdicts.Verdict
     status: int
     latency_s: float
+    repeatable: bool = True
+    upstream_failed: bool = True
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -317,7 +321,9 @@
     if outcome.verdict is verdicts.Verdict.RAN:
         del state.requests[ticket]
     else:
-        decisions += _retry_or_give_up(state, service, request, now_s, rng)
+        decisions += _retry_or_give_up(
+            state, service, request, outcome.repeatable, now_s, rng
+        )
     return decisions + _start_waiting(state, service, now_s, rng)
 
 
@@ -494,7 +500,7 @@
         return
     if answered and outcome.status < FIRST_SERVER_ERROR:
         ejection.succeeded(service.healths[vm], now_s)
-    else:
+    elif outcome.upstream_failed:
         ejection.failed(service.healths, vm, now_s)
 
 
@@ -502,11 +508,14 @@
     state: State,
     service: ServiceState,
     request: Request,
+    repeatable: bool,
     now_s: float,
     rng: random.Random,
 ) -> list[Decision]:
     ask = request.ask
-    if retry.allowed(request.verdict, ask.idempotent, request.attempts):
+    if repeatable and retry.allowed(
+        request.verdict, ask.idempotent, request.attempts
+    ):
         if retry.spend(service.budget):
             refusal = _admit(service, request, now_s, rng, first=True)
             if refusal is None:
--- a/oleanderwood/http_client.py
+++ b/oleanderwood/http_client.py
@@ -4,6 +4,7 @@
 ``NOT_RUN`` only where nothing was written to the connection.
 """
 
+import contextlib
 import dataclasses
 import select
 import socket
@@ -26,6 +27,7 @@
     """A connection to one address; it carries one request at a time.
 
     :ivar written: whether any byte of the current request was written
+    :ivar carries: id of the request that was sent last
     :ivar carried: requests whose answers were read whole
     """
 
@@ -33,6 +35,7 @@
     sock: typing.Any
     protocol: h11.Connection
     written: bool = False
+    carries: str = ''
     carried: int = 0
 
 
@@ -76,6 +79,12 @@
     return not poll.poll(0)
 
 
+async def shut(connection: Connection) -> None:
+    """End both directions; whoever waits on the connection sees its end."""
+    with contextlib.suppress(OSError):
+        await connection.sock.shutdown(socket.SHUT_RDWR)
+
+
 def failure(
     connection: Connection, error: BaseException | str
 ) -> errors.CallFailed:
@@ -86,31 +95,51 @@
     return errors.CallFailed(verdict, f'{connection.address}: {error}')
 
 
-async def send_events(
-    connection: Connection, *events: h11.Event | h11.Request
-) -> None:
-    """Send h11 events in one piece.
+def encode(connection: Connection, *events: h11.Event) -> bytes:
+    """Give the bytes that send some h11 events.
 
-    :raises errors.CallFailed: with the verdict
+    :raises errors.CallFailed: the protocol doesn't allow them
     """
     try:
-        data = b''.join(map(connection.protocol.send, events))
-        await _write(connection, data)
-    except (OSError, h11.ProtocolError) as error:
+        return b''.join(map(connection.protocol.send, events))
+    except h11.ProtocolError as error:
         raise failure(connection, repr(error)) from error
 
 
-async def _write(connection: Connection, data: bytes) -> None:
+async def write(connection: Connection, data: bytes | memoryview) -> None:
+    """Write bytes; the first are handed over before any wait.
+
+    :raises errors.CallFailed: with the verdict
+    """
     while data:
-        # The flag may only rise once the kernel took a byte: a send that
-        # fails before is the proof that nothing ran.
-        sent = await connection.sock.send(data)
-        connection.written = True
+        sent = await write_some(connection, data)
         if sent == len(data):
             return
         data = memoryview(data)[sent:]
 
 
+async def write_some(connection: Connection, data: bytes | memoryview) -> int:
+    """Write what the kernel takes; waits only if that is nothing.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    try:
+        sent = await connection.sock.send(data)
+    except OSError as error:
+        raise failure(connection, repr(error)) from error
+    # Only now: a send that fails before is the proof that nothing ran.
+    connection.written = True
+    return sent
+
+
+async def send_events(connection: Connection, *events: h11.Event) -> None:
+    """Send h11 events in one piece.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    await write(connection, encode(connection, *events))
+
+
 async def read_head(connection: Connection) -> http.Response:
     """Read the answer's head; its body is read as it arrives.
 
@@ -125,6 +154,26 @@
     return http.Response(event.status_code, event.headers, _body(connection))
 
 
+def read_buffered(connection: Connection) -> tuple[bytes, bool]:
+    """Give what has arrived of an answer's body, and whether it has ended.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    protocol = connection.protocol
+    pieces = []
+    try:
+        while protocol.their_state is h11.SEND_BODY:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                return b''.join(pieces), False
+            if isinstance(event, h11.Data):
+                pieces.append(event.data)
+    except h11.ProtocolError as error:
+        raise failure(connection, repr(error)) from error
+    end_cycle(connection)
+    return b''.join(pieces), True
+
+
 async def _head(connection: Connection) -> h11.Response:
     while True:
         event = await http.next_event(connection.sock, connection.protocol)
--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -1,7 +1,9 @@
 """Access to an HTTP/1.1 server over curio and h11."""
 
+import collections.abc
 import contextlib
 import dataclasses
+import errno
 import logging
 import math
 import socket
@@ -38,6 +40,7 @@
 """
 
 BACKLOG = 1024
+_POLL_S = 0.05
 MAX_CONNECTIONS = 4096
 
 
@@ -46,6 +49,7 @@
     """A listening server.
 
     :ivar address: the address it listens on, its port resolved
+    :ivar refusal_headers: sent with refusals of malformed requests
     :ivar closing: answers announce that their connection ends
     :ivar stopping: nothing new is accepted
     """
@@ -54,10 +58,10 @@
     sock: typing.Any
     handler: http.Handler
     max_connections: int = MAX_CONNECTIONS
+    refusal_headers: http.Headers = dataclasses.field(default_factory=list)
     closing: bool = False
     stopping: bool = False
     accepting: curio.Task | None = None
-    stopped: curio.Event = dataclasses.field(default_factory=curio.Event)
     connections: set['Connection'] = dataclasses.field(default_factory=set)
 
 
@@ -66,7 +70,8 @@
     """One accepted connection.
 
     :ivar busy: set from a request's head to the end of its answer
-    :ivar limit_at_s: monotonic time by which the peer must make headway
+    :ivar read_limit_s: monotonic time by which the peer must send
+    :ivar write_limit_s: monotonic time by which the peer must take bytes
     :ivar waited_s: seconds spent in waiting for the request's body
     :ivar body_bytes: size of the request's body so far
     :ivar cancelled: set once its task was cancelled
@@ -77,7 +82,8 @@
     protocol: h11.Connection
     task: curio.Task | None = None
     busy: bool = False
-    limit_at_s: float = math.inf
+    read_limit_s: float = math.inf
+    write_limit_s: float = math.inf
     waited_s: float = 0.0
     body_bytes: int = 0
     cancelled: bool = False
@@ -107,7 +113,9 @@
     watching = await curio.spawn(http_watch.run, server)
     server.accepting = await curio.spawn(_accept, server)
     try:
-        await server.stopped.wait()
+        await server.accepting.wait()
+        while server.connections:
+            await curio.sleep(_POLL_S)
     finally:
         await server.accepting.cancel()
         await watching.cancel()
@@ -120,7 +128,7 @@
     server.closing = True
 
 
-async def stop(server: Server, poll_s: float = 0.05) -> None:
+async def stop(server: Server) -> None:
     """Stop in an orderly way: accept no more, finish what is in flight.
 
     Idle connections are closed; busy ones get ``Connection: close`` with
@@ -135,8 +143,7 @@
         for connection in list(server.connections):
             if not connection.busy:
                 await http_watch.end_input(connection)
-        await curio.sleep(poll_s)
-    await server.stopped.set()
+        await curio.sleep(_POLL_S)
 
 
 async def _accept(server: Server) -> None:
@@ -146,6 +153,8 @@
         try:
             sock, peer = await server.sock.accept()
         except OSError as error:
+            if error.errno in (errno.EINVAL, errno.EBADF):
+                return
             LOG.warning('Accepting failed: %s.', error)
             await curio.sleep(http_watch.TICK_S)
             continue
@@ -183,7 +192,7 @@
         try:
             request = await _head(server, connection)
         except h11.RemoteProtocolError as error:
-            await _refuse(connection, error)
+            await _refuse(server, connection, error)
             return
         if request is None:
             return
@@ -199,7 +208,7 @@
     protocol = connection.protocol
     now_s = time.monotonic()
     started = bool(protocol.trailing_data[0])
-    connection.limit_at_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
+    connection.read_limit_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
     while True:
         event = protocol.next_event()
         if event is not h11.NEED_DATA:
@@ -207,12 +216,12 @@
         data = await connection.sock.recv(http.READ_BYTES)
         if not started:
             started = True
-            connection.limit_at_s = time.monotonic() + HEAD_S
+            connection.read_limit_s = time.monotonic() + HEAD_S
         protocol.receive_data(data)
     if not isinstance(event, h11.Request):
         return None
     connection.busy = True
-    connection.limit_at_s = math.inf
+    connection.read_limit_s = math.inf
     connection.waited_s = 0.0
     connection.body_bytes = 0
     return _request(server, connection, event)
@@ -275,9 +284,9 @@
 
 async def _body_data(connection: Connection) -> bytes:
     began_s = time.monotonic()
-    connection.limit_at_s = began_s + BODY_IDLE_S
+    connection.read_limit_s = began_s + BODY_IDLE_S
     data = await connection.sock.recv(http.READ_BYTES)
-    connection.limit_at_s = math.inf
+    connection.read_limit_s = math.inf
     connection.waited_s += time.monotonic() - began_s
     allowed_s = BODY_IDLE_S + connection.body_bytes / SLOWEST_BODY_BYTES_S
     if connection.waited_s > allowed_s:
@@ -350,19 +359,28 @@
             data += protocol.send(h11.Data(data=body))
     else:
         await _send(connection, data)
-        async for piece in body:
-            await _send(connection, protocol.send(h11.Data(data=piece)))
+        await _send_pieces(connection, body)
         data = b''
     data += protocol.send(h11.EndOfMessage())
     await _send(connection, data)
 
 
+async def _send_pieces(connection: Connection, body: http.Chunks) -> None:
+    try:
+        async for piece in body:
+            event = h11.Data(data=piece)
+            await _send(connection, connection.protocol.send(event))
+    finally:
+        if isinstance(body, collections.abc.AsyncGenerator):
+            await body.aclose()
+
+
 async def _send(connection: Connection, data: bytes) -> None:
     if not data:
         return
-    connection.limit_at_s = time.monotonic() + BODY_IDLE_S
+    connection.write_limit_s = time.monotonic() + BODY_IDLE_S
     await connection.sock.sendall(data)
-    connection.limit_at_s = math.inf
+    connection.write_limit_s = math.inf
 
 
 def _reusable(server: Server, connection: Connection) -> bool:
@@ -385,11 +403,12 @@
 
 
 async def _refuse(
-    connection: Connection, error: h11.RemoteProtocolError
+    server: Server, connection: Connection, error: h11.RemoteProtocolError
 ) -> None:
     if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     body = f'{error}\n'.encode()
-    response = http.Response(error.error_status_hint, [], body)
+    headers = server.refusal_headers
+    response = http.Response(error.error_status_hint, headers, body)
     await write(connection, response, True)
     await _linger(connection)
--- a/oleanderwood/http_watch.py
+++ b/oleanderwood/http_watch.py
@@ -38,9 +38,15 @@
 
 async def end_overdue(server: typing.Any, now_s: float) -> None:
     """End the connections whose peer made no headway in time."""
-    overdue = [c for c in server.connections if c.limit_at_s <= now_s]
+    overdue = [
+        connection
+        for connection in server.connections
+        if connection.read_limit_s <= now_s
+        or connection.write_limit_s <= now_s
+    ]
     for connection in overdue:
-        connection.limit_at_s = math.inf
+        connection.read_limit_s = math.inf
+        connection.write_limit_s = math.inf
         if connection.busy:
             await _cancel(connection)
         else:
--- /dev/null
+++ b/tests/utils_entry.py
@@ -0,0 +1,212 @@
+"""Builders of test data for the request path."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+import curio
+import prometheus_client
+
+from oleanderwood import attempt
+from oleanderwood import configuration
+from oleanderwood import connections
+from oleanderwood import dispatch
+from oleanderwood import entry_metrics
+from oleanderwood import fleet
+from oleanderwood import grants
+from oleanderwood import http
+from oleanderwood import http_server
+from oleanderwood import ids
+from oleanderwood import invariants
+from oleanderwood import proxy as proxies
+from oleanderwood import request_headers
+from oleanderwood import routes
+from oleanderwood import tickets
+
+EPOCH = ids.Epoch(3)
+TEAM = 'crew'
+
+
+@dataclasses.dataclass
+class World:
+    """An entry between a test and its upstreams.
+
+    :ivar allowed: whether the grants let requests be sent
+    :ivar in_flight: requests by VM and epoch, as the grants count them
+    """
+
+    proxy: proxies.Proxy = None
+    server: http_server.Server = None
+    upstreams: list[http_server.Server] = dataclasses.field(
+        default_factory=list
+    )
+    allowed: bool = True
+    in_flight: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    tasks: list[curio.Task] = dataclasses.field(default_factory=list)
+
+
+def service(**changes: typing.Any) -> configuration.Service:
+    """Make a service at ``/s`` that isn't idempotent."""
+    fields = {'name': 's', 'path_prefix': '/s', 'timeout_s': 5.0, **changes}
+    return configuration.Service(**fields)
+
+
+def row(number: int, address: str) -> fleet.VmRow:
+    """Make the row of a serving VM."""
+    return fleet.VmRow(
+        vm=ids.VmId(f'vm-{number}'),
+        pool=ids.PoolId('p'),
+        state=fleet.VmState.SERVING,
+        epoch=EPOCH,
+        rack=ids.Rack('r'),
+        address=ids.Address(address),
+    )
+
+
+def fake_grants(world: World) -> grants.Grants:
+    """Make grants that obey the world's ``allowed``."""
+
+    def count(step: int) -> grants.Count:
+        def change(vm: ids.VmId, epoch: ids.Epoch) -> None:
+            world.in_flight[vm, epoch] += step
+
+        return change
+
+    return grants.Grants(
+        may_send=lambda vm, epoch, now_s: world.allowed,
+        begin=count(1),
+        end=count(-1),
+    )
+
+
+def make_proxy(
+    world: World, served: configuration.Service, addresses: list[str]
+) -> proxies.Proxy:
+    """Make a request path whose upstreams are at the addresses."""
+    rows = [row(number, address) for number, address in enumerate(addresses)]
+    state = dispatch.make_state(ids.EntryId('e'), ids.DataCentre('a'))
+    team = configuration.Team(name=TEAM, requests_per_s=1e6)
+    accepted = configuration.Configuration(services=(served,), teams=(team,))
+    dispatch.set_configuration(state, accepted, 0.0)
+    upstreams = tuple(
+        dispatch.UpstreamRow(r.vm, r.epoch, ids.DataCentre('a'), 8, 64)
+        for r in rows
+    )
+    name = ids.ServiceId(served.name)
+    dispatch.set_upstreams(state, name, upstreams, 0.0)
+    registry = prometheus_client.CollectorRegistry()
+    path = attempt.Path(
+        connections.Connections(),
+        fake_grants(world),
+        invariants.create(registry),
+    )
+    return proxies.Proxy(
+        prefix='e-1-',
+        path=path,
+        tickets=tickets.Tickets(state, random.Random(1)),
+        metrics=entry_metrics.create(registry),
+        table=routes.make([served]),
+        rows={r.vm: r for r in rows},
+    )
+
+
+async def _serve(
+    world: World, handler: http.Handler, **changes: typing.Any
+) -> http_server.Server:
+    server = http_server.listen(ids.Address('127.0.0.1:0'), handler, **changes)
+    world.tasks.append(await curio.spawn(http_server.run, server))
+    return server
+
+
+async def raw_upstream(world: World, talk: typing.Any) -> str:
+    """Serve connections with a coroutine function of the socket."""
+    sock = curio.socket.socket()
+    sock.bind(('127.0.0.1', 0))
+    sock.listen(16)
+
+    async def one(client: typing.Any) -> None:
+        try:
+            await talk(client)
+        finally:
+            await client.close()
+
+    async def accept() -> None:
+        while True:
+            client, _ = await sock.accept()
+            world.tasks.append(await curio.spawn(one, client))
+
+    world.tasks.append(await curio.spawn(accept))
+    return '{}:{}'.format(*sock.getsockname())
+
+
+async def _run(
+    served: configuration.Service,
+    handlers: list[typing.Any],
+    use: typing.Any,
+    raw: bool,
+) -> tuple[World, typing.Any]:
+    world = World()
+    addresses = []
+    for handler in handlers:
+        if raw:
+            addresses.append(await raw_upstream(world, handler))
+        else:
+            server = await _serve(world, handler)
+            world.upstreams.append(server)
+            addresses.append(server.address)
+    world.proxy = make_proxy(world, served, addresses)
+    world.server = await _serve(world, proxies.make_handler(world.proxy))
+    world.tasks.append(await curio.spawn(tickets.run, world.proxy.tickets))
+    try:
+        result = await use(world)
+        await settled(world)
+    finally:
+        for task in world.tasks:
+            await task.cancel()
+        await connections.drop_idle(world.proxy.path.connections, 1e18)
+    return world, result
+
+
+async def settled(world: World) -> None:
+    """Wait, for a bounded time, until nothing is in flight."""
+    for _ in range(200):
+        if not world.proxy.exchanges:
+            return
+        await curio.sleep(0.01)
+
+
+def run(
+    use: typing.Any,
+    *handlers: typing.Any,
+    raw: bool = False,
+    **changes: typing.Any,
+) -> typing.Any:
+    """Run a test against an entry, and check what must hold after it.
+
+    :param use: coroutine function of the :class:`World`
+    :param handlers: one for each upstream
+    :param raw: whether they talk on sockets
+    :param changes: to the service
+    """
+    world, result = curio.run(
+        _run, service(**changes), list(handlers), use, raw
+    )
+    assert not world.proxy.exchanges
+    assert not any(world.in_flight.values()), world.in_flight
+    state = world.proxy.tickets.state
+    assert not state.requests and not world.proxy.tickets.active
+    assert not +state.breaches, state.breaches
+    assert not world.proxy.path.invariants.recent
+    assert not world.proxy.path.connections.opened
+    for known in state.services.values():
+        assert known.in_flight == 0
+        assert not any(up.in_flight for up in known.upstreams.values())
+    return result
+
+
+def team_headers(*more: tuple[bytes, bytes]) -> http.Headers:
+    """Make the headers of a caller with a quota."""
+    return [(request_headers.TEAM, TEAM.encode()), *more]
