--- a/oleanderwood/attempt.py
+++ b/oleanderwood/attempt.py
@@ -18,10 +18,10 @@
 from oleanderwood import connections
 from oleanderwood import errors
 from oleanderwood import fleet
-from oleanderwood import grants
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import invariants
+from oleanderwood import permissions
 from oleanderwood import request_headers
 from oleanderwood import verdict as verdicts
 
@@ -78,7 +78,7 @@
     """What all attempts of an entry share."""
 
     connections: connections.Connections
-    grants: grants.Grants
+    permissions: permissions.Permissions
     invariants: invariants.Invariants
 
 
@@ -116,7 +116,7 @@
     """
     connection = await _connect(path, exchange, row, limit)
     upload = Upload()
-    path.grants.begin(row.vm, row.epoch)
+    path.permissions.begin(row.vm, row.epoch)
     try:
         await _send(path, exchange, row, connection, upload)
         response = await _head(exchange, connection, upload)
@@ -128,7 +128,7 @@
         try:
             await _leave(path, connection, upload)
         finally:
-            path.grants.end(row.vm, row.epoch)
+            path.permissions.end(row.vm, row.epoch)
 
 
 async def _connect(
@@ -160,8 +160,8 @@
     upload.moved_s = time.monotonic()
     # Nothing may come between this check and the first byte: the process
     # may have been paused while it waited for the connection.
-    if not path.grants.may_send(row.vm, row.epoch, upload.moved_s):
-        raise grants.Gone(verdicts.Verdict.NOT_RUN, f'{row.vm}: no grant')
+    if not path.permissions.may_send(row.vm, row.epoch, upload.moved_s):
+        raise permissions.Gone(verdicts.Verdict.NOT_RUN, f'{row.vm}: no grant')
     connection.carries = exchange.request_id
     await _write(exchange, connection, data)
     if exchange.kept_body is None:
--- a/oleanderwood/grants.py
+++ b/oleanderwood/permissions.py
@@ -15,8 +15,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Grants:
-    """The grants of an entry, as a record of functions.
+class Permissions:
+    """What an entry may do, as a record of functions.
 
     ``may_send(vm, epoch, now_s)`` says whether a request may be written
     now. ``begin(vm, epoch)`` and ``end(vm, epoch)`` count it in flight.
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -11,9 +11,9 @@
 from oleanderwood import entry_metrics
 from oleanderwood import errors
 from oleanderwood import fleet
-from oleanderwood import grants
 from oleanderwood import http
 from oleanderwood import ids
+from oleanderwood import permissions
 from oleanderwood import request_headers
 from oleanderwood import routes
 from oleanderwood import routing
@@ -184,7 +184,7 @@
         status=status or _failure_status(failure),
         latency_s=time.monotonic() - began_s,
         repeatable=not (exchange.body_started or exchange.answering),
-        upstream_failed=not isinstance(failure, grants.Gone),
+        upstream_failed=not isinstance(failure, permissions.Gone),
     )
     if not exchange.answering:
         return outcome
@@ -205,7 +205,7 @@
 async def _run(proxy: Proxy, exchange: attempt.Exchange, vm: ids.VmId) -> int:
     row = proxy.rows.get(vm)
     if row is None:
-        raise grants.Gone(NOT_RUN, f'{vm}: no longer serves')
+        raise permissions.Gone(NOT_RUN, f'{vm}: no longer serves')
     limit = routing.connection_limit(
         exchange.service.connections, proxy.entries
     )
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -14,11 +14,11 @@
 from oleanderwood import dispatch
 from oleanderwood import entry_metrics
 from oleanderwood import fleet
-from oleanderwood import grants
 from oleanderwood import http
 from oleanderwood import http_server
 from oleanderwood import ids
 from oleanderwood import invariants
+from oleanderwood import permissions
 from oleanderwood import proxy as proxies
 from oleanderwood import request_headers
 from oleanderwood import routes
@@ -32,8 +32,8 @@
 class World:
     """An entry between a test and its upstreams.
 
-    :ivar allowed: whether the grants let requests be sent
-    :ivar in_flight: requests by VM and epoch, as the grants count them
+    :ivar allowed: whether the permissions let requests be sent
+    :ivar in_flight: requests by VM and epoch, as the permissions count them
     """
 
     proxy: proxies.Proxy = None
@@ -66,16 +66,16 @@
     )
 
 
-def fake_grants(world: World) -> grants.Grants:
-    """Make grants that obey the world's ``allowed``."""
+def fake_permissions(world: World) -> permissions.Permissions:
+    """Make permissions that obey the world's ``allowed``."""
 
-    def count(step: int) -> grants.Count:
+    def count(step: int) -> permissions.Count:
         def change(vm: ids.VmId, epoch: ids.Epoch) -> None:
             world.in_flight[vm, epoch] += step
 
         return change
 
-    return grants.Grants(
+    return permissions.Permissions(
         may_send=lambda vm, epoch, now_s: world.allowed,
         begin=count(1),
         end=count(-1),
@@ -100,7 +100,7 @@
     registry = prometheus_client.CollectorRegistry()
     path = attempt.Path(
         connections.Connections(),
-        fake_grants(world),
+        fake_permissions(world),
         invariants.create(registry),
     )
     return proxies.Proxy(
