--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -224,9 +224,19 @@
     connection.read_limit_s = math.inf
     connection.waited_s = 0.0
     connection.body_bytes = 0
+    if not _announces_body(event):
+        protocol.next_event()
     return _request(server, connection, event)
 
 
+def _announces_body(event: h11.Request) -> bool:
+    return any(
+        name == b'transfer-encoding'
+        or (name == b'content-length' and value != b'0')
+        for name, value in event.headers
+    )
+
+
 def _request(
     server: Server, connection: Connection, event: h11.Request
 ) -> http.Request:
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -33,6 +33,9 @@
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 RAN = verdicts.Verdict.RAN
 
+REFUSAL_HEADERS = [(request_headers.VERDICT, NOT_RUN.value.encode('ascii'))]
+"""Sent with the refusal of a request that isn't even HTTP."""
+
 
 @dataclasses.dataclass
 class Proxy:
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -6,6 +6,7 @@
 import typing
 
 import curio
+import h11
 import prometheus_client
 
 from oleanderwood import attempt
@@ -159,6 +160,7 @@
             addresses.append(server.address)
     world.proxy = make_proxy(world, served, addresses)
     world.server = await _serve(world, proxies.make_handler(world.proxy))
+    world.server.refusal_headers = proxies.REFUSAL_HEADERS
     world.tasks.append(await curio.spawn(tickets.run, world.proxy.tickets))
     try:
         result = await use(world)
@@ -210,3 +212,11 @@
 def team_headers(*more: tuple[bytes, bytes]) -> http.Headers:
     """Make the headers of a caller with a quota."""
     return [(request_headers.TEAM, TEAM.encode()), *more]
+
+
+def chunked_request(target: str) -> h11.Request:
+    """Make the head of a request whose body is of unknown length."""
+    headers = [(b'host', b'a'), (b'transfer-encoding', b'chunked')]
+    return h11.Request(
+        method='POST', target=target, headers=team_headers(*headers)
+    )
