--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -9,6 +9,7 @@
 import dataclasses
 import logging
 import signal
+import socket
 import typing
 
 import curio
@@ -92,14 +93,33 @@
 
 
 async def _dump_on_signal(dump: Dump) -> None:
-    async with curio.SignalQueue(signal.SIGUSR1) as signals:
-        while True:
-            await signals.get()
-            LOG.info('State: %s', codec.to_json(dump()).decode())
+    arrivals = signal_socket(signal.SIGUSR1)
+    while await arrivals.recv(1):
+        LOG.info('State: %s', codec.to_json(dump()).decode())
 
 
 async def until_stopped() -> None:
     """Wait for SIGTERM or SIGINT."""
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-        number = await signals.get()
-    LOG.info('Stopping on signal %s.', number)
+    arrivals = signal_socket(signal.SIGTERM, signal.SIGINT)
+    number = (await arrivals.recv(1))[0]
+    LOG.info('Stopping on signal %s.', signal.Signals(number).name)
+
+
+def signal_socket(*numbers: int) -> curio.io.Socket:
+    """Take signals from now on; each arrives as one byte, its number.
+
+    curio has no signals of its own; a socket wakes its kernel. For the
+    main thread alone.
+    """
+    receiver, sender = socket.socketpair()
+    sender.setblocking(False)
+
+    def pass_on(number: int, frame: typing.Any) -> None:
+        try:
+            sender.send(bytes((number,)))
+        except BlockingIOError:
+            LOG.warning('Signal %s was dropped: many wait.', number)
+
+    for number in numbers:
+        signal.signal(number, pass_on)
+    return curio.io.Socket(receiver)
--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 import logging
 import socket
 import typing
@@ -23,6 +24,15 @@
 
 BACKLOG = 1024
 
+PASSING_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS)
+)
+"""Failures to accept that don't concern the listening socket."""
+
+ACCEPT_PAUSE_S = 0.1
+STOP_POLL_S = 0.05
+"""How often a server that stops looks for connections in flight."""
+
 
 @dataclasses.dataclass
 class Server:
@@ -50,6 +60,7 @@
     sock: typing.Any
     peer: str
     busy: bool = False
+    task: curio.Task | None = None
 
 
 def listen(address: ids.Address, handler: http.Handler) -> Server:
@@ -67,12 +78,22 @@
 
 
 async def run(server: Server) -> None:
-    """Accept connections until :func:`stop`."""
-    async with curio.TaskGroup(wait=all) as group:
-        server.accepting = await group.spawn(_accept, server, group)
+    """Accept connections until :func:`stop`; return once none is left.
 
+    Cancelled, it cuts all connections.
+    """
+    server.accepting = await curio.spawn(_accept, server)
+    try:
+        await server.accepting.wait()
+        while server.connections:
+            await curio.sleep(STOP_POLL_S)
+    finally:
+        await server.accepting.cancel()
+        for connection in list(server.connections):
+            await connection.task.cancel()
 
-async def stop(server: Server, poll_s: float = 0.05) -> None:
+
+async def stop(server: Server, poll_s: float = STOP_POLL_S) -> None:
     """Stop in an orderly way: accept no more, finish what is in flight.
 
     Idle connections are closed; busy ones get ``Connection: close`` with
@@ -96,23 +117,33 @@
         return
 
 
-async def _accept(server: Server, group: curio.TaskGroup) -> None:
+async def _accept(server: Server) -> None:
     while not server.stopping:
         try:
             sock, peer = await server.sock.accept()
-        except OSError:
-            return
+        except OSError as error:
+            if error.errno not in PASSING_ERRORS:
+                return
+            LOG.warning('Accepting failed for now: %s', error)
+            await curio.sleep(ACCEPT_PAUSE_S)
+            continue
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
         connection = Connection(sock, f'{peer[0]}:{peer[1]}')
-        await group.spawn(_serve, server, connection)
+        server.connections.add(connection)
+        connection.task = await curio.spawn(
+            _serve, server, connection, daemon=True
+        )
 
 
 async def _serve(server: Server, connection: Connection) -> None:
-    server.connections.add(connection)
     try:
         await _requests(server, connection)
     except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
         LOG.debug('Connection of %s ended: %s', connection.peer, error)
+    except errors.CallFailed as error:
+        LOG.info('Answer to %s was cut: %s', connection.peer, error)
+    except Exception:
+        LOG.exception('Connection of %s failed.', connection.peer)
     finally:
         server.connections.discard(connection)
         await http.close(connection.sock)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -72,3 +72,48 @@
 
     verdict = curio.run(_with_server, cut, use)
     assert verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+def test_stop_cuts_no_request_in_flight():
+    started = curio.Event()
+    go_on = curio.Event()
+
+    async def wait(request):
+        await started.set()
+        await go_on.wait()
+        return http.Response(200, [], b'whole')
+
+    async def use(server):
+        call = await curio.spawn(
+            http_client.call, server.address, 'GET', '/', b'', 2.0
+        )
+        await started.wait()
+        stopping = await curio.spawn(http_server.stop, server)
+        await curio.sleep(0.1)
+        await go_on.set()
+        await stopping.join()
+        return await call.join()
+
+    response = curio.run(_with_server, wait, use)
+    assert response.body == b'whole'
+    assert response.header('connection') == 'close'
+
+
+def test_failing_handler_ends_its_connection_alone():
+    async def fail(request):
+        if request.target == '/fail':
+            raise LookupError('a defect')
+        return http.Response(200, [], b'fine')
+
+    async def use(server):
+        kept = await http_client.connect(server.address, 1.0)
+        with pytest.raises(errors.CallFailed):
+            await http_client.call(server.address, 'GET', '/fail')
+        response = await http_client.exchange(
+            kept, 'GET', '/', [(b'host', b'a')]
+        )
+        body = await http.read_all(response.body, 100)
+        await http.close(kept.sock)
+        return body
+
+    assert curio.run(_with_server, fail, use) == b'fine'
