--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,6 +17,9 @@
 from oleanderwood import ids
 
 CONTROL_PATHS = ('/faults', '/log', '/healthz')
+CONTROL_PREFIXES = ('/vms', '/fleet', '/counts')
+"""Paths by which a run steers a stand-in; no fault concerns them."""
+
 LOG_PAGE = 2000
 """Most log entries in one answer to ``GET /log``."""
 
@@ -107,6 +110,8 @@
 
 
 def _concerned(faults: Faults, request: http.Request) -> bool:
+    if request.target.startswith(CONTROL_PREFIXES):
+        return False
     return f'{request.method} {request.target}'.startswith(faults.only)
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,6 @@
 import collections.abc
 import dataclasses
 import time
-import typing
 
 import curio
 import cyclopts
@@ -23,6 +22,7 @@
 from oleanderwood import ids
 from oleanderwood import platform_api
 from standins import faults
+from standins import workers
 
 UP = platform_api.PlatformVmState.UP
 DRAINING = platform_api.PlatformVmState.DRAINING
@@ -33,8 +33,6 @@
 KEPT_OPERATIONS = 8
 KEPT_LISTINGS_S = 60.0
 
-Task = dict[str, object]
-
 
 @dataclasses.dataclass
 class Vm:
@@ -52,6 +50,7 @@
     """The platform's VMs, tasks, and the VM lists of the last minute."""
 
     control: faults.Control
+    tasks: workers.Workers
     upstream: ids.Address
     drain_s: float
     reboot_s: float
@@ -59,16 +58,16 @@
     listings: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
-    tasks: dict[str, platform_api.TaskReport] = dataclasses.field(
-        default_factory=dict
-    )
-    epochs: dict[str, int] = dataclasses.field(default_factory=dict)
-    reports: collections.deque = dataclasses.field(
-        default_factory=collections.deque
-    )
     shown: platform_api.VmListing | None = None
 
 
+def make(upstream: ids.Address, drain_s: float, reboot_s: float) -> State:
+    """Make a platform without VMs."""
+    control = faults.Control()
+    tasks = workers.Workers(control)
+    return State(control, tasks, upstream, drain_s, reboot_s)
+
+
 def handler(state: State) -> http.Handler:
     """Make the handler of the platform's calls."""
 
@@ -86,13 +85,16 @@
                 command = faults.decode(body, platform_api.Command)
                 return await _command(state, name, order, command)
             case 'POST', ['v1', 'workers', name, 'tasks']:
+                vm = _find(state, name)
                 start = faults.decode(body, platform_api.TaskStart)
-                return _start_task(state, _find(state, name), start)
+                return workers.start(
+                    state.tasks, vm.listed, vm.state is UP, start
+                )
             case 'POST', ['v1', 'workers', name, 'tasks', task, order]:
                 epoch = faults.decode(body, dict[str, int])['epoch']
-                return _task_order(state, name, task, order, epoch)
+                return workers.steer(state.tasks, name, task, order, epoch)
             case 'GET', ['v1', 'usage']:
-                return _usage(state)
+                return workers.usage(state.tasks)
             case 'POST', ['fleet']:
                 return _fleet(state, body)
             case 'POST', ['vms', name, order]:
@@ -150,21 +152,13 @@
 def _listing(state: State, since: int) -> http.Response:
     shown = state.shown
     if not state.control.faults.repeat_list or shown is None:
-        shown = _as_of(state.listings, state.control.faults.lag_s)
+        shown = workers.as_of(state.listings, state.control.faults.lag_s)
     state.shown = shown
     if shown is None or shown.version == since:
         return http.Response(304, [], b'')
     return daemon.json_response(200, shown)
 
 
-def _as_of(kept: collections.deque, lag_s: float) -> typing.Any:
-    known = None
-    for at_s, value in kept:
-        if known is None or at_s <= time.monotonic() - lag_s:
-            known = value
-    return known
-
-
 async def _command(
     state: State, name: str, order: str, command: platform_api.Command
 ) -> http.Response:
@@ -191,7 +185,9 @@
     async def end() -> None:
         await curio.sleep(state.drain_s)
         if vm.state is DRAINING:
-            _stop_tasks(state, vm, platform_api.TaskState.CHECKPOINTED)
+            workers.end_all(
+                state.tasks, vm.listed.vm, platform_api.TaskState.CHECKPOINTED
+            )
             vm.state = DRAINED
 
     await curio.spawn(end, daemon=True)
@@ -203,7 +199,7 @@
 
 async def _reboot(state: State, vm: Vm) -> None:
     vm.state = REBOOTING
-    _stop_tasks(state, vm, platform_api.TaskState.FAILED)
+    workers.end_all(state.tasks, vm.listed.vm, platform_api.TaskState.FAILED)
     await _upstream(state, vm, 'stop')
 
     async def end() -> None:
@@ -250,7 +246,9 @@
     if order == 'fail':
         vm.healthy = False
         vm.state = FAILED
-        _stop_tasks(state, vm, platform_api.TaskState.FAILED)
+        workers.end_all(
+            state.tasks, vm.listed.vm, platform_api.TaskState.FAILED
+        )
         await _upstream(state, vm, 'stop')
     elif order == 'mend':
         vm.healthy = True
@@ -267,102 +265,6 @@
     return http.Response(202, [], b'')
 
 
-def _stop_tasks(state: State, vm: Vm, ending: platform_api.TaskState) -> None:
-    for name, task in state.tasks.items():
-        running = task.state is platform_api.TaskState.RUNNING
-        if task.worker == vm.listed.vm and running:
-            state.tasks[name] = msgspec.structs.replace(task, state=ending)
-    _report(state)
-
-
-def _start_task(
-    state: State, vm: Vm, start: platform_api.TaskStart
-) -> http.Response:
-    if start.epoch < state.epochs.get(start.task, 0) or vm.state is not UP:
-        return http.Response(409, [], b'not possible')
-    known = state.tasks.get(start.task)
-    if known is not None and known.epoch == start.epoch:
-        status = 202 if known.worker == vm.listed.vm else 409
-        return http.Response(status, [], b'')
-    if not _has_room(state, vm, start):
-        return http.Response(507, [], b'no room')
-    state.epochs[start.task] = start.epoch
-    state.tasks[start.task] = platform_api.TaskReport(
-        task=start.task,
-        job=start.job,
-        worker=vm.listed.vm,
-        epoch=start.epoch,
-        state=platform_api.TaskState.RUNNING,
-        used_cores=start.cores,
-        used_memory_gib=start.memory_gib,
-    )
-    faults.record(
-        state.control,
-        kind='task-start',
-        vm=vm.listed.vm,
-        task=start.task,
-        epoch=start.epoch,
-        running_on=known.worker if _runs(known) else '',
-    )
-    _report(state)
-    return http.Response(202, [], b'')
-
-
-def _runs(task: platform_api.TaskReport | None) -> bool:
-    return task is not None and task.state is platform_api.TaskState.RUNNING
-
-
-def _has_room(state: State, vm: Vm, start: platform_api.TaskStart) -> bool:
-    here = [
-        task
-        for task in state.tasks.values()
-        if task.worker == vm.listed.vm and _runs(task)
-    ]
-    cores = start.cores + sum(task.used_cores for task in here)
-    memory_gib = start.memory_gib + sum(t.used_memory_gib for t in here)
-    fits_cores = cores <= vm.listed.cores
-    return fits_cores and memory_gib <= vm.listed.memory_gib
-
-
-def _task_order(
-    state: State, worker: str, name: str, order: str, epoch: int
-) -> http.Response:
-    task = state.tasks.get(name)
-    if task is None or task.worker != worker:
-        return http.Response(404, [], b'')
-    if epoch < state.epochs[name] or order not in TASK_STATES:
-        return http.Response(409, [], b'')
-    state.epochs[name] = epoch
-    state.tasks[name] = msgspec.structs.replace(
-        task, state=TASK_STATES[order], epoch=ids.Epoch(epoch)
-    )
-    faults.record(
-        state.control, kind=f'task-{order}', vm=worker, task=name, epoch=epoch
-    )
-    _report(state)
-    return http.Response(202, [], b'')
-
-
-TASK_STATES = {
-    'stop': platform_api.TaskState.STOPPED,
-    'checkpoint': platform_api.TaskState.CHECKPOINTED,
-    'throttle': platform_api.TaskState.THROTTLED,
-}
-
-
-def _report(state: State) -> None:
-    now_s = time.monotonic()
-    state.reports.append((now_s, tuple(state.tasks.values())))
-    while now_s - state.reports[0][0] > KEPT_LISTINGS_S:
-        state.reports.popleft()
-
-
-def _usage(state: State) -> http.Response:
-    lag_s = state.control.faults.lag_s
-    tasks = _as_of(state.reports, lag_s) or ()
-    return daemon.json_response(200, platform_api.UsageReport(lag_s, tasks))
-
-
 async def run(listen: ids.Address, state: State) -> None:
     """Serve the platform until a signal."""
     await faults.serve(listen, state.control, handler(state))
@@ -381,7 +283,7 @@
     :param drain_s: how long a drain takes
     :param reboot_s: how long a reboot takes
     """
-    state = State(faults.Control(), ids.Address(upstream), drain_s, reboot_s)
+    state = make(ids.Address(upstream), drain_s, reboot_s)
     curio.run(run, ids.Address(listen), state)
 
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -124,7 +124,7 @@
 
 
 def _with_platform(use):
-    state = platform.State(faults.Control(), '', 0.0, 0.0)
+    state = platform.make('', 0.0, 0.0)
 
     async def fill(address):
         body = codec.to_json(platform_api.VmListing(1, (LISTED,)))
