Go on accepting on a listening socket that was shut

The stand-ins of upstreams shut their listening socket to go down and listen again on it; accepting that had ended never came back (test_upstream_stops_and_starts_at_its_address timed out).

--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import errno
 import logging
 import math
 import socket
@@ -153,9 +152,8 @@
         try:
             sock, peer = await server.sock.accept()
         except OSError as error:
-            if error.errno in (errno.EINVAL, errno.EBADF):
-                return
-            LOG.warning('Accepting failed: %s.', error)
+            # Also for a socket that was shut: it may listen again.
+            LOG.debug('Accepting failed: %s.', error)
             await curio.sleep(http_watch.TICK_S)
             continue
         await _spawn(server, sock, f'{peer[0]}:{peer[1]}')
