--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -4,15 +4,20 @@
 import functools
 import logging
 import math
+import random
 import time
 
+import prometheus_client
+
 from oleanderwood import attempt
+from oleanderwood import connections
 from oleanderwood import dispatch
 from oleanderwood import entry_metrics
 from oleanderwood import errors
 from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import permissions
 from oleanderwood import request_headers
 from oleanderwood import routes
@@ -25,6 +30,9 @@
 KEPT_BODY_BYTES = 16384
 """Largest body that is read before admission, and kept for retries."""
 
+DUMPED_REQUESTS = 200
+"""How many requests in flight the state dump shows."""
+
 STATUS_TOO_LARGE = 413
 STATUS_BAD_ANSWER = 502
 STATUS_NO_ANSWER = 504
@@ -59,6 +67,52 @@
     )
 
 
+def create(
+    entry: ids.EntryId,
+    incarnation: str,
+    data_centre: ids.DataCentre,
+    allowed: permissions.Permissions,
+    registry: prometheus_client.CollectorRegistry,
+    rng: random.Random,
+) -> Proxy:
+    """Make the request path of an entry that knows of no service yet."""
+    path = attempt.Path(
+        connections.Connections(), allowed, invariants.create(registry)
+    )
+    state = dispatch.make_state(entry, data_centre)
+    return Proxy(
+        prefix=f'{entry}-{incarnation}-',
+        path=path,
+        tickets=tickets.Tickets(state, rng),
+        metrics=entry_metrics.create(registry),
+    )
+
+
+def dump(proxy: Proxy) -> dict[str, object]:
+    """Give the state as plain data, for the state dump."""
+    now_s = time.monotonic()
+    requests = [
+        {
+            'id': exchange.request_id,
+            'service': exchange.service.name,
+            'age_s': round(now_s - exchange.arrived_s, 3),
+            'attempts': [verdict.value for verdict in exchange.attempts],
+            'answering': exchange.answering,
+        }
+        for exchange in proxy.exchanges.values()
+    ]
+    return {
+        'services': [service.name for service in proxy.table.services],
+        'upstreams': {vm: row.address for vm, row in proxy.rows.items()},
+        'entries': proxy.entries,
+        'waiting': len(proxy.tickets.waiters),
+        'requests': requests[:DUMPED_REQUESTS],
+        'requests_in_flight': len(requests),
+        'connections': dict(proxy.path.connections.opened),
+        'invariants': invariants.dump(proxy.path.invariants),
+    }
+
+
 def make_handler(proxy: Proxy) -> http.Handler:
     """Make the handler of the callers' address."""
     return functools.partial(_handle, proxy)
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -9,21 +9,17 @@
 import h11
 import prometheus_client
 
-from oleanderwood import attempt
 from oleanderwood import configuration
 from oleanderwood import connections
-from oleanderwood import dispatch
-from oleanderwood import entry_metrics
 from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import http_server
 from oleanderwood import ids
-from oleanderwood import invariants
 from oleanderwood import permissions
 from oleanderwood import proxy as proxies
 from oleanderwood import request_headers
-from oleanderwood import routes
 from oleanderwood import tickets
+from oleanderwood import upstreams
 
 EPOCH = ids.Epoch(3)
 TEAM = 'crew'
@@ -88,29 +84,39 @@
 ) -> proxies.Proxy:
     """Make a request path whose upstreams are at the addresses."""
     rows = [row(number, address) for number, address in enumerate(addresses)]
-    state = dispatch.make_state(ids.EntryId('e'), ids.DataCentre('a'))
-    team = configuration.Team(name=TEAM, requests_per_s=1e6)
-    accepted = configuration.Configuration(services=(served,), teams=(team,))
-    dispatch.set_configuration(state, accepted, 0.0)
-    upstreams = tuple(
-        dispatch.UpstreamRow(r.vm, r.epoch, ids.DataCentre('a'), 8, 64)
-        for r in rows
-    )
-    name = ids.ServiceId(served.name)
-    dispatch.set_upstreams(state, name, upstreams, 0.0)
-    registry = prometheus_client.CollectorRegistry()
-    path = attempt.Path(
-        connections.Connections(),
+    proxy = proxies.create(
+        ids.EntryId('e'),
+        '1',
+        ids.DataCentre('a'),
         fake_permissions(world),
-        invariants.create(registry),
+        prometheus_client.CollectorRegistry(),
+        random.Random(1),
     )
-    return proxies.Proxy(
-        prefix='e-1-',
-        path=path,
-        tickets=tickets.Tickets(state, random.Random(1)),
-        metrics=entry_metrics.create(registry),
-        table=routes.make([served]),
-        rows={r.vm: r for r in rows},
+    upstreams.take_over(proxy, facts(served, rows), 0.0)
+    return proxy
+
+
+def facts(
+    served: configuration.Service, rows: list[fleet.VmRow]
+) -> upstreams.Facts:
+    """Make facts with one service, one pool and one team."""
+    pool = configuration.Pool(
+        name='p',
+        service=served.name,
+        region='r',
+        data_centres=('a',),
+        size=1,
+        min_up=0,
+    )
+    team = configuration.Team(name=TEAM, requests_per_s=1e6)
+    return upstreams.Facts(
+        content=configuration.Configuration(
+            pools=(pool,), services=(served,), teams=(team,)
+        ),
+        region=ids.Region('r'),
+        entries=(ids.EntryId('e'),),
+        data_centres={r.vm: ids.DataCentre('a') for r in rows},
+        serving=lambda pool: tuple(rows),
     )
 
 
