--- /dev/null
+++ b/oleanderwood/operators.py
@@ -0,0 +1,308 @@
+"""Access to what operators ask for, apart from HTTP.
+
+Each function reads what it needs from the store, the VM list and the
+members, and gives one of :mod:`oleanderwood.admin_messages`.
+"""
+
+import collections.abc
+import dataclasses
+
+import curio
+
+from oleanderwood import admin_messages
+from oleanderwood import apply
+from oleanderwood import change
+from oleanderwood import configuration
+from oleanderwood import difference
+from oleanderwood import errors
+from oleanderwood import fleet
+from oleanderwood import history
+from oleanderwood import ids
+from oleanderwood import messages
+from oleanderwood import platform_api
+from oleanderwood import roster
+from oleanderwood import staging
+from oleanderwood import store
+from oleanderwood import validation
+from oleanderwood import wave_state
+
+ListVms = collections.abc.Callable[
+    [int], collections.abc.Awaitable[platform_api.VmListing | None]
+]
+NewOperation = collections.abc.Callable[[], ids.OperationId]
+
+
+@dataclasses.dataclass
+class Desk:
+    """What the operators' calls reach.
+
+    :ivar listing: the newest VM list that was read
+    """
+
+    links: apply.Links
+    list_vms: ListVms
+    new_operation: NewOperation
+    fastest_cycle_s: float = 60.0
+    listing: platform_api.VmListing = platform_api.VmListing(0, ())
+
+
+async def _live_vms(desk: Desk) -> validation.Vms:
+    """Read the VM list; the copy held serves while it hasn't changed."""
+    listing = await desk.list_vms(desk.listing.version)
+    if listing is not None:
+        desk.listing = listing
+    return validation.live(desk.listing.vms)
+
+
+async def _waves(
+    desk: Desk, regions: collections.abc.Iterable[str]
+) -> tuple[wave_state.Waves, ...]:
+    found = []
+    for region in sorted(set(regions)):
+        name = ids.Region(region)
+        empty = wave_state.Waves(region=name)
+        waves, _ = await change.read(
+            desk.links.kept, wave_state.key(name), empty
+        )
+        found.append(waves)
+    return tuple(found)
+
+
+def _regions(whole: configuration.Configuration) -> set[str]:
+    return {pool.region for pool in whole.pools}
+
+
+async def _checked(
+    desk: Desk, text: str
+) -> tuple[staging.Current, configuration.Configuration, validation.Vms]:
+    """Read a file and check it against all there is.
+
+    :raises errors.ConfigurationFault: it doesn't fit the types
+    :raises ExceptionGroup: of :class:`errors.ConfigurationFault`
+    """
+    wanted = configuration.parse(text)
+    current = await staging.read_current(desk.links.kept)
+    vms = await _live_vms(desk)
+    waves = await _waves(desk, _regions(current.whole))
+    situation = validation.Situation(
+        vms=vms,
+        current=current.whole,
+        waves=waves,
+        fastest_cycle_s=desk.fastest_cycle_s,
+    )
+    validation.validate(wanted, situation)
+    return current, wanted, vms
+
+
+async def validate(
+    desk: Desk, body: admin_messages.FileBody
+) -> admin_messages.ValidateReply:
+    """Check a file."""
+    current, wanted, _ = await _checked(desk, body.file)
+    changes = difference.diff(current.whole, wanted)
+    return admin_messages.ValidateReply(current.head.revision, len(changes))
+
+
+async def diff(
+    desk: Desk, body: admin_messages.FileBody
+) -> admin_messages.DiffReply:
+    """Say what a file would change."""
+    current, wanted, _ = await _checked(desk, body.file)
+    changes = difference.diff(current.whole, wanted)
+    return admin_messages.DiffReply(current.head.revision, changes)
+
+
+async def plan(
+    desk: Desk, body: admin_messages.FileBody
+) -> admin_messages.PlanReply:
+    """Say what a file would change, and which VMs it would move."""
+    current, wanted, vms = await _checked(desk, body.file)
+    shards = await _shards(desk, vms)
+    planned = difference.plan(current.whole, wanted, vms, shards)
+    return admin_messages.PlanReply(current.head.revision, planned)
+
+
+async def _shards(desk: Desk, vms: validation.Vms) -> tuple[fleet.Shard, ...]:
+    found = []
+    for place in sorted({vm.data_centre for vm in vms}):
+        empty = fleet.Shard(place, ids.Revision(0), 0)
+        shard, _ = await change.read(
+            desk.links.kept, fleet.shard_key(place), empty
+        )
+        found.append(shard)
+    return tuple(found)
+
+
+async def run_apply(
+    desk: Desk, body: admin_messages.ApplyBody
+) -> apply.Applied:
+    """Apply a file as a whole, if the head is still at the base."""
+    current, wanted, _ = await _checked(desk, body.file)
+    operation = body.operation or desk.new_operation()
+    head = current.head
+    if body.base is not None and body.base != head.revision:
+        return apply.Applied(
+            outcome=apply.rollout.Outcome.CONFLICT,
+            operation=operation,
+            base=body.base,
+            revision=head.revision,
+            author=head.author,
+        )
+    wish = apply.Wish(wanted, operation, body.author)
+    return await apply.run(desk.links, current, wish)
+
+
+async def current_configuration(
+    desk: Desk,
+) -> admin_messages.ConfigurationReply:
+    """Give the configuration in force."""
+    current = await staging.read_current(desk.links.kept)
+    return admin_messages.ConfigurationReply(
+        revision=current.head.revision,
+        author=current.head.author,
+        accepted_at_s=current.head.accepted_at_s,
+        configuration=current.whole,
+    )
+
+
+async def read_history(desk: Desk) -> admin_messages.HistoryReply:
+    """Give the applies, newest first; settles what the head decides."""
+    known = await staging.settle(desk.links.kept, desk.new_operation())
+    if known is None:
+        known, _ = await change.read(
+            desk.links.kept, history.KEY, history.History()
+        )
+    return admin_messages.HistoryReply(known.records[::-1])
+
+
+async def status(
+    desk: Desk, operation: ids.OperationId
+) -> admin_messages.StatusReply:
+    """Give the state of the whole.
+
+    :param operation: an apply to be looked up, '' for none
+    """
+    kept = desk.links.kept
+    current = await staging.read_current(kept)
+    known, _ = await change.read(
+        kept, store.ROSTER_KEY, roster.Roster(ids.Revision(0))
+    )
+    found = await _operation(desk, operation) if operation else None
+    return admin_messages.StatusReply(
+        revision=current.head.revision,
+        author=current.head.author,
+        accepted_at_s=current.head.accepted_at_s,
+        members=await _members(desk, known),
+        waves=await _waves(desk, _regions(current.whole)),
+        operation=found,
+    )
+
+
+async def _operation(
+    desk: Desk, operation: ids.OperationId
+) -> admin_messages.OperationStatus:
+    """Look an apply up; the head is read before the history."""
+    kept = desk.links.kept
+    head, _ = await change.read(kept, store.CONFIG_HEAD_KEY, staging.NO_HEAD)
+    known, _ = await change.read(kept, history.KEY, history.History())
+    settled, _ = history.settle(known, head)
+    record = history.find(settled, operation)
+    if record is None:
+        return admin_messages.OperationStatus(operation, False)
+    return admin_messages.OperationStatus(
+        operation, True, record.outcome, record.revision
+    )
+
+
+async def _members(
+    desk: Desk, known: roster.Roster
+) -> tuple[admin_messages.MemberStatus, ...]:
+    async with curio.TaskGroup() as group:
+        for member in known.members:
+            await group.spawn(_member, desk, member)
+    return tuple(sorted(group.results, key=lambda status: status.entry))
+
+
+async def _member(
+    desk: Desk, member: roster.Member
+) -> admin_messages.MemberStatus:
+    revision, reason = None, ''
+    try:
+        request = messages.FetchRequest(config=True)
+        reply = await desk.links.peers.fetch(member.peer, request)
+        revision = ids.Revision(reply.head.revision if reply.head else 0)
+    except errors.CallFailed as error:
+        reason = error.reason
+    return admin_messages.MemberStatus(
+        member.entry, member.data_centre, revision, reason
+    )
+
+
+async def order_wave(
+    desk: Desk, name: str, order: wave_state.Order, reason: str
+) -> admin_messages.WaveReply:
+    """Start, pause or stop a wave in each region of its pools.
+
+    A repeat changes nothing, so a call that failed midway is repeated.
+
+    :raises errors.WaveConflict: the wave's state, or another wave that
+        works on one of its pools, doesn't allow it
+    :raises LookupError: there is no such wave
+    """
+    current = await staging.read_current(desk.links.kept)
+    waves = {wave.name: wave for wave in current.whole.waves}
+    if name not in waves:
+        raise LookupError(f'there is no wave {name!r}')
+    pools = {pool.name: pool for pool in current.whole.pools}
+    regions = {pools[p].region for p in waves[name].pools if p in pools}
+    changed = []
+    for region in sorted(regions):
+        changed.append(
+            await _order_in(desk, region, waves, waves[name], order, reason)
+        )
+    return admin_messages.WaveReply(tuple(changed))
+
+
+async def _order_in(
+    desk: Desk,
+    region: str,
+    waves: dict[str, configuration.Wave],
+    wave: configuration.Wave,
+    order: wave_state.Order,
+    reason: str,
+) -> admin_messages.RegionWave:
+    name = ids.Region(region)
+    now_s = desk.links.wall_clock()
+
+    def transform(before: wave_state.Waves) -> wave_state.Waves:
+        if order is wave_state.Order.START:
+            _refuse_shared_pools(before, waves, wave)
+        return wave_state.order(
+            before, ids.WaveId(wave.name), order, now_s, reason
+        )
+
+    after = await change.change(
+        desk.links.kept,
+        wave_state.key(name),
+        wave_state.Waves(region=name),
+        transform,
+        desk.new_operation(),
+    )
+    found = wave_state.find(after, ids.WaveId(wave.name))
+    return admin_messages.RegionWave(name, found)
+
+
+def _refuse_shared_pools(
+    before: wave_state.Waves,
+    waves: dict[str, configuration.Wave],
+    wave: configuration.Wave,
+) -> None:
+    for other in wave_state.active((before,)):
+        if other == wave.name or other not in waves:
+            continue
+        shared = set(waves[other].pools) & set(wave.pools)
+        if shared:
+            raise errors.WaveConflict(
+                f'wave {other} works on pool {min(shared)}: stop it first '
+                'or wait for its end'
+            )
