--- a/oleanderwood/platform_api.py
+++ b/oleanderwood/platform_api.py
@@ -10,7 +10,24 @@
 
 import msgspec
 
+from oleanderwood import errors
 from oleanderwood import ids
+from oleanderwood import verdict as verdicts
+
+NO_SUCH = 404
+NOT_POSSIBLE = 409
+NO_ROOM = 507
+
+
+class Refused(errors.CallFailed):
+    """The platform refused a call, and did nothing.
+
+    :ivar status: ``NO_SUCH``, ``NOT_POSSIBLE`` or ``NO_ROOM``
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(verdicts.Verdict.NOT_RUN, reason)
+        self.status = status
 
 
 class VmStatus(enum.Enum):
@@ -126,7 +143,8 @@
 class Platform:
     """The platform's calls; all are coroutine functions.
 
-    All raise :class:`oleanderwood.errors.CallFailed`.
+    All raise :class:`oleanderwood.errors.CallFailed`; :class:`Refused` is
+    the platform's promise that it did nothing.
 
     ``list_vms(known_version)`` gives a :class:`VmListing`, or None if it is
     still at ``known_version``. ``vm_status(vm)`` gives a
