--- a/oleanderwood/fleet.py
+++ b/oleanderwood/fleet.py
@@ -41,8 +41,10 @@
 
     ``epoch`` grows by one at every change of pool or state; a grant is for
     one ``(pool, epoch)``. ``operation`` names the platform command that was
-    written down before it was sent, '' for none. ``released_at`` is the
-    revision of the shard at which the row left ``SERVING``.
+    written down before it was sent, '' for none. ``wave`` names the run of
+    the wave that took the VM last, and stays once the VM serves again.
+    ``boot_id`` is the one before an ordered reboot, and the newest known
+    otherwise. ``reason`` says why the VM is ``BROKEN``.
     """
 
     vm: ids.VmId
@@ -55,6 +57,7 @@
     operation: ids.OperationId = ids.OperationId('')
     wave: ids.WaveId = ids.WaveId('')
     changed_at_s: float = 0.0
+    reason: str = ''
 
 
 class Shard(msgspec.Struct, frozen=True):
@@ -63,13 +66,16 @@
     ``revision`` grows by one at every write. ``term`` is the leadership
     term of the writer: a new leader writes every shard of its region once
     with its own term before it decides, so that a write of an earlier
-    leader conflicts.
+    leader conflicts. ``listing_version`` is that of the newest VM list that
+    the rows reflect; an older list says nothing about them. No row's epoch
+    is above the shard's revision.
     """
 
     data_centre: ids.DataCentre
     revision: ids.Revision
     term: int
     rows: tuple[VmRow, ...] = ()
+    listing_version: int = 0
 
 
 def shard_key(data_centre: ids.DataCentre) -> str:
