Split placement into rows, plan, ends, urgent and policy

Adds what the thin version lacked: preemption, blame, infeasible jobs, fair order of teams, spread and a reserve.

--- a/oleanderwood/demand.py
+++ b/oleanderwood/demand.py
@@ -1,10 +1,11 @@
 """Access to what tasks really need, learned from lagging usage reports.
 
 Declared sizes and run times are far off. A job's tasks are planned with a
-quantile of what its earlier tasks used, weighed against the declared size
-as long as few were measured.
+quantile of what its tasks used, weighed against the declared size as long
+as few were measured. A new leader learns afresh from the next reports.
 """
 
+import collections.abc
 import dataclasses
 
 from oleanderwood import configuration
@@ -14,22 +15,31 @@
 SAMPLES_KEPT = 64
 """Measured tasks kept per job; older ones make room."""
 
-PRIOR_SAMPLES = 2
-"""Measured tasks that the declared size weighs as much as."""
+SETTLED_RUN_S = 10.0
+"""A copy that ran shorter than this may still grow to its size."""
 
-CORES_QUANTILE = 0.75
-RUN_QUANTILE = 0.9
-MIN_CORES_SHARE = 0.25
-"""Bound of overcommit: cores planned, as a share of the declared ones."""
+_CORES_SMOOTHING = 0.3
 
-MIN_MEMORY_SAMPLES = 3
-"""Measured tasks before memory is planned below its declared size."""
 
-MEMORY_MARGIN = 1.1
-"""Memory planned, as a multiple of the most that was measured."""
+@dataclasses.dataclass(frozen=True)
+class Caution:
+    """How boldly sizes are planned below the declared ones.
+
+    :ivar prior_samples: measured tasks that the declared size weighs as
+        much as
+    :ivar min_cores_share: bound of overcommit: the least cores planned, as
+        a share of the declared ones
+    :ivar min_memory_samples: measured tasks before memory is planned below
+        the declared size
+    :ivar memory_margin: memory planned, as a multiple of the most measured
+    """
 
-SETTLED_RUN_S = 10.0
-"""A copy that ran shorter than this says little of its size."""
+    prior_samples: int = 2
+    cores_quantile: float = 0.75
+    run_quantile: float = 0.9
+    min_cores_share: float = 0.25
+    min_memory_samples: int = 3
+    memory_margin: float = 1.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,7 +52,7 @@
 
 @dataclasses.dataclass
 class Measured:
-    """One task's copy as the reports show it."""
+    """One task's copy as the reports show it; memory is its peak."""
 
     epoch: ids.Epoch
     cores: float
@@ -52,9 +62,14 @@
 
 @dataclasses.dataclass
 class JobDemand:
-    """What a job's tasks used, newest last."""
+    """What a job's tasks used, newest last.
+
+    :ivar ended: the last epoch whose end was taken in, by task
+    :ivar sizes: planned sizes by declared ones, until the next report
+    """
 
     measured: dict[str, Measured] = dataclasses.field(default_factory=dict)
+    ended: dict[str, ids.Epoch] = dataclasses.field(default_factory=dict)
     run_s: list[float] = dataclasses.field(default_factory=list)
     peak_memory_gib: float = 0.0
     sizes: dict[tuple[float, float], Size] = dataclasses.field(
@@ -64,8 +79,9 @@
 
 @dataclasses.dataclass
 class Demand:
-    """What is learned of all jobs; rebuilt from reports by a new leader."""
+    """What is learned of all jobs."""
 
+    caution: Caution = Caution()
     jobs: dict[ids.JobId, JobDemand] = dataclasses.field(default_factory=dict)
 
 
@@ -75,40 +91,59 @@
         job = demand.jobs.get(entry.job)
         if job is None:
             job = demand.jobs[entry.job] = JobDemand()
-        _observe_task(job, entry)
+        if entry.used_memory_gib > 0.0:
+            _observe_copy(job, entry)
+        if entry.state is platform_api.TaskState.DONE:
+            _observe_end(job, entry)
 
 
-def _observe_task(job: JobDemand, entry: platform_api.TaskReport) -> None:
-    old = job.measured.get(entry.task)
-    if entry.state is platform_api.TaskState.DONE:
-        _observe_run(job, entry, old)
-    if entry.run_s < SETTLED_RUN_S or entry.used_memory_gib <= 0.0:
+def forget(
+    demand: Demand, jobs: collections.abc.Collection[ids.JobId]
+) -> None:
+    """Drop what is known of jobs other than these."""
+    for job in demand.jobs.keys() - set(jobs):
+        del demand.jobs[job]
+
+
+def _observe_copy(job: JobDemand, entry: platform_api.TaskReport) -> None:
+    one = job.measured.get(entry.task)
+    if one is None or one.epoch != entry.epoch:
+        _add_copy(job, entry)
         return
-    if old is not None and old.epoch == entry.epoch:
-        if entry.used_memory_gib <= old.memory_gib:
-            if entry.used_cores <= old.cores:
-                old.run_s = entry.run_s
-                return
-        entry_cores = max(old.cores, entry.used_cores)
-        entry_memory_gib = max(old.memory_gib, entry.used_memory_gib)
-    else:
-        entry_cores = entry.used_cores
-        entry_memory_gib = entry.used_memory_gib
+    if entry.run_s <= one.run_s:
+        return
+    settles = one.run_s < SETTLED_RUN_S
+    one.run_s = entry.run_s
+    change = entry.used_cores - one.cores
+    if change:
+        one.cores += change * (1.0 if settles else _CORES_SMOOTHING)
+        job.sizes.clear()
+    if entry.used_memory_gib > one.memory_gib:
+        one.memory_gib = entry.used_memory_gib
+        _raise_peak(job, entry.used_memory_gib)
+    if settles:
+        job.sizes.clear()
+
+
+def _add_copy(job: JobDemand, entry: platform_api.TaskReport) -> None:
     job.measured.pop(entry.task, None)
     job.measured[entry.task] = Measured(
-        entry.epoch, entry_cores, entry_memory_gib, entry.run_s
+        entry.epoch, entry.used_cores, entry.used_memory_gib, entry.run_s
     )
     if len(job.measured) > SAMPLES_KEPT:
         del job.measured[next(iter(job.measured))]
-    job.peak_memory_gib = max(job.peak_memory_gib, entry_memory_gib)
+    _raise_peak(job, entry.used_memory_gib)
+
+
+def _raise_peak(job: JobDemand, memory_gib: float) -> None:
+    job.peak_memory_gib = max(job.peak_memory_gib, memory_gib)
     job.sizes.clear()
 
 
-def _observe_run(
-    job: JobDemand, entry: platform_api.TaskReport, old: Measured | None
-) -> None:
-    if old is not None and old.run_s < 0:
+def _observe_end(job: JobDemand, entry: platform_api.TaskReport) -> None:
+    if job.ended.get(entry.task) == entry.epoch:
         return
+    job.ended[entry.task] = entry.epoch
     job.run_s.append(entry.run_s)
     del job.run_s[:-SAMPLES_KEPT]
 
@@ -126,34 +161,49 @@
     declared = (job.cores, job.memory_gib)
     found = known.sizes.get(declared)
     if found is None:
-        found = known.sizes[declared] = _learned_size(known, job)
+        found = _learned_size(demand.caution, known, job)
+        known.sizes[declared] = found
     return found
 
 
-def _learned_size(known: JobDemand, job: configuration.Job) -> Size:
-    cores = [one.cores for one in known.measured.values()]
-    learned_cores = quantile(
-        cores + [job.cores] * PRIOR_SAMPLES, CORES_QUANTILE
+def _learned_size(
+    caution: Caution, known: JobDemand, job: configuration.Job
+) -> Size:
+    settled = [
+        one.cores
+        for one in known.measured.values()
+        if one.run_s >= SETTLED_RUN_S
+    ]
+    cores = quantile(
+        settled + [job.cores] * caution.prior_samples, caution.cores_quantile
     )
-    floor = job.cores * MIN_CORES_SHARE
-    memory_gib = known.peak_memory_gib * MEMORY_MARGIN
-    if len(known.measured) < MIN_MEMORY_SAMPLES:
+    memory_gib = known.peak_memory_gib * caution.memory_margin
+    if len(settled) < caution.min_memory_samples:
         memory_gib = max(memory_gib, job.memory_gib)
-    return Size(max(learned_cores, floor), memory_gib)
+    return Size(max(cores, job.cores * caution.min_cores_share), memory_gib)
 
 
-def held(
-    demand: Demand, job: ids.JobId, task: str, epoch: ids.Epoch, given: Size
-) -> Size:
+def measured(
+    demand: Demand, job: ids.JobId, task: str, epoch: ids.Epoch
+) -> Measured | None:
+    """Give what the reports show of a copy, None if nothing yet."""
+    known = demand.jobs.get(job)
+    one = known.measured.get(task) if known is not None else None
+    return one if one is not None and one.epoch == epoch else None
+
+
+def held(demand: Demand, one: Measured | None, given: Size) -> Size:
     """Give what a running copy is planned with.
 
-    :param given: what it was started with; holds until it is measured
+    :param one: what the reports show of it
+    :param given: what it was started with; holds until it has settled
     """
-    known = demand.jobs.get(job)
-    one = known.measured.get(task) if known is not None else None
-    if one is None or one.epoch != epoch:
+    if one is None:
         return given
-    return Size(one.cores, one.memory_gib * MEMORY_MARGIN)
+    memory_gib = one.memory_gib * demand.caution.memory_margin
+    if one.run_s >= SETTLED_RUN_S:
+        return Size(one.cores, memory_gib)
+    return Size(max(one.cores, given.cores), max(memory_gib, given.memory_gib))
 
 
 def run_s(demand: Demand, job: configuration.Job) -> float:
@@ -161,11 +211,12 @@
     known = demand.jobs.get(ids.JobId(job.name))
     if known is None or not known.run_s:
         return job.expected_run_s
-    samples = known.run_s + [job.expected_run_s] * PRIOR_SAMPLES
-    return quantile(samples, RUN_QUANTILE)
+    caution = demand.caution
+    prior = [job.expected_run_s] * caution.prior_samples
+    return quantile(known.run_s + prior, caution.run_quantile)
 
 
 def quantile(samples: list[float], share: float) -> float:
-    """Give the sample below which at least ``share`` of them lie."""
+    """Give the sample below which about ``share`` of them lie."""
     ordered = sorted(samples)
     return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
--- a/oleanderwood/placement.py
+++ b/oleanderwood/placement.py
@@ -1,16 +1,21 @@
-"""Access to the decision where tasks start."""
+"""Access to the decision where tasks start, and which copies give way."""
 
 import collections
 import collections.abc
 import random
 
+from oleanderwood import blame as blames
 from oleanderwood import configuration
+from oleanderwood import copy_ends
 from oleanderwood import demand as demands
-from oleanderwood import fleet
+from oleanderwood import feasibility
 from oleanderwood import ids
 from oleanderwood import placement_actions as actions
-from oleanderwood import task_quotas
-from oleanderwood import task_table
+from oleanderwood import placement_plan
+from oleanderwood import placement_policy
+from oleanderwood import task_row
+from oleanderwood import urgent_placement
+from oleanderwood import worker_choice
 from oleanderwood import worker_room
 
 _RANK = {
@@ -24,110 +29,156 @@
     jobs: collections.abc.Sequence[configuration.Job],
     teams: collections.abc.Sequence[configuration.Team],
     workers: collections.abc.Sequence[worker_room.Worker],
-    tasks: collections.abc.Mapping[str, task_table.TaskRow],
+    tasks: collections.abc.Mapping[str, task_row.TaskRow],
     demand: demands.Demand,
     now_s: float,
     rng: random.Random,
+    *,
+    pools: collections.abc.Sequence[configuration.Pool] = (),
+    blame: blames.Blame | None = None,
+    policy: placement_policy.Policy = placement_policy.DEFAULT,
 ) -> list[actions.Action]:
     """Decide the next starts, and the ends of copies that make room.
 
     Pure: the same arguments give the same actions. Call it with rows that
-    :func:`task_table.reconcile` has brought up to date with the jobs.
+    :func:`oleanderwood.task_table.reconcile` brought up to date.
 
     :param tasks: ``task_table.Table.rows``
+    :param pools: say which failure domain the tasks are spread over
+    :param blame: which workers and jobs fail; None if nothing is known
     """
-    job_by_id = {ids.JobId(job.name): job for job in jobs}
-    team_by_id = {team.name: team for team in teams}
-    rooms = {worker.vm: worker_room.empty(worker) for worker in workers}
-    used = collections.defaultdict(task_quotas.Usage)
-    waiting = []
-    for row in tasks.values():
-        job = job_by_id.get(row.job)
-        if row.phase in task_table.LIVE:
-            _count(row, job, rooms, used, demand)
-        elif row.phase is task_table.Phase.WAITING and job is not None:
-            if row.not_before_s <= now_s and not row.cancelled:
-                waiting.append(row)
-    decided: list[actions.Action] = _moves(tasks, rooms)
-    waiting.sort(key=lambda row: _RANK[job_by_id[row.job].priority])
-    by_pool = collections.defaultdict(list)
-    for room in rooms.values():
-        if room.worker.state is fleet.VmState.SERVING:
-            by_pool[room.worker.pool].append(room)
-    for row in waiting:
-        job = job_by_id[row.job]
-        team = team_by_id.get(job.team)
-        size = demands.size(demand, job)
-        if team is None or not task_quotas.allows(
-            team, used[job.team], size.cores, size.memory_gib
-        ):
-            continue
-        fitting = [
-            room
-            for room in by_pool[job.pool]
-            if worker_room.fits(
-                room, size.cores, size.memory_gib, job.accelerators
-            )
-        ]
-        if not fitting:
-            continue
-        room = min(fitting, key=lambda room: room.memory_gib)
-        worker_room.take(
-            room, row.job, size.cores, size.memory_gib, job.accelerators
-        )
-        task_quotas.add(used[job.team], size.cores, size.memory_gib)
-        decided.append(_start(row, job, room, size))
-    return decided
-
-
-def _count(row, job, rooms, used, demand) -> None:
-    given = demands.Size(row.cores, row.memory_gib)
-    if job is not None and not row.cancelled:
-        task_quotas.add(used[job.team], given.cores, given.memory_gib)
-    room = rooms.get(row.worker)
-    if room is None:
-        return
-    held = demands.held(demand, row.job, row.task, row.epoch, given)
-    if row.phase is task_table.Phase.ENDING:
-        worker_room.take_for_now(
-            room, held.cores, held.memory_gib, row.accelerators
-        )
-    else:
-        worker_room.take(
-            room, row.job, held.cores, held.memory_gib, row.accelerators
+    plan = placement_plan.make(
+        placement_plan.Input(
+            jobs,
+            teams,
+            pools,
+            workers,
+            tasks,
+            demand,
+            blame or blames.Blame(),
+            now_s,
+            rng,
         )
+    )
+    _tell(plan)
+    copy_ends.decide(plan)
+    startable = _startable(plan)
+    urgent_placement.place(plan, startable, policy)
+    _place_others(plan, startable, policy)
+    return plan.decided
 
 
-def _moves(tasks, rooms) -> list[actions.Action]:
-    decided = []
-    for row in tasks.values():
-        if row.phase not in task_table.LIVE:
-            continue
-        if row.phase is task_table.Phase.ENDING:
-            continue
-        room = rooms.get(row.worker)
-        if row.cancelled:
-            decided.append(
-                actions.StopTask(row.task, row.worker, row.epoch, 'cancelled')
-            )
-        elif room is not None and (
-            room.worker.state is not fleet.VmState.SERVING
-        ):
-            decided.append(
-                actions.CheckpointTask(
-                    row.task, row.worker, row.epoch, 'worker leaves'
-                )
+def _tell(plan: placement_plan.Plan) -> None:
+    """Tell of jobs that never run, of held jobs and of bad workers."""
+    given = plan.given
+    told = feasibility.never_run(
+        given.jobs, given.teams, given.workers, given.demand
+    )
+    plan.decided += told
+    never = {action.job for action in told}
+    plan.waiting = [row for row in plan.waiting if row.job not in never]
+    for vm in given.blame.aside:
+        if vm in plan.rooms:
+            plan.decided.append(
+                actions.SetAside(vm, 'fails the tasks that run elsewhere')
             )
-    return decided
-
-
-def _start(row, job, room, size) -> actions.StartTask:
-    return actions.StartTask(
-        row.task,
-        row.job,
-        room.worker.vm,
-        ids.Epoch(row.epoch + 1),
-        size.cores,
-        size.memory_gib,
-        job.accelerators,
+    for job, penalty in given.blame.held.items():
+        if job in plan.jobs and given.now_s < penalty.until_s:
+            reason = 'its tasks fail on workers that run others'
+            plan.decided.append(actions.HoldBack(job, reason, penalty.until_s))
+
+
+def _startable(plan: placement_plan.Plan) -> list[task_row.TaskRow]:
+    now_s = plan.given.now_s
+    blame = plan.given.blame
+    return [
+        row
+        for row in plan.waiting
+        if (row.not_before_s <= now_s or _only_refused(plan, row))
+        and blames.held_until_s(blame, row.job) <= now_s
+    ]
+
+
+def _only_refused(plan: placement_plan.Plan, row: task_row.TaskRow) -> bool:
+    return row.failures == 0 and placement_plan.is_urgent(plan, row)
+
+
+def _place_others(
+    plan: placement_plan.Plan,
+    startable: list[task_row.TaskRow],
+    policy: placement_policy.Policy,
+) -> None:
+    by_pool = collections.defaultdict(list)
+    for row in startable:
+        if not placement_plan.is_urgent(plan, row):
+            by_pool[plan.jobs[row.job].pool].append(row)
+    for pool in sorted(by_pool):
+        if plan.open_rooms.get(pool):
+            _place_in_pool(plan, pool, by_pool[pool], policy)
+
+
+def _place_in_pool(
+    plan: placement_plan.Plan,
+    pool: str,
+    rows: list[task_row.TaskRow],
+    policy: placement_policy.Policy,
+) -> None:
+    """Start tasks, next of the team that the policy puts first."""
+    queues = _queues(plan, rows)
+    stuck: set[ids.JobId] = set()
+    while queues:
+        queue = min(queues, key=lambda queue: policy.order(plan, pool, queue))
+        row = queue.rows.pop()
+        if not queue.rows:
+            queues.remove(queue)
+        if row.job not in stuck and not _place_one(plan, pool, row, policy):
+            stuck.add(row.job)
+
+
+def _queues(
+    plan: placement_plan.Plan, rows: list[task_row.TaskRow]
+) -> list[placement_plan.Queue]:
+    rows.sort(
+        key=lambda row: (
+            _RANK[plan.jobs[row.job].priority],
+            row.waiting_since_s,
+            row.task,
+        ),
+        reverse=True,
     )
+    by_team = collections.defaultdict(list)
+    for row in rows:
+        by_team[plan.jobs[row.job].team].append(row)
+    return [
+        placement_plan.Queue(team, by_team[team]) for team in sorted(by_team)
+    ]
+
+
+def _place_one(
+    plan: placement_plan.Plan,
+    pool: str,
+    row: task_row.TaskRow,
+    policy: placement_policy.Policy,
+) -> bool:
+    job = plan.jobs[row.job]
+    size = demands.size(plan.given.demand, job)
+    if not placement_plan.allowed(plan, job, size):
+        return False
+    fitting = [
+        room
+        for room in worker_choice.rooms_for(plan, row, job)
+        if worker_room.fits(
+            room, size.cores, size.memory_gib, job.accelerators
+        )
+        and _probe_free(plan, room)
+        and policy.leaves_reserve(plan, pool, room, size)
+    ]
+    if not fitting:
+        return False
+    room = worker_choice.choose(plan, fitting, row, policy)
+    placement_plan.start(plan, row, room, size)
+    return True
+
+
+def _probe_free(plan: placement_plan.Plan, room: worker_room.Room) -> bool:
+    return room.worker.vm not in plan.probing or not room.job_tasks
--- a/oleanderwood/worker_room.py
+++ b/oleanderwood/worker_room.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
 from oleanderwood import platform_api
@@ -29,18 +30,20 @@
 class Room:
     """What is free on one worker, as planned.
 
-    :ivar expected_cores: free once the ordered ends are through; so too
-        ``expected_memory_gib`` and ``expected_accelerators``
+    :ivar free_cores: free now; so too ``free_memory_gib``, and so on
+    :ivar expected_cores: free once the ordered ends are through, and so on
+    :ivar ready_at_s: when the ordered ends should be through
     :ivar job_tasks: copies on the worker, by job
     """
 
     worker: Worker
-    cores: float
-    memory_gib: float
-    accelerators: int
+    free_cores: float
+    free_memory_gib: float
+    free_accelerators: int
     expected_cores: float
     expected_memory_gib: float
     expected_accelerators: int
+    ready_at_s: float = 0.0
     job_tasks: dict[ids.JobId, int] = dataclasses.field(default_factory=dict)
 
 
@@ -105,9 +108,9 @@
     accelerators: int,
 ) -> None:
     """Count a copy that stays."""
-    room.cores -= cores
-    room.memory_gib -= memory_gib
-    room.accelerators -= accelerators
+    room.free_cores -= cores
+    room.free_memory_gib -= memory_gib
+    room.free_accelerators -= accelerators
     room.expected_cores -= cores
     room.expected_memory_gib -= memory_gib
     room.expected_accelerators -= accelerators
@@ -118,9 +121,9 @@
     room: Room, cores: float, memory_gib: float, accelerators: int
 ) -> None:
     """Count a copy whose end was ordered."""
-    room.cores -= cores
-    room.memory_gib -= memory_gib
-    room.accelerators -= accelerators
+    room.free_cores -= cores
+    room.free_memory_gib -= memory_gib
+    room.free_accelerators -= accelerators
 
 
 def fits(
@@ -128,9 +131,9 @@
 ) -> bool:
     """Say whether a task of this size has room now."""
     return (
-        cores <= room.cores + _EPSILON
-        and memory_gib <= room.memory_gib + _EPSILON
-        and accelerators <= room.accelerators
+        cores <= room.free_cores + _EPSILON
+        and memory_gib <= room.free_memory_gib + _EPSILON
+        and accelerators <= room.free_accelerators
     )
 
 
@@ -143,3 +146,21 @@
         and memory_gib <= room.expected_memory_gib + _EPSILON
         and accelerators <= room.expected_accelerators
     )
+
+
+def give(
+    room: Room, cores: float, memory_gib: float, accelerators: int
+) -> None:
+    """Count on what a copy holds whose end or throttling is ordered."""
+    room.expected_cores += cores
+    room.expected_memory_gib += memory_gib
+    room.expected_accelerators += accelerators
+
+
+def domain(room: Room, survives: configuration.Survives) -> str:
+    """Name the failure domain that a job's tasks are spread over."""
+    if survives is configuration.Survives.DATA_CENTRE:
+        return room.worker.data_centre
+    if survives is configuration.Survives.RACK:
+        return room.worker.rack
+    return room.worker.vm
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -34,5 +34,5 @@
         random.Random(1),
     )
     assert decided == [
-        actions.StartTask('j/0', 'j', 'w', 1, 1.0, 1.0),
+        actions.StartTask('j:0', 'j', 'w', 1, 1.0, 1.0),
     ]
