Ask the roster by the isolation proof; move VMs straight to their pool

The proof of oleanderwood.isolation replaces the plain wait for each member. A VM that is released for a move names its new pool in its row, so that a leader that takes over neither forgets the move nor orders a second one. The plain filling of pools gives way to buffer.assign.

--- a/oleanderwood/fleet.py
+++ b/oleanderwood/fleet.py
@@ -44,7 +44,8 @@
     written down before it was sent, '' for none. ``wave`` names the run of
     the wave that took the VM last, and stays once the VM serves again.
     ``boot_id`` is the one before an ordered reboot, and the newest known
-    otherwise. ``reason`` says why the VM is ``BROKEN``.
+    otherwise. ``reason`` says why the VM is ``BROKEN``. ``target`` is the
+    pool that a VM being released for a move goes to.
     """
 
     vm: ids.VmId
@@ -58,6 +59,7 @@
     wave: ids.WaveId = ids.WaveId('')
     changed_at_s: float = 0.0
     reason: str = ''
+    target: ids.PoolId = ids.PoolId('')
 
 
 class Shard(msgspec.Struct, frozen=True):
--- a/oleanderwood/inventory.py
+++ b/oleanderwood/inventory.py
@@ -156,5 +156,7 @@
         Cause.VANISHED,
         now_s,
         state=State.BROKEN,
+        operation=ids.OperationId(''),
         reason=reason,
+        target=ids.PoolId(''),
     )
--- a/oleanderwood/lifecycle.py
+++ b/oleanderwood/lifecycle.py
@@ -140,6 +140,10 @@
     return operation(kind, case.new_id)
 
 
+def _released(case: _Case) -> bool:
+    return case.seen.released or not ownership.may_hold_work(case.row)
+
+
 def _platform_says(case: _Case, state: Vm) -> bool:
     return case.seen.platform is not None and (
         case.seen.platform.state is state
@@ -162,6 +166,7 @@
         state=State.BROKEN,
         operation=ids.OperationId(''),
         reason=reason,
+        target=ids.PoolId(''),
     )
 
 
@@ -185,11 +190,16 @@
         return None
     if case.plan.undo:
         return _change(case, state=State.SERVING, wave=ids.WaveId(''))
-    if not case.seen.released:
+    if not _released(case):
         return None
     if not case.row.wave:
         spare = fleet.spare_pool(case.data_centre)
-        return _change(case, pool=spare, state=State.SERVING)
+        return _change(
+            case,
+            pool=case.row.target or spare,
+            state=State.SERVING,
+            target=ids.PoolId(''),
+        )
     return _change(
         case, state=State.DRAINING, operation=_new(case, OrderKind.DRAIN)
     )
@@ -285,7 +295,7 @@
     if not case.seen.listed:
         return None
     if not case.row.operation:
-        if not case.seen.released and ownership.may_hold_work(case.row):
+        if not _released(case):
             return None
         boot_id = case.row.boot_id
         if case.seen.platform is not None:
--- a/oleanderwood/region_leader.py
+++ b/oleanderwood/region_leader.py
@@ -214,7 +214,7 @@
         if not footing.lost and wanted <= footing.shards.keys():
             return
         wanted |= footing.shards.keys()
-    leader.releases = release.Releases()
+    leader.releases = release.begin_anew(leader.releases, world.monotonic_s())
     leader.footing = await region_shards.fence(
         world.store, wanted, world.new_id
     )
@@ -226,17 +226,14 @@
 async def _look(world: World, leader: Leader) -> None:
     """Learn how VMs stand that are out of service."""
     shards = leader.footing.shards
-    await release.ask(
-        world.store,
-        world.peers,
-        world.region,
-        shards,
-        leader.releases,
-        world.monotonic_s,
+    asker = release.Asker(
+        world.store, world.peers, world.region, world.monotonic_s
     )
+    now_s = world.monotonic_s()
+    release.follow_list(leader.releases, leader.sighting, now_s)
+    await release.ask(asker, shards, leader.releases)
+    release.forget(leader.releases, shards)
     rows = [row for _, row in ownership.rows_of(shards)]
-    current = {(row.vm, row.epoch) for row in rows}
-    leader.releases.released &= current
     looked = [row for row in rows if orders.must_look(row)]
     swept = _next_swept(leader, rows)
     if swept is not None:
--- a/oleanderwood/region_plan.py
+++ b/oleanderwood/region_plan.py
@@ -16,7 +16,6 @@
 from oleanderwood import inventory
 from oleanderwood import lifecycle
 from oleanderwood import ownership
-from oleanderwood import pool_fill
 from oleanderwood import reserve
 from oleanderwood import wave as waves
 from oleanderwood import wave_run
@@ -287,7 +286,7 @@
         view.now_s,
         decision.loans,
         _pending(rows),
-    ) or pool_fill.moves(pools_of(view).values(), rows, _sites(view))
+    )
     changed = _changed(decision)
     for move in moves:
         if move.from_pool == buffer.NO_POOL or move.vm in changed:
@@ -307,11 +306,11 @@
         buffer.Move(
             row.vm,
             row.pool,
-            ids.PoolId(fleet.SPARE_PREFIX),
+            row.target,
             buffer.MoveReason.RETURN,
         )
         for row in rows
-        if row.state is State.RELEASING and not row.wave
+        if row.state is State.RELEASING and row.target
     )
 
 
@@ -321,7 +320,7 @@
     move: buffer.Move,
     now_s: float,
 ) -> ownership.Change | None:
-    """A spare VM joins at once; any other is released to the spare first."""
+    """A spare VM joins at once; any other is released first."""
     if row.state is not State.SERVING:
         return None
     if ownership.is_spare(row.pool):
@@ -335,6 +334,7 @@
         now_s,
         state=State.RELEASING,
         wave=ids.WaveId(''),
+        target=move.to_pool,
     )
 
 
--- a/oleanderwood/release.py
+++ b/oleanderwood/release.py
@@ -1,7 +1,9 @@
 """Access to the release of VMs: who of the roster still holds work where.
 
 The shard is written first, then the roster is read, then all members are
-asked; in that order, no entry that joins meanwhile is missed.
+asked, then the keys of those that didn't answer are read; in that order, no
+entry that joins meanwhile is missed. What the answers prove is decided by
+:mod:`oleanderwood.isolation`.
 """
 
 import collections.abc
@@ -11,6 +13,8 @@
 from oleanderwood import errors
 from oleanderwood import fleet
 from oleanderwood import ids
+from oleanderwood import inventory
+from oleanderwood import isolation
 from oleanderwood import messages
 from oleanderwood import orders
 from oleanderwood import ownership
@@ -24,12 +28,17 @@
 
 @dataclasses.dataclass
 class Releases:
-    """What the members have said so far.
+    """What the members have said so far; times are monotonic.
 
     :ivar released: VMs, by epoch, at which no entry holds work; final
     :ivar blocked: who blocks the other VMs that wait, for operators
-    :ivar whole_since_s: since when all members have answered, None if one
-        has not; monotonic
+    :ivar whole_since_s: since when all members have answered or been
+        proven gone, None if one has not
+    :ivar members: of the region, as read last, by incarnation
+    :ivar no_loss_since_s: since when none of them has left the roster
+    :ivar absences: of the members' keys, by incarnation
+    :ivar seen_vms: VMs that the VM list has shown
+    :ivar vm_gone_since_s: those of them that it shows no more
     """
 
     released: set[tuple[ids.VmId, ids.Epoch]] = dataclasses.field(
@@ -37,6 +46,38 @@
     )
     blocked: dict[ids.VmId, str] = dataclasses.field(default_factory=dict)
     whole_since_s: float | None = None
+    members: dict[str, roster.Member] = dataclasses.field(default_factory=dict)
+    no_loss_since_s: float = 0.0
+    absences: dict[str, isolation.Absence] = dataclasses.field(
+        default_factory=dict
+    )
+    seen_vms: set[ids.VmId] = dataclasses.field(default_factory=set)
+    vm_gone_since_s: dict[ids.VmId, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Asker:
+    """Who asks: what it reaches, its clock and its shards."""
+
+    store: stores.Store
+    peers: peer.Peers
+    region: ids.Region
+    now_s: collections.abc.Callable[[], float]
+    request_timeout_s: float = isolation.REQUEST_TIMEOUT_S
+
+
+def begin_anew(earlier: Releases, now_s: float) -> Releases:
+    """Make the state of a leader that gains its footing now.
+
+    What the VM list has shown stays known.
+    """
+    return Releases(
+        no_loss_since_s=now_s,
+        seen_vms=earlier.seen_vms,
+        vm_gone_since_s=earlier.vm_gone_since_s,
+    )
 
 
 def settled(releases: Releases, now_s: float) -> bool:
@@ -64,95 +105,154 @@
     ]
 
 
+def follow_list(
+    releases: Releases, sighting: inventory.Sighting, now_s: float
+) -> None:
+    """Note which VMs have gone from the VM list."""
+    listed = sighting.listed.keys()
+    for vm in releases.seen_vms - listed:
+        releases.vm_gone_since_s.setdefault(vm, now_s)
+    for vm in releases.vm_gone_since_s.keys() & listed:
+        del releases.vm_gone_since_s[vm]
+    releases.seen_vms |= listed
+
+
+def forget(releases: Releases, shards: ownership.Shards) -> None:
+    """Drop what was known of epochs that are over."""
+    releases.released &= {
+        (row.vm, row.epoch) for _, row in ownership.rows_of(shards)
+    }
+
+
 async def ask(
-    store: stores.Store,
-    peers: peer.Peers,
-    region: ids.Region,
-    shards: ownership.Shards,
-    releases: Releases,
-    now_s: collections.abc.Callable[[], float],
+    asker: Asker, shards: ownership.Shards, releases: Releases
 ) -> None:
     """Ask all members of the region about the VMs that wait.
 
-    Before the roster is settled all shards are asked about.
+    Until the roster is settled all shards are asked about.
 
     :raises errors.StoreUnavailable: the roster can't be read
     """
+    was_settled = settled(releases, asker.now_s())
     asked = [
         shard
         for shard in shards.values()
-        if waiting(shard, releases) or not settled(releases, now_s())
+        if waiting(shard, releases) or not was_settled
     ]
     releases.blocked = {}
     if not asked:
         return
-    members = await read_members(store, region)
+    await _read_members(asker, releases)
     whole = True
     for shard in asked:
-        missing = await _ask_members(peers, members, shard, releases)
-        whole = whole and not missing
-    if not whole:
+        standings = await _round(asker, shard, releases)
+        _conclude(shard, standings, releases)
+        whole = whole and not any(map(_unknown, standings))
+    if not whole and not was_settled:
         releases.whole_since_s = None
     elif releases.whole_since_s is None:
-        releases.whole_since_s = now_s()
+        releases.whole_since_s = asker.now_s()
+
 
+def _unknown(found: isolation.Standing) -> bool:
+    return found.status is isolation.Status.UNKNOWN
 
-async def read_members(
-    store: stores.Store, region: ids.Region
-) -> tuple[roster.Member, ...]:
-    """Read the roster and give the members of a region."""
-    item = await store.get(stores.ROSTER_KEY)
-    if item is None:
-        return ()
-    whole = codec.unpack(item.value, roster.Roster)
-    return tuple(m for m in whole.members if m.region == region)
+
+async def _read_members(asker: Asker, releases: Releases) -> None:
+    item = await asker.store.get(stores.ROSTER_KEY)
+    whole = roster.EMPTY
+    if item is not None:
+        whole = codec.unpack(item.value, roster.Roster)
+    members = {
+        member.incarnation: member
+        for member in roster.in_region(whole, asker.region)
+    }
+    if releases.members.keys() - members.keys():
+        releases.no_loss_since_s = asker.now_s()
+    releases.members = members
+    for incarnation in releases.absences.keys() - members.keys():
+        del releases.absences[incarnation]
+
+
+async def _round(
+    asker: Asker, shard: fleet.Shard, releases: Releases
+) -> tuple[isolation.Standing, ...]:
+    """Ask all about one shard, those whom members sponsor as well."""
+    members = tuple(releases.members.values())
+    answers: dict[ids.Address, isolation.Answer] = {}
+    await _ask_members(asker, shard, members, answers)
+    sponsored = [
+        member
+        for member in isolation.required(members, answers)
+        if member.incarnation not in releases.members
+    ]
+    await _ask_members(asker, shard, sponsored, answers)
+    await _read_absences(asker, members, answers, releases)
+    evidence = isolation.Evidence(
+        revision=shard.revision,
+        members=members,
+        no_loss_since_s=releases.no_loss_since_s,
+        answers=answers,
+        absences=releases.absences,
+        vm_gone_since_s=releases.vm_gone_since_s,
+        request_timeout_s=asker.request_timeout_s,
+    )
+    return isolation.standing(evidence, asker.now_s())
 
 
 async def _ask_members(
-    peers: peer.Peers,
-    members: tuple[roster.Member, ...],
+    asker: Asker,
     shard: fleet.Shard,
-    releases: Releases,
-) -> list[roster.Member]:
-    """Ask all members about one shard; give those that didn't answer."""
-    replies: dict[ids.EntryId, messages.ReleaseReply] = {}
-
-    async def ask_one(member: roster.Member) -> None:
+    members: collections.abc.Iterable[roster.Member],
+    answers: dict[ids.Address, isolation.Answer],
+) -> None:
+    async def one(address: ids.Address) -> None:
         request = messages.ReleaseRequest(shard)
         try:
-            reply = await peers.release(member.peer, request)
+            reply = await asker.peers.release(address, request)
         except errors.CallFailed:
             return
-        if reply.incarnation == member.incarnation:
-            replies[member.entry] = reply
+        answers[address] = isolation.Answer(reply, asker.now_s())
 
-    await orders.for_each(members, ask_one)
-    for row in waiting(shard, releases):
-        reasons = [
-            reason
-            for member in members
-            if (reason := _blocks(member, replies, shard, row))
-        ]
-        if reasons:
-            releases.blocked[row.vm] = ', '.join(reasons)
-        else:
-            releases.released.add((row.vm, row.epoch))
-    return [m for m in members if m.entry not in replies]
+    await orders.for_each(dict.fromkeys(m.peer for m in members), one)
 
 
-def _blocks(
-    member: roster.Member,
-    replies: dict[ids.EntryId, messages.ReleaseReply],
+async def _read_absences(
+    asker: Asker,
+    members: collections.abc.Iterable[roster.Member],
+    answers: collections.abc.Mapping[ids.Address, isolation.Answer],
+    releases: Releases,
+) -> None:
+    """Look for the leased keys of members that didn't answer."""
+    for member in members:
+        answer = answers.get(member.peer)
+        name = member.incarnation
+        if answer is not None and answer.reply.incarnation == name:
+            releases.absences.pop(name, None)
+            continue
+        asked_at_s = asker.now_s()
+        if await asker.store.get(roster.member_key(member)) is not None:
+            releases.absences.pop(name, None)
+            continue
+        since_s = asker.now_s()
+        known = releases.absences.get(name)
+        if known is not None:
+            gap_s = since_s - known.checked_s
+            if gap_s < isolation.MEMBER_TTL_S:
+                since_s = known.since_s
+        releases.absences[name] = isolation.Absence(since_s, asked_at_s)
+
+
+def _conclude(
     shard: fleet.Shard,
-    row: fleet.VmRow,
-) -> str:
-    """Say how a member blocks a VM's release, '' if it doesn't."""
-    reply = replies.get(member.entry)
-    if reply is None:
-        return f'{member.entry} does not answer'
-    if reply.revision < shard.revision:
-        return f'{member.entry} follows revision {reply.revision} only'
-    count = reply.in_flight.get(row.vm, 0)
-    if count:
-        return f'{member.entry} has {count} requests in flight'
-    return ''
+    standings: tuple[isolation.Standing, ...],
+    releases: Releases,
+) -> None:
+    for row in waiting(shard, releases):
+        blocking = isolation.blocking(standings, row.vm)
+        if blocking:
+            releases.blocked[row.vm] = ', '.join(
+                isolation.describe(found, row.vm) for found in blocking
+            )
+        else:
+            releases.released.add((row.vm, row.epoch))
--- a/tests/utils_controller.py
+++ b/tests/utils_controller.py
@@ -61,6 +61,7 @@
         default_factory=collections.Counter
     )
     reachable: bool = True
+    started_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -393,12 +394,15 @@
             incarnation=entry.member.incarnation,
             revision=known.revision,
             in_flight=held,
+            heard_ages_s={},
+            up_s=made.clock_s - entry.started_s,
         )
 
     async def unused(address, request):
         raise errors.CallFailed(verdicts.Verdict.NOT_RUN, 'unused')
 
-    return peer.Peers(unused, unused, unused, unused, release, unused)
+    calls = {method.name: unused for method in peer.METHODS}
+    return peer.Peers(**calls | {'release': release})
 
 
 def follow(entry, shard):
