--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -165,18 +165,29 @@
     blocked = {
         item.pool for item in choice.blocked if item.reason in LOAN_HELPS
     }
+    blocked -= {
+        item.pool
+        for item in choice.blocked
+        if item.reason is BlockReason.WIDTH
+    }
     rounds = {name: rounds_of(census, left, name) for name in held}
     order = sorted(held, key=lambda name: (-rounds[name], name))
     kept = [buffer.Loan(name, held[name]) for name in order if held[name]]
     new = [
         buffer.Loan(name, 1)
         for name in order
-        if not held[name] and name in blocked
+        if not held[name] and name in blocked and _idle(census, name)
     ]
     del weights, urgent
     return tuple(kept + new[: max(0, width - len(kept))])
 
 
+def _idle(census: reserve.Census, pool: ids.PoolId) -> bool:
+    """Say whether no VM of a pool is on its way back."""
+    state = census.pools[pool]
+    return state.out == state.broken
+
+
 def _whole_rack(
     census: reserve.Census, rows: list[fleet.VmRow], quarter: Quarter
 ) -> list[ids.VmId]:
