--- a/oleanderwood/copy_ends.py
+++ b/oleanderwood/copy_ends.py
@@ -13,29 +13,33 @@
 
 def decide(plan: placement_plan.Plan) -> None:
     """End what is cancelled, what has to leave and what has no room."""
-    for row in plan.given.tasks.values():
-        if row.phase in task_row.LIVE:
-            _end_copy(plan, row)
+    for row in plan.unwanted:
+        _end_unwanted(plan, row)
+    for vm, room in plan.rooms.items():
+        if room.worker.state is not fleet.VmState.SERVING:
+            _leave(plan, plan.live[vm])
     for rooms in plan.open_rooms.values():
         for room in rooms:
             if room.expected_memory_gib < 0:
                 _relieve(plan, room)
 
 
-def _end_copy(plan: placement_plan.Plan, row: task_row.TaskRow) -> None:
-    ordered_s = plan.given.now_s - row.ending_at_s
-    if row.phase is task_row.Phase.ENDING:
-        stop = row.stopping or ordered_s >= MAX_CHECKPOINT_S
-        if row.cancelled and not row.stopping:
-            placement_plan.end(plan, row, True, 'cancelled')
-        elif ordered_s >= task_row.REPEAT_END_S:
-            placement_plan.end(plan, row, stop, 'still not ended')
+def _end_unwanted(plan: placement_plan.Plan, row: task_row.TaskRow) -> None:
+    if row.phase is not task_row.Phase.ENDING:
+        placement_plan.end(plan, row, True, 'cancelled')
         return
-    room = plan.rooms.get(row.worker)
-    if row.cancelled:
+    ordered_s = plan.given.now_s - row.ending_at_s
+    if row.cancelled and not row.stopping:
         placement_plan.end(plan, row, True, 'cancelled')
-    elif room and room.worker.state is not fleet.VmState.SERVING:
-        placement_plan.end(plan, row, False, 'worker leaves')
+    elif ordered_s >= task_row.REPEAT_END_S:
+        stop = row.stopping or ordered_s >= MAX_CHECKPOINT_S
+        placement_plan.end(plan, row, stop, 'still not ended')
+
+
+def _leave(plan: placement_plan.Plan, rows: list[task_row.TaskRow]) -> None:
+    for row in rows:
+        if row.task not in plan.ending and not row.cancelled:
+            placement_plan.end(plan, row, False, 'worker leaves')
 
 
 def _relieve(plan: placement_plan.Plan, room: worker_room.Room) -> None:
@@ -55,7 +59,7 @@
     for row in rows:
         if excess_gib <= 0:
             return
-        excess_gib -= plan.held[row.task].memory_gib
+        excess_gib -= placement_plan.held(plan, row).memory_gib
         placement_plan.end(plan, row, False, 'worker short of memory')
 
 
--- a/oleanderwood/placement.py
+++ b/oleanderwood/placement.py
@@ -9,7 +9,6 @@
 from oleanderwood import copy_ends
 from oleanderwood import demand as demands
 from oleanderwood import feasibility
-from oleanderwood import ids
 from oleanderwood import placement_actions as actions
 from oleanderwood import placement_plan
 from oleanderwood import placement_policy
@@ -18,12 +17,6 @@
 from oleanderwood import worker_choice
 from oleanderwood import worker_room
 
-_RANK = {
-    configuration.Priority.URGENT: 0,
-    configuration.Priority.NORMAL: 1,
-    configuration.Priority.BULK: 2,
-}
-
 
 def place(
     jobs: collections.abc.Sequence[configuration.Job],
@@ -71,8 +64,12 @@
 def _tell(plan: placement_plan.Plan) -> None:
     """Tell of jobs that never run, of held jobs and of bad workers."""
     given = plan.given
+    waiting = {row.job for row in plan.waiting}
     told = feasibility.never_run(
-        given.jobs, given.teams, given.workers, given.demand
+        [plan.jobs[job] for job in sorted(waiting)],
+        given.teams,
+        given.workers,
+        given.demand,
     )
     plan.decided += told
     never = {action.job for action in told}
@@ -125,25 +122,25 @@
 ) -> None:
     """Start tasks, next of the team that the policy puts first."""
     queues = _queues(plan, rows)
-    stuck: set[ids.JobId] = set()
     while queues:
-        queue = min(queues, key=lambda queue: policy.order(plan, pool, queue))
+        queue = min(queues, key=lambda one: policy.order(plan, pool, one))
         row = queue.rows.pop()
+        if not _place_one(plan, pool, row, policy):
+            queue.rows = [one for one in queue.rows if one.job != row.job]
         if not queue.rows:
             queues.remove(queue)
-        if row.job not in stuck and not _place_one(plan, pool, row, policy):
-            stuck.add(row.job)
 
 
 def _queues(
     plan: placement_plan.Plan, rows: list[task_row.TaskRow]
 ) -> list[placement_plan.Queue]:
+    bulk = {
+        row.job
+        for row in rows
+        if plan.jobs[row.job].priority is configuration.Priority.BULK
+    }
     rows.sort(
-        key=lambda row: (
-            _RANK[plan.jobs[row.job].priority],
-            row.waiting_since_s,
-            row.task,
-        ),
+        key=lambda row: (row.job in bulk, row.waiting_since_s, row.task),
         reverse=True,
     )
     by_team = collections.defaultdict(list)
--- a/oleanderwood/placement_plan.py
+++ b/oleanderwood/placement_plan.py
@@ -43,7 +43,10 @@
     :ivar open_rooms: by pool, the rooms that may get tasks
     :ivar probing: workers that may get one task at a time, not urgent
     :ivar live: by worker, the copies that may run there
+    :ivar urgent: the jobs that are urgent
+    :ivar unwanted: the copies that are cancelled or whose end was ordered
     :ivar ending: the copies whose end is ordered, now or before
+    :ivar held: what copies hold, as far as it was asked for
     :ivar decided: the actions so far
     """
 
@@ -61,6 +64,8 @@
         default_factory=lambda: collections.defaultdict(list)
     )
     waiting: list[task_row.TaskRow] = dataclasses.field(default_factory=list)
+    urgent: set[ids.JobId] = dataclasses.field(default_factory=set)
+    unwanted: list[task_row.TaskRow] = dataclasses.field(default_factory=list)
     ending: set[str] = dataclasses.field(default_factory=set)
     held: dict[str, demands.Size] = dataclasses.field(default_factory=dict)
     decided: list[actions.Action] = dataclasses.field(default_factory=list)
@@ -86,6 +91,9 @@
         {},
         set(),
     )
+    plan.urgent = {
+        ids.JobId(job.name) for job in given.jobs if job.priority is URGENT
+    }
     _open_rooms(plan)
     for row in given.tasks.values():
         if row.phase in task_row.LIVE:
@@ -112,29 +120,42 @@
 
 
 def _count(plan: Plan, row: task_row.TaskRow) -> None:
-    given = demands.Size(row.cores, row.memory_gib)
     job = plan.jobs.get(row.job)
+    if row.cancelled or row.phase is task_row.Phase.ENDING:
+        plan.unwanted.append(row)
     if job is not None and not row.cancelled:
         task_quotas.add(plan.used[job.team], row.cores, row.memory_gib)
     room = plan.rooms.get(row.worker)
     if room is None:
         return
     plan.live[row.worker].append(row)
-    demand = plan.given.demand
-    one = demands.measured(demand, row.job, row.task, row.epoch)
-    size = demands.held(demand, one, given)
-    if row.throttled:
-        size = throttled_size(size, given)
-    plan.held[row.task] = size
-    cores, memory_gib = size.cores, size.memory_gib
-    worker_room.take(room, row.job, cores, memory_gib, row.accelerators)
+    size = _held(plan, row)
+    worker_room.take(
+        room, row.job, size.cores, size.memory_gib, row.accelerators
+    )
     if row.phase is task_row.Phase.ENDING:
         plan.ending.add(row.task)
-        worker_room.give(room, cores, memory_gib, row.accelerators)
-        ready_at_s = row.ending_at_s + end_s(memory_gib, row.stopping)
+        worker_room.give(room, size.cores, size.memory_gib, row.accelerators)
+        ready_at_s = row.ending_at_s + end_s(size.memory_gib, row.stopping)
         room.ready_at_s = max(room.ready_at_s, ready_at_s)
 
 
+def _held(plan: Plan, row: task_row.TaskRow) -> demands.Size:
+    demand = plan.given.demand
+    given = demands.Size(row.cores, row.memory_gib)
+    one = demands.measured(demand, row.job, row.task, row.epoch)
+    size = demands.held(demand, one, given) if one else given
+    return throttled_size(size, given) if row.throttled else size
+
+
+def held(plan: Plan, row: task_row.TaskRow) -> demands.Size:
+    """Give what a copy holds, after throttling decided so far."""
+    size = plan.held.get(row.task)
+    if size is None:
+        size = plan.held[row.task] = _held(plan, row)
+    return size
+
+
 def throttled_size(size: demands.Size, given: demands.Size) -> demands.Size:
     """Give what a copy holds once it is throttled."""
     most = given.cores * THROTTLED_CORES_SHARE
@@ -192,7 +213,7 @@
 def throttle(plan: Plan, row: task_row.TaskRow) -> None:
     """Decide to throttle a copy; its cores are free at once."""
     room = plan.rooms[row.worker]
-    size = plan.held[row.task]
+    size = held(plan, row)
     less = throttled_size(size, demands.Size(row.cores, row.memory_gib))
     plan.held[row.task] = less
     room.free_cores += size.cores - less.cores
@@ -208,7 +229,7 @@
     if room is None or row.task in plan.ending:
         return
     plan.ending.add(row.task)
-    size = plan.held[row.task]
+    size = held(plan, row)
     worker_room.give(room, size.cores, size.memory_gib, row.accelerators)
     ready_at_s = plan.given.now_s + end_s(size.memory_gib, stop)
     room.ready_at_s = max(room.ready_at_s, ready_at_s)
@@ -216,8 +237,7 @@
 
 def is_urgent(plan: Plan, row: task_row.TaskRow) -> bool:
     """Say whether a row's job is urgent."""
-    job = plan.jobs.get(row.job)
-    return job is not None and job.priority is URGENT
+    return row.job in plan.urgent
 
 
 def allowed(plan: Plan, job: configuration.Job, size: demands.Size) -> bool:
--- a/oleanderwood/preemption.py
+++ b/oleanderwood/preemption.py
@@ -112,7 +112,10 @@
     ]
     return sorted(
         rows,
-        key=lambda row: (weight(plan, row), plan.held[row.task].memory_gib),
+        key=lambda row: (
+            weight(plan, row),
+            placement_plan.held(plan, row).memory_gib,
+        ),
     )
 
 
@@ -152,7 +155,7 @@
 def _suffices(
     plan: placement_plan.Plan, lack: _Lack, row: task_row.TaskRow
 ) -> bool:
-    size = plan.held[row.task]
+    size = placement_plan.held(plan, row)
     return (
         size.memory_gib >= lack.memory_gib - _EPSILON
         and row.accelerators >= lack.accelerators
@@ -166,7 +169,7 @@
     victims: Victims,
     patience_s: float,
 ) -> None:
-    size = plan.held[row.task]
+    size = placement_plan.held(plan, row)
     lack.cores -= size.cores
     lack.memory_gib -= size.memory_gib
     lack.accelerators -= row.accelerators
@@ -189,7 +192,7 @@
             return
         if row.throttled:
             continue
-        size = plan.held[row.task]
+        size = placement_plan.held(plan, row)
         given = demands.Size(row.cores, row.memory_gib)
         less = placement_plan.throttled_size(size, given)
         if size.cores <= less.cores:
--- a/oleanderwood/task_row.py
+++ b/oleanderwood/task_row.py
@@ -54,7 +54,7 @@
     """Done or cancelled; no copy can be running."""
 
 
-LIVE = frozenset({Phase.STARTING, Phase.RUNNING, Phase.ENDING})
+LIVE = (Phase.RUNNING, Phase.STARTING, Phase.ENDING)
 """Phases in which a copy may be running on the row's worker."""
 
 
--- a/oleanderwood/task_table.py
+++ b/oleanderwood/task_table.py
@@ -14,8 +14,9 @@
 from oleanderwood import task_row
 from oleanderwood import verdict as verdicts
 
-_ALIVE = frozenset(
-    {platform_api.TaskState.RUNNING, platform_api.TaskState.THROTTLED}
+_ALIVE = (
+    platform_api.TaskState.RUNNING,
+    platform_api.TaskState.THROTTLED,
 )
 
 
