--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import math
 import random
@@ -37,6 +38,9 @@
 They wait there and hide the way there and back.
 """
 
+Limit = collections.abc.Callable[[routing.Upstream, int], int]
+"""Gives how many requests one of some entries may have at an upstream."""
+
 INITIAL_LATENCY_S = 0.1
 LATENCY_WEIGHT = 0.05
 """Weight of one latency in the moving average of a service."""
@@ -142,17 +146,32 @@
     by_vm: dict[ids.VmId, int]
 
 
+def limit_by_share(upstream: routing.Upstream, entries: int) -> int:
+    """Limit an entry to its share of the slots and a little more."""
+    return routing.share(upstream.slots, entries) + OVERFILL
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """The parts of the decisions that can be exchanged."""
+
+    choose: routing.Choose = routing.choose
+    limit: Limit = limit_by_share
+    spend: collections.abc.Callable[[retry.Budget], bool] = retry.spend
+
+
 @dataclasses.dataclass
 class State:
     """All that one entry knows for its decisions.
 
-    :ivar entries: ids of all entries that may use the upstreams
+    :ivar entries: all entries that may use the upstreams, and where
     :ivar breaches: invariants that did not hold, with their counts
     """
 
     entry: ids.EntryId
     data_centre: ids.DataCentre
-    entries: tuple[ids.EntryId, ...]
+    entries: dict[ids.EntryId, ids.DataCentre]
+    policy: Policy = Policy()
     services: dict[ids.ServiceId, ServiceState] = dataclasses.field(
         default_factory=dict
     )
@@ -171,9 +190,13 @@
     )
 
 
-def make_state(entry: ids.EntryId, data_centre: ids.DataCentre) -> State:
+def make_state(
+    entry: ids.EntryId,
+    data_centre: ids.DataCentre,
+    policy: Policy = Policy(),
+) -> State:
     """Make the state of an entry that knows of no other and no service."""
-    return State(entry, data_centre, (entry,))
+    return State(entry, data_centre, {entry: data_centre}, policy)
 
 
 def set_configuration(
@@ -196,12 +219,16 @@
 
 
 def set_entries(
-    state: State, entries: tuple[ids.EntryId, ...], now_s: float
+    state: State,
+    entries: dict[ids.EntryId, ids.DataCentre],
+    now_s: float,
 ) -> None:
     """Set which entries share the upstreams and quotas (the roster)."""
-    state.entries = tuple(sorted({*entries, state.entry}))
+    state.entries = {**entries, state.entry: state.data_centre}
     for entry in set(state.peers) - set(state.entries):
         del state.peers[entry]
+    for service in state.services.values():
+        _place(state, service)
     _set_rates(state, now_s)
 
 
@@ -238,6 +265,7 @@
     for vm in [vm for vm, up in known.upstreams.items() if not up.serving]:
         known.healths.pop(vm, None)
         _forget_if_idle(known, vm)
+    _place(state, known)
     _add_peer_loads(state, now_s)
 
 
@@ -354,6 +382,16 @@
     return decisions
 
 
+def _place(state: State, service: ServiceState) -> None:
+    routing.place(
+        [up for up in service.upstreams.values() if up.serving],
+        state.data_centre,
+        sorted(state.entries).index(state.entry),
+        len(state.entries),
+        list(state.entries.values()).count(state.data_centre),
+    )
+
+
 def _set_rates(state: State, now_s: float) -> None:
     entries = len(state.entries)
     quotas.set_rates(
@@ -382,7 +420,7 @@
     for vm, upstream in service.upstreams.items():
         if not upstream.serving:
             continue
-        slots = routing.share(upstream.slots, entries) + OVERFILL
+        slots = state.policy.limit(upstream, entries)
         usable = ejection.usable_slots(service.healths[vm], slots, now_s)
         upstream.limit = min(
             usable, routing.connection_limit(upstream.connections, entries)
@@ -438,7 +476,7 @@
         return decisions
     candidates = _candidates(state, service, now_s)
     while service.queue.length:
-        upstream = routing.choose(candidates, state.data_centre, rng)
+        upstream = state.policy.choose(candidates, rng)
         if upstream is None:
             break
         waiting = admission.pop(service.queue)
@@ -507,7 +545,7 @@
 ) -> list[Decision]:
     ask = request.ask
     if retry.allowed(request.verdict, ask.idempotent, request.attempts):
-        if retry.spend(service.budget):
+        if state.policy.spend(service.budget):
             refusal = _admit(service, request, now_s, rng, first=True)
             if refusal is None:
                 return []
--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -14,6 +14,10 @@
     :ivar in_flight: this entry's requests there
     :ivar peer_load: the other entries' requests there, as last told
     :ivar limit: requests that this entry may have there now
+    :ivar turn: its place in this entry's order of upstreams; the orders
+        of the entries are turned against each other
+    :ivar preferred: requests that this entry may have there before it
+        counts as loaded; above 0 in the entry's own data centre
     """
 
     vm: ids.VmId
@@ -25,6 +29,17 @@
     in_flight: int = 0
     peer_load: float = 0.0
     limit: int = 0
+    turn: int = 0
+    preferred: int = 0
+
+
+Choose = collections.abc.Callable[
+    [collections.abc.Sequence[Upstream], random.Random], Upstream | None
+]
+"""Picks one of the upstreams that this entry may use, or none."""
+
+PREFERRED_SHARE = 0.5
+"""Share of the slots of the own data centre that its entries fill first."""
 
 
 def share(amount: int, entries: int) -> int:
@@ -37,26 +52,48 @@
     return max(1, connections // max(1, entries))
 
 
-def choose(
-    candidates: collections.abc.Iterable[Upstream],
+def place(
+    upstreams: collections.abc.Collection[Upstream],
     data_centre: ids.DataCentre,
-    rng: random.Random,
-) -> Upstream | None:
-    """Pick the upstream for a request, or none when all are full.
+    position: int,
+    entries: int,
+    neighbours: int,
+) -> None:
+    """Set an entry's order of the upstreams and its preference.
 
-    :param candidates: those that may be used
     :param data_centre: the entry's own
+    :param position: of the entry among all, from 0
+    :param neighbours: entries of the own data centre, this one included
+    """
+    ordered = sorted(upstreams, key=lambda upstream: upstream.vm)
+    first = position * len(ordered) // max(1, entries)
+    for index, upstream in enumerate(ordered):
+        upstream.turn = (index - first) % len(ordered)
+        upstream.preferred = 0
+        if upstream.data_centre == data_centre:
+            own = upstream.slots * PREFERRED_SHARE / max(1, neighbours)
+            upstream.preferred = max(0, int(own) - 1)
+
+
+def choose(
+    candidates: collections.abc.Sequence[Upstream], rng: random.Random
+) -> Upstream | None:
+    """Pick the upstream with the fewest requests of this entry.
+
+    Equals are taken in the entry's own order. As these orders differ, the
+    entries fill different upstreams first without seeing each other.
     """
     best: Upstream | None = None
-    best_rank: tuple[float, ...] = ()
+    best_load = best_turn = 0
     for upstream in candidates:
-        if upstream.in_flight >= upstream.limit:
+        in_flight = upstream.in_flight
+        if in_flight >= upstream.limit:
             continue
-        rank = (
-            upstream.in_flight + upstream.peer_load,
-            upstream.data_centre != data_centre,
-            rng.random(),
-        )
-        if best is None or rank < best_rank:
-            best, best_rank = upstream, rank
+        load = max(0, in_flight - upstream.preferred)
+        if (
+            best is None
+            or load < best_load
+            or (load == best_load and upstream.turn < best_turn)
+        ):
+            best, best_load, best_turn = upstream, load, upstream.turn
     return best
