--- a/measure/entry_speed.py
+++ b/measure/entry_speed.py
@@ -130,7 +130,7 @@
             teams=(configuration.Team(name=TEAM, requests_per_s=1e6),),
         ),
         region=ids.Region('r'),
-        entries=(ids.EntryId('e'),),
+        entries={ids.EntryId('e'): ids.DataCentre('a')},
         data_centres={row.vm: ids.DataCentre('a') for row in rows},
         serving=lambda pool: rows,
     )
--- a/oleanderwood/admission.py
+++ b/oleanderwood/admission.py
@@ -71,6 +71,14 @@
     queue.length += 1
 
 
+def peek(queue: Queue) -> Waiting | None:
+    """Give the request that :func:`pop` would take."""
+    for priority in CLASSES:
+        for line in queue.teams[priority].values():
+            return line[0]
+    return None
+
+
 def pop(queue: Queue) -> Waiting | None:
     """Take the next request: by priority, then by the teams' turns."""
     for priority in CLASSES:
--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -117,8 +117,9 @@
     def pass_on(number: int, frame: typing.Any) -> None:
         try:
             sender.send(bytes((number,)))
-        except BlockingIOError:
-            LOG.warning('Signal %s was dropped: many wait.', number)
+        except OSError as error:
+            # Raised here, it would cut whatever the process does now.
+            LOG.warning('Signal %s was dropped: %s.', number, error)
 
     for number in numbers:
         signal.signal(number, pass_on)
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -482,16 +482,30 @@
         return decisions
     candidates = _candidates(state, service, now_s)
     while service.queue.length:
-        upstream = state.policy.choose(candidates, rng)
+        request = state.requests[admission.peek(service.queue).ticket]
+        upstream = _choose(state, candidates, request, rng)
         if upstream is None:
             break
-        waiting = admission.pop(service.queue)
-        assert waiting is not None
-        request = state.requests[waiting.ticket]
+        admission.pop(service.queue)
         decisions.append(_start(state, service, request, upstream))
     return decisions
 
 
+def _choose(
+    state: State,
+    candidates: list[routing.Upstream],
+    request: Request,
+    rng: random.Random,
+) -> routing.Upstream | None:
+    """Choose an upstream; those that failed the request come last."""
+    if request.tried:
+        others = [up for up in candidates if up.vm not in request.tried]
+        upstream = state.policy.choose(others, rng)
+        if upstream is not None:
+            return upstream
+    return state.policy.choose(candidates, rng)
+
+
 def _start(
     state: State,
     service: ServiceState,
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -1,5 +1,6 @@
 """Access to the request path: one caller's request to its final answer."""
 
+import collections.abc
 import dataclasses
 import functools
 import logging
@@ -52,6 +53,7 @@
     :ivar prefix: start of the request ids, new at every start
     :ivar rows: the VMs that serve, by which a decision's VM is found
     :ivar entries: how many entries share the upstreams
+    :ivar refresh: brings ``rows`` and the dispatcher up to date
     :ivar exchanges: requests between arrival and final answer
     """
 
@@ -62,6 +64,7 @@
     table: routes.Routes = routes.Routes()
     rows: dict[ids.VmId, fleet.VmRow] = dataclasses.field(default_factory=dict)
     entries: int = 1
+    refresh: collections.abc.Callable[[], None] = lambda: None
     exchanges: dict[int, attempt.Exchange] = dataclasses.field(
         default_factory=dict
     )
@@ -227,6 +230,8 @@
     except errors.CallFailed as error:
         failure = error
         verdict = error.verdict
+        if isinstance(error, permissions.Gone):
+            proxy.refresh()
         LOG.info('Attempt of %s failed: %s', exchange.request_id, error)
     except attempt.CallerFault as fault:
         await _answer_caller_fault(proxy, exchange, fault)
--- a/oleanderwood/upstreams.py
+++ b/oleanderwood/upstreams.py
@@ -23,14 +23,14 @@
     """What the request path needs to know of the world.
 
     :ivar region: the entry's own
-    :ivar entries: those that share the region's upstreams
+    :ivar entries: those that share the region's upstreams, and where
     :ivar data_centres: where the VMs are
     :ivar serving: gives the rows of a pool's VMs that may get new work
     """
 
     content: configuration.Configuration
     region: ids.Region
-    entries: tuple[ids.EntryId, ...]
+    entries: dict[ids.EntryId, ids.DataCentre]
     data_centres: dict[ids.VmId, ids.DataCentre]
     serving: Serving
 
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -114,7 +114,7 @@
             pools=(pool,), services=(served,), teams=(team,)
         ),
         region=ids.Region('r'),
-        entries=(ids.EntryId('e'),),
+        entries={ids.EntryId('e'): ids.DataCentre('a')},
         data_centres={r.vm: ids.DataCentre('a') for r in rows},
         serving=lambda pool: tuple(rows),
     )
