--- /dev/null
+++ b/oleanderwood/absence.py
@@ -0,0 +1,115 @@
+"""Access to the proof that a member needn't acknowledge a configuration.
+
+A process that left the roster, whose VM is gone, or that is isolated sends
+nothing new. An isolated one serves again only after it has read the head,
+or has caught up with a peer that acknowledged; so it may be left out of an
+apply. What it still has in flight may end under the old configuration,
+unlike at the release of a VM (:mod:`isolation`).
+"""
+
+import dataclasses
+
+import curio
+
+from oleanderwood import apply
+from oleanderwood import change
+from oleanderwood import errors
+from oleanderwood import fleet
+from oleanderwood import ids
+from oleanderwood import isolation
+from oleanderwood import messages
+from oleanderwood import operators
+from oleanderwood import peer
+from oleanderwood import roster
+from oleanderwood import store
+
+
+@dataclasses.dataclass
+class Watcher:
+    """What the proof reads.
+
+    :ivar seen: VMs that were on the VM list at some time
+    """
+
+    kept: store.Store
+    peers: peer.Peers
+    list_vms: operators.ListVms
+    seen: set[ids.VmId] = dataclasses.field(default_factory=set)
+
+
+def prover(watcher: Watcher) -> apply.Gone:
+    """Make the function that says whether a member is proven gone."""
+
+    async def gone(member: roster.Member) -> bool:
+        try:
+            return await _gone(watcher, member)
+        except (errors.CallFailed, errors.StoreConflict):
+            return False
+
+    return gone
+
+
+async def _gone(watcher: Watcher, member: roster.Member) -> bool:
+    known, _ = await change.read(watcher.kept, store.ROSTER_KEY, roster.EMPTY)
+    if not roster.holds(known, member.incarnation):
+        return True
+    if await _vm_gone(watcher, member):
+        return True
+    if await watcher.kept.get(roster.member_key(member)) is not None:
+        return False
+    others = tuple(
+        other
+        for other in roster.in_region(known, member.region)
+        if other.incarnation != member.incarnation
+    )
+    return await _unheard(watcher, member, others)
+
+
+async def _vm_gone(watcher: Watcher, member: roster.Member) -> bool:
+    """Say whether the VM was on the list, which lags, and isn't any more."""
+    listing = await watcher.list_vms(0)
+    if listing is None:
+        return False
+    listed = {vm.vm for vm in listing.vms}
+    watcher.seen |= listed
+    return member.vm in watcher.seen and member.vm not in listed
+
+
+async def _unheard(
+    watcher: Watcher,
+    member: roster.Member,
+    others: tuple[roster.Member, ...],
+) -> bool:
+    """Say whether no other member heard of it for long enough.
+
+    Each has to answer by itself: two that are cut off together may keep
+    up each other's contact.
+    """
+    place = member.data_centre
+    empty = fleet.Shard(place, ids.Revision(0), 0)
+    shard, item = await change.read(
+        watcher.kept, fleet.shard_key(place), empty
+    )
+    if item is None:
+        return False
+    request = messages.ReleaseRequest(shard)
+    async with curio.TaskGroup() as group:
+        for other in others:
+            await group.spawn(_quiet, watcher, other, member, request)
+    return all(group.results)
+
+
+async def _quiet(
+    watcher: Watcher,
+    other: roster.Member,
+    member: roster.Member,
+    request: messages.ReleaseRequest,
+) -> bool:
+    try:
+        reply = await watcher.peers.release(other.peer, request)
+    except errors.CallFailed:
+        return False
+    if reply.incarnation != other.incarnation:
+        return False
+    age_s = reply.heard_ages_s.get(member.incarnation, reply.up_s)
+    return age_s >= isolation.QUIET_S
--- a/oleanderwood/admin_api.py
+++ b/oleanderwood/admin_api.py
@@ -7,6 +7,7 @@
 import typing
 import urllib.parse
 
+import h11
 import msgspec
 
 from oleanderwood import admin_messages
@@ -20,6 +21,7 @@
 from oleanderwood import ids
 from oleanderwood import operators
 from oleanderwood import rollout
+from oleanderwood import roster
 from oleanderwood import store
 from oleanderwood import verdict as verdicts
 from oleanderwood import wave_state
@@ -88,10 +90,11 @@
     async def handle(request: http.Request) -> http.Response:
         try:
             answer = await _answer(api, routes, request)
+        except (OSError, h11.ProtocolError):
+            raise
         except Exception as error:
-            reply = _reply(error)
             LOG.info('%s %s: %s', request.method, request.target, error)
-            return _refusal(reply)
+            return _refusal(_reply(error))
         return daemon.json_response(200, answer)
 
     return handle
@@ -236,7 +239,7 @@
     if not target:
         return api.dump()
     known, _ = await change.read(
-        api.desk.links.kept, store.ROSTER_KEY, apply.EMPTY_ROSTER
+        api.desk.links.kept, store.ROSTER_KEY, roster.EMPTY
     )
     hosts = {member.peer.rpartition(':')[0] for member in known.members}
     if target.rpartition(':')[0] not in hosts:
@@ -252,7 +255,7 @@
             return error.reply
         case errors.ConfigurationFault():
             return _faults((error,))
-        case ExceptionGroup():
+        case ExceptionGroup() if _all_faults(error):
             return _faults(error.exceptions)
         case errors.StoreConflict() | errors.WaveConflict():
             return admin_messages.ErrorReply(Kind.CONFLICT, str(error))
@@ -266,7 +269,19 @@
             return admin_messages.ErrorReply(Kind.NOT_FOUND, str(error))
         case msgspec.MsgspecError() | ValueError():
             return admin_messages.ErrorReply(Kind.BAD_REQUEST, str(error))
-    raise error
+    LOG.error('A call failed by a fault of this daemon.', exc_info=error)
+    return admin_messages.ErrorReply(
+        Kind.MAY_HAVE_RUN,
+        f'{type(error).__name__}: {error}',
+        verdicts.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _all_faults(group: ExceptionGroup) -> bool:
+    return all(
+        isinstance(fault, errors.ConfigurationFault)
+        for fault in group.exceptions
+    )
 
 
 def _faults(
@@ -275,7 +290,6 @@
     said = tuple(
         admin_messages.Fault(fault.path, fault.reason, fault.remedy)
         for fault in faults
-        if isinstance(fault, errors.ConfigurationFault)
     )
     return admin_messages.ErrorReply(
         Kind.FAULTS, f'the file has {len(said)} faults', faults=said
--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -26,7 +26,6 @@
 
 RETRY_S = 0.25
 DROP_LIMIT_S = 1.0
-EMPTY_ROSTER = roster.Roster(ids.Revision(0))
 
 Gone = collections.abc.Callable[
     [roster.Member], collections.abc.Awaitable[bool]
@@ -45,7 +44,7 @@
     kept: store.Store
     peers: peer.Peers
     gone: Gone
-    prepare_limit_s: float = 15.0
+    prepare_limit_s: float = 20.0
     commit_limit_s: float = 8.0
     clock: collections.abc.Callable[[], float] = time.monotonic
     wall_clock: collections.abc.Callable[[], float] = time.time
@@ -217,7 +216,7 @@
     while True:
         try:
             known, _ = await change.read(
-                running.links.kept, store.ROSTER_KEY, EMPTY_ROSTER
+                running.links.kept, store.ROSTER_KEY, roster.EMPTY
             )
         except errors.CallFailed as error:
             LOG.warning('Roster not read: %s.', error)
@@ -227,7 +226,7 @@
 
 
 async def _prepare(running: _Run, member: roster.Member) -> rollout.Event:
-    request = messages.PrepareRequest(running.staged, running.whole)
+    request = _prepare_request(running)
     while True:
         try:
             reply = await running.links.peers.prepare(member.peer, request)
@@ -239,7 +238,18 @@
             continue
         if reply.acknowledged:
             return rollout.Acknowledged(member)
-        return rollout.Refused(member, reply.reason)
+        if reply.revision >= running.staged.revision:
+            return rollout.Refused(member, reply.reason)
+        LOG.info('%s can not yet: %s.', member.entry, reply.reason)
+        if await running.links.gone(member):
+            return rollout.Gone(member)
+        await curio.sleep(RETRY_S)
+
+
+def _prepare_request(running: _Run) -> messages.PrepareRequest:
+    return messages.PrepareRequest(
+        running.staged, running.whole, running.current.version
+    )
 
 
 async def _commit(running: _Run, member: roster.Member) -> rollout.Event:
@@ -251,8 +261,7 @@
             reply = await links.peers.commit(member.peer, request)
             if reply.revision >= staged.revision:
                 return rollout.InForce(member, reply.revision)
-            again = messages.PrepareRequest(staged, running.whole)
-            await links.peers.prepare(member.peer, again)
+            await links.peers.prepare(member.peer, _prepare_request(running))
         except errors.CallFailed as error:
             LOG.info('%s did not answer: %s.', member.entry, error)
             if await links.gone(member):
--- a/oleanderwood/operators.py
+++ b/oleanderwood/operators.py
@@ -20,6 +20,7 @@
 from oleanderwood import ids
 from oleanderwood import messages
 from oleanderwood import platform_api
+from oleanderwood import rollout
 from oleanderwood import roster
 from oleanderwood import staging
 from oleanderwood import store
@@ -142,7 +143,7 @@
     head = current.head
     if body.base is not None and body.base != head.revision:
         return apply.Applied(
-            outcome=apply.rollout.Outcome.CONFLICT,
+            outcome=rollout.Outcome.CONFLICT,
             operation=operation,
             base=body.base,
             revision=head.revision,
@@ -184,9 +185,7 @@
     """
     kept = desk.links.kept
     current = await staging.read_current(kept)
-    known, _ = await change.read(
-        kept, store.ROSTER_KEY, roster.Roster(ids.Revision(0))
-    )
+    known, _ = await change.read(kept, store.ROSTER_KEY, roster.EMPTY)
     found = await _operation(desk, operation) if operation else None
     return admin_messages.StatusReply(
         revision=current.head.revision,
