--- a/oleanderwood/http_client.py
+++ b/oleanderwood/http_client.py
@@ -4,8 +4,9 @@
 ``NOT_RUN`` only where nothing was written to the connection.
 """
 
-import collections.abc
+import contextlib
 import dataclasses
+import select
 import socket
 import typing
 
@@ -26,12 +27,16 @@
     """A connection to one address; it carries one request at a time.
 
     :ivar written: whether any byte of the current request was written
+    :ivar carries: id of the request that was sent last
+    :ivar carried: requests whose answers were read whole
     """
 
     address: ids.Address
     sock: typing.Any
     protocol: h11.Connection
     written: bool = False
+    carries: str = ''
+    carried: int = 0
 
 
 async def connect(address: ids.Address, timeout_s: float) -> Connection:
@@ -64,64 +69,109 @@
     return connection.protocol.our_state is h11.IDLE
 
 
-async def exchange(
-    connection: Connection,
-    method: str,
-    target: str,
-    headers: http.Headers,
-    body: bytes | http.Chunks = b'',
-) -> http.Response:
-    """Send one request; the response's body is read as it arrives.
+def silent(connection: Connection) -> bool:
+    """Say whether an idle connection is open and has nothing to read.
+
+    The peer may still be about to close it.
+    """
+    poll = select.poll()
+    poll.register(connection.sock.fileno(), select.POLLIN)
+    return not poll.poll(0)
 
-    The headers must carry ``host``, and ``content-length`` or
-    ``transfer-encoding`` for a body that isn't ``bytes``. The caller bounds
-    the time and closes the connection after any failure.
+
+async def shut(connection: Connection) -> None:
+    """End both directions; whoever waits on the connection sees its end."""
+    with contextlib.suppress(OSError):
+        await connection.sock.shutdown(socket.SHUT_RDWR)
+
+
+def failure(
+    connection: Connection, error: BaseException | str
+) -> errors.CallFailed:
+    """Make the error of a call that failed on this connection."""
+    verdict = verdicts.Verdict.NOT_RUN
+    if connection.written:
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+    return errors.CallFailed(verdict, f'{connection.address}: {error}')
+
+
+def encode(connection: Connection, *events: h11.Event) -> bytes:
+    """Give the bytes that send some h11 events.
+
+    :raises errors.CallFailed: the protocol doesn't allow them
+    """
+    try:
+        return b''.join(map(connection.protocol.send, events))
+    except h11.ProtocolError as error:
+        raise failure(connection, repr(error)) from error
+
+
+async def write(connection: Connection, data: bytes | memoryview) -> None:
+    """Write bytes; the first are handed over before any wait.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    while data:
+        sent = await write_some(connection, data)
+        if sent == len(data):
+            return
+        data = memoryview(data)[sent:]
+
+
+async def write_some(connection: Connection, data: bytes | memoryview) -> int:
+    """Write what the kernel takes; waits only if that is nothing.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    try:
+        sent = await connection.sock.send(data)
+    except OSError as error:
+        raise failure(connection, repr(error)) from error
+    # Only now: a send that fails before is the proof that nothing ran.
+    connection.written = True
+    return sent
+
+
+async def send_events(connection: Connection, *events: h11.Event) -> None:
+    """Send h11 events in one piece.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    await write(connection, encode(connection, *events))
+
+
+async def read_head(connection: Connection) -> http.Response:
+    """Read the answer's head; its body is read as it arrives.
+
+    May be called again after a timeout.
 
     :raises errors.CallFailed: with the verdict
     """
-    connection.written = False
     try:
-        await _send(connection, method, target, headers, body)
         event = await _head(connection)
     except (OSError, h11.ProtocolError) as error:
-        raise errors.CallFailed(
-            _verdict(connection), f'{connection.address}: {error!r}'
-        ) from error
-    return http.Response(
-        event.status_code, list(event.headers), _body(connection)
-    )
-
+        raise failure(connection, repr(error)) from error
+    return http.Response(event.status_code, event.headers, _body(connection))
 
-def _verdict(connection: Connection) -> verdicts.Verdict:
-    if connection.written:
-        return verdicts.Verdict.MAY_HAVE_RUN
-    return verdicts.Verdict.NOT_RUN
 
+def read_buffered(connection: Connection) -> tuple[bytes, bool]:
+    """Give what has arrived of an answer's body, and whether it has ended.
 
-async def _send(
-    connection: Connection,
-    method: str,
-    target: str,
-    headers: http.Headers,
-    body: bytes | http.Chunks,
-) -> None:
-    whole = isinstance(body, bytes)
-    if whole:
-        headers = headers + [(b'content-length', b'%d' % len(body))]
-    request = h11.Request(method=method, target=target, headers=headers)
-    data = connection.protocol.send(request)
-    connection.written = True
-    await connection.sock.sendall(data)
-    if whole:
-        if body:
-            event = h11.Data(data=body)
-            await http.send(connection.sock, connection.protocol, event)
-    else:
-        async for piece in body:
-            event = h11.Data(data=piece)
-            await http.send(connection.sock, connection.protocol, event)
-    end = h11.EndOfMessage()
-    await http.send(connection.sock, connection.protocol, end)
+    :raises errors.CallFailed: with the verdict
+    """
+    protocol = connection.protocol
+    pieces = []
+    try:
+        while protocol.their_state is h11.SEND_BODY:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                return b''.join(pieces), False
+            if isinstance(event, h11.Data):
+                pieces.append(event.data)
+    except h11.ProtocolError as error:
+        raise failure(connection, repr(error)) from error
+    end_cycle(connection)
+    return b''.join(pieces), True
 
 
 async def _head(connection: Connection) -> h11.Response:
@@ -133,24 +183,83 @@
             raise ConnectionResetError('closed before the answer')
 
 
-async def _body(
-    connection: Connection,
-) -> collections.abc.AsyncIterator[bytes]:
+def _body(connection: Connection) -> http.Body:
+    async def read() -> bytes:
+        try:
+            return await _piece(connection)
+        except (OSError, h11.ProtocolError) as error:
+            raise failure(connection, repr(error)) from error
+
+    return http.Body(read)
+
+
+async def _piece(connection: Connection) -> bytes:
     protocol = connection.protocol
-    try:
-        while protocol.their_state is h11.SEND_BODY:
-            event = await http.next_event(connection.sock, protocol)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError('answer was cut')
-    except (OSError, h11.ProtocolError) as error:
-        raise errors.CallFailed(
-            verdicts.Verdict.MAY_HAVE_RUN,
-            f'{connection.address}: {error!r}',
-        ) from error
-    if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+    while protocol.their_state is h11.SEND_BODY:
+        event = await http.next_event(connection.sock, protocol)
+        if isinstance(event, h11.Data):
+            if event.data:
+                return bytes(event.data)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError('answer was cut')
+    end_cycle(connection)
+    return b''
+
+
+def end_cycle(connection: Connection) -> None:
+    """Ready the connection for its next request, if it may carry one."""
+    protocol = connection.protocol
+    states = (protocol.our_state, protocol.their_state)
+    if states == (h11.DONE, h11.DONE) and not protocol.trailing_data[0]:
         protocol.start_next_cycle()
+        connection.carried += 1
+        connection.written = False
+
+
+async def exchange(
+    connection: Connection,
+    method: str,
+    target: str,
+    headers: http.Headers,
+    body: bytes | http.Chunks = b'',
+) -> http.Response:
+    """Send one request; the response's body is read as it arrives.
+
+    The headers must carry ``host``, and ``content-length`` or
+    ``transfer-encoding`` for a body that isn't ``bytes``. The caller bounds
+    the time and closes the connection after any failure.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    connection.written = False
+    if isinstance(body, bytes):
+        events = whole_request(method, target, headers, body)
+        await send_events(connection, *events)
+    else:
+        request = h11.Request(method=method, target=target, headers=headers)
+        await send_events(connection, request)
+        async for piece in body:
+            await send_events(connection, h11.Data(data=piece))
+        await send_events(connection, h11.EndOfMessage())
+    return await read_head(connection)
+
+
+def whole_request(
+    method: str, target: str, headers: http.Headers, body: bytes
+) -> list[typing.Any]:
+    """Make the events of a request whose body is at hand.
+
+    ``content-length`` is added, unless there is no body to a method that
+    usually has none.
+    """
+    if not body and method in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
+        request = h11.Request(method=method, target=target, headers=headers)
+        return [request, h11.EndOfMessage()]
+    length = (b'content-length', b'%d' % len(body))
+    request = h11.Request(
+        method=method, target=target, headers=headers + [length]
+    )
+    return [request, h11.Data(data=body), h11.EndOfMessage()]
 
 
 async def call(
@@ -172,9 +281,7 @@
             response = await exchange(connection, method, target, sent, body)
             whole = await http.read_all(response.body, SMALL_BODY_BYTES)
     except curio.TaskTimeout as error:
-        raise errors.CallFailed(
-            _verdict(connection), f'{address}: no answer in {timeout_s} s'
-        ) from error
+        raise failure(connection, f'no answer in {timeout_s} s') from error
     finally:
         await http.close(connection.sock)
     return http.Response(response.status, response.headers, whole)
