--- a/oleanderwood/absence.py
+++ b/oleanderwood/absence.py
@@ -18,10 +18,10 @@
 from oleanderwood import ids
 from oleanderwood import isolation
 from oleanderwood import messages
-from oleanderwood import operators
 from oleanderwood import peer
 from oleanderwood import roster
 from oleanderwood import store
+from oleanderwood import vm_listing
 
 
 @dataclasses.dataclass
@@ -33,7 +33,7 @@
 
     kept: store.Store
     peers: peer.Peers
-    list_vms: operators.ListVms
+    listing: vm_listing.Reader
     seen: set[ids.VmId] = dataclasses.field(default_factory=set)
 
 
@@ -67,9 +67,7 @@
 
 async def _vm_gone(watcher: Watcher, member: roster.Member) -> bool:
     """Say whether the VM was on the list, which lags, and isn't any more."""
-    listing = await watcher.list_vms(0)
-    if listing is None:
-        return False
+    listing = await vm_listing.read(watcher.listing)
     listed = {vm.vm for vm in listing.vms}
     watcher.seen |= listed
     return member.vm in watcher.seen and member.vm not in listed
--- a/oleanderwood/admin_messages.py
+++ b/oleanderwood/admin_messages.py
@@ -9,6 +9,7 @@
 from oleanderwood import difference
 from oleanderwood import history
 from oleanderwood import ids
+from oleanderwood import plan as plans
 from oleanderwood import verdict as verdicts
 from oleanderwood import wave_state
 
@@ -101,7 +102,7 @@
     """What an apply would change and move against ``revision``."""
 
     revision: ids.Revision
-    plan: difference.Plan
+    plan: plans.Plan
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True):
--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -24,7 +24,7 @@
 
 LOG = logging.getLogger('apply')
 
-RETRY_S = 0.25
+RETRY_S = 0.5
 DROP_LIMIT_S = 1.0
 
 Gone = collections.abc.Callable[
@@ -39,6 +39,7 @@
     :ivar gone: says whether a member is proven gone or isolated
     :ivar prepare_limit_s: how long members may take to acknowledge
     :ivar commit_limit_s: how long the roll-out is followed once accepted
+    :ivar retry_s: pause before a member is asked again
     """
 
     kept: store.Store
@@ -46,6 +47,7 @@
     gone: Gone
     prepare_limit_s: float = 20.0
     commit_limit_s: float = 8.0
+    retry_s: float = RETRY_S
     clock: collections.abc.Callable[[], float] = time.monotonic
     wall_clock: collections.abc.Callable[[], float] = time.time
 
@@ -220,7 +222,7 @@
             )
         except errors.CallFailed as error:
             LOG.warning('Roster not read: %s.', error)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         return rollout.RosterRead(known.members)
 
@@ -234,7 +236,7 @@
             LOG.info('%s did not acknowledge: %s.', member.entry, error)
             if await running.links.gone(member):
                 return rollout.Gone(member)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         if reply.acknowledged:
             return rollout.Acknowledged(member)
@@ -243,7 +245,7 @@
         LOG.info('%s can not yet: %s.', member.entry, reply.reason)
         if await running.links.gone(member):
             return rollout.Gone(member)
-        await curio.sleep(RETRY_S)
+        await curio.sleep(running.links.retry_s)
 
 
 def _prepare_request(running: _Run) -> messages.PrepareRequest:
@@ -266,7 +268,7 @@
             LOG.info('%s did not answer: %s.', member.entry, error)
             if await links.gone(member):
                 return rollout.Gone(member)
-        await curio.sleep(RETRY_S)
+        await curio.sleep(links.retry_s)
 
 
 async def _swap(running: _Run) -> rollout.Event:
--- a/oleanderwood/operators.py
+++ b/oleanderwood/operators.py
@@ -19,40 +19,26 @@
 from oleanderwood import history
 from oleanderwood import ids
 from oleanderwood import messages
-from oleanderwood import platform_api
+from oleanderwood import plan as plans
 from oleanderwood import rollout
 from oleanderwood import roster
 from oleanderwood import staging
 from oleanderwood import store
 from oleanderwood import validation
+from oleanderwood import vm_listing
 from oleanderwood import wave_state
 
-ListVms = collections.abc.Callable[
-    [int], collections.abc.Awaitable[platform_api.VmListing | None]
-]
 NewOperation = collections.abc.Callable[[], ids.OperationId]
 
 
 @dataclasses.dataclass
 class Desk:
-    """What the operators' calls reach.
-
-    :ivar listing: the newest VM list that was read
-    """
+    """What the operators' calls reach."""
 
     links: apply.Links
-    list_vms: ListVms
+    listing: vm_listing.Reader
     new_operation: NewOperation
     fastest_cycle_s: float = 60.0
-    listing: platform_api.VmListing = platform_api.VmListing(0, ())
-
-
-async def _live_vms(desk: Desk) -> validation.Vms:
-    """Read the VM list; the copy held serves while it hasn't changed."""
-    listing = await desk.list_vms(desk.listing.version)
-    if listing is not None:
-        desk.listing = listing
-    return validation.live(desk.listing.vms)
 
 
 async def _waves(
@@ -83,7 +69,8 @@
     """
     wanted = configuration.parse(text)
     current = await staging.read_current(desk.links.kept)
-    vms = await _live_vms(desk)
+    listing = await vm_listing.read(desk.listing)
+    vms = validation.live(listing.vms)
     waves = await _waves(desk, _regions(current.whole))
     situation = validation.Situation(
         vms=vms,
@@ -119,7 +106,7 @@
     """Say what a file would change, and which VMs it would move."""
     current, wanted, vms = await _checked(desk, body.file)
     shards = await _shards(desk, vms)
-    planned = difference.plan(current.whole, wanted, vms, shards)
+    planned = plans.make(current.whole, wanted, vms, shards)
     return admin_messages.PlanReply(current.head.revision, planned)
 
 
--- a/oleanderwood/settings.py
+++ b/oleanderwood/settings.py
@@ -17,6 +17,7 @@
 from oleanderwood import errors
 
 EXIT_BAD_SETTINGS = 2
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,6 +66,16 @@
     return Check(flag, value, 'letters, digits, ".", "_" and "-"', is_name)
 
 
+def log_level(value: str) -> Check:
+    """Check the setting ``--log-level``."""
+    return Check(
+        '--log-level',
+        value,
+        ', '.join(LOG_LEVELS),
+        lambda level: str(level).lower() in LOG_LEVELS,
+    )
+
+
 def between(flag: str, value: float, low: float, high: float) -> Check:
     """Check that a number lies between two bounds, both allowed."""
     return Check(
@@ -101,10 +112,13 @@
     )
 
 
-def run(app: cyclopts.App) -> None:
-    """Run a binary; faulty settings end it with status 2, all named."""
+def run(app: cyclopts.App) -> typing.Any:
+    """Run a binary; faulty settings end it with status 2, all named.
+
+    :returns: what the command gave
+    """
     try:
-        app()
+        return app()
     except ExceptionGroup as group:
         matched, rest = group.split(errors.SettingsFault)
         if rest is not None or matched is None:
