--- a/oleanderwood/region_leader.py
+++ b/oleanderwood/region_leader.py
@@ -37,6 +37,7 @@
 class World:
     """All that a leader reaches.
 
+    :ivar read: gives a key's newest known value; a daemon watches it
     :ivar probe: says whether an upstream accepts connections
     :ivar monotonic_s: clock of leases and of the grace period
     :ivar now_s: clock that rows are stamped by
@@ -46,6 +47,9 @@
 
     region: ids.Region
     store: stores.Store
+    read: collections.abc.Callable[
+        [str], collections.abc.Awaitable[stores.Item | None]
+    ]
     platform: platform_api.Platform
     peers: peer.Peers
     probe: orders.Probe
@@ -139,7 +143,7 @@
 
 async def read_configuration(world: World, leader: Leader) -> None:
     """Follow the configuration's head; a lower revision is refused."""
-    item = await world.store.get(stores.CONFIG_HEAD_KEY)
+    item = await world.read(stores.CONFIG_HEAD_KEY)
     if item is None:
         return
     head = codec.unpack(item.value, configuration.Head)
@@ -165,9 +169,12 @@
 
 async def read_waves(world: World, leader: Leader) -> None:
     """Read what operators ordered, and what the runs have done."""
-    key = wave_state.key(world.region)
-    empty = wave_state.Waves(world.region)
-    leader.waves = await _read(world, key, wave_state.Waves, empty)
+    item = await world.read(wave_state.key(world.region))
+    if leader.waves.value is None:
+        leader.waves.value = wave_state.Waves(world.region)
+    if item is not None and item.version > leader.waves.version:
+        value = codec.unpack(item.value, wave_state.Waves)
+        leader.waves = Kept(item.version, value)
     if leader.runs.value is None:
         runs = wave_run.Runs(world.region)
         key = wave_run.key(world.region)
@@ -356,10 +363,13 @@
     operation = ids.OperationId(f'keep-{world.new_id()}')
     data = codec.pack(value)
     try:
-        kept.version = await world.store.swap(
+        version = await world.store.swap(
             key, data, kept.version, operation, None
         )
-        kept.value = value
     except errors.StoreConflict:
-        # An operator was faster: read it again in the next pass.
-        kept.value = None
+        # An operator was faster. What it wrote is read in the next pass,
+        # and what was to be written is made again from the rows.
+        LOG.info('%s was written by another.', key)
+        return
+    kept.version = version
+    kept.value = value
--- a/tests/utils_controller.py
+++ b/tests/utils_controller.py
@@ -225,9 +225,11 @@
 def leader_world(made, leads=lambda: True):
     """Make what a leader reaches in this world."""
     registry = prometheus_client.CollectorRegistry()
+    kept = _faulty_store(made)
     return region_leader.World(
         region=REGION,
-        store=_faulty_store(made),
+        store=kept,
+        read=kept.get,
         platform=_platform(made),
         peers=_peers(made),
         probe=_probe,
