--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -28,6 +28,7 @@
 from oleanderwood import peer_grpc
 from oleanderwood import platform_http
 from oleanderwood import region_leader
+from oleanderwood import region_state
 from oleanderwood import settings
 from oleanderwood import store as stores
 from oleanderwood import store_http
@@ -67,13 +68,13 @@
     """
 
     settings: Settings
-    world: region_leader.World
+    world: region_state.World
     seat: leadership.Seat
     watched: watches.Watched
     metrics: controller_metrics.Metrics
     registry: prometheus_client.CollectorRegistry
     rng: random.Random
-    leader: region_leader.Leader | None = None
+    leader: region_state.Leader | None = None
 
 
 def create(wanted: Settings) -> Controller:
@@ -85,7 +86,7 @@
     watched = watches.Watched(store, rng)
     record = leadership.Record(ids.HolderId(wanted.name), wanted.admin_listen)
     seat = leadership.Seat(wanted.region, record)
-    world = region_leader.World(
+    world = region_state.World(
         region=wanted.region,
         store=store,
         read=functools.partial(watches.read, watched),
@@ -172,7 +173,7 @@
 
 async def _lead(controller: Controller) -> None:
     """Make passes while the lease is held."""
-    controller.leader = region_leader.Leader()
+    controller.leader = region_state.Leader()
     controller.watched.items.clear()
     controller.metrics.leads.set(1)
     region = controller.settings.region
@@ -283,7 +284,7 @@
     return state
 
 
-def _dump_leader(leader: region_leader.Leader) -> dict[str, typing.Any]:
+def _dump_leader(leader: region_state.Leader) -> dict[str, typing.Any]:
     revision = None if leader.head is None else leader.head.revision
     found = {
         'configuration': revision,
--- a/oleanderwood/release.py
+++ b/oleanderwood/release.py
@@ -25,6 +25,10 @@
 GRACE_S = 4.0
 """How long the roster has to answer whole before any VM is taken."""
 
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 3.0
+"""Pauses between rounds that bring nothing new, doubled from the first."""
+
 
 @dataclasses.dataclass
 class Releases:
@@ -39,6 +43,9 @@
     :ivar absences: of the members' keys, by incarnation
     :ivar seen_vms: VMs that the VM list has shown
     :ivar vm_gone_since_s: those of them that it shows no more
+    :ivar waiting: VMs that the last round left waiting, by epoch
+    :ivar pause_s: from the last round to the next, unless others wait
+    :ivar next_round_s: when that is over
     """
 
     released: set[tuple[ids.VmId, ids.Epoch]] = dataclasses.field(
@@ -55,6 +62,9 @@
     vm_gone_since_s: dict[ids.VmId, float] = dataclasses.field(
         default_factory=dict
     )
+    waiting: frozenset[tuple[ids.VmId, ids.Epoch]] = frozenset()
+    pause_s: float = FIRST_PAUSE_S
+    next_round_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,9 +149,12 @@
         for shard in shards.values()
         if waiting(shard, releases) or not was_settled
     ]
-    releases.blocked = {}
     if not asked:
+        releases.blocked = {}
+        return
+    if not _due(releases, asked, asker.now_s()):
         return
+    releases.blocked = {}
     await _read_members(asker, releases)
     whole = True
     for shard in asked:
@@ -152,6 +165,35 @@
         releases.whole_since_s = None
     elif releases.whole_since_s is None:
         releases.whole_since_s = asker.now_s()
+    _plan_next(releases, asked, asker.now_s())
+
+
+def _waiting_in(
+    shards: collections.abc.Iterable[fleet.Shard], releases: Releases
+) -> frozenset[tuple[ids.VmId, ids.Epoch]]:
+    return frozenset(
+        (row.vm, row.epoch)
+        for shard in shards
+        for row in waiting(shard, releases)
+    )
+
+
+def _due(releases: Releases, asked: list[fleet.Shard], now_s: float) -> bool:
+    """Say whether it is time for a round: at once for VMs that are new."""
+    if now_s >= releases.next_round_s:
+        return True
+    return not _waiting_in(asked, releases) <= releases.waiting
+
+
+def _plan_next(
+    releases: Releases, asked: list[fleet.Shard], now_s: float
+) -> None:
+    left = _waiting_in(asked, releases)
+    stuck = bool(left) and left == releases.waiting
+    pause_s = min(releases.pause_s * 2, LONGEST_PAUSE_S)
+    releases.pause_s = pause_s if stuck else FIRST_PAUSE_S
+    releases.next_round_s = now_s + releases.pause_s
+    releases.waiting = left
 
 
 def _unknown(found: isolation.Standing) -> bool:
--- a/tests/utils_controller.py
+++ b/tests/utils_controller.py
@@ -21,6 +21,7 @@
 from oleanderwood import peer
 from oleanderwood import platform_api
 from oleanderwood import region_leader
+from oleanderwood import region_state
 from oleanderwood import roster
 from oleanderwood import store
 from oleanderwood import verdict as verdicts
@@ -226,7 +227,7 @@
     """Make what a leader reaches in this world."""
     registry = prometheus_client.CollectorRegistry()
     kept = _faulty_store(made)
-    return region_leader.World(
+    return region_state.World(
         region=REGION,
         store=kept,
         read=kept.get,
@@ -449,7 +450,7 @@
 
     :returns: passes that were made
     """
-    leader = region_leader.Leader()
+    leader = region_state.Leader()
     reach = leader_world(made)
     for number in range(limit):
         if done():
@@ -458,7 +459,7 @@
         try:
             await region_leader.run_pass(reach, leader)
         except Crash:
-            leader = region_leader.Leader()
+            leader = region_state.Leader()
         except (errors.StoreConflict, errors.StoreUnavailable):
             pass
         assert reach.invariants.count == 0, reach.invariants.recent
