--- a/measure/placement_inputs.py
+++ b/measure/placement_inputs.py
@@ -73,6 +73,7 @@
     bad_workers: frozenset[ids.VmId]
     impossible: frozenset[str]
     lost_rack: ids.Rack
+    drained_rack: ids.Rack
 
 
 def generate(scale: Scale, rng: random.Random) -> Inputs:
@@ -98,7 +99,7 @@
         tuple(arrivals),
         frozenset(bad),
         frozenset(impossible),
-        rng.choice(workers).rack,
+        *rng.sample(sorted({worker.rack for worker in workers}), 2),
     )
 
 
@@ -283,3 +284,42 @@
         priority=configuration.Priority.URGENT,
     )
     return Arrival(at_s, job, truth)
+
+
+def work_bound(inputs: Inputs) -> float:
+    """Give a bound of the core-seconds that any placement can get done.
+
+    By pool: no more than its cores give, than its memory lets run, and
+    than is offered. Each task is taken as divisible, the loss of the rack
+    and the quotas are left out; so the bound holds for every way.
+    """
+    offered: dict[str, list[Arrival]] = {}
+    for arrival in inputs.arrivals:
+        if arrival.job.name not in inputs.impossible:
+            offered.setdefault(arrival.job.pool, []).append(arrival)
+    cores: dict[str, float] = {}
+    for worker in inputs.workers:
+        cores[worker.pool] = cores.get(worker.pool, 0.0) + worker.cores
+    horizon_s = inputs.scale.horizon_s
+    return sum(
+        min(
+            cores[pool] * horizon_s,
+            _memory_bound(jobs, cores[pool] * GIB_PER_CORE * horizon_s),
+        )
+        for pool, jobs in offered.items()
+    )
+
+
+def _memory_bound(jobs: list[Arrival], gib_s: float) -> float:
+    """Give the most core-seconds that some GiB-seconds let run."""
+    done = 0.0
+    jobs = [arrival for arrival in jobs if not arrival.truth.fails]
+    jobs.sort(key=lambda one: one.truth.memory_gib / one.truth.cores)
+    for arrival in jobs:
+        work = _work(arrival)
+        needed = work / arrival.truth.cores * arrival.truth.memory_gib * 0.5
+        if needed >= gib_s:
+            return done + work * gib_s / needed
+        gib_s -= needed
+        done += work
+    return done
--- a/measure/placement_loop.py
+++ b/measure/placement_loop.py
@@ -12,10 +12,13 @@
 import time
 import typing
 
+import msgspec
+
 from measure import placement_inputs
 from oleanderwood import blame as blames
 from oleanderwood import configuration
 from oleanderwood import demand as demands
+from oleanderwood import fleet
 from oleanderwood import ids
 from oleanderwood import placement
 from oleanderwood import placement_actions as actions
@@ -23,6 +26,7 @@
 from oleanderwood import platform_api
 from oleanderwood import task_row
 from oleanderwood import task_table
+from oleanderwood import urgent_placement
 from oleanderwood import verdict as verdicts
 from oleanderwood import worker_room
 
@@ -38,8 +42,11 @@
 """Time over which a copy's memory grows to its size."""
 
 ENDED_KEPT_S = 20.0
-RACK_LOSS_AT = 0.4
-"""When the rack is lost, as a share of the time followed."""
+DRAIN_AT = 0.2
+"""When a rack is drained, as a share of the time followed."""
+
+DRAINED_S = 15.0
+RACK_LOSS_AT = 0.5
 
 CANCEL_AT = 0.65
 CANCELLED_SHARE = 0.2
@@ -47,8 +54,9 @@
 CHECKPOINT_S_PER_GIB = 0.05
 FAILS_AFTER_S = 1.0
 
-_ALIVE = frozenset(
-    {platform_api.TaskState.RUNNING, platform_api.TaskState.THROTTLED}
+_ALIVE = (
+    platform_api.TaskState.RUNNING,
+    platform_api.TaskState.THROTTLED,
 )
 
 
@@ -81,6 +89,7 @@
     stops_for_room: int = 0
     throttles: int = 0
     moves: int = 0
+    moves_needed: int = 0
     out_of_memory: int = 0
     refused: int = 0
     quota_breaches: int = 0
@@ -118,6 +127,8 @@
     lost: set[ids.VmId] = dataclasses.field(default_factory=set)
     epochs: dict[str, ids.Epoch] = dataclasses.field(default_factory=dict)
     arrived_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    changed: bool = True
+    reconciled: bool = False
     alive: dict[str, set[ids.VmId]] = dataclasses.field(default_factory=dict)
     heap: list[typing.Any] = dataclasses.field(default_factory=list)
     ticket: collections.abc.Iterator[int] = dataclasses.field(
@@ -150,6 +161,7 @@
     horizon_s = inputs.scale.horizon_s
     for arrival in inputs.arrivals:
         at(loop, arrival.at_s, _arrive, arrival)
+    at(loop, horizon_s * DRAIN_AT, _drain_rack)
     at(loop, horizon_s * RACK_LOSS_AT, _lose_rack)
     at(loop, horizon_s * CANCEL_AT, _cancel)
     at(loop, 0.01, _step)
@@ -174,6 +186,8 @@
 def _arrive(loop: Loop, arrival: placement_inputs.Arrival) -> None:
     job = arrival.job
     loop.jobs[job.name] = job
+    loop.changed = True
+    loop.reconciled = False
     loop.truths[job.name] = arrival.truth
     if job.priority is configuration.Priority.URGENT:
         for index in range(job.tasks):
@@ -181,6 +195,27 @@
             loop.arrived_s[task] = loop.now_s
 
 
+def _drain_rack(loop: Loop) -> None:
+    """Drain a rack's VMs; each of their copies has to move."""
+    rack = loop.inputs.drained_rack
+    for vm, here in loop.copies.items():
+        if loop.workers[vm].rack == rack:
+            loop.figures.moves_needed += sum(
+                copy.state in _ALIVE for copy in here.values()
+            )
+    _set_state(loop, rack, fleet.VmState.DRAINING)
+    back_s = loop.now_s + DRAINED_S
+    at(loop, back_s, _set_state, rack, fleet.VmState.SERVING)
+
+
+def _set_state(loop: Loop, rack: ids.Rack, state: fleet.VmState) -> None:
+    loop.changed = True
+    loop.listed = tuple(
+        msgspec.structs.replace(one, state=state) if one.rack == rack else one
+        for one in loop.listed
+    )
+
+
 def _lose_rack(loop: Loop) -> None:
     lost = [
         worker.vm
@@ -209,12 +244,20 @@
     ]
     for name in loop.rng.sample(names, int(len(names) * CANCELLED_SHARE)):
         del loop.jobs[name]
+    loop.changed = True
+    loop.reconciled = False
 
 
 def _step(loop: Loop) -> None:
+    """Decide, unless nothing changed since the last decision."""
     at(loop, loop.now_s + STEP_S, _step)
+    if not loop.changed and not loop.arrived_s:
+        return
+    loop.changed = False
     jobs = list(loop.jobs.values())
-    task_table.reconcile(loop.table, jobs, loop.now_s)
+    if not loop.reconciled:
+        task_table.reconcile(loop.table, jobs, loop.now_s)
+        loop.reconciled = True
     began_s = time.process_time()
     decided = placement.place(
         jobs,
@@ -269,7 +312,9 @@
         figures.stops_for_room += isinstance(action, actions.StopTask)
     elif action.reason not in ('cancelled', 'still not ended'):
         figures.moves += 1
-    if loop.rng.random() >= LOST_SHARE:
+    if action.worker in loop.lost:
+        at(loop, loop.now_s + CONNECT_TIMEOUT_S, _unreachable, action.worker)
+    elif loop.rng.random() >= LOST_SHARE:
         at(loop, loop.now_s + CALL_S, _end_arrives, action)
 
 
@@ -298,6 +343,7 @@
 def _answer(
     loop: Loop, action: actions.StartTask, verdict: verdicts.Verdict
 ) -> None:
+    loop.changed |= verdict is verdicts.Verdict.NOT_RUN
     task_table.answer(
         loop.table, action.task, action.epoch, verdict, loop.now_s
     )
@@ -386,6 +432,8 @@
         platform_api.TaskState.FAILED,
         platform_api.TaskState.STOPPED,
     )
+    if copy.job not in loop.jobs:
+        return
     if lost:
         loop.figures.core_s_lost += work
     else:
@@ -477,6 +525,7 @@
 
 
 def _reported(loop: Loop, usage: platform_api.UsageReport) -> None:
+    loop.changed = True
     task_table.report(loop.table, usage, loop.now_s)
     if loop.learns:
         demands.observe(loop.demand, usage)
@@ -567,10 +616,5 @@
             if copy.state in _ALIVE:
                 _close(loop, copy, platform_api.TaskState.CHECKPOINTED)
     for arrived_s in loop.arrived_s.values():
-        if horizon_s - arrived_s > placement_limit_s():
+        if horizon_s - arrived_s > urgent_placement.URGENT_START_S:
             loop.figures.urgent_open += 1
-
-
-def placement_limit_s() -> float:
-    """Give the time within which urgent work starts."""
-    return 3.8
--- a/oleanderwood/blame.py
+++ b/oleanderwood/blame.py
@@ -1,10 +1,13 @@
 """Access to who is to blame for failed tasks: the worker or the job.
 
 A failure speaks against a worker as far as the job runs well elsewhere, and
-against a job as far as the worker runs other jobs well. A worker that fails
-everything gets nothing for a growing pause, then single probe tasks.
+against a job as far as the worker runs other jobs well. Only failures of
+copies that started after the last good one count, so that a long good past
+hides nothing. A worker that fails everything gets nothing for a growing
+pause, then single probe tasks.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -16,25 +19,33 @@
 MIN_UNEXPLAINED = 2.5
 """Failures not explained by the other side that it takes for blame."""
 
-MIN_FAILURE_SHARE = 0.8
-"""Share of failed among judged copies that it takes for blame."""
+NOT_EXPLAINED = 0.9
+"""Weight of a failure whose other side is known to be good."""
 
-UNKNOWN_FAILURE_SHARE = 0.5
-"""Assumed of a side that nothing else is known of."""
+UNKNOWN = 0.5
+"""Weight of a failure whose other side is known by nothing else."""
+
+MAX_UNKNOWN = 1.0
+"""Most that failures with one and the same unknown side weigh."""
 
-PRIOR_COPIES = 1.0
 MIN_JOB_WORKERS = 2
+"""Workers that a job has to fail on before it is held back."""
+
+MAX_JOB_FAILURES_COUNTED = 2
+"""Failures of a job that count per worker."""
+
+MEMORY_S = 900.0
+"""Time after which an outcome is forgotten."""
+
+FAILURES_KEPT = 30
 MAX_ASIDE_SHARE = 0.2
-"""Most workers of a pool that may be set aside at once."""
+"""Most workers of a pool that may be set aside at once, but one."""
 
 ASIDE_PAUSE_S = 60.0
 MAX_ASIDE_PAUSE_S = 3600.0
 HOLD_PAUSE_S = 30.0
 MAX_HOLD_PAUSE_S = 3600.0
 PROBES_TO_CLEAR = 2
-HALF_LIFE_S = 600.0
-"""Time after which an outcome weighs half."""
-
 GOOD_RUN_S = 20.0
 """A copy that ran this long speaks for its worker before its end."""
 
@@ -50,12 +61,27 @@
     ASIDE = 'aside'
 
 
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """A failed copy: when it started, and the worker or job beside it."""
+
+    started_s: float
+    other: str
+
+
 @dataclasses.dataclass
-class Outcomes:
-    """How copies ended; weights that decay."""
+class Record:
+    """What is known of one worker, by job, or of one job, by worker.
+
+    :ivar good: when the last good copy started, by the other side
+    :ivar good_s: the latest of these
+    """
 
-    good: float = 0.0
-    failed: float = 0.0
+    good: dict[str, float] = dataclasses.field(default_factory=dict)
+    good_s: float = float('-inf')
+    failures: collections.deque[Failure] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=FAILURES_KEPT)
+    )
 
 
 @dataclasses.dataclass
@@ -71,24 +97,19 @@
 class Blame:
     """What is known of failures.
 
-    :ivar pairs: outcomes by worker and job
     :ivar judged: the last epoch whose outcome was taken in, by task
+    :ivar aside: workers that are set aside or probed
+    :ivar held: jobs that are held back
     """
 
-    pairs: dict[tuple[ids.VmId, ids.JobId], Outcomes] = dataclasses.field(
-        default_factory=dict
-    )
-    by_worker: dict[ids.VmId, Outcomes] = dataclasses.field(
-        default_factory=dict
-    )
-    by_job: dict[ids.JobId, Outcomes] = dataclasses.field(default_factory=dict)
+    workers: dict[ids.VmId, Record] = dataclasses.field(default_factory=dict)
+    jobs: dict[ids.JobId, Record] = dataclasses.field(default_factory=dict)
     judged: dict[str, ids.Epoch] = dataclasses.field(default_factory=dict)
     aside: dict[ids.VmId, Penalty] = dataclasses.field(default_factory=dict)
     held: dict[ids.JobId, Penalty] = dataclasses.field(default_factory=dict)
     unreachable_at_s: dict[ids.VmId, float] = dataclasses.field(
         default_factory=dict
     )
-    decayed_at_s: float = 0.0
 
 
 def observe(
@@ -98,14 +119,14 @@
     now_s: float,
 ) -> None:
     """Take in a usage report, and judge anew whoever failed."""
-    _decay(blame, now_s)
     suspects = set()
     for entry in usage.tasks:
         good = _outcome(entry)
         if good is None or blame.judged.get(entry.task) == entry.epoch:
             continue
         blame.judged[entry.task] = entry.epoch
-        _note(blame, entry.worker, entry.job, good)
+        started_s = now_s - usage.age_s - entry.run_s
+        _note(blame, entry, good, started_s)
         _note_penalties(blame, entry, good, now_s)
         if not good:
             suspects.add((entry.worker, entry.job))
@@ -113,6 +134,20 @@
         _judge(blame, suspects, list(workers), now_s)
 
 
+def forget_job(blame: Blame, job: ids.JobId) -> None:
+    """Drop what is known of a job whose definition changed or went."""
+    blame.jobs.pop(job, None)
+    blame.held.pop(job, None)
+
+
+def restarted(blame: Blame, worker: ids.VmId, now_s: float) -> None:
+    """Take in that a worker was rebooted or replaced: it is probed anew."""
+    blame.workers.pop(worker, None)
+    penalty = blame.aside.get(worker)
+    if penalty is not None:
+        blame.aside[worker] = Penalty(now_s)
+
+
 def unreachable(blame: Blame, worker: ids.VmId, now_s: float) -> None:
     """Note that a call to a worker wasn't answered."""
     blame.unreachable_at_s[worker] = now_s
@@ -143,19 +178,24 @@
     return True if entry.run_s >= GOOD_RUN_S else None
 
 
-def _note(blame: Blame, worker: ids.VmId, job: ids.JobId, good: bool) -> None:
-    for table, key in (
-        (blame.pairs, (worker, job)),
-        (blame.by_worker, worker),
-        (blame.by_job, job),
+def _note(
+    blame: Blame,
+    entry: platform_api.TaskReport,
+    good: bool,
+    started_s: float,
+) -> None:
+    for records, key, other in (
+        (blame.workers, entry.worker, entry.job),
+        (blame.jobs, entry.job, entry.worker),
     ):
-        outcomes = table.get(key)
-        if outcomes is None:
-            outcomes = table[key] = Outcomes()
-        if good:
-            outcomes.good += 1
-        else:
-            outcomes.failed += 1
+        record = records.get(key)
+        if record is None:
+            record = records[key] = Record()
+        if not good:
+            record.failures.append(Failure(started_s, other))
+            continue
+        record.good_s = max(record.good_s, started_s)
+        record.good[other] = max(record.good.get(other, started_s), started_s)
 
 
 def _note_penalties(
@@ -181,7 +221,7 @@
     penalty.probes_good += 1
     if penalty.probes_good >= PROBES_TO_CLEAR:
         del blame.aside[worker]
-        _forget_worker(blame, worker)
+        blame.workers.pop(worker, None)
 
 
 def _extend(
@@ -194,23 +234,6 @@
     penalty.times += 1
 
 
-def _forget_worker(blame: Blame, worker: ids.VmId) -> None:
-    blame.by_worker.pop(worker, None)
-    for pair in [pair for pair in blame.pairs if pair[0] == worker]:
-        del blame.pairs[pair]
-
-
-def _decay(blame: Blame, now_s: float) -> None:
-    if now_s - blame.decayed_at_s < HALF_LIFE_S / 10:
-        return
-    factor = 0.5 ** ((now_s - blame.decayed_at_s) / HALF_LIFE_S)
-    blame.decayed_at_s = now_s
-    for table in (blame.pairs, blame.by_worker, blame.by_job):
-        for outcomes in table.values():
-            outcomes.good *= factor
-            outcomes.failed *= factor
-
-
 def _judge(
     blame: Blame,
     suspects: set[tuple[ids.VmId, ids.JobId]],
@@ -218,15 +241,15 @@
     now_s: float,
 ) -> None:
     for job in sorted({job for _, job in suspects}):
-        if _job_fails_everywhere(blame, job):
+        if _job_fails_everywhere(blame, job, now_s):
             _hold(blame, job, now_s)
     accused = [
-        (worker_suspicion(blame, worker), worker)
+        (worker_suspicion(blame, worker, now_s), worker)
         for worker in {worker for worker, _ in suspects}
     ]
     for suspicion, worker in sorted(accused, reverse=True):
         if suspicion >= MIN_UNEXPLAINED and worker not in blame.aside:
-            if _may_set_aside(blame, worker, workers, now_s):
+            if _may_set_aside(blame, worker, workers):
                 blame.aside[worker] = Penalty(now_s + ASIDE_PAUSE_S)
 
 
@@ -242,7 +265,6 @@
     blame: Blame,
     worker: ids.VmId,
     workers: list[worker_room.Worker],
-    now_s: float,
 ) -> bool:
     pools = {one.vm: one.pool for one in workers}
     pool = pools.get(worker)
@@ -253,57 +275,62 @@
     return aside + 1 <= max(1, int(len(mates) * MAX_ASIDE_SHARE))
 
 
-def worker_suspicion(blame: Blame, worker: ids.VmId) -> float:
-    """Give the failures on a worker that its jobs don't explain.
-
-    0 as long as enough of its copies ran well.
-    """
-    total = blame.by_worker.get(worker)
-    if total is None or not _mostly_failed(total):
+def worker_suspicion(blame: Blame, worker: ids.VmId, now_s: float) -> float:
+    """Weigh the failures on a worker that its jobs don't explain."""
+    record = blame.workers.get(worker)
+    if record is None:
         return 0.0
-    unexplained = 0.0
-    for (vm, job), outcomes in blame.pairs.items():
-        if vm == worker:
-            share = _failure_share_elsewhere(blame.by_job[job], outcomes)
-            unexplained += outcomes.failed * (1.0 - share)
-    return unexplained
+    return sum(
+        _weight(blame.jobs.get(ids.JobId(job)), worker, count, now_s)
+        for job, count in _streak(record, now_s).items()
+    )
 
 
-def _job_fails_everywhere(blame: Blame, job: ids.JobId) -> bool:
-    if not _mostly_failed(blame.by_job[job]):
+def _job_fails_everywhere(blame: Blame, job: ids.JobId, now_s: float) -> bool:
+    streak = _streak(blame.jobs[job], now_s)
+    if len(streak) < MIN_JOB_WORKERS:
         return False
     unexplained = 0.0
-    on_workers = 0
-    for (vm, other), outcomes in blame.pairs.items():
-        if other == job and outcomes.failed:
-            share = _failure_share_elsewhere(blame.by_worker[vm], outcomes)
-            unexplained += outcomes.failed * (1.0 - share)
-            on_workers += 1
-    return unexplained >= MIN_UNEXPLAINED and on_workers >= MIN_JOB_WORKERS
-
-
-def _mostly_failed(outcomes: Outcomes) -> bool:
-    judged = outcomes.good + outcomes.failed
-    return judged > 0 and outcomes.failed / judged >= MIN_FAILURE_SHARE
-
-
-def _failure_share_elsewhere(total: Outcomes, here: Outcomes) -> float:
-    failed = max(total.failed - here.failed, 0.0)
-    good = max(total.good - here.good, 0.0)
-    prior = UNKNOWN_FAILURE_SHARE * PRIOR_COPIES
-    return (failed + prior) / (failed + good + PRIOR_COPIES)
-
+    for worker, count in streak.items():
+        record = blame.workers.get(ids.VmId(worker))
+        counted = min(count, MAX_JOB_FAILURES_COUNTED)
+        unexplained += _weight(record, job, counted, now_s)
+    return unexplained >= MIN_UNEXPLAINED
+
+
+def _streak(record: Record, now_s: float) -> collections.Counter[str]:
+    """Count failures after the last good start, by the other side."""
+    since_s = max(record.good_s, now_s - MEMORY_S)
+    return collections.Counter(
+        failure.other
+        for failure in record.failures
+        if failure.started_s > since_s
+    )
 
-def restarted(blame: Blame, worker: ids.VmId, now_s: float) -> None:
-    """Take in that a worker was rebooted or replaced: it is probed anew."""
-    _forget_worker(blame, worker)
-    penalty = blame.aside.get(worker)
-    if penalty is not None:
-        penalty.until_s = now_s
-        penalty.times = 1
-        penalty.probes_good = 0
 
+def _weight(
+    other: Record | None, here: str, count: int, now_s: float
+) -> float:
+    """Weigh failures by what their other side did elsewhere.
 
-def may_clear_later(blame: Blame) -> list[tuple[ids.VmId, float]]:
-    """List the workers set aside, with the time of their next probe."""
-    return [(vm, penalty.until_s) for vm, penalty in blame.aside.items()]
+    :param other: the record of the other side
+    :param here: the side whose blame is asked for
+    """
+    if other is None:
+        return min(count * UNKNOWN, MAX_UNKNOWN)
+    elsewhere = sum(
+        failed for key, failed in _streak(other, now_s).items() if key != here
+    )
+    if elsewhere:
+        return min(count * UNKNOWN, MAX_UNKNOWN) / (1 + elsewhere)
+    if _was_good_elsewhere(other, here, now_s):
+        return count * NOT_EXPLAINED
+    return min(count * UNKNOWN, MAX_UNKNOWN)
+
+
+def _was_good_elsewhere(other: Record, here: str, now_s: float) -> bool:
+    return any(
+        started_s > now_s - MEMORY_S
+        for key, started_s in other.good.items()
+        if key != here
+    )
--- a/oleanderwood/placement.py
+++ b/oleanderwood/placement.py
@@ -159,7 +159,7 @@
 ) -> bool:
     job = plan.jobs[row.job]
     size = demands.size(plan.given.demand, job)
-    if not placement_plan.allowed(plan, job, size):
+    if not placement_plan.allowed(plan, job, size, policy.quota_kept_share):
         return False
     fitting = [
         room
--- a/oleanderwood/placement_plan.py
+++ b/oleanderwood/placement_plan.py
@@ -240,9 +240,17 @@
     return row.job in plan.urgent
 
 
-def allowed(plan: Plan, job: configuration.Job, size: demands.Size) -> bool:
-    """Say whether the job's team may start one more task of this size."""
+def allowed(
+    plan: Plan,
+    job: configuration.Job,
+    size: demands.Size,
+    kept_share: float = 0.0,
+) -> bool:
+    """Say whether the job's team may start one more task of this size.
+
+    :param kept_share: share of the quotas that is kept for urgent work
+    """
     team = plan.teams.get(job.team)
     return team is not None and task_quotas.allows(
-        team, plan.used[job.team], size.cores, size.memory_gib
+        team, plan.used[job.team], size.cores, size.memory_gib, kept_share
     )
--- a/oleanderwood/placement_policy.py
+++ b/oleanderwood/placement_policy.py
@@ -28,12 +28,15 @@
     :ivar order: key of a team's queue in a pool; the least comes next
     :ivar leaves_reserve: whether enough stays free for urgent work if this
         task, which isn't urgent, starts there
+    :ivar quota_kept_share: share of each team's quotas that its other work
+        keeps free for its urgent work
     :ivar preempts: whether other work gives way to urgent work
     """
 
     choose: Choose
     order: Order
     leaves_reserve: LeavesReserve
+    quota_kept_share: float = 0.25
     preempts: bool = True
 
 
@@ -89,16 +92,14 @@
     return (row.waiting_since_s, queue.team)
 
 
-def by_dominant_share(
+def by_quota_share(
     plan: placement_plan.Plan, pool: str, queue: placement_plan.Queue
 ) -> tuple[float, str]:
     """Put the team first that holds the least of its quotas."""
     team = plan.teams.get(queue.team)
     if team is None:
         return (float('inf'), queue.team)
-    share = task_quotas.dominant_share(
-        plan.used[queue.team], team.max_cores, team.max_memory_gib
-    )
+    share = task_quotas.quota_share(team, plan.used[queue.team])
     return (share, queue.team)
 
 
@@ -132,4 +133,8 @@
     return leaves_reserve
 
 
-DEFAULT = Policy(fullest, by_dominant_share, reserve_on_each(0.1))
+DEFAULT = Policy(
+    fullest,
+    by_quota_share,
+    reserve_on_each(0.1),
+)
--- a/oleanderwood/urgent_placement.py
+++ b/oleanderwood/urgent_placement.py
@@ -12,7 +12,7 @@
 URGENT_START_S = 3.8
 """Time within which urgent work starts."""
 
-START_RESERVE_S = 1.3
+START_RESERVE_S = 1.8
 """Part of it that is kept for the calls and for one refusal."""
 
 
