--- a/standins/store.py
+++ b/standins/store.py
@@ -18,7 +18,7 @@
 
 MAX_VALUE_BYTES = 1 << 20
 LEASE_POLL_S = 0.05
-KEPT_PREFIXES = ('config/head', 'shards/', 'roster', 'leader/')
+KEPT_PREFIXES = ('config/', 'shards/', 'roster', 'leader/')
 """Keys whose values the log keeps."""
 
 
