--- a/demo/processes.py
+++ b/demo/processes.py
@@ -11,6 +11,7 @@
 import dataclasses
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -217,3 +218,10 @@
     with socket.socket() as sock:
         sock.bind((ip, 0))
         return ids.Address('{}:{}'.format(*sock.getsockname()))
+
+
+def keep_logs(run: Run, directory: pathlib.Path) -> None:
+    """Copy all processes' logs to a directory that outlives the run."""
+    directory.mkdir(parents=True, exist_ok=True)
+    for child in run.children.values():
+        shutil.copy(child.log, directory)
--- /dev/null
+++ b/demo/soak.py
@@ -0,0 +1,162 @@
+"""Access to the randomised run: real processes, load, faults, a checker.
+
+The last line is ``soak: ok seed=... requests=... breaches=0 ...``, or
+``soak: failed ...`` with exit status 1.
+"""
+
+import collections
+import dataclasses
+import pathlib
+import sys
+import time
+import typing
+
+import curio
+import cyclopts
+
+from demo import checker
+from demo import daemons
+from demo import deployments
+from demo import evidence
+from demo import processes
+from demo import scene as scenes
+from demo import schedule
+from demo import strikes
+
+FILES = {
+    'klapa': pathlib.Path('examples/klapa.toml'),
+    'ascensia': pathlib.Path('examples/ascensia.toml'),
+}
+SHOWN_BREACHES = 20
+APPLY_EVERY_S = 6.0
+WAVE_EVERY_S = 1.0
+RECOVERY_S = 30.0
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a soak came to.
+
+    :ivar failures: reasons, beside breaches, why it failed
+    """
+
+    report: checker.Report
+    striker: strikes.Striker
+    waves: int = 0
+    applies: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    failures: list[str] = dataclasses.field(default_factory=list)
+
+
+def say(text: str) -> None:
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+async def soak(
+    run: processes.Run, name: str, seed: int, length_s: float, size: typing.Any
+) -> Outcome:
+    """Run one deployment under a schedule of faults, and check it.
+
+    :param name: ``klapa`` or ``ascensia``
+    """
+    deployment = await deployments.start(run, name, FILES[name], size, 0)
+    await daemons.start_all(deployment)
+    scene = scenes.make(deployment, seed)
+    say(f'soak: {name} is up, {len(run.children)} processes')
+    await scenes.begin(scene)
+    steps = schedule.draw(seed, length_s)
+    striker = strikes.Striker(deployment, time.monotonic(), say)
+    outcome = Outcome(checker.Report(), striker)
+    applying = await curio.spawn(_apply, scene, outcome)
+    waving = await curio.spawn(_wave, deployment, outcome)
+    await strikes.run(striker, steps)
+    await curio.sleep(max(0.0, striker.start_s + length_s - time.monotonic()))
+    await applying.cancel()
+    await waving.cancel()
+    await _recover(deployment, outcome)
+    await scenes.end(scene)
+    seen = await scenes.gather(scene)
+    outcome.report = checker.check(seen)
+    outcome.failures += [
+        f'{child.name} ended by itself:\n{processes.tail(child)}'
+        for child in processes.crashed(run)
+    ]
+    return outcome
+
+
+async def _apply(scene: scenes.Scene, outcome: Outcome) -> None:
+    while True:
+        await curio.sleep(APPLY_EVERY_S)
+        answer = await daemons.apply_marker(scene.deployment, scene.markers)
+        outcome.applies[answer] += 1
+
+
+async def _wave(
+    deployment: deployments.Deployment, outcome: Outcome
+) -> None:
+    """Keep a wave going; start it anew when it is done or stopped."""
+    while True:
+        if await daemons.start_wave(deployment):
+            outcome.waves += 1
+        await curio.sleep(WAVE_EVERY_S)
+
+
+async def _recover(
+    deployment: deployments.Deployment, outcome: Outcome
+) -> None:
+    """See that all daemons are ready once the faults are over."""
+    probes = daemons.all_probes(deployment)
+    try:
+        await deployments.until_ready(probes, RECOVERY_S)
+    except processes.StartFailed as error:
+        outcome.failures.append(f'no recovery: {error}')
+
+
+def summary(seed: int, outcome: Outcome, seen_s: float) -> str:
+    """Make the last line."""
+    report = outcome.report
+    good = not report.breaches and not outcome.failures
+    faults = sum(outcome.striker.done.values())
+    counts = ' '.join(f'{k}={n}' for k, n in sorted(report.outcomes.items()))
+    return (
+        f'soak: {"ok" if good else "failed"} seed={seed} '
+        f'requests={report.requests} breaches={len(report.breaches)} '
+        f'failures={len(outcome.failures)} faults={faults} '
+        f'{counts} waves={outcome.waves} '
+        f'in_force_s={report.in_force_s:.1f} '
+        f'latest_work_s={report.latest_work_s:.2f} seconds={seen_s:.0f}'
+    )
+
+
+def main(
+    *,
+    seconds: float = 60.0,
+    seed: int = 1,
+    deployment: str = 'klapa',
+    entries: int = 6,
+    keep: str = '',
+) -> None:
+    """Run a soak.
+
+    :param deployment: klapa or ascensia
+    :param keep: directory that takes the logs of a failed run
+    """
+    size = deployments.Size(entries=entries)
+    start_s = time.monotonic()
+    with processes.running() as run:
+        outcome = curio.run(soak, run, deployment, seed, seconds, size)
+        for breach in outcome.report.breaches[:SHOWN_BREACHES]:
+            say(f'soak: breach {breach}')
+        for failure in outcome.failures:
+            say(f'soak: failure {failure}')
+        failed = outcome.report.breaches or outcome.failures
+        if keep and failed:
+            processes.keep_logs(run, pathlib.Path(keep))
+    say(summary(seed, outcome, time.monotonic() - start_s))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    cyclopts.run(main)
