--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -24,9 +24,8 @@
 
 LOG = logging.getLogger('apply')
 
-RETRY_S = 0.25
+RETRY_S = 0.5
 DROP_LIMIT_S = 1.0
-EMPTY_ROSTER = roster.Roster(ids.Revision(0))
 
 Gone = collections.abc.Callable[
     [roster.Member], collections.abc.Awaitable[bool]
@@ -40,13 +39,15 @@
     :ivar gone: says whether a member is proven gone or isolated
     :ivar prepare_limit_s: how long members may take to acknowledge
     :ivar commit_limit_s: how long the roll-out is followed once accepted
+    :ivar retry_s: pause before a member is asked again
     """
 
     kept: store.Store
     peers: peer.Peers
     gone: Gone
-    prepare_limit_s: float = 15.0
+    prepare_limit_s: float = 20.0
     commit_limit_s: float = 8.0
+    retry_s: float = RETRY_S
     clock: collections.abc.Callable[[], float] = time.monotonic
     wall_clock: collections.abc.Callable[[], float] = time.time
 
@@ -217,17 +218,17 @@
     while True:
         try:
             known, _ = await change.read(
-                running.links.kept, store.ROSTER_KEY, EMPTY_ROSTER
+                running.links.kept, store.ROSTER_KEY, roster.EMPTY
             )
         except errors.CallFailed as error:
             LOG.warning('Roster not read: %s.', error)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         return rollout.RosterRead(known.members)
 
 
 async def _prepare(running: _Run, member: roster.Member) -> rollout.Event:
-    request = messages.PrepareRequest(running.staged, running.whole)
+    request = _prepare_request(running)
     while True:
         try:
             reply = await running.links.peers.prepare(member.peer, request)
@@ -235,11 +236,22 @@
             LOG.info('%s did not acknowledge: %s.', member.entry, error)
             if await running.links.gone(member):
                 return rollout.Gone(member)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         if reply.acknowledged:
             return rollout.Acknowledged(member)
-        return rollout.Refused(member, reply.reason)
+        if reply.revision >= running.staged.revision:
+            return rollout.Refused(member, reply.reason)
+        LOG.info('%s can not yet: %s.', member.entry, reply.reason)
+        if await running.links.gone(member):
+            return rollout.Gone(member)
+        await curio.sleep(running.links.retry_s)
+
+
+def _prepare_request(running: _Run) -> messages.PrepareRequest:
+    return messages.PrepareRequest(
+        running.staged, running.whole, running.current.version
+    )
 
 
 async def _commit(running: _Run, member: roster.Member) -> rollout.Event:
@@ -251,13 +263,12 @@
             reply = await links.peers.commit(member.peer, request)
             if reply.revision >= staged.revision:
                 return rollout.InForce(member, reply.revision)
-            again = messages.PrepareRequest(staged, running.whole)
-            await links.peers.prepare(member.peer, again)
+            await links.peers.prepare(member.peer, _prepare_request(running))
         except errors.CallFailed as error:
             LOG.info('%s did not answer: %s.', member.entry, error)
             if await links.gone(member):
                 return rollout.Gone(member)
-        await curio.sleep(RETRY_S)
+        await curio.sleep(links.retry_s)
 
 
 async def _swap(running: _Run) -> rollout.Event:
