--- /dev/null
+++ b/demo/daemons.py
@@ -0,0 +1,178 @@
+"""Access to the daemons of a deployment, and to its command line."""
+
+import enum
+import json
+import sys
+import typing
+
+import curio
+import curio.subprocess
+
+from demo import deployments
+from demo import marker
+from demo import processes
+from oleanderwood import ids
+
+DRAIN_NOTICE_S = 1.0
+CTL_TIMEOUT_S = 40.0
+
+
+class Kind(enum.Enum):
+    """The daemons that run on the system's own VMs."""
+
+    ENTRY = 'entry'
+    CONTROLLER = 'controller'
+    ADMIN = 'admin'
+
+
+def arguments(
+    deployment: deployments.Deployment, vm: deployments.OwnVm, kind: Kind
+) -> list[str]:
+    """Give the command line of a daemon, from ``-m`` on."""
+    module = f'oleanderwood.{kind.value}'
+    common = ['--store', deployment.store, '--platform', deployment.platform]
+    region = ['--region', deployment.region]
+    match kind:
+        case Kind.ENTRY:
+            specific = _entry(deployment, vm)
+        case Kind.CONTROLLER:
+            specific = ['--name', vm.name]
+            specific += ['--admin-listen', vm.controller_probes]
+            specific += ['--tick-s', '0.5']
+        case Kind.ADMIN:
+            specific = ['--listen', vm.admin]
+            specific += ['--admin-listen', vm.admin_probes]
+            specific += ['--data-centre', vm.data_centre]
+            specific += ['--fastest-cycle-s', '0.5']
+    return [module, *common, *region, *specific]
+
+
+def _entry(
+    deployment: deployments.Deployment, vm: deployments.OwnVm
+) -> list[str]:
+    peers = [other.peer for other in deployment.vms if other is not vm]
+    return [
+        *('--entry-id', vm.name),
+        *('--vm', vm.name),
+        *('--data-centre', vm.data_centre),
+        *('--listen', vm.listen),
+        *('--admin-listen', vm.entry_probes),
+        *('--peer-listen', vm.peer),
+        *('--drain-notice-s', str(DRAIN_NOTICE_S)),
+        *[word for peer in peers for word in ('--peer', peer)],
+    ]
+
+
+def start(
+    deployment: deployments.Deployment, vm: deployments.OwnVm, kind: Kind
+) -> processes.Child:
+    """Start one daemon on one VM."""
+    name = f'{vm.name}-{kind.value}'
+    words = arguments(deployment, vm, kind)
+    vm.daemons[kind] = processes.start(deployment.run, name, *words)
+    return vm.daemons[kind]
+
+
+def probes(vm: deployments.OwnVm, kind: Kind) -> ids.Address:
+    """Give the address of a daemon's probes."""
+    return {
+        Kind.ENTRY: vm.entry_probes,
+        Kind.CONTROLLER: vm.controller_probes,
+        Kind.ADMIN: vm.admin_probes,
+    }[kind]
+
+
+def all_probes(
+    deployment: deployments.Deployment,
+) -> list[ids.Address]:
+    """Give the probe addresses of all daemons that were started."""
+    return [probes(vm, kind) for vm in deployment.vms for kind in vm.daemons]
+
+
+async def start_all(deployment: deployments.Deployment) -> None:
+    """Start all daemons, apply the file, and wait until all are ready.
+
+    :raises processes.StartFailed: they don't come up, or the file isn't
+        accepted
+    """
+    size = deployment.size
+    counts = {
+        Kind.ENTRY: size.entries,
+        Kind.ADMIN: size.admins,
+        Kind.CONTROLLER: size.controllers,
+    }
+    for kind, count in counts.items():
+        for vm in deployment.vms[:count]:
+            start(deployment, vm, kind)
+    admins = [vm.admin_probes for vm in deployment.vms[: size.admins]]
+    await deployments.until_ready(deployment.run, admins)
+    await deployments.until_alive(
+        deployment.run,
+        [vm.entry_probes for vm in deployment.vms[: size.entries]],
+    )
+    answer = await ctl(deployment, 'apply', str(deployment.file))
+    if answer.status:
+        raise processes.StartFailed(f'apply: {answer}')
+    await deployments.until_ready(deployment.run, all_probes(deployment))
+
+
+class Answer(typing.NamedTuple):
+    """How a call of the command line ended."""
+
+    status: int
+    output: str
+    errors: str
+
+    def json(self) -> typing.Any:
+        """Decode its output."""
+        return json.loads(self.output)
+
+
+async def ctl(
+    deployment: deployments.Deployment, *words: str, json_output: bool = True
+) -> Answer:
+    """Run ``oleanderctl`` against the deployment's administration API.
+
+    A call that takes too long is ended; its status is -9.
+    """
+    admins = [vm.admin for vm in deployment.vms if Kind.ADMIN in vm.daemons]
+    command = [sys.executable, '-m', 'oleanderwood.ctl', *words]
+    for address in admins:
+        command += ['--admin', address]
+    command += ['--timeout-s', '15']
+    if json_output:
+        command.append('--json')
+    child = curio.subprocess.Popen(
+        command,
+        stdin=curio.subprocess.DEVNULL,
+        stdout=curio.subprocess.PIPE,
+        stderr=curio.subprocess.PIPE,
+    )
+    try:
+        async with curio.timeout_after(CTL_TIMEOUT_S):
+            output, errors = await child.communicate()
+    except curio.TaskTimeout:
+        return Answer(-9, '', 'took too long')
+    finally:
+        if child.poll() is None:
+            child.kill()
+            await child.wait()
+    return Answer(child.returncode, output.decode(), errors.decode())
+
+
+async def apply_marker(
+    deployment: deployments.Deployment, markers: marker.Markers
+) -> Answer:
+    """Apply the file with the marker's next route."""
+    text = deployment.file.read_text()
+    marked = marker.mark(text, deployment.whole, markers)
+    file = (
+        deployment.run.directory / f'{deployment.name}-{markers.newest}.toml'
+    )
+    file.write_text(marked)
+    return await ctl(deployment, 'apply', str(file))
+
+
+async def start_wave(deployment: deployments.Deployment, wave: str) -> Answer:
+    """Start a wave, or let a paused one go on."""
+    return await ctl(deployment, 'wave', 'start', wave)
--- a/demo/deployments.py
+++ b/demo/deployments.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import pathlib
 import time
 
@@ -56,9 +57,9 @@
     controller_probes: ids.Address
     admin: ids.Address
     admin_probes: ids.Address
-    entry: processes.Child | None = None
-    controller: processes.Child | None = None
-    admin_process: processes.Child | None = None
+    daemons: dict[enum.Enum, processes.Child] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
@@ -229,7 +230,29 @@
     return answer.status == 200
 
 
+async def alive(probes: ids.Address) -> bool:
+    """Say whether a daemon answers its probes."""
+    try:
+        await http_client.call(probes, 'GET', '/healthz', timeout_s=1.0)
+    except errors.CallFailed:
+        return False
+    return True
+
+
+async def until_alive(
+    run: processes.Run,
+    all_probes: collections.abc.Iterable[ids.Address],
+    timeout_s: float = READY_TIMEOUT_S,
+) -> float:
+    """Wait until daemons answer; give how long it took.
+
+    :raises processes.StartFailed: not all do in time
+    """
+    return await _until(run, alive, all_probes, timeout_s)
+
+
 async def until_ready(
+    run: processes.Run,
     all_probes: collections.abc.Iterable[ids.Address],
     timeout_s: float = READY_TIMEOUT_S,
 ) -> float:
@@ -237,13 +260,25 @@
 
     :raises processes.StartFailed: not all are in time
     """
+    return await _until(run, ready, all_probes, timeout_s)
+
+
+async def _until(
+    run: processes.Run,
+    holds: collections.abc.Callable,
+    all_probes: collections.abc.Iterable[ids.Address],
+    timeout_s: float,
+) -> float:
     start_s = time.monotonic()
     waiting = list(all_probes)
     while waiting:
         if time.monotonic() - start_s > timeout_s:
             names = ', '.join(waiting)
-            raise processes.StartFailed(f'not ready in time: {names}')
-        if await ready(waiting[0]):
+            raise processes.StartFailed(f'not {holds.__name__}: {names}')
+        for child in processes.crashed(run):
+            reason = processes.tail(child)
+            raise processes.StartFailed(f'{child.name} ended:\n{reason}')
+        if await holds(waiting[0]):
             waiting.pop(0)
         else:
             await curio.sleep(POLL_S)
--- a/demo/scene.py
+++ b/demo/scene.py
@@ -32,6 +32,11 @@
     tasks: list[curio.Task] = dataclasses.field(default_factory=list)
 
 
+def make(deployment: deployments.Deployment, seed: int) -> Scene:
+    """Make a scene in which nothing happened yet."""
+    return Scene(deployment, seed, marker.Markers())
+
+
 def kinds(
     deployment: deployments.Deployment,
 ) -> tuple[callers.Kind, ...]:
--- a/demo/soak.py
+++ b/demo/soak.py
@@ -17,7 +17,6 @@
 from demo import checker
 from demo import daemons
 from demo import deployments
-from demo import evidence
 from demo import processes
 from demo import scene as scenes
 from demo import schedule
@@ -93,9 +92,7 @@
         outcome.applies[answer] += 1
 
 
-async def _wave(
-    deployment: deployments.Deployment, outcome: Outcome
-) -> None:
+async def _wave(deployment: deployments.Deployment, outcome: Outcome) -> None:
     """Keep a wave going; start it anew when it is done or stopped."""
     while True:
         if await daemons.start_wave(deployment):
@@ -109,7 +106,7 @@
     """See that all daemons are ready once the faults are over."""
     probes = daemons.all_probes(deployment)
     try:
-        await deployments.until_ready(probes, RECOVERY_S)
+        await deployments.until_ready(deployment.run, probes, RECOVERY_S)
     except processes.StartFailed as error:
         outcome.failures.append(f'no recovery: {error}')
 
