--- a/demo/callers.py
+++ b/demo/callers.py
@@ -90,13 +90,14 @@
     think_s: float = 0.05
     repeat_doubtful: bool = True
     connection: http_client.Connection | None = None
+    stopping: bool = False
 
 
 async def run(caller: Caller) -> None:
-    """Make one request after the other until cancelled."""
+    """Make one request after the other until told to stop."""
     weights = [kind.weight for kind in caller.kinds]
     try:
-        while True:
+        while not caller.stopping:
             kind = caller.rng.choices(caller.kinds, weights)[0]
             await request(caller, kind)
             await curio.sleep(caller.rng.uniform(0, 2 * caller.think_s))
--- a/demo/daemons.py
+++ b/demo/daemons.py
@@ -1,16 +1,20 @@
 """Access to the daemons of a deployment, and to its command line."""
 
+import collections
 import enum
 import json
 import sys
+import time
 import typing
 
 import curio
 import curio.subprocess
 
 from demo import deployments
+from demo import evidence
 from demo import marker
 from demo import processes
+from oleanderwood import http_client
 from oleanderwood import ids
 
 DRAIN_NOTICE_S = 1.0
@@ -114,6 +118,48 @@
     if answer.status:
         raise processes.StartFailed(f'apply: {answer}')
     await deployments.until_ready(deployment.run, all_probes(deployment))
+    await until_serving(deployment)
+
+
+async def until_serving(
+    deployment: deployments.Deployment,
+    timeout_s: float = deployments.READY_TIMEOUT_S,
+) -> float:
+    """Wait until all pools have their VMs and the balancer its entries.
+
+    :returns: how long it took
+    :raises processes.StartFailed: it isn't so in time
+    """
+    start_s = time.monotonic()
+    while time.monotonic() - start_s < timeout_s:
+        if await _serves(deployment):
+            return time.monotonic() - start_s
+        await curio.sleep(deployments.POLL_S)
+    raise processes.StartFailed('the pools were not filled in time')
+
+
+async def _serves(deployment: deployments.Deployment) -> bool:
+    answer = await http_client.call(deployment.balancer, 'GET', '/entries')
+    if len(json.loads(answer.body)) < len(deployment.vms):
+        return False
+    writes = await evidence.fetch_log(deployment.store, evidence.StoreWrite)
+    up = serving(writes)
+    return all(up[p.name] >= p.size for p in deployment.whole.pools)
+
+
+def serving(
+    writes: list[evidence.StoreWrite],
+) -> collections.Counter[str]:
+    """Count the VMs that serve each pool, by the store's last writes."""
+    fleet = evidence.Fleet()
+    for _, _, fleet in evidence.fleets(writes):
+        pass
+    return collections.Counter(
+        row.pool
+        for rows in fleet.shards.values()
+        for row in rows.values()
+        if row.state == evidence.SERVING
+    )
 
 
 class Answer(typing.NamedTuple):
--- a/demo/scene.py
+++ b/demo/scene.py
@@ -29,7 +29,9 @@
     markers: marker.Markers
     attempts: list[callers.Attempt] = dataclasses.field(default_factory=list)
     probes: list[marker.Sighting] = dataclasses.field(default_factory=list)
+    asking: list[callers.Caller] = dataclasses.field(default_factory=list)
     tasks: list[curio.Task] = dataclasses.field(default_factory=list)
+    probing: curio.Task | None = None
 
 
 def make(deployment: deployments.Deployment, seed: int) -> Scene:
@@ -88,18 +90,18 @@
             random.Random(rng.random()),
             scene.attempts,
         )
+        scene.asking.append(caller)
         scene.tasks.append(await curio.spawn(callers.run, caller))
-    scene.tasks.append(await curio.spawn(_probe, scene))
+    scene.probing = await curio.spawn(_probe, scene)
 
 
 async def end(scene: Scene) -> None:
-    """Stop the callers; what they had under way isn't counted.
-
-    A request under way is waited for, so that its end is known.
-    """
+    """Stop the callers, each after the end of its request."""
+    for caller in scene.asking:
+        caller.stopping = True
+    await scene.probing.cancel()
     for task in scene.tasks:
-        await task.cancel()
-    scene.attempts[:] = [a for a in scene.attempts if a.end_s]
+        await task.join()
 
 
 async def _probe(scene: Scene) -> None:
