--- a/demo/scene.py
+++ b/demo/scene.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import random
+import time
 
 import curio
 
@@ -32,6 +33,7 @@
     asking: list[callers.Caller] = dataclasses.field(default_factory=list)
     tasks: list[curio.Task] = dataclasses.field(default_factory=list)
     probing: curio.Task | None = None
+    began_s: float = 0.0
 
 
 def make(deployment: deployments.Deployment, seed: int) -> Scene:
@@ -81,6 +83,7 @@
 
 async def begin(scene: Scene, count: int = CALLERS) -> None:
     """Start the callers and the probes of the configuration."""
+    scene.began_s = time.monotonic()
     rng = random.Random(scene.seed)
     of_deployment = kinds(scene.deployment)
     for _ in range(count):
