Count the bytes that each daemon spends for control

Cause: the users bound control traffic at 6 KB a second a daemon, and nothing told an operator, or a measurement, what is spent. Ruled out: reading the kernel's counters (none are kept per process). Heads are counted by their lines, gRPC messages by payload plus a fixed overhead; TCP and IP are left out. Conclusion: metric oleander_control_bytes_total by channel and direction, on all three daemons; the admin daemon's store calls are counted as well, which they were not before.

--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -26,6 +26,7 @@
 from oleanderwood import settings
 from oleanderwood import store
 from oleanderwood import store_http
+from oleanderwood import traffic
 from oleanderwood import vm_listing
 
 LOG = logging.getLogger('admin')
@@ -82,10 +83,12 @@
 
 
 async def serve(
-    listen: ids.Address, probes_listen: ids.Address, api: admin_api.Api
+    listen: ids.Address,
+    probes_listen: ids.Address,
+    api: admin_api.Api,
+    registry: prometheus_client.CollectorRegistry,
 ) -> None:
     """Serve until a signal asks to stop; calls in progress are finished."""
-    registry = prometheus_client.CollectorRegistry()
     metrics = admin_metrics.create(registry)
     handler = admin_metrics.counted(metrics, admin_api.make_handler(api))
     await _serve(listen, probes_listen, api, handler, registry)
@@ -181,12 +184,20 @@
     limits: Limits,
     token: str,
 ) -> None:
-    kept = store_http.connect(stores, calls_per_s=CALLS_PER_S)
-    client = peer_grpc.connect()
-    list_vms = platform_http.connect(platform).list_vms
+    registry = prometheus_client.CollectorRegistry()
+    control_bytes = traffic.counter(registry)
+    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
+    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
+    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
+    kept = store_http.connect(
+        stores, registry, calls_per_s=CALLS_PER_S, count=count_store
+    )
+    client = peer_grpc.connect(count_peers)
+    listing = platform_http.connect(platform, count=count_platform)
+    list_vms = listing.list_vms
     api = make_api(kept, peer_grpc.calls(client), list_vms, limits, token)
     try:
-        await serve(listen, probes_listen, api)
+        await serve(listen, probes_listen, api, registry)
     finally:
         peer_grpc.close(client)
 
--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -32,6 +32,7 @@
 from oleanderwood import settings
 from oleanderwood import store as stores
 from oleanderwood import store_http
+from oleanderwood import traffic
 from oleanderwood import watched as watches
 from oleanderwood import wave_state
 
@@ -82,7 +83,11 @@
     registry = prometheus_client.CollectorRegistry()
     metrics = controller_metrics.create(registry)
     rng = random.Random()
-    store = store_http.connect(wanted.store, registry)
+    control_bytes = traffic.counter(registry)
+    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
+    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
+    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
+    store = store_http.connect(wanted.store, registry, count=count_store)
     watched = watches.Watched(store, rng)
     record = leadership.Record(ids.HolderId(wanted.name), wanted.admin_listen)
     seat = leadership.Seat(wanted.region, record)
@@ -91,9 +96,11 @@
         store=store,
         read=functools.partial(watches.read, watched),
         platform=platform_http.connect(
-            wanted.platform, on_call=_count_call(metrics)
+            wanted.platform,
+            on_call=_count_call(metrics),
+            count=count_platform,
         ),
-        peers=peer_grpc.calls(peer_grpc.connect()),
+        peers=peer_grpc.calls(peer_grpc.connect(count_peers)),
         probe=accepts_connections,
         monotonic_s=time.monotonic,
         now_s=time.time,
--- a/oleanderwood/entry_parts.py
+++ b/oleanderwood/entry_parts.py
@@ -25,6 +25,7 @@
 from oleanderwood import proxy as proxies
 from oleanderwood import roster
 from oleanderwood import store_http
+from oleanderwood import traffic
 from oleanderwood import upstreams
 from oleanderwood import view as views
 
@@ -75,8 +76,12 @@
     """
     registry = prometheus_client.CollectorRegistry()
     rng = random.Random()
-    peer_server = peer_grpc.listen(wanted.peer_listen)
-    peer_client = peer_grpc.connect()
+    control_bytes = traffic.counter(registry)
+    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
+    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
+    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
+    peer_server = peer_grpc.listen(wanted.peer_listen, count_peers)
+    peer_client = peer_grpc.connect(count_peers)
     member = roster.Member(
         entry=wanted.entry_id,
         incarnation=uuid.uuid4().hex[:12],
@@ -95,8 +100,8 @@
         rng,
     )
     node = nodes.make(
-        _node_settings(wanted, proxy, rng),
-        store_http.connect(wanted.store, registry),
+        _node_settings(wanted, proxy, rng, count_platform),
+        store_http.connect(wanted.store, registry, count=count_store),
         peer_grpc.calls(peer_client),
         view,
     )
@@ -120,12 +125,16 @@
 
 
 def _node_settings(
-    wanted: Settings, proxy: proxies.Proxy, rng: random.Random
+    wanted: Settings,
+    proxy: proxies.Proxy,
+    rng: random.Random,
+    count_platform: traffic.Count,
 ) -> nodes.Settings:
     state = proxy.tickets.state
     list_vms = None
     if wanted.platform is not None:
-        list_vms = platform_http.connect(wanted.platform).list_vms
+        platform = platform_http.connect(wanted.platform, count=count_platform)
+        list_vms = platform.list_vms
 
     def take_loads(entry: ids.EntryId, loads: typing.Any) -> None:
         dispatch.set_peer_loads(state, entry, loads, time.monotonic())
--- a/oleanderwood/peer_grpc.py
+++ b/oleanderwood/peer_grpc.py
@@ -20,6 +20,7 @@
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood import peer
+from oleanderwood import traffic
 from oleanderwood import verdict as verdicts
 
 LOG = logging.getLogger('peer')
@@ -67,18 +68,22 @@
     address: ids.Address
     grpc_server: grpc.Server
     incoming: curio.UniversalQueue
+    count: traffic.Count
 
 
 @dataclasses.dataclass
 class Client:
     """Channels to peers, the one used last at the end."""
 
+    count: traffic.Count = traffic.uncounted
     channels: collections.OrderedDict[ids.Address, grpc.Channel] = (
         dataclasses.field(default_factory=collections.OrderedDict)
     )
 
 
-def listen(address: ids.Address) -> Server:
+def listen(
+    address: ids.Address, count: traffic.Count = traffic.uncounted
+) -> Server:
     """Listen for peer calls; :func:`run` answers them.
 
     :raises OSError: the address can't be bound
@@ -104,7 +109,8 @@
     except RuntimeError as error:
         raise OSError(f'{address} can not be bound: {error}') from error
     server.start()
-    return Server(ids.Address(f'{host}:{port}'), server, incoming)
+    bound = ids.Address(f'{host}:{port}')
+    return Server(bound, server, incoming, count)
 
 
 def _hand_over(incoming: curio.UniversalQueue, name: str) -> typing.Any:
@@ -136,11 +142,14 @@
             call = await server.incoming.get()
             method = methods[call.method]
             handler = handlers[call.method]
-            await group.spawn(_answer, call, method, handler)
+            await group.spawn(_answer, server, call, method, handler)
 
 
 async def _answer(
-    call: _Incoming, method: peer.Method, handler: peer.Handler
+    server: Server,
+    call: _Incoming,
+    method: peer.Method,
+    handler: peer.Handler,
 ) -> None:
     try:
         request = _unpacked(call.request, method.request)
@@ -154,6 +163,7 @@
         LOG.exception('Answering %s failed.', method.name)
         call.answer.set_exception(error)
     else:
+        _count(server.count, len(reply), len(call.request))
         call.answer.set_result(reply)
 
 
@@ -164,15 +174,23 @@
         raise errors.BadMessage(400, f'{kind.__name__}: {error}') from error
 
 
+def _count(count: traffic.Count, sent_bytes: int, received_bytes: int) -> None:
+    overhead_bytes = traffic.RPC_OVERHEAD_BYTES
+    count(sent_bytes + overhead_bytes, received_bytes + overhead_bytes)
+
+
 async def stop(server: Server) -> None:
     """Stop listening; calls in progress get a moment to end."""
     stopped = server.grpc_server.stop(STOP_GRACE_S)
     await curio.run_in_thread(stopped.wait)
 
 
-def connect() -> Client:
-    """Make a client; channels open when needed."""
-    return Client()
+def connect(count: traffic.Count = traffic.uncounted) -> Client:
+    """Make a client; channels open when needed.
+
+    :param count: told of the bytes of each call
+    """
+    return Client(count)
 
 
 def close(client: Client) -> None:
@@ -193,14 +211,17 @@
 
     async def call(address: ids.Address, request: typing.Any) -> typing.Any:
         send = _channel(client, address).unary_unary(path)
-        pending = send.future(codec.pack(request), timeout=method.timeout_s)
+        data = codec.pack(request)
+        pending = send.future(data, timeout=method.timeout_s)
         ended = curio.UniversalEvent()
         pending.add_done_callback(lambda _: ended.set())
         try:
             await ended.wait()
         finally:
             pending.cancel()
-        return _outcome(pending, address, method)
+        reply = _outcome(pending, address, method)
+        _count(client.count, len(data), len(pending.result()))
+        return reply
 
     return call
 
--- a/oleanderwood/platform_http.py
+++ b/oleanderwood/platform_http.py
@@ -18,6 +18,7 @@
 from oleanderwood import http_client
 from oleanderwood import ids
 from oleanderwood import platform_api
+from oleanderwood import traffic
 from oleanderwood import verdict as verdicts
 
 TIMEOUT_S = 3.0
@@ -48,6 +49,7 @@
     address: ids.Address
     timeout_s: float
     on_call: OnCall
+    count: traffic.Count = traffic.uncounted
     idle: list[http_client.Connection] = dataclasses.field(
         default_factory=list
     )
@@ -61,14 +63,16 @@
     address: ids.Address,
     timeout_s: float = TIMEOUT_S,
     on_call: OnCall = _ignore,
+    count: traffic.Count = traffic.uncounted,
 ) -> platform_api.Platform:
     """Make the platform's calls; connections are opened when needed.
 
     :param address: where the platform's interfaces listen
     :param timeout_s: bound of one call; the VM list has a longer one
     :param on_call: told of each call and how it ended
+    :param count: told of the bytes of each call
     """
-    link = Link(address, timeout_s, on_call)
+    link = Link(address, timeout_s, on_call, count)
     return platform_api.Platform(
         list_vms=_list_vms(link),
         vm_status=_vm_status(link),
@@ -204,6 +208,10 @@
         )
         whole = await http.read_all(response.body, MAX_BODY_BYTES)
         keep = http_client.usable(connection)
+        link.count(
+            traffic.request_bytes(link.address, target, data),
+            traffic.message_bytes(response.headers, whole),
+        )
     except ValueError as error:
         raise errors.CallFailed(
             verdicts.Verdict.MAY_HAVE_RUN, str(error)
--- a/oleanderwood/store_http.py
+++ b/oleanderwood/store_http.py
@@ -16,6 +16,7 @@
 from oleanderwood import ids
 from oleanderwood import store
 from oleanderwood import store_client
+from oleanderwood import traffic
 from oleanderwood import verdict as verdicts
 
 ATTEMPT_TIMEOUT_S = 1.5
@@ -50,6 +51,7 @@
 
     addresses: tuple[ids.Address, ...]
     timeout_s: float
+    count: traffic.Count = traffic.uncounted
     idle: list[tuple[http_client.Connection, float]] = dataclasses.field(
         default_factory=list
     )
@@ -62,14 +64,16 @@
     calls_per_s: float = CALLS_PER_S,
     timeout_s: float = ATTEMPT_TIMEOUT_S,
     timing: store_client.Timing | None = None,
+    count: traffic.Count = traffic.uncounted,
 ) -> store.Store:
     """Make a client of the store; connections open when needed.
 
     :param addresses: of the store's front ends; any may answer
     :param registry: takes the counters of calls
     :param timeout_s: of one attempt
+    :param count: told of the bytes of each call
     """
-    pool = _Pool(tuple(addresses), timeout_s)
+    pool = _Pool(tuple(addresses), timeout_s, count)
     burst = max(BURST_CALLS, calls_per_s)
     budget = call_budget.make(calls_per_s, burst, time.monotonic())
     metrics = None
@@ -170,6 +174,10 @@
         async with curio.timeout_after(pool.timeout_s + extra_s):
             response = await _exchange(connection, method, target, body)
         done = http_client.usable(connection)
+        pool.count(
+            traffic.request_bytes(connection.address, target, body),
+            traffic.message_bytes(response.headers, response.body),
+        )
         return response
     except curio.TaskTimeout as error:
         raise errors.CallFailed(
