Split the server and the attempt; don't blame upstreams for hurried callers

A caller with a deadline shorter than the service's timeout made an upstream look failed, so that a few such callers could get all upstreams ejected; the outcome says now whether the time-out was the upstream's. The flag that bytes were written was cleared at the end of an answer, where a later failure could have been called NOT_RUN; it is cleared when the connection is taken for the next request.

--- a/oleanderwood/attempt.py
+++ b/oleanderwood/attempt.py
@@ -5,8 +5,6 @@
 """
 
 import collections.abc
-import dataclasses
-import logging
 import math
 import time
 import typing
@@ -14,96 +12,28 @@
 import curio
 import h11
 
-from oleanderwood import configuration
 from oleanderwood import connections
 from oleanderwood import errors
+from oleanderwood import exchange as exchanges
 from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import invariants
 from oleanderwood import permissions
 from oleanderwood import request_headers
+from oleanderwood import upload as uploads
 from oleanderwood import verdict as verdicts
 
-LOG = logging.getLogger('entry')
-
 T = typing.TypeVar('T')
 
 BODILESS_STATUSES = (204, 304)
 
 
-@dataclasses.dataclass
-class Exchange:
-    """One caller's request on its way to its final answer.
-
-    :ivar kept_body: the body, if it is small and was read before
-    :ivar length_bytes: the declared length of the body, None for chunked
-    :ivar deadline_s: monotonic time of the caller's deadline
-    :ivar attempts: verdicts of the attempts that ended
-    :ivar body_started: whether a streamed body was read from
-    :ivar answering: whether bytes of the answer may have left
-    """
-
-    request_id: str
-    request: http.Request
-    target: str
-    service: configuration.Service
-    arrived_s: float
-    deadline_s: float = math.inf
-    kept_body: bytes | None = None
-    length_bytes: int | None = 0
-    attempts: list[verdicts.Verdict] = dataclasses.field(default_factory=list)
-    body_started: bool = False
-    answering: bool = False
-
-
-@dataclasses.dataclass
-class Upload:
-    """A body on its way from the caller to the upstream.
-
-    :ivar reading: whether it waits for the caller
-    :ivar moved_s: when the last piece was had or handed over
-    :ivar fault: why the caller's body can't be had
-    """
-
-    task: curio.Task | None = None
-    reading: bool = False
-    moved_s: float = 0.0
-    done: bool = False
-    fault: Exception | None = None
-
-
-@dataclasses.dataclass
-class Path:
-    """What all attempts of an entry share."""
-
-    connections: connections.Connections
-    permissions: permissions.Permissions
-    invariants: invariants.Invariants
-
-
-class TimedOut(errors.CallFailed):
-    """The upstream's answer did not come in time."""
-
-
-class CallerFault(errors.OleanderError):
-    """The caller's body can't be had; ``verdict`` says what was sent.
-
-    :ivar message: what to tell the caller, None if it is gone
-    """
-
-    def __init__(
-        self,
-        verdict: verdicts.Verdict,
-        message: errors.BadMessage | None,
-    ) -> None:
-        super().__init__(str(message or 'the caller is gone'))
-        self.verdict = verdict
-        self.message = message
-
-
 async def run(
-    path: Path, exchange: Exchange, row: fleet.VmRow, limit: int
+    path: exchanges.Path,
+    exchange: exchanges.Exchange,
+    row: fleet.VmRow,
+    limit: int,
 ) -> int:
     """Send the request to an upstream and pass its answer on.
 
@@ -111,11 +41,11 @@
     :returns: the status of the answer, passed on whole; or one by which
         the service promises ``NOT_RUN``, not passed on
     :raises errors.CallFailed: the upstream failed
-    :raises CallerFault: the caller's body failed
+    :raises exchange.CallerFault: the caller's body failed
     :raises OSError: the caller's connection failed
     """
     connection = await _connect(path, exchange, row, limit)
-    upload = Upload()
+    upload = uploads.Upload()
     path.permissions.begin(row.vm, row.epoch)
     try:
         await _send(path, exchange, row, connection, upload)
@@ -132,12 +62,17 @@
 
 
 async def _connect(
-    path: Path, exchange: Exchange, row: fleet.VmRow, limit: int
+    path: exchanges.Path,
+    exchange: exchanges.Exchange,
+    row: fleet.VmRow,
+    limit: int,
 ) -> http_client.Connection:
     service = exchange.service
     left_s = exchange.deadline_s - time.monotonic()
     if left_s <= 0:
-        raise TimedOut(verdicts.Verdict.NOT_RUN, 'the deadline has passed')
+        raise exchanges.TimedOut(
+            verdicts.Verdict.NOT_RUN, 'the deadline has passed', True
+        )
     return await connections.take(
         path.connections,
         row.address,
@@ -148,11 +83,11 @@
 
 
 async def _send(
-    path: Path,
-    exchange: Exchange,
+    path: exchanges.Path,
+    exchange: exchanges.Exchange,
     row: fleet.VmRow,
     connection: http_client.Connection,
-    upload: Upload,
+    upload: uploads.Upload,
 ) -> None:
     events = _events(exchange, row)
     data = http_client.encode(connection, *events)
@@ -165,12 +100,16 @@
     connection.carries = exchange.request_id
     await _write(exchange, connection, data)
     if exchange.kept_body is None:
-        upload.task = await curio.spawn(_upload, exchange, connection, upload)
+        upload.task = await curio.spawn(
+            uploads.run, exchange, connection, upload
+        )
     else:
         upload.done = True
 
 
-def _events(exchange: Exchange, row: fleet.VmRow) -> list[typing.Any]:
+def _events(
+    exchange: exchanges.Exchange, row: fleet.VmRow
+) -> list[typing.Any]:
     own = [
         (request_headers.REQUEST_ID, exchange.request_id.encode('ascii')),
         (request_headers.POOL, row.pool.encode('ascii')),
@@ -197,7 +136,9 @@
     ]
 
 
-def _check_first_run(path: Path, exchange: Exchange) -> None:
+def _check_first_run(
+    path: exchanges.Path, exchange: exchanges.Exchange
+) -> None:
     if not exchange.attempts:
         return
     idempotent = exchange.service.idempotent
@@ -213,7 +154,9 @@
 
 
 def _check_own_answer(
-    path: Path, exchange: Exchange, connection: http_client.Connection
+    path: exchanges.Path,
+    exchange: exchanges.Exchange,
+    connection: http_client.Connection,
 ) -> None:
     detail = f'{connection.carries} for {exchange.request_id}'
     own = connection.carries == exchange.request_id
@@ -222,7 +165,9 @@
 
 
 async def _write(
-    exchange: Exchange, connection: http_client.Connection, data: bytes
+    exchange: exchanges.Exchange,
+    connection: http_client.Connection,
+    data: bytes,
 ) -> None:
     """Write the head; a kernel buffer takes it at once as a rule."""
     sent = await http_client.write_some(connection, data)
@@ -231,40 +176,10 @@
         await _within(exchange, connection, rest)
 
 
-async def _upload(
-    exchange: Exchange, connection: http_client.Connection, upload: Upload
-) -> None:
-    """Carry the body over; a caller's fault ends the upstream's input."""
-    exchange.body_started = True
-    size_bytes = 0
-    try:
-        while piece := await _read(exchange, upload):
-            size_bytes += len(piece)
-            if size_bytes > exchange.service.max_body_bytes:
-                raise errors.BadMessage(413, 'the body is too large')
-            await http_client.send_events(connection, h11.Data(data=piece))
-            upload.moved_s = time.monotonic()
-        await http_client.send_events(connection, h11.EndOfMessage())
-        upload.moved_s = time.monotonic()
-        upload.done = True
-    except errors.CallFailed as error:
-        # The upstream may have answered early and stopped reading.
-        LOG.debug('Upload of %s ended: %s', exchange.request_id, error)
-    except (OSError, errors.BadMessage) as error:
-        upload.fault = error
-        await http_client.shut(connection)
-
-
-async def _read(exchange: Exchange, upload: Upload) -> bytes:
-    upload.reading = True
-    piece = await exchange.request.body.read()
-    upload.reading = False
-    upload.moved_s = time.monotonic()
-    return piece
-
-
 async def _head(
-    exchange: Exchange, connection: http_client.Connection, upload: Upload
+    exchange: exchanges.Exchange,
+    connection: http_client.Connection,
+    upload: uploads.Upload,
 ) -> http.Response:
     """Wait for the answer's head, as long as the body makes headway."""
     timeout_s = exchange.service.timeout_s
@@ -273,7 +188,7 @@
         since_s = now_s if upload.reading else upload.moved_s
         until_s = min(since_s + timeout_s, exchange.deadline_s)
         if now_s >= until_s:
-            raise _timed_out(connection)
+            raise _timed_out(exchange, connection)
         try:
             async with curio.timeout_after(until_s - now_s):
                 return await http_client.read_head(connection)
@@ -281,15 +196,18 @@
             continue
 
 
-def _timed_out(connection: http_client.Connection) -> TimedOut:
+def _timed_out(
+    exchange: exchanges.Exchange, connection: http_client.Connection
+) -> exchanges.TimedOut:
     cause = http_client.failure(connection, 'no answer in time')
-    return TimedOut(cause.verdict, cause.reason)
+    hurried = time.monotonic() >= exchange.deadline_s
+    return exchanges.TimedOut(cause.verdict, cause.reason, hurried)
 
 
 async def _pass_on(
-    exchange: Exchange,
+    exchange: exchanges.Exchange,
     connection: http_client.Connection,
-    upload: Upload,
+    upload: uploads.Upload,
     response: http.Response,
 ) -> int:
     bodiless = (
@@ -333,7 +251,7 @@
 
 
 def _reader(
-    exchange: Exchange,
+    exchange: exchanges.Exchange,
     connection: http_client.Connection,
     response: http.Response,
     first: bytes,
@@ -349,7 +267,7 @@
 
 
 async def _within(
-    exchange: Exchange,
+    exchange: exchanges.Exchange,
     connection: http_client.Connection,
     call: collections.abc.Awaitable[T],
 ) -> T:
@@ -361,11 +279,11 @@
         ):
             return await call
     except curio.TaskTimeout as error:
-        raise _timed_out(connection) from error
+        raise _timed_out(exchange, connection) from error
 
 
 def _blame(
-    upload: Upload,
+    upload: uploads.Upload,
     connection: http_client.Connection,
     error: Exception,
 ) -> Exception:
@@ -374,12 +292,14 @@
         return error
     verdict = http_client.failure(connection, '').verdict
     if isinstance(upload.fault, errors.BadMessage):
-        return CallerFault(verdict, upload.fault)
-    return CallerFault(verdict, None)
+        return exchanges.CallerFault(verdict, upload.fault)
+    return exchanges.CallerFault(verdict, None)
 
 
 async def _leave(
-    path: Path, connection: http_client.Connection, upload: Upload
+    path: exchanges.Path,
+    connection: http_client.Connection,
+    upload: uploads.Upload,
 ) -> None:
     """Keep the connection only if both directions ended whole."""
     try:
--- a/oleanderwood/connections.py
+++ b/oleanderwood/connections.py
@@ -84,6 +84,7 @@
         idle = waiting.pop()
         connection = idle.connection
         if idle.since_s >= since_s and http_client.silent(connection):
+            connection.written = False
             return connection
         await drop(state, connection)
     return None
--- a/oleanderwood/http_client.py
+++ b/oleanderwood/http_client.py
@@ -214,7 +214,6 @@
     if states == (h11.DONE, h11.DONE) and not protocol.trailing_data[0]:
         protocol.start_next_cycle()
         connection.carried += 1
-        connection.written = False
 
 
 async def exchange(
--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -1,7 +1,5 @@
 """Access to an HTTP/1.1 server over curio and h11."""
 
-import collections.abc
-import contextlib
 import dataclasses
 import logging
 import math
@@ -14,6 +12,7 @@
 
 from oleanderwood import errors
 from oleanderwood import http
+from oleanderwood import http_accepted
 from oleanderwood import http_watch
 from oleanderwood import ids
 
@@ -25,19 +24,6 @@
 HEAD_S = 10.0
 """How long a request's head may take from its first byte."""
 
-BODY_IDLE_S = 30.0
-"""How long a body or an answer may make no headway."""
-
-SLOWEST_BODY_BYTES_S = 1024
-"""Average rate that a caller's body must keep up after ``BODY_IDLE_S``."""
-
-LINGER_S = 1.0
-"""How long unread input is discarded after a last answer.
-
-A socket closed on unread input resets the connection, which may destroy
-the answer on its way.
-"""
-
 BACKLOG = 1024
 _POLL_S = 0.05
 MAX_CONNECTIONS = 4096
@@ -61,31 +47,9 @@
     closing: bool = False
     stopping: bool = False
     accepting: curio.Task | None = None
-    connections: set['Connection'] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(eq=False)
-class Connection:
-    """One accepted connection.
-
-    :ivar busy: set from a request's head to the end of its answer
-    :ivar read_limit_s: monotonic time by which the peer must send
-    :ivar write_limit_s: monotonic time by which the peer must take bytes
-    :ivar waited_s: seconds spent in waiting for the request's body
-    :ivar body_bytes: size of the request's body so far
-    :ivar cancelled: set once its task was cancelled
-    """
-
-    sock: typing.Any
-    peer: str
-    protocol: h11.Connection
-    task: curio.Task | None = None
-    busy: bool = False
-    read_limit_s: float = math.inf
-    write_limit_s: float = math.inf
-    waited_s: float = 0.0
-    body_bytes: int = 0
-    cancelled: bool = False
+    connections: set[http_accepted.Connection] = dataclasses.field(
+        default_factory=set
+    )
 
 
 def listen(
@@ -164,14 +128,14 @@
     protocol = h11.Connection(
         h11.SERVER, max_incomplete_event_size=http.MAX_HEAD_BYTES
     )
-    connection = Connection(sock, peer, protocol)
+    connection = http_accepted.Connection(sock, peer, protocol)
     server.connections.add(connection)
     connection.task = await curio.spawn(
         _serve, server, connection, daemon=True
     )
 
 
-async def _serve(server: Server, connection: Connection) -> None:
+async def _serve(server: Server, connection: http_accepted.Connection) -> None:
     try:
         await _requests(server, connection)
     except (OSError, h11.ProtocolError, errors.CallFailed) as error:
@@ -185,7 +149,9 @@
         await http.close(connection.sock)
 
 
-async def _requests(server: Server, connection: Connection) -> None:
+async def _requests(
+    server: Server, connection: http_accepted.Connection
+) -> None:
     while True:
         try:
             request = await _head(server, connection)
@@ -196,12 +162,14 @@
             return
         await _answer(server, connection, request)
         if not _reusable(server, connection):
-            await _linger(connection)
+            await http_accepted.linger(connection)
             return
         connection.busy = False
 
 
-async def _head(server: Server, connection: Connection) -> http.Request | None:
+async def _head(
+    server: Server, connection: http_accepted.Connection
+) -> http.Request | None:
     """Read a request's head; None when the connection ended."""
     protocol = connection.protocol
     now_s = time.monotonic()
@@ -239,12 +207,12 @@
 
 def _request(
     server: Server,
-    connection: Connection,
+    connection: http_accepted.Connection,
     event: h11.Request,
     headers: http.Headers,
 ) -> http.Request:
     async def read() -> bytes:
-        return await _piece(connection)
+        return await http_accepted.read_piece(connection)
 
     async def respond(response: http.Response) -> None:
         await _respond(server, connection, event.method, response)
@@ -263,52 +231,8 @@
     )
 
 
-async def _piece(connection: Connection) -> bytes:
-    """Read the next piece of a request's body.
-
-    :raises errors.BadMessage: the body is malformed or comes too slowly
-    :raises OSError: the connection was cut
-    """
-    protocol = connection.protocol
-    if protocol.they_are_waiting_for_100_continue:
-        go_on = h11.InformationalResponse(status_code=100, headers=[])
-        await http.send(connection.sock, protocol, go_on)
-    while protocol.their_state is h11.SEND_BODY:
-        try:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await _body_data(connection))
-                continue
-        except h11.RemoteProtocolError as error:
-            raise _body_fault(connection, error) from error
-        if isinstance(event, h11.Data) and event.data:
-            connection.body_bytes += len(event.data)
-            return bytes(event.data)
-    return b''
-
-
-def _body_fault(
-    connection: Connection, error: h11.RemoteProtocolError
-) -> Exception:
-    if connection.protocol.trailing_data[1]:
-        return ConnectionResetError('request body was cut')
-    return errors.BadMessage(error.error_status_hint, str(error))
-
-
-async def _body_data(connection: Connection) -> bytes:
-    began_s = time.monotonic()
-    connection.read_limit_s = began_s + BODY_IDLE_S
-    data = await connection.sock.recv(http.READ_BYTES)
-    connection.read_limit_s = math.inf
-    connection.waited_s += time.monotonic() - began_s
-    allowed_s = BODY_IDLE_S + connection.body_bytes / SLOWEST_BODY_BYTES_S
-    if connection.waited_s > allowed_s:
-        raise errors.BadMessage(408, 'the body comes too slowly')
-    return data
-
-
 async def _answer(
-    server: Server, connection: Connection, request: http.Request
+    server: Server, connection: http_accepted.Connection, request: http.Request
 ) -> None:
     try:
         response = await server.handler(request)
@@ -330,12 +254,12 @@
 
 async def _respond(
     server: Server,
-    connection: Connection,
+    connection: http_accepted.Connection,
     method: bytes,
     response: http.Response,
 ) -> None:
     closing = server.closing or _unread(connection.protocol)
-    await write(connection, response, closing, method == b'HEAD')
+    await http_accepted.write(connection, response, closing, method == b'HEAD')
 
 
 def _unread(protocol: h11.Connection) -> bool:
@@ -346,57 +270,7 @@
     )
 
 
-async def write(
-    connection: Connection,
-    response: http.Response,
-    closing: bool,
-    bodiless: bool = False,
-) -> None:
-    """Send a response whole; a body that fails midway cuts the connection.
-
-    :param closing: whether to announce that the connection ends
-    :param bodiless: whether it answers a HEAD request
-    """
-    protocol = connection.protocol
-    body = response.body
-    headers = list(response.headers)
-    if closing:
-        headers.append((b'connection', b'close'))
-    bodiless = bodiless or response.status in (204, 304)
-    if isinstance(body, bytes) and not bodiless:
-        headers.append((b'content-length', b'%d' % len(body)))
-    head = h11.Response(status_code=response.status, headers=headers)
-    data = protocol.send(head)
-    if isinstance(body, bytes):
-        if body and not bodiless:
-            data += protocol.send(h11.Data(data=body))
-    else:
-        await _send(connection, data)
-        await _send_pieces(connection, body)
-        data = b''
-    data += protocol.send(h11.EndOfMessage())
-    await _send(connection, data)
-
-
-async def _send_pieces(connection: Connection, body: http.Chunks) -> None:
-    try:
-        async for piece in body:
-            event = h11.Data(data=piece)
-            await _send(connection, connection.protocol.send(event))
-    finally:
-        if isinstance(body, collections.abc.AsyncGenerator):
-            await body.aclose()
-
-
-async def _send(connection: Connection, data: bytes) -> None:
-    if not data:
-        return
-    connection.write_limit_s = time.monotonic() + BODY_IDLE_S
-    await connection.sock.sendall(data)
-    connection.write_limit_s = math.inf
-
-
-def _reusable(server: Server, connection: Connection) -> bool:
+def _reusable(server: Server, connection: http_accepted.Connection) -> bool:
     protocol = connection.protocol
     if server.closing or protocol.our_state is not h11.DONE:
         return False
@@ -406,22 +280,15 @@
     return True
 
 
-async def _linger(connection: Connection) -> None:
-    """End the output, and discard input for a while."""
-    with contextlib.suppress(OSError):
-        await connection.sock.shutdown(socket.SHUT_WR)
-        async with curio.ignore_after(LINGER_S):
-            while await connection.sock.recv(http.READ_BYTES):
-                pass
-
-
 async def _refuse(
-    server: Server, connection: Connection, error: h11.RemoteProtocolError
+    server: Server,
+    connection: http_accepted.Connection,
+    error: h11.RemoteProtocolError,
 ) -> None:
     if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     body = f'{error}\n'.encode()
     headers = server.refusal_headers
     response = http.Response(error.error_status_hint, headers, body)
-    await write(connection, response, True)
-    await _linger(connection)
+    await http_accepted.write(connection, response, True)
+    await http_accepted.linger(connection)
--- a/oleanderwood/http_watch.py
+++ b/oleanderwood/http_watch.py
@@ -15,6 +15,8 @@
 
 import curio
 
+from oleanderwood import http_accepted
+
 LOG = logging.getLogger('http-server')
 
 TICK_S = 0.25
@@ -30,7 +32,7 @@
         await cancel_gone(server)
 
 
-async def end_input(connection: typing.Any) -> None:
+async def end_input(connection: http_accepted.Connection) -> None:
     """End an idle connection; a request that has arrived is answered."""
     with contextlib.suppress(OSError):
         await connection.sock.shutdown(socket.SHUT_RD)
@@ -65,7 +67,7 @@
             await _cancel(busy[descriptor])
 
 
-async def _cancel(connection: typing.Any) -> None:
+async def _cancel(connection: http_accepted.Connection) -> None:
     # Once only: a second one would interrupt the clean-up of the first.
     if not connection.cancelled:
         connection.cancelled = True
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -15,6 +15,7 @@
 from oleanderwood import dispatch
 from oleanderwood import entry_metrics
 from oleanderwood import errors
+from oleanderwood import exchange as exchanges
 from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import ids
@@ -54,18 +55,18 @@
     :ivar rows: the VMs that serve, by which a decision's VM is found
     :ivar entries: how many entries share the upstreams
     :ivar refresh: brings ``rows`` and the dispatcher up to date
-    :ivar exchanges: requests between arrival and final answer
+    :ivar active: requests between arrival and final answer
     """
 
     prefix: str
-    path: attempt.Path
+    path: exchanges.Path
     tickets: tickets.Tickets
     metrics: entry_metrics.Metrics
     table: routes.Routes = routes.Routes()
     rows: dict[ids.VmId, fleet.VmRow] = dataclasses.field(default_factory=dict)
     entries: int = 1
     refresh: collections.abc.Callable[[], None] = lambda: None
-    exchanges: dict[int, attempt.Exchange] = dataclasses.field(
+    active: dict[int, exchanges.Exchange] = dataclasses.field(
         default_factory=dict
     )
 
@@ -79,7 +80,7 @@
     rng: random.Random,
 ) -> Proxy:
     """Make the request path of an entry that knows of no service yet."""
-    path = attempt.Path(
+    path = exchanges.Path(
         connections.Connections(), allowed, invariants.create(registry)
     )
     state = dispatch.make_state(entry, data_centre)
@@ -89,7 +90,7 @@
         tickets=tickets.Tickets(state, rng),
         metrics=entry_metrics.create(registry),
     )
-    proxy.metrics.in_flight.set_function(lambda: len(proxy.exchanges))
+    proxy.metrics.in_flight.set_function(lambda: len(proxy.active))
     return proxy
 
 
@@ -104,7 +105,7 @@
             'attempts': [verdict.value for verdict in exchange.attempts],
             'answering': exchange.answering,
         }
-        for exchange in proxy.exchanges.values()
+        for exchange in proxy.active.values()
     ]
     return {
         'services': [service.name for service in proxy.table.services],
@@ -133,17 +134,17 @@
         label = service.name if service else entry_metrics.UNROUTED
         await _refuse(proxy, request, label, error.status, error.reason)
         return
-    proxy.exchanges[ticket] = exchange
+    proxy.active[ticket] = exchange
     try:
         await _dispatch(proxy, exchange, ask)
     finally:
-        del proxy.exchanges[ticket]
+        del proxy.active[ticket]
         await tickets.abandon(proxy.tickets, ticket)
 
 
 async def _admit(
     proxy: Proxy, request: http.Request, ticket: int, arrived_s: float
-) -> tuple[attempt.Exchange, dispatch.Ask]:
+) -> tuple[exchanges.Exchange, dispatch.Ask]:
     """Check a request, and read its body if it is small.
 
     :raises errors.BadMessage: it is refused
@@ -158,7 +159,7 @@
     length_bytes = request_headers.content_length(headers)
     if length_bytes is not None and length_bytes > service.max_body_bytes:
         raise errors.BadMessage(STATUS_TOO_LARGE, 'the body is too large')
-    exchange = attempt.Exchange(
+    exchange = exchanges.Exchange(
         request_id=f'{proxy.prefix}{ticket}',
         request=request,
         target=target,
@@ -186,7 +187,7 @@
 
 def _ask(
     ticket: int,
-    exchange: attempt.Exchange,
+    exchange: exchanges.Exchange,
     wishes: request_headers.Wishes,
 ) -> dispatch.Ask:
     service = exchange.service
@@ -202,7 +203,7 @@
 
 
 async def _dispatch(
-    proxy: Proxy, exchange: attempt.Exchange, ask: dispatch.Ask
+    proxy: Proxy, exchange: exchanges.Exchange, ask: dispatch.Ask
 ) -> None:
     """Attempt the request as often as is decided, then answer."""
     status = 0
@@ -217,7 +218,7 @@
 
 
 async def _attempt(
-    proxy: Proxy, exchange: attempt.Exchange, start: dispatch.Start
+    proxy: Proxy, exchange: exchanges.Exchange, start: dispatch.Start
 ) -> dispatch.Outcome | None:
     """Make one attempt; give its outcome unless the caller is served."""
     began_s = time.monotonic()
@@ -233,7 +234,7 @@
         if isinstance(error, permissions.Gone):
             proxy.refresh()
         LOG.info('Attempt of %s failed: %s', exchange.request_id, error)
-    except attempt.CallerFault as fault:
+    except exchanges.CallerFault as fault:
         await _answer_caller_fault(proxy, exchange, fault)
         return None
     except OSError:
@@ -246,7 +247,7 @@
         status=status or _failure_status(failure),
         latency_s=time.monotonic() - began_s,
         repeatable=not (exchange.body_started or exchange.answering),
-        upstream_failed=not isinstance(failure, permissions.Gone),
+        upstream_failed=_is_upstreams(failure),
     )
     if not exchange.answering:
         return outcome
@@ -259,12 +260,24 @@
 
 
 def _failure_status(failure: errors.CallFailed | None) -> int:
-    if isinstance(failure, attempt.TimedOut):
+    if isinstance(failure, exchanges.TimedOut):
         return STATUS_NO_ANSWER
     return STATUS_BAD_ANSWER
 
 
-async def _run(proxy: Proxy, exchange: attempt.Exchange, vm: ids.VmId) -> int:
+def _is_upstreams(failure: errors.CallFailed | None) -> bool:
+    """Say whether a failure is the upstream's.
+
+    Callers that are in a hurry must not get upstreams ejected.
+    """
+    if isinstance(failure, exchanges.TimedOut):
+        return not failure.hurried
+    return not isinstance(failure, permissions.Gone)
+
+
+async def _run(
+    proxy: Proxy, exchange: exchanges.Exchange, vm: ids.VmId
+) -> int:
     row = proxy.rows.get(vm)
     if row is None:
         raise permissions.Gone(NOT_RUN, f'{vm}: no longer serves')
@@ -275,7 +288,7 @@
 
 
 def _count_answer(
-    proxy: Proxy, exchange: attempt.Exchange, verdict: verdicts.Verdict
+    proxy: Proxy, exchange: exchanges.Exchange, verdict: verdicts.Verdict
 ) -> None:
     name = exchange.service.name
     proxy.metrics.requests.labels(name, verdict.value).inc()
@@ -284,7 +297,7 @@
 
 
 async def _answer_caller_fault(
-    proxy: Proxy, exchange: attempt.Exchange, fault: attempt.CallerFault
+    proxy: Proxy, exchange: exchanges.Exchange, fault: exchanges.CallerFault
 ) -> None:
     name = exchange.service.name
     if fault.message is None or exchange.answering:
@@ -300,7 +313,7 @@
 
 async def _answer_refusal(
     proxy: Proxy,
-    exchange: attempt.Exchange,
+    exchange: exchanges.Exchange,
     refuse: dispatch.Refuse,
     failed_status: int,
 ) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -290,11 +290,57 @@
 
     async def use(world):
         started = [(b'oleander-timeout-ms', b'150')]
-        return await call(world, headers=started)
+        response = await call(world, headers=started)
+        states = world.proxy.tickets.state.services.values()
+        return response, [dict(state.healths) for state in states]
 
-    response = utils.run(use, hang)
+    response, (healths,) = utils.run(use, hang)
     assert response.status == 504
     assert response.header('oleander-verdict') == 'may-have-run'
+    assert not any(health.failures for health in healths.values())
+
+
+def test_upstream_that_hangs_is_given_up():
+    async def hang(request):
+        await curio.sleep(5)
+
+    async def use(world):
+        response = await call(world, 'POST', body=b'x')
+        (state,) = world.proxy.tickets.state.services.values()
+        return response, dict(state.healths)
+
+    response, healths = utils.run(use, hang, timeout_s=0.2)
+    assert response.status == 504
+    assert response.header('oleander-verdict') == 'may-have-run'
+    assert sum(health.failures for health in healths.values()) == 1
+
+
+def test_caller_that_leaves_the_queue_frees_its_place():
+    started = []
+
+    async def slow(request):
+        started.append(request.target)
+        await curio.sleep(0.6)
+        return http.Response(200, [], b'')
+
+    async def use(world):
+        first = await curio.spawn(call, world, 'GET', '/s/1')
+        while not started:
+            await curio.sleep(0.01)
+        waiting = [
+            await curio.spawn(call, world, 'GET', f'/s/gone/{number}')
+            for number in range(3)
+        ]
+        while not world.proxy.tickets.waiters:
+            await curio.sleep(0.01)
+        last = await curio.spawn(call, world, 'GET', '/s/2')
+        for task in waiting:
+            await task.cancel()
+        return [(await task.join()).status for task in (first, last)]
+
+    statuses = utils.run(use, slow, slots=1, connections=1)
+    assert statuses == [200, 200]
+    assert started == ['/s/1', '/s/2']
 
 
 def test_not_run_is_retried_elsewhere():
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -181,7 +181,7 @@
 async def settled(world: World) -> None:
     """Wait, for a bounded time, until nothing is in flight."""
     for _ in range(200):
-        if not world.proxy.exchanges:
+        if not world.proxy.active:
             return
         await curio.sleep(0.01)
 
@@ -202,7 +202,7 @@
     world, result = curio.run(
         _run, service(**changes), list(handlers), use, raw
     )
-    assert not world.proxy.exchanges
+    assert not world.proxy.active
     assert not any(world.in_flight.values()), world.in_flight
     state = world.proxy.tickets.state
     assert not state.requests and not world.proxy.tickets.active
