Know of applies under way when joining; ask all members in doubt

An apply writes its record before it reads the roster; an entry that joins now reads the records after it wrote the roster, and is in doubt of those that the head doesn't decide. Whichever comes first, one sees the other.

An entry in doubt asks all members when the store doesn't answer. If none has the revision in force, the doubt is put off: whoever gets it later passes it on by gossip. Before, a store outage in the middle of an apply made every entry unready.

A stage names the head's version that its swap is for; once the head is past that version (fenced), the stage is void. Before, four applies that died blocked all later ones. apply.py passes the version on.

--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -227,7 +227,9 @@
 
 
 async def _prepare(running: _Run, member: roster.Member) -> rollout.Event:
-    request = messages.PrepareRequest(running.staged, running.whole)
+    request = messages.PrepareRequest(
+        running.staged, running.whole, running.current.version
+    )
     while True:
         try:
             reply = await running.links.peers.prepare(member.peer, request)
@@ -251,7 +253,9 @@
             reply = await links.peers.commit(member.peer, request)
             if reply.revision >= staged.revision:
                 return rollout.InForce(member, reply.revision)
-            again = messages.PrepareRequest(staged, running.whole)
+            again = messages.PrepareRequest(
+                staged, running.whole, running.current.version
+            )
             await links.peers.prepare(member.peer, again)
         except errors.CallFailed as error:
             LOG.info('%s did not answer: %s.', member.entry, error)
--- a/oleanderwood/catch_up.py
+++ b/oleanderwood/catch_up.py
@@ -2,16 +2,19 @@
 
 import logging
 
+from oleanderwood import change
 from oleanderwood import codec
 from oleanderwood import config_state
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import grants
+from oleanderwood import history
 from oleanderwood import ids
 from oleanderwood import messages
 from oleanderwood import node as nodes
 from oleanderwood import parts
 from oleanderwood import roster
+from oleanderwood import staging
 from oleanderwood import store
 from oleanderwood import view as views
 
@@ -25,6 +28,29 @@
     await take_head(node, item, sent_s)
 
 
+async def join_config(node: nodes.Node) -> None:
+    """Read the head as a process that has just joined.
+
+    An apply writes its record, then reads the roster; this process wrote
+    itself into the roster, and now reads the records: it is asked, or it
+    knows of what it wasn't asked for.
+    """
+    state = node.view.config
+    known, _ = await change.read(node.store, history.KEY, history.History())
+    sent_s = nodes.now_s(node)
+    item = await node.store.get(store.CONFIG_HEAD_KEY)
+    head, version = staging.NO_HEAD, store.ABSENT
+    if item is not None:
+        head = codec.unpack(item.value, configuration.Head)
+        version = item.version
+    for record in history.undecided(known, head):
+        staged = configuration.Head(
+            record.revision, record.base, {}, record.operation
+        )
+        config_state.note(state, staged, sent_s, version)
+    await take_head(node, item, sent_s)
+
+
 async def take_head(
     node: nodes.Node, item: store.Item | None, sent_s: float
 ) -> None:
--- a/oleanderwood/config_state.py
+++ b/oleanderwood/config_state.py
@@ -20,14 +20,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Stage:
-    """A revision that was acknowledged and whose outcome isn't known.
+    """A revision whose outcome isn't known.
 
+    :ivar content: None if it wasn't acknowledged here, but was under way
+        when this process joined
     :ivar base_version: the store's version of the head that is to be
         swapped for it, None if the operator's side didn't say
     """
 
     head: configuration.Head
-    content: configuration.Configuration
+    content: configuration.Configuration | None
     since_s: float
     base_version: int | None = None
 
@@ -70,14 +72,30 @@
     """Hold a revision ready; gives '' if acknowledged, else why not."""
     if head.revision <= revision(state):
         return f'revision {revision(state)} is in force'
-    known = head.operation in state.stages
-    if not known and len(state.stages) >= MAX_STAGES:
+    known = state.stages.get(head.operation)
+    if known is not None and known.content is not None:
+        return ''
+    held = sum(found.content is not None for found in state.stages.values())
+    if held >= MAX_STAGES:
         return 'too many staged revisions'
     found = Stage(head, content, now_s, base_version)
-    state.stages.setdefault(head.operation, found)
+    state.stages[head.operation] = found
     return ''
 
 
+def note(
+    state: ConfigState, head: configuration.Head, now_s: float, version: int
+) -> None:
+    """Hold in mind a revision that others may be acknowledging now.
+
+    To be called for each apply that the store's history doesn't decide,
+    with the version of the head as read after that history.
+    """
+    if head.revision > revision(state):
+        found = Stage(head, None, now_s, version)
+        state.stages.setdefault(head.operation, found)
+
+
 def staged(
     state: ConfigState, head: configuration.Head
 ) -> configuration.Configuration | None:
@@ -97,6 +115,8 @@
     found = state.stages.get(operation)
     if found is None or found.head.revision != number:
         return False
+    if found.content is None:
+        return False
     return apply(state, found.head, found.content)
 
 
@@ -146,6 +166,12 @@
     }
 
 
+def lowest_staged(state: ConfigState) -> ids.Revision | None:
+    """Give the lowest staged revision, None if there is none."""
+    numbers = (found.head.revision for found in state.stages.values())
+    return min(numbers, default=None)
+
+
 def in_doubt(state: ConfigState, now_s: float) -> ids.Revision:
     """Give the staged revision that the process is in doubt of, else 0."""
     for found in state.stages.values():
--- a/oleanderwood/follower.py
+++ b/oleanderwood/follower.py
@@ -56,6 +56,7 @@
         await every('sponsor', SPONSOR_S, lambda: gossip.seek_sponsor(node))
         await every('lapse', settings.tick_s, lambda: _lapse(node))
         await every('staged', HEAD_POLL_S, lambda: _poll_head(node))
+        await every('outcome', HEAD_POLL_S, lambda: gossip.ask_outcome(node))
         if settings.list_vms is not None:
             await every('vms', settings.list_poll_s, lambda: poll_list(node))
         await group.spawn(_watch_head, node)
--- a/oleanderwood/gossip.py
+++ b/oleanderwood/gossip.py
@@ -1,17 +1,25 @@
 """Access to the peers: telling them, catching up, and being sponsored."""
 
 import logging
+import math
+
+import curio
 
 from oleanderwood import catch_up
+from oleanderwood import config_state
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood import messages
 from oleanderwood import neighbours
 from oleanderwood import node as nodes
+from oleanderwood import roster
 from oleanderwood import view as views
 
 LOG = logging.getLogger('gossip')
 
+ASK_AFTER_S = 2.0
+"""How long the store may fail to give the head before peers are asked."""
+
 
 async def tell_next(node: nodes.Node) -> None:
     """Exchange news with the next peer in rotation.
@@ -42,6 +50,41 @@
     views.peer_contact(node.view, reply.standing, sent_s, now_s)
 
 
+async def ask_outcome(node: nodes.Node) -> None:
+    """Ask all members what became of staged revisions.
+
+    For when the store doesn't say. If each of them, of all regions, has
+    none in force, then nobody has, and who gets one in force later tells
+    the others within seconds.
+    """
+    state = node.view.config
+    sent_s = nodes.now_s(node)
+    lowest = config_state.lowest_staged(state)
+    if lowest is None or sent_s - state.checked_s < ASK_AFTER_S:
+        return
+    async with curio.TaskGroup(wait=all) as group:
+        for member in nodes.all_peers(node):
+            await group.spawn(_ask_revision, node, member)
+    found = group.results
+    if found and all(number < lowest for number in found):
+        config_state.check(state, sent_s)
+
+
+async def _ask_revision(node: nodes.Node, member: roster.Member) -> float:
+    """Give the revision in force at a member, infinite if unknown."""
+    request = messages.GossipRequest(
+        views.standing(node.view, nodes.now_s(node)), node.view.member.peer
+    )
+    try:
+        reply = await node.peers.gossip(member.peer, request)
+        await catch_up.fetch(node, member.peer, reply.standing)
+    except errors.CallFailed:
+        return math.inf
+    if reply.standing.incarnation != member.incarnation:
+        return math.inf
+    return reply.standing.config_revision
+
+
 async def _fetch_ahead(node: nodes.Node) -> None:
     while node.neighbours.ahead:
         address, theirs = node.neighbours.ahead.popitem()
--- a/oleanderwood/membership.py
+++ b/oleanderwood/membership.py
@@ -54,7 +54,7 @@
     if await node.store.keep_alive(node.lease) <= 0:
         node.lease = None
         return
-    await catch_up.read_config(node)
+    await catch_up.join_config(node)
     # Copies that came from peers count too, though nothing is routed there.
     for data_centre in {*views.followed(view), *view.grants.shards}:
         await catch_up.read_shard(node, data_centre)
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -98,17 +98,25 @@
     return ids.OperationId(f'{node.view.member.entry}-{uuid.uuid4().hex}')
 
 
+def all_peers(node: Node) -> tuple[roster.Member, ...]:
+    """Give the other members of all regions."""
+    own = node.view.member.incarnation
+    return tuple(
+        member
+        for member in node.view.roster.members
+        if member.incarnation != own
+    )
+
+
 def region_peers(node: Node) -> tuple[roster.Member, ...]:
     """Give the other members of the entry's region.
 
     Contact stays within a region, so that the proof that an entry is
     isolated needs no entry of another.
     """
-    own = node.view.member
+    region = node.view.member.region
     return tuple(
-        member
-        for member in roster.in_region(node.view.roster, own.region)
-        if member.incarnation != own.incarnation
+        member for member in all_peers(node) if member.region == region
     )
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -3,9 +3,12 @@
 import curio
 
 from oleanderwood import codec
+from oleanderwood import config_state
 from oleanderwood import fleet
 from oleanderwood import follower
+from oleanderwood import gossip
 from oleanderwood import grants
+from oleanderwood import history
 from oleanderwood import membership
 from oleanderwood import messages
 from oleanderwood import node as nodes
@@ -177,3 +180,56 @@
     curio.run(follower.poll_list, node)
     curio.run(follower.poll_list, node)
     assert node.view.grants.leaving == {'vm-1'}
+
+
+def test_entry_in_doubt_asks_all_members():
+    network = utils_network.Network()
+    one, two = (utils_network.add(network, name) for name in ('e1', 'e2'))
+
+    async def scenario():
+        await utils_network.publish(network, shard=build.shard(1))
+        await utils_network.until(lambda: utils_network.ready(one))
+        await utils_network.until(lambda: utils_network.ready(two))
+        await utils_network.until(lambda: nodes.all_peers(one))
+        staged = messages.PrepareRequest(build.head(2), build.content())
+        state = one.view.config
+        for node in (one, two):
+            assert peer_answers.prepare(node, staged).acknowledged
+        state.checked_s -= 100.0
+        await gossip.ask_outcome(one)
+        assert nodes.now_s(one) - state.checked_s < 50.0
+        peer_answers.commit(two, messages.CommitRequest(2, 'apply-2', True))
+        state.checked_s -= 100.0
+        await gossip.ask_outcome(one)
+        assert state.head.revision == 2
+
+    utils_network.run(network, scenario)
+
+
+def test_joining_entry_knows_of_applies_under_way():
+    network = utils_network.Network()
+    node = utils_network.add(network)
+    record = history.Record(
+        operation='apply-2',
+        author='',
+        base=1,
+        base_operation='apply-1',
+        revision=2,
+        staged_at_s=0.0,
+        changes='',
+    )
+
+    async def scenario():
+        kept = utils_store.connect(network.fake)
+        value = codec.pack(history.History((record,)))
+        await kept.swap(history.KEY, value, 0, 'x', None)
+        await utils_network.publish(network, shard=build.shard(1))
+        await utils_network.until(lambda: utils_network.ready(node))
+        state = node.view.config
+        assert config_state.lowest_staged(state) == 2
+        assert config_state.in_doubt(state, state.checked_s + 4.0) == 2
+        assert not config_state.commit(state, 2, 'apply-2')
+        config_state.check(state, 0.0, version=99)
+        assert state.stages == {}
+
+    utils_network.run(network, scenario)
