--- a/oleanderwood/entry_parts.py
+++ b/oleanderwood/entry_parts.py
@@ -19,6 +19,7 @@
 from oleanderwood import http_server
 from oleanderwood import ids
 from oleanderwood import node as nodes
+from oleanderwood import node_metrics
 from oleanderwood import peer_grpc
 from oleanderwood import permissions
 from oleanderwood import platform_http
@@ -104,6 +105,7 @@
         wanted.listen, proxies.make_handler(proxy), wanted.max_connections
     )
     server.refusal_headers = proxies.REFUSAL_HEADERS
+    node_metrics.attach(node, registry, proxy.path.invariants)
     entry = Entry(
         wanted, registry, node, proxy, server, peer_server, peer_client
     )
--- a/oleanderwood/follower.py
+++ b/oleanderwood/follower.py
@@ -91,6 +91,7 @@
 
 async def _lapse(node: nodes.Node) -> None:
     views.lapse(node.view, nodes.now_s(node))
+    node.publish()
 
 
 async def _poll_head(node: nodes.Node) -> None:
--- a/oleanderwood/isolation.py
+++ b/oleanderwood/isolation.py
@@ -128,6 +128,30 @@
     )
 
 
+def removable(
+    evidence: Evidence, standings: tuple[Standing, ...], now_s: float
+) -> tuple[str, ...]:
+    """Give the incarnations that may be taken off the roster.
+
+    One that was isolated has to have been so at one moment for sure: all
+    were quiet for long, and asked within a short time. It joins anew
+    before it holds grants again.
+    """
+    oldest_s = min(
+        (answer.received_s for answer in evidence.answers.values()),
+        default=now_s,
+    )
+    if now_s - oldest_s >= QUIET_S:
+        return ()
+    if evidence.request_timeout_s < 2 * QUIET_S:
+        return ()
+    return tuple(
+        found.member.incarnation
+        for found in standings
+        if found.status is Status.GONE
+    )
+
+
 def describe(found: Standing, vm: ids.VmId) -> str:
     """Tell operators who blocks the release of a VM, and by what."""
     entry = found.member.entry
--- a/oleanderwood/membership.py
+++ b/oleanderwood/membership.py
@@ -10,21 +10,17 @@
 import curio
 
 from oleanderwood import catch_up
-from oleanderwood import codec
+from oleanderwood import change
 from oleanderwood import errors
 from oleanderwood import isolation
 from oleanderwood import neighbours
 from oleanderwood import node as nodes
 from oleanderwood import roster as rosters
 from oleanderwood import store
-from oleanderwood import verdict as verdicts
 from oleanderwood import view as views
 
 LOG = logging.getLogger('membership')
 
-MAX_ATTEMPTS = 20
-"""Swaps of the roster that are tried before the next round."""
-
 
 async def keep(node: nodes.Node) -> None:
     """Do one round: join if need be, else renew.
@@ -89,40 +85,21 @@
 
 async def change_roster(
     node: nodes.Node,
-    change: collections.abc.Callable[[rosters.Roster], rosters.Roster],
+    transform: collections.abc.Callable[[rosters.Roster], rosters.Roster],
 ) -> None:
-    """Change the roster by compare-and-swap.
+    """Change the roster by compare-and-swap, and follow it.
 
-    :raises errors.StoreUnavailable: the store didn't answer, or others
-        were always faster
+    :raises errors.StoreUnavailable: the store didn't answer
+    :raises errors.StoreConflict: others were always faster
     """
-    for _ in range(MAX_ATTEMPTS):
-        item = await node.store.get(store.ROSTER_KEY)
-        found = rosters.EMPTY
-        version = store.ABSENT
-        if item is not None:
-            found = codec.unpack(item.value, rosters.Roster)
-            version = item.version
-        changed = change(found)
-        if changed == found:
-            catch_up.take_roster(node, found)
-            return
-        try:
-            await node.store.swap(
-                store.ROSTER_KEY,
-                codec.pack(changed),
-                version,
-                nodes.operation(node),
-                None,
-            )
-        except errors.StoreConflict:
-            await curio.sleep(node.settings.rng.uniform(0.005, 0.05))
-            continue
-        catch_up.take_roster(node, changed)
-        return
-    raise errors.StoreUnavailable(
-        verdicts.Verdict.NOT_RUN, 'the roster is written by many'
+    found = await change.change(
+        node.store,
+        store.ROSTER_KEY,
+        rosters.EMPTY,
+        transform,
+        nodes.operation(node),
     )
+    catch_up.take_roster(node, found)
 
 
 async def _remove_superseded(node: nodes.Node) -> None:
@@ -134,12 +111,12 @@
     if not rosters.superseded(node.view.roster, member):
         return
 
-    def change(found: rosters.Roster) -> rosters.Roster:
+    def without(found: rosters.Roster) -> rosters.Roster:
         for other in rosters.superseded(found, member):
             found = rosters.leave(found, other.incarnation)
         return found
 
-    await change_roster(node, change)
+    await change_roster(node, without)
 
 
 async def resign(node: nodes.Node) -> bool:
@@ -160,7 +137,7 @@
         await change_roster(
             node, lambda found: rosters.leave(found, incarnation)
         )
-    except errors.StoreUnavailable as error:
+    except (errors.StoreUnavailable, errors.StoreConflict) as error:
         LOG.warning('Left without resigning: %s.', error)
         return False
     return not rosters.holds(view.roster, incarnation)
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -27,6 +27,13 @@
 ]
 
 
+Publish = collections.abc.Callable[[], None]
+
+
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 def no_loads() -> tuple[messages.Load, ...]:
     """Give no loads."""
     return ()
@@ -66,6 +73,7 @@
 
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
+    :ivar publish: brings the metrics up to date
     """
 
     settings: Settings
@@ -75,6 +83,7 @@
     neighbours: neighbours.Neighbours
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    publish: Publish = do_nothing
 
 
 def make(
--- a/oleanderwood/release.py
+++ b/oleanderwood/release.py
@@ -8,7 +8,10 @@
 
 import collections.abc
 import dataclasses
+import logging
+import uuid
 
+from oleanderwood import change
 from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import fleet
@@ -22,6 +25,8 @@
 from oleanderwood import roster
 from oleanderwood import store as stores
 
+LOG = logging.getLogger('release')
+
 GRACE_S = 4.0
 """How long the roster has to answer whole before any VM is taken."""
 
@@ -239,7 +244,29 @@
         vm_gone_since_s=releases.vm_gone_since_s,
         request_timeout_s=asker.request_timeout_s,
     )
-    return isolation.standing(evidence, asker.now_s())
+    now_s = asker.now_s()
+    standings = isolation.standing(evidence, now_s)
+    await _remove(asker, isolation.removable(evidence, standings, now_s))
+    return standings
+
+
+async def _remove(asker: Asker, incarnations: tuple[str, ...]) -> None:
+    """Take members that are proven gone off the roster."""
+    if not incarnations:
+        return
+
+    def without(found: roster.Roster) -> roster.Roster:
+        for incarnation in incarnations:
+            found = roster.leave(found, incarnation)
+        return found
+
+    operation = ids.OperationId(f'remove-{uuid.uuid4().hex}')
+    try:
+        await change.change(
+            asker.store, stores.ROSTER_KEY, roster.EMPTY, without, operation
+        )
+    except errors.StoreConflict:
+        LOG.info('The roster is written by others; removal is left.')
 
 
 async def _ask_members(
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,6 +1,7 @@
 """Tests of entries that follow the store and each other."""
 
 import curio
+import prometheus_client
 
 from oleanderwood import codec
 from oleanderwood import config_state
@@ -9,9 +10,11 @@
 from oleanderwood import gossip
 from oleanderwood import grants
 from oleanderwood import history
+from oleanderwood import invariants
 from oleanderwood import membership
 from oleanderwood import messages
 from oleanderwood import node as nodes
+from oleanderwood import node_metrics
 from oleanderwood import peer_answers
 from oleanderwood import roster
 from oleanderwood import store
@@ -233,3 +236,19 @@
         assert state.stages == {}
 
     utils_network.run(network, scenario)
+
+
+def test_metrics_report_breaches_once():
+    network = utils_network.Network()
+    node = utils_network.add(network)
+    registry = prometheus_client.CollectorRegistry()
+    broken = invariants.create(registry)
+    node_metrics.attach(node, registry, broken)
+    node.view.counts.breaches['epoch fell'] += 2
+    node.view.counts.refusals['shard'] += 1
+    node.publish()
+    node.publish()
+    assert broken.count == 2
+    labels = {'kind': 'shard'}
+    name = 'oleander_refused_revisions_total'
+    assert registry.get_sample_value(name, labels) == 1.0
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -115,3 +115,10 @@
     standings = isolation.standing(_evidence(answers), 100.0)
     blocking = isolation.blocking(standings, 'vm-1')
     assert [found.member for found in blocking] == [guest]
+
+
+def test_gone_members_are_removable_if_all_were_asked_lately():
+    evidence = _evidence(_quiet())
+    standings = isolation.standing(evidence, 97.0)
+    assert isolation.removable(evidence, standings, 97.0) == ('e3-1',)
+    assert isolation.removable(evidence, standings, 98.0) == ()
