--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -173,10 +173,11 @@
         while True:
             for action in actions:
                 if isinstance(action, rollout.End):
+                    took_s = links.clock() - swapped_at_s
                     await group.cancel_remaining()
                     await _drop_all(running, actions)
-                    took_s = links.clock() - swapped_at_s
-                    return _applied(running, action, took_s)
+                    end = await _with_winner(running, action)
+                    return _applied(running, end, took_s)
                 if not isinstance(action, rollout.Drop):
                     await group.spawn(_act, running, action)
             event = await _next_event(running, state, deadline_s)
@@ -282,27 +283,26 @@
             None,
         )
     except errors.StoreConflict:
-        return await _winner(running)
+        return rollout.Swapped(rollout.Outcome.CONFLICT)
     except errors.CallFailed as error:
         outcome = rollout.Outcome(error.verdict.value)
         return rollout.Swapped(outcome, reason=error.reason)
     return rollout.Swapped(rollout.Outcome.ACCEPTED)
 
 
-async def _winner(running: _Run) -> rollout.Event:
-    """Say who came first; the own head can't stand there any more."""
-    conflict = rollout.Outcome.CONFLICT
+async def _with_winner(running: _Run, end: rollout.End) -> rollout.End:
+    """Name who came first, where another did."""
+    if end.outcome is not rollout.Outcome.CONFLICT:
+        return end
     try:
         head, _ = await change.read(
             running.links.kept, store.CONFIG_HEAD_KEY, staging.NO_HEAD
         )
     except errors.CallFailed as error:
-        return rollout.Swapped(conflict, reason=error.reason)
-    if head.operation == running.staged.operation:
-        return rollout.Swapped(rollout.Outcome.ACCEPTED)
-    if head.revision == running.staged.base:
-        return rollout.Swapped(conflict, head, 'a member in doubt fenced it')
-    return rollout.Swapped(conflict, head)
+        return dataclasses.replace(end, reason=error.reason)
+    fenced = head.revision == running.staged.base
+    reason = 'the head was fenced; apply again' if fenced else ''
+    return dataclasses.replace(end, winner=head, reason=reason)
 
 
 async def _drop_all(
--- a/oleanderwood/rollout.py
+++ b/oleanderwood/rollout.py
@@ -59,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
-    """A member won't take the staged revision."""
+    """A member has that revision, or a later one, in force already."""
 
     member: Member
     reason: str
@@ -74,13 +74,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Swapped:
-    """What became of the swap of the head.
-
-    :ivar winner: the head that was met instead, if it is known
-    """
+    """What became of the swap of the head."""
 
     outcome: Outcome
-    winner: configuration.Head | None = None
     reason: str = ''
 
 
@@ -156,6 +152,7 @@
 class End:
     """The roll-out is over.
 
+    :ivar winner: the head that stands instead, if it is known
     :ivar missing: members at which it is not known to be in force
     """
 
@@ -207,7 +204,7 @@
         case Phase.PREPARING, Acknowledged(member) | Gone(member):
             return _answered(rollout, member)
         case Phase.PREPARING, Refused(member, reason):
-            return _give_up(rollout, f'{member.entry} refused: {reason}')
+            return _beaten(rollout, f'{member.entry}: {reason}')
         case Phase.PREPARING, Failed(reason):
             return _give_up(rollout, reason)
         case Phase.PREPARING, TimedOut():
@@ -266,6 +263,11 @@
     return _end(rollout, End(Outcome.NOT_RUN, reason), _drops(rollout))
 
 
+def _beaten(rollout: Rollout, reason: str) -> Step:
+    """End without a swap: another revision was accepted meanwhile."""
+    return _end(rollout, End(Outcome.CONFLICT, reason), _drops(rollout))
+
+
 def _swapped(rollout: Rollout, event: Swapped) -> Step:
     if event.outcome is Outcome.ACCEPTED:
         after = dataclasses.replace(
@@ -276,7 +278,7 @@
         )
         commits = tuple(Commit(member) for member in _sorted(rollout.asked))
         return after, (ReadRoster(),) + commits
-    end = End(event.outcome, event.reason, event.winner)
+    end = End(event.outcome, event.reason)
     if event.outcome is Outcome.MAY_HAVE_RUN:
         return _end(rollout, end)
     return _end(rollout, end, _drops(rollout))
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -6,7 +6,9 @@
 import pytest
 
 from oleanderwood import admin_messages
+from oleanderwood import apply
 from oleanderwood import change
+from oleanderwood import configuration
 from oleanderwood import errors
 from oleanderwood import history
 from oleanderwood import ids
@@ -312,3 +314,21 @@
     )
     key = f'{store.CONFIG_PART_PREFIX}{reference}'
     await kept.swap(key, b'x', store.ABSENT, ids.OperationId(name), None)
+
+
+def test_member_with_a_later_revision_means_conflict():
+    """The other apply was accepted between reading the head and asking."""
+    place = utils_admin.make()
+
+    async def scenario():
+        await _apply(place)
+        current = await staging.read_current(place.desk.links.kept)
+        await _apply(place, size=7)
+        whole = configuration.parse(utils_admin.toml(size=8))
+        wish = apply.Wish(whole, ids.OperationId('late'), 'bo')
+        late = await apply.run(place.desk.links, current, wish)
+        assert late.outcome is Outcome.CONFLICT
+        assert (late.revision, late.author) == (2, 'ana')
+        _check_clean(place)
+
+    utils_admin.run(place, scenario)
--- a/tests/utils_rollout.py
+++ b/tests/utils_rollout.py
@@ -133,8 +133,11 @@
 def _prepare(world, operator, target):
     if target in world.gone:
         return rollout.Gone(target)
-    if target in world.entries:
-        world.entries[target].ready.add(operator.state.staged.operation)
+    entry = world.entries.get(target)
+    if entry is not None and entry.in_force >= operator.state.staged.revision:
+        return rollout.Refused(target, 'a later one is in force')
+    if entry is not None:
+        entry.ready.add(operator.state.staged.operation)
         return rollout.Acknowledged(target)
     return None
 
@@ -142,8 +145,7 @@
 def _swap(world, operator, lost):
     staged = operator.state.staged
     if world.version != operator.version:
-        conflict = rollout.Outcome.CONFLICT
-        return rollout.Swapped(conflict, winner=world.head)
+        return rollout.Swapped(rollout.Outcome.CONFLICT)
     world.unready += [
         (staged.operation, m)
         for m in world.entries
