Plan cores by what was measured alone, once something was

A restart proves the end of only those copies whose start can't have met the new boot, and an absence in usage reports counts only while the reports follow each other closely: a worker may have renewed its leases in a gap.

--- a/measure/placement.py
+++ b/measure/placement.py
@@ -104,6 +104,7 @@
     bad = inputs.bad_workers
     return {
         'cores used, share': _mean(run.cores_used[SETTLING_SAMPLES:]),
+        'cores short, share': _mean(run.cores_short),
         'memory used, share': _mean(run.memory_used[SETTLING_SAMPLES:]),
         'work done, share of bound': run.core_s_done
         / placement_inputs.work_bound(inputs),
--- a/measure/placement_loop.py
+++ b/measure/placement_loop.py
@@ -96,11 +96,11 @@
     double_runs: int = 0
     decision_s: list[float] = dataclasses.field(default_factory=list)
     cores_used: list[float] = dataclasses.field(default_factory=list)
+    cores_short: list[float] = dataclasses.field(default_factory=list)
     memory_used: list[float] = dataclasses.field(default_factory=list)
     fairness: list[float] = dataclasses.field(default_factory=list)
     core_s_done: float = 0.0
     core_s_lost: float = 0.0
-    core_s_total: float = 0.0
     aside: set[ids.VmId] = dataclasses.field(default_factory=set)
     told: set[str] = dataclasses.field(default_factory=set)
     held: set[ids.JobId] = dataclasses.field(default_factory=set)
@@ -550,11 +550,24 @@
         sum(copy.truth.cores * copy.rate for copy in alive) / cores
     )
     figures.memory_used.append(used_gib / capacity_gib)
-    figures.core_s_total += cores * REPORT_S
+    figures.cores_short.append(_cores_short(loop) / cores)
     _check_quotas(loop, alive)
     _sample_fairness(loop)
 
 
+def _cores_short(loop: Loop) -> float:
+    """Sum up the cores that copies would use and their worker hasn't."""
+    short = 0.0
+    for vm, here in loop.copies.items():
+        used = sum(
+            copy.truth.cores * copy.rate
+            for copy in here.values()
+            if copy.state in _ALIVE
+        )
+        short += max(used - loop.workers[vm].cores, 0.0)
+    return short
+
+
 def _check_quotas(loop: Loop, alive: list[Copy]) -> None:
     held: dict[str, list[float]] = {}
     for copy in alive:
--- a/oleanderwood/demand.py
+++ b/oleanderwood/demand.py
@@ -25,8 +25,8 @@
 class Caution:
     """How boldly sizes are planned below the declared ones.
 
-    :ivar prior_samples: measured tasks that the declared size weighs as
-        much as
+    :ivar prior_samples: measured tasks that the declared cores and run
+        time weigh as much as, once a task was measured
     :ivar min_cores_share: bound of overcommit: the least cores planned, as
         a share of the declared ones
     :ivar min_memory_samples: measured tasks before memory is planned below
@@ -34,7 +34,7 @@
     :ivar memory_margin: memory planned, as a multiple of the most measured
     """
 
-    prior_samples: int = 2
+    prior_samples: int = 0
     cores_quantile: float = 0.75
     run_quantile: float = 0.9
     min_cores_share: float = 0.25
@@ -174,9 +174,8 @@
         for one in known.measured.values()
         if one.run_s >= SETTLED_RUN_S
     ]
-    cores = quantile(
-        settled + [job.cores] * caution.prior_samples, caution.cores_quantile
-    )
+    prior = [job.cores] * max(caution.prior_samples, not settled)
+    cores = quantile(settled + prior, caution.cores_quantile)
     memory_gib = known.peak_memory_gib * caution.memory_margin
     if len(settled) < caution.min_memory_samples:
         memory_gib = max(memory_gib, job.memory_gib)
@@ -211,9 +210,8 @@
     known = demand.jobs.get(ids.JobId(job.name))
     if known is None or not known.run_s:
         return job.expected_run_s
-    caution = demand.caution
-    prior = [job.expected_run_s] * caution.prior_samples
-    return quantile(known.run_s + prior, caution.run_quantile)
+    prior = [job.expected_run_s] * demand.caution.prior_samples
+    return quantile(known.run_s + prior, demand.caution.run_quantile)
 
 
 def quantile(samples: list[float], share: float) -> float:
--- a/oleanderwood/placement_policy.py
+++ b/oleanderwood/placement_policy.py
@@ -136,5 +136,5 @@
 DEFAULT = Policy(
     fullest,
     by_quota_share,
-    reserve_on_each(0.1),
+    reserve_on_each(0.05),
 )
--- a/oleanderwood/task_row.py
+++ b/oleanderwood/task_row.py
@@ -236,9 +236,7 @@
         return msgspec.structs.replace(
             row, phase=Phase.RUNNING, absent_since_s=0.0, refusals=0
         )
-    if row.absent_since_s:
-        return msgspec.structs.replace(row, absent_since_s=0.0)
-    return row
+    return unknown(row)
 
 
 def seen_ended(
@@ -270,6 +268,13 @@
     return row
 
 
+def unknown(row: TaskRow) -> TaskRow:
+    """Note that the copy may have been back since reports lacked it."""
+    if not row.absent_since_s:
+        return row
+    return msgspec.structs.replace(row, absent_since_s=0.0)
+
+
 def lease_over_at_s(row: TaskRow) -> float:
     """Give the time by which the lease of an absent copy has lapsed."""
     return row.absent_since_s + LEASE_TTL_S * (1 + CLOCK_RATE_MARGIN)
--- a/oleanderwood/task_table.py
+++ b/oleanderwood/task_table.py
@@ -19,6 +19,14 @@
     platform_api.TaskState.THROTTLED,
 )
 
+MAX_REPORT_GAP_S = 5.0
+"""Reports further apart than this prove no absence in between.
+
+A report shows each worker that the platform heard of within this time, with
+what it said last; so a worker that renewed its leases between two reports
+that are closer shows in the second.
+"""
+
 
 @dataclasses.dataclass
 class Table:
@@ -147,6 +155,7 @@
     """
     taken_at_s = now_s - usage.age_s
     newest = taken_at_s > table.report_at_s
+    gap = taken_at_s - table.report_at_s > MAX_REPORT_GAP_S
     seen: set[str] = set()
     changed: list[str] = []
     for entry in usage.tasks:
@@ -157,7 +166,7 @@
             changed += _put(table, row, new)
     if newest:
         table.report_at_s = taken_at_s
-        changed += _note_absent(table, seen, taken_at_s, now_s)
+        changed += _note_absent(table, seen, taken_at_s, gap, now_s)
     return changed
 
 
@@ -181,30 +190,36 @@
 
 
 def _note_absent(
-    table: Table, seen: set[str], taken_at_s: float, now_s: float
+    table: Table,
+    seen: set[str],
+    taken_at_s: float,
+    gap: bool,
+    now_s: float,
 ) -> list[str]:
     changed = []
     for task, row in table.rows.items():
         if row.phase in task_row.LIVE and task not in seen:
-            new = task_row.not_seen(row, taken_at_s, now_s)
+            known = task_row.unknown(row) if gap else row
+            new = task_row.not_seen(known, taken_at_s, now_s)
             changed += _put(table, row, new)
     return changed
 
 
 def worker_restarted(
-    table: Table, worker: ids.VmId, now_s: float
+    table: Table, worker: ids.VmId, up_at_s: float, now_s: float
 ) -> list[str]:
     """Take in the proof that a worker's copies are gone: a new boot id.
 
-    A start that may still be on its way is left as it is.
-
+    :param up_at_s: when the earlier boot id was last seen to be in force;
+        a start that could arrive after that may have met the new boot, so
+        its row is left as it is
     :returns: the tasks whose rows changed
     """
     changed = []
     for row in list(table.rows.values()):
         if row.worker != worker or row.phase not in task_row.LIVE:
             continue
-        if now_s > row.intent_at_s + task_row.SEND_WINDOW_S:
+        if up_at_s > row.intent_at_s + task_row.SEND_WINDOW_S:
             changed += _put(table, row, task_row.over(row, now_s))
     return changed
 
