--- a/oleanderwood/http_server.py
+++ b/oleanderwood/http_server.py
@@ -1,9 +1,10 @@
 """Access to an HTTP/1.1 server over curio and h11."""
 
-import collections.abc
 import dataclasses
 import logging
+import math
 import socket
+import time
 import typing
 
 import curio
@@ -11,6 +12,8 @@
 
 from oleanderwood import errors
 from oleanderwood import http
+from oleanderwood import http_accepted
+from oleanderwood import http_watch
 from oleanderwood import ids
 
 LOG = logging.getLogger('http-server')
@@ -18,41 +21,42 @@
 KEEP_ALIVE_S = 75.0
 """How long a connection may wait for its next request."""
 
-BODY_IDLE_S = 30.0
-"""How long a body or an answer may make no headway."""
+HEAD_S = 10.0
+"""How long a request's head may take from its first byte."""
 
 BACKLOG = 1024
+_POLL_S = 0.05
+MAX_CONNECTIONS = 4096
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Server:
     """A listening server.
 
     :ivar address: the address it listens on, its port resolved
-    :ivar open: connections, by what they do now
+    :ivar refusal_headers: sent with refusals of malformed requests
+    :ivar closing: answers announce that their connection ends
+    :ivar stopping: nothing new is accepted
     """
 
     address: ids.Address
     sock: typing.Any
     handler: http.Handler
+    max_connections: int = MAX_CONNECTIONS
+    refusal_headers: http.Headers = dataclasses.field(default_factory=list)
+    closing: bool = False
     stopping: bool = False
     accepting: curio.Task | None = None
-    connections: set['Connection'] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(eq=False)
-class Connection:
-    """One accepted connection.
-
-    :ivar busy: set from a request's head to the end of its answer
-    """
-
-    sock: typing.Any
-    peer: str
-    busy: bool = False
+    connections: set[http_accepted.Connection] = dataclasses.field(
+        default_factory=set
+    )
 
 
-def listen(address: ids.Address, handler: http.Handler) -> Server:
+def listen(
+    address: ids.Address,
+    handler: http.Handler,
+    max_connections: int = MAX_CONNECTIONS,
+) -> Server:
     """Bind and listen; :func:`run` accepts.
 
     :raises OSError: the address can't be bound
@@ -63,21 +67,37 @@
     sock.bind((host, port))
     sock.listen(BACKLOG)
     bound_host, bound_port = sock.getsockname()
-    return Server(ids.Address(f'{bound_host}:{bound_port}'), sock, handler)
+    bound = ids.Address(f'{bound_host}:{bound_port}')
+    return Server(bound, sock, handler, max_connections)
 
 
 async def run(server: Server) -> None:
-    """Accept connections until :func:`stop`."""
-    async with curio.TaskGroup(wait=all) as group:
-        server.accepting = await group.spawn(_accept, server, group)
+    """Accept connections until :func:`stop`; cut them when cancelled."""
+    watching = await curio.spawn(http_watch.run, server)
+    server.accepting = await curio.spawn(_accept, server)
+    try:
+        await server.accepting.wait()
+        while server.connections:
+            await curio.sleep(_POLL_S)
+    finally:
+        await server.accepting.cancel()
+        await watching.cancel()
+        for connection in list(server.connections):
+            await connection.task.cancel()
 
 
-async def stop(server: Server, poll_s: float = 0.05) -> None:
+def retire(server: Server) -> None:
+    """Go on serving, but announce with each answer that it is the last."""
+    server.closing = True
+
+
+async def stop(server: Server) -> None:
     """Stop in an orderly way: accept no more, finish what is in flight.
 
     Idle connections are closed; busy ones get ``Connection: close`` with
     their answer. Returns when none is left.
     """
+    server.closing = True
     server.stopping = True
     if server.accepting is not None:
         await server.accepting.cancel()
@@ -85,141 +105,174 @@
     while server.connections:
         for connection in list(server.connections):
             if not connection.busy:
-                _shut(connection)
-        await curio.sleep(poll_s)
-
-
-def _shut(connection: Connection) -> None:
-    try:
-        connection.sock._socket.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
+                await http_watch.end_input(connection)
+        await curio.sleep(_POLL_S)
 
 
-async def _accept(server: Server, group: curio.TaskGroup) -> None:
-    while not server.stopping:
+async def _accept(server: Server) -> None:
+    while True:
+        while len(server.connections) >= server.max_connections:
+            await curio.sleep(http_watch.TICK_S)
         try:
             sock, peer = await server.sock.accept()
-        except OSError:
-            return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
-        connection = Connection(sock, f'{peer[0]}:{peer[1]}')
-        await group.spawn(_serve, server, connection)
+        except OSError as error:
+            # Also for a socket that was shut: it may listen again.
+            LOG.debug('Accepting failed: %s.', error)
+            await curio.sleep(http_watch.TICK_S)
+            continue
+        await _spawn(server, sock, f'{peer[0]}:{peer[1]}')
 
 
-async def _serve(server: Server, connection: Connection) -> None:
+async def _spawn(server: Server, sock: typing.Any, peer: str) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+    protocol = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=http.MAX_HEAD_BYTES
+    )
+    connection = http_accepted.Connection(sock, peer, protocol)
     server.connections.add(connection)
+    connection.task = await curio.spawn(
+        _serve, server, connection, daemon=True
+    )
+
+
+async def _serve(server: Server, connection: http_accepted.Connection) -> None:
     try:
         await _requests(server, connection)
-    except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+    except (OSError, h11.ProtocolError, errors.CallFailed) as error:
         LOG.debug('Connection of %s ended: %s', connection.peer, error)
+    except curio.CancelledError:
+        LOG.debug('Connection of %s was cut.', connection.peer)
+    except Exception:
+        LOG.exception('Connection of %s was cut by a fault.', connection.peer)
     finally:
         server.connections.discard(connection)
         await http.close(connection.sock)
 
 
-async def _requests(server: Server, connection: Connection) -> None:
-    protocol = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=http.MAX_HEAD_BYTES
-    )
+async def _requests(
+    server: Server, connection: http_accepted.Connection
+) -> None:
     while True:
         try:
-            request = await _head(connection, protocol)
+            request = await _head(server, connection)
         except h11.RemoteProtocolError as error:
-            await _refuse(connection, protocol, error)
+            await _refuse(server, connection, error)
             return
         if request is None:
             return
-        connection.busy = True
-        await _answer(server, connection, protocol, request)
-        if not await _reusable(server, connection, protocol):
+        await _answer(server, connection, request)
+        if not _reusable(server, connection):
+            await http_accepted.linger(connection)
             return
         connection.busy = False
 
 
 async def _head(
-    connection: Connection, protocol: h11.Connection
+    server: Server, connection: http_accepted.Connection
 ) -> http.Request | None:
-    async with curio.timeout_after(KEEP_ALIVE_S):
-        event = await http.next_event(connection.sock, protocol)
+    """Read a request's head; None when the connection ended."""
+    protocol = connection.protocol
+    now_s = time.monotonic()
+    started = bool(protocol.trailing_data[0])
+    connection.read_limit_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            break
+        data = await connection.sock.recv(http.READ_BYTES)
+        if not started:
+            started = True
+            connection.read_limit_s = time.monotonic() + HEAD_S
+        protocol.receive_data(data)
     if not isinstance(event, h11.Request):
         return None
+    connection.busy = True
+    connection.read_limit_s = math.inf
+    connection.waited_s = 0.0
+    connection.body_bytes = 0
+    # h11's own sequence is slow to go through again and again.
+    headers = list(event.headers)
+    if not _announces_body(headers):
+        protocol.next_event()
+    return _request(server, connection, event, headers)
+
+
+def _announces_body(headers: http.Headers) -> bool:
+    return any(
+        name == b'transfer-encoding'
+        or (name == b'content-length' and value != b'0')
+        for name, value in headers
+    )
+
+
+def _request(
+    server: Server,
+    connection: http_accepted.Connection,
+    event: h11.Request,
+    headers: http.Headers,
+) -> http.Request:
+    async def read() -> bytes:
+        return await http_accepted.read_piece(connection)
+
+    async def respond(response: http.Response) -> None:
+        await _respond(server, connection, event.method, response)
+
     return http.Request(
         method=event.method.decode('ascii'),
         target=event.target.decode('latin-1'),
-        headers=list(event.headers),
-        body=_body(connection, protocol),
+        headers=headers,
+        body=http.Body(read),
         peer=connection.peer,
+        http_version=event.http_version.decode('ascii'),
+        awaits_continue=(
+            connection.protocol.they_are_waiting_for_100_continue
+        ),
+        respond=respond,
     )
 
 
-async def _body(
-    connection: Connection, protocol: h11.Connection
-) -> collections.abc.AsyncIterator[bytes]:
-    if protocol.they_are_waiting_for_100_continue:
-        go_on = h11.InformationalResponse(status_code=100, headers=[])
-        await http.send(connection.sock, protocol, go_on)
-    while protocol.their_state is h11.SEND_BODY:
-        async with curio.timeout_after(BODY_IDLE_S):
-            event = await http.next_event(connection.sock, protocol)
-        if isinstance(event, h11.Data):
-            yield bytes(event.data)
-        elif not isinstance(event, h11.EndOfMessage):
-            raise ConnectionResetError('request body was cut')
-
-
 async def _answer(
-    server: Server,
-    connection: Connection,
-    protocol: h11.Connection,
-    request: http.Request,
+    server: Server, connection: http_accepted.Connection, request: http.Request
 ) -> None:
     try:
         response = await server.handler(request)
+        if response is not None:
+            await request.respond(response)
     except errors.BadMessage as error:
-        response = http.Response(error.status, [], error.reason.encode())
-    await write(connection.sock, protocol, response, server.stopping)
-
-
-async def write(
-    sock: typing.Any,
-    protocol: h11.Connection,
+        if connection.protocol.our_state is not h11.SEND_RESPONSE:
+            raise
+        body = error.reason.encode() + b'\n'
+        await request.respond(http.Response(error.status, [], body))
+    except (OSError, h11.ProtocolError, errors.CallFailed):
+        raise
+    except Exception:
+        if connection.protocol.our_state is not h11.SEND_RESPONSE:
+            raise
+        LOG.exception('The handler failed; the answer is 500.')
+        await request.respond(http.Response(500, [], b'internal fault\n'))
+
+
+async def _respond(
+    server: Server,
+    connection: http_accepted.Connection,
+    method: bytes,
     response: http.Response,
-    closing: bool,
 ) -> None:
-    """Send a response whole; a body that fails midway cuts the connection.
+    closing = server.closing or _unread(connection.protocol)
+    await http_accepted.write(connection, response, closing, method == b'HEAD')
 
-    :param closing: whether to announce that the connection ends
-    """
-    headers = list(response.headers)
-    if closing:
-        headers.append((b'connection', b'close'))
-    if isinstance(response.body, bytes):
-        headers.append((b'content-length', b'%d' % len(response.body)))
-    head = h11.Response(status_code=response.status, headers=headers)
-    async with curio.timeout_after(BODY_IDLE_S):
-        await http.send(sock, protocol, head)
-    async for piece in _pieces(response.body):
-        async with curio.timeout_after(BODY_IDLE_S):
-            await http.send(sock, protocol, h11.Data(data=piece))
-    await http.send(sock, protocol, h11.EndOfMessage())
-
-
-async def _pieces(
-    body: bytes | http.Chunks,
-) -> collections.abc.AsyncIterator[bytes]:
-    if isinstance(body, bytes):
-        if body:
-            yield body
-        return
-    async for piece in body:
-        yield piece
+
+def _unread(protocol: h11.Connection) -> bool:
+    return protocol.their_state not in (
+        h11.DONE,
+        h11.MUST_CLOSE,
+        h11.MIGHT_SWITCH_PROTOCOL,
+    )
 
 
-async def _reusable(
-    server: Server, connection: Connection, protocol: h11.Connection
-) -> bool:
-    if server.stopping or protocol.our_state is not h11.DONE:
+def _reusable(server: Server, connection: http_accepted.Connection) -> bool:
+    protocol = connection.protocol
+    if server.closing or protocol.our_state is not h11.DONE:
         return False
     if protocol.their_state is not h11.DONE:
         return False
@@ -228,12 +281,14 @@
 
 
 async def _refuse(
-    connection: Connection,
-    protocol: h11.Connection,
+    server: Server,
+    connection: http_accepted.Connection,
     error: h11.RemoteProtocolError,
 ) -> None:
-    if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+    if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    status = error.error_status_hint
-    response = http.Response(status, [], f'{error}\n'.encode())
-    await write(connection.sock, protocol, response, True)
+    body = f'{error}\n'.encode()
+    headers = server.refusal_headers
+    response = http.Response(error.error_status_hint, headers, body)
+    await http_accepted.write(connection, response, True)
+    await http_accepted.linger(connection)
