--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -20,6 +20,9 @@
 """VMs exchanged with the spare at one step to mend the reserve."""
 
 
+FEW_CANDIDATES = 3
+"""VMs on each side that are tried for a swap within one step."""
+
 LEAST_FREE = 1
 """VMs that the reserve should allow to be out besides."""
 
@@ -249,7 +252,8 @@
     if reserve.free(census) >= LEAST_FREE or not _is_idle(census):
         return
     target = reserve.free(census) + 1
-    for vm, spare in buffer_swap.find(census, target, MAX_SWAPS):
+    swaps = buffer_swap.find(census, target, MAX_SWAPS, FEW_CANDIDATES)
+    for vm, spare in swaps:
         pool = census.rows[vm].pool
         origin = census.rows[spare].pool
         reserve.move(census, spare, pool)
--- a/oleanderwood/buffer_swap.py
+++ b/oleanderwood/buffer_swap.py
@@ -7,24 +7,30 @@
 SURPLUS = ids.PoolId('')
 """The pool of VMs that are counted nowhere."""
 
-MAX_CANDIDATES = 8
-"""VMs on each side that are tried for a swap."""
+MANY_CANDIDATES = 8
+"""VMs on each side that are tried for a swap when there is time."""
 
 Swap = tuple[ids.VmId, ids.VmId]
 """Two VMs that change places: the second one joins the first one's pool."""
 
 
-def find(census: reserve.Census, target: int, limit: int) -> list[Swap]:
+def find(
+    census: reserve.Census,
+    target: int,
+    limit: int,
+    candidates: int = MANY_CANDIDATES,
+) -> list[Swap]:
     """Find swaps after which every loss leaves ``target`` spares.
 
     Takes at each step the swap that leaves the least lacking. The census
     is left as it was.
 
+    :param candidates: VMs on each side that are tried
     :returns: at most ``limit`` swaps; none if these don't suffice
     """
     swaps = []
     while len(swaps) < limit and reserve.free(census) < target:
-        swap = _best(census, target)
+        swap = _best(census, target, candidates)
         if swap is None:
             break
         carry_out(census, swap)
@@ -64,12 +70,15 @@
     return fleet.spare_pool(census.sites[vm].data_centre)
 
 
-def _best(census: reserve.Census, target: int) -> Swap | None:
+def _best(census: reserve.Census, target: int, candidates: int) -> Swap | None:
     """Choose a VM of the worst domain and one that takes its place."""
-    worst = reserve.shortages(census, target)[0]
+    short = reserve.shortages(census, target)
+    if not short:
+        return None
+    worst = short[0]
     best = None
     now = deficit(census, target)
-    for vm, other in _candidates(census, worst):
+    for vm, other in _candidates(census, worst, candidates):
         carry_out(census, (vm, other))
         key = (deficit(census, target), vm, other)
         carry_out(census, (vm, other))
@@ -78,7 +87,9 @@
     return best[1:] if best else None
 
 
-def _candidates(census: reserve.Census, worst: reserve.Shortage) -> list[Swap]:
+def _candidates(
+    census: reserve.Census, worst: reserve.Shortage, candidates: int
+) -> list[Swap]:
     """List pairs of a VM that is lost or out of reach, and one that isn't.
 
     Of each pair one is in a pool and the other a spare or surplus, or the
@@ -102,8 +113,12 @@
                 continue
             pairs += [
                 (vm, other)
-                for vm in _least_exposed(census, near.get(first, {}))
-                for other in _least_exposed(census, far.get(second, {}))
+                for vm in _least_exposed(census, near.get(first, {}))[
+                    :candidates
+                ]
+                for other in _least_exposed(census, far.get(second, {}))[
+                    :candidates
+                ]
                 if _may_swap(census, vm, other)
             ]
     return pairs
@@ -128,10 +143,10 @@
 def _least_exposed(
     census: reserve.Census, found: dict[tuple, ids.VmId]
 ) -> list[ids.VmId]:
-    """Keep a few VMs, from racks whose loss costs least."""
+    """Sort VMs by what the loss of their racks costs."""
 
     def key(vm):
         rack, _ = reserve.domains_of(census.sites[vm])
         return reserve.exposure(census, rack), vm
 
-    return sorted(found.values(), key=key)[:MAX_CANDIDATES]
+    return sorted(found.values(), key=key)
