--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -89,7 +89,9 @@
 ) -> tuple[Move, ...]:
     """Choose the moves that bring each pool to its size.
 
-    The same input with the moves carried out gives no further move.
+    VMs that leave a pool count as out until they have arrived, so that more
+    may move in a later step; after a few steps nothing moves until the
+    input changes.
 
     :param rows: of all shards of the region
     :param sites: data centre and rack of all listed VMs of the region
--- a/tests/utils_decisions.py
+++ b/tests/utils_decisions.py
@@ -94,12 +94,12 @@
     )
 
 
-def without_vms(drawn, seed):
-    """Break some VMs of a fleet."""
+def without_vms(drawn, seed, share=0.2):
+    """Break a share of a fleet's VMs."""
     rng = random.Random(seed)
     rows = [
         row(one.vm, one.pool, fleet.VmState.BROKEN, one.rack)
-        if rng.random() < 0.2
+        if rng.random() < share
         else one
         for one in drawn.rows
     ]
