--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -199,11 +199,10 @@
     """Take all of a rack's VMs, or none."""
     taken = []
     for row in rows:
-        if _obstacle(census, row, quarter) is not None:
+        if _take(census, row, quarter) is not None:
             for vm in taken:
                 reserve.put_back(census, vm)
             return []
-        reserve.take(census, row.vm)
         taken.append(row.vm)
     return taken
 
@@ -223,12 +222,10 @@
     ]
     blocked += [Blocked(row.vm, row.pool, BlockReason.OUT) for row in left.out]
     for row in rows:
-        obstacle = _obstacle(census, row, quarter)
+        obstacle = _take(census, row, quarter)
         if obstacle is not None:
             blocked.append(Blocked(row.vm, row.pool, obstacle))
-            continue
-        reserve.take(census, row.vm)
-        if len(taken) < room:
+        elif len(taken) < room:
             taken.append(row.vm)
         else:
             beyond.append(row.vm)
@@ -238,10 +235,10 @@
     return Choice(tuple(taken), tuple(blocked), len(taken) + len(beyond))
 
 
-def _obstacle(
+def _take(
     census: reserve.Census, row: fleet.VmRow, quarter: Quarter
 ) -> BlockReason | None:
-    """Say what stands against taking a VM now; None if nothing does."""
+    """Take a VM, or say what stands against it; None once taken."""
     state = census.pools.get(row.pool)
     if state is not None:
         if state.up - 1 < state.needed:
@@ -251,6 +248,6 @@
             state.pool, spent, state.up, state.out, quarter.absence_s
         ):
             return BlockReason.QUARTER
-    if not reserve.holds_without(census, row.vm):
+    if not reserve.try_take(census, row.vm):
         return BlockReason.RESERVE
     return None
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import operator
 import typing
 
@@ -114,6 +115,7 @@
     """VMs that pools would lack with a domain, without lost spares."""
 
 
+@functools.lru_cache(maxsize=8192)
 def domains_of(site: Site) -> tuple[Domain, Domain]:
     """Name the rack and the data centre that a VM fails with."""
     return (
@@ -180,34 +182,48 @@
 
 
 def holds_without(census: Census, vm: ids.VmId) -> bool:
-    """Say whether every promise holds once a VM that is up is taken.
+    """Say whether every promise holds once a VM that is up is taken."""
+    held = try_take(census, vm)
+    if held:
+        put_back(census, vm)
+    return held
+
+
+def try_take(census: Census, vm: ids.VmId) -> bool:
+    """Take a VM that is up if every promise holds without it.
 
     Only failures that taking it makes worse are judged: one that could not
     be survived before stops no VM that has nothing to do with it.
+
+    :returns: whether it was taken
     """
-    row = census.rows[vm]
-    state = census.pools.get(row.pool)
+    state = census.pools.get(census.rows[vm].pool)
     if state is not None and state.up - 1 < state.needed:
         return False
     if state is None or _extra(state) > 0:
         take(census, vm)
         held = free(census) >= 0
+    else:
+        held = _take_own(census, state, vm)
+    if not held:
         put_back(census, vm)
-        return held
+    return held
+
+
+def _take_own(census: Census, state: PoolState, vm: ids.VmId) -> bool:
+    """Take a VM of a pool without extra ones; judge the pool's domains."""
     none = (0,) * len(census.unions)
     before = [
         (domain, tuple(census.cost.get(domain, none))) for domain in state.loss
     ]
     take(census, vm)
-    held = not any(
+    return not any(
         now > was and now > margin
         for domain, costs in before
         for was, now, margin in zip(
             costs, census.cost.get(domain, none), census.margin
         )
     )
-    put_back(census, vm)
-    return held
 
 
 def holds(census: Census, absent: int = 0) -> bool:
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -119,7 +119,12 @@
 
 
 def _take_all(census, row, quarter):
-    return None
+    reserve.take(census, row.vm)
+
+
+def _take_if_asked(census, vm):
+    reserve.take(census, vm)
+    return True
 
 
 def _forget(census, targets, finished):
@@ -136,8 +141,8 @@
 ORIGINAL_LEND = buffer._lend
 
 DEFECTS = (
-    (check_minimum, batches, '_obstacle', _take_all),
-    (check_reserve, reserve, 'holds_without', lambda census, vm: True),
+    (check_minimum, batches, '_take', _take_all),
+    (check_reserve, reserve, 'try_take', _take_if_asked),
     (check_once, batches, 'left_of', _forget),
     (check_quarter, budget, 'affords', lambda *arguments: True),
     (check_progress, buffer, '_lend', lambda plan, loan: None),
