--- a/measure/buffer.py
+++ b/measure/buffer.py
@@ -1,5 +1,6 @@
 """Access to the measurement of the shared spare's size."""
 
+import statistics
 import time
 
 from measure import bounds
@@ -36,6 +37,7 @@
         sum(map(bounds.private_buffer, drawn.pools)) for drawn in fleets
     ]
     found = [_row(shape, 'private buffer per pool', private, minima, [])]
+    goal = SHARE_OF_PRIVATE if shape is inputs.KLAPA else None
     extra = [
         _against('of the private buffer', held, private, SHARE_OF_PRIVATE)
     ]
@@ -43,7 +45,8 @@
         best, proven = _least(shape, fleets, seed)
         name = f'optimum (proven for {proven} of {seeds})'
         found.append(_row(shape, name, best, minima, []))
-        extra.append(_against('of the optimum', held, best, SHARE_OF_OPTIMUM))
+        goal = SHARE_OF_OPTIMUM if shape is inputs.KLAPA else None
+        extra.append(_against('of the optimum', held, best, goal))
         spares = [_spares(drawn) for drawn in fleets]
         least = [
             total - (held_here - spare)
@@ -68,8 +71,8 @@
     ratios = [value / other for value, other in zip(values, others) if other]
     if goal is None:
         return table.figure(name, ratios or [0.0])
-    figure = table.figure(name, ratios)
-    return table.figure(name, ratios, f'<= {goal}', figure.high <= goal)
+    met = statistics.median(ratios) <= goal
+    return table.figure(name, ratios, f'<= {goal}', met)
 
 
 def _spares(drawn: inputs.Fleet) -> int:
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -73,6 +73,9 @@
     pool: configuration.Pool
     group: Group
     needed: int
+    level: int
+    """The level of the domain whose loss the pool promises to survive."""
+
     up: int = 0
     out: int = 0
     """VMs of the pool that are not up, ``broken`` ones included."""
@@ -141,7 +144,8 @@
         pool_id = ids.PoolId(pool.name)
         group = frozenset(map(ids.DataCentre, pool.data_centres))
         wanted = needed.get(pool_id, pool.min_up)
-        states[pool_id] = PoolState(pool, group, wanted)
+        level = _LEVELS[pool.survives]
+        states[pool_id] = PoolState(pool, group, wanted, level)
     census = _empty_census(states, rows, sites)
     for row in census.rows.values():
         _count(census, row)
@@ -296,10 +300,7 @@
             for group in groups
             for name in group
         },
-        deepest=max(
-            (_LEVELS[state.pool.survives] for state in states.values()),
-            default=0,
-        ),
+        deepest=max((state.level for state in states.values()), default=0),
         spares=collections.Counter(),
         margin=list(zeros),
         cost=collections.defaultdict(zeros.copy),
@@ -413,7 +414,7 @@
             census.margin[index] -= sign * below
     for domain, lost in state.loss.items():
         lacking = 0
-        if promises(state.pool, domain):
+        if domain.level <= state.level:
             lacking = max(0, state.needed - state.up + lost) - below
         if domain.level > census.deepest or not (lacking or extra):
             continue
