--- a/measure/inputs.py
+++ b/measure/inputs.py
@@ -1,6 +1,7 @@
 """Access to generated fleets of the sizes that are measured."""
 
 import dataclasses
+import functools
 import random
 
 from oleanderwood import buffer
@@ -17,6 +18,9 @@
 SPARE_SHARE = 0.4
 """VMs offered beyond the pools' sizes, before the sizing."""
 
+SEEDS_A_DESIGN = 20
+"""Of so many seeds one is measured at the design size: it takes long."""
+
 MAX_SWAPS = 4
 """Swaps that one spare less is worth, before anything serves."""
 
@@ -102,6 +106,7 @@
 )
 
 
+@functools.lru_cache(maxsize=64)
 def generate(shape: Shape, seed: int) -> Fleet:
     """Draw a fleet, assign its VMs and hand back the spares not needed."""
     drawn = candidates(shape, seed)
@@ -131,6 +136,11 @@
     )
 
 
+def design_seeds(seeds: int) -> int:
+    """Say how many seeds to measure at the design size."""
+    return max(1, seeds // SEEDS_A_DESIGN)
+
+
 def candidates(shape: Shape, seed: int) -> Fleet:
     """Draw pools and unassigned VMs."""
     rng = random.Random(f'{shape.name} {seed}')
