--- a/demo/marker.py
+++ b/demo/marker.py
@@ -26,8 +26,12 @@
 
 @dataclasses.dataclass
 class Markers:
-    """The numbers given out; each stands for one change."""
+    """The numbers given out; each stands for one change.
 
+    :ivar team: for whom entries are asked
+    """
+
+    team: str = ''
     numbers: collections.abc.Iterator[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
@@ -82,6 +86,7 @@
                 'GET',
                 f'{route(number)}/look',
                 timeout_s=LOOK_TIMEOUT_S,
+                headers=[(b'oleander-team', markers.team.encode())],
             )
         except errors.CallFailed:
             return None
--- a/demo/scene.py
+++ b/demo/scene.py
@@ -38,7 +38,8 @@
 
 def make(deployment: deployments.Deployment, seed: int) -> Scene:
     """Make a scene in which nothing happened yet."""
-    return Scene(deployment, seed, marker.Markers())
+    team = deployment.whole.teams[0].name
+    return Scene(deployment, seed, marker.Markers(team))
 
 
 def kinds(
