--- a/demo/soak.py
+++ b/demo/soak.py
@@ -55,6 +55,7 @@
     seed: int,
     length_s: float,
     size: deployments.Size,
+    kinds: tuple[schedule.Fault, ...] = tuple(schedule.Fault),
     repeat_doubtful: bool = False,
 ) -> Outcome:
     """Run one deployment under a schedule of faults, and check it.
@@ -67,7 +68,7 @@
     scene = scenes.make(deployment, seed)
     say(f'soak: {name} is up, {len(run.children)} processes')
     await scenes.begin(scene, repeat_doubtful=repeat_doubtful)
-    steps = schedule.draw(seed, length_s)
+    steps = schedule.draw(seed, length_s, kinds)
     striker = strikes.Striker(scene, time.monotonic(), say)
     outcome = Outcome(checker.Report(), striker)
     applying = await curio.spawn(_apply, scene, outcome)
@@ -91,7 +92,13 @@
 async def _apply(scene: scenes.Scene, outcome: Outcome) -> None:
     while True:
         await curio.sleep(APPLY_EVERY_S)
+        start_s = time.monotonic()
         answer = await daemons.apply_marker(scene.deployment, scene.markers)
+        say(
+            f'apply {scene.markers.newest}: status {answer.status} after '
+            f'{time.monotonic() - start_s:.1f} s '
+            f'{answer.errors.strip()} {answer.output.strip()}'
+        )
         outcome.applies[answer.status] += 1
 
 
@@ -140,20 +147,31 @@
     seed: int = 1,
     deployment: str = 'klapa',
     entries: int = 6,
+    faults: str = '',
     repeat_doubtful: bool = False,
     keep: str = '',
 ) -> None:
     """Run a soak.
 
     :param deployment: klapa or ascensia
+    :param faults: kinds of faults, with commas between; '' for all
     :param repeat_doubtful: callers repeat what may have run under its key
     :param keep: directory that takes the logs of a failed run
     """
     size = deployments.Size(entries=entries)
+    names = faults.split(',') if faults else list(schedule.Fault)
+    kinds = tuple(schedule.Fault(name) for name in names)
     start_s = time.monotonic()
     with processes.running() as run:
         outcome = curio.run(
-            soak, run, deployment, seed, seconds, size, repeat_doubtful
+            soak,
+            run,
+            deployment,
+            seed,
+            seconds,
+            size,
+            kinds,
+            repeat_doubtful,
         )
         for breach in outcome.report.breaches[:SHOWN_BREACHES]:
             say(f'soak: breach {breach}')
