Take a refused connection as proof that an entry has ended

An entry listens for its peers as long as it runs, so a refusal at its peer address proves its end, for itself and where its answer is missed. Silence still proves nothing. Ruled out: taking the killed entry off the roster, as the release of VMs needs its requests in flight to have ended, a stronger proof.

--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -58,7 +58,7 @@
 ) -> admin_api.Api:
     """Put the API together."""
     listing = vm_listing.Reader(list_vms)
-    watcher = absence.Watcher(kept, peers, listing)
+    watcher = absence.Watcher(kept, peers, listing, absence.refuses)
     links = apply.Links(
         kept=kept,
         peers=peers,
--- a/tests/test_absence.py
+++ b/tests/test_absence.py
@@ -1,5 +1,7 @@
 """Tests of absence: when a member may be left out of an apply."""
 
+import socket
+
 import curio
 
 from oleanderwood import absence
@@ -21,13 +23,17 @@
 LONG_S = isolation.QUIET_S + 1
 
 
-def _watcher(fake, ages, listed=True):
+def _watcher(fake, ages, listed=True, ended=()):
     """Make what the proof reads.
 
     :param ages: how long ago each other member heard of the lost one;
         those left out don't answer
+    :param ended: members whose addresses refuse connections
     """
 
+    async def refuses(address):
+        return address in [member.peer for member in ended]
+
     async def release(address, request):
         for other in (OTHER, THIRD):
             if other.peer == address and other.entry in ages:
@@ -46,7 +52,7 @@
     calls = {method.name: None for method in peer.METHODS}
     peers = peer.Peers(**(calls | {'release': release}))
     kept = utils_store.connect(fake)
-    return absence.Watcher(kept, peers, vm_listing.Reader(list_vms))
+    return absence.Watcher(kept, peers, vm_listing.Reader(list_vms), refuses)
 
 
 def _gone(ages, members=(LOST, OTHER, THIRD), key=False, **options):
@@ -90,6 +96,25 @@
     assert not _gone({'e2': LONG_S})
 
 
+def test_whose_address_refuses_connections_has_ended():
+    assert _gone({}, ended=(LOST,), key=True)
+
+
+def test_another_that_has_ended_needs_no_answer():
+    assert _gone({'e2': LONG_S}, ended=(THIRD,))
+    assert not _gone({'e2': 1.0}, ended=(THIRD,))
+
+
+def test_refusal_is_told_from_silence():
+    listening = socket.socket()
+    listening.bind(('127.0.0.1', 0))
+    address = '%s:%d' % listening.getsockname()
+    assert curio.run(absence.refuses, address)
+    listening.listen()
+    assert not curio.run(absence.refuses, address)
+    listening.close()
+
+
 def test_whose_vm_left_the_list_is_gone():
     assert _gone({}, listed=False)
     assert not _gone({}, listed=True)
