--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,91 @@
+"""Tests of connections."""
+
+import curio
+import pytest
+
+from oleanderwood import connections
+from oleanderwood import errors
+from oleanderwood import http
+from oleanderwood import http_client
+from oleanderwood import http_server
+from oleanderwood import verdict as verdicts
+
+
+def with_server(use):
+    async def answer(request):
+        return http.Response(200, [], b'x')
+
+    async def main():
+        server = http_server.listen('127.0.0.1:0', answer)
+        serving = await curio.spawn(http_server.run, server)
+        state = connections.Connections()
+        result = await use(state, server)
+        await connections.drop_idle(state, 1e18)
+        assert not state.opened
+        await serving.cancel()
+        return result
+
+    return curio.run(main)
+
+
+async def ask(connection):
+    response = await http_client.exchange(
+        connection, 'GET', '/', [(b'host', b'a')]
+    )
+    await http.read_all(response.body, 10)
+
+
+def test_connection_is_kept_and_taken_again():
+    async def use(state, server):
+        seen = set()
+        for _ in range(3):
+            taken = await connections.take(state, server.address, 1, 1.0)
+            assert not taken.written
+            await ask(taken)
+            await connections.give_back(state, taken)
+            seen.add(taken)
+        return len(seen)
+
+    assert with_server(use) == 1
+
+
+def test_limit_is_kept():
+    async def use(state, server):
+        taken = await connections.take(state, server.address, 1, 1.0)
+        with pytest.raises(errors.CallFailed) as caught:
+            await connections.take(state, server.address, 1, 1.0)
+        await connections.drop(state, taken)
+        again = await connections.take(state, server.address, 1, 1.0)
+        await connections.drop(state, again)
+        return caught.value.verdict
+
+    assert with_server(use) is verdicts.Verdict.NOT_RUN
+
+
+def test_failed_connect_leaves_the_count():
+    async def use(state, server):
+        for _ in range(3):
+            with pytest.raises(errors.CallFailed):
+                await connections.take(state, '127.0.0.1:1', 1, 1.0)
+
+    with_server(use)
+
+
+@pytest.mark.parametrize('unfit', ['half-read', 'too-old', 'closed'])
+def test_unfit_connection_is_dropped(unfit):
+    async def use(state, server):
+        first = await connections.take(state, server.address, 2, 1.0)
+        if unfit == 'half-read':
+            await http_client.exchange(first, 'GET', '/', [(b'host', b'a')])
+        else:
+            await ask(first)
+        await connections.give_back(state, first)
+        if unfit == 'closed':
+            (accepted,) = server.connections
+            await accepted.task.cancel()
+        idle_s = 0.0 if unfit == 'too-old' else 10.0
+        second = await connections.take(state, server.address, 2, 1.0, idle_s)
+        await connections.drop(state, second)
+        return first is not second
+
+    assert with_server(use)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -57,6 +57,7 @@
 
     lines = utils.run(use, echo).body.decode().splitlines()
     seen = dict(line.split(': ', 1) for line in lines)
+    assert len(seen) == len(lines)
     assert seen['x-end'] == '2'
     assert 'x-hop' not in seen and 'te' not in seen
     assert seen['oleander-epoch'] == '3'
@@ -378,6 +379,23 @@
         assert response.header('retry-after') is None
 
 
+def test_consumed_body_is_not_sent_again():
+    bodies = []
+
+    async def cut(request):
+        bodies.append(await http.read_all(request.body, 100))
+        raise ConnectionResetError('cut')
+
+    async def use(world):
+        start = head(b'POST', b'/s', b'1.1', CLOSE, CHUNKED)
+        return await talk(world, start + b'3\r\nabc\r\n0\r\n\r\n')
+
+    received = utils.run(use, cut, cut, idempotent=True, retry_share=1.0)
+    assert received.startswith(b'HTTP/1.1 502 ')
+    assert b'oleander-verdict: may-have-run' in received.lower()
+    assert bodies == [b'abc']
+
+
 @pytest.mark.parametrize(
     'answer',
     [
