--- a/measure/inputs.py
+++ b/measure/inputs.py
@@ -5,6 +5,7 @@
 
 from oleanderwood import buffer
 from oleanderwood import buffer_size
+from oleanderwood import buffer_swap
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -13,6 +14,12 @@
 RACK_SIZE = 4
 REGION = 'r1'
 
+SPARE_SHARE = 0.4
+"""VMs offered beyond the pools' sizes, before the sizing."""
+
+MAX_SWAPS = 4
+"""Swaps that one spare less is worth, before anything serves."""
+
 DAY_S = 24 * 3600.0
 VM_FAILURES_A_DAY = 16 / 1000
 """Per VM: 16 of the design's 1,000 fail on an ordinary day."""
@@ -95,12 +102,9 @@
 )
 
 
-def generate(shape: Shape, seed: int, spare_share: float = 0.25) -> Fleet:
-    """Draw a fleet, assign its VMs and hand back the spares not needed.
-
-    :param spare_share: VMs beyond the pools' sizes before the sizing
-    """
-    drawn = candidates(shape, seed, spare_share)
+def generate(shape: Shape, seed: int) -> Fleet:
+    """Draw a fleet, assign its VMs and hand back the spares not needed."""
+    drawn = candidates(shape, seed)
     assigned = carry_out(
         drawn,
         buffer.assign(
@@ -108,8 +112,13 @@
         ),
     )
     sizing = buffer_size.size(
-        assigned.pools, assigned.rows, assigned.sites, assigned.absent
+        assigned.pools,
+        assigned.rows,
+        assigned.sites,
+        assigned.absent,
+        MAX_SWAPS if shape is not DESIGN else 0,
     )
+    assigned = _exchange(assigned, sizing.swaps)
     surplus = set(sizing.surplus)
     return dataclasses.replace(
         assigned,
@@ -122,7 +131,7 @@
     )
 
 
-def candidates(shape: Shape, seed: int, spare_share: float) -> Fleet:
+def candidates(shape: Shape, seed: int) -> Fleet:
     """Draw pools and unassigned VMs."""
     rng = random.Random(f'{shape.name} {seed}')
     pools = tuple(_pool(shape, rng, index) for index in range(shape.pools))
@@ -132,7 +141,7 @@
             pool for pool in pools if set(pool.data_centres) <= set(centres)
         ]
         wanted = sum(pool.size for pool in named)
-        wanted += max(8, round(wanted * spare_share))
+        wanted += max(8, round(wanted * SPARE_SHARE))
         sites |= _sites(centres, wanted)
     names = tuple(pool.name for pool in pools)
     spares = tuple(
@@ -153,6 +162,13 @@
     return Fleet(shape.name, pools, rows, sites, shape.weights, wave, absent)
 
 
+def _exchange(drawn: Fleet, swaps: tuple[buffer_swap.Swap, ...]) -> Fleet:
+    census = reserve.take_census(drawn.pools, drawn.rows, drawn.sites)
+    for swap in swaps:
+        buffer_swap.carry_out(census, swap)
+    return dataclasses.replace(drawn, rows=tuple(census.rows.values()))
+
+
 def carry_out(drawn: Fleet, moves: tuple[buffer.Move, ...]) -> Fleet:
     """Put VMs into the pools that they were moved to."""
     target = {move.vm: move.to_pool for move in moves}
--- a/oleanderwood/apply.py
+++ b/oleanderwood/apply.py
@@ -24,9 +24,8 @@
 
 LOG = logging.getLogger('apply')
 
-RETRY_S = 0.25
+RETRY_S = 0.5
 DROP_LIMIT_S = 1.0
-EMPTY_ROSTER = roster.Roster(ids.Revision(0))
 
 Gone = collections.abc.Callable[
     [roster.Member], collections.abc.Awaitable[bool]
@@ -40,13 +39,15 @@
     :ivar gone: says whether a member is proven gone or isolated
     :ivar prepare_limit_s: how long members may take to acknowledge
     :ivar commit_limit_s: how long the roll-out is followed once accepted
+    :ivar retry_s: pause before a member is asked again
     """
 
     kept: store.Store
     peers: peer.Peers
     gone: Gone
-    prepare_limit_s: float = 15.0
+    prepare_limit_s: float = 20.0
     commit_limit_s: float = 8.0
+    retry_s: float = RETRY_S
     clock: collections.abc.Callable[[], float] = time.monotonic
     wall_clock: collections.abc.Callable[[], float] = time.time
 
@@ -172,10 +173,11 @@
         while True:
             for action in actions:
                 if isinstance(action, rollout.End):
+                    took_s = links.clock() - swapped_at_s
                     await group.cancel_remaining()
                     await _drop_all(running, actions)
-                    took_s = links.clock() - swapped_at_s
-                    return _applied(running, action, took_s)
+                    end = await _with_winner(running, action)
+                    return _applied(running, end, took_s)
                 if not isinstance(action, rollout.Drop):
                     await group.spawn(_act, running, action)
             event = await _next_event(running, state, deadline_s)
@@ -217,17 +219,17 @@
     while True:
         try:
             known, _ = await change.read(
-                running.links.kept, store.ROSTER_KEY, EMPTY_ROSTER
+                running.links.kept, store.ROSTER_KEY, roster.EMPTY
             )
         except errors.CallFailed as error:
             LOG.warning('Roster not read: %s.', error)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         return rollout.RosterRead(known.members)
 
 
 async def _prepare(running: _Run, member: roster.Member) -> rollout.Event:
-    request = messages.PrepareRequest(running.staged, running.whole)
+    request = _prepare_request(running)
     while True:
         try:
             reply = await running.links.peers.prepare(member.peer, request)
@@ -235,11 +237,22 @@
             LOG.info('%s did not acknowledge: %s.', member.entry, error)
             if await running.links.gone(member):
                 return rollout.Gone(member)
-            await curio.sleep(RETRY_S)
+            await curio.sleep(running.links.retry_s)
             continue
         if reply.acknowledged:
             return rollout.Acknowledged(member)
-        return rollout.Refused(member, reply.reason)
+        if reply.revision >= running.staged.revision:
+            return rollout.Refused(member, reply.reason)
+        LOG.info('%s can not yet: %s.', member.entry, reply.reason)
+        if await running.links.gone(member):
+            return rollout.Gone(member)
+        await curio.sleep(running.links.retry_s)
+
+
+def _prepare_request(running: _Run) -> messages.PrepareRequest:
+    return messages.PrepareRequest(
+        running.staged, running.whole, running.current.version
+    )
 
 
 async def _commit(running: _Run, member: roster.Member) -> rollout.Event:
@@ -251,13 +264,12 @@
             reply = await links.peers.commit(member.peer, request)
             if reply.revision >= staged.revision:
                 return rollout.InForce(member, reply.revision)
-            again = messages.PrepareRequest(staged, running.whole)
-            await links.peers.prepare(member.peer, again)
+            await links.peers.prepare(member.peer, _prepare_request(running))
         except errors.CallFailed as error:
             LOG.info('%s did not answer: %s.', member.entry, error)
             if await links.gone(member):
                 return rollout.Gone(member)
-        await curio.sleep(RETRY_S)
+        await curio.sleep(links.retry_s)
 
 
 async def _swap(running: _Run) -> rollout.Event:
@@ -271,27 +283,26 @@
             None,
         )
     except errors.StoreConflict:
-        return await _winner(running)
+        return rollout.Swapped(rollout.Outcome.CONFLICT)
     except errors.CallFailed as error:
         outcome = rollout.Outcome(error.verdict.value)
         return rollout.Swapped(outcome, reason=error.reason)
     return rollout.Swapped(rollout.Outcome.ACCEPTED)
 
 
-async def _winner(running: _Run) -> rollout.Event:
-    """Say who came first; the own head can't stand there any more."""
-    conflict = rollout.Outcome.CONFLICT
+async def _with_winner(running: _Run, end: rollout.End) -> rollout.End:
+    """Name who came first, where another did."""
+    if end.outcome is not rollout.Outcome.CONFLICT:
+        return end
     try:
         head, _ = await change.read(
             running.links.kept, store.CONFIG_HEAD_KEY, staging.NO_HEAD
         )
     except errors.CallFailed as error:
-        return rollout.Swapped(conflict, reason=error.reason)
-    if head.operation == running.staged.operation:
-        return rollout.Swapped(rollout.Outcome.ACCEPTED)
-    if head.revision == running.staged.base:
-        return rollout.Swapped(conflict, head, 'a member in doubt fenced it')
-    return rollout.Swapped(conflict, head)
+        return dataclasses.replace(end, reason=error.reason)
+    fenced = head.revision == running.staged.base
+    reason = 'the head was fenced; apply again' if fenced else ''
+    return dataclasses.replace(end, winner=head, reason=reason)
 
 
 async def _drop_all(
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -27,6 +27,13 @@
 ]
 
 
+Publish = collections.abc.Callable[[], None]
+
+
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 def no_loads() -> tuple[messages.Load, ...]:
     """Give no loads."""
     return ()
@@ -66,6 +73,7 @@
 
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
+    :ivar publish: brings the metrics up to date
     """
 
     settings: Settings
@@ -75,6 +83,7 @@
     neighbours: neighbours.Neighbours
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    publish: Publish = do_nothing
 
 
 def make(
@@ -98,17 +107,25 @@
     return ids.OperationId(f'{node.view.member.entry}-{uuid.uuid4().hex}')
 
 
+def all_peers(node: Node) -> tuple[roster.Member, ...]:
+    """Give the other members of all regions."""
+    own = node.view.member.incarnation
+    return tuple(
+        member
+        for member in node.view.roster.members
+        if member.incarnation != own
+    )
+
+
 def region_peers(node: Node) -> tuple[roster.Member, ...]:
     """Give the other members of the entry's region.
 
     Contact stays within a region, so that the proof that an entry is
     isolated needs no entry of another.
     """
-    own = node.view.member
+    region = node.view.member.region
     return tuple(
-        member
-        for member in roster.in_region(node.view.roster, own.region)
-        if member.incarnation != own.incarnation
+        member for member in all_peers(node) if member.region == region
     )
 
 
--- a/oleanderwood/operators.py
+++ b/oleanderwood/operators.py
@@ -19,16 +19,15 @@
 from oleanderwood import history
 from oleanderwood import ids
 from oleanderwood import messages
-from oleanderwood import platform_api
+from oleanderwood import plan as plans
+from oleanderwood import rollout
 from oleanderwood import roster
 from oleanderwood import staging
 from oleanderwood import store
 from oleanderwood import validation
+from oleanderwood import vm_listing
 from oleanderwood import wave_state
 
-ListVms = collections.abc.Callable[
-    [int], collections.abc.Awaitable[platform_api.VmListing | None]
-]
 NewOperation = collections.abc.Callable[[], ids.OperationId]
 
 
@@ -36,22 +35,23 @@
 class Desk:
     """What the operators' calls reach.
 
-    :ivar listing: the newest VM list that was read
+    :ivar held: parts of the configuration in force, by reference
     """
 
     links: apply.Links
-    list_vms: ListVms
+    listing: vm_listing.Reader
     new_operation: NewOperation
     fastest_cycle_s: float = 60.0
-    listing: platform_api.VmListing = platform_api.VmListing(0, ())
+    held: dict[str, bytes] = dataclasses.field(default_factory=dict)
 
 
-async def _live_vms(desk: Desk) -> validation.Vms:
-    """Read the VM list; the copy held serves while it hasn't changed."""
-    listing = await desk.list_vms(desk.listing.version)
-    if listing is not None:
-        desk.listing = listing
-    return validation.live(desk.listing.vms)
+async def _current(desk: Desk) -> staging.Current:
+    """Read the head; parts are read once and kept while it names them."""
+    held = dict(desk.held)
+    current = await staging.read_current(desk.links.kept, held)
+    named = current.head.parts.values()
+    desk.held = {reference: held[reference] for reference in named}
+    return current
 
 
 async def _waves(
@@ -81,8 +81,9 @@
     :raises ExceptionGroup: of :class:`errors.ConfigurationFault`
     """
     wanted = configuration.parse(text)
-    current = await staging.read_current(desk.links.kept)
-    vms = await _live_vms(desk)
+    current = await _current(desk)
+    listing = await vm_listing.read(desk.listing)
+    vms = validation.live(listing.vms)
     waves = await _waves(desk, _regions(current.whole))
     situation = validation.Situation(
         vms=vms,
@@ -118,7 +119,7 @@
     """Say what a file would change, and which VMs it would move."""
     current, wanted, vms = await _checked(desk, body.file)
     shards = await _shards(desk, vms)
-    planned = difference.plan(current.whole, wanted, vms, shards)
+    planned = plans.make(current.whole, wanted, vms, shards)
     return admin_messages.PlanReply(current.head.revision, planned)
 
 
@@ -142,7 +143,7 @@
     head = current.head
     if body.base is not None and body.base != head.revision:
         return apply.Applied(
-            outcome=apply.rollout.Outcome.CONFLICT,
+            outcome=rollout.Outcome.CONFLICT,
             operation=operation,
             base=body.base,
             revision=head.revision,
@@ -156,7 +157,7 @@
     desk: Desk,
 ) -> admin_messages.ConfigurationReply:
     """Give the configuration in force."""
-    current = await staging.read_current(desk.links.kept)
+    current = await _current(desk)
     return admin_messages.ConfigurationReply(
         revision=current.head.revision,
         author=current.head.author,
@@ -183,10 +184,8 @@
     :param operation: an apply to be looked up, '' for none
     """
     kept = desk.links.kept
-    current = await staging.read_current(kept)
-    known, _ = await change.read(
-        kept, store.ROSTER_KEY, roster.Roster(ids.Revision(0))
-    )
+    current = await _current(desk)
+    known, _ = await change.read(kept, store.ROSTER_KEY, roster.EMPTY)
     found = await _operation(desk, operation) if operation else None
     return admin_messages.StatusReply(
         revision=current.head.revision,
@@ -249,7 +248,7 @@
         works on one of its pools, doesn't allow it
     :raises LookupError: there is no such wave
     """
-    current = await staging.read_current(desk.links.kept)
+    current = await _current(desk)
     waves = {wave.name: wave for wave in current.whole.waves}
     if name not in waves:
         raise LookupError(f'there is no wave {name!r}')
