--- a/oleanderwood/http_client.py
+++ b/oleanderwood/http_client.py
@@ -151,7 +151,8 @@
         event = await _head(connection)
     except (OSError, h11.ProtocolError) as error:
         raise failure(connection, repr(error)) from error
-    return http.Response(event.status_code, event.headers, _body(connection))
+    headers = list(event.headers)
+    return http.Response(event.status_code, headers, _body(connection))
 
 
 def read_buffered(connection: Connection) -> tuple[bytes, bool]:
@@ -213,7 +214,6 @@
     if states == (h11.DONE, h11.DONE) and not protocol.trailing_data[0]:
         protocol.start_next_cycle()
         connection.carried += 1
-        connection.written = False
 
 
 async def exchange(
