--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -31,8 +31,8 @@
 
 LOG = logging.getLogger('admin')
 
-CALLS_PER_S = 10.0
-"""Calls to the store a second; an apply makes some dozens in all."""
+CALLS_PER_S = 20.0
+"""Calls to the store a second, after a burst; an apply makes about 20."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,7 +58,7 @@
 ) -> admin_api.Api:
     """Put the API together."""
     listing = vm_listing.Reader(list_vms)
-    watcher = absence.Watcher(kept, peers, listing)
+    watcher = absence.Watcher(kept, peers, listing, absence.refuses)
     links = apply.Links(
         kept=kept,
         peers=peers,
