--- a/oleanderwood/batch.py
+++ b/oleanderwood/batch.py
@@ -108,8 +108,9 @@
 ) -> Choice:
     """Take VMs while every promise holds, at most ``width`` at once.
 
-    Whole racks go first, then single VMs; within each, the pools that
-    would need the most rounds. The census is left with the chosen VMs out.
+    Pools that would need the most rounds go first. Once as many VMs may be
+    out as there are racks left, whole racks go before single VMs. The
+    census is left with the chosen VMs out.
     """
     racks = collections.defaultdict(list)
     for row in left.up:
@@ -121,7 +122,7 @@
     )
     room = width - len(left.out)
     taken = []
-    for site in order:
+    for site in order if room >= len(racks) else ():
         if len(taken) + len(racks[site]) <= room:
             taken += _whole_rack(census, racks[site], quarter)
     known = set(taken)
@@ -165,18 +166,29 @@
     blocked = {
         item.pool for item in choice.blocked if item.reason in LOAN_HELPS
     }
+    blocked -= {
+        item.pool
+        for item in choice.blocked
+        if item.reason is BlockReason.WIDTH
+    }
     rounds = {name: rounds_of(census, left, name) for name in held}
     order = sorted(held, key=lambda name: (-rounds[name], name))
     kept = [buffer.Loan(name, held[name]) for name in order if held[name]]
     new = [
         buffer.Loan(name, 1)
         for name in order
-        if not held[name] and name in blocked
+        if not held[name] and name in blocked and _idle(census, name)
     ]
     del weights, urgent
     return tuple(kept + new[: max(0, width - len(kept))])
 
 
+def _idle(census: reserve.Census, pool: ids.PoolId) -> bool:
+    """Say whether no VM of a pool is on its way back."""
+    state = census.pools[pool]
+    return state.out == state.broken
+
+
 def _whole_rack(
     census: reserve.Census, rows: list[fleet.VmRow], quarter: Quarter
 ) -> list[ids.VmId]:
--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oleanderwood import buffer_swap
 from oleanderwood import configuration
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -15,6 +16,10 @@
 """Where a VM comes from that the list has and no shard does."""
 
 
+MAX_SWAPS = 3
+"""VMs exchanged with the spare at one step to mend the reserve."""
+
+
 class MoveReason(enum.Enum):
     """Why a VM changes its pool."""
 
@@ -30,6 +35,9 @@
     LOAN = 'loan'
     """Lent, so that a wave can take VMs of the pool."""
 
+    REBALANCE = 'rebalance'
+    """Too much of a pool or of the spare would go with one domain."""
+
     RETURN = 'return'
     """A loan comes back."""
 
@@ -94,9 +102,11 @@
     _adopt(plan, {move.vm for move in pending})
     _fill_minimum(plan)
     _fill_size(plan)
+    _recall(plan, loans)
+    _rebalance(plan)
     for loan in loans:
         _lend(plan, loan)
-    if weights.buffer > weights.moves:
+    if not weights.moves:
         _take_back(plan)
     return tuple(plan.moves)
 
@@ -156,7 +166,7 @@
         name = ids.PoolId(state.pool.name)
         short = state.needed - state.up - plan.coming[name]
         for _ in range(short):
-            vm = _spare_for(plan, state)
+            vm = _spare_to_keep(plan, state)
             vm = vm or _lender_vm(plan, state, _can_lend_extra)
             vm = vm or _lender_vm(plan, state, _can_lend_slack)
             if vm is None:
@@ -175,12 +185,55 @@
     )
     for state in states:
         while state.up + state.out < state.pool.size:
-            vm = _spare_for(plan, state)
+            vm = _spare_to_keep(plan, state)
             if vm is None:
                 break
             _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
 
 
+def _recall(plan: _Plan, loans: collections.abc.Sequence[Loan]) -> None:
+    """Return loans, the least urgent first, while the reserve is short.
+
+    A VM on loan helps only its pool against a loss that hits this pool.
+    """
+    census = plan.census
+    wanted = [loan.pool for loan in loans]
+    others = sorted(set(census.pools) - set(wanted))
+    for name in others + wanted[::-1]:
+        state = census.pools.get(name)
+        before = reserve.free(census)
+        if before >= 0:
+            return
+        if state is None or members(state) <= state.pool.size:
+            continue
+        vm = _extra_vm(
+            plan, state, state.group, lambda vm: _spare_of(plan, vm)
+        )
+        if vm is None:
+            continue
+        reserve.move(census, vm, _spare_of(plan, vm))
+        after = reserve.free(census)
+        reserve.move(census, vm, name)
+        if after > before:
+            _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
+
+
+def _rebalance(plan: _Plan) -> None:
+    """Swap VMs with the spare when the reserve is short.
+
+    Nothing moves when a few swaps don't suffice, or while VMs are out that
+    come back by themselves.
+    """
+    census = plan.census
+    short = reserve.free(census) < 0
+    if not short or any(state.out for state in census.pools.values()):
+        return
+    for vm, spare in buffer_swap.find(census, 0, MAX_SWAPS):
+        pool = census.rows[vm].pool
+        _move(plan, spare, pool, MoveReason.REBALANCE)
+        _move(plan, vm, _spare_of(plan, vm), MoveReason.REBALANCE)
+
+
 def _lend(plan: _Plan, loan: Loan) -> None:
     """Lend VMs to a pool, from pools that no longer need theirs first."""
     state = plan.census.pools.get(loan.pool)
@@ -188,7 +241,7 @@
         return
     while members(state) < state.pool.size + loan.extra:
         vm = _lender_vm(plan, state, _can_lend_extra)
-        vm = vm or _spare_for(plan, state)
+        vm = vm or _spare_to_lend(plan, state)
         if vm is None or not _useful(plan, vm, loan.pool):
             return
         _move(plan, vm, loan.pool, MoveReason.LOAN)
@@ -198,8 +251,12 @@
     """Say whether the pool could then do without one of its VMs."""
     census = plan.census
     origin = census.rows[vm].pool
+    if origin in census.pools and not reserve.holds_without(census, vm):
+        return False
+    before = reserve.free(census)
     reserve.move(census, vm, pool)
     held = reserve.holds_without(census, vm)
+    held = held and reserve.free(census) >= min(0, before)
     reserve.move(census, vm, origin)
     return held
 
@@ -209,11 +266,16 @@
     census = plan.census
     for name, state in sorted(census.pools.items()):
         while members(state) > state.pool.size + plan.lent[name]:
-            vm = _extra_vm(plan, state, state.group)
-            if vm is None:
+            vm = _extra_vm(
+                plan, state, state.group, lambda vm: _spare_of(plan, vm)
+            )
+            if vm is None or not reserve.holds_without(census, vm):
                 break
-            spare = fleet.spare_pool(census.sites[vm].data_centre)
-            _move(plan, vm, spare, MoveReason.RETURN)
+            _move(plan, vm, _spare_of(plan, vm), MoveReason.RETURN)
+
+
+def _spare_of(plan: _Plan, vm: ids.VmId) -> ids.PoolId:
+    return fleet.spare_pool(plan.census.sites[vm].data_centre)
 
 
 def _move(
@@ -221,23 +283,62 @@
 ) -> None:
     origin = plan.census.rows[vm].pool
     reserve.move(plan.census, vm, pool)
+    if origin in plan.census.pools:
+        # It serves nobody until its old grants are released.
+        reserve.take(plan.census, vm)
     plan.moves.append(Move(vm, origin, pool, reason))
 
 
-def _spare_for(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
-    """Choose the spare VM that joins a pool, where it spreads best."""
+def _spare_to_lend(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
+    """Choose the spare VM to lend: the one that leaves the best reserve."""
+    name = ids.PoolId(state.pool.name)
+    return _best_move(plan, _spares_for(plan, state), lambda vm: name)
+
+
+def _spare_to_keep(plan: _Plan, state: reserve.PoolState) -> ids.VmId | None:
+    """Choose the spare VM to join a pool: the one that spreads it best."""
+    best = _spares_for(plan, state)
+    return min(best.values())[-1] if best else None
+
+
+def _spares_for(
+    plan: _Plan, state: reserve.PoolState
+) -> dict[ids.DataCentre, tuple]:
+    """Rank the spare VMs that may join a pool, by data centre."""
     census = plan.census
-    best = None
+    best = {}
     for vm, row in census.rows.items():
         if not reserve.is_spare(row) or not reserve.is_up(row):
             continue
         site = census.sites[vm]
-        if site.data_centre not in state.group:
-            continue
-        key = (_crowding(census, state, site), vm)
-        if best is None or key < best:
-            best = key
-    return best[1] if best else None
+        if site.data_centre in state.group:
+            key = (_crowding(census, state, site), vm)
+            _keep_lowest(best, site.data_centre, key)
+    return best
+
+
+def _keep_lowest(best: dict, data_centre: ids.DataCentre, key: tuple) -> None:
+    if data_centre not in best or key < best[data_centre]:
+        best[data_centre] = key
+
+
+def _best_move(
+    plan: _Plan,
+    best: dict,
+    destination: collections.abc.Callable[[ids.VmId], ids.PoolId],
+) -> ids.VmId | None:
+    """Choose the candidate whose move leaves the best reserve."""
+    if len(best) == 1:
+        ((_, vm),) = best.values()
+        return vm
+    census = plan.census
+    ranked = []
+    for key, vm in best.values():
+        origin = census.rows[vm].pool
+        reserve.move(census, vm, destination(vm))
+        ranked.append((-reserve.free(census), key, vm))
+        reserve.move(census, vm, origin)
+    return min(ranked)[-1] if ranked else None
 
 
 def _crowding(
@@ -245,16 +346,26 @@
 ) -> tuple[int, ...]:
     """Rank a place for one more VM of a pool; lower is better.
 
-    The pool's own spread goes first, then racks whose loss lacks least,
-    then data centres with the most spares.
+    A VM whose loss the pool would lack goes where least is lacking. One
+    that is covered by the pool's own slack goes where most is lacking: it
+    leaves better places to others and to the spare.
     """
     rack, data_centre = reserve.domains_of(site)
-    lacking = sum(census.lacking.get(rack, {}).values())
+    slack = state.pool.size - state.needed
+    ranks = []
+    for domain in (data_centre, rack):
+        if not reserve.promises(state.pool, domain):
+            ranks.append(0)
+        elif state.loss.get(domain, 0) < slack:
+            ranks.append(0)
+        else:
+            ranks.append(1 + census.lacking[domain])
     return (
+        *ranks,
         state.loss.get(rack, 0),
-        state.loss.get(data_centre, 0),
-        lacking,
         -census.spares[site.data_centre],
+        state.loss.get(data_centre, 0),
+        -census.lacking[rack],
     )
 
 
@@ -281,20 +392,28 @@
         and state.up > state.needed
         and can_lend(plan, state)
     ]
+    name = ids.PoolId(borrower.pool.name)
     lenders.sort(key=lambda state: (state.needed - state.up, state.pool.name))
     for lender in lenders:
-        vm = _extra_vm(plan, lender, borrower.group)
+        vm = _extra_vm(plan, lender, borrower.group, lambda vm: name)
         if vm is not None:
             return vm
     return None
 
 
 def _extra_vm(
-    plan: _Plan, state: reserve.PoolState, group: reserve.Group
+    plan: _Plan,
+    state: reserve.PoolState,
+    group: reserve.Group,
+    destination: collections.abc.Callable[[ids.VmId], ids.PoolId],
 ) -> ids.VmId | None:
-    """Choose a VM that a pool gives away: from its fullest rack."""
+    """Choose a VM that a pool gives away.
+
+    In each data centre one of its fullest rack; of these the one that
+    leaves the best reserve.
+    """
     census = plan.census
-    best = None
+    best = {}
     if state.up <= state.needed:
         return None
     for vm, row in census.rows.items():
@@ -304,11 +423,6 @@
         if site.data_centre not in group:
             continue
         rack, data_centre = reserve.domains_of(site)
-        key = (
-            -state.loss.get(rack, 0),
-            -state.loss.get(data_centre, 0),
-            vm,
-        )
-        if best is None or key < best:
-            best = key
-    return best[2] if best else None
+        spread = (-state.loss.get(rack, 0), -state.loss.get(data_centre, 0))
+        _keep_lowest(best, site.data_centre, (spread, vm))
+    return _best_move(plan, best, destination)
