Test the leader under drawn schedules of faults; mend what they showed

Schedules of crashes, lost answers, late orders and writes, outages, racing controllers, paused entries, failing, leaving and vanishing VMs, and operators. Mended: a VM whose replacement failed again stayed broken for ever; an order that was given up before the platform took it could arrive at a VM that served again, so it now stays in the row until it was taken or is too old.

--- a/oleanderwood/inventory.py
+++ b/oleanderwood/inventory.py
@@ -136,18 +136,21 @@
     released: collections.abc.Container[tuple[ids.VmId, ids.Epoch]],
     now_s: float,
 ) -> ownership.Change | None:
-    """Drop a row once no entry can hold work at its VM.
+    """Drop a row once no entry can hold work, and no order arrive.
 
     Until then it stays, broken, so that the VM can't join another pool if
     the list shows it again.
     """
-    rebooting = row.state is State.REBOOTING and reason == VANISHED
-    if rebooting and not lifecycle.is_replaced(row):
-        # A VM may be out of the list while it boots; a timeout ends that.
-        return None
+    if row.state is State.REBOOTING and reason == VANISHED:
+        # A VM may be out of the list while it boots, until a timeout. One
+        # that is replaced comes back by another name.
+        replaced = lifecycle.is_replaced(row)
+        if not replaced or not lifecycle.is_settled(row, now_s):
+            return None
     free = not ownership.may_hold_work(row)
     if free or (row.vm, row.epoch) in released:
-        return ownership.Change(data_centre, row, None, Cause.VANISHED)
+        if lifecycle.is_settled(row, now_s):
+            return ownership.Change(data_centre, row, None, Cause.VANISHED)
     if row.state is State.BROKEN:
         return None
     return ownership.change(
@@ -156,7 +159,6 @@
         Cause.VANISHED,
         now_s,
         state=State.BROKEN,
-        operation=ids.OperationId(''),
         reason=reason,
         target=ids.PoolId(''),
     )
--- a/oleanderwood/lifecycle.py
+++ b/oleanderwood/lifecycle.py
@@ -27,6 +27,10 @@
 
 REBOOT_TIMEOUT_S = 900.0
 RETURN_TIMEOUT_S = 300.0
+REPLACE_PAUSE_S = 60.0
+"""How long a replaced VM that failed again waits to be replaced again."""
+
+REPLACE_TIMEOUT_S = 1800.0
 
 FAILED = 'failed, as the platform says'
 REFUSED = 'the platform took no order in time'
@@ -108,11 +112,18 @@
     return standing is not None and standing.kind is OrderKind.REPLACE
 
 
+def is_settled(row: fleet.VmRow, now_s: float) -> bool:
+    """Say whether no order of the row can still arrive, taken or not."""
+    if not row.operation:
+        return True
+    return now_s - row.changed_at_s > ORDER_TIMEOUT_S
+
+
 def taken(row: fleet.VmRow, vm: platform_api.PlatformVm | None) -> bool:
     """Say whether the platform shows that it took the row's order."""
-    if vm is None:
-        return False
-    return not row.operation or row.operation in vm.operations
+    if not row.operation:
+        return True
+    return vm is not None and row.operation in vm.operations
 
 
 def step(
@@ -160,11 +171,15 @@
 
 
 def _broken(case: _Case, reason: str) -> ownership.Change:
+    """Give a VM up; an order that may still arrive stays in its row."""
+    operation_id = case.row.operation
+    if taken(case.row, case.seen.platform):
+        operation_id = ids.OperationId('')
     return _change(
         case,
         Cause.FAILED,
         state=State.BROKEN,
-        operation=ids.OperationId(''),
+        operation=operation_id,
         reason=reason,
         target=ids.PoolId(''),
     )
@@ -294,24 +309,31 @@
 def _broken_step(case: _Case) -> ownership.Change | None:
     if not case.seen.listed:
         return None
-    if not case.row.operation:
-        if not _released(case):
-            return None
-        boot_id = case.row.boot_id
-        if case.seen.platform is not None:
-            boot_id = case.seen.platform.boot_id
-        return _change(
-            case,
-            pool=fleet.spare_pool(case.data_centre),
-            operation=_new(case, OrderKind.REPLACE),
-            boot_id=boot_id,
-        )
     vm = case.seen.platform
+    if not is_replaced(case.row):
+        settled = taken(case.row, vm) or is_settled(case.row, case.now_s)
+        return _replace(case) if settled and _released(case) else None
     if vm is None or not taken(case.row, vm):
         return None
-    if vm.boot_id != case.row.boot_id and _fit(case):
+    booted = vm.boot_id != case.row.boot_id
+    if booted and _fit(case):
         return _returned(case, vm)
-    return None
+    failed_again = booted and vm.state is Vm.FAILED
+    if failed_again and _late(case, REPLACE_PAUSE_S):
+        return _replace(case)
+    return _replace(case) if _late(case, REPLACE_TIMEOUT_S) else None
+
+
+def _replace(case: _Case) -> ownership.Change:
+    boot_id = case.row.boot_id
+    if case.seen.platform is not None:
+        boot_id = case.seen.platform.boot_id
+    return _change(
+        case,
+        pool=fleet.spare_pool(case.data_centre),
+        operation=_new(case, OrderKind.REPLACE),
+        boot_id=boot_id,
+    )
 
 
 _STEPS = {
--- a/oleanderwood/ownership.py
+++ b/oleanderwood/ownership.py
@@ -234,7 +234,7 @@
         return True
     if after.state in (State.DRAINING, State.REBOOTING):
         return True
-    return after.state is State.BROKEN and after.operation != ''
+    return after.state is State.BROKEN and after.operation != before.operation
 
 
 def _of_joining(
--- a/oleanderwood/region_plan.py
+++ b/oleanderwood/region_plan.py
@@ -136,16 +136,16 @@
 
 
 def _within_budget(view: View, decision: Decision) -> None:
-    """Leave out planned losses that a pool can't bear."""
+    """Leave VMs in service that are up but unfit, if a pool needs them."""
     pools = pools_of(view)
     left = ownership.serving(view.shards)
-    losses = [c for c in decision.changes if ownership.leaves_service(c)]
-    for one in losses:
-        if one.cause not in ownership.PLANNED:
+    unfit = []
+    for one in decision.changes:
+        if one.cause is Cause.UNFIT:
+            unfit.append(one)
+        elif ownership.leaves_service(one):
             left[one.before.pool] -= 1
-    for one in losses:
-        if one.cause not in ownership.PLANNED:
-            continue
+    for one in unfit:
         pool = pools.get(one.before.pool)
         if pool is not None and left[one.before.pool] <= pool.min_up:
             decision.changes.remove(one)
@@ -296,7 +296,6 @@
         if one is not None:
             decision.changes.append(one)
             changed.add(move.vm)
-    _within_budget(view, decision)
 
 
 def _pending(
--- a/oleanderwood/release.py
+++ b/oleanderwood/release.py
@@ -15,6 +15,7 @@
 from oleanderwood import ids
 from oleanderwood import inventory
 from oleanderwood import isolation
+from oleanderwood import lifecycle
 from oleanderwood import messages
 from oleanderwood import orders
 from oleanderwood import ownership
@@ -98,7 +99,7 @@
 
 def waits(row: fleet.VmRow) -> bool:
     """Say whether a row can't go on before its VM is released."""
-    if row.state is fleet.VmState.BROKEN and row.operation:
+    if lifecycle.is_replaced(row):
         return False
     return row.state in (
         fleet.VmState.RELEASING,
--- /dev/null
+++ b/tests/defects_controller.py
@@ -0,0 +1,141 @@
+"""Planted defects of the controller, and the schedules that show them.
+
+Each defect replaces one function of the product for the time of a run; the
+run must then fail, and pass without it.
+"""
+
+import contextlib
+import unittest.mock
+
+import curio
+import msgspec
+
+from oleanderwood import batch
+from oleanderwood import inventory
+from oleanderwood import lifecycle
+from oleanderwood import ownership
+from oleanderwood import region_leader
+from oleanderwood import region_shards
+from oleanderwood import release
+from tests import utils_schedules
+
+_write = region_leader._write
+_change = ownership.change
+
+
+def _release_without_asking(shard, standings, releases):
+    for row in release.waiting(shard, releases):
+        releases.released.add((row.vm, row.epoch))
+
+
+def _ignore_in_flight(standings, vm):
+    unknown = release.isolation.Status.UNKNOWN
+    return tuple(one for one in standings if one.status is unknown)
+
+
+async def _fence_without_writing(store, data_centres, new_id):
+    footing = region_shards.Footing(1, {}, {})
+    for name in sorted(data_centres):
+        shard, version = await region_shards._read(store, name)
+        footing.shards[name] = shard
+        footing.versions[name] = version
+    return footing
+
+
+async def _order_before_writing(world, leader, decision):
+    for one in decision.changes:
+        if one.after is not None and one.after.operation:
+            await region_leader.orders.send(
+                world.platform, [one.after], leader.seen, world.leads
+            )
+    await _write(world, leader, decision)
+
+
+async def _keep_footing(world, leader):
+    try:
+        return await region_leader._pass(world, leader)
+    finally:
+        if leader.footing is not None:
+            leader.footing.lost = False
+
+
+def _any_list(known, listing, region):
+    return _see_without_version(known, listing, region)
+
+
+def _see_without_version(known, listing, region):
+    listed = {vm.vm: vm for vm in listing.vms}
+    return inventory.Sighting(listing.version, listed)
+
+
+def _drop_at_once(data_centre, row, reason, released, now_s):
+    cause = ownership.Cause.VANISHED
+    return ownership.Change(data_centre, row, None, cause)
+
+
+def _same_epoch(data_centre, row, cause, now_s, **fields):
+    one = _change(data_centre, row, cause, now_s, **fields)
+    after = msgspec.structs.replace(one.after, epoch=row.epoch)
+    return msgspec.structs.replace(one, after=after)
+
+
+def _no_breaches(*arguments):
+    return []
+
+
+DEFECTS = {
+    'release-without-asking': (
+        (release, '_conclude', _release_without_asking),
+    ),
+    'release-with-requests-in-flight': (
+        (release.isolation, 'blocking', _ignore_in_flight),
+    ),
+    'fence-without-writing': (
+        (region_shards, 'fence', _fence_without_writing),
+    ),
+    'order-before-writing': (
+        (region_leader, '_write', _order_before_writing),
+    ),
+    'go-on-after-a-lost-answer': ((region_leader, 'run_pass', _keep_footing),),
+    'order-replaced-before-taken': (
+        (lifecycle, 'taken', lambda row, vm: vm is not None),
+    ),
+    'no-budget': (
+        (batch, '_obstacle', lambda census, row, quarter: None),
+        (ownership, '_of_min_up', _no_breaches),
+    ),
+    'planner-without-budget': (
+        (batch, '_obstacle', lambda census, row, quarter: None),
+    ),
+    'drop-vanished-vms-at-once': (
+        (inventory, '_gone', _drop_at_once),
+        (ownership, '_of_release', _no_breaches),
+    ),
+    'epochs-stand-still': ((ownership, 'change', _same_epoch),),
+    'move-without-release': (
+        (lifecycle, '_released', lambda case: True),
+        (ownership, '_of_release', _no_breaches),
+    ),
+    'old-lists-count': ((inventory, 'see', _see_without_version),),
+}
+
+
+@contextlib.contextmanager
+def planted(name):
+    """Plant a defect."""
+    with contextlib.ExitStack() as stack:
+        for module, attribute, stand_in in DEFECTS[name]:
+            stack.enter_context(
+                unittest.mock.patch.object(module, attribute, stand_in)
+            )
+        yield
+
+
+def fault_of(name, seed):
+    """Run a drawn schedule with a defect; give the failure, '' if none."""
+    with planted(name):
+        try:
+            curio.run(utils_schedules.run, utils_schedules.drawn(seed))
+        except Exception as error:
+            return f'{type(error).__name__}: {error}'
+    return ''
--- a/tests/utils_controller.py
+++ b/tests/utils_controller.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 
+import msgspec
 import prometheus_client
 
 from oleanderwood import codec
@@ -16,7 +17,9 @@
 from oleanderwood import fleet
 from oleanderwood import ids
 from oleanderwood import invariants
+from oleanderwood import isolation
 from oleanderwood import messages
+from oleanderwood import operations
 from oleanderwood import parts
 from oleanderwood import peer
 from oleanderwood import platform_api
@@ -30,6 +33,7 @@
 
 REGION = ids.Region('r')
 WAVE = ids.WaveId('w')
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 Vm = platform_api.PlatformVmState
 STEPS_TO_DRAIN = 1
 STEPS_TO_BOOT = 2
@@ -63,6 +67,7 @@
     )
     reachable: bool = True
     started_s: float = 0.0
+    contact_s: float = 1000.0
 
 
 @dataclasses.dataclass
@@ -73,6 +78,9 @@
     :ivar crash_at: the call at which the controller dies, if any; with
         ``crash_before`` before it has an effect
     :ivar lose_at: the call whose answer is lost, if any
+    :ivar hold_orders: so many of the next orders to the platform are lost
+        for now; :func:`deliver` has them arrive late
+    :ivar before: the rows as of the last write
     """
 
     store: utils_store.FakeStore
@@ -85,6 +93,10 @@
     crash_at: int = 0
     crash_before: bool = False
     lose_at: int = 0
+    hold_orders: int = 0
+    held: list = dataclasses.field(default_factory=list)
+    min_up: dict = dataclasses.field(default_factory=dict)
+    before: dict = dataclasses.field(default_factory=dict)
     platform_down: bool = False
     harm: list = dataclasses.field(default_factory=list)
     orders: list = dataclasses.field(default_factory=list)
@@ -140,6 +152,7 @@
         )
         members.append(member)
         made.entries.append(FakeEntry(member))
+        put(made, roster.member_key(member), member)
     whole = roster.Roster(ids.Revision(1), tuple(members))
     put(made, store.ROSTER_KEY, whole)
     return made
@@ -151,8 +164,6 @@
 
 
 def _put_bytes(made, key, data):
-    from oleanderwood import operations
-
     fake = made.store
     version = fake.versions.get(key, 0) + 1
     envelope, _ = operations.wrap((), ids.OperationId('test'), 0, data)
@@ -166,12 +177,15 @@
     return None if data is None else codec.unpack(data, kind)
 
 
-def configure(made, pools, waves=None, revision=1):
+def configure(made, pools, waves=None, revision=1, **fields):
     """Accept a configuration."""
+    made.min_up = {pool.name: pool.min_up for pool in pools}
     if waves is None:
         names = tuple(pool.name for pool in pools)
         waves = (configuration.Wave(name=WAVE, pools=names),)
-    whole = configuration.Configuration(pools=tuple(pools), waves=waves)
+    whole = configuration.Configuration(
+        pools=tuple(pools), waves=waves, **fields
+    )
     split = parts.split(whole)
     operation = ids.OperationId(f'apply{revision}')
     references = parts.refer(split, {}, operation)
@@ -255,14 +269,12 @@
     if made.calls == made.crash_at:
         raise Crash
     if made.calls == made.lose_at:
-        raise errors.StoreUnavailable(
-            verdicts.Verdict.MAY_HAVE_RUN, 'answer lost'
-        )
+        raise errors.StoreUnavailable(MAY_HAVE_RUN, 'answer lost')
     return result
 
 
 def _faulty_store(made):
-    kept = utils_store.connect(made.store)
+    kept = utils_store.connect(made.store, limit_s=0.004)
 
     async def swap(key, value, version, operation, lease=None):
         async def effect():
@@ -290,9 +302,16 @@
 
     def command(kind):
         async def call(name, order):
+            def arrive():
+                _take(made, kind, _find(made, name), order.operation)
+
             async def effect():
                 _reach(made)
-                _take(made, kind, _find(made, name), order.operation)
+                if made.hold_orders:
+                    made.hold_orders -= 1
+                    made.held.append(arrive)
+                    raise errors.CallFailed(MAY_HAVE_RUN, 'no answer')
+                arrive()
 
             await _call(made, effect)
 
@@ -365,19 +384,33 @@
     if kind == 'undrain':
         return
     for entry in made.entries:
-        if grants(entry, name):
-            made.harm.append(f'{kind} of {name} while {entry.member.entry}')
-        if entry.in_flight[name]:
+        if granted(made, entry, name):
+            made.harm.append(f'{kind} of {name} under a grant')
+        if _works_at(entry, name):
             made.harm.append(f'{kind} of {name} cuts a request')
 
 
-def grants(entry, vm):
-    """Say whether an entry would send new work to a VM."""
+def granted(made, entry, vm):
+    """Give the row under which an entry would send new work to a VM."""
+    if made.clock_s - entry.contact_s >= isolation.ISOLATED_S:
+        return None
     for shard in entry.shards.values():
         for row in shard.rows:
             if row.vm == vm and row.state is fleet.VmState.SERVING:
-                return not row.pool.startswith(fleet.SPARE_PREFIX)
-    return False
+                spare = row.pool.startswith(fleet.SPARE_PREFIX)
+                return None if spare else row
+    return None
+
+
+def begin(made, entry, vm):
+    """Let an entry send a request to a VM if it holds its grant."""
+    row = granted(made, entry, vm)
+    if row is not None:
+        entry.in_flight[vm, row.pool, row.epoch] += 1
+
+
+def _works_at(entry, name):
+    return [key for key in entry.in_flight if key[0] == name]
 
 
 def _peers(made):
@@ -387,17 +420,20 @@
             raise errors.CallFailed(verdicts.Verdict.NOT_RUN, 'no route')
         follow(entry, request.shard)
         known = entry.shards[request.shard.data_centre]
-        held = {
-            vm: count
-            for vm, count in entry.in_flight.items()
-            if count and not grants(entry, vm)
-        }
+        held = collections.Counter()
+        for (vm, _, epoch), count in entry.in_flight.items():
+            row = granted(made, entry, vm)
+            if row is None or row.epoch != epoch:
+                held[vm] += count
         return messages.ReleaseReply(
             entry=entry.member.entry,
             incarnation=entry.member.incarnation,
             revision=known.revision,
-            in_flight=held,
-            heard_ages_s={},
+            in_flight=dict(held),
+            heard_ages_s={
+                other.member.incarnation: made.clock_s - other.contact_s
+                for other in made.entries
+            },
             up_s=made.clock_s - entry.started_s,
         )
 
@@ -415,9 +451,82 @@
         entry.shards[shard.data_centre] = shard
 
 
-def check(made, pools=None):
-    """Note whatever the store shows that must never be."""
-    rows(made)
+def check(made):
+    """Note whatever a write shows that must never be."""
+    before, made.before = made.before, rows(made)
+    for row in made.before.values():
+        if row.state is fleet.VmState.SERVING:
+            _check_one_pool(made, row)
+    for pool_name, min_up in made.min_up.items():
+        lost = [
+            vm
+            for vm, row in before.items()
+            if _serves(row, pool_name)
+            and not _serves(made.before.get(vm), pool_name)
+        ]
+        if any(_fit(made, vm) for vm in lost):
+            left = serving(made, pool_name)
+            if left < min_up:
+                made.harm.append(f'{pool_name} has {left} serving')
+
+
+def _check_one_pool(made, row):
+    """Note work, or the grant of it, that a VM has for another pool."""
+    for entry in made.entries:
+        known = granted(made, entry, row.vm)
+        pools = {pool for _, pool, _ in _works_at(entry, row.vm)}
+        if known is not None:
+            pools.add(known.pool)
+        if pools - {row.pool}:
+            made.harm.append(f'{row.vm} of {row.pool} is in {pools} too')
+
+
+def _serves(row, pool_name):
+    serves = row is not None and row.state is fleet.VmState.SERVING
+    return serves and row.pool == pool_name
+
+
+def _fit(made, name):
+    """Say whether a VM was well, so that only the leader took it away."""
+    vm = made.vms.get(name)
+    if vm is None or vm.state is not Vm.UP or not vm.healthy:
+        return False
+    return vm.listed.status is platform_api.VmStatus.LIVE
+
+
+def deliver(made):
+    """Let the held orders arrive late, in reverse order."""
+    while made.held:
+        try:
+            made.held.pop()()
+        except platform_api.Refused:
+            continue
+
+
+def pause(made, entry):
+    """Stop an entry's process, or cut it off."""
+    entry.reachable = False
+
+
+def resume(made, entry):
+    """Let an entry go on; one that was isolated joins anew."""
+    entry.reachable = True
+    if made.clock_s - entry.contact_s >= isolation.ISOLATED_S:
+        entry.shards.clear()
+    put(made, roster.member_key(entry.member), entry.member)
+
+
+def change_list(made, name, **fields):
+    """Change a VM's row in the VM list."""
+    vm = made.vms[name]
+    vm.listed = msgspec.structs.replace(vm.listed, **fields)
+    made.listing_version += 1
+
+
+def vanish(made, name):
+    """Take a VM off the VM list, for good."""
+    made.listing_version += 1
+    return made.vms.pop(name)
 
 
 def step(made):
@@ -429,11 +538,26 @@
             if not vm.due:
                 _advance(vm)
     for entry in made.entries:
-        if entry.reachable and not made.store.down:
+        if not entry.reachable:
+            _wear(made, entry)
+            continue
+        entry.contact_s = made.clock_s
+        if not made.store.down:
             for shard in shards(made).values():
                 follow(entry, shard)
 
 
+def _wear(made, entry):
+    """Let the lease and the requests of an entry that is cut off end."""
+    away_s = made.clock_s - entry.contact_s
+    key = roster.member_key(entry.member)
+    if away_s >= isolation.MEMBER_TTL_S and key in made.store.items:
+        del made.store.items[key]
+        made.store.versions[key] += 1
+    if away_s >= isolation.REQUEST_TIMEOUT_S:
+        entry.in_flight.clear()
+
+
 def _advance(vm):
     if vm.state is Vm.DRAINING:
         vm.state = Vm.DRAINED
