--- a/measure/entry_speed.py
+++ b/measure/entry_speed.py
@@ -23,6 +23,7 @@
 from oleanderwood import configuration
 from oleanderwood import daemon
 from oleanderwood import fleet
+from oleanderwood import garbage
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import http_server
@@ -38,6 +39,7 @@
 UPSTREAMS = 4
 MANY_CONNECTIONS = 1000
 ROUNDS = 3
+WARM_UP_S = 1.0
 
 APP = cyclopts.App(result_action='return_value')
 
@@ -54,6 +56,7 @@
             http_server.listen(ids.Address('127.0.0.1:0'), answer)
             for _ in range(UPSTREAMS)
         ]
+        garbage.settle()
         print(' '.join(server.address for server in servers), flush=True)
         async with curio.TaskGroup() as group:
             for server in servers:
@@ -73,7 +76,7 @@
         profiler.disable()
         with open(profile, 'w') as file:
             stats = pstats.Stats(profiler, stream=file)
-            stats.sort_stats('tottime').print_stats(60)
+            stats.sort_stats('tottime').print_stats(200)
 
 
 async def _entry(addresses: tuple[str, ...]) -> None:
@@ -93,6 +96,7 @@
     server = http_server.listen(
         ids.Address('127.0.0.1:0'), proxies.make_handler(proxy)
     )
+    garbage.settle()
     print(server.address, flush=True)
     await curio.spawn(http_server.run, server, daemon=True)
     await curio.spawn(tickets.run, proxy.tickets, daemon=True)
@@ -130,7 +134,7 @@
             teams=(configuration.Team(name=TEAM, requests_per_s=1e6),),
         ),
         region=ids.Region('r'),
-        entries=(ids.EntryId('e'),),
+        entries={ids.EntryId('e'): ids.DataCentre('a')},
         data_centres={row.vm: ids.DataCentre('a') for row in rows},
         serving=lambda pool: rows,
     )
@@ -160,6 +164,8 @@
             '/s',
             '--team',
             TEAM,
+            '--warm-up-s',
+            str(WARM_UP_S),
             '--json',
             *flags,
         ],
@@ -191,9 +197,14 @@
     before = _usage(pid)
     began_s = time.monotonic()
     summary = _load(address, connections=32, seconds=seconds)
-    share = (_usage(pid).cpu_s - before.cpu_s) / (time.monotonic() - began_s)
+    cpu_s = _usage(pid).cpu_s - before.cpu_s
+    share = cpu_s / (time.monotonic() - began_s)
+    sent = summary.answers_per_s * (seconds + WARM_UP_S)
     print(f'{name}: closed loop, 32 connections: {load.text(summary)}')
-    print(f'{name}: process used {share:.0%} of a core')
+    print(
+        f'{name}: used {share:.0%} of a core, '
+        f'{cpu_s / sent * 1e6:.0f} us of processor time a request'
+    )
     return summary.answers_per_s
 
 
--- a/oleanderwood/tickets.py
+++ b/oleanderwood/tickets.py
@@ -7,6 +7,7 @@
 import curio
 
 from oleanderwood import dispatch
+from oleanderwood import verdict as verdicts
 
 TICK_S = 0.02
 """How often waiting requests are looked at."""
@@ -24,12 +25,14 @@
 class Tickets:
     """The dispatcher's state with those who wait for it.
 
+    :ivar wanted: set when something begins to wait
     :ivar active: tickets between their arrival and their end
     """
 
     state: dispatch.State
     rng: random.Random
     waiters: dict[int, Waiter] = dataclasses.field(default_factory=dict)
+    wanted: curio.Event = dataclasses.field(default_factory=curio.Event)
     active: set[int] = dataclasses.field(default_factory=set)
     last: int = 0
 
@@ -70,7 +73,10 @@
     decisions = dispatch.finish(
         tickets.state, ticket, outcome, now_s, tickets.rng
     )
-    await _apply(tickets, [d for d in decisions if d.ticket != ticket])
+    if outcome.verdict is verdicts.Verdict.RAN:
+        tickets.active.discard(ticket)
+    if decisions:
+        await _apply(tickets, [d for d in decisions if d.ticket != ticket])
     await abandon(tickets, ticket)
 
 
@@ -94,9 +100,12 @@
 async def run(tickets: Tickets) -> None:
     """Tick while anything waits, until cancelled."""
     while True:
+        await tickets.wanted.wait()
         await curio.sleep(TICK_S)
         if tickets.waiters:
             await tick(tickets)
+        else:
+            tickets.wanted.clear()
 
 
 async def _decision(
@@ -114,6 +123,8 @@
         return own
     waiter = Waiter(curio.Event())
     tickets.waiters[ticket] = waiter
+    if not tickets.wanted.is_set():
+        await tickets.wanted.set()
     await _apply(tickets, others)
     await waiter.decided.wait()
     return waiter.decision
