--- a/oleanderwood/inventory.py
+++ b/oleanderwood/inventory.py
@@ -86,7 +86,9 @@
 
 
 def _joins(listed: platform_api.ListedVm) -> bool:
-    return listed.status is platform_api.VmStatus.LIVE
+    """Say whether a VM may serve: those that the daemons run on may not."""
+    live = listed.status is platform_api.VmStatus.LIVE
+    return live and listed.address != ''
 
 
 def _joined(listed: platform_api.ListedVm, now_s: float) -> ownership.Change:
--- a/oleanderwood/lifecycle.py
+++ b/oleanderwood/lifecycle.py
@@ -318,10 +318,10 @@
     booted = vm.boot_id != case.row.boot_id
     if booted and _fit(case):
         return _returned(case, vm)
-    failed_again = booted and vm.state is Vm.FAILED
-    if failed_again and _late(case, REPLACE_PAUSE_S):
-        return _replace(case)
-    return _replace(case) if _late(case, REPLACE_TIMEOUT_S) else None
+    pause_s = REPLACE_TIMEOUT_S
+    if vm.state is Vm.FAILED:
+        pause_s = REPLACE_PAUSE_S if booted else RETURN_TIMEOUT_S
+    return _replace(case) if _late(case, pause_s) else None
 
 
 def _replace(case: _Case) -> ownership.Change:
--- a/tests/defects_controller.py
+++ b/tests/defects_controller.py
@@ -19,6 +19,7 @@
 from oleanderwood import release
 from tests import utils_schedules
 
+_apply = ownership.apply
 _write = region_leader._write
 _change = ownership.change
 
@@ -59,15 +60,15 @@
             leader.footing.lost = False
 
 
-def _any_list(known, listing, region):
-    return _see_without_version(known, listing, region)
-
-
-def _see_without_version(known, listing, region):
+def _see_any_list(known, listing, region):
     listed = {vm.vm: vm for vm in listing.vms}
     return inventory.Sighting(listing.version, listed)
 
 
+def _apply_without_version(shard, changes, term, listing_version=0):
+    return _apply(shard, changes, term)
+
+
 def _drop_at_once(data_centre, row, reason, released, now_s):
     cause = ownership.Cause.VANISHED
     return ownership.Change(data_centre, row, None, cause)
@@ -116,15 +117,34 @@
         (lifecycle, '_released', lambda case: True),
         (ownership, '_of_release', _no_breaches),
     ),
-    'old-lists-count': ((inventory, 'see', _see_without_version),),
 }
 
+LIST_DEFECTS = {
+    'old-lists-count': ((inventory, 'see', _see_any_list),),
+    'list-version-not-kept': ((ownership, 'apply', _apply_without_version),),
+}
+
+SEEDS = {
+    'release-without-asking': 7,
+    'release-with-requests-in-flight': 7,
+    'fence-without-writing': 7,
+    'order-before-writing': 1,
+    'go-on-after-a-lost-answer': 4,
+    'order-replaced-before-taken': 1,
+    'no-budget': 3,
+    'planner-without-budget': 3,
+    'drop-vanished-vms-at-once': 62,
+    'epochs-stand-still': 1,
+    'move-without-release': 7,
+}
+"""For each defect, the first drawn schedule that shows it."""
+
 
 @contextlib.contextmanager
 def planted(name):
     """Plant a defect."""
     with contextlib.ExitStack() as stack:
-        for module, attribute, stand_in in DEFECTS[name]:
+        for module, attribute, stand_in in (DEFECTS | LIST_DEFECTS)[name]:
             stack.enter_context(
                 unittest.mock.patch.object(module, attribute, stand_in)
             )
@@ -132,8 +152,11 @@
 
 
 def fault_of(name, seed):
-    """Run a drawn schedule with a defect; give the failure, '' if none."""
-    with planted(name):
+    """Run a drawn schedule with a defect; give the failure, '' if none.
+
+    :param name: '' for none
+    """
+    with planted(name) if name else contextlib.nullcontext():
         try:
             curio.run(utils_schedules.run, utils_schedules.drawn(seed))
         except Exception as error:
