--- a/oleanderwood/placement_policy.py
+++ b/oleanderwood/placement_policy.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from oleanderwood import configuration
 from oleanderwood import demand as demands
 from oleanderwood import placement_plan
 from oleanderwood import task_quotas
@@ -133,8 +134,23 @@
     return leaves_reserve
 
 
-DEFAULT = Policy(
-    fullest,
-    by_quota_share,
-    reserve_on_each(0.05),
-)
+RESERVE_SHARE = 0.05
+"""Share of each worker's memory kept free at equal weights."""
+
+MAX_RESERVE_SHARE = 0.2
+
+
+def by_weights(weights: configuration.Weights) -> Policy:
+    """Make the policy for what the operators weigh.
+
+    Room that is kept free spares other work from being moved, and costs
+    buffer: the dearer moves are against buffer, the more is kept.
+    """
+    share = MAX_RESERVE_SHARE
+    if weights.buffer > 0:
+        ratio = weights.moves / weights.buffer
+        share = min(RESERVE_SHARE * ratio, MAX_RESERVE_SHARE)
+    return Policy(fullest, by_quota_share, reserve_on_each(share))
+
+
+DEFAULT = by_weights(configuration.Weights())
