--- a/oleanderwood/placement.py
+++ b/oleanderwood/placement.py
@@ -9,6 +9,7 @@
 from oleanderwood import copy_ends
 from oleanderwood import demand as demands
 from oleanderwood import feasibility
+from oleanderwood import ids
 from oleanderwood import placement_actions as actions
 from oleanderwood import placement_plan
 from oleanderwood import placement_policy
@@ -18,6 +19,10 @@
 from oleanderwood import worker_room
 
 
+GIB_PER_CORE = 4.0
+"""What a core counts as in GiB where sizes are compared."""
+
+
 def place(
     jobs: collections.abc.Sequence[configuration.Job],
     teams: collections.abc.Sequence[configuration.Team],
@@ -139,9 +144,14 @@
         for row in rows
         if plan.jobs[row.job].priority is configuration.Priority.BULK
     }
+    sizes = {job: _size_share(plan, job) for job in {r.job for r in rows}}
     rows.sort(
-        key=lambda row: (row.job in bulk, row.waiting_since_s, row.task),
-        reverse=True,
+        key=lambda row: (
+            row.job not in bulk,
+            -row.waiting_since_s,
+            sizes[row.job],
+            row.task,
+        )
     )
     by_team = collections.defaultdict(list)
     for row in rows:
@@ -151,6 +161,12 @@
     ]
 
 
+def _size_share(plan: placement_plan.Plan, job: ids.JobId) -> float:
+    """Give the size of a job's tasks, to start larger ones first."""
+    size = demands.size(plan.given.demand, plan.jobs[job])
+    return max(size.cores * GIB_PER_CORE, size.memory_gib)
+
+
 def _place_one(
     plan: placement_plan.Plan,
     pool: str,
--- a/oleanderwood/placement_policy.py
+++ b/oleanderwood/placement_policy.py
@@ -37,7 +37,7 @@
     choose: Choose
     order: Order
     leaves_reserve: LeavesReserve
-    quota_kept_share: float = 0.25
+    quota_kept_share: float = 0.35
     preempts: bool = True
 
 
