Place the pools' tasks: intents in fenced buckets of the store

A leader that dies at any call while three tasks start is followed by one under which each runs, and none twice.

--- a/oleanderwood/region_leader.py
+++ b/oleanderwood/region_leader.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import random
 
 from oleanderwood import availability
 from oleanderwood import codec
@@ -21,7 +22,9 @@
 from oleanderwood import region_plan
 from oleanderwood import region_shards
 from oleanderwood import region_state
+from oleanderwood import region_tasks
 from oleanderwood import release
+from oleanderwood import task_store
 from oleanderwood import wave_run
 from oleanderwood import wave_state
 
@@ -43,6 +46,8 @@
         return await _pass(world, leader)
     except BaseException:
         leader.footing = None
+        leader.tasks = None
+        leader.taskless = False
         leader.runs.value = None
         leader.account.value = None
         raise
@@ -60,6 +65,7 @@
     now_idle = region_idle.describe(world, leader, view)
     if region_idle.same(leader.idle, now_idle):
         await _order(world, leader)
+        await _keep_tasks(world, leader)
         await _keep_account(world, leader)
         return False
     decision = region_plan.decide(view, leader.releases.blocked, world.new_id)
@@ -69,6 +75,7 @@
         invariants.report(world.invariants, breach.invariant, breach.detail)
     await _write(world, leader, decision)
     await _order(world, leader)
+    await _keep_tasks(world, leader)
     await _keep(world, leader, decision)
     leader.idle = None if decision.changes else now_idle
     return bool(decision.changes)
@@ -215,6 +222,46 @@
     await orders.send(world.platform, out, leader.seen, world.leads)
 
 
+async def _keep_tasks(
+    world: region_state.World, leader: region_state.Leader
+) -> None:
+    reach = region_tasks.Reach(
+        region=world.region,
+        store=world.store,
+        platform=world.platform,
+        now_s=world.monotonic_s,
+        new_id=world.new_id,
+        leads=world.leads,
+        invariants=world.invariants,
+    )
+    if leader.tasks is None:
+        if not await _has_tasks(world, leader):
+            return
+        rng = random.Random(leader.footing.term)
+        leader.tasks = await region_tasks.adopt(reach, rng)
+    await region_tasks.keep(
+        reach,
+        leader.tasks,
+        leader.wanted,
+        leader.footing.shards,
+        leader.sighting,
+        leader.seen.statuses,
+    )
+
+
+async def _has_tasks(
+    world: region_state.World, leader: region_state.Leader
+) -> bool:
+    """Say whether there are jobs, or tasks of jobs that are gone."""
+    if region_tasks.jobs_of(leader.wanted, world.region):
+        return True
+    if leader.taskless:
+        return False
+    found = await task_store.exist(world.store, world.region)
+    leader.taskless = not found
+    return found
+
+
 async def _keep(
     world: region_state.World,
     leader: region_state.Leader,
--- a/oleanderwood/region_state.py
+++ b/oleanderwood/region_state.py
@@ -21,6 +21,7 @@
 from oleanderwood import platform_api
 from oleanderwood import region_plan
 from oleanderwood import region_shards
+from oleanderwood import region_tasks
 from oleanderwood import release
 from oleanderwood import store as stores
 
@@ -98,6 +99,8 @@
     :ivar loans: what the waves asked for last
     :ivar decision: the last one
     :ivar sweep: serving VMs whose status is still to be looked up
+    :ivar tasks: set once the task rows are under this leader's term
+    :ivar taskless: the store has no task rows, as read under this term
     :ivar idle: set while there is nothing to do
     :ivar index: of the footing's rows
     """
@@ -121,6 +124,8 @@
     decision: region_plan.Decision | None = None
     sweep: list[ids.VmId] = dataclasses.field(default_factory=list)
     idle: Idle | None = None
+    tasks: region_tasks.Tasks | None = None
+    taskless: bool = False
     index: Index | None = None
 
 
--- a/tests/utils_controller.py
+++ b/tests/utils_controller.py
@@ -35,6 +35,7 @@
 WAVE = ids.WaveId('w')
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 Vm = platform_api.PlatformVmState
+Task = platform_api.TaskState
 STEPS_TO_DRAIN = 1
 STEPS_TO_BOOT = 2
 
@@ -98,6 +99,13 @@
     min_up: dict = dataclasses.field(default_factory=dict)
     before: dict = dataclasses.field(default_factory=dict)
     platform_down: bool = False
+    tasks: dict = dataclasses.field(default_factory=dict)
+    task_epochs: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    task_runs: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     harm: list = dataclasses.field(default_factory=list)
     orders: list = dataclasses.field(default_factory=list)
     numbers: itertools.count = dataclasses.field(
@@ -317,11 +325,26 @@
 
         return call
 
-    async def unused(*arguments):
-        raise errors.CallFailed(verdicts.Verdict.NOT_RUN, 'no workers')
+    async def start_task(name, start):
+        async def effect():
+            _reach(made)
+            _start_task(made, _find(made, name), start)
+
+        await _call(made, effect)
+
+    def end_task(state):
+        async def call(name, task, epoch):
+            async def effect():
+                _reach(made)
+                _end_task(made, name, task, epoch, state)
+
+            await _call(made, effect)
+
+        return call
 
     async def usage():
-        return platform_api.UsageReport(0.0)
+        _reach(made)
+        return platform_api.UsageReport(0.0, tuple(made.tasks.values()))
 
     return platform_api.Platform(
         list_vms,
@@ -330,14 +353,52 @@
         command('undrain'),
         command('reboot'),
         command('replace'),
-        unused,
-        unused,
-        unused,
-        unused,
+        start_task,
+        end_task(Task.STOPPED),
+        end_task(Task.CHECKPOINTED),
+        end_task(Task.THROTTLED),
         usage,
     )
 
 
+def running(made):
+    """Give the running tasks, with their workers."""
+    return {
+        task: copy.worker
+        for task, copy in made.tasks.items()
+        if copy.state is Task.RUNNING
+    }
+
+
+def _start_task(made, vm, start):
+    known = made.tasks.get(start.task)
+    if start.epoch < made.task_epochs[start.task] or vm.state is not Vm.UP:
+        raise platform_api.Refused(409, 'not possible')
+    if known is not None and known.epoch == start.epoch:
+        return
+    if known is not None and known.state is Task.RUNNING:
+        made.harm.append(f'{start.task} runs twice')
+    made.task_epochs[start.task] = start.epoch
+    made.task_runs[start.task] += 1
+    made.tasks[start.task] = platform_api.TaskReport(
+        start.task, start.job, vm.listed.vm, start.epoch, Task.RUNNING
+    )
+
+
+def _end_task(made, name, task, epoch, state):
+    known = made.tasks.get(task)
+    if known is None or known.worker != name:
+        raise platform_api.Refused(404, 'no such task')
+    if epoch >= known.epoch and known.state is Task.RUNNING:
+        made.tasks[task] = msgspec.structs.replace(known, state=state)
+
+
+def _end_tasks(made, vm, state):
+    for task, copy in made.tasks.items():
+        if copy.worker == vm.listed.vm and copy.state is Task.RUNNING:
+            made.tasks[task] = msgspec.structs.replace(copy, state=state)
+
+
 def _reach(made):
     if made.platform_down:
         raise errors.CallFailed(verdicts.Verdict.NOT_RUN, 'platform is down')
@@ -370,10 +431,12 @@
     _note_harm(made, kind, vm.listed.vm, operation)
     if kind == 'drain':
         vm.state, vm.due = Vm.DRAINING, STEPS_TO_DRAIN
+        _end_tasks(made, vm, Task.CHECKPOINTED)
     elif kind == 'undrain':
         vm.state = Vm.UP if vm.healthy else Vm.FAILED
     else:
         vm.state, vm.due = Vm.REBOOTING, STEPS_TO_BOOT
+        _end_tasks(made, vm, Task.FAILED)
 
 
 def _note_harm(made, kind, name, operation):
