Bound the starts of a decision; ask for two jobs to blame a worker

The first decision at the design size started 2,375 tasks in 111 ms of processor time (limit: 100 ms), each of which is a write to the store.

One job alone now takes ten failures; a test keeps the case.

--- a/oleanderwood/blame.py
+++ b/oleanderwood/blame.py
@@ -28,6 +28,11 @@
 MAX_UNKNOWN = 1.0
 """Most that failures with one and the same unknown side weigh."""
 
+MAX_KNOWN = 2.0
+KNOWN_SLOPE = 0.05
+"""Failures with one and the same good side weigh no more than the former,
+and this much for each: alone it takes ten of them for blame."""
+
 MIN_JOB_WORKERS = 2
 """Workers that a job has to fail on before it is held back."""
 
@@ -324,7 +329,8 @@
     if elsewhere:
         return min(count * UNKNOWN, MAX_UNKNOWN) / (1 + elsewhere)
     if _was_good_elsewhere(other, here, now_s):
-        return count * NOT_EXPLAINED
+        most = MAX_KNOWN + count * KNOWN_SLOPE
+        return min(count * NOT_EXPLAINED, most)
     return min(count * UNKNOWN, MAX_UNKNOWN)
 
 
--- a/oleanderwood/placement.py
+++ b/oleanderwood/placement.py
@@ -23,6 +23,13 @@
 """What a core counts as in GiB where sizes are compared."""
 
 
+MAX_STARTS = 1000
+"""Starts decided at once, but for urgent ones; the rest come next time.
+
+Each start is a write to the store, which takes several hundred a second.
+"""
+
+
 def place(
     jobs: collections.abc.Sequence[configuration.Job],
     teams: collections.abc.Sequence[configuration.Team],
@@ -115,6 +122,8 @@
         if not placement_plan.is_urgent(plan, row):
             by_pool[plan.jobs[row.job].pool].append(row)
     for pool in sorted(by_pool):
+        if plan.starts >= MAX_STARTS:
+            return
         if plan.open_rooms.get(pool):
             _place_in_pool(plan, pool, by_pool[pool], policy)
 
--- a/oleanderwood/placement_plan.py
+++ b/oleanderwood/placement_plan.py
@@ -47,6 +47,7 @@
     :ivar unwanted: the copies that are cancelled or whose end was ordered
     :ivar ending: the copies whose end is ordered, now or before
     :ivar held: what copies hold, as far as it was asked for
+    :ivar starts: how many of the actions are starts
     :ivar decided: the actions so far
     """
 
@@ -68,6 +69,7 @@
     unwanted: list[task_row.TaskRow] = dataclasses.field(default_factory=list)
     ending: set[str] = dataclasses.field(default_factory=set)
     held: dict[str, demands.Size] = dataclasses.field(default_factory=dict)
+    starts: int = 0
     decided: list[actions.Action] = dataclasses.field(default_factory=list)
 
 
@@ -115,7 +117,10 @@
             continue
         if standing is blames.Standing.PROBING:
             plan.probing.add(vm)
-        by_pool[room.worker.pool].append(room)
+        pool = room.worker.pool
+        survives = plan.survives.get(pool, configuration.Survives.NOTHING)
+        room.domain = worker_room.domain(room.worker, survives)
+        by_pool[pool].append(room)
     plan.open_rooms = by_pool
 
 
@@ -183,6 +188,7 @@
     """Decide a start, and count it."""
     job = plan.jobs[row.job]
     claim(plan, row, room, size)
+    plan.starts += 1
     plan.decided.append(
         actions.StartTask(
             row.task,
--- a/oleanderwood/worker_choice.py
+++ b/oleanderwood/worker_choice.py
@@ -1,7 +1,5 @@
 """Access to the choice of the worker that a task starts on."""
 
-import collections
-
 from oleanderwood import configuration
 from oleanderwood import placement_plan
 from oleanderwood import placement_policy
@@ -40,17 +38,11 @@
     row: task_row.TaskRow,
 ) -> list[worker_room.Room]:
     """Keep the rooms whose failure domain has fewest of the job's tasks."""
-    pool = fitting[0].worker.pool
-    survives = plan.survives.get(pool, configuration.Survives.NOTHING)
-    if survives is configuration.Survives.NOTHING:
+    if not fitting[0].domain:
         return fitting
-    counts = collections.Counter()
-    for room in plan.open_rooms[pool]:
-        domain = worker_room.domain(room, survives)
-        counts[domain] += room.job_tasks.get(row.job, 0)
-    least = min(counts[worker_room.domain(room, survives)] for room in fitting)
-    return [
-        room
-        for room in fitting
-        if counts[worker_room.domain(room, survives)] == least
-    ]
+    counts: dict[str, int] = {}
+    for room in plan.open_rooms[fitting[0].worker.pool]:
+        here = room.job_tasks.get(row.job, 0)
+        counts[room.domain] = counts.get(room.domain, 0) + here
+    least = min([counts[room.domain] for room in fitting])
+    return [room for room in fitting if counts[room.domain] == least]
--- a/oleanderwood/worker_room.py
+++ b/oleanderwood/worker_room.py
@@ -33,6 +33,7 @@
     :ivar free_cores: free now; so too ``free_memory_gib``, and so on
     :ivar expected_cores: free once the ordered ends are through, and so on
     :ivar ready_at_s: when the ordered ends should be through
+    :ivar domain: the failure domain that a job's tasks are spread over
     :ivar job_tasks: copies on the worker, by job
     """
 
@@ -44,6 +45,7 @@
     expected_memory_gib: float
     expected_accelerators: int
     ready_at_s: float = 0.0
+    domain: str = ''
     job_tasks: dict[ids.JobId, int] = dataclasses.field(default_factory=dict)
 
 
@@ -157,10 +159,15 @@
     room.expected_accelerators += accelerators
 
 
-def domain(room: Room, survives: configuration.Survives) -> str:
-    """Name the failure domain that a job's tasks are spread over."""
+def domain(worker: Worker, survives: configuration.Survives) -> str:
+    """Name the failure domain that a job's tasks are spread over.
+
+    '' if they aren't.
+    """
+    if survives is configuration.Survives.NOTHING:
+        return ''
     if survives is configuration.Survives.DATA_CENTRE:
-        return room.worker.data_centre
+        return worker.data_centre
     if survives is configuration.Survives.RACK:
-        return room.worker.rack
-    return room.worker.vm
+        return worker.rack
+    return worker.vm
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -107,6 +107,16 @@
     assert known.aside == {}
 
 
+@pytest.mark.parametrize(('failures', 'aside'), [(6, False), (11, True)])
+def test_one_job_that_is_good_elsewhere_takes_many_failures(failures, aside):
+    """Four kills for lack of memory once set a good worker aside."""
+    known = blame.Blame()
+    _report(known, [('j:1', 'j', 'w1', 1, True)], 0.0)
+    for epoch in range(1, failures + 1):
+        _report(known, [('j:0', 'j', 'w0', epoch, False)], 2.0 * epoch)
+    assert ('w0' in known.aside) is aside
+
+
 def _aside():
     known = blame.Blame()
     for index in range(9):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,6 +13,7 @@
 from oleanderwood import demand
 from oleanderwood import feasibility
 from oleanderwood import fleet
+from oleanderwood import placement
 from oleanderwood import placement_actions as actions
 from oleanderwood import placement_plan
 from oleanderwood import placement_policy
@@ -458,6 +459,21 @@
     assert start.worker == 'w1'
 
 
+def test_bounded_starts_go_on_next_time(monkeypatch):
+    monkeypatch.setattr(placement, 'MAX_STARTS', 1)
+    jobs = [
+        utils.make_job('a', tasks=2),
+        utils.make_job('b', pool='q', tasks=2),
+    ]
+    workers = [utils.make_worker(0), utils.make_worker(1, pool='q')]
+    table = utils.make_table(jobs)
+    decided = utils.place(jobs, workers, table)
+    assert {one.job for one in decided} == {'a'}
+    utils.carry_out(table, decided)
+    decided = utils.place(jobs, workers, table)
+    assert {one.job for one in decided} == {'b'}
+
+
 def test_same_input_same_actions():
     job = utils.make_job(tasks=9)
     workers = [utils.make_worker(index) for index in range(3)]
