Wake the kernel at signals; mend a test that could miss one

Cause: test_no_process_is_left[SIGTERM] once waited 10 s in vain. Repeated 40 times, it did so once; the stack showed the parent in time.sleep(60): the signal had come between the interpreter's last check and the sleep. The test now sleeps in short pieces and checks the same. The daemons could meet the same between a check and epoll, so a wake-up descriptor now wakes the kernel.

--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -93,19 +93,19 @@
 
 
 async def _dump_on_signal(dump: Dump) -> None:
-    arrivals = signal_socket(signal.SIGUSR1)
+    arrivals = await signal_socket(signal.SIGUSR1)
     while await arrivals.recv(1):
         LOG.info('State: %s', codec.to_json(dump()).decode())
 
 
 async def until_stopped() -> None:
     """Wait for SIGTERM or SIGINT."""
-    arrivals = signal_socket(signal.SIGTERM, signal.SIGINT)
+    arrivals = await signal_socket(signal.SIGTERM, signal.SIGINT)
     number = (await arrivals.recv(1))[0]
     LOG.info('Stopping on signal %s.', signal.Signals(number).name)
 
 
-def signal_socket(*numbers: int) -> curio.io.Socket:
+async def signal_socket(*numbers: int) -> curio.io.Socket:
     """Take signals from now on; each arrives as one byte, its number.
 
     curio has no signals of its own; a socket wakes its kernel. For the
@@ -121,6 +121,25 @@
             # Raised here, it would cut whatever the process does now.
             LOG.warning('Signal %s was dropped: %s.', number, error)
 
+    await curio.spawn(_wake_on_signals, daemon=True)
     for number in numbers:
         signal.signal(number, pass_on)
     return curio.io.Socket(receiver)
+
+
+_WAKE_READER, _WAKE_WRITER = socket.socketpair()
+_WAKE_READER.setblocking(False)
+_WAKE_WRITER.setblocking(False)
+
+
+async def _wake_on_signals() -> None:
+    """Wake curio's kernel at any signal, until cancelled.
+
+    A handler in Python runs between two steps of the interpreter. Without
+    this, a signal that comes just before the kernel waits for events would
+    be handled only after the next event.
+    """
+    signal.set_wakeup_fd(_WAKE_WRITER.fileno(), warn_on_full_buffer=False)
+    reader = curio.io.Socket(_WAKE_READER)
+    while await reader.recv(64):
+        pass
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -13,6 +13,7 @@
         waiting = await curio.spawn(daemon.until_stopped)
         await curio.sleep(0.01)
         assert not waiting.terminated
+        assert signal.set_wakeup_fd(-1) != -1
         os.kill(os.getpid(), signal.SIGTERM)
         async with curio.timeout_after(5):
             await waiting.join()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -29,7 +29,8 @@
         print(child.popen.pid, flush=True)
     if sys.argv[1] == 'fail':
         raise LookupError('a defect')
-    time.sleep(60)
+    while True:
+        time.sleep(0.05)
 """
 
 
