Mend two divisions of labour that met for the first time

Cause: the controller's schedules gave the wave planner VMs that were out for no time at all (ZeroDivisionError in next_batch), and plans over a fleet without pools reached the swap search (IndexError). Ruled out: clamping in the callers; both functions are called from several.

--- a/oleanderwood/buffer_swap.py
+++ b/oleanderwood/buffer_swap.py
@@ -66,7 +66,10 @@
 
 def _best(census: reserve.Census, target: int) -> Swap | None:
     """Choose a VM of the worst domain and one that takes its place."""
-    worst = reserve.shortages(census, target)[0]
+    shortages = reserve.shortages(census, target)
+    if not shortages:
+        return None
+    worst = shortages[0]
     best = None
     now = deficit(census, target)
     for vm, other in _candidates(census, worst):
--- a/oleanderwood/wave.py
+++ b/oleanderwood/wave.py
@@ -21,6 +21,9 @@
 from oleanderwood import ids
 from oleanderwood import reserve
 
+SHORTEST_VM_TIME_S = 0.1
+"""No VM is taken to be out for less; clocks may step within one reboot."""
+
 DEFAULT_VM_TIME_S = 300.0
 """Drain and reboot of one VM, before any was seen."""
 
@@ -124,7 +127,9 @@
         for outcome in outcomes
         if not outcome.failed
     ]
-    return statistics.median(seen) if seen else DEFAULT_VM_TIME_S
+    if not seen:
+        return DEFAULT_VM_TIME_S
+    return max(SHORTEST_VM_TIME_S, statistics.median(seen))
 
 
 def quiet_until_s(wave: configuration.Wave, now_s: float) -> float | None:
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -1,6 +1,8 @@
 """Tests of wave."""
 
 from oleanderwood import configuration
+from oleanderwood import failure_estimate
+from oleanderwood import ids
 from oleanderwood import wave
 from tests import utils_decisions
 
@@ -16,3 +18,8 @@
         plan, progress, pools, rows, 0.0, WEIGHTS, wave.Conditions(sites)
     )
     assert len(batch.take) == 1
+
+
+def test_vm_that_was_out_for_no_time_still_counts_as_out():
+    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
+    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
