Split the dispatcher into modules with one job

decisions (types), upstream_set (upstreams of a service) and peer_loads. Takes over what the entry needs to tell: whether a failed request can be sent again, and whether a failure was the upstream's.

--- a/measure/admission.py
+++ b/measure/admission.py
@@ -47,7 +47,8 @@
     """One way under one scenario: medians, and the spread where given.
 
     :ivar wait_p99_ms: from arrival to the work's begin, of first attempts
-    :ivar wait_ratio: of the p99 waits, to one central queue, seed by seed
+    :ivar wait_ratio: of the p99 wait to that of one central queue, over the
+        requests of all seeds; its range is of the single seeds' p99 waits
     :ivar goodput: work answered in time as a share of what was possible
     :ivar retry_load: retries as a share of fresh requests
     :ivar slow_refusals: refusals later than 50 ms after the arrival
@@ -184,7 +185,7 @@
     tally: events.Tally
     wait_p99_s: float
     urgent_p99_s: float
-    central_p99_s: float
+    central_waits_s: list[float]
     goodput: float
 
 
@@ -232,22 +233,30 @@
         tally,
         _p99(tally.waits_s),
         _p99(tally.urgent_waits_s),
-        _p99(events.central_waits_s(cell.size, arrivals)),
+        events.central_waits_s(cell.size, arrivals),
         _good_work_s(cell, tally) / possible_s if possible_s else 1.0,
     )
 
 
+def _central_p99_s(samples: list[Sample]) -> float:
+    return _p99([wait_s for one in samples for wait_s in one.central_waits_s])
+
+
+def _ratio(samples: list[Sample]) -> float:
+    """Give the ratio of the p99 waits of all seeds taken together."""
+    waits_s = [wait_s for one in samples for wait_s in one.tally.waits_s]
+    bound_s = _central_p99_s(samples)
+    return _p99(waits_s) / bound_s if bound_s else math.nan
+
+
 def _row(cell: Cell, samples: list[Sample]) -> Row:
     def median(values: collections.abc.Iterable[float]) -> float:
         return statistics.median(values)
 
     tallies = [one.tally for one in samples]
     waits_ms = [1000 * one.wait_p99_s for one in samples]
-    ratios = [
-        one.wait_p99_s / one.central_p99_s
-        for one in samples
-        if one.central_p99_s > 0
-    ] or [math.nan]
+    bound_ms = 1000 * _central_p99_s(samples)
+    ratios = [wait / bound_ms if bound_ms else math.nan for wait in waits_ms]
     retry_loads = [t.retries / max(1, t.fresh) for t in tallies]
     goodputs = [one.goodput for one in samples]
     steady = cell.scenario.fault is None and cell.scenario.load < 1
@@ -260,7 +269,7 @@
         wait_p99_low_ms=min(waits_ms),
         wait_p99_high_ms=max(waits_ms),
         urgent_p99_ms=1000 * median(one.urgent_p99_s for one in samples),
-        wait_ratio=median(ratios) if steady else math.nan,
+        wait_ratio=_ratio(samples) if steady else math.nan,
         wait_ratio_low=min(ratios) if steady else math.nan,
         wait_ratio_high=max(ratios) if steady else math.nan,
         goodput=median(goodputs),
@@ -276,12 +285,19 @@
     )
 
 
-def rows(seed: int, seeds: int = 20, processes: int = 1) -> list[Row]:
+def rows(
+    seed: int, seeds: int = 20, processes: int = 1, only: str = ''
+) -> list[Row]:
     """Measure all lines.
 
     :param seed: the first of ``seeds`` seeds in a row
+    :param only: a part of the scenario's, size's or way's name
     """
-    listed = cells()
+    listed = [
+        cell
+        for cell in cells()
+        if only in f'{cell.scenario.name}/{cell.size.name}/{cell.way}'
+    ]
     jobs = [(cell, seed + n) for cell in listed for n in range(seeds)]
     if processes == 1:
         samples = [sample(*job) for job in jobs]
@@ -325,13 +341,18 @@
 
 
 def main(
-    *, seed: int = 1, seeds: int = 20, processes: int = 1, json: bool = False
+    *,
+    seed: int = 1,
+    seeds: int = 20,
+    processes: int = 1,
+    only: str = '',
+    json: bool = False,
 ) -> None:
     """Print the table.
 
     :param json: print the rows as JSON instead
     """
-    measured = rows(seed, seeds, processes)
+    measured = rows(seed, seeds, processes, only)
     if json:
         sys.stdout.buffer.write(msgspec.json.encode(measured) + b'\n')
         return
--- a/measure/admission_events.py
+++ b/measure/admission_events.py
@@ -242,7 +242,7 @@
         ),
         0.0,
     )
-    dispatch.set_entries(state, places, 0.0)
+    dispatch.set_entries(state, tuple(places), 0.0)
     rows = tuple(
         dispatch.UpstreamRow(
             ids.VmId(f'{n}'),
@@ -462,5 +462,5 @@
         state.tally.breaches += sum(entry.breaches.values())
         for service in entry.services.values():
             budget = service.budget
-            state.tally.breaches += service.in_flight != 0
+            state.tally.breaches += service.upstreams.in_flight != 0
             state.tally.breaches += budget.balance < 0
--- a/oleanderwood/admission.py
+++ b/oleanderwood/admission.py
@@ -71,8 +71,11 @@
     queue.length += 1
 
 
-def pop(queue: Queue) -> Waiting | None:
-    """Take the next request: by priority, then by the teams' turns."""
+def pop(queue: Queue) -> Waiting:
+    """Take the next request: by priority, then by the teams' turns.
+
+    :raises IndexError: the queue is empty
+    """
     for priority in CLASSES:
         by_team = queue.teams[priority]
         if not by_team:
@@ -85,7 +88,7 @@
         else:
             del by_team[team]
         return waiting
-    return None
+    raise IndexError('the queue is empty')
 
 
 def remove(queue: Queue, waiting: Waiting) -> None:
@@ -127,21 +130,18 @@
     return count
 
 
-def predicted_wait_s(
-    requests_ahead: int, in_flight: int, latency_s: float
+def excess_wait_s(
+    queue: Queue, waiting: Waiting, rate_per_s: float, now_s: float
 ) -> float:
-    """Predict the wait of a request that can't start at once.
+    """Give by how much a new request would wait too long; 0.0 if not.
 
-    :param in_flight: this entry's requests of the service, which end at
-        ``in_flight / latency_s`` a second
+    :param rate_per_s: at which this entry's requests end
     """
-    if not in_flight:
+    if rate_per_s <= 0:
         return math.inf
-    return (requests_ahead + 1) * latency_s / in_flight
-
-
-def allowed_wait_s(
-    priority: configuration.Priority, latest_start_s: float, now_s: float
-) -> float:
-    """Give the longest predicted wait with which a request is admitted."""
-    return SLACK_SHARE[priority] * (latest_start_s - now_s)
+    before = ahead(queue, waiting.team, waiting.priority)
+    wait_s = (before + 1) / rate_per_s
+    allowed_s = SLACK_SHARE[waiting.priority] * (
+        waiting.latest_start_s - now_s
+    )
+    return max(0.0, wait_s - allowed_s)
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -8,118 +8,29 @@
 import collections
 import collections.abc
 import dataclasses
-import math
 import random
 
-import msgspec
-
 from oleanderwood import admission
 from oleanderwood import configuration
-from oleanderwood import ejection
+from oleanderwood import decisions
 from oleanderwood import ids
 from oleanderwood import messages
+from oleanderwood import peer_loads
 from oleanderwood import quotas
 from oleanderwood import retry
 from oleanderwood import routing
+from oleanderwood import upstream_set
 from oleanderwood import verdict as verdicts
 
-STATUS_OVER_QUOTA = 429
-STATUS_UNAVAILABLE = 503
-STATUS_NO_SERVICE = 404
-STATUS_LATE = 504
 FIRST_SERVER_ERROR = 500
 
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 60.0
-
-OVERFILL = 1
-"""Requests above its share of slots that an entry may send an upstream.
-
-They wait there and hide the way there and back.
-"""
-
-Limit = collections.abc.Callable[[routing.Upstream, int], int]
-"""Gives how many requests one of some entries may have at an upstream."""
-
-INITIAL_LATENCY_S = 0.1
-LATENCY_WEIGHT = 0.05
-"""Weight of one latency in the moving average of a service."""
-
-PEER_LOAD_S = 5.0
-"""Age from which a peer's loads aren't used."""
-
-
-class Ask(msgspec.Struct, frozen=True):
-    """A caller's request.
-
-    :ivar ticket: the entry's number for it, never used twice
-    :ivar deadline_s: when the answer is due, on the clock of ``now_s``
-    """
-
-    ticket: int
-    service: ids.ServiceId
-    team: ids.TeamId
-    priority: configuration.Priority
-    deadline_s: float
-    idempotent: bool
-
-
-class Outcome(msgspec.Struct, frozen=True):
-    """How one attempt ended.
-
-    :ivar status: the upstream's status, 0 for none
-    :ivar latency_s: from the start of the attempt
-    """
-
-    verdict: verdicts.Verdict
-    status: int
-    latency_s: float
-
-
-class Start(msgspec.Struct, frozen=True):
-    """Send the request to an upstream."""
-
-    ticket: int
-    upstream: ids.VmId
-
-
-class Refuse(msgspec.Struct, frozen=True):
-    """Give the caller this final answer; the ticket is done with."""
-
-    ticket: int
-    status: int
-    reason: str
-    verdict: verdicts.Verdict
-    retry_after_s: float
-
-
-Decision = Start | Refuse
-
-
-class UpstreamRow(msgspec.Struct, frozen=True):
-    """An upstream as the entry's grants and the configuration give it."""
-
-    vm: ids.VmId
-    epoch: ids.Epoch
-    data_centre: ids.DataCentre
-    slots: int
-    connections: int
-
-
-@dataclasses.dataclass
-class Request:
-    """A request between its arrival and its final answer.
-
-    :ivar upstream: where it runs, ``None`` while it waits
-    :ivar verdict: what is known of the attempts that ended
-    """
-
-    ask: Ask
-    waiting: admission.Waiting | None = None
-    upstream: ids.VmId | None = None
-    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN
-    attempts: int = 0
-    tried: set[ids.VmId] = dataclasses.field(default_factory=set)
+# The types of the interface.
+Ask = decisions.Ask
+Outcome = decisions.Outcome
+Start = decisions.Start
+Refuse = decisions.Refuse
+Decision = decisions.Decision
+UpstreamRow = upstream_set.UpstreamRow
 
 
 @dataclasses.dataclass
@@ -128,27 +39,9 @@
 
     budget: retry.Budget
     queue: admission.Queue = dataclasses.field(default_factory=admission.Queue)
-    upstreams: dict[ids.VmId, routing.Upstream] = dataclasses.field(
-        default_factory=dict
-    )
-    healths: dict[ids.VmId, ejection.Health] = dataclasses.field(
-        default_factory=dict
+    upstreams: upstream_set.UpstreamSet = dataclasses.field(
+        default_factory=upstream_set.UpstreamSet
     )
-    in_flight: int = 0
-    latency_s: float = INITIAL_LATENCY_S
-
-
-@dataclasses.dataclass
-class PeerLoads:
-    """What another entry last said of its requests in flight."""
-
-    at_s: float
-    by_vm: dict[ids.VmId, int]
-
-
-def limit_by_share(upstream: routing.Upstream, entries: int) -> int:
-    """Limit an entry to its share of the slots and a little more."""
-    return routing.share(upstream.slots, entries) + OVERFILL
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,7 +49,7 @@
     """The parts of the decisions that can be exchanged."""
 
     choose: routing.Choose = routing.choose
-    limit: Limit = limit_by_share
+    limit: routing.Limit = routing.limit_by_share
     spend: collections.abc.Callable[[retry.Budget], bool] = retry.spend
 
 
@@ -164,13 +57,13 @@
 class State:
     """All that one entry knows for its decisions.
 
-    :ivar entries: all entries that may use the upstreams, and where
+    :ivar entries: all entries that may use the upstreams, in order
     :ivar breaches: invariants that did not hold, with their counts
     """
 
     entry: ids.EntryId
     data_centre: ids.DataCentre
-    entries: dict[ids.EntryId, ids.DataCentre]
+    entries: tuple[ids.EntryId, ...]
     policy: Policy = Policy()
     services: dict[ids.ServiceId, ServiceState] = dataclasses.field(
         default_factory=dict
@@ -181,10 +74,12 @@
     rates_per_s: dict[ids.TeamId, float] = dataclasses.field(
         default_factory=dict
     )
-    requests: dict[int, Request] = dataclasses.field(default_factory=dict)
-    peers: dict[ids.EntryId, PeerLoads] = dataclasses.field(
+    requests: dict[int, decisions.Request] = dataclasses.field(
         default_factory=dict
     )
+    peers: peer_loads.PeerLoads = dataclasses.field(
+        default_factory=peer_loads.PeerLoads
+    )
     breaches: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -196,7 +91,7 @@
     policy: Policy = Policy(),
 ) -> State:
     """Make the state of an entry that knows of no other and no service."""
-    return State(entry, data_centre, {entry: data_centre}, policy)
+    return State(entry, data_centre, (entry,), policy)
 
 
 def set_configuration(
@@ -219,16 +114,13 @@
 
 
 def set_entries(
-    state: State,
-    entries: dict[ids.EntryId, ids.DataCentre],
-    now_s: float,
+    state: State, entries: tuple[ids.EntryId, ...], now_s: float
 ) -> None:
     """Set which entries share the upstreams and quotas (the roster)."""
-    state.entries = {**entries, state.entry: state.data_centre}
-    for entry in set(state.peers) - set(state.entries):
-        del state.peers[entry]
+    state.entries = tuple(sorted({*entries, state.entry}))
+    peer_loads.keep_only(state.peers, state.entries)
     for service in state.services.values():
-        _place(state, service)
+        _place(state, service, now_s)
     _set_rates(state, now_s)
 
 
@@ -238,35 +130,12 @@
     rows: tuple[UpstreamRow, ...],
     now_s: float,
 ) -> None:
-    """Set the upstreams that may get new work.
-
-    A new epoch starts without the failures of the earlier one. Requests
-    in flight at an upstream that is gone go on.
-    """
+    """Set the upstreams that may get new work."""
     known = state.services.get(service)
     if known is None:
         return
-    for upstream in known.upstreams.values():
-        upstream.serving = False
-    for row in rows:
-        upstream = known.upstreams.get(row.vm)
-        if upstream is None:
-            upstream = routing.Upstream(
-                row.vm, row.epoch, row.data_centre, row.slots, row.connections
-            )
-            known.upstreams[row.vm] = upstream
-        if row.vm not in known.healths or upstream.epoch != row.epoch:
-            known.healths[row.vm] = ejection.Health()
-        upstream.epoch = row.epoch
-        upstream.data_centre = row.data_centre
-        upstream.slots = row.slots
-        upstream.connections = row.connections
-        upstream.serving = True
-    for vm in [vm for vm, up in known.upstreams.items() if not up.serving]:
-        known.healths.pop(vm, None)
-        _forget_if_idle(known, vm)
-    _place(state, known)
-    _add_peer_loads(state, now_s)
+    upstream_set.replace(known.upstreams, rows)
+    _place(state, known, now_s)
 
 
 def set_peer_loads(
@@ -278,9 +147,8 @@
     """Take in what another entry says it has in flight."""
     if entry == state.entry:
         return
-    by_vm = {load.vm: load.in_flight for load in loads}
-    state.peers[entry] = PeerLoads(now_s, by_vm)
-    _add_peer_loads(state, now_s)
+    peer_loads.hear(state.peers, entry, loads, now_s)
+    _apply_peer_loads(state, now_s)
 
 
 def own_loads(state: State) -> tuple[messages.Load, ...]:
@@ -288,11 +156,19 @@
     return tuple(
         messages.Load(vm, upstream.in_flight)
         for service in state.services.values()
-        for vm, upstream in service.upstreams.items()
+        for vm, upstream in service.upstreams.by_vm.items()
         if upstream.in_flight
     )
 
 
+def is_idle(state: State) -> bool:
+    """Say whether no request waits or is in flight."""
+    return not state.requests and not any(
+        service.queue.length or service.upstreams.in_flight
+        for service in state.services.values()
+    )
+
+
 def arrive(
     state: State, ask: Ask, now_s: float, rng: random.Random
 ) -> list[Decision]:
@@ -302,13 +178,23 @@
     """
     service = state.services.get(ask.service)
     if service is None:
-        return [_refusal(ask, STATUS_NO_SERVICE, 'no such service')]
+        return [
+            decisions.refuse_for_good(
+                ask, decisions.STATUS_NO_SERVICE, 'no such service'
+            )
+        ]
+    request = decisions.Request(ask)
     until_s = quotas.take(state.team_quotas, ask.team, now_s)
     if until_s > 0:
         return [
-            _refusal(ask, STATUS_OVER_QUOTA, 'over the quota', until_s, rng)
+            decisions.refuse_for_now(
+                request,
+                decisions.STATUS_OVER_QUOTA,
+                'over the quota',
+                until_s,
+                rng,
+            )
         ]
-    request = Request(ask)
     refusal = _admit(service, request, now_s, rng)
     if refusal is not None:
         quotas.give_back(state.team_quotas, ask.team)
@@ -333,20 +219,18 @@
     if request is None or request.upstream is None:
         state.breaches['finish of a request that does not run'] += 1
         return []
-    service = state.services.get(request.ask.service)
-    if service is None:
-        del state.requests[ticket]
-        return _final_of_removed_service(request, outcome)
-    vm = request.upstream
-    _leave_upstream(service, request)
-    _learn(service, vm, outcome, now_s)
     request.verdict = retry.combine(request.verdict, outcome.verdict)
-    decisions: list[Decision] = []
-    if outcome.verdict is verdicts.Verdict.RAN:
+    ran = outcome.verdict is verdicts.Verdict.RAN
+    if ran:
         del state.requests[ticket]
-    else:
-        decisions += _retry_or_give_up(state, service, request, now_s, rng)
-    return decisions + _start_waiting(state, service, now_s, rng)
+    service = state.services.get(request.ask.service)
+    if service is None:
+        return [] if ran else [_give_up(state, request, rng)]
+    _leave(service, request, outcome, now_s)
+    made: list[Decision] = []
+    if not ran and not _retry(state, service, request, outcome, now_s, rng):
+        made.append(_give_up(state, request, rng))
+    return made + _start_waiting(state, service, now_s, rng)
 
 
 def abandon(
@@ -365,7 +249,7 @@
     if request.waiting is not None:
         admission.remove(service.queue, request.waiting)
     if request.upstream is not None:
-        _leave_upstream(service, request)
+        upstream_set.leave(service.upstreams, request.upstream)
     return _start_waiting(state, service, now_s, rng)
 
 
@@ -374,22 +258,23 @@
 
     To be called every 20 ms or so while anything waits.
     """
-    _add_peer_loads(state, now_s)
-    decisions: list[Decision] = []
+    _apply_peer_loads(state, now_s)
+    made: list[Decision] = []
     for service in state.services.values():
-        decisions += _refuse_overdue(state, service, now_s, rng)
-        decisions += _start_waiting(state, service, now_s, rng)
-    return decisions
-
-
-def _place(state: State, service: ServiceState) -> None:
-    routing.place(
-        [up for up in service.upstreams.values() if up.serving],
-        state.data_centre,
-        sorted(state.entries).index(state.entry),
-        len(state.entries),
-        list(state.entries.values()).count(state.data_centre),
-    )
+        for waiting in admission.overdue(service.queue, now_s):
+            admission.remove(service.queue, waiting)
+            request = state.requests.pop(waiting.ticket)
+            made.append(
+                decisions.refuse_for_now(
+                    request,
+                    decisions.STATUS_UNAVAILABLE,
+                    'could not start in time',
+                    0.0,
+                    rng,
+                )
+            )
+        made += _start_waiting(state, service, now_s, rng)
+    return made
 
 
 def _set_rates(state: State, now_s: float) -> None:
@@ -401,217 +286,138 @@
     )
 
 
-def _add_peer_loads(state: State, now_s: float) -> None:
-    fresh = [
-        loads.by_vm
-        for loads in state.peers.values()
-        if now_s - loads.at_s <= PEER_LOAD_S
-    ]
-    for service in state.services.values():
-        for vm, upstream in service.upstreams.items():
-            upstream.peer_load = sum(by_vm.get(vm, 0) for by_vm in fresh)
+def _place(state: State, service: ServiceState, now_s: float) -> None:
+    routing.place(
+        upstream_set.serving(service.upstreams),
+        state.data_centre,
+        state.entries.index(state.entry),
+        len(state.entries),
+    )
+    _apply_peer_loads(state, now_s)
 
 
-def _candidates(
-    state: State, service: ServiceState, now_s: float
-) -> list[routing.Upstream]:
-    entries = len(state.entries)
-    found = []
-    for vm, upstream in service.upstreams.items():
-        if not upstream.serving:
-            continue
-        slots = state.policy.limit(upstream, entries)
-        usable = ejection.usable_slots(service.healths[vm], slots, now_s)
-        upstream.limit = min(
-            usable, routing.connection_limit(upstream.connections, entries)
-        )
-        if upstream.limit:
-            found.append(upstream)
-    return found
+def _apply_peer_loads(state: State, now_s: float) -> None:
+    for service in state.services.values():
+        peer_loads.apply(state.peers, service.upstreams.by_vm.values(), now_s)
 
 
 def _admit(
     service: ServiceState,
-    request: Request,
+    request: decisions.Request,
     now_s: float,
     rng: random.Random,
-    first: bool = False,
 ) -> Refuse | None:
+    """Put a request into the queue, unless it can't start in time."""
     ask = request.ask
-    latest_start_s = ask.deadline_s - service.latency_s
+    latency_s = service.upstreams.latency_s
+    latest_start_s = ask.deadline_s - latency_s
     if latest_start_s < now_s:
-        return _refusal(ask, STATUS_LATE, 'can not end in time')
-    if not any(up.serving for up in service.upstreams.values()):
-        return _refusal(
-            ask, STATUS_UNAVAILABLE, 'no upstream serves', 0.0, rng
+        return decisions.refuse_for_good(
+            ask, decisions.STATUS_LATE, 'can not end in time', request.verdict
         )
-    request.waiting = admission.Waiting(
+    reason, excess_s = '', 0.0
+    if not upstream_set.serving(service.upstreams):
+        reason = 'no upstream serves'
+    waiting = admission.Waiting(
         ask.ticket, ask.team, ask.priority, latest_start_s
     )
-    if service.queue.length:
-        ahead = admission.ahead(service.queue, ask.team, ask.priority)
-        wait_s = admission.predicted_wait_s(
-            0 if first else ahead, service.in_flight, service.latency_s
+    if service.queue.length and not request.attempts:
+        rate_per_s = service.upstreams.in_flight / latency_s
+        excess_s = admission.excess_wait_s(
+            service.queue, waiting, rate_per_s, now_s
         )
-        allowed_s = admission.allowed_wait_s(
-            ask.priority, latest_start_s, now_s
+        if excess_s > 0:
+            reason = 'can not start in time'
+    if reason:
+        return decisions.refuse_for_now(
+            request, decisions.STATUS_UNAVAILABLE, reason, excess_s, rng
         )
-        if wait_s > allowed_s:
-            return _refusal(
-                ask,
-                STATUS_UNAVAILABLE,
-                'can not start in time',
-                wait_s - allowed_s,
-                rng,
-            )
-    admission.push(service.queue, request.waiting, first)
+    request.waiting = waiting
+    admission.push(service.queue, waiting, first=request.attempts > 0)
     return None
 
 
 def _start_waiting(
     state: State, service: ServiceState, now_s: float, rng: random.Random
 ) -> list[Decision]:
-    decisions: list[Decision] = []
     if not service.queue.length:
-        return decisions
-    candidates = _candidates(state, service, now_s)
+        return []
+    made: list[Decision] = []
+    candidates = upstream_set.candidates(
+        service.upstreams, state.policy.limit, len(state.entries), now_s
+    )
     while service.queue.length:
         upstream = state.policy.choose(candidates, rng)
         if upstream is None:
             break
-        waiting = admission.pop(service.queue)
-        assert waiting is not None
-        request = state.requests[waiting.ticket]
-        decisions.append(_start(state, service, request, upstream))
-    return decisions
+        ticket = admission.pop(service.queue).ticket
+        request = state.requests[ticket]
+        made.append(_start(state, service, request, upstream))
+    return made
 
 
 def _start(
     state: State,
     service: ServiceState,
-    request: Request,
+    request: decisions.Request,
     upstream: routing.Upstream,
 ) -> Start:
-    if request.verdict is verdicts.Verdict.RAN:
-        state.breaches['start of a request that ran'] += 1
+    if not verdicts.may_retry(request.verdict, request.ask.idempotent):
+        state.breaches['second start without proof'] += 1
     if not request.attempts:
         retry.earn(service.budget)
     request.waiting = None
     request.upstream = upstream.vm
     request.attempts += 1
-    request.tried.add(upstream.vm)
-    upstream.in_flight += 1
-    service.in_flight += 1
-    if upstream.in_flight > upstream.limit:
+    if not upstream_set.enter(service.upstreams, upstream):
         state.breaches['more requests than the limit of an upstream'] += 1
     return Start(request.ask.ticket, upstream.vm)
 
 
-def _leave_upstream(service: ServiceState, request: Request) -> None:
-    assert request.upstream is not None
-    service.in_flight -= 1
-    service.upstreams[request.upstream].in_flight -= 1
-    _forget_if_idle(service, request.upstream)
-    request.upstream = None
-
-
-def _forget_if_idle(service: ServiceState, vm: ids.VmId) -> None:
-    upstream = service.upstreams[vm]
-    if not upstream.serving and not upstream.in_flight:
-        del service.upstreams[vm]
-
-
-def _learn(
-    service: ServiceState, vm: ids.VmId, outcome: Outcome, now_s: float
+def _leave(
+    service: ServiceState,
+    request: decisions.Request,
+    outcome: Outcome,
+    now_s: float,
 ) -> None:
-    answered = outcome.verdict is verdicts.Verdict.RAN
-    if answered:
-        change_s = outcome.latency_s - service.latency_s
-        service.latency_s += LATENCY_WEIGHT * change_s
-    if vm not in service.healths:
-        return
-    if answered and outcome.status < FIRST_SERVER_ERROR:
-        ejection.succeeded(service.healths[vm], now_s)
-    else:
-        ejection.failed(service.healths, vm, now_s)
+    """Count a request out of its upstream, and learn how that did."""
+    vm = request.upstream
+    request.upstream = None
+    upstream_set.leave(service.upstreams, vm)
+    ran = outcome.verdict is verdicts.Verdict.RAN
+    if ran and outcome.status < FIRST_SERVER_ERROR:
+        upstream_set.answered(service.upstreams, vm, outcome.latency_s, now_s)
+    elif outcome.upstream_failed:
+        upstream_set.failed(service.upstreams, vm, now_s)
 
 
-def _retry_or_give_up(
+def _retry(
     state: State,
     service: ServiceState,
-    request: Request,
+    request: decisions.Request,
+    outcome: Outcome,
     now_s: float,
     rng: random.Random,
-) -> list[Decision]:
+) -> bool:
+    """Put a failed request first in its queue, if it may be sent again."""
     ask = request.ask
-    if retry.allowed(request.verdict, ask.idempotent, request.attempts):
-        if state.policy.spend(service.budget):
-            refusal = _admit(service, request, now_s, rng, first=True)
-            if refusal is None:
-                return []
-    del state.requests[ask.ticket]
-    return [
-        _refusal(
-            ask,
-            STATUS_UNAVAILABLE,
-            'the upstream failed',
-            0.0,
-            rng,
-            request.verdict,
-        )
-    ]
-
-
-def _refuse_overdue(
-    state: State, service: ServiceState, now_s: float, rng: random.Random
-) -> list[Decision]:
-    decisions: list[Decision] = []
-    for waiting in admission.overdue(service.queue, now_s):
-        admission.remove(service.queue, waiting)
-        request = state.requests.pop(waiting.ticket)
-        decisions.append(
-            _refusal(
-                request.ask,
-                STATUS_UNAVAILABLE,
-                'could not start in time',
-                0.0,
-                rng,
-                request.verdict,
-            )
-        )
-    return decisions
-
-
-def _final_of_removed_service(
-    request: Request, outcome: Outcome
-) -> list[Decision]:
-    if outcome.verdict is verdicts.Verdict.RAN:
-        return []
-    verdict = retry.combine(request.verdict, outcome.verdict)
-    return [
-        Refuse(
-            request.ask.ticket,
-            STATUS_UNAVAILABLE,
-            'the service was removed',
-            verdict,
-            0.0,
-        )
-    ]
+    if not outcome.repeatable:
+        return False
+    if not retry.allowed(request.verdict, ask.idempotent, request.attempts):
+        return False
+    if not state.policy.spend(service.budget):
+        return False
+    return _admit(service, request, now_s, rng) is None
 
 
-def _refusal(
-    ask: Ask,
-    status: int,
-    reason: str,
-    after_s: float = 0.0,
-    rng: random.Random | None = None,
-    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+def _give_up(
+    state: State, request: decisions.Request, rng: random.Random
 ) -> Refuse:
-    """Make a refusal; without ``rng`` a repeat makes no sense (0.0)."""
-    if rng is None:
-        return Refuse(ask.ticket, status, reason, verdict, 0.0)
-    spread_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, after_s))
-    retry_after_s = spread_s * rng.uniform(1.0, 1.5)
-    return Refuse(
-        ask.ticket, status, reason, verdict, math.ceil(retry_after_s)
+    del state.requests[request.ask.ticket]
+    return decisions.refuse_for_now(
+        request,
+        decisions.STATUS_UNAVAILABLE,
+        'the upstream failed',
+        0.0,
+        rng,
     )
--- a/oleanderwood/ejection.py
+++ b/oleanderwood/ejection.py
@@ -54,8 +54,14 @@
     return max(1, int(slots * share))
 
 
-def succeeded(health: Health, now_s: float) -> None:
-    """Count an answer."""
+def succeeded(
+    healths: dict[ids.VmId, Health], vm: ids.VmId, now_s: float
+) -> None:
+    """Count an answer.
+
+    :param healths: all upstreams of the service
+    """
+    health = healths[vm]
     health.failures = 0
     if now_s >= health.until_s + RE_ENTRY_S:
         health.ejections = 0
--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -38,6 +38,15 @@
 ]
 """Picks one of the upstreams that this entry may use, or none."""
 
+OVERFILL = 1
+"""Requests above its share of slots that an entry may send an upstream.
+
+They wait there and hide the way there and back.
+"""
+
+Limit = collections.abc.Callable[[Upstream, int], int]
+"""Gives how many requests one of some entries may have at an upstream."""
+
 PREFERRED_SHARE = 0.5
 """Share of the slots of the own data centre that its entries fill first."""
 
@@ -47,6 +56,11 @@
     return max(1, -(-amount // max(1, entries)))
 
 
+def limit_by_share(upstream: Upstream, entries: int) -> int:
+    """Limit an entry to its share of the slots and a little more."""
+    return share(upstream.slots, entries) + OVERFILL
+
+
 def connection_limit(connections: int, entries: int) -> int:
     """Give one entry's share of connections, rounded down."""
     return max(1, connections // max(1, entries))
@@ -57,21 +71,22 @@
     data_centre: ids.DataCentre,
     position: int,
     entries: int,
-    neighbours: int,
 ) -> None:
     """Set an entry's order of the upstreams and its preference.
 
     :param data_centre: the entry's own
     :param position: of the entry among all, from 0
-    :param neighbours: entries of the own data centre, this one included
+    :param entries: of all data centres, taken to be spread evenly
     """
     ordered = sorted(upstreams, key=lambda upstream: upstream.vm)
+    places = len({upstream.data_centre for upstream in ordered})
+    neighbours = max(1, entries // max(1, places))
     first = position * len(ordered) // max(1, entries)
     for index, upstream in enumerate(ordered):
         upstream.turn = (index - first) % len(ordered)
         upstream.preferred = 0
         if upstream.data_centre == data_centre:
-            own = upstream.slots * PREFERRED_SHARE / max(1, neighbours)
+            own = upstream.slots * PREFERRED_SHARE / neighbours
             upstream.preferred = max(0, int(own) - 1)
 
 
--- a/tests/utils_admission.py
+++ b/tests/utils_admission.py
@@ -48,8 +48,8 @@
         ),
     )
     dispatch.set_configuration(state, accepted, 0.0)
-    names = [ids.EntryId(f'e-{n}') for n in range(entries)]
-    dispatch.set_entries(state, dict.fromkeys(names, state.data_centre), 0.0)
+    names = tuple(ids.EntryId(f'e-{n}') for n in range(entries))
+    dispatch.set_entries(state, names, 0.0)
     dispatch.set_upstreams(state, SERVICE, make_rows(upstreams, slots), 0.0)
     return state
 
