Lend entries the slots that the others leave unused

With a static share of the slots, an entry that gets half of all requests refuses while other entries' slots are free. An entry's limit at an upstream is now its slots less what the others told to have there, and never below its own share and one more; an entry that tells nothing is taken to use its share.

--- a/measure/admission.py
+++ b/measure/admission.py
@@ -118,7 +118,12 @@
 def limit_to_credits(upstream: routing.Upstream, entries: int) -> int:
     """Limit an entry to its slots and those that nobody else used."""
     unused = upstream.slots - upstream.peer_load
-    return max(upstream.slots // entries, math.floor(unused))
+    return max(1, upstream.slots // entries, math.floor(unused))
+
+
+def limit_to_share(upstream: routing.Upstream, entries: int) -> int:
+    """Limit an entry to its share of the slots and a little more."""
+    return routing.share(upstream.slots, entries) + routing.OVERFILL
 
 
 def limit_to_connections(upstream: routing.Upstream, entries: int) -> int:
@@ -137,6 +142,7 @@
     'random': dispatch.Policy(choose=choose_random),
     'least outstanding': dispatch.Policy(choose=choose_least),
     'two choices, gossip': dispatch.Policy(choose=choose_two),
+    'static share': dispatch.Policy(limit=limit_to_share),
     'credits, gossip': dispatch.Policy(limit=limit_to_credits),
     'queue at upstreams': dispatch.Policy(limit=limit_to_connections),
     'fixed 3 attempts': dispatch.Policy(spend=always),
@@ -164,7 +170,7 @@
     listed = []
     for size in (KLAPA, ASCENSIA):
         listed += [Cell(size, STEADY, way) for way in ROUTING_WAYS]
-        for way in (THIS, 'credits, gossip'):
+        for way in (THIS, 'static share'):
             listed.append(Cell(size, SKEWED, way))
         for way in (THIS, 'queue at upstreams'):
             listed.append(Cell(size, OVERLOAD, way))
--- a/measure/admission_events.py
+++ b/measure/admission_events.py
@@ -207,6 +207,7 @@
     for ticket, arrival in enumerate(arrivals):
         _at(state, arrival.at_s, _arrive, ticket)
     for entry in range(size.entries):
+        _at(state, 0.0, _tell, entry)
         _at(state, GOSSIP_S * (entry + 1) / size.entries, _gossip, entry)
         _at(state, TICK_S * (entry + 1) / size.entries, _tick, entry)
     if scenario.fault is not None:
@@ -438,6 +439,11 @@
 
 
 def _gossip(state: Run, entry: int) -> None:
+    _tell(state, entry)
+    _at(state, state.now_s + GOSSIP_S, _gossip, entry)
+
+
+def _tell(state: Run, entry: int) -> None:
     loads: tuple[messages.Load, ...] = dispatch.own_loads(state.states[entry])
     for other in range(state.size.entries):
         if other != entry:
@@ -447,7 +453,6 @@
                 loads,
                 state.now_s,
             )
-    _at(state, state.now_s + GOSSIP_S, _gossip, entry)
 
 
 def _tick(state: Run, entry: int) -> None:
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -49,7 +49,7 @@
     """The parts of the decisions that can be exchanged."""
 
     choose: routing.Choose = routing.choose
-    limit: routing.Limit = routing.limit_by_share
+    limit: routing.Limit = routing.limit_by_loads
     spend: collections.abc.Callable[[retry.Budget], bool] = retry.spend
 
 
@@ -298,7 +298,12 @@
 
 def _apply_peer_loads(state: State, now_s: float) -> None:
     for service in state.services.values():
-        peer_loads.apply(state.peers, service.upstreams.by_vm.values(), now_s)
+        peer_loads.apply(
+            state.peers,
+            service.upstreams.by_vm.values(),
+            state.entries,
+            now_s,
+        )
 
 
 def _admit(
--- a/oleanderwood/peer_loads.py
+++ b/oleanderwood/peer_loads.py
@@ -48,13 +48,22 @@
 def apply(
     peers: PeerLoads,
     upstreams: collections.abc.Iterable[routing.Upstream],
+    entries: collections.abc.Collection[ids.EntryId],
     now_s: float,
 ) -> None:
-    """Write the sums of what was said into the upstreams."""
+    """Write the sums of what was said into the upstreams.
+
+    An entry that says nothing is taken to use its share.
+
+    :param entries: all, this one included
+    """
     fresh = [
         told.by_vm
         for told in peers.by_entry.values()
         if now_s - told.at_s <= MAX_AGE_S
     ]
+    silent = len(entries) - 1 - len(fresh)
     for upstream in upstreams:
-        upstream.peer_load = sum(by_vm.get(upstream.vm, 0) for by_vm in fresh)
+        assumed = silent * routing.share(upstream.slots, len(entries))
+        heard = sum(by_vm.get(upstream.vm, 0) for by_vm in fresh)
+        upstream.peer_load = heard + assumed
--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from oleanderwood import ids
@@ -56,9 +57,13 @@
     return max(1, -(-amount // max(1, entries)))
 
 
-def limit_by_share(upstream: Upstream, entries: int) -> int:
-    """Limit an entry to its share of the slots and a little more."""
-    return share(upstream.slots, entries) + OVERFILL
+def limit_by_loads(upstream: Upstream, entries: int) -> int:
+    """Lend an entry the slots that the others don't use.
+
+    It always has its own share, and a little more.
+    """
+    own = share(upstream.slots, entries) + OVERFILL
+    return max(own, math.floor(upstream.slots - upstream.peer_load))
 
 
 def connection_limit(connections: int, entries: int) -> int:
