Refuse at arrival what would wait too long, and keep what was admitted

At 2x overload most refusals that came late were of requests which had been admitted on too low a predicted wait. An admitted request that becomes due goes before all that came later.

--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -262,7 +262,6 @@
     made: list[Decision] = []
     for service in state.services.values():
         for waiting in admission.overdue(service.queue, now_s):
-            admission.remove(service.queue, waiting)
             request = state.requests.pop(waiting.ticket)
             made.append(
                 decisions.refuse_for_now(
@@ -323,8 +322,8 @@
     reason, excess_s = '', 0.0
     if not upstream_set.serving(service.upstreams):
         reason = 'no upstream serves'
-    waiting = admission.Waiting(
-        ask.ticket, ask.team, ask.priority, latest_start_s
+    waiting = admission.make_waiting(
+        ask.ticket, ask.team, ask.priority, latest_start_s, now_s
     )
     if service.queue.length and not request.attempts:
         rate_per_s = service.upstreams.in_flight / latency_s
@@ -355,7 +354,7 @@
         upstream = state.policy.choose(candidates, rng)
         if upstream is None:
             break
-        ticket = admission.pop(service.queue).ticket
+        ticket = admission.pop(service.queue, now_s).ticket
         request = state.requests[ticket]
         made.append(_start(state, service, request, upstream))
     return made
