Doubt an upstream that just failed; probe all once one recovers

An upstream that fails at once has the fewest requests and drew more of them until its third failure. Now others go first for 0.5 s after a failure; one that the cap keeps from being ejected gets one request at a time; ejections start at 0.5 s (was 2) and end when another upstream recovers.

--- a/oleanderwood/ejection.py
+++ b/oleanderwood/ejection.py
@@ -1,6 +1,7 @@
 """Access to the ejection of upstreams that fail what they are sent."""
 
 import dataclasses
+import math
 
 from oleanderwood import ids
 
@@ -10,10 +11,13 @@
 MAX_EJECTED_SHARE = 0.5
 """Share of a service's upstreams that may be ejected at once."""
 
-BASE_EJECTION_S = 2.0
+BASE_EJECTION_S = 0.5
 """First ejection; it doubles each time, up to the maximum."""
 
-MAX_EJECTION_S = 30.0
+MAX_EJECTION_S = 10.0
+
+DOUBT_S = 0.5
+"""Time after a failure during which other upstreams go first."""
 
 RE_ENTRY_S = 5.0
 """Time over which the slots used of a returning upstream grow to all."""
@@ -26,11 +30,13 @@
     :ivar failures: failures in a row
     :ivar ejections: ejections since the last full recovery
     :ivar until_s: end of the present or latest ejection
+    :ivar failed_at_s: the latest failure
     """
 
     failures: int = 0
     ejections: int = 0
     until_s: float = 0.0
+    failed_at_s: float = -math.inf
 
 
 def is_ejected(health: Health, now_s: float) -> bool:
@@ -38,18 +44,24 @@
     return now_s < health.until_s
 
 
+def is_doubtful(health: Health, now_s: float) -> bool:
+    """Say whether an upstream failed last, and only just."""
+    return health.failures > 0 and now_s - health.failed_at_s < DOUBT_S
+
+
 def usable_slots(health: Health, slots: int, now_s: float) -> int:
     """Give how many of some slots a returning upstream may use.
 
     One at first, and no more until that one succeeded; then more with
-    time, and all after ``RE_ENTRY_S``.
+    time, and all after ``RE_ENTRY_S``. One that would be ejected but for
+    the cap gets one as well.
     """
     if is_ejected(health, now_s):
         return 0
+    if health.failures >= FAILURES_TO_EJECT:
+        return min(1, slots)
     if not health.ejections:
         return slots
-    if health.failures:
-        return min(1, slots)
     share = min(1.0, (now_s - health.until_s) / RE_ENTRY_S)
     return max(1, int(slots * share))
 
@@ -62,6 +74,8 @@
     :param healths: all upstreams of the service
     """
     health = healths[vm]
+    if health.failures >= FAILURES_TO_EJECT:
+        _probe_soon(healths, now_s)
     health.failures = 0
     if now_s >= health.until_s + RE_ENTRY_S:
         health.ejections = 0
@@ -79,10 +93,12 @@
     """
     health = healths[vm]
     health.failures += 1
+    health.failed_at_s = now_s
     if is_ejected(health, now_s):
         return False
-    due = health.failures >= FAILURES_TO_EJECT or health.ejections > 0
-    if not due or not _room_under_cap(healths, now_s):
+    if health.failures < FAILURES_TO_EJECT or not _room_under_cap(
+        healths, now_s
+    ):
         return False
     length_s = BASE_EJECTION_S * 2**health.ejections
     health.until_s = now_s + min(MAX_EJECTION_S, length_s)
@@ -102,3 +118,12 @@
 
 def _room_under_cap(healths: dict[ids.VmId, Health], now_s: float) -> bool:
     return ejected_count(healths, now_s) < max_ejected(len(healths))
+
+
+def _probe_soon(healths: dict[ids.VmId, Health], now_s: float) -> None:
+    """End all ejections: what ailed one upstream may have ailed all.
+
+    Each gets one request, and is ejected again if that fails.
+    """
+    for health in healths.values():
+        health.until_s = min(health.until_s, now_s)
--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -15,6 +15,7 @@
     :ivar in_flight: this entry's requests there
     :ivar peer_load: the other entries' requests there, as last told
     :ivar limit: requests that this entry may have there now
+    :ivar doubtful: whether others go first as it has just failed
     :ivar turn: its place in this entry's order of upstreams; the orders
         of the entries are turned against each other
     :ivar preferred: requests that this entry may have there before it
@@ -30,6 +31,7 @@
     in_flight: int = 0
     peer_load: float = 0.0
     limit: int = 0
+    doubtful: bool = False
     turn: int = 0
     preferred: int = 0
 
@@ -104,16 +106,13 @@
     entries fill different upstreams first without seeing each other.
     """
     best: Upstream | None = None
-    best_load = best_turn = 0
+    best_rank: tuple[bool, int, int] = (True, 0, 0)
     for upstream in candidates:
         in_flight = upstream.in_flight
         if in_flight >= upstream.limit:
             continue
         load = max(0, in_flight - upstream.preferred)
-        if (
-            best is None
-            or load < best_load
-            or (load == best_load and upstream.turn < best_turn)
-        ):
-            best, best_load, best_turn = upstream, load, upstream.turn
+        rank = (upstream.doubtful, load, upstream.turn)
+        if best is None or rank < best_rank:
+            best, best_rank = upstream, rank
     return best
--- a/oleanderwood/upstream_set.py
+++ b/oleanderwood/upstream_set.py
@@ -88,9 +88,9 @@
     for vm, upstream in upstreams.by_vm.items():
         if not upstream.serving:
             continue
-        usable = ejection.usable_slots(
-            upstreams.healths[vm], limit(upstream, entries), now_s
-        )
+        health = upstreams.healths[vm]
+        upstream.doubtful = ejection.is_doubtful(health, now_s)
+        usable = ejection.usable_slots(health, limit(upstream, entries), now_s)
         upstream.limit = min(
             usable, routing.connection_limit(upstream.connections, entries)
         )
