--- a/oleanderwood/admission.py
+++ b/oleanderwood/admission.py
@@ -60,7 +60,8 @@
     Of each priority the teams take turns; only teams with something
     waiting are kept.
 
-    :ivar by_due: heap of ``(due_s, ticket, waiting)``; some no longer wait
+    :ivar by_due: heap of ``(due_s, pushed, waiting)``; some no longer wait
+    :ivar pushed: how many were ever added
     :ivar start_shares: moving share of the starts of each priority
     """
 
@@ -76,6 +77,7 @@
         default_factory=lambda: dict.fromkeys(CLASSES, 0.0)
     )
     length: int = 0
+    pushed: int = 0
 
 
 def push(queue: Queue, waiting: Waiting, first: bool = False) -> None:
@@ -90,7 +92,8 @@
         line.append(waiting)
     queue.length += 1
     waiting.queued = True
-    heapq.heappush(queue.by_due, (waiting.due_s, waiting.ticket, waiting))
+    queue.pushed += 1
+    heapq.heappush(queue.by_due, (waiting.due_s, queue.pushed, waiting))
 
 
 def pop(queue: Queue, now_s: float) -> Waiting:
