--- a/oleanderwood/admission.py
+++ b/oleanderwood/admission.py
@@ -96,33 +96,34 @@
     heapq.heappush(queue.by_due, (waiting.due_s, queue.pushed, waiting))
 
 
-def pop(queue: Queue, now_s: float) -> Waiting:
-    """Take the next request: by priority, then by the teams' turns.
+def peek(queue: Queue, now_s: float) -> Waiting | None:
+    """Give the next request: by priority, then by the teams' turns.
 
     One that is due goes first, so that what was admitted starts in time.
-
-    :raises IndexError: the queue is empty
     """
     due = _first_due(queue)
     if due is not None and due.due_s <= now_s:
-        remove(queue, due)
-        _count_start(queue, due.priority)
         return due
     for priority in CLASSES:
-        by_team = queue.teams[priority]
-        if not by_team:
-            continue
-        team, line = next(iter(by_team.items()))
-        waiting = line.popleft()
-        waiting.queued = False
-        queue.length -= 1
-        if line:
-            by_team.move_to_end(team)
-        else:
-            del by_team[team]
-        _count_start(queue, priority)
-        return waiting
-    raise IndexError('the queue is empty')
+        for line in queue.teams[priority].values():
+            return line[0]
+    return None
+
+
+def pop(queue: Queue, now_s: float) -> Waiting:
+    """Take what :func:`peek` gives; its team's next turn is the last.
+
+    :raises IndexError: the queue is empty
+    """
+    waiting = peek(queue, now_s)
+    if waiting is None:
+        raise IndexError('the queue is empty')
+    remove(queue, waiting)
+    by_team = queue.teams[waiting.priority]
+    if waiting.team in by_team:
+        by_team.move_to_end(waiting.team)
+    _count_start(queue, waiting.priority)
+    return waiting
 
 
 def remove(queue: Queue, waiting: Waiting) -> None:
--- a/oleanderwood/decisions.py
+++ b/oleanderwood/decisions.py
@@ -82,6 +82,7 @@
 
     :ivar upstream: where it runs, ``None`` while it waits
     :ivar verdict: what is known of the attempts that ended
+    :ivar tried: where it was sent
     """
 
     ask: Ask
@@ -89,6 +90,7 @@
     upstream: ids.VmId | None = None
     verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN
     attempts: int = 0
+    tried: set[ids.VmId] = dataclasses.field(default_factory=set)
 
 
 def refuse_for_good(
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -351,15 +351,30 @@
         service.upstreams, state.policy.limit, len(state.entries), now_s
     )
     while service.queue.length:
-        upstream = state.policy.choose(candidates, rng)
+        request = state.requests[admission.peek(service.queue, now_s).ticket]
+        upstream = _choose(state, candidates, request, rng)
         if upstream is None:
             break
-        ticket = admission.pop(service.queue, now_s).ticket
-        request = state.requests[ticket]
+        admission.pop(service.queue, now_s)
         made.append(_start(state, service, request, upstream))
     return made
 
 
+def _choose(
+    state: State,
+    candidates: list[routing.Upstream],
+    request: decisions.Request,
+    rng: random.Random,
+) -> routing.Upstream | None:
+    """Choose an upstream; those that failed the request come last."""
+    if request.tried:
+        others = [up for up in candidates if up.vm not in request.tried]
+        upstream = state.policy.choose(others, rng)
+        if upstream is not None:
+            return upstream
+    return state.policy.choose(candidates, rng)
+
+
 def _start(
     state: State,
     service: ServiceState,
@@ -373,6 +388,7 @@
     request.waiting = None
     request.upstream = upstream.vm
     request.attempts += 1
+    request.tried.add(upstream.vm)
     if not upstream_set.enter(service.upstreams, upstream):
         state.breaches['more requests than the limit of an upstream'] += 1
     return Start(request.ask.ticket, upstream.vm)
@@ -409,7 +425,8 @@
         return False
     if not retry.allowed(request.verdict, ask.idempotent, request.attempts):
         return False
-    if not state.policy.spend(service.budget):
+    # What never reached an upstream costs none of them anything.
+    if outcome.upstream_failed and not state.policy.spend(service.budget):
         return False
     return _admit(service, request, now_s, rng) is None
 
