--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -293,7 +293,7 @@
         started = [(b'oleander-timeout-ms', b'150')]
         response = await call(world, headers=started)
         states = world.proxy.tickets.state.services.values()
-        return response, [dict(state.healths) for state in states]
+        return response, [dict(state.upstreams.healths) for state in states]
 
     response, (healths,) = utils.run(use, hang)
     assert response.status == 504
@@ -308,7 +308,7 @@
     async def use(world):
         response = await call(world, 'POST', body=b'x')
         (state,) = world.proxy.tickets.state.services.values()
-        return response, dict(state.healths)
+        return response, dict(state.upstreams.healths)
 
     response, healths = utils.run(use, hang, timeout_s=0.2)
     assert response.status == 504
