--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from oleanderwood import ids
@@ -14,6 +15,7 @@
     :ivar in_flight: this entry's requests there
     :ivar peer_load: the other entries' requests there, as last told
     :ivar limit: requests that this entry may have there now
+    :ivar doubtful: whether others go first as it has just failed
     :ivar turn: its place in this entry's order of upstreams; the orders
         of the entries are turned against each other
     :ivar preferred: requests that this entry may have there before it
@@ -29,6 +31,7 @@
     in_flight: int = 0
     peer_load: float = 0.0
     limit: int = 0
+    doubtful: bool = False
     turn: int = 0
     preferred: int = 0
 
@@ -38,6 +41,15 @@
 ]
 """Picks one of the upstreams that this entry may use, or none."""
 
+OVERFILL = 1
+"""Requests above its share of slots that an entry may send an upstream.
+
+They wait there and hide the way there and back.
+"""
+
+Limit = collections.abc.Callable[[Upstream, int], int]
+"""Gives how many requests one of some entries may have at an upstream."""
+
 PREFERRED_SHARE = 0.5
 """Share of the slots of the own data centre that its entries fill first."""
 
@@ -47,6 +59,15 @@
     return max(1, -(-amount // max(1, entries)))
 
 
+def limit_by_loads(upstream: Upstream, entries: int) -> int:
+    """Lend an entry the slots that the others don't use.
+
+    It always has its own share, and a little more.
+    """
+    own = share(upstream.slots, entries) + OVERFILL
+    return max(own, math.floor(upstream.slots - upstream.peer_load))
+
+
 def connection_limit(connections: int, entries: int) -> int:
     """Give one entry's share of connections, rounded down."""
     return max(1, connections // max(1, entries))
@@ -57,21 +78,22 @@
     data_centre: ids.DataCentre,
     position: int,
     entries: int,
-    neighbours: int,
 ) -> None:
     """Set an entry's order of the upstreams and its preference.
 
     :param data_centre: the entry's own
     :param position: of the entry among all, from 0
-    :param neighbours: entries of the own data centre, this one included
+    :param entries: of all data centres, taken to be spread evenly
     """
     ordered = sorted(upstreams, key=lambda upstream: upstream.vm)
+    places = len({upstream.data_centre for upstream in ordered})
+    neighbours = max(1, entries // max(1, places))
     first = position * len(ordered) // max(1, entries)
     for index, upstream in enumerate(ordered):
         upstream.turn = (index - first) % len(ordered)
         upstream.preferred = 0
         if upstream.data_centre == data_centre:
-            own = upstream.slots * PREFERRED_SHARE / max(1, neighbours)
+            own = upstream.slots * PREFERRED_SHARE / neighbours
             upstream.preferred = max(0, int(own) - 1)
 
 
@@ -84,16 +106,13 @@
     entries fill different upstreams first without seeing each other.
     """
     best: Upstream | None = None
-    best_load = best_turn = 0
+    best_rank: tuple[bool, int, int] = (True, 0, 0)
     for upstream in candidates:
         in_flight = upstream.in_flight
         if in_flight >= upstream.limit:
             continue
         load = max(0, in_flight - upstream.preferred)
-        if (
-            best is None
-            or load < best_load
-            or (load == best_load and upstream.turn < best_turn)
-        ):
-            best, best_load, best_turn = upstream, load, upstream.turn
+        rank = (upstream.doubtful, load, upstream.turn)
+        if best is None or rank < best_rank:
+            best, best_rank = upstream, rank
     return best
--- a/tests/utils_entry.py
+++ b/tests/utils_entry.py
@@ -11,6 +11,7 @@
 
 from oleanderwood import configuration
 from oleanderwood import connections
+from oleanderwood import dispatch
 from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import http_server
@@ -209,9 +210,7 @@
     assert not +state.breaches, state.breaches
     assert not world.proxy.path.invariants.recent
     assert not world.proxy.path.connections.opened
-    for known in state.services.values():
-        assert known.in_flight == 0
-        assert not any(up.in_flight for up in known.upstreams.values())
+    assert dispatch.is_idle(state)
     return result
 
 
