--- a/measure/buffer.py
+++ b/measure/buffer.py
@@ -35,7 +35,6 @@
         sum(map(bounds.private_buffer, drawn.pools)) for drawn in fleets
     ]
     found = [_row(shape, 'private buffer per pool', private, minima, [])]
-    goal = SHARE_OF_PRIVATE if shape is inputs.KLAPA else None
     extra = [
         _against('of the private buffer', held, private, SHARE_OF_PRIVATE)
     ]
