Sum the peers' loads once for each message, not once for each upstream

Cause: at 1,000 upstreams the sums over peers were the largest part of an entry's processor time at rest (0.55 of 1.9 s in 24 s under the profiler). Ruled out: applying loads only on the tick, which would age them.

--- a/oleanderwood/peer_loads.py
+++ b/oleanderwood/peer_loads.py
@@ -1,5 +1,6 @@
 """Access to the loads that the other entries tell about."""
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -63,7 +64,12 @@
         if now_s - told.at_s <= MAX_AGE_S
     ]
     silent = len(entries) - 1 - len(fresh)
+    heard: collections.Counter[ids.VmId] = collections.Counter()
+    for by_vm in fresh:
+        heard.update(by_vm)
+    assumed: dict[int, int] = {}
     for upstream in upstreams:
-        assumed = silent * routing.share(upstream.slots, len(entries))
-        heard = sum(by_vm.get(upstream.vm, 0) for by_vm in fresh)
-        upstream.peer_load = heard + assumed
+        slots = upstream.slots
+        if slots not in assumed:
+            assumed[slots] = silent * routing.share(slots, len(entries))
+        upstream.peer_load = heard[upstream.vm] + assumed[slots]
