--- a/measure/placement_loop.py
+++ b/measure/placement_loop.py
@@ -272,6 +272,8 @@
         policy=loop.policy,
     )
     loop.figures.decision_s.append(time.process_time() - began_s)
+    starts = sum(isinstance(one, actions.StartTask) for one in decided)
+    loop.changed |= starts >= placement.MAX_STARTS
     for action in decided:
         _carry_out(loop, action)
 
