--- a/oleanderwood/blame.py
+++ b/oleanderwood/blame.py
@@ -145,6 +145,12 @@
     blame.held.pop(job, None)
 
 
+def forget_tasks(blame: Blame, tasks: collections.abc.Container[str]) -> None:
+    """Drop what is known of tasks other than these."""
+    for task in [task for task in blame.judged if task not in tasks]:
+        del blame.judged[task]
+
+
 def restarted(blame: Blame, worker: ids.VmId, now_s: float) -> None:
     """Take in that a worker was rebooted or replaced: it is probed anew."""
     blame.workers.pop(worker, None)
--- a/oleanderwood/demand.py
+++ b/oleanderwood/demand.py
@@ -8,6 +8,8 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from oleanderwood import configuration
 from oleanderwood import ids
 from oleanderwood import platform_api
@@ -42,8 +44,7 @@
     memory_margin: float = 1.1
 
 
-@dataclasses.dataclass(frozen=True)
-class Size:
+class Size(msgspec.Struct, frozen=True, gc=False):
     """What one task is planned with."""
 
     cores: float
--- a/oleanderwood/placement_actions.py
+++ b/oleanderwood/placement_actions.py
@@ -8,7 +8,7 @@
 from oleanderwood import ids
 
 
-class StartTask(msgspec.Struct, frozen=True):
+class StartTask(msgspec.Struct, frozen=True, gc=False):
     """Start a task; ``epoch`` is the one to note with the intent."""
 
     task: str
@@ -20,7 +20,7 @@
     accelerators: int = 0
 
 
-class ThrottleTask(msgspec.Struct, frozen=True):
+class ThrottleTask(msgspec.Struct, frozen=True, gc=False):
     """Slow a running copy down, so that its cores serve others."""
 
     task: str
@@ -28,7 +28,7 @@
     epoch: ids.Epoch
 
 
-class CheckpointTask(msgspec.Struct, frozen=True):
+class CheckpointTask(msgspec.Struct, frozen=True, gc=False):
     """Save a running copy's work and end it."""
 
     task: str
@@ -37,7 +37,7 @@
     reason: str = ''
 
 
-class StopTask(msgspec.Struct, frozen=True):
+class StopTask(msgspec.Struct, frozen=True, gc=False):
     """End a copy without saving its work."""
 
     task: str
@@ -46,7 +46,7 @@
     reason: str = ''
 
 
-class NeverRuns(msgspec.Struct, frozen=True):
+class NeverRuns(msgspec.Struct, frozen=True, gc=False):
     """Tell that a job can't run as things are, and what would help."""
 
     job: ids.JobId
@@ -54,7 +54,7 @@
     remedy: str
 
 
-class HoldBack(msgspec.Struct, frozen=True):
+class HoldBack(msgspec.Struct, frozen=True, gc=False):
     """Tell that a job fails wherever it runs, and is tried seldom."""
 
     job: ids.JobId
@@ -62,7 +62,7 @@
     until_s: float
 
 
-class SetAside(msgspec.Struct, frozen=True):
+class SetAside(msgspec.Struct, frozen=True, gc=False):
     """Tell that a worker gets no tasks but probes, and why."""
 
     worker: ids.VmId
--- a/oleanderwood/task_row.py
+++ b/oleanderwood/task_row.py
@@ -58,7 +58,7 @@
 """Phases in which a copy may be running on the row's worker."""
 
 
-class TaskRow(msgspec.Struct, frozen=True, array_like=True):
+class TaskRow(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One task.
 
     ``epoch`` grows by one at each intent; every order and report quotes it.
--- a/oleanderwood/task_table.py
+++ b/oleanderwood/task_table.py
@@ -33,10 +33,13 @@
     """The tasks, by task id.
 
     :ivar report_at_s: when the newest usage report taken in was made
+    :ivar epoch_floor: no epoch of a task without a row was above it; kept
+        in the store beside the rows
     """
 
     rows: dict[str, task_row.TaskRow] = dataclasses.field(default_factory=dict)
     report_at_s: float = float('-inf')
+    epoch_floor: ids.Epoch = ids.Epoch(0)
 
 
 def task_id(job: ids.JobId | str, index: int) -> str:
@@ -45,10 +48,32 @@
 
 
 def adopt(
-    rows: collections.abc.Iterable[task_row.TaskRow], now_s: float
+    rows: collections.abc.Iterable[task_row.TaskRow],
+    now_s: float,
+    epoch_floor: ids.Epoch = ids.Epoch(0),
 ) -> Table:
     """Make the table of a leader that takes over."""
-    return Table({row.task: task_row.rebased(row, now_s) for row in rows})
+    adopted = {row.task: task_row.rebased(row, now_s) for row in rows}
+    return Table(adopted, epoch_floor=epoch_floor)
+
+
+def prune(table: Table) -> list[str]:
+    """Drop the rows of cancelled tasks that are over.
+
+    The floor sees to it that a task that is wanted again goes on above the
+    epochs that it had.
+
+    :returns: the tasks whose rows went
+    """
+    over = [
+        row
+        for row in table.rows.values()
+        if row.cancelled and row.phase is task_row.Phase.ENDED
+    ]
+    for row in over:
+        table.epoch_floor = max(table.epoch_floor, row.epoch)
+        del table.rows[row.task]
+    return [row.task for row in over]
 
 
 def reconcile(
@@ -69,7 +94,9 @@
     for task, job in wanted.items():
         row = table.rows.get(task)
         if row is None:
-            new = task_row.TaskRow(task, job, waiting_since_s=now_s)
+            new = task_row.TaskRow(
+                task, job, epoch=table.epoch_floor, waiting_since_s=now_s
+            )
         elif row.cancelled:
             new = task_row.wanted_again(row, now_s)
         else:
--- a/tests/test_task_table.py
+++ b/tests/test_task_table.py
@@ -37,7 +37,10 @@
 def test_runs_reach_what_they_are_meant_for():
     """Guard against runs in which hardly anything starts."""
     worlds = [_drive(seed) for seed in range(50)]
-    epochs = [world.stored['j:0'].epoch for world in worlds]
+    epochs = [
+        max([world.epoch_floor, *(r.epoch for r in world.stored.values())])
+        for world in worlds
+    ]
     assert sum(epochs) / len(epochs) > 3
     assert sum(len(world.leaders) > 1 for world in worlds) > 25
 
@@ -77,6 +80,13 @@
     return []
 
 
+def _forgets_epochs(table):
+    for row in list(table.rows.values()):
+        if row.cancelled and row.phase is task_row.Phase.ENDED:
+            del table.rows[row.task]
+    return []
+
+
 @pytest.mark.parametrize(
     ('module', 'name', 'defect'),
     [
@@ -89,6 +99,7 @@
         (task_table, '_same_copy', _any_epoch),
         (task_table, 'worker_restarted', _restart_ends_all),
         (task_table, 'MAX_REPORT_GAP_S', 1e9),
+        (task_table, 'prune', _forgets_epochs),
     ],
 )
 def test_defect_is_found(monkeypatch, module, name, defect):
@@ -167,6 +178,18 @@
     assert not _resolved_by_new_leader()
 
 
+def test_pruned_task_goes_on_above_its_epochs():
+    table = _started()
+    old = table.rows['j:0']
+    task_table.reconcile(table, [], 1.0)
+    assert task_table.prune(table) == []
+    task_table.answer(table, 'j:0', 1, verdicts.Verdict.NOT_RUN, 2.0)
+    assert task_table.prune(table) == ['j:0']
+    again = task_table.adopt([], 3.0, table.epoch_floor)
+    task_table.reconcile(again, [utils_placement.make_job()], 3.0)
+    assert again.rows['j:0'].epoch >= old.epoch
+
+
 def test_overlap_is_reported():
     table = _started()
     row = table.rows['j:0']
--- a/tests/utils_task_world.py
+++ b/tests/utils_task_world.py
@@ -48,6 +48,7 @@
         self.jobs = [utils_placement.make_job(tasks=tasks)]
         table = utils_placement.make_table(self.jobs, self.now_s)
         self.stored = dict(table.rows)
+        self.epoch_floor = table.epoch_floor
         self.leaders = [Leader(1, table)]
         self.workers = {f'w{n}': Worker() for n in range(workers)}
         self.under_way = []
@@ -190,12 +191,15 @@
 
     def store_all(self):
         """Write what the newest leader learned."""
-        self.stored.update(self.leader.table.rows)
+        self.stored = dict(self.leader.table.rows)
+        self.epoch_floor = self.leader.table.epoch_floor
 
     def take_over(self):
         """Let a new leader take over; the earlier one may be paused."""
         clock_s = -700.0 if self.leader.clock_s >= 0 else 900.0
-        table = task_table.adopt(self.stored.values(), self.now_s + clock_s)
+        table = task_table.adopt(
+            self.stored.values(), self.now_s + clock_s, self.epoch_floor
+        )
         self.leaders.append(Leader(self.leader.term + 1, table, clock_s))
 
     def cut(self, vm):
@@ -222,7 +226,9 @@
 
     def check(self):
         """Check that no task runs twice and no start was sent twice."""
-        for task in self.stored:
+        for task in {
+            job for one in self.workers.values() for job in one.copies
+        }:
             running = [
                 vm
                 for vm, worker in self.workers.items()
@@ -341,6 +347,8 @@
     for jobs in ([], world.jobs):
         now_s = world.time_s(world.leader)
         task_table.reconcile(world.leader.table, jobs, now_s)
+        if rng.random() < 0.5:
+            task_table.prune(world.leader.table)
         world.store_all()
         if rng.random() < 0.5:
             return
