--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -249,30 +249,43 @@
             check(seed)
 
 
-def _shares(order):
-    """Fill one pool with the tasks of two teams, one of them first."""
+def _check_fair(seed, order=placement_policy.by_quota_share):
+    """Teams of equal quotas and tasks get equal parts, in any sequence."""
+    rng = random.Random(seed)
+    count = rng.randint(2, 4)
     jobs = [
-        utils.make_job('a', team='ta', tasks=30),
-        utils.make_job('b', team='tb', tasks=30),
+        utils.make_job(f'j{index}', team=f't{index}', tasks=30)
+        for index in range(count)
     ]
-    teams = [utils.make_team('ta'), utils.make_team('tb')]
-    table = utils.make_table(jobs[:1])
-    utils.place([], [], table)
-    table.rows.update(utils.make_table(jobs[1:], 1.0).rows)
-    policy = placement_policy.Policy(
-        placement_policy.fullest, order, placement_policy.no_reserve
-    )
-    workers = [utils.make_worker(index) for index in range(2)]
+    table = utils.make_table([])
+    for index in rng.sample(range(count), count):
+        rows = utils.make_table([jobs[index]], rng.uniform(0, 9)).rows
+        table.rows.update(rows)
     decided = utils.place(
-        jobs, workers, table, teams=teams, policy=policy, now_s=2.0
+        jobs,
+        [utils.make_worker(index) for index in range(rng.randint(1, 4))],
+        table,
+        teams=[utils.make_team(f't{index}') for index in range(count)],
+        policy=placement_policy.Policy(
+            placement_policy.fullest, order, placement_policy.no_reserve
+        ),
+        now_s=10.0,
     )
     started = collections.Counter(one.job for one in decided)
-    return started['a'], started['b']
+    parts = [started[job.name] for job in jobs]
+    assert max(parts) - min(parts) <= 1
 
 
-def test_teams_share_a_pool_fairly():
-    assert _shares(placement_policy.by_quota_share) == (8, 8)
-    assert _shares(placement_policy.by_arrival) == (16, 0)
+@SETTINGS
+@hypothesis.given(seed=SEEDS)
+def test_teams_share_a_pool_fairly(seed):
+    _check_fair(seed)
+
+
+def test_order_by_arrival_is_found_unfair():
+    with pytest.raises(AssertionError):
+        for seed in range(RUNS_PER_DEFECT):
+            _check_fair(seed, placement_policy.by_arrival)
 
 
 def test_tasks_are_spread_over_racks():
