--- a/measure/placement.py
+++ b/measure/placement.py
@@ -14,6 +14,7 @@
 from measure import placement_inputs
 from measure import placement_loop
 from measure import placement_packing
+from measure import placement_state
 from measure import table
 from oleanderwood import placement_policy
 from oleanderwood import urgent_placement
@@ -97,7 +98,7 @@
 
 
 def _figures(
-    inputs: placement_inputs.Inputs, run: placement_loop.Figures
+    inputs: placement_inputs.Inputs, run: placement_state.Figures
 ) -> dict[str, float]:
     waits_s = sorted(run.urgent_waits_s)
     limit_s = urgent_placement.URGENT_START_S
