--- a/measure/entry_speed.py
+++ b/measure/entry_speed.py
@@ -23,7 +23,6 @@
 from oleanderwood import configuration
 from oleanderwood import daemon
 from oleanderwood import fleet
-from oleanderwood import garbage
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import http_server
@@ -56,7 +55,6 @@
             http_server.listen(ids.Address('127.0.0.1:0'), answer)
             for _ in range(UPSTREAMS)
         ]
-        garbage.settle()
         print(' '.join(server.address for server in servers), flush=True)
         async with curio.TaskGroup() as group:
             for server in servers:
@@ -96,7 +94,6 @@
     server = http_server.listen(
         ids.Address('127.0.0.1:0'), proxies.make_handler(proxy)
     )
-    garbage.settle()
     print(server.address, flush=True)
     await curio.spawn(http_server.run, server, daemon=True)
     await curio.spawn(tickets.run, proxy.tickets, daemon=True)
--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -12,7 +12,6 @@
 from oleanderwood import daemon
 from oleanderwood import entry_parts
 from oleanderwood import follower
-from oleanderwood import garbage
 from oleanderwood import http_server
 from oleanderwood import ids
 from oleanderwood import membership
@@ -29,9 +28,6 @@
 SWEEP_S = 1.0
 """How often idle connections to upstreams are looked through."""
 
-SETTLE_AFTER_S = 5.0
-"""When most of what lives as long as the process has been made."""
-
 RESIGN_TIMEOUT_S = 10.0
 
 
@@ -71,7 +67,6 @@
         entry.following,
         await curio.spawn(_follow, entry),
         await curio.spawn(_sweep, entry),
-        await curio.spawn(_settle),
         await curio.spawn(tickets.run, entry.proxy.tickets),
         await curio.spawn(http_server.run, entry.server),
     ]
@@ -90,11 +85,6 @@
         await connections.drop_idle(entry.proxy.path.connections, since_s)
 
 
-async def _settle() -> None:
-    await curio.sleep(SETTLE_AFTER_S)
-    garbage.settle()
-
-
 async def stop(entry: entry_parts.Entry) -> None:
     """Stop without cutting a request: notice, drain, resignation.
 
--- a/oleanderwood/load.py
+++ b/oleanderwood/load.py
@@ -18,7 +18,6 @@
 
 from oleanderwood import codec
 from oleanderwood import errors
-from oleanderwood import garbage
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import ids
@@ -296,7 +295,6 @@
         warm_up_s=warm_up_s,
         seed=seed,
     )
-    garbage.settle()
     summary = curio.run(run, plan)
     print(codec.to_json(summary).decode() if json else text(summary))
 
