--- a/measure/entry_speed.py
+++ b/measure/entry_speed.py
@@ -16,6 +16,7 @@
 
 import curio
 import cyclopts
+import h11
 import msgspec
 import prometheus_client
 
@@ -37,6 +38,7 @@
 ANSWER = b'x' * 128
 UPSTREAMS = 4
 MANY_CONNECTIONS = 1000
+LARGE_BODY_BYTES = 256 << 20
 ROUNDS = 3
 WARM_UP_S = 1.0
 
@@ -48,6 +50,8 @@
     """Serve small answers on several ports, printed on one line."""
 
     async def answer(request: http.Request) -> http.Response:
+        if request.method == 'POST':
+            return http.Response(200, [], request.body)
         return http.Response(200, [], ANSWER)
 
     async def serve() -> None:
@@ -249,6 +253,41 @@
         await http.close(connection.sock)
 
 
+async def _stream(address: str, pid: int) -> None:
+    """Send a large body to an upstream that sends it back."""
+    before = _usage(pid).resident_mb
+    connection = await http_client.connect(ids.Address(address), 5.0)
+    headers = [
+        (b'host', b'a'),
+        (b'oleander-team', TEAM.encode()),
+        (b'transfer-encoding', b'chunked'),
+    ]
+    request = h11.Request(method='POST', target='/s', headers=headers)
+    began_s = time.monotonic()
+    await http_client.send_events(connection, request)
+    upload = await curio.spawn(_upload, connection)
+    response = await http_client.read_head(connection)
+    size_bytes = 0
+    highest = before
+    async for piece in response.body:
+        size_bytes += len(piece)
+        highest = max(highest, _usage(pid).resident_mb)
+    await upload.join()
+    took_s = time.monotonic() - began_s
+    await http.close(connection.sock)
+    print(
+        f'entry: {size_bytes >> 20} MiB there and back in {took_s:.1f} s, '
+        f'resident {before:.1f} MB before, {highest:.1f} MB at most'
+    )
+
+
+async def _upload(connection: http_client.Connection) -> None:
+    piece = bytes(1 << 16)
+    for _ in range(LARGE_BODY_BYTES >> 16):
+        await http_client.send_events(connection, h11.Data(data=piece))
+    await http_client.send_events(connection, h11.EndOfMessage())
+
+
 @APP.default
 def measure(*, seconds: float = 4.0, profile: str = '') -> None:
     """Measure, and print the figures.
@@ -265,6 +304,7 @@
         started.append(path)
         print(f'entry: resident {_usage(path.pid).resident_mb:.1f} MB idle')
         curio.run(_hold, through, path.pid)
+        curio.run(_stream, through, path.pid)
         _saturate('direct', addresses[0], served.pid, seconds)
         rate = _saturate('entry', through, path.pid, seconds)
         if not profile:
