Go above a store that was set back; stop waves that the file lacks

Cause: a store restored from an old copy offered a head below what entries have in force; each apply on it lost against the entries for good. The daemon now reports the broken invariant and stages above the highest revision that it met or that an entry told it. A wave whose start crossed the apply that removed it ran on, could not be stopped, and blocked every later file; now it can, and doesn't.

--- a/oleanderwood/absence.py
+++ b/oleanderwood/absence.py
@@ -17,7 +17,6 @@
 
 import curio
 
-from oleanderwood import apply
 from oleanderwood import change
 from oleanderwood import errors
 from oleanderwood import fleet
@@ -26,6 +25,7 @@
 from oleanderwood import isolation
 from oleanderwood import messages
 from oleanderwood import peer
+from oleanderwood import rollout_run
 from oleanderwood import roster
 from oleanderwood import store
 from oleanderwood import vm_listing
@@ -52,7 +52,7 @@
     seen: set[ids.VmId] = dataclasses.field(default_factory=set)
 
 
-def prover(watcher: Watcher) -> apply.Gone:
+def prover(watcher: Watcher) -> rollout_run.Gone:
     """Make the function that says whether a member is proven gone."""
 
     async def gone(member: roster.Member) -> bool:
--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -1,6 +1,7 @@
 """Access to the daemon `oleander-admin`: the administration API."""
 
 import dataclasses
+import functools
 import logging
 import os
 import socket
@@ -14,15 +15,16 @@
 from oleanderwood import absence
 from oleanderwood import admin_api
 from oleanderwood import admin_metrics
-from oleanderwood import apply
 from oleanderwood import daemon
 from oleanderwood import http
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import operators
 from oleanderwood import peer
 from oleanderwood import peer_grpc
 from oleanderwood import platform_http
+from oleanderwood import rollout_run
 from oleanderwood import settings
 from oleanderwood import store
 from oleanderwood import store_http
@@ -55,19 +57,25 @@
     list_vms: vm_listing.ListVms,
     limits: Limits,
     token: str,
+    registry: prometheus_client.CollectorRegistry,
 ) -> admin_api.Api:
     """Put the API together."""
     listing = vm_listing.Reader(list_vms)
     watcher = absence.Watcher(kept, peers, listing, absence.refuses)
-    links = apply.Links(
+    links = rollout_run.Links(
         kept=kept,
         peers=peers,
         gone=absence.prover(watcher),
         prepare_limit_s=limits.prepare_s,
         commit_limit_s=limits.commit_s,
     )
+    breaches = invariants.create(registry)
     desk = operators.Desk(
-        links, listing, new_operation, limits.fastest_cycle_s
+        links,
+        listing,
+        new_operation,
+        limits.fastest_cycle_s,
+        report=functools.partial(invariants.report, breaches),
     )
 
     def dump() -> dict[str, typing.Any]:
@@ -76,7 +84,10 @@
             'host': socket.gethostname(),
             'vm_list_version': listing.newest.version,
             'vms': len(listing.newest.vms),
+            'highest_revision': desk.highest,
+            'parts_held': len(desk.held),
             'limits': dataclasses.asdict(limits),
+            'invariants': invariants.dump(breaches),
         }
 
     return admin_api.Api(desk, token, dump)
@@ -90,6 +101,7 @@
 ) -> None:
     """Serve until a signal asks to stop; calls in progress are finished."""
     metrics = admin_metrics.create(registry)
+    api.desk.applied = functools.partial(admin_metrics.count_apply, metrics)
     handler = admin_metrics.counted(metrics, admin_api.make_handler(api))
     await _serve(listen, probes_listen, api, handler, registry)
 
@@ -195,7 +207,8 @@
     client = peer_grpc.connect(count_peers)
     listing = platform_http.connect(platform, count=count_platform)
     list_vms = listing.list_vms
-    api = make_api(kept, peer_grpc.calls(client), list_vms, limits, token)
+    calls = peer_grpc.calls(client)
+    api = make_api(kept, calls, list_vms, limits, token, registry)
     try:
         await serve(listen, probes_listen, api, registry)
     finally:
--- a/oleanderwood/admin_api.py
+++ b/oleanderwood/admin_api.py
@@ -24,6 +24,7 @@
 from oleanderwood import roster
 from oleanderwood import store
 from oleanderwood import verdict as verdicts
+from oleanderwood import wave_orders
 from oleanderwood import wave_state
 
 LOG = logging.getLogger('admin')
@@ -153,7 +154,7 @@
 
     async def call(desk: operators.Desk, body: bytes, query: Query):
         asked = codec.from_json(body or b'{}', admin_messages.OrderBody)
-        return await operators.order_wave(desk, name, order, asked.reason)
+        return await wave_orders.order(desk, name, order, asked.reason)
 
     return Route(call, writes=True)
 
--- a/oleanderwood/admin_metrics.py
+++ b/oleanderwood/admin_metrics.py
@@ -6,7 +6,9 @@
 
 import prometheus_client
 
+from oleanderwood import apply
 from oleanderwood import http
+from oleanderwood import rollout
 
 
 @dataclasses.dataclass(frozen=True)
@@ -15,6 +17,8 @@
 
     calls: prometheus_client.Counter
     seconds: prometheus_client.Histogram
+    applies: prometheus_client.Counter
+    in_force_seconds: prometheus_client.Histogram
 
 
 def create(registry: prometheus_client.CollectorRegistry) -> Metrics:
@@ -32,7 +36,26 @@
         registry=registry,
         buckets=(0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0),
     )
-    return Metrics(calls, seconds)
+    applies = prometheus_client.Counter(
+        'oleander_applies',
+        'Applies of sound files, by outcome.',
+        ['outcome'],
+        registry=registry,
+    )
+    in_force_seconds = prometheus_client.Histogram(
+        'oleander_apply_in_force_seconds',
+        'Time from acceptance until all entries had it in force.',
+        registry=registry,
+        buckets=(0.03, 0.1, 0.3, 1.0, 2.0, 4.0, 8.0),
+    )
+    return Metrics(calls, seconds, applies, in_force_seconds)
+
+
+def count_apply(metrics: Metrics, applied: apply.Applied) -> None:
+    """Count an apply."""
+    metrics.applies.labels(applied.outcome.value).inc()
+    if applied.outcome is rollout.Outcome.ACCEPTED and not applied.missing:
+        metrics.in_force_seconds.observe(applied.in_force_s)
 
 
 def counted(
--- a/oleanderwood/operators.py
+++ b/oleanderwood/operators.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import logging
 
 import curio
 
@@ -21,6 +22,7 @@
 from oleanderwood import messages
 from oleanderwood import plan as plans
 from oleanderwood import rollout
+from oleanderwood import rollout_run
 from oleanderwood import roster
 from oleanderwood import staging
 from oleanderwood import store
@@ -28,7 +30,19 @@
 from oleanderwood import vm_listing
 from oleanderwood import wave_state
 
+LOG = logging.getLogger('operators')
+
 NewOperation = collections.abc.Callable[[], ids.OperationId]
+Report = collections.abc.Callable[[str, str], None]
+"""Takes the name of an invariant that is broken, and what was seen."""
+
+
+def _log_breach(name: str, detail: str) -> None:
+    LOG.error('Invariant %s is broken: %s', name, detail)
+
+
+def _ignore(applied: apply.Applied) -> None:
+    """Take no notice of an apply."""
 
 
 @dataclasses.dataclass
@@ -36,27 +50,44 @@
     """What the operators' calls reach.
 
     :ivar held: parts of the configuration in force, by reference
+    :ivar highest: the highest revision that was met
+    :ivar applied: told of each apply that was tried
     """
 
-    links: apply.Links
+    links: rollout_run.Links
     listing: vm_listing.Reader
     new_operation: NewOperation
     fastest_cycle_s: float = 60.0
     held: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    highest: ids.Revision = ids.Revision(0)
+    report: Report = _log_breach
+    applied: collections.abc.Callable[[apply.Applied], None] = _ignore
 
 
-async def _current(desk: Desk) -> staging.Current:
+async def read_current(desk: Desk) -> staging.Current:
     """Read the head; parts are read once and kept while it names them."""
     held = dict(desk.held)
     current = await staging.read_current(desk.links.kept, held)
     named = current.head.parts.values()
     desk.held = {reference: held[reference] for reference in named}
+    _meet(desk, current.head.revision)
     return current
 
 
-async def _waves(
+def _meet(desk: Desk, revision: ids.Revision) -> None:
+    """Note the head's revision; one below a known one is reported."""
+    if revision < desk.highest:
+        desk.report(
+            'configuration-grows',
+            f'the store offers {revision}, {desk.highest} was in force',
+        )
+    desk.highest = max(desk.highest, revision)
+
+
+async def read_waves(
     desk: Desk, regions: collections.abc.Iterable[str]
 ) -> tuple[wave_state.Waves, ...]:
+    """Read the waves of some regions."""
     found = []
     for region in sorted(set(regions)):
         name = ids.Region(region)
@@ -68,7 +99,8 @@
     return tuple(found)
 
 
-def _regions(whole: configuration.Configuration) -> set[str]:
+def regions_of(whole: configuration.Configuration) -> set[str]:
+    """Name the regions of a configuration."""
     return {pool.region for pool in whole.pools}
 
 
@@ -81,10 +113,10 @@
     :raises ExceptionGroup: of :class:`errors.ConfigurationFault`
     """
     wanted = configuration.parse(text)
-    current = await _current(desk)
+    current = await read_current(desk)
     listing = await vm_listing.read(desk.listing)
     vms = validation.live(listing.vms)
-    waves = await _waves(desk, _regions(current.whole))
+    waves = await read_waves(desk, regions_of(current.whole))
     situation = validation.Situation(
         vms=vms,
         current=current.whole,
@@ -119,7 +151,9 @@
     """Say what a file would change, and which VMs it would move."""
     current, wanted, vms = await _checked(desk, body.file)
     shards = await _shards(desk, vms)
-    planned = plans.make(current.whole, wanted, vms, shards)
+    planned = await curio.run_in_thread(
+        plans.make, current.whole, wanted, vms, shards
+    )
     return admin_messages.PlanReply(current.head.revision, planned)
 
 
@@ -149,15 +183,18 @@
             revision=head.revision,
             author=head.author,
         )
-    wish = apply.Wish(wanted, operation, body.author)
-    return await apply.run(desk.links, current, wish)
+    wish = apply.Wish(wanted, operation, body.author, desk.highest)
+    applied = await apply.run(desk.links, current, wish)
+    desk.highest = max(desk.highest, applied.highest)
+    desk.applied(applied)
+    return applied
 
 
 async def current_configuration(
     desk: Desk,
 ) -> admin_messages.ConfigurationReply:
     """Give the configuration in force."""
-    current = await _current(desk)
+    current = await read_current(desk)
     return admin_messages.ConfigurationReply(
         revision=current.head.revision,
         author=current.head.author,
@@ -184,7 +221,7 @@
     :param operation: an apply to be looked up, '' for none
     """
     kept = desk.links.kept
-    current = await _current(desk)
+    current = await read_current(desk)
     known, _ = await change.read(kept, store.ROSTER_KEY, roster.EMPTY)
     found = await _operation(desk, operation) if operation else None
     return admin_messages.StatusReply(
@@ -192,7 +229,7 @@
         author=current.head.author,
         accepted_at_s=current.head.accepted_at_s,
         members=await _members(desk, known),
-        waves=await _waves(desk, _regions(current.whole)),
+        waves=await read_waves(desk, regions_of(current.whole)),
         operation=found,
     )
 
@@ -235,73 +272,3 @@
     return admin_messages.MemberStatus(
         member.entry, member.data_centre, revision, reason
     )
-
-
-async def order_wave(
-    desk: Desk, name: str, order: wave_state.Order, reason: str
-) -> admin_messages.WaveReply:
-    """Start, pause or stop a wave in each region of its pools.
-
-    A repeat changes nothing, so a call that failed midway is repeated.
-
-    :raises errors.WaveConflict: the wave's state, or another wave that
-        works on one of its pools, doesn't allow it
-    :raises LookupError: there is no such wave
-    """
-    current = await _current(desk)
-    waves = {wave.name: wave for wave in current.whole.waves}
-    if name not in waves:
-        raise LookupError(f'there is no wave {name!r}')
-    pools = {pool.name: pool for pool in current.whole.pools}
-    regions = {pools[p].region for p in waves[name].pools if p in pools}
-    changed = []
-    for region in sorted(regions):
-        changed.append(
-            await _order_in(desk, region, waves, waves[name], order, reason)
-        )
-    return admin_messages.WaveReply(tuple(changed))
-
-
-async def _order_in(
-    desk: Desk,
-    region: str,
-    waves: dict[str, configuration.Wave],
-    wave: configuration.Wave,
-    order: wave_state.Order,
-    reason: str,
-) -> admin_messages.RegionWave:
-    name = ids.Region(region)
-    now_s = desk.links.wall_clock()
-
-    def transform(before: wave_state.Waves) -> wave_state.Waves:
-        if order is wave_state.Order.START:
-            _refuse_shared_pools(before, waves, wave)
-        return wave_state.order(
-            before, ids.WaveId(wave.name), order, now_s, reason
-        )
-
-    after = await change.change(
-        desk.links.kept,
-        wave_state.key(name),
-        wave_state.Waves(region=name),
-        transform,
-        desk.new_operation(),
-    )
-    found = wave_state.find(after, ids.WaveId(wave.name))
-    return admin_messages.RegionWave(name, found)
-
-
-def _refuse_shared_pools(
-    before: wave_state.Waves,
-    waves: dict[str, configuration.Wave],
-    wave: configuration.Wave,
-) -> None:
-    for other in wave_state.active((before,)):
-        if other == wave.name or other not in waves:
-            continue
-        shared = set(waves[other].pools) & set(wave.pools)
-        if shared:
-            raise errors.WaveConflict(
-                f'wave {other} works on pool {min(shared)}: stop it first '
-                'or wait for its end'
-            )
--- a/oleanderwood/rollout.py
+++ b/oleanderwood/rollout.py
@@ -59,10 +59,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
-    """A member has that revision, or a later one, in force already."""
+    """A member has ``revision`` in force, as high as that or higher."""
 
     member: Member
-    reason: str
+    revision: ids.Revision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,12 +154,14 @@
 
     :ivar winner: the head that stands instead, if it is known
     :ivar missing: members at which it is not known to be in force
+    :ivar in_force: at a conflict, what a member said is in force there
     """
 
     outcome: Outcome
     reason: str = ''
     winner: configuration.Head | None = None
     missing: tuple[Member, ...] = ()
+    in_force: ids.Revision = ids.Revision(0)
 
 
 Action = ReadRoster | Prepare | Swap | Commit | Drop | End
@@ -191,7 +193,7 @@
     """
     rollout = Rollout(staged)
     base = ids.Revision(0) if seen is None else seen.revision
-    if staged.base != base or staged.revision != base + 1:
+    if staged.base != base or staged.revision <= base:
         return _end(rollout, End(Outcome.CONFLICT, winner=seen))
     return rollout, (ReadRoster(),)
 
@@ -203,8 +205,8 @@
             return _roster_before(rollout, members)
         case Phase.PREPARING, Acknowledged(member) | Gone(member):
             return _answered(rollout, member)
-        case Phase.PREPARING, Refused(member, reason):
-            return _beaten(rollout, f'{member.entry}: {reason}')
+        case Phase.PREPARING, Refused(_, revision):
+            return _beaten(rollout, revision)
         case Phase.PREPARING, Failed(reason):
             return _give_up(rollout, reason)
         case Phase.PREPARING, TimedOut():
@@ -263,9 +265,10 @@
     return _end(rollout, End(Outcome.NOT_RUN, reason), _drops(rollout))
 
 
-def _beaten(rollout: Rollout, reason: str) -> Step:
+def _beaten(rollout: Rollout, revision: ids.Revision) -> Step:
     """End without a swap: another revision was accepted meanwhile."""
-    return _end(rollout, End(Outcome.CONFLICT, reason), _drops(rollout))
+    end = End(Outcome.CONFLICT, in_force=revision)
+    return _end(rollout, end, _drops(rollout))
 
 
 def _swapped(rollout: Rollout, event: Swapped) -> Step:
--- a/oleanderwood/validation.py
+++ b/oleanderwood/validation.py
@@ -282,7 +282,10 @@
     pools = {pool.name: pool for pool in wanted.pools}
     before = {pool.name: pool for pool in now.current.pools}
     waves = {wave.name for wave in wanted.waves}
+    known = {wave.name for wave in now.current.waves}
     for name in wave_state.active(now.waves):
+        if name not in known:
+            continue
         remedy = f'stop wave {name!r} first or wait for its end'
         if name not in waves:
             yield errors.ConfigurationFault(
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from oleanderwood import change
 from oleanderwood import http_client
+from oleanderwood import ids
+from oleanderwood import wave_state
 from tests import utils_admin
 from tests import utils_configuration as build
 
@@ -194,3 +197,40 @@
     )
     assert [status for status, _, _ in answers] == [200, 200, 409]
     assert 'monthly' in answers[2][1]['message']
+
+
+def test_wave_that_runs_though_the_file_lacks_it_can_be_stopped():
+    """A start and an apply that removes the wave crossed each other."""
+    place = utils_admin.make(('e1',))
+    without = utils_admin.toml().partition('[[waves]]')[0]
+
+    async def scenario():
+        async def use(address):
+            async def post(target, body):
+                data = json.dumps(body).encode()
+                return await http_client.call(address, 'POST', target, data)
+
+            assert (await post('/v1/apply', FILE)).status == 200
+            assert (await post('/v1/apply', {'file': without})).status == 200
+            await _start_behind(place)
+            assert (await post('/v1/apply', FILE)).status == 200
+            assert (await post('/v1/waves/lost/stop', {})).status == 200
+            assert (await post('/v1/waves/lost/stop', {})).status == 404
+            assert (await post('/v1/waves/lost/start', {})).status == 404
+
+        await utils_admin.serve(place, use)
+
+    utils_admin.run(place, scenario)
+
+
+async def _start_behind(place):
+    region = ids.Region(build.REGION)
+    await change.change(
+        place.desk.links.kept,
+        wave_state.key(region),
+        wave_state.Waves(region=region),
+        lambda waves: wave_state.order(
+            waves, ids.WaveId('lost'), wave_state.Order.START, 0.0
+        ),
+        ids.OperationId('behind'),
+    )
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -332,3 +332,54 @@
         _check_clean(place)
 
     utils_admin.run(place, scenario)
+
+
+async def _set_back(place):
+    """Let revision 2 be accepted, then restore the store's copy of 1."""
+    await _apply(place)
+    old = dict(place.network.fake.items)
+    await _apply(place, size=7)
+    place.network.fake.items.update(old)
+
+
+def test_store_that_was_set_back_is_reported_and_gone_above():
+    place = utils_admin.make()
+    breaches = []
+    place.desk.report = lambda name, detail: breaches.append(name)
+
+    async def scenario():
+        await _set_back(place)
+        applied = await _apply(place, size=8)
+        assert (applied.outcome, applied.revision) == (Outcome.ACCEPTED, 3)
+        assert breaches == ['configuration-grows']
+        assert utils_admin.in_force(place) == [3, 3, 3]
+
+    utils_admin.run(place, scenario)
+
+
+def test_daemon_that_did_not_know_learns_it_of_the_entries():
+    place = utils_admin.make()
+    other = utils_admin.second(place)
+
+    async def scenario():
+        await _set_back(place)
+        refused = await _apply(other, size=8)
+        assert refused.outcome is Outcome.CONFLICT
+        assert 'set back' in refused.reason
+        assert utils_admin.in_force(place) == [2, 2, 2]
+        applied = await _apply(other, size=8)
+        assert (applied.outcome, applied.revision) == (Outcome.ACCEPTED, 3)
+
+    utils_admin.run(place, scenario)
+
+
+def test_file_in_force_is_applied_anew_after_the_store_was_set_back():
+    place = utils_admin.make(('e1',))
+
+    async def scenario():
+        await _set_back(place)
+        applied = await _apply(place, size=6)
+        assert (applied.outcome, applied.revision) == (Outcome.ACCEPTED, 3)
+        assert utils_admin.in_force(place) == [3]
+
+    utils_admin.run(place, scenario)
