Tell operators that failed reads changed nothing

Cause: in a trial with two daemons and outages of the store of up to 16 s (105 applies), 10 ended as 'may have run' although their first read had failed and nothing was written: the answer to a read was cut. A read is NOT_RUN whatever became of it. The test fails without the change.

--- a/oleanderwood/admin_api.py
+++ b/oleanderwood/admin_api.py
@@ -245,7 +245,8 @@
     hosts = {member.peer.rpartition(':')[0] for member in known.members}
     if target.rpartition(':')[0] not in hosts:
         raise LookupError(f'{target} is no address of a member')
-    response = await http_client.call(ids.Address(target), 'GET', '/dump')
+    with change.reading():
+        response = await http_client.call(ids.Address(target), 'GET', '/dump')
     return msgspec.Raw(response.body)
 
 
--- a/oleanderwood/change.py
+++ b/oleanderwood/change.py
@@ -1,27 +1,41 @@
 """Access to changing one value of the store by compare-and-swap."""
 
 import collections.abc
+import contextlib
 import typing
 
 from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood import store
+from oleanderwood import verdict as verdicts
 
 T = typing.TypeVar('T')
 
 MAX_ATTEMPTS = 20
 
 
+@contextlib.contextmanager
+def reading() -> collections.abc.Iterator[None]:
+    """Make a read that failed ``NOT_RUN``: it has changed nothing."""
+    try:
+        yield
+    except errors.CallFailed as error:
+        raise errors.StoreUnavailable(
+            verdicts.Verdict.NOT_RUN, error.reason
+        ) from error
+
+
 async def read(
     kept: store.Store, key: str, empty: T
 ) -> tuple[T, store.Item | None]:
     """Read a value.
 
     :param empty: what an absent key stands for; gives the type as well
-    :raises errors.StoreUnavailable: the store didn't answer
+    :raises errors.StoreUnavailable: ``NOT_RUN``
     """
-    item = await kept.get(key)
+    with reading():
+        item = await kept.get(key)
     if item is None:
         return empty, None
     return codec.unpack(item.value, type(empty)), item
--- a/oleanderwood/staging.py
+++ b/oleanderwood/staging.py
@@ -48,7 +48,8 @@
     """
     for _ in range(change.MAX_ATTEMPTS):
         head, item = await change.read(kept, store.CONFIG_HEAD_KEY, NO_HEAD)
-        whole = await parts.fetch(kept, head, held)
+        with change.reading():
+            whole = await parts.fetch(kept, head, held)
         if whole is not None:
             version = store.ABSENT if item is None else item.version
             return Current(head, version, whole)
--- a/oleanderwood/vm_listing.py
+++ b/oleanderwood/vm_listing.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from oleanderwood import change
 from oleanderwood import platform_api
 
 ListVms = collections.abc.Callable[
@@ -21,9 +22,10 @@
 async def read(reader: Reader) -> platform_api.VmListing:
     """Ask for the list; the copy stands while the list is unchanged.
 
-    :raises errors.CallFailed: the platform didn't answer
+    :raises errors.StoreUnavailable: ``NOT_RUN``: the platform didn't answer
     """
-    found = await reader.list_vms(reader.newest.version)
+    with change.reading():
+        found = await reader.list_vms(reader.newest.version)
     if found is not None and found.version >= reader.newest.version:
         reader.newest = found
     return reader.newest
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -244,6 +244,31 @@
     utils_admin.run(place, scenario)
 
 
+@pytest.mark.parametrize('failing', [1, 2, 3, 4])
+def test_read_whose_answer_was_cut_is_not_run(failing):
+    """Reads before the first write changed nothing."""
+    place = utils_admin.make(names=('e1',))
+    calls = []
+
+    async def scenario():
+        await _apply(place)
+        kept = place.desk.links.kept
+
+        async def get(key):
+            calls.append(key)
+            if len(calls) == failing:
+                raise errors.StoreUnavailable(utils_store.MAY_HAVE_RUN, 'cut')
+            return await kept.get(key)
+
+        broken = dataclasses.replace(kept, get=get)
+        place.desk.links = _with_store(place.desk.links, broken)
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await _apply(place, size=7)
+        assert caught.value.verdict is utils_store.NOT_RUN
+
+    utils_admin.run(place, scenario)
+
+
 def test_operation_id_is_not_taken_twice():
     place = utils_admin.make(names=('e1',))
 
