--- a/demo/daemons.py
+++ b/demo/daemons.py
@@ -18,6 +18,9 @@
 from oleanderwood import ids
 
 DRAIN_NOTICE_S = 1.0
+PLANTED_MODULE = 'tests.planted'
+"""Runs a daemon with a defect, for proofs that must then fail."""
+
 CTL_TIMEOUT_S = 40.0
 
 
@@ -48,7 +51,10 @@
             specific += ['--admin-listen', vm.admin_probes]
             specific += ['--data-centre', vm.data_centre]
             specific += ['--fastest-cycle-s', '0.5']
-    return [module, *common, *region, *specific]
+    words = [module, *common, *region, *specific]
+    if kind in deployment.planted:
+        return [PLANTED_MODULE, deployment.planted[kind], *words]
+    return words
 
 
 def _entry(
--- a/demo/deployments.py
+++ b/demo/deployments.py
@@ -81,6 +81,7 @@
     :ivar upstreams: the control address of the upstreams
     :ivar callers: the balancer's address for callers
     :ivar balancer: the balancer's control address
+    :ivar planted: defects by kind of daemon, for proofs that must fail
     """
 
     name: str
@@ -95,6 +96,7 @@
     callers: ids.Address = ids.Address('')
     balancer: ids.Address = ids.Address('')
     vms: list[OwnVm] = dataclasses.field(default_factory=list)
+    planted: dict[enum.Enum, str] = dataclasses.field(default_factory=dict)
 
     @property
     def region(self) -> ids.Region:
--- a/demo/scene.py
+++ b/demo/scene.py
@@ -109,6 +109,8 @@
     await scene.probing.cancel()
     for task in scene.tasks:
         await task.join()
+    scene.asking.clear()
+    scene.tasks.clear()
 
 
 async def _probe(scene: Scene) -> None:
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault tests on real processes over the stand-ins."""
--- a/tests/utils_processes.py
+++ b/tests/utils_processes.py
@@ -1,12 +1,16 @@
 """Builders of small deployments of real processes for the fault tests."""
 
 import contextlib
-import pathlib
+import dataclasses
+import time
 
 import curio
 
+from demo import checker
 from demo import daemons
 from demo import deployments
+from demo import evidence
+from demo import figures
 from demo import processes
 from demo import scene as scenes
 
@@ -64,28 +68,124 @@
 """
 
 
+LOAD = 4
+WAIT_S = 25.0
+WAVE = 'monthly'
+
+
+@dataclasses.dataclass
+class Stage:
+    """A small deployment, and the kernel that its callers live in."""
+
+    kernel: curio.Kernel
+    scene: scenes.Scene
+
+    @property
+    def deployment(self):
+        """The deployment."""
+        return self.scene.deployment
+
+    @property
+    def run(self):
+        """All processes."""
+        return self.scene.deployment.run
+
+
 @contextlib.contextmanager
-def small(entries=2, controllers=2, admins=2, number=0, seed=1):
-    """Give the scene of a small deployment that is up and configured."""
+def small(entries=2, controllers=2, admins=2, seed=1, planted=None):
+    """Give the stage of a small deployment that is up and configured.
+
+    :param planted: defects by kind of daemon, see tests/planted.py
+    """
     size = deployments.Size(
-        entries=max(entries, controllers, admins),
+        entries=entries,
         controllers=controllers,
         admins=admins,
         drain_s=0.1,
         reboot_s=0.5,
     )
-    with processes.running() as run:
+    with processes.running() as run, curio.Kernel() as kernel:
         file = run.directory / 'small.toml'
         file.write_text(SMALL)
-        yield curio.run(_open, run, file, size, number, seed)
+        yield Stage(kernel, kernel.run(_open, run, file, size, seed, planted))
 
 
-async def _open(run, file, size, number, seed):
-    deployment = await deployments.start(run, 'small', file, size, number)
+async def _open(run, file, size, seed, planted):
+    deployment = await deployments.start(run, 'small', file, size, 0)
+    deployment.planted = planted or {}
     await daemons.start_all(deployment)
     return scenes.make(deployment, seed)
 
 
-def example(name):
-    """Give the path of an example of an operators' file."""
-    return pathlib.Path('examples') / f'{name}.toml'
+@contextlib.asynccontextmanager
+async def load(scene, callers=LOAD):
+    """Keep callers at work; give the attempts made meanwhile."""
+    made = []
+    before = len(scene.attempts)
+    await scenes.begin(scene, callers)
+    try:
+        yield made
+    finally:
+        await scenes.end(scene)
+        made.extend(scene.attempts[before:])
+
+
+def child(stage, number, kind=daemons.Kind.ENTRY):
+    """Give a daemon's process by the number of its VM."""
+    return stage.deployment.vms[number].daemons[kind]
+
+
+async def until(holds, what, timeout_s=WAIT_S):
+    """Wait until a coroutine function gives something true; give that."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        found = await holds()
+        if found:
+            return found
+        await curio.sleep(0.05)
+    raise AssertionError(f'not in {timeout_s} s: {what}')
+
+
+async def writes(scene):
+    """Read the store's history."""
+    return await evidence.fetch_log(
+        scene.deployment.store, evidence.StoreWrite
+    )
+
+
+async def settle(stage):
+    """Wait until all is ready and all pools are filled."""
+    deployment = stage.deployment
+    probes = daemons.all_probes(deployment)
+    await deployments.until_ready(stage.run, probes)
+    await daemons.until_serving(deployment)
+
+
+async def restart(stage, which):
+    """Start an ended daemon anew."""
+    processes.restart(which)
+    await settle(stage)
+
+
+async def wave_done(stage):
+    """Say whether no wave is under way."""
+    answer = await daemons.ctl(stage.deployment, 'status')
+    if answer.status:
+        return False
+    states = [
+        wave['state']
+        for region in answer.json()['waves']
+        for wave in region['waves']
+    ]
+    return 'running' not in states and 'paused' not in states
+
+
+async def breaches(scene):
+    """Check all that was seen since the deployment began."""
+    report = checker.check(await scenes.gather(scene))
+    return [str(breach) for breach in report.breaches]
+
+
+def outcomes(attempts):
+    """Count attempts by answer or verdict."""
+    return figures.outcomes(attempts)
