--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -140,6 +140,7 @@
     be handled only after the next event.
     """
     signal.set_wakeup_fd(_WAKE_WRITER.fileno(), warn_on_full_buffer=False)
-    reader = curio.io.Socket(_WAKE_READER)
-    while await reader.recv(64):
-        pass
+    # A descriptor of its own: curio lets one task wait for each.
+    async with curio.io.Socket(_WAKE_READER.dup()) as reader:
+        while await reader.recv(64):
+            pass
--- a/oleanderwood/store_client.py
+++ b/oleanderwood/store_client.py
@@ -152,8 +152,20 @@
                 ) from error
 
 
+async def _read(
+    client: Client, kind: str, call: typing.Any, *arguments: typing.Any
+) -> typing.Any:
+    """Repeat a read; one that fails changed nothing, so it didn't run."""
+    try:
+        return await _repeat(client, kind, call, *arguments)
+    except errors.StoreUnavailable as error:
+        raise errors.StoreUnavailable(
+            verdicts.Verdict.NOT_RUN, error.reason
+        ) from error
+
+
 async def _get(client: Client, key: str) -> store.Item | None:
-    item = await _repeat(client, 'get', client.transport.get, key)
+    item = await _read(client, 'get', client.transport.get, key)
     return _opened(client, key, item)
 
 
@@ -161,7 +173,7 @@
     client: Client, key: str, version: int, wait_s: float
 ) -> store.Item | None:
     watch = client.transport.watch
-    item = await _repeat(client, 'watch', watch, key, version, wait_s)
+    item = await _read(client, 'watch', watch, key, version, wait_s)
     return _opened(client, key, item)
 
 
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -101,3 +101,14 @@
         return await client.get('members/a'), await client.keep_alive(lease)
 
     assert _run(use) == (None, 0.0)
+
+
+def test_read_without_an_answer_is_not_run():
+    async def lose(key):
+        raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, 'lost')
+
+    fake = utils_store.FakeStore()
+    client = utils_store.connect(fake, replaced={'get': lose})
+    with pytest.raises(errors.StoreUnavailable) as caught:
+        _run(client.get, KEY)
+    assert caught.value.verdict is verdicts.Verdict.NOT_RUN
--- a/tests/utils_processes.py
+++ b/tests/utils_processes.py
@@ -180,6 +180,23 @@
     return 'running' not in states and 'paused' not in states
 
 
+async def until_wave_done(stage, timeout_s=WAIT_S):
+    """Wait until no wave is under way and all pools are filled."""
+
+    async def done():
+        return await wave_done(stage)
+
+    await until(done, 'the end of the wave', timeout_s)
+    await settle(stage)
+
+
+async def events(scene):
+    """Read what the platform saw."""
+    return await evidence.fetch_log(
+        scene.deployment.platform, evidence.PlatformEvent
+    )
+
+
 async def breaches(scene):
     """Check all that was seen since the deployment began."""
     report = checker.check(await scenes.gather(scene))
@@ -189,3 +206,12 @@
 def outcomes(attempts):
     """Count attempts by answer or verdict."""
     return figures.outcomes(attempts)
+
+
+def unanswered(attempts):
+    """Tell of each attempt that wasn't answered why."""
+    return [
+        (a.path, a.status, a.verdict, a.refusal or a.reason)
+        for a in attempts
+        if a.status != 200 or not a.whole
+    ]
