--- a/demo/daemons.py
+++ b/demo/daemons.py
@@ -1,6 +1,7 @@
 """Access to the daemons of a deployment, and to its command line."""
 
 import collections
+import contextlib
 import enum
 import json
 import sys
@@ -14,6 +15,7 @@
 from demo import evidence
 from demo import marker
 from demo import processes
+from oleanderwood import errors
 from oleanderwood import http_client
 from oleanderwood import ids
 
@@ -138,8 +140,9 @@
     """
     start_s = time.monotonic()
     while time.monotonic() - start_s < timeout_s:
-        if await _serves(deployment):
-            return time.monotonic() - start_s
+        with contextlib.suppress(errors.CallFailed):
+            if await _serves(deployment):
+                return time.monotonic() - start_s
         await curio.sleep(deployments.POLL_S)
     raise processes.StartFailed('the pools were not filled in time')
 
@@ -150,7 +153,25 @@
         return False
     writes = await evidence.fetch_log(deployment.store, evidence.StoreWrite)
     up = serving(writes)
-    return all(up[p.name] >= p.size for p in deployment.whole.pools)
+    if any(up[p.name] < p.size for p in deployment.whole.pools):
+        return False
+    return await _all_routes_answer(deployment)
+
+
+async def _all_routes_answer(deployment: deployments.Deployment) -> bool:
+    """Say whether each entry sends requests of each service on."""
+    team = deployment.whole.teams[0].name.encode()
+    for vm in deployment.vms:
+        for service in deployment.whole.services:
+            answer = await http_client.call(
+                vm.listen,
+                'GET',
+                f'{service.path_prefix}/ready',
+                headers=[(b'oleander-team', team)],
+            )
+            if answer.status not in (200, 404):
+                return False
+    return True
 
 
 def serving(
--- a/tests/faults/test_entries.py
+++ b/tests/faults/test_entries.py
@@ -65,6 +65,7 @@
     assert build.outcomes(attempts)['may-have-run'] > 5
 
 
+@pytest.mark.slow
 def test_outage_of_the_store_harms_no_caller(stage):
     async def main():
         async with build.load(stage.scene) as attempts:
@@ -106,6 +107,7 @@
     assert build.outcomes(during)[ANSWERED] > 5
 
 
+@pytest.mark.slow
 def test_entry_paused_past_its_leases_blocks_and_sends_nothing_late(stage):
     async def main():
         child = build.child(stage, 0)
--- a/tests/utils_processes.py
+++ b/tests/utils_processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import json
 import time
 
 import curio
@@ -13,6 +14,8 @@
 from demo import figures
 from demo import processes
 from demo import scene as scenes
+from oleanderwood import errors
+from oleanderwood import http_client
 
 SMALL = """
 [[services]]
@@ -215,3 +218,13 @@
         for a in attempts
         if a.status != 200 or not a.whole
     ]
+
+
+async def dump(stage, number, kind=daemons.Kind.ENTRY):
+    """Read a daemon's state, {} if it doesn't answer."""
+    address = daemons.probes(stage.deployment.vms[number], kind)
+    try:
+        answer = await http_client.call(address, 'GET', '/dump')
+    except errors.CallFailed:
+        return {}
+    return json.loads(answer.body)
