--- a/tests/faults/test_operators.py
+++ b/tests/faults/test_operators.py
@@ -29,7 +29,7 @@
     return {revision: number for number, revision in found.items()}
 
 
-async def _apply(stage):
+async def _apply(stage, *words):
     """Apply the next marker; give its number and the answer."""
     text = stage.deployment.file.read_text()
     markers = stage.scene.markers
@@ -37,7 +37,7 @@
     number = markers.newest
     file = stage.run.directory / f'race-{number}.toml'
     file.write_text(marked)
-    answer = await daemons.ctl(stage.deployment, 'apply', str(file))
+    answer = await daemons.ctl(stage.deployment, 'apply', str(file), *words)
     return number, answer
 
 
@@ -56,9 +56,10 @@
 
 def test_of_two_operators_one_wins_and_the_other_is_told(stage):
     async def main():
+        base = str(max(await _accepted(stage), default=1))
         async with curio.TaskGroup(wait=all) as group:
             for _ in range(2):
-                await group.spawn(_apply, stage)
+                await group.spawn(_apply, stage, '--base', base)
         ended = {a.status: (n, a) for n, a in group.results}
         if OK in ended:
             await _known(stage, ended[OK][0])
