--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -19,16 +19,17 @@
 from oleanderwood import controller_metrics
 from oleanderwood import daemon
 from oleanderwood import errors
+from oleanderwood import fleet
 from oleanderwood import http
 from oleanderwood import http_client
 from oleanderwood import ids
 from oleanderwood import invariants
 from oleanderwood import leadership
-from oleanderwood import ownership
 from oleanderwood import peer_grpc
 from oleanderwood import platform_http
 from oleanderwood import region_leader
 from oleanderwood import region_state
+from oleanderwood import region_tasks
 from oleanderwood import settings
 from oleanderwood import store as stores
 from oleanderwood import store_http
@@ -65,7 +66,6 @@
     """State of the daemon.
 
     :ivar leader: what it knows while it leads, None otherwise
-    :ivar wrote: shard writes that the metrics have counted
     """
 
     settings: Settings
@@ -193,8 +193,6 @@
     finally:
         controller.leader = None
         controller.metrics.leads.set(0)
-        if controller.seat.lease:
-            leadership.give_up(controller.seat)
     for error in group.exceptions:
         if error is not None and not isinstance(error, curio.CancelledError):
             raise error
@@ -260,10 +258,20 @@
     metrics.passes.labels(outcome).inc()
     metrics.pass_s.inc(spent_s)
     metrics.blocked.set(len(leader.releases.blocked))
-    if leader.decision is None or outcome != 'changed':
+    if outcome != 'changed':
         return
-    for one in leader.decision.changes:
+    changes = leader.decision.changes
+    metrics.shard_writes.inc(len({one.data_centre for one in changes}))
+    for one in changes:
         metrics.row_changes.labels(one.cause.value).inc()
+    index = region_state.index(leader)
+    states = collections.Counter(row.state for row in index.out)
+    states[fleet.VmState.SERVING] = len(index.serving)
+    for state in fleet.VmState:
+        metrics.rows.labels(state.value).set(states[state])
+    for line in leader.counted.lines:
+        metrics.short.labels(line.pool).set(line.missing)
+        metrics.spent_s.labels(line.pool).set(line.spent_s)
 
 
 def ready(controller: Controller) -> str:
@@ -301,17 +309,14 @@
         'waves': leader.waves.value,
         'account': leader.counted,
     }
+    if leader.tasks is not None:
+        found['tasks'] = region_tasks.dump(leader.tasks)
     if leader.footing is not None:
-        shards = leader.footing.shards
+        index = region_state.index(leader)
         found['term'] = leader.footing.term
-        found['states'] = collections.Counter(
-            row.state.value for _, row in ownership.rows_of(shards)
-        )
-        found['out'] = [
-            row
-            for _, row in ownership.rows_of(shards)
-            if row.state.value != 'serving'
-        ]
+        found['serving'] = len(index.serving)
+        found['serving_by_pool'] = index.up
+        found['out'] = index.out
     return found
 
 
--- a/oleanderwood/region_tasks.py
+++ b/oleanderwood/region_tasks.py
@@ -4,10 +4,12 @@
 Every start and end is in the store before its order is sent.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import logging
 import random
+import typing
 
 from oleanderwood import blame as blames
 from oleanderwood import configuration
@@ -284,6 +286,16 @@
         LOG.info('%s at %s: %s.', action.task, action.worker, error.reason)
 
 
+def dump(tasks: Tasks) -> dict[str, typing.Any]:
+    """Give the state as plain data, for the state dump."""
+    rows = tasks.table.rows.values()
+    return {
+        'phases': collections.Counter(row.phase.value for row in rows),
+        'told': tasks.told,
+        'bucket_writes': tasks.footing.writes,
+    }
+
+
 async def _start(
     reach: Reach, tasks: Tasks, action: actions.StartTask
 ) -> None:
