--- a/tests/defects_controller.py
+++ b/tests/defects_controller.py
@@ -151,6 +151,10 @@
         yield
 
 
+SHOWN_WITHOUT_TASKS = 'fence-without-writing'
+"""The fence of the task rows makes up for that of the shards."""
+
+
 def fault_of(name, seed):
     """Run a drawn schedule with a defect; give the failure, '' if none.
 
@@ -158,7 +162,9 @@
     """
     with planted(name) if name else contextlib.nullcontext():
         try:
-            curio.run(utils_schedules.run, utils_schedules.drawn(seed))
+            schedule = utils_schedules.drawn(seed)
+            tasks = 0 if name == SHOWN_WITHOUT_TASKS else 2
+            curio.run(utils_schedules.run, schedule, tasks)
         except Exception as error:
             return f'{type(error).__name__}: {error}'
     return ''
--- a/tests/utils_schedules.py
+++ b/tests/utils_schedules.py
@@ -63,13 +63,14 @@
 class Run:
     """A world with two controllers, of which either may lead."""
 
-    def __init__(self, made):
+    def __init__(self, made, tasks):
         self.made = made
         self.reach = [utils.leader_world(made) for _ in range(2)]
         self.leaders = [region_state.Leader() for _ in range(2)]
         self.gone = []
         self.left = False
         self.revision = 1
+        self.tasks = tasks
 
     async def lead(self, number):
         """Make a pass, whatever becomes of it."""
@@ -85,7 +86,7 @@
         assert self.made.harm == []
 
 
-def _configure(made, size, revision):
+def _configure(made, size, revision, tasks=2):
     """Share four VMs between two pools."""
     utils.configure(
         made,
@@ -95,9 +96,17 @@
         ],
         revision=revision,
         weights=configuration.Weights(buffer=2.0),
+        teams=(configuration.Team(name='t'),),
+        jobs=_jobs(tasks),
     )
 
 
+def _jobs(tasks):
+    if not tasks:
+        return ()
+    return (configuration.Job(name='j', pool='p', team='t', tasks=tasks),)
+
+
 async def act(run, action, number):
     """Carry out one action of a schedule."""
     made = run.made
@@ -131,7 +140,7 @@
         _operate(made, action)
     elif action == 'resize':
         run.revision += 1
-        _configure(made, number, run.revision)
+        _configure(made, number, run.revision, run.tasks)
     elif action in ('pause', 'resume', 'begin', 'end'):
         _entry(made, made.entries[number], action)
     elif names:
@@ -200,7 +209,7 @@
     _operate(made, 'start')
 
 
-def whole(made):
+def whole(made, tasks):
     """Say whether all that can serve does, and the wave is over."""
     if utils.wave(made).state is not wave_state.State.DONE:
         return False
@@ -210,22 +219,24 @@
         for name, row in rows.items()
         if row.state is fleet.VmState.SERVING
     }
+    if len(utils.running(made)) != tasks:
+        return False
     return up == made.vms.keys() and utils.serving(made) >= MIN_UP
 
 
-async def run(schedule):
+async def run(schedule, tasks=2):
     """Run a schedule, heal the world, and see the wave end."""
     made = utils.world(vms=8)
-    _configure(made, SIZE, 1)
+    _configure(made, SIZE, 1, tasks)
     await utils.run_until(made, lambda: utils.serving(made) == SIZE)
     utils.order_wave(made)
-    state = Run(made)
+    state = Run(made, tasks)
     for action, number in schedule:
         await act(state, action, number)
         assert made.harm == []
     await heal(state)
     for _ in range(1500):
-        if whole(made):
+        if whole(made, tasks):
             return
         utils.step(made)
         await state.lead(0)
