--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -309,6 +309,8 @@
         'waves': leader.waves.value,
         'account': leader.counted,
     }
+    if leader.decision is not None:
+        found['batches'] = leader.decision.batches
     if leader.tasks is not None:
         found['tasks'] = region_tasks.dump(leader.tasks)
     if leader.footing is not None:
--- a/oleanderwood/region_idle.py
+++ b/oleanderwood/region_idle.py
@@ -6,8 +6,8 @@
 
 from oleanderwood import lifecycle
 from oleanderwood import platform_api
-from oleanderwood import region_plan
 from oleanderwood import region_state
+from oleanderwood import region_view
 
 IDLE_DECIDE_S = 10.0
 """How often a region in which nothing happens is decided on."""
@@ -16,7 +16,7 @@
 def describe(
     world: region_state.World,
     leader: region_state.Leader,
-    view: region_plan.View,
+    view: region_view.View,
 ) -> region_state.Idle:
     """Give what a decision is made from, but for VMs that are well."""
     inputs = (
--- a/oleanderwood/region_leader.py
+++ b/oleanderwood/region_leader.py
@@ -23,6 +23,7 @@
 from oleanderwood import region_shards
 from oleanderwood import region_state
 from oleanderwood import region_tasks
+from oleanderwood import region_view
 from oleanderwood import release
 from oleanderwood import task_store
 from oleanderwood import wave_run
@@ -136,7 +137,7 @@
 
 def _view(
     world: region_state.World, leader: region_state.Leader
-) -> region_plan.View:
+) -> region_view.View:
     now_s = world.now_s()
     leader.counted = availability.count(
         leader.counted,
@@ -144,7 +145,7 @@
         region_state.index(leader).up,
         now_s,
     )
-    return region_plan.View(
+    return region_view.View(
         region=world.region,
         configuration=leader.wanted,
         shards=leader.footing.shards,
@@ -182,7 +183,7 @@
 async def _write(
     world: region_state.World,
     leader: region_state.Leader,
-    decision: region_plan.Decision,
+    decision: region_view.Decision,
 ) -> None:
     """Write the changes, one write a shard."""
     by_shard: dict[ids.DataCentre, list[ownership.Change]] = {}
@@ -265,7 +266,7 @@
 async def _keep(
     world: region_state.World,
     leader: region_state.Leader,
-    decision: region_plan.Decision,
+    decision: region_view.Decision,
 ) -> None:
     """Write what operators see, and the notes that outlive the leader.
 
--- a/oleanderwood/region_state.py
+++ b/oleanderwood/region_state.py
@@ -19,9 +19,9 @@
 from oleanderwood import ownership
 from oleanderwood import peer
 from oleanderwood import platform_api
-from oleanderwood import region_plan
 from oleanderwood import region_shards
 from oleanderwood import region_tasks
+from oleanderwood import region_view
 from oleanderwood import release
 from oleanderwood import store as stores
 
@@ -121,7 +121,7 @@
     account: Kept = dataclasses.field(default_factory=Kept)
     counted: availability.Account = availability.Account()
     loans: tuple[buffer.Loan, ...] = ()
-    decision: region_plan.Decision | None = None
+    decision: region_view.Decision | None = None
     sweep: list[ids.VmId] = dataclasses.field(default_factory=list)
     idle: Idle | None = None
     tasks: region_tasks.Tasks | None = None
--- a/oleanderwood/wave_run.py
+++ b/oleanderwood/wave_run.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import re
 
 import msgspec
 
@@ -19,6 +20,10 @@
 
 State = fleet.VmState
 KEY_PREFIX = 'wave-runs/'
+FIGURES_EVERY_S = 60.0
+"""How often a reason is written whose figures alone have changed."""
+
+_FIGURES = re.compile(r'[0-9.]+')
 
 _OUT = frozenset(
     (State.RELEASING, State.DRAINING, State.REBOOTING, State.RETURNING)
@@ -159,9 +164,18 @@
         done, reason = total, ''
     elif batch.phase is waves.Phase.GIVEN_UP:
         now = wave_state.State.STOPPED
+    if _says_the_same(state, reason, now_s):
+        reason = state.reason
     after = msgspec.structs.replace(
         state, state=now, done=done, total=total, reason=reason
     )
     if after == state:
         return state
     return msgspec.structs.replace(after, changed_at_s=now_s)
+
+
+def _says_the_same(state: wave_state.Wave, reason: str, now_s: float) -> bool:
+    """Say whether a reason differs by its figures alone, and not for long."""
+    if now_s - state.changed_at_s > FIGURES_EVERY_S:
+        return False
+    return _FIGURES.sub('', reason) == _FIGURES.sub('', state.reason)
