--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -65,5 +65,5 @@
         (again,) = dispatch.finish(state, ticket, gone, 0.1, rng)
         assert isinstance(again, dispatch.Start)
         dispatch.finish(state, ticket, RAN, 0.2, rng)
-    healths = state.services[utils.SERVICE].healths.values()
+    healths = state.services[utils.SERVICE].upstreams.healths.values()
     assert not any(health.failures for health in healths)
