--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: test lint format demo measure slopes soak mutants
+.PHONY: test lint format demo measure slopes soak mutants faults
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 test: $(VENV)/.installed
 	$(RUN) -m pytest -q
 
+faults: $(VENV)/.installed
+	$(RUN) -m pytest -q -m slow tests/faults
+
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
 	$(RUN) -m flake8 .
