--- a/oleanderwood/buffer.py
+++ b/oleanderwood/buffer.py
@@ -20,6 +20,9 @@
 """VMs exchanged with the spare at one step to mend the reserve."""
 
 
+FEW_CANDIDATES = 3
+"""VMs on each side that are tried for a swap within one step."""
+
 LEAST_FREE = 1
 """VMs that the reserve should allow to be out besides."""
 
@@ -86,7 +89,9 @@
 ) -> tuple[Move, ...]:
     """Choose the moves that bring each pool to its size.
 
-    The same input with the moves carried out gives no further move.
+    VMs that leave a pool count as out until they have arrived, so that more
+    may move in a later step; after a few steps nothing moves until the
+    input changes.
 
     :param rows: of all shards of the region
     :param sites: data centre and rack of all listed VMs of the region
@@ -188,11 +193,23 @@
         ),
     )
     for state in states:
+        name = ids.PoolId(state.pool.name)
         while state.up + state.out < state.pool.size:
             vm = _spare_to_keep(plan, state)
-            if vm is None:
+            if vm is None or not _keeps_reserve(plan, vm, name):
                 break
-            _move(plan, vm, ids.PoolId(state.pool.name), MoveReason.BELOW_SIZE)
+            _move(plan, vm, name, MoveReason.BELOW_SIZE)
+
+
+def _keeps_reserve(plan: _Plan, vm: ids.VmId, pool: ids.PoolId) -> bool:
+    """Say whether the reserve is short no more than now after a move."""
+    census = plan.census
+    origin = census.rows[vm].pool
+    before = reserve.free(census)
+    reserve.move(census, vm, pool)
+    held = reserve.free(census) >= min(0, before)
+    reserve.move(census, vm, origin)
+    return held
 
 
 def _recall(
@@ -225,8 +242,10 @@
     """Return a VM of a pool if the reserve has less room than wanted."""
     census = plan.census
     state = census.pools.get(name)
+    if state is None or members(state) <= state.pool.size:
+        return
     before = buffer_swap.deficit(census, target)
-    if not before or state is None or members(state) <= state.pool.size:
+    if not before:
         return
     vm = _extra_vm(plan, state, state.group, lambda vm: _spare_of(plan, vm))
     if vm is None:
@@ -249,7 +268,8 @@
     if reserve.free(census) >= LEAST_FREE or not _is_idle(census):
         return
     target = reserve.free(census) + 1
-    for vm, spare in buffer_swap.find(census, target, MAX_SWAPS):
+    swaps = buffer_swap.find(census, target, MAX_SWAPS, FEW_CANDIDATES)
+    for vm, spare in swaps:
         pool = census.rows[vm].pool
         origin = census.rows[spare].pool
         reserve.move(census, spare, pool)
--- a/oleanderwood/reserve.py
+++ b/oleanderwood/reserve.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import operator
 import typing
 
@@ -72,6 +73,9 @@
     pool: configuration.Pool
     group: Group
     needed: int
+    level: int
+    """The level of the domain whose loss the pool promises to survive."""
+
     up: int = 0
     out: int = 0
     """VMs of the pool that are not up, ``broken`` ones included."""
@@ -114,6 +118,7 @@
     """VMs that pools would lack with a domain, without lost spares."""
 
 
+@functools.lru_cache(maxsize=8192)
 def domains_of(site: Site) -> tuple[Domain, Domain]:
     """Name the rack and the data centre that a VM fails with."""
     return (
@@ -139,7 +144,8 @@
         pool_id = ids.PoolId(pool.name)
         group = frozenset(map(ids.DataCentre, pool.data_centres))
         wanted = needed.get(pool_id, pool.min_up)
-        states[pool_id] = PoolState(pool, group, wanted)
+        level = _LEVELS[pool.survives]
+        states[pool_id] = PoolState(pool, group, wanted, level)
     census = _empty_census(states, rows, sites)
     for row in census.rows.values():
         _count(census, row)
@@ -180,28 +186,56 @@
 
 
 def holds_without(census: Census, vm: ids.VmId) -> bool:
-    """Say whether every promise holds once a VM that is up is taken.
+    """Say whether every promise holds once a VM that is up is taken."""
+    held = try_take(census, vm)
+    if held:
+        put_back(census, vm)
+    return held
+
+
+def try_take(census: Census, vm: ids.VmId) -> bool:
+    """Take a VM that is up if every promise holds without it.
 
     Only failures that taking it makes worse are judged: one that could not
     be survived before stops no VM that has nothing to do with it.
+
+    :returns: whether it was taken
     """
-    row = census.rows[vm]
-    state = census.pools.get(row.pool)
+    state = census.pools.get(census.rows[vm].pool)
     if state is not None and state.up - 1 < state.needed:
         return False
-    whole = state is None or _extra(state) > 0
-    take(census, vm)
-    held = _holds(census, None if whole else tuple(state.loss))
-    put_back(census, vm)
+    if state is None or _extra(state) > 0:
+        take(census, vm)
+        held = free(census) >= 0
+    else:
+        held = _take_own(census, state, vm)
+    if not held:
+        put_back(census, vm)
     return held
 
 
+def _take_own(census: Census, state: PoolState, vm: ids.VmId) -> bool:
+    """Take a VM of a pool without extra ones; judge the pool's domains."""
+    none = (0,) * len(census.unions)
+    before = [
+        (domain, tuple(census.cost.get(domain, none))) for domain in state.loss
+    ]
+    take(census, vm)
+    return not any(
+        now > was and now > margin
+        for domain, costs in before
+        for was, now, margin in zip(
+            costs, census.cost.get(domain, none), census.margin
+        )
+    )
+
+
 def holds(census: Census, absent: int = 0) -> bool:
     """Say whether every promise holds now.
 
     :param absent: VMs that may be out besides, of whichever pools
     """
-    return _holds(census, None, absent)
+    return free(census) >= absent
 
 
 def free(census: Census) -> int:
@@ -266,10 +300,7 @@
             for group in groups
             for name in group
         },
-        deepest=max(
-            (_LEVELS[state.pool.survives] for state in states.values()),
-            default=0,
-        ),
+        deepest=max((state.level for state in states.values()), default=0),
         spares=collections.Counter(),
         margin=list(zeros),
         cost=collections.defaultdict(zeros.copy),
@@ -383,7 +414,7 @@
             census.margin[index] -= sign * below
     for domain, lost in state.loss.items():
         lacking = 0
-        if promises(state.pool, domain):
+        if domain.level <= state.level:
             lacking = max(0, state.needed - state.up + lost) - below
         if domain.level > census.deepest or not (lacking or extra):
             continue
@@ -393,17 +424,3 @@
             costs[index] += sign * lacking
         for index in homes:
             costs[index] += sign * min(extra, lost)
-
-
-def _holds(
-    census: Census,
-    domains: collections.abc.Iterable[Domain] | None,
-    absent: int = 0,
-) -> bool:
-    if domains is None:
-        return free(census) >= absent
-    return not any(
-        any(map(operator.gt, census.cost[domain], census.margin))
-        for domain in domains
-        if domain in census.cost
-    )
