Let no list that is cut short take VMs out of service

A VM that is missing from the list counts as gone only once the pool interface doesn't know it either; before, an empty list at a new version broke every VM of the region.

--- a/oleanderwood/inventory.py
+++ b/oleanderwood/inventory.py
@@ -60,18 +60,24 @@
 def changes(
     shards: ownership.Shards,
     sighting: Sighting,
-    released: collections.abc.Container[tuple[ids.VmId, ids.Epoch]],
+    released: ownership.Released,
+    unknown: collections.abc.Container[ids.VmId],
     now_s: float,
 ) -> list[ownership.Change]:
     """Say what the list changes; calling it again is harmless.
 
     :param released: VMs, by epoch, that no entry holds work at
+    :param unknown: VMs that the pool interface doesn't know either; one
+        that is only missing from the list is left alone, so that a list
+        that is cut short takes no VM out of service
     """
     found = []
     for data_centre, shard in shards.items():
         if shard.listing_version > sighting.version:
             continue
         for row in shard.rows:
+            if row.vm not in sighting.listed and row.vm not in unknown:
+                continue
             one = _known(data_centre, row, sighting, released, now_s)
             if one is not None:
                 found.append(one)
@@ -110,7 +116,7 @@
     data_centre: ids.DataCentre,
     row: fleet.VmRow,
     sighting: Sighting,
-    released: collections.abc.Container[tuple[ids.VmId, ids.Epoch]],
+    released: ownership.Released,
     now_s: float,
 ) -> ownership.Change | None:
     listed = sighting.listed.get(row.vm)
@@ -135,7 +141,7 @@
     data_centre: ids.DataCentre,
     row: fleet.VmRow,
     reason: str,
-    released: collections.abc.Container[tuple[ids.VmId, ids.Epoch]],
+    released: ownership.Released,
     now_s: float,
 ) -> ownership.Change | None:
     """Drop a row once no entry can hold work, and no order arrive.
--- a/oleanderwood/orders.py
+++ b/oleanderwood/orders.py
@@ -35,6 +35,7 @@
 
     :ivar statuses: by VM, as of this pass
     :ivar probed: VMs whose upstream accepted a connection in this pass
+    :ivar unknown: VMs that the platform said it doesn't have, in this pass
     :ivar refused: orders that the platform refused, with why
     """
 
@@ -42,6 +43,7 @@
         default_factory=dict
     )
     probed: set[ids.VmId] = dataclasses.field(default_factory=set)
+    unknown: set[ids.VmId] = dataclasses.field(default_factory=set)
     refused: dict[ids.VmId, str] = dataclasses.field(default_factory=dict)
 
 
@@ -59,12 +61,15 @@
     """Ask for the statuses of some VMs, and probe those that return."""
     seen.statuses = {}
     seen.probed = set()
+    seen.unknown = set()
 
     async def one(row: fleet.VmRow) -> None:
         try:
             status = await platform.vm_status(row.vm)
         except errors.CallFailed as error:
             LOG.debug('No status of %s: %s.', row.vm, error.reason)
+            if _is_unknown(error):
+                seen.unknown.add(row.vm)
             return
         seen.statuses[row.vm] = status
         returns = row.state is State.RETURNING and status.healthy
@@ -74,6 +79,12 @@
     await for_each(rows, one)
 
 
+def _is_unknown(error: errors.CallFailed) -> bool:
+    if not isinstance(error, platform_api.Refused):
+        return False
+    return error.status == platform_api.NO_SUCH
+
+
 async def send(
     platform: platform_api.Platform,
     rows: collections.abc.Iterable[fleet.VmRow],
--- a/oleanderwood/region_idle.py
+++ b/oleanderwood/region_idle.py
@@ -27,6 +27,7 @@
         tuple(shard.revision for shard in view.shards.values()),
         view.settled,
         tuple(leader.releases.blocked.items()),
+        tuple(sorted(leader.seen.unknown)),
     )
     serving = region_state.index(leader).serving
     evidence = {
--- a/oleanderwood/region_leader.py
+++ b/oleanderwood/region_leader.py
@@ -115,6 +115,8 @@
     release.forget(leader.releases, shards)
     index = region_state.index(leader)
     looked = list(index.out)
+    for vm in index.serving.keys() - leader.sighting.listed.keys():
+        looked.append(index.serving[vm])
     swept = _next_swept(leader, index)
     if swept is not None:
         looked.append(swept)
@@ -152,6 +154,7 @@
         sighting=leader.sighting,
         evidence=_evidence(leader),
         released=leader.releases.released,
+        unknown=leader.seen.unknown,
         settled=release.settled(leader.releases, world.monotonic_s()),
         waves=leader.waves.value,
         runs=leader.runs.value,
--- a/oleanderwood/region_plan.py
+++ b/oleanderwood/region_plan.py
@@ -33,7 +33,11 @@
     """
     decision = region_view.Decision([], view.runs, view.waves)
     listed = inventory.changes(
-        view.shards, view.sighting, view.released, view.now_s
+        view.shards,
+        view.sighting,
+        view.released,
+        view.unknown,
+        view.now_s,
     )
     decision.changes += listed
     decision.changes += _steps(view, region_view.changed(decision), new_id)
--- a/oleanderwood/region_view.py
+++ b/oleanderwood/region_view.py
@@ -22,6 +22,7 @@
     """What the leader knows when it decides.
 
     :ivar evidence: of VMs that were looked at; the others are as they were
+    :ivar unknown: VMs that the pool interface doesn't know
     :ivar settled: VMs may be taken and moved: the roster has answered
         whole since the leader gained its footing
     :ivar runs: what is known of the runs of waves
@@ -34,6 +35,7 @@
     sighting: inventory.Sighting
     evidence: collections.abc.Mapping[ids.VmId, lifecycle.Evidence]
     released: ownership.Released
+    unknown: collections.abc.Container[ids.VmId]
     settled: bool
     waves: wave_state.Waves
     runs: wave_run.Runs
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -20,8 +20,8 @@
     return platform_api.VmListing(version, listed)
 
 
-def _apply(shards, sighting, released=(), now_s=1000.0):
-    changes = inventory.changes(shards, sighting, released, now_s)
+def _apply(shards, sighting, released=(), unknown=VMS):
+    changes = inventory.changes(shards, sighting, released, unknown, 1000.0)
     assert not ownership.breaches_of_changes(shards, changes, {}, released)
     if not changes:
         return shards
@@ -78,7 +78,7 @@
     moved = _listing(2, ['v1'], data_centre='b')
     empty = fleet.Shard(ids.DataCentre('b'), ids.Revision(0), 1)
     both = shards | {empty.data_centre: empty}
-    changes = inventory.changes(both, _see(moved), (), 1000.0)
+    changes = inventory.changes(both, _see(moved), (), VMS, 1000.0)
     assert [row.vm for row in shards[A].rows] == ['v1']
     assert changes == []
 
@@ -120,6 +120,11 @@
     assert gone[A].rows == ()
 
 
+def test_list_that_is_cut_short_takes_no_vm_out_of_service():
+    shards = _serving()
+    assert _apply(shards, _see(_listing(2, [])), unknown=()) == shards
+
+
 def test_vm_that_comes_back_has_a_higher_epoch():
     shards = _serving()
     before = shards[A].rows[0].epoch
