--- a/tests/test_wave_run.py
+++ b/tests/test_wave_run.py
@@ -1,10 +1,14 @@
 """Tests of wave_run and region_waves: operators' orders, and reports."""
 
+import dataclasses
+
 import curio
 import pytest
 
 from oleanderwood import fleet
 from oleanderwood import ids
+from oleanderwood import region_leader
+from oleanderwood import region_state
 from oleanderwood import wave as waves
 from oleanderwood import wave_run
 from oleanderwood import wave_state
@@ -122,3 +126,35 @@
         wave=ids.WaveId(wave),
         changed_at_s=changed_at_s,
     )
+
+
+def test_operator_who_writes_during_a_pass_wins():
+    async def main():
+        made = utils.world()
+        utils.configure(made, [utils.pool()])
+        await utils.run_until(made, lambda: utils.serving(made) == 3)
+        utils.order_wave(made)
+        stops = []
+
+        async def stop_while_probing(address):
+            if not stops and utils.wave(made).total:
+                stops.append(utils.order_wave(made, Order.STOP))
+            return True
+
+        reach = dataclasses.replace(
+            utils.leader_world(made), probe=stop_while_probing
+        )
+        leader = region_state.Leader()
+        while not stops:
+            utils.step(made)
+            await region_leader.run_pass(reach, leader)
+        assert utils.wave(made).state is State.STOPPED
+        for _ in range(30):
+            utils.step(made)
+            await region_leader.run_pass(reach, leader)
+        assert utils.wave(made).state is State.STOPPED
+        assert _all_serve(made)()
+        assert leader.footing.term == 2
+        assert made.harm == []
+
+    curio.run(main)
