Let one task of a kernel wake it at signals

Every daemon waits for two sets of signals, and the second wake task crashed at start with ReadResourceBusy and a traceback in the log; signals still arrived by the first. The new test fails without the change.

--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -141,5 +141,9 @@
     """
     signal.set_wakeup_fd(_WAKE_WRITER.fileno(), warn_on_full_buffer=False)
     reader = curio.io.Socket(_WAKE_READER)
-    while await reader.recv(64):
-        pass
+    try:
+        while await reader.recv(64):
+            pass
+    except curio.errors.ReadResourceBusy:
+        # Another task of this kernel, spawned for other signals, does it.
+        return
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -24,3 +24,16 @@
     finally:
         signal.signal(signal.SIGTERM, kept[0])
         signal.signal(signal.SIGINT, kept[1])
+
+
+def test_two_waits_for_signals_share_one_wake(caplog):
+    async def main():
+        await daemon.signal_socket(signal.SIGUSR1)
+        arrivals = await daemon.signal_socket(signal.SIGUSR2)
+        await curio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGUSR2)
+        async with curio.timeout_after(5):
+            return (await arrivals.recv(1))[0]
+
+    assert curio.run(main) == signal.SIGUSR2
+    assert 'Task Crash' not in caplog.text
