--- a/oleanderwood/configuration.py
+++ b/oleanderwood/configuration.py
@@ -182,8 +182,9 @@
 class Head(msgspec.Struct, frozen=True):
     """Which revision is accepted, and the parts that make it up.
 
-    ``parts`` maps part names to content hashes; the parts themselves are
-    immutable values under ``config/parts/<hash>``.
+    ``parts`` maps part names to references; the parts themselves are
+    immutable values (see :mod:`oleanderwood.parts`). ``base`` is the
+    revision that it was made from, ``operation`` the apply that made it.
     """
 
     revision: ids.Revision
