Make an end of applies whose daemons died

Cause: the record of such an apply stayed undecided until the next apply was accepted. Entries that know of it ask the store each second, and would all be not ready in an outage of the store: one dead daemon would have hurt everybody. A daemon that sees a record undecided for too long now fences the head and deletes what the record names; the time is a heuristic, the fence is what makes it safe. Ruled out: a time limit alone, as a paused daemon may send its swap at any time.

--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -29,6 +29,7 @@
 from oleanderwood import store
 from oleanderwood import store_http
 from oleanderwood import traffic
+from oleanderwood import upkeep
 from oleanderwood import vm_listing
 
 LOG = logging.getLogger('admin')
@@ -93,6 +94,11 @@
     return admin_api.Api(desk, token, dump)
 
 
+def _upkeep(desk: operators.Desk) -> upkeep.Upkeep:
+    stale_s = 2 * desk.links.prepare_limit_s + upkeep.SLACK_S
+    return upkeep.Upkeep(desk.links.kept, desk.new_operation, stale_s)
+
+
 async def serve(
     listen: ids.Address,
     probes_listen: ids.Address,
@@ -119,6 +125,7 @@
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(http_server.run, server)
         await group.spawn(daemon.serve_probes, probes_listen, probes)
+        await group.spawn(upkeep.run, _upkeep(api.desk))
         stopping = await group.spawn(daemon.until_stopped)
         await stopping.wait()
         await http_server.stop(server)
--- a/tests/test_apply_death.py
+++ b/tests/test_apply_death.py
@@ -53,7 +53,7 @@
     )
 
 
-async def _apply_and_die(place, death):
+async def apply_and_die(place, death):
     links = place.desk.links
     dying = dataclasses.replace(links, kept=_dying(links.kept, death))
     place.desk.links = dying
@@ -72,7 +72,7 @@
 
     async def scenario():
         await operators.run_apply(other.desk, _body())
-        await _apply_and_die(place, Death(at, after))
+        await apply_and_die(place, Death(at, after))
         current = await staging.read_current(other.desk.links.kept)
         assert current.whole.pools[0].size == 5 + current.head.revision
         standing = [current.head.revision] * 2
