Let a daemon take signals in two places without a task crash

Cause: each daemon's log began with the crash of a task: SIGUSR1 and the end are waited for in two places, and both read the socket that wakes the kernel. Signals still arrived, by the first task. The second now leaves it to the first. The new test fails without the change.

--- a/oleanderwood/daemon.py
+++ b/oleanderwood/daemon.py
@@ -141,5 +141,8 @@
     """
     signal.set_wakeup_fd(_WAKE_WRITER.fileno(), warn_on_full_buffer=False)
     reader = curio.io.Socket(_WAKE_READER)
-    while await reader.recv(64):
-        pass
+    try:
+        while await reader.recv(64):
+            pass
+    except curio.ReadResourceBusy:
+        LOG.debug('Another task wakes the kernel already.')
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -24,3 +24,23 @@
     finally:
         signal.signal(signal.SIGTERM, kept[0])
         signal.signal(signal.SIGINT, kept[1])
+
+
+def test_daemon_takes_signals_in_two_places(caplog):
+    """Each daemon waits for SIGUSR1 and for its end; no task may crash."""
+
+    async def main():
+        for _ in range(2):
+            arrivals = await daemon.signal_socket(signal.SIGUSR1)
+        await curio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        async with curio.timeout_after(5):
+            return await arrivals.recv(1)
+
+    kept = signal.getsignal(signal.SIGUSR1)
+    try:
+        assert curio.run(main) == bytes((signal.SIGUSR1,))
+    finally:
+        signal.signal(signal.SIGUSR1, kept)
+        signal.set_wakeup_fd(-1)
+    assert 'Task Crash' not in caplog.text
