--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -37,3 +37,23 @@
 
     assert curio.run(main) == signal.SIGUSR2
     assert 'Task Crash' not in caplog.text
+
+
+def test_daemon_takes_signals_in_two_places(caplog):
+    """Each daemon waits for SIGUSR1 and for its end; no task may crash."""
+
+    async def main():
+        for _ in range(2):
+            arrivals = await daemon.signal_socket(signal.SIGUSR1)
+        await curio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        async with curio.timeout_after(5):
+            return await arrivals.recv(1)
+
+    kept = signal.getsignal(signal.SIGUSR1)
+    try:
+        assert curio.run(main) == bytes((signal.SIGUSR1,))
+    finally:
+        signal.signal(signal.SIGUSR1, kept)
+        signal.set_wakeup_fd(-1)
+    assert 'Task Crash' not in caplog.text
