--- a/oleanderwood/admission.py
+++ b/oleanderwood/admission.py
@@ -205,10 +205,10 @@
 
 
 def _count_start(queue: Queue, started: configuration.Priority) -> None:
-    for priority in CLASSES:
-        seen = 1.0 if priority is started else 0.0
-        change = seen - queue.start_shares[priority]
-        queue.start_shares[priority] += START_WEIGHT * change
+    shares = queue.start_shares
+    for priority, share in shares.items():
+        shares[priority] = share - START_WEIGHT * share
+    shares[started] += START_WEIGHT
 
 
 def _rate_share(queue: Queue, priority: configuration.Priority) -> float:
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -303,6 +303,9 @@
             state.entries,
             now_s,
         )
+        upstream_set.set_allowed(
+            service.upstreams, state.policy.limit, len(state.entries)
+        )
 
 
 def _admit(
@@ -347,9 +350,7 @@
     if not service.queue.length:
         return []
     made: list[Decision] = []
-    candidates = upstream_set.candidates(
-        service.upstreams, state.policy.limit, len(state.entries), now_s
-    )
+    candidates = upstream_set.candidates(service.upstreams, now_s)
     while service.queue.length:
         request = state.requests[admission.peek(service.queue, now_s).ticket]
         upstream = _choose(state, candidates, request, rng)
--- a/oleanderwood/ejection.py
+++ b/oleanderwood/ejection.py
@@ -44,6 +44,11 @@
     return now_s < health.until_s
 
 
+def is_sound(health: Health) -> bool:
+    """Say whether nothing is held against an upstream."""
+    return not health.failures and not health.ejections
+
+
 def is_doubtful(health: Health, now_s: float) -> bool:
     """Say whether an upstream failed last, and only just."""
     return health.failures > 0 and now_s - health.failed_at_s < DOUBT_S
--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -14,7 +14,8 @@
 
     :ivar in_flight: this entry's requests there
     :ivar peer_load: the other entries' requests there, as last told
-    :ivar limit: requests that this entry may have there now
+    :ivar allowed: requests that this entry may have there in good health
+    :ivar limit: requests that it may have there now
     :ivar doubtful: whether others go first as it has just failed
     :ivar turn: its place in this entry's order of upstreams; the orders
         of the entries are turned against each other
@@ -30,6 +31,7 @@
     serving: bool = True
     in_flight: int = 0
     peer_load: float = 0.0
+    allowed: int = 0
     limit: int = 0
     doubtful: bool = False
     turn: int = 0
--- a/oleanderwood/upstream_set.py
+++ b/oleanderwood/upstream_set.py
@@ -80,20 +80,29 @@
     return [up for up in upstreams.by_vm.values() if up.serving]
 
 
-def candidates(
-    upstreams: UpstreamSet, limit: routing.Limit, entries: int, now_s: float
-) -> list[routing.Upstream]:
+def set_allowed(
+    upstreams: UpstreamSet, limit: routing.Limit, entries: int
+) -> None:
+    """Set what one of some entries may have at each upstream."""
+    for upstream in upstreams.by_vm.values():
+        upstream.allowed = min(
+            limit(upstream, entries),
+            routing.connection_limit(upstream.connections, entries),
+        )
+
+
+def candidates(upstreams: UpstreamSet, now_s: float) -> list[routing.Upstream]:
     """List the upstreams that may be used, with their limits set."""
     found = []
-    for vm, upstream in upstreams.by_vm.items():
-        if not upstream.serving:
-            continue
-        health = upstreams.healths[vm]
-        upstream.doubtful = ejection.is_doubtful(health, now_s)
-        usable = ejection.usable_slots(health, limit(upstream, entries), now_s)
-        upstream.limit = min(
-            usable, routing.connection_limit(upstream.connections, entries)
-        )
+    for vm, health in upstreams.healths.items():
+        upstream = upstreams.by_vm[vm]
+        upstream.limit = upstream.allowed
+        upstream.doubtful = False
+        if not ejection.is_sound(health):
+            upstream.doubtful = ejection.is_doubtful(health, now_s)
+            upstream.limit = ejection.usable_slots(
+                health, upstream.allowed, now_s
+            )
         if upstream.limit:
             found.append(upstream)
     return found
