Retry only where an upstream is left that did not just fail

The measured entries started with one retry saved. Chosen: no retry while all upstreams that the request did not try have just failed.

--- a/measure/admission.py
+++ b/measure/admission.py
@@ -130,7 +130,7 @@
     'static share': dispatch.Policy(limit=limit_to_share),
     'credits, gossip': dispatch.Policy(limit=limit_to_credits),
     'queue at upstreams': dispatch.Policy(limit=limit_to_connections),
-    'fixed 3 attempts': dispatch.Policy(spend=always),
+    'fixed 3 attempts': dispatch.Policy(spend=always, needs_hope=False),
 }
 ROUTING_WAYS = (
     THIS,
--- a/measure/admission_events.py
+++ b/measure/admission_events.py
@@ -10,6 +10,7 @@
 from oleanderwood import dispatch
 from oleanderwood import ids
 from oleanderwood import messages
+from oleanderwood import retry
 from oleanderwood import verdict as verdicts
 
 SERVICE = ids.ServiceId('service')
@@ -257,6 +258,9 @@
         for n in range(size.upstreams)
     )
     dispatch.set_upstreams(state, SERVICE, rows, 0.0)
+    # An entry that has run for a while has saved retries.
+    budget = state.services[SERVICE].budget
+    budget.balance = retry.MAX_SAVED_RETRIES
     return state
 
 
--- a/oleanderwood/dispatch.py
+++ b/oleanderwood/dispatch.py
@@ -46,11 +46,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Policy:
-    """The parts of the decisions that can be exchanged."""
+    """The parts of the decisions that can be exchanged.
+
+    :ivar needs_hope: whether a retry needs an upstream that did not just
+        fail
+    """
 
     choose: routing.Choose = routing.choose
     limit: routing.Limit = routing.limit_by_loads
     spend: collections.abc.Callable[[retry.Budget], bool] = retry.spend
+    needs_hope: bool = True
 
 
 @dataclasses.dataclass
@@ -427,8 +432,13 @@
     if not retry.allowed(request.verdict, ask.idempotent, request.attempts):
         return False
     # What never reached an upstream costs none of them anything.
-    if outcome.upstream_failed and not state.policy.spend(service.budget):
-        return False
+    if outcome.upstream_failed:
+        if state.policy.needs_hope and not upstream_set.has_hope(
+            service.upstreams, request.tried, now_s
+        ):
+            return False
+        if not state.policy.spend(service.budget):
+            return False
     return _admit(service, request, now_s, rng) is None
 
 
--- a/oleanderwood/upstream_set.py
+++ b/oleanderwood/upstream_set.py
@@ -108,6 +108,20 @@
     return found
 
 
+def has_hope(
+    upstreams: UpstreamSet,
+    tried: collections.abc.Container[ids.VmId],
+    now_s: float,
+) -> bool:
+    """Say whether an upstream is left whose last answer was good."""
+    return any(
+        vm not in tried
+        and not ejection.is_ejected(health, now_s)
+        and not ejection.is_doubtful(health, now_s)
+        for vm, health in upstreams.healths.items()
+    )
+
+
 def enter(upstreams: UpstreamSet, upstream: routing.Upstream) -> bool:
     """Count a request in; say whether the upstream's limit was kept."""
     upstream.in_flight += 1
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -67,3 +67,14 @@
         dispatch.finish(state, ticket, RAN, 0.2, rng)
     healths = state.services[utils.SERVICE].upstreams.healths.values()
     assert not any(health.failures for health in healths)
+
+
+def test_nothing_is_retried_while_all_fail():
+    state = utils.make_state(retry_share=1.0)
+    rng = utils.make_rng()
+    for ticket in range(6):
+        dispatch.arrive(state, utils.make_ask(ticket), 0.0, rng)
+        made = dispatch.finish(state, ticket, NOT_RUN, 0.1, rng)
+        while isinstance(made[0], dispatch.Start):
+            made = dispatch.finish(state, ticket, NOT_RUN, 0.1, rng)
+    assert state.services[utils.SERVICE].budget.retries <= 2
