Take the own data centre first among equals

With few slots an entry, the preference for the own data centre rounded to nothing (16 entries, 24 upstreams, 5 data centres: 20% of the requests stayed in it). Among upstreams with equally many requests those of the own data centre now come first.

--- a/oleanderwood/routing.py
+++ b/oleanderwood/routing.py
@@ -94,7 +94,9 @@
     for index, upstream in enumerate(ordered):
         upstream.turn = (index - first) % len(ordered)
         upstream.preferred = 0
-        if upstream.data_centre == data_centre:
+        if upstream.data_centre != data_centre:
+            upstream.turn += len(ordered)
+        else:
             own = upstream.slots * PREFERRED_SHARE / neighbours
             upstream.preferred = max(0, int(own) - 1)
 
