--- a/demo/checker.py
+++ b/demo/checker.py
@@ -127,7 +127,13 @@
     for key, attempts in by_key.items():
         count = sum(len(runs.get(a.nonce, [])) for a in attempts)
         if count > 1 and not attempts[0].idempotent:
-            yield Breach(Rule.AT_MOST_ONCE, f'{key} ran {count} times')
+            detail = '; '.join(
+                f'{_told(a)} ran as {[r.request for r in runs[a.nonce]]}'
+                if a.nonce in runs
+                else _told(a)
+                for a in attempts
+            )
+            yield Breach(Rule.AT_MOST_ONCE, f'{count} times: {detail}')
         answered = any(a.status == 200 and a.whole for a in attempts)
         if answered and not count:
             yield Breach(Rule.ANSWER_OF_RUN, key)
--- a/demo/soak.py
+++ b/demo/soak.py
@@ -37,6 +37,7 @@
     report: checker.Report
     striker: strikes.Striker
     reboots: int = 0
+    tasks: int = 0
     recovery_s: float = 0.0
     applies: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
@@ -82,6 +83,7 @@
     seen = await scenes.gather(scene)
     outcome.report = checker.check(seen)
     outcome.reboots = sum(e.kind == 'reboot' for e in seen.events)
+    outcome.tasks = sum(e.kind == 'task-start' for e in seen.events)
     outcome.failures += [
         f'{child.name} ended by itself:\n{processes.tail(child)}'
         for child in processes.crashed(run)
@@ -135,7 +137,7 @@
         f'failures={len(outcome.failures)} faults={faults} '
         f'{counts} applies={outcome.applies[0]} '
         f'refused_applies={outcome.applies.total() - outcome.applies[0]} '
-        f'reboots={outcome.reboots} '
+        f'reboots={outcome.reboots} task_starts={outcome.tasks} '
         f'in_force_s={report.in_force_s:.1f} '
         f'latest_work_s={report.latest_work_s:.2f} seconds={seen_s:.0f}'
     )
