--- a/tests/defects_controller.py
+++ b/tests/defects_controller.py
@@ -108,19 +108,10 @@
         (lifecycle, 'taken', lambda row, vm: vm is not None),
     ),
     'no-budget': (
-<<<<<<< HEAD
-        (batch, '_take', lambda census, row, quarter: None),
-        (ownership, '_of_min_up', _no_breaches),
-    ),
-    'planner-without-budget': (
-        (batch, '_take', lambda census, row, quarter: None),
-    ),
-=======
         (batch, '_take', _take_unchecked),
         (ownership, '_of_min_up', _no_breaches),
     ),
     'planner-without-budget': ((batch, '_take', _take_unchecked),),
->>>>>>> main
     'drop-vanished-vms-at-once': (
         (inventory, '_gone', _drop_at_once),
         (ownership, '_of_release', _no_breaches),
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -336,11 +336,3 @@
     )
     assert stuck.end_s is None
     assert not stuck.meets_deadline
-<<<<<<< HEAD
-=======
-
-
-def test_vm_that_was_out_for_no_time_still_counts_as_out():
-    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
-    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
->>>>>>> main
