--- a/demo/run.py
+++ b/demo/run.py
@@ -83,6 +83,7 @@
     seen = await scenes.gather(scene)
     outcome.report = checker.check(seen)
     outcome.moves = figures.moves(seen.writes, scene.began_s)
+    say(f'{name}: {outcome.moves} moves of VMs between pools')
     for line in figures.lines(scene, seen):
         say(f'{name}: {line}')
     await _stop(deployment, outcome)
@@ -145,12 +146,14 @@
         return
     state = ''
     while time.monotonic() - start_s < WAVE_LIMIT_S:
-        state = await _wave_state(deployment)
+        before, state = state, await _wave_state(deployment)
+        if state != before:
+            say(f'{deployment.name}: wave {state}')
         if state.startswith(('done', 'stopped')):
             break
         await curio.sleep(SHOW_EVERY_S / 2)
     outcome.wave_s = time.monotonic() - start_s
-    say(f'{deployment.name}: wave {state} after {_since(start_s)}')
+    say(f'{deployment.name}: the wave took {_since(start_s)}')
     if not state.startswith('done'):
         outcome.failures.append(f'wave: {state}')
 
--- a/demo/soak.py
+++ b/demo/soak.py
@@ -138,11 +138,20 @@
         f'{counts} applies={outcome.applies[0]} '
         f'refused_applies={outcome.applies.total() - outcome.applies[0]} '
         f'reboots={outcome.reboots} task_starts={outcome.tasks} '
+        f'least_above_min_up={_least_above(outcome)} '
         f'in_force_s={report.in_force_s:.1f} '
         f'latest_work_s={report.latest_work_s:.2f} seconds={seen_s:.0f}'
     )
 
 
+def _least_above(outcome: Outcome) -> int | str:
+    """Give how near a planned step came to a pool's promise."""
+    whole = outcome.striker.scene.deployment.whole
+    promised = {pool.name: pool.min_up for pool in whole.pools}
+    least = outcome.report.least_up
+    return min((least[p] - promised[p] for p in least), default='none')
+
+
 def main(
     *,
     seconds: float = 60.0,
