Count what one write of a shard costs a daemon

Cause: the cost of a wave has to be given per write, since a wave on loopback is many times faster than a real one.

--- a/measure/slope_process.py
+++ b/measure/slope_process.py
@@ -27,6 +27,7 @@
     watches: float
     passes: float
     pass_s: float
+    shard_writes: float
 
 
 async def read(pid: int, probes: ids.Address) -> Spent:
@@ -46,6 +47,7 @@
         watches=watches,
         passes=_sum(samples, 'oleander_controller_passes_total'),
         pass_s=_sum(samples, 'oleander_controller_pass_cpu_seconds_total'),
+        shard_writes=_sum(samples, 'oleander_controller_shard_writes_total'),
     )
 
 
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -154,10 +154,15 @@
     await curio.sleep(WINDOW_S)
     wave_window_s = time.monotonic() - start_s
     fourth = await _read(deployment)
+    writes = sum(
+        fourth[daemon].shard_writes - third[daemon].shard_writes
+        for daemon in first
+    )
     points = []
     for daemon in first:
         figures = _rates(first[daemon], second[daemon], WINDOW_S, 'rest')
         figures |= _rates(third[daemon], fourth[daemon], wave_window_s, 'wave')
+        figures |= _of_write(third[daemon], fourth[daemon], writes)
         figures['resident MB'] = fourth[daemon].resident_mb
         figures |= _of_change(second[daemon], third[daemon], shape.changes)
         if daemon == 'admin':
@@ -243,6 +248,20 @@
     }
 
 
+def _of_write(
+    before: slope_process.Spent, after: slope_process.Spent, writes: float
+) -> dict[str, float]:
+    """Give what a wave cost for each shard that was written."""
+    if not writes:
+        return {}
+    spent_s = after.processor_s - before.processor_s
+    return {
+        'shard write core ms': 1000 * spent_s / writes,
+        'shard write bytes': (after.control_bytes - before.control_bytes)
+        / writes,
+    }
+
+
 def fit(points: list[Point]) -> list[Slope]:
     """Fit a line to each figure of each daemon over each variable."""
     groups: dict[tuple[str, str, str], list[tuple[int, float]]] = {}
