Name all wrong settings at once, also unreadable and missing ones

Ruled out: a parse of our own before cyclopts, as it would have to know which word belongs to which flag. Taken: a step after the variables are read notes what can't be converted, puts the default or 0 there, and settings.validate tells it with the rest.

Test: tests/test_settings.py, each of the five binaries.

--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -9,7 +9,6 @@
 import uuid
 
 import curio
-import cyclopts
 import prometheus_client
 
 from oleanderwood import absence
@@ -142,9 +141,7 @@
     *,
     listen: str,
     admin_listen: str,
-    store: typing.Annotated[
-        list[str], cyclopts.Parameter(consume_multiple=True, negative=())
-    ],
+    store: settings.Many,
     platform: str,
     region: str,
     data_centre: str,
--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -332,7 +332,7 @@
     *,
     region: str,
     name: str,
-    store: list[str],
+    store: settings.Many,
     platform: str,
     admin_listen: str = '127.0.0.1:0',
     tick_s: float = 1.0,
@@ -348,7 +348,6 @@
     :param tick_s: seconds between passes without news, 0.1 to 60
     :param log_level: debug, info, warning or error
     """
-    levels = ('debug', 'info', 'warning', 'error')
     settings.validate(
         [
             settings.name('--region', region),
@@ -357,12 +356,7 @@
             settings.address('--platform', platform),
             settings.address('--admin-listen', admin_listen),
             settings.between('--tick-s', tick_s, 0.1, 60.0),
-            settings.Check(
-                '--log-level',
-                log_level,
-                ', '.join(levels),
-                levels.__contains__,
-            ),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -3,10 +3,8 @@
 import functools
 import logging
 import time
-import typing
 
 import curio
-import cyclopts
 
 from oleanderwood import connections
 from oleanderwood import daemon
@@ -105,8 +103,6 @@
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
 
-Many = typing.Annotated[list[str], cyclopts.Parameter(consume_multiple=True)]
-
 
 @APP.default
 def start(
@@ -115,12 +111,12 @@
     region: str,
     data_centre: str,
     vm: str,
-    store: Many,
+    store: settings.Many,
     listen: str = '127.0.0.1:0',
     admin_listen: str = '127.0.0.1:0',
     peer_listen: str = '127.0.0.1:0',
     platform: str = '',
-    peer: Many | None = None,
+    peer: settings.Many | None = None,
     drain_notice_s: float = 5.0,
     max_connections: int = http_server.MAX_CONNECTIONS,
     log_level: str = 'info',
@@ -156,6 +152,7 @@
             *settings.addresses('--peer', peers),
             settings.between('--drain-notice-s', drain_notice_s, 0, 600),
             settings.between('--max-connections', max_connections, 1, 100000),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
--- a/oleanderwood/settings.py
+++ b/oleanderwood/settings.py
@@ -1,8 +1,8 @@
 """Access to what the settings of all binaries share: checks and options.
 
-Each binary declares its settings as parameters of a cyclopts command, with
-:data:`COMMON` ones by these annotated types; every flag has an environment
-variable (``OLEANDER_`` and the flag's name in capitals).
+Each binary declares its settings as parameters of a cyclopts command; every
+flag has an environment variable (``OLEANDER_`` and the flag's name in
+capitals). A list takes its values from one variable, parted by blanks.
 """
 
 import collections.abc
@@ -19,6 +19,16 @@
 EXIT_BAD_SETTINGS = 2
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
+Many = typing.Annotated[
+    list[str], cyclopts.Parameter(consume_multiple=True, negative=())
+]
+"""A setting of several values."""
+
+_KINDS = {int: 'a whole number', float: 'a number', bool: 'true, false'}
+
+_UNREADABLE: dict[str, errors.SettingsFault] = {}
+"""Faults of the command line that :func:`validate` tells with its own."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Check:
@@ -79,7 +89,7 @@
 def between(flag: str, value: float, low: float, high: float) -> Check:
     """Check that a number lies between two bounds, both allowed."""
     return Check(
-        flag, value, f'{low:g} to {high:g}', lambda v: low <= v <= high
+        flag, value, f'{low:.15g} to {high:.15g}', lambda v: low <= v <= high
     )
 
 
@@ -89,25 +99,76 @@
     :raises ExceptionGroup: of :class:`errors.SettingsFault`, one for each
         setting that is not allowed
     """
-    faults = [
-        errors.SettingsFault(
-            f'{check.flag}: {check.value!r} is not allowed; '
-            f'allowed: {check.allowed}'
-        )
+    faults = list(_UNREADABLE.values())
+    faults += [
+        _fault(check.flag, check.value, check.allowed)
         for check in checks
-        if not check.accepts(check.value)
+        if check.flag not in _UNREADABLE and not check.accepts(check.value)
     ]
+    _UNREADABLE.clear()
     if faults:
         raise ExceptionGroup('settings are not allowed', faults)
 
 
+def _fault(flag: str, value: typing.Any, allowed: str) -> errors.SettingsFault:
+    return errors.SettingsFault(
+        f'{flag}: {value!r} is not allowed; allowed: {allowed}'
+    )
+
+
+def _note_unreadable(
+    app: cyclopts.App,
+    commands: tuple[str, ...],
+    arguments: cyclopts.ArgumentCollection,
+) -> None:
+    """Note all flags that are missing, or not of their type.
+
+    cyclopts itself would end at the first. They are taken as 0 or empty, or
+    by their default, so that the command is called and :func:`validate`
+    tells them with the others.
+    """
+    _UNREADABLE.clear()
+    for argument in arguments:
+        flag = argument.name
+        if not flag.startswith('--') or not argument.parse:
+            continue
+        fault = _unreadable(argument)
+        if fault is not None:
+            _UNREADABLE[flag] = fault
+            value = '' if argument.hint not in _KINDS else '0'
+            token = cyclopts.Token(keyword=flag, value=value)
+            argument.tokens[:] = [token] if argument.required else []
+
+
+def _unreadable(argument: cyclopts.Argument) -> errors.SettingsFault | None:
+    if not argument.has_tokens:
+        if not argument.required:
+            return None
+        return errors.SettingsFault(f'{argument.name}: must be given')
+    try:
+        argument.convert()
+    except cyclopts.CoercionError:
+        value = ' '.join(token.value for token in argument.tokens)
+        return _fault(argument.name, value, kind_of(argument))
+    return None
+
+
+def kind_of(argument: cyclopts.Argument) -> str:
+    """Say what a setting's values are of, by its type alone."""
+    hints = typing.get_args(argument.hint) or (argument.hint,)
+    return next((_KINDS[hint] for hint in hints if hint in _KINDS), 'any text')
+
+
 def application(program: str, summary: str) -> cyclopts.App:
     """Make the command line of one binary."""
     return cyclopts.App(
         name=program,
         help=summary,
         version=oleanderwood.__version__,
-        config=cyclopts.config.Env('OLEANDER_', command=False),
+        config=(
+            cyclopts.config.Env('OLEANDER_', command=False),
+            _note_unreadable,
+        ),
         result_action='return_value',
     )
 
@@ -118,7 +179,7 @@
     :returns: what the command gave
     """
     try:
-        return app()
+        return app(sys.argv[1:])
     except ExceptionGroup as group:
         matched, rest = group.split(errors.SettingsFault)
         if rest is not None or matched is None:
