Measure what is asked of the store in bad moments

The store takes several hundred writes and two thousand reads a second; what a restart of all daemons or an outage asks of it was not known.

A store that goes down cuts the watches that wait: they lived on before, and got an answer.

--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -137,6 +137,7 @@
         'member': view.member,
         'ready': views.ready(view, at_s) or 'ready',
         'granted': view.granted,
+        'lease': node.lease,
         'sponsor': view.sponsor,
         'contact_age_s': min(at_s - view.contact_s, 1e9),
         'config_revision': config_state.revision(view.config),
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -203,10 +203,18 @@
 
 
 async def serve(
-    listen: ids.Address, control: Control, handler: http.Handler
+    listen: ids.Address,
+    control: Control,
+    handler: http.Handler,
+    observe: collections.abc.Callable[
+        [http.Handler], http.Handler
+    ] = lambda handler: handler,
 ) -> None:
-    """Listen, print the bound address, and serve until a signal."""
-    server = http_server.listen(listen, faulty(control, handler))
+    """Listen, print the bound address, and serve until a signal.
+
+    :param observe: wraps the handler that shows the faults
+    """
+    server = http_server.listen(listen, observe(faulty(control, handler)))
     say(server.address)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(http_server.run, server)
--- a/standins/store.py
+++ b/standins/store.py
@@ -15,6 +15,7 @@
 from oleanderwood import http
 from oleanderwood import ids
 from standins import faults
+from standins import tally
 
 MAX_VALUE_BYTES = 1 << 20
 LEASE_POLL_S = 0.05
@@ -44,6 +45,7 @@
     """All that the store holds.
 
     :ivar counts: calls by kind
+    :ivar calls: calls by kind and time, with those that a fault dropped
     """
 
     control: faults.Control
@@ -60,6 +62,7 @@
     counts: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    calls: tally.Tally = dataclasses.field(default_factory=tally.Tally)
 
 
 def handler(state: State) -> http.Handler:
@@ -69,6 +72,8 @@
         path = urllib.parse.unquote(request.target.partition('?')[0])
         if path == '/counts':
             return daemon.json_response(200, dict(state.counts))
+        if path == '/counts/bins':
+            return daemon.json_response(200, list(state.calls.bins.values()))
         if path.startswith('/v1/keys/'):
             return await _key(state, request, path.removeprefix('/v1/keys/'))
         if request.method == 'POST' and path == '/v1/leases':
@@ -80,6 +85,20 @@
     return handle
 
 
+def kind_of(request: http.Request) -> str:
+    """Name a call's kind as in ``State.counts``; '' for a control path."""
+    path = request.target.partition('?')[0]
+    if path == '/v1/leases':
+        return 'grant'
+    if path.startswith('/v1/leases/'):
+        return 'renew'
+    if not path.startswith('/v1/keys/'):
+        return ''
+    if request.method == 'GET' and 'watch' in faults.query(request):
+        return 'watch'
+    return request.method.lower()
+
+
 async def _key(state: State, request: http.Request, key: str) -> http.Response:
     query = faults.query(request)
     if request.method == 'GET' and 'watch' in query:
@@ -117,6 +136,8 @@
         async with state.changed:
             while _version(state.cells[key]) == known:
                 await state.changed.wait()
+                if state.control.faults.down:
+                    raise ConnectionResetError('went down')
     if _version(state.cells[key]) == known:
         return http.Response(304, [], b'')
     return _get(state, key)
@@ -194,8 +215,14 @@
 
 
 async def lapse(state: State) -> None:
-    """Delete the keys of lapsed leases, until cancelled."""
+    """Delete the keys of lapsed leases, until cancelled.
+
+    Watches that wait are woken while the store is down, which cuts them.
+    """
     while True:
+        if state.control.faults.down:
+            async with state.changed:
+                await state.changed.notify_all()
         now_s = time.monotonic()
         late = [n for n, held in state.leases.items() if held.until_s < now_s]
         for name in late:
@@ -210,7 +237,11 @@
     """Serve a store until a signal."""
     state = State(faults.Control())
     await curio.spawn(lapse, state, daemon=True)
-    await faults.serve(listen, state.control, handler(state))
+
+    def observe(inner: http.Handler) -> http.Handler:
+        return tally.observed(state.calls, kind_of, inner)
+
+    await faults.serve(listen, state.control, handler(state), observe)
 
 
 def main(*, listen: str = '127.0.0.1:0') -> None:
