Read the parts of a configuration once when an entry joins

Cause: a joining entry reads the head, and its watch of the head finds the same one; both then read all parts, each on its own: 96 reads in place of 48. Ruled out: telling the watch to wait for the joining, as an entry that can't join has to follow the head as well.

--- a/oleanderwood/catch_up.py
+++ b/oleanderwood/catch_up.py
@@ -97,14 +97,20 @@
     content = config_state.staged(node.view.config, head)
     if content is not None:
         return content
-    content = await parts.fetch(node.store, head, node.parts)
+    # Joining and the watch find a head at once; the second reads nothing.
+    async with node.fetching:
+        content = await parts.fetch(node.store, head, node.parts)
+        _forget_parts(node, head)
+    return content
+
+
+def _forget_parts(node: nodes.Node, head: configuration.Head) -> None:
     named = set(head.parts.values())
     node.parts = {
         reference: value
         for reference, value in node.parts.items()
         if reference in named
     }
-    return content
 
 
 async def read_shard(node: nodes.Node, data_centre: ids.DataCentre) -> None:
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -7,6 +7,8 @@
 import typing
 import uuid
 
+import curio
+
 
 from oleanderwood import config_state
 from oleanderwood import ids
@@ -73,6 +75,7 @@
 
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
+    :ivar fetching: held while parts are read
     :ivar publish: brings the metrics up to date
     """
 
@@ -83,6 +86,7 @@
     neighbours: neighbours.Neighbours
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    fetching: curio.Lock = dataclasses.field(default_factory=curio.Lock)
     publish: Publish = do_nothing
 
 
