Spread the store's calls after a restart of all, and in an outage

Cause, restart: an entry that joins makes about 60 calls, and its budget let all of them go at once, so 8 entries made 480 in a second. Cause, outage: each of 65 watches of a region was tried again within a second at most, alone, for as long as the outage lasted. A watch pauses 0.1 s to 4 s by how often its key went unanswered, from one call to the next; reads, writes and lease calls are repeated as before. Builders in tests give their short back-off to watches, too.

--- a/oleanderwood/entry_parts.py
+++ b/oleanderwood/entry_parts.py
@@ -102,7 +102,12 @@
     )
     node = nodes.make(
         _node_settings(wanted, proxy, rng, count_platform),
-        store_http.connect(wanted.store, registry, count=count_store),
+        store_http.connect(
+            wanted.store,
+            registry,
+            count=count_store,
+            burst_calls=store_http.ENTRY_BURST_CALLS,
+        ),
         peer_grpc.calls(peer_client),
         view,
     )
--- a/oleanderwood/store_client.py
+++ b/oleanderwood/store_client.py
@@ -47,9 +47,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Timing:
-    """Clock, sleep and random source, so that tests bring their own."""
+    """Clock, sleep and random source, so that tests bring their own.
+
+    :ivar watch_backoff: the same for watches, of which a daemon has many;
+        it goes on from one call to the next while none is answered
+    """
 
     backoff: backoffs.Backoff = backoffs.Backoff()
+    watch_backoff: backoffs.Backoff = backoffs.Backoff(0.5, 4.0)
     clock: collections.abc.Callable[[], float] = time.monotonic
     sleep: collections.abc.Callable = curio.sleep
     rng: random.Random = dataclasses.field(default_factory=random.Random)
@@ -60,6 +65,7 @@
     """State of one client.
 
     :ivar writes: last writes of the keys seen, newest use last
+    :ivar unanswered: attempts to watch a key since the last answer, by key
     """
 
     transport: Transport
@@ -69,6 +75,9 @@
     writes: collections.OrderedDict[str, operations.Seen] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    unanswered: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 def make(
@@ -121,10 +130,15 @@
         raise
 
 
-async def _pause(client: Client, attempt: int, deadline_s: float) -> bool:
+async def _pause(
+    client: Client,
+    backoff: backoffs.Backoff,
+    attempt: int,
+    deadline_s: float,
+) -> bool:
     """Wait before a repeat; say False if there is no time for one."""
     timing = client.timing
-    delay_s = backoffs.delay_s(timing.backoff, attempt, timing.rng)
+    delay_s = backoffs.delay_s(backoff, attempt, timing.rng)
     if timing.clock() + delay_s > deadline_s:
         return False
     await timing.sleep(delay_s)
@@ -146,7 +160,8 @@
         try:
             return await _attempt(client, kind, call, *arguments)
         except errors.CallFailed as error:
-            if not await _pause(client, attempt, deadline_s):
+            backoff = client.timing.backoff
+            if not await _pause(client, backoff, attempt, deadline_s):
                 raise errors.StoreUnavailable(
                     error.verdict, f'store {kind}: {error.reason}'
                 ) from error
@@ -172,9 +187,29 @@
 async def _watch(
     client: Client, key: str, version: int, wait_s: float
 ) -> store.Item | None:
-    watch = client.transport.watch
-    item = await _read(client, 'watch', watch, key, version, wait_s)
-    return _opened(client, key, item)
+    deadline_s = _deadline_s(client)
+    while True:
+        try:
+            item = await _attempt(
+                client, 'watch', client.transport.watch, key, version, wait_s
+            )
+        except errors.CallFailed as error:
+            client.unanswered[key] += 1
+            if not await _pause_watch(client, key, deadline_s):
+                raise errors.StoreUnavailable(
+                    verdicts.Verdict.NOT_RUN, f'store watch: {error.reason}'
+                ) from error
+        except TimeoutError:
+            del client.unanswered[key]
+            raise
+        else:
+            del client.unanswered[key]
+            return _opened(client, key, item)
+
+
+async def _pause_watch(client: Client, key: str, deadline_s: float) -> bool:
+    backoff = client.timing.watch_backoff
+    return await _pause(client, backoff, client.unanswered[key], deadline_s)
 
 
 def _opened(
@@ -286,7 +321,8 @@
             version = await _resolved(key, look)
             if version is not None:
                 return version
-        if not await _pause(client, attempt, deadline_s):
+        backoff = client.timing.backoff
+        if not await _pause(client, backoff, attempt, deadline_s):
             raise _gave_up(key, doubtful, reason)
 
 
--- a/oleanderwood/store_http.py
+++ b/oleanderwood/store_http.py
@@ -26,6 +26,10 @@
 """Calls a second of one daemon: 24 daemons stay below 500 a second."""
 
 BURST_CALLS = 60.0
+"""Calls at once after a rest, of a daemon of which one works at a time."""
+
+ENTRY_BURST_CALLS = 10.0
+"""The same for an entry: all of them may start at once."""
 
 IDLE_S = 30.0
 """Connections idle for longer are closed, before the store does."""
@@ -65,6 +69,7 @@
     timeout_s: float = ATTEMPT_TIMEOUT_S,
     timing: store_client.Timing | None = None,
     count: traffic.Count = traffic.uncounted,
+    burst_calls: float = BURST_CALLS,
 ) -> store.Store:
     """Make a client of the store; connections open when needed.
 
@@ -72,10 +77,10 @@
     :param registry: takes the counters of calls
     :param timeout_s: of one attempt
     :param count: told of the bytes of each call
+    :param burst_calls: calls that may be made at once after a rest
     """
     pool = _Pool(tuple(addresses), timeout_s, count)
-    burst = max(BURST_CALLS, calls_per_s)
-    budget = call_budget.make(calls_per_s, burst, time.monotonic())
+    budget = call_budget.make(calls_per_s, burst_calls, time.monotonic())
     metrics = None
     if registry is not None:
         metrics = call_budget.metrics(registry)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -1,10 +1,15 @@
 """Tests of store_client and operations over the fake store."""
 
+import dataclasses
+import random
+
 import curio
 import pytest
 
+from oleanderwood import call_budget
 from oleanderwood import errors
 from oleanderwood import operations
+from oleanderwood import store_client
 from oleanderwood import verdict as verdicts
 from tests import utils_store
 
@@ -112,3 +117,40 @@
     with pytest.raises(errors.StoreUnavailable) as caught:
         _run(client.get, KEY)
     assert caught.value.verdict is verdicts.Verdict.NOT_RUN
+
+
+def test_unanswered_watches_pause_longer_from_call_to_call():
+    fake = utils_store.FakeStore()
+    pauses = []
+    answered = [False] * 20 + [True, False, True]
+
+    async def watch(key, version, wait_s):
+        if answered.pop(0):
+            raise TimeoutError(key)
+        raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, 'down')
+
+    async def sleep(pause_s):
+        pauses.append(pause_s)
+
+    timing = store_client.Timing(
+        clock=lambda: sum(pauses), sleep=sleep, rng=random.Random(1)
+    )
+    transport = dataclasses.replace(utils_store.transport(fake), watch=watch)
+    budget = call_budget.make(1e6, 1e6, 0.0)
+    client = store_client.make(transport, budget, None, timing)
+
+    async def until_answered():
+        while True:
+            try:
+                await client.watch(KEY, 0, 1.0)
+            except errors.StoreUnavailable:
+                continue
+            except TimeoutError:
+                return
+
+    _run(until_answered)
+    assert len(pauses) > 6
+    assert all(pause_s >= 1.0 for pause_s in pauses[3:])
+    pauses.clear()
+    _run(until_answered)
+    assert [pause_s < 0.5 for pause_s in pauses] == [True]
--- a/tests/test_store_http.py
+++ b/tests/test_store_http.py
@@ -83,3 +83,28 @@
         return await client.swap('k', b'x', 0, 'op-2', None)
 
     assert _with_store(use) >= 1
+
+
+def test_burst_bounds_the_calls_after_a_start():
+    waits = []
+
+    async def sleep(wait_s):
+        waits.append(wait_s)
+
+    timing = store_client.Timing(clock=lambda: 0.0, sleep=sleep)
+
+    async def use():
+        state = store.State(faults.Control())
+        handler = faults.faulty(state.control, store.handler(state))
+        server = http_server.listen('127.0.0.1:0', handler)
+        serving = await curio.spawn(http_server.run, server)
+        client = store_http.connect(
+            [server.address], timing=timing, burst_calls=2.0
+        )
+        for _ in range(4):
+            await client.get('key')
+        await http_server.stop(server)
+        await serving.join()
+
+    curio.run(use)
+    assert len(waits) == 2
--- a/tests/utils_store.py
+++ b/tests/utils_store.py
@@ -65,8 +65,10 @@
 
     :param replaced: calls of the transport that are others'
     """
+    short = backoff.Backoff(0.001, 0.004, limit_s)
     timing = store_client.Timing(
-        backoff=backoff.Backoff(0.001, 0.004, limit_s),
+        backoff=short,
+        watch_backoff=short,
         rng=random.Random(seed),
     )
     budget = call_budget.make(1e6, 1e6, time.monotonic())
