--- a/tests/faults/test_entries.py
+++ b/tests/faults/test_entries.py
@@ -136,7 +136,7 @@
         async with build.load(stage.scene) as attempts:
             processes.pause(child)
             await daemons.start_wave(stage.deployment, build.WAVE)
-            await build.until_wave_done(stage, LONG_S)
+            await build.until_wave_over(stage, LONG_S)
             processes.resume(child)
             await build.settle(stage)
         return attempts, await build.breaches(stage.scene)
--- a/tests/utils_processes.py
+++ b/tests/utils_processes.py
@@ -183,13 +183,18 @@
     return 'running' not in states and 'paused' not in states
 
 
-async def until_wave_done(stage, timeout_s=WAIT_S):
-    """Wait until no wave is under way and all pools are filled."""
+async def until_wave_over(stage, timeout_s=WAIT_S):
+    """Wait until no wave is under way."""
 
-    async def done():
+    async def over():
         return await wave_done(stage)
 
-    await until(done, 'the end of the wave', timeout_s)
+    await until(over, 'the end of the wave', timeout_s)
+
+
+async def until_wave_done(stage, timeout_s=WAIT_S):
+    """Wait until no wave is under way and all daemons are ready."""
+    await until_wave_over(stage, timeout_s)
     await settle(stage)
 
 
