Register the counts of control bytes in one place

Cause: three daemons made the same four counters, and several tests of the follower stood up the same two entries; both stood written out each time. Behaviour and assertions are the same.

--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -204,19 +204,16 @@
     token: str,
 ) -> None:
     registry = prometheus_client.CollectorRegistry()
-    control_bytes = traffic.counter(registry)
-    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
-    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
-    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
+    counts = traffic.register(registry)
     kept = store_http.connect(
         stores,
         registry,
         calls_per_s=CALLS_PER_S,
-        count=count_store,
+        count=counts.store,
         burst_calls=BURST_CALLS,
     )
-    client = peer_grpc.connect(count_peers)
-    listing = platform_http.connect(platform, count=count_platform)
+    client = peer_grpc.connect(counts.peers)
+    listing = platform_http.connect(platform, count=counts.platform)
     list_vms = listing.list_vms
     calls = peer_grpc.calls(client)
     api = make_api(kept, calls, list_vms, limits, token, registry)
--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -83,11 +83,8 @@
     registry = prometheus_client.CollectorRegistry()
     metrics = controller_metrics.create(registry)
     rng = random.Random()
-    control_bytes = traffic.counter(registry)
-    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
-    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
-    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
-    store = store_http.connect(wanted.store, registry, count=count_store)
+    counts = traffic.register(registry)
+    store = store_http.connect(wanted.store, registry, count=counts.store)
     watched = watches.Watched(store, rng)
     record = leadership.Record(ids.HolderId(wanted.name), wanted.admin_listen)
     seat = leadership.Seat(wanted.region, record)
@@ -98,9 +95,9 @@
         platform=platform_http.connect(
             wanted.platform,
             on_call=_count_call(metrics),
-            count=count_platform,
+            count=counts.platform,
         ),
-        peers=peer_grpc.calls(peer_grpc.connect(count_peers)),
+        peers=peer_grpc.calls(peer_grpc.connect(counts.peers)),
         probe=accepts_connections,
         monotonic_s=time.monotonic,
         now_s=time.time,
--- a/oleanderwood/entry_parts.py
+++ b/oleanderwood/entry_parts.py
@@ -77,12 +77,9 @@
     """
     registry = prometheus_client.CollectorRegistry()
     rng = random.Random()
-    control_bytes = traffic.counter(registry)
-    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
-    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
-    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
-    peer_server = peer_grpc.listen(wanted.peer_listen, count_peers)
-    peer_client = peer_grpc.connect(count_peers)
+    counts = traffic.register(registry)
+    peer_server = peer_grpc.listen(wanted.peer_listen, counts.peers)
+    peer_client = peer_grpc.connect(counts.peers)
     member = roster.Member(
         entry=wanted.entry_id,
         incarnation=uuid.uuid4().hex[:12],
@@ -101,11 +98,11 @@
         rng,
     )
     node = nodes.make(
-        _node_settings(wanted, proxy, rng, count_platform),
+        _node_settings(wanted, proxy, rng, counts.platform),
         store_http.connect(
             wanted.store,
             registry,
-            count=count_store,
+            count=counts.store,
             burst_calls=store_http.ENTRY_BURST_CALLS,
         ),
         peer_grpc.calls(peer_client),
--- a/oleanderwood/traffic.py
+++ b/oleanderwood/traffic.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import dataclasses
 import enum
 
 import prometheus_client
@@ -33,20 +34,31 @@
     PEERS = 'peers'
 
 
-def counter(
-    registry: prometheus_client.CollectorRegistry,
-) -> prometheus_client.Counter:
-    """Register the counter of control bytes."""
-    return prometheus_client.Counter(
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """What counts the bytes of each channel."""
+
+    store: Count
+    platform: Count
+    peers: Count
+
+
+def register(registry: prometheus_client.CollectorRegistry) -> Counts:
+    """Register the metric of control bytes; give what counts them."""
+    total = prometheus_client.Counter(
         'oleander_control_bytes',
         'Bytes exchanged for control, by channel and direction.',
         ['channel', 'direction'],
         registry=registry,
     )
+    return Counts(
+        store=_count(total, Channel.STORE),
+        platform=_count(total, Channel.PLATFORM),
+        peers=_count(total, Channel.PEERS),
+    )
 
 
-def counts(bytes_total: prometheus_client.Counter, channel: Channel) -> Count:
-    """Make the function that counts the bytes of one channel."""
+def _count(bytes_total: prometheus_client.Counter, channel: Channel) -> Count:
     sent = bytes_total.labels(channel.value, 'sent')
     received = bytes_total.labels(channel.value, 'received')
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -35,14 +35,18 @@
     return view.may_send(node.view, 'vm-1', epoch, nodes.now_s(node))
 
 
+async def _both_ready(network, one, two):
+    await utils_network.publish(network, shard=build.shard(1))
+    await utils_network.until(lambda: utils_network.ready(one))
+    await utils_network.until(lambda: utils_network.ready(two))
+
+
 def test_entries_join_follow_and_resign():
     network = utils_network.Network()
     one, two = (utils_network.add(network, name) for name in ('e1', 'e2'))
 
     async def scenario():
-        await utils_network.publish(network, shard=build.shard(1))
-        await utils_network.until(lambda: utils_network.ready(one))
-        await utils_network.until(lambda: utils_network.ready(two))
+        await _both_ready(network, one, two)
         assert len(_roster(network).members) == 2
         assert _may_send(one)
         row = build.row(epoch=2, state=fleet.VmState.RELEASING)
@@ -103,9 +107,7 @@
     one, two = (utils_network.add(network, name) for name in ('e1', 'e2'))
 
     async def scenario():
-        await utils_network.publish(network, shard=build.shard(1))
-        await utils_network.until(lambda: utils_network.ready(one))
-        await utils_network.until(lambda: utils_network.ready(two))
+        await _both_ready(network, one, two)
         network.fake.down = True
         before = one.view.contact_s
         await utils_network.until(lambda: one.view.contact_s > before + 0.2)
@@ -119,9 +121,7 @@
     one, two = (utils_network.add(network, name) for name in ('e1', 'e2'))
 
     async def scenario():
-        await utils_network.publish(network, shard=build.shard(1))
-        await utils_network.until(lambda: utils_network.ready(one))
-        await utils_network.until(lambda: utils_network.ready(two))
+        await _both_ready(network, one, two)
         network.fake.down = True
         await curio.sleep(0.05)
         row = build.row(epoch=2, state=fleet.VmState.RELEASING)
@@ -194,9 +194,7 @@
     one, two = (utils_network.add(network, name) for name in ('e1', 'e2'))
 
     async def scenario():
-        await utils_network.publish(network, shard=build.shard(1))
-        await utils_network.until(lambda: utils_network.ready(one))
-        await utils_network.until(lambda: utils_network.ready(two))
+        await _both_ready(network, one, two)
         await utils_network.until(lambda: nodes.all_peers(one))
         staged = messages.PrepareRequest(build.head(2), build.content())
         state = one.view.config
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -27,8 +27,7 @@
         server = http_server.listen(ids.Address('127.0.0.1:0'), answer)
         task = await curio.spawn(http_server.run, server)
         registry = prometheus_client.CollectorRegistry()
-        total = traffic.counter(registry)
-        count = traffic.counts(total, traffic.Channel.STORE)
+        count = traffic.register(registry).store
         store = store_http.connect([server.address], count=count)
         await store.get('key')
         await http_server.stop(server)
--- a/tests/utils_guide.py
+++ b/tests/utils_guide.py
@@ -136,7 +136,7 @@
     admin_metrics.create(registry)
     call_budget.metrics(registry)
     invariants.create(registry)
-    traffic.counter(registry)
+    traffic.register(registry)
     return registry
 
 
