--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -36,9 +36,6 @@
 CALLS_PER_S = 20.0
 """Calls to the store a second, after a burst; an apply makes about 20."""
 
-BURST_CALLS = 30.0
-"""One that writes all parts anew is spread over more than a second."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
@@ -210,7 +207,6 @@
         registry,
         calls_per_s=CALLS_PER_S,
         count=counts.store,
-        burst_calls=BURST_CALLS,
     )
     client = peer_grpc.connect(counts.peers)
     listing = platform_http.connect(platform, count=counts.platform)
