Let go of peer calls that were answered

The server of peer calls spawned each call into a task group that waits for all, and such a group keeps every task that has ended: memory grew with each gossip, fetch and release. The calls are daemons of the group now, which it forgets once they end and still cancels when it is left.

The new test counts the tasks still held after 20 calls; it failed before (the tasks never went) and passes now. The server of HTTP spawns outside of any group and drops a connection from its set when it ends; the other groups spawn a fixed number of tasks.

--- a/oleanderwood/peer_grpc.py
+++ b/oleanderwood/peer_grpc.py
@@ -142,7 +142,10 @@
             call = await server.incoming.get()
             method = methods[call.method]
             handler = handlers[call.method]
-            await group.spawn(_answer, server, call, method, handler)
+            # As daemons: a group keeps other tasks that have ended.
+            await group.spawn(
+                _answer, server, call, method, handler, daemon=True
+            )
 
 
 async def _answer(
--- a/tests/test_peer_grpc.py
+++ b/tests/test_peer_grpc.py
@@ -1,5 +1,7 @@
 """Tests of peer_grpc over loopback."""
 
+import gc
+
 import curio
 import pytest
 
@@ -10,6 +12,7 @@
 from oleanderwood import peer_grpc
 from oleanderwood import verdict as verdicts
 from tests import utils_membership as build
+from tests import utils_network
 
 
 def _serve(use, handlers=None):
@@ -49,6 +52,23 @@
     assert all(len(reply.shards) == 1 for reply in _serve(use))
 
 
+def _tasks_kept(name):
+    """Count the tasks of a coroutine function that still have an owner."""
+    gc.collect()
+    found = [one for one in gc.get_objects() if isinstance(one, curio.Task)]
+    return sum(task.coro.__name__ == name for task in found)
+
+
+def test_answered_calls_leave_nothing_behind():
+    async def use(peers, server):
+        for _ in range(20):
+            await peers.fetch(server.address, messages.FetchRequest())
+        await utils_network.until(lambda: _tasks_kept('_answer') <= 1)
+        return True
+
+    assert _serve(use)
+
+
 def test_unreachable_peer_is_not_run():
     async def use(peers, server):
         await peer_grpc.stop(server)
