Cut what is in flight once contact is long lost

The leader takes a VM when a silent entry was without contact for 38 s, as what it has in flight 'ends by then'. That was so for requests under the service's timeout only: a streamed answer has a limit of pauses, but none of its whole length, so it could outlast the conclusion.

An entry without contact for 30 s now shuts the connections to upstreams that attempts use. The reader sees the end of the connection as it would any cut, so the verdict and the caller's answer need no new path. Ways weighed: docs/MEMBERSHIP.md.

The new test, a stream and a silent request over a whole entry, fails without the call in the loop (no end within 3 s) and passes with it.

--- a/oleanderwood/attempt.py
+++ b/oleanderwood/attempt.py
@@ -47,6 +47,7 @@
     connection = await _connect(path, exchange, row, limit)
     upload = uploads.Upload()
     path.permissions.begin(row.vm, row.epoch)
+    exchange.connection = connection
     try:
         await _send(path, exchange, row, connection, upload)
         response = await _head(exchange, connection, upload)
@@ -55,12 +56,19 @@
     except (errors.CallFailed, OSError) as error:
         raise _blame(upload, connection, error) from error
     finally:
+        exchange.connection = None
         try:
             await _leave(path, connection, upload)
         finally:
             path.permissions.end(row.vm, row.epoch)
 
 
+async def cut(exchange: exchanges.Exchange) -> None:
+    """End the attempt that runs, if any, as if the upstream had cut it."""
+    if exchange.connection is not None:
+        await http_client.shut(exchange.connection)
+
+
 async def _connect(
     path: exchanges.Path,
     exchange: exchanges.Exchange,
--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -8,6 +8,7 @@
 import curio
 import cyclopts
 
+from oleanderwood import attempt
 from oleanderwood import connections
 from oleanderwood import daemon
 from oleanderwood import entry_parts
@@ -20,6 +21,7 @@
 from oleanderwood import peer_grpc
 from oleanderwood import settings
 from oleanderwood import tickets
+from oleanderwood import view as views
 
 LOG = logging.getLogger('entry')
 
@@ -80,9 +82,19 @@
 async def _follow(entry: entry_parts.Entry) -> None:
     while True:
         entry_parts.take_over(entry)
+        await _cut_if_due(entry)
         await curio.sleep(FOLLOW_S)
 
 
+async def _cut_if_due(entry: entry_parts.Entry) -> None:
+    """Cut what is in flight once the entry was without contact for long."""
+    if not views.must_cut(entry.node.view, time.monotonic()):
+        return
+    for exchange in list(entry.proxy.active.values()):
+        LOG.warning('%s is cut: no contact.', exchange.request_id)
+        await attempt.cut(exchange)
+
+
 async def _sweep(entry: entry_parts.Entry) -> None:
     while True:
         await curio.sleep(SWEEP_S)
--- a/oleanderwood/exchange.py
+++ b/oleanderwood/exchange.py
@@ -7,6 +7,7 @@
 from oleanderwood import connections
 from oleanderwood import errors
 from oleanderwood import http
+from oleanderwood import http_client
 from oleanderwood import invariants
 from oleanderwood import permissions
 from oleanderwood import verdict as verdicts
@@ -22,6 +23,7 @@
     :ivar attempts: verdicts of the attempts that ended
     :ivar body_started: whether a streamed body was read from
     :ivar answering: whether bytes of the answer may have left
+    :ivar connection: to the upstream, while an attempt uses it
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     attempts: list[verdicts.Verdict] = dataclasses.field(default_factory=list)
     body_started: bool = False
     answering: bool = False
+    connection: http_client.Connection | None = None
 
 
 @dataclasses.dataclass
--- a/oleanderwood/isolation.py
+++ b/oleanderwood/isolation.py
@@ -22,7 +22,7 @@
 """Lease of a member's key: its absence is as old as this at least."""
 
 REQUEST_TIMEOUT_S = 30.0
-"""Default bound of requests that an isolated entry has in flight."""
+"""How long after its last contact an entry cuts what it has in flight."""
 
 
 class Status(enum.Enum):
@@ -69,7 +69,8 @@
     :ivar absences: by incarnation
     :ivar vm_gone_since_s: since when a VM that had been on the VM list
         isn't any more
-    :ivar request_timeout_s: longest time limit of a request
+    :ivar request_timeout_s: by when an entry without contact has cut what
+        it had in flight
     """
 
     revision: ids.Revision
--- a/oleanderwood/view.py
+++ b/oleanderwood/view.py
@@ -92,6 +92,15 @@
     return now_s - view.contact_s >= isolation.ISOLATED_S
 
 
+def must_cut(view: View, now_s: float) -> bool:
+    """Say whether what is still in flight has to end now.
+
+    The leader counts on it ``isolation.QUIET_S`` later, by a clock that
+    may run at another rate.
+    """
+    return now_s - view.contact_s >= isolation.REQUEST_TIMEOUT_S
+
+
 def ready(view: View, now_s: float) -> str:
     """Give '' if the entry may take callers' requests, else why not."""
     if view.stopping:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 import signal
 
 import curio
+import pytest
 
 from oleanderwood import codec
 from oleanderwood import entry_parts
@@ -103,6 +104,48 @@
     assert len(served) == 1
 
 
+async def lose_contact(entry):
+    """Let the entry be as one that was cut off for as long as allowed."""
+    await entry.following.cancel()
+    entry.node.view.contact_s = -1e9
+
+
+def test_streams_end_cut_once_contact_is_long_lost():
+    """One that was half answered, and one that wasn't answered at all."""
+    begun = []
+
+    async def slow(request):
+        begun.append(request.target)
+        if request.target == '/s/silent':
+            await curio.sleep(100)
+
+        async def pieces():
+            yield b'half'
+            await curio.sleep(100)
+
+        return http.Response(200, [], pieces())
+
+    async def use(entry, store_address):
+        silent = await curio.spawn(daemons.get, entry, '/s/silent')
+        connection = await http_client.connect(entry.server.address, 1.0)
+        headers = utils.team_headers((b'host', b'a'))
+        half = await http_client.exchange(connection, 'GET', '/s/h', headers)
+        await daemons.until(lambda: len(begun) == 2)
+        await lose_contact(entry)
+        with pytest.raises(errors.CallFailed) as caught:
+            async with curio.timeout_after(3.0):
+                await http.read_all(half.body, 100)
+        await http.close(connection.sock)
+        in_flight = entry.node.view.grants.in_flight
+        await daemons.until(lambda: not in_flight)
+        return caught.value.verdict, await silent.join()
+
+    verdict, silent = daemons.run(slow, use)
+    assert verdict is verdicts.Verdict.MAY_HAVE_RUN
+    assert silent.status == 502
+    assert silent.header('oleander-verdict') == 'may-have-run'
+
+
 def test_kept_connection_is_told_of_the_stop():
     async def use(entry, store_address):
         connection = await http_client.connect(entry.server.address, 1.0)
