--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,6 +8,7 @@
 from oleanderwood import http
 from oleanderwood import http_accepted
 from oleanderwood import http_server
+from oleanderwood import http_watch
 
 
 async def answer(request):
@@ -104,10 +105,15 @@
     assert received.startswith(b'HTTP/1.1 200 ')
 
 
+def waits(connection):
+    """Say whether a connection reads from its peer by now."""
+    return connection.read_limit_s < math.inf
+
+
 def test_request_that_arrived_before_the_stop_is_answered():
     async def use(server):
         sock = await connect(server)
-        while not any(c.read_limit_s < math.inf for c in server.connections):
+        while not any(waits(c) for c in server.connections):
             await curio.sleep(0.01)
         stopping = await curio.spawn(http_server.stop, server)
         await sock.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
@@ -121,6 +127,21 @@
     assert b'connection: close' in received.lower()
 
 
+def test_request_that_was_sent_before_its_connection_ends_is_answered():
+    """Nothing else runs between the sending and the end."""
+
+    async def use(server):
+        async with await connect(server) as sock:
+            while not any(waits(c) for c in server.connections):
+                await curio.sleep(0.01)
+            (connection,) = server.connections
+            await sock.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            await http_watch.end_input(connection)
+            return await read_to_end(sock)
+
+    assert with_server(use).startswith(b'HTTP/1.1 200 ')
+
+
 def test_pipelined_requests_are_answered_in_order():
     async def use(server):
         async with await connect(server) as sock:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -82,3 +82,19 @@
     values[parts.key(next(iter(refs.values())))] = b'damaged'
     with pytest.raises(errors.BadMessage):
         curio.run(parts.fetch, _store_of(values), head)
+
+
+def test_fetch_refuses_another_part_under_the_reference():
+    """A part that can be read, but isn't the one that the head names."""
+    split = parts.split(build.whole())
+    other = parts.split(build.whole(pools=(build.pool('p', size=7),)))
+    refs = parts.refer(split, {}, OPERATION)
+    head = configuration.Head(
+        ids.Revision(1), ids.Revision(0), refs, OPERATION
+    )
+    (name, *_) = [part for part in split if part.startswith('pools/')]
+    (changed, *_) = [part for part in other if part.startswith('pools/')]
+    values = {parts.key(refs[part]): split[part] for part in split}
+    values[parts.key(refs[name])] = other[changed]
+    with pytest.raises(errors.BadMessage, match='damaged'):
+        curio.run(parts.fetch, _store_of(values), head)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -5,9 +5,11 @@
 import msgspec
 import pytest
 
+from oleanderwood import connections
 from oleanderwood import errors
 from oleanderwood import http
 from oleanderwood import http_client
+from oleanderwood import retry
 from oleanderwood import verdict as verdicts
 from tests import utils_entry as utils
 
@@ -512,3 +514,67 @@
 
     expected = sorted(b'/s/%d' % number for number in range(40))
     assert utils.run(use, slow, slow, slots=2) == expected
+
+
+def test_permission_is_asked_after_the_last_wait(monkeypatch):
+    """A grant that ends while the connection opens must not be used."""
+    take = connections.take
+    runs = []
+
+    async def run(request):
+        runs.append(request.target)
+        return http.Response(200, [], b'')
+
+    async def use(world):
+        async def slow(*arguments):
+            taken = await take(*arguments)
+            world.allowed = False
+            return taken
+
+        monkeypatch.setattr(connections, 'take', slow)
+        return await call(world, 'POST')
+
+    response = utils.run(use, run)
+    assert (response.status, runs) == (503, [])
+    assert response.header('oleander-verdict') == 'not-run'
+
+
+def test_request_counts_from_first_byte_to_end():
+    seen = []
+
+    async def count(request):
+        async def pieces():
+            seen.append(seen[0].in_flight.total())
+            yield b'one'
+            seen.append(seen[0].in_flight.total())
+
+        return http.Response(200, [], pieces())
+
+    async def use(world):
+        seen.append(world)
+        return await call(world)
+
+    assert utils.run(use, count).body == b'one'
+    assert seen[1:] == [1, 1]
+
+
+def test_second_run_is_stopped_before_the_write(monkeypatch):
+    """What was decided wrongly is stopped and reported by the attempt."""
+    monkeypatch.setattr(retry, 'allowed', lambda *arguments: True)
+    runs = []
+
+    async def cut(request):
+        runs.append(request.target)
+        raise ConnectionResetError('cut')
+
+    async def use(world):
+        response = await call(world, 'POST')
+        reported = {name for name, _ in world.proxy.path.invariants.recent}
+        world.proxy.path.invariants.recent.clear()
+        world.proxy.tickets.state.breaches.clear()
+        return response, reported
+
+    response, reported = utils.run(use, cut, cut, retry_share=1.0)
+    assert len(runs) == 1
+    assert reported == {'at-most-once'}
+    assert response.header('oleander-verdict') == 'may-have-run'
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from oleanderwood import call_budget
 from oleanderwood import errors
 from oleanderwood import operations
 from oleanderwood import verdict as verdicts
@@ -101,3 +102,10 @@
         return await client.get('members/a'), await client.keep_alive(lease)
 
     assert _run(use) == (None, 0.0)
+
+
+def test_calls_over_the_budget_wait_their_turn():
+    budget = call_budget.make(2.0, 3.0, 0.0)
+    waits_s = [call_budget.take(budget, 0.0) for _ in range(6)]
+    assert waits_s == [0.0, 0.0, 0.0, 0.5, 1.0, 1.5]
+    assert call_budget.take(budget, 100.0) == 0.0
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -26,7 +26,9 @@
     def __init__(self):
         super().__init__()
         self.fake = utils_store.FakeStore()
-        self.clients = [utils_store.connect(self.fake, n) for n in (1, 2)]
+        self.clients = [
+            utils_store.connect_at_once(self.fake, seed) for seed in (1, 2)
+        ]
         self.seen = [store.ABSENT, store.ABSENT]
         self.told = {}
 
@@ -43,8 +45,14 @@
             item = curio.run(self.clients[which].get, KEY)
             self.seen[which] = item.version if item else store.ABSENT
 
-    @stateful.rule(which=CLIENTS, fault=FAULTS, other=strategies.booleans())
-    def write(self, which, fault, other):
+    @stateful.rule(
+        which=CLIENTS,
+        fault=FAULTS,
+        other=strategies.booleans(),
+        fails_then=strategies.booleans(),
+    )
+    def write(self, which, fault, other, fails_then):
+        self.fake.fails_then = fails_then
         self.fake.drop_answers = 1 if fault == 'drop' else 0
         self.fake.hold_writes = {'hold': 1, 'hold twice': 2}.get(fault, 0)
         name = f'op-{len(self.told)}'
@@ -70,7 +78,7 @@
 
     @stateful.rule()
     def pause_holder(self):
-        self.fake.down = False
+        self.fake.down = self.fake.fails_then = False
         client = self.clients[0]
         lease = curio.run(client.grant, 8.0)
         item = self.fake.items.get(LEASED)
--- a/tests/utils_store.py
+++ b/tests/utils_store.py
@@ -38,6 +38,7 @@
         answers are lost
     :ivar hold_writes: so many of the next writes are lost for now; each
         takes effect once :func:`deliver_held` runs
+    :ivar fails_then: a lost write or answer is the last before an outage
     :ivar history: every version of every key: (key, version, value)
     """
 
@@ -48,6 +49,7 @@
     down: bool = False
     drop_answers: int = 0
     hold_writes: int = 0
+    fails_then: bool = False
     held: list = dataclasses.field(default_factory=list)
     calls: int = 0
     granted: int = 0
@@ -67,6 +69,20 @@
     return store_client.make(transport(fake), budget, None, timing)
 
 
+def connect_at_once(fake: FakeStore, seed: int) -> store.Store:
+    """Make a client that waits by a clock of its own, without any delay."""
+    now_s = [0.0]
+
+    async def sleep(delay_s: float) -> None:
+        now_s[0] += delay_s
+
+    timing = store_client.Timing(
+        clock=lambda: now_s[0], sleep=sleep, rng=random.Random(seed)
+    )
+    budget = call_budget.make(1e6, 1e6, 0.0)
+    return store_client.make(transport(fake), budget, None, timing)
+
+
 def transport(fake: FakeStore) -> store_client.Transport:
     """Make single attempts at the fake."""
 
@@ -146,10 +162,12 @@
     if fake.hold_writes > 0:
         fake.hold_writes -= 1
         fake.held.append(effect)
+        fake.down = fake.down or fake.fails_then
         raise errors.CallFailed(MAY_HAVE_RUN, 'no answer')
     result = effect()
     if fake.drop_answers > 0:
         fake.drop_answers -= 1
+        fake.down = fake.down or fake.fails_then
         raise errors.CallFailed(MAY_HAVE_RUN, 'answer dropped')
     return result
 
