Let a sponsored entry cut as soon as it is isolated

A sponsor names an entry to the leader for 8 s after it last asked, and one that dies counts as ended after 8 s; what the sponsored entry had in flight could go on for 30 s. It now cuts 6 s after its last contact. Members of the roster are asked or proven isolated themselves and keep the 30 s.

The new test fails with the one bound for both.

--- a/oleanderwood/view.py
+++ b/oleanderwood/view.py
@@ -27,6 +27,7 @@
     :ivar sponsor: incarnation of the rostered entry that answers for this
         one, '' if it is on the roster itself
     :ivar contact_s: when the last request that brought contact was sent
+    :ivar cut_after_s: age of the contact at which what is in flight is cut
     """
 
     member: rosters.Member
@@ -38,6 +39,7 @@
     sponsor: str = ''
     stopping: bool = False
     contact_s: float = -math.inf
+    cut_after_s: float = isolation.REQUEST_TIMEOUT_S
 
 
 def make(member: rosters.Member) -> View:
@@ -95,10 +97,10 @@
 def must_cut(view: View, now_s: float) -> bool:
     """Say whether what is still in flight has to end now.
 
-    The leader counts on it ``isolation.QUIET_S`` later, by a clock that
-    may run at another rate.
+    The leader counts on it some seconds later, by a clock that may run at
+    another rate.
     """
-    return now_s - view.contact_s >= isolation.REQUEST_TIMEOUT_S
+    return now_s - view.contact_s >= view.cut_after_s
 
 
 def ready(view: View, now_s: float) -> str:
@@ -155,9 +157,15 @@
 
 
 def grant(view: View, sponsor: str = '') -> None:
-    """Hold grants from now on; see ``View.granted`` for when."""
+    """Hold grants from now on; see ``View.granted`` for when.
+
+    A sponsor names an entry to the leader for ``isolation.QUIET_S`` only.
+    """
     view.granted = True
     view.sponsor = sponsor
+    view.cut_after_s = isolation.REQUEST_TIMEOUT_S
+    if sponsor:
+        view.cut_after_s = isolation.ISOLATED_S
 
 
 def vouches(view: View, now_s: float) -> bool:
--- a/tests/mutants_inside.py
+++ b/tests/mutants_inside.py
@@ -221,6 +221,16 @@
         '_check_progress-oleanderwood.feasibility-never_run-_tells_nothing',
         '_check_progress-oleanderwood.feasibility-_within-<lambda>',
     ),
+    *inside(
+        KIND.TASKS,
+        'task_row',
+        'task_table.py::test_new_leader_resolves_intents_by_its_own_clock',
+    ),
+    *inside(
+        KIND.TASKS,
+        'worker_choice',
+        'placement.py::test_spread_counts_copies_that_run',
+    ),
     *inside(
         KIND.TASKS,
         'blame',
@@ -232,4 +242,82 @@
     ),
 )
 
-MUTANTS = (*_CONTROLLER, *_MODELS, *_CONFIGURATION, *_KEYS, *_TASKS)
+FORGED = 'checker.py::test_breach_of_'
+SOAK = 'demo.checker'
+
+_FORGED = (
+    *inside(
+        KIND.WHOLE,
+        SOAK,
+        FORGED + 'an_attempt',
+        'Rule.ACCOUNTED-changes0',
+        'Rule.ACCOUNTED-changes1',
+        'Rule.ACCOUNTED-changes2',
+        'Rule.OWN_ANSWER-changes3',
+        'Rule.BODY-changes5',
+    ),
+    *inside(
+        KIND.WHOLE, SOAK, 'checker.py::test_answer_without_a_run_is_found'
+    ),
+    *inside(
+        KIND.NOT_RUN, SOAK, FORGED + 'an_attempt', 'Rule.NOT_RUN-changes4'
+    ),
+    *inside(
+        KIND.ONCE, SOAK, 'checker.py::test_second_run_is_found_over_repeats'
+    ),
+    *inside(
+        KIND.LEAVING,
+        SOAK,
+        FORGED + 'a_dispatch',
+        *(f'Rule.GRANT-changes{number}' for number in range(4)),
+        'Rule.ORDERED-changes4',
+        'Rule.LEAVING-changes5',
+    ),
+    *inside(
+        KIND.STOP,
+        SOAK,
+        'checker.py::test_planned_stop_that_cuts_is_found_and_abandoned_work'
+        '_is_not',
+    ),
+    *inside(
+        KIND.ONE_POOL,
+        SOAK,
+        FORGED + 'a_write',
+        'Rule.ONE_POOL-write0',
+        'Rule.EPOCH-write1',
+        'Rule.EPOCH-write2',
+    ),
+    *inside(
+        KIND.ONE_POOL,
+        SOAK,
+        'checker.py::test_work_of_two_pools_at_once_is_found',
+    ),
+    *inside(KIND.BUDGET, SOAK, FORGED + 'a_write', 'Rule.MIN_UP-write3'),
+    *inside(
+        KIND.BUDGET,
+        SOAK,
+        'checker.py::test_known_loss_counts_against_a_planned_step',
+    ),
+    *inside(KIND.CONFIG, SOAK, FORGED + 'a_write', 'Rule.REVERTED-write4'),
+    *inside(
+        KIND.CONFIG,
+        SOAK,
+        FORGED + 'the_configuration',
+        'Rule.REVERTED-probe0',
+        'Rule.IN_FORCE-probe1',
+        'Rule.EARLY-probe2',
+    ),
+    *inside(
+        KIND.TASKS, SOAK, 'checker.py::test_task_that_runs_twice_is_found'
+    ),
+)
+"""Forged evidence, by which the checker of the long runs must fail."""
+
+MUTANTS = (
+    *_CONTROLLER,
+    *_MODELS,
+    *_CONFIGURATION,
+    *_KEYS,
+    *_TASKS,
+    *_FORGED,
+)
--- a/tests/mutants_state.py
+++ b/tests/mutants_state.py
@@ -1,5 +1,6 @@
 """Planted defects of ownership, membership, budgets and configuration."""
 
+from oleanderwood import absence
 from oleanderwood import anomalies
 from oleanderwood import availability
 from oleanderwood import budget
@@ -11,11 +12,13 @@
 from oleanderwood import follower
 from oleanderwood import gossip
 from oleanderwood import grants
+from oleanderwood import history
 from oleanderwood import isolation
 from oleanderwood import leadership
 from oleanderwood import ownership
 from oleanderwood import parts
 from oleanderwood import reserve
+from oleanderwood import roster
 from oleanderwood import staging
 from oleanderwood import store
 from oleanderwood import view
@@ -56,6 +59,11 @@
     return grants.allows(seen.grants, vm, epoch)
 
 
+def _grant_as_a_member(seen, sponsor=''):
+    seen.granted = True
+    seen.sponsor = sponsor
+
+
 def _answer_of_any(evidence, member):
     answer = evidence.answers.get(member.peer)
     return None if answer is None else answer.reply
@@ -86,6 +94,26 @@
     """Do nothing."""
 
 
+async def _gone_despite_its_key(watcher, member):
+    known, _ = await change.read(watcher.kept, store.ROSTER_KEY, roster.EMPTY)
+    others = tuple(
+        other
+        for other in known.members
+        if other.incarnation != member.incarnation
+    )
+    return await absence._unheard(watcher, member, others)
+
+
+async def _async_true(*arguments):
+    return True
+
+
+def _refused(record, accepted, known_from, head):
+    if record.operation in accepted:
+        return history.Outcome.ACCEPTED
+    return history.Outcome.REFUSED
+
+
 def _true(*arguments):
     return True
 
@@ -147,6 +175,12 @@
         'isolation.py::test_superseded_only_after_a_while',
         (isolation, '_own_reply', _answer_of_any),
     ),
+    utils.planted(
+        'sponsored-entry-cuts-late',
+        KIND.ONE_POOL,
+        'view.py::test_sponsored_entry_cuts_as_soon_as_it_is_isolated',
+        (view, 'grant', _grant_as_a_member),
+    ),
     utils.planted(
         'gone-at-once',
         KIND.ONE_POOL,
@@ -262,6 +296,31 @@
         'parts.py::test_fetch_refuses_another_part_under_the_reference',
         (parts, 'intact', _true),
     ),
+    utils.planted(
+        'member-that-was-heard-of-is-gone',
+        KIND.CONFIG,
+        'absence.py::test_who_was_heard_of_is_not',
+        (isolation, 'QUIET_S', 0.0),
+        mechanism='absence',
+    ),
+    utils.planted(
+        'member-with-a-key-is-gone',
+        KIND.CONFIG,
+        'absence.py::test_who_renews_its_key_is_not',
+        (absence, '_gone', _gone_despite_its_key),
+    ),
+    utils.planted(
+        'silent-member-counts-as-quiet',
+        KIND.CONFIG,
+        'absence.py::test_an_answer_that_is_missing_proves_nothing',
+        (absence, '_ended', _async_true),
+    ),
+    utils.planted(
+        'undecided-apply-refused',
+        KIND.CONFIG,
+        'history.py::test_unknown_chain_refuses_nothing_that_may_have_run',
+        (history, '_outcome', _refused),
+    ),
     utils.planted(
         'calls-without-budget',
         KIND.TASKS,
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -37,6 +37,17 @@
     assert _may_send(entry, 107.0)
 
 
+def test_sponsored_entry_cuts_as_soon_as_it_is_isolated():
+    """Its sponsor stops naming it to the leader soon after."""
+    entry = build.joined(now_s=100.0)
+    assert not view.must_cut(entry, 129.9)
+    assert view.must_cut(entry, 130.0)
+    view.grant(entry, 'e2-1')
+    assert not view.must_cut(entry, 105.9)
+    view.lapse(entry, 106.0)
+    assert view.must_cut(entry, 106.0)
+
+
 def test_lower_revisions_are_refused_and_counted():
     entry = build.joined(revision=3)
     assert not grants.apply_shard(entry.grants, build.shard(2, []))
