Assert true refusals and drained stops; report the dispatcher's breaches

Three of the eight invariants had no assertion that the metric counts: - NOT_RUN: an answer says so only if each attempt's verdict proved it, else MAY_HAVE_RUN, and the breach is reported (not-run-is-proven). - the graceful stop: once the server has stopped, nothing may be active or in flight (stop-cuts-nothing). - the dispatcher, which is pure, counted its breaches in the state dump only; the entry now reports each to oleander_invariant_breaches_total. Each has a test, and a planted defect that makes it fail.

--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -16,6 +16,7 @@
 from oleanderwood import garbage
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import membership
 from oleanderwood import peer_answers
 from oleanderwood import peer_grpc
@@ -83,6 +84,7 @@
     while True:
         entry_parts.take_over(entry)
         await _cut_if_due(entry)
+        entry_parts.report_breaches(entry)
         await curio.sleep(FOLLOW_S)
 
 
@@ -116,6 +118,7 @@
     http_server.retire(entry.server)
     await curio.sleep(entry.settings.drain_notice_s)
     await http_server.stop(entry.server)
+    _check_drained(entry)
     LOG.info('The last request has its answer.')
     # It would join again.
     await entry.following.cancel()
@@ -123,6 +126,18 @@
         await membership.resign(entry.node)
 
 
+def _check_drained(entry: entry_parts.Entry) -> None:
+    """Report requests that a stop would cut."""
+    left = len(entry.proxy.active)
+    in_flight = entry.node.view.grants.in_flight.total()
+    invariants.check(
+        entry.proxy.path.invariants,
+        not left and not in_flight,
+        'stop-cuts-nothing',
+        f'{left} requests left, {in_flight} in flight',
+    )
+
+
 APP = settings.application(
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
--- a/oleanderwood/entry_parts.py
+++ b/oleanderwood/entry_parts.py
@@ -4,6 +4,7 @@
 the peers (:mod:`follower`), a server for peers, and what the probes tell.
 """
 
+import collections
 import dataclasses
 import functools
 import random
@@ -18,6 +19,7 @@
 from oleanderwood import dispatch
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import node as nodes
 from oleanderwood import node_metrics
 from oleanderwood import peer_grpc
@@ -57,6 +59,7 @@
 
     :ivar mark: what the request path took over of the view last
     :ivar following: keeps the view up to date
+    :ivar reported: breaches of the dispatcher that were reported, by kind
     """
 
     settings: Settings
@@ -68,6 +71,9 @@
     peer_client: peer_grpc.Client
     mark: Mark = ()
     following: curio.Task | None = None
+    reported: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 def create(wanted: Settings) -> Entry:
@@ -118,6 +124,15 @@
     return entry
 
 
+def report_breaches(entry: Entry) -> None:
+    """Report what the dispatcher, which is pure, has only counted."""
+    found = entry.proxy.tickets.state.breaches - entry.reported
+    for kind in found.elements():
+        entry.reported[kind] += 1
+        name = kind.replace(' ', '-')
+        invariants.report(entry.proxy.path.invariants, name, 'dispatcher')
+
+
 def _permissions(view: views.View) -> permissions.Permissions:
     return permissions.Permissions(
         may_send=functools.partial(views.may_send, view),
--- a/oleanderwood/exchange.py
+++ b/oleanderwood/exchange.py
@@ -77,3 +77,18 @@
         super().__init__(str(message or 'the caller is gone'))
         self.verdict = verdict
         self.message = message
+
+
+def proven(
+    path: Path, exchange: Exchange, verdict: verdicts.Verdict
+) -> verdicts.Verdict:
+    """Give a verdict, but ``NOT_RUN`` only if each attempt proved it."""
+    not_run = verdicts.Verdict.NOT_RUN
+    holds = verdict is not not_run or all(
+        earlier is not_run for earlier in exchange.attempts
+    )
+    detail = f'{exchange.request_id} after {exchange.attempts}'
+    name = 'not-run-is-proven'
+    if invariants.check(path.invariants, holds, name, detail):
+        return verdict
+    return verdicts.Verdict.MAY_HAVE_RUN
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -319,13 +319,12 @@
 ) -> None:
     """Give the final answer of a request that got none of an upstream."""
     status = refuse.status
-    if refuse.verdict is not NOT_RUN and failed_status:
+    verdict = exchanges.proven(proxy.path, exchange, refuse.verdict)
+    if verdict is not NOT_RUN and failed_status:
         status = failed_status
-    response = _refusal(
-        status, refuse.reason, refuse.verdict, refuse.retry_after_s
-    )
+    response = _refusal(status, refuse.reason, verdict, refuse.retry_after_s)
     proxy.metrics.refused.labels(exchange.service.name, refuse.reason).inc()
-    _count_answer(proxy, exchange, refuse.verdict)
+    _count_answer(proxy, exchange, verdict)
     await exchange.request.respond(response)
 
 
--- a/tests/mutants_requests.py
+++ b/tests/mutants_requests.py
@@ -246,6 +246,12 @@
         PROPERTIES,
         (retry, 'combine', lambda earlier, latest: latest),
     ),
+    utils.planted(
+        'assertion-of-not-run-off',
+        KIND.NOT_RUN,
+        'proxy.py::test_not_run_is_told_only_if_all_attempts_prove_it',
+        (exchanges, 'proven', lambda path, exchange, verdict: verdict),
+    ),
     utils.planted(
         'lost-store-answer-not-run',
         KIND.NOT_RUN,
@@ -283,6 +289,12 @@
         'proxy.py::test_second_run_is_stopped_before_the_write',
         (attempt, '_check_first_run', _none),
     ),
+    utils.planted(
+        'breaches-of-dispatcher-not-reported',
+        KIND.ONCE,
+        'entry.py::test_breaches_of_the_dispatcher_are_reported_once',
+        (entry_parts, 'report_breaches', _none),
+    ),
     utils.planted(
         'may-send-not-asked',
         KIND.LEAVING,
@@ -338,6 +350,12 @@
         STOPS,
         (entry, 'stop', _stop_by_resigning),
     ),
+    utils.planted(
+        'assertion-of-drained-stop-off',
+        KIND.STOP,
+        'entry.py::test_stop_that_leaves_a_request_is_reported',
+        (entry, '_check_drained', _none),
+    ),
     utils.planted(
         'kept-connection-not-told',
         KIND.STOP,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oleanderwood import codec
+from oleanderwood import entry as entries
 from oleanderwood import entry_parts
 from oleanderwood import errors
 from oleanderwood import fleet
@@ -166,3 +167,30 @@
         return heads
 
     assert daemons.run(answer, use) == [None, 'close']
+
+
+def test_breaches_of_the_dispatcher_are_reported_once():
+    async def use(entry, store_address):
+        entry.proxy.tickets.state.breaches['second start'] += 2
+        found = entry.proxy.path.invariants
+        await daemons.until(lambda: found.count)
+        entry_parts.report_breaches(entry)
+        return list(found.recent)
+
+    found = daemons.run(answer, use)
+    assert found == [('second-start', 'dispatcher')] * 2
+
+
+def test_stop_that_leaves_a_request_is_reported():
+    async def use(entry, store_address):
+        in_flight = entry.node.view.grants.in_flight
+        entries._check_drained(entry)
+        in_flight['vm-0', 3] += 1
+        entries._check_drained(entry)
+        in_flight.clear()
+        return list(entry.proxy.path.invariants.recent)
+
+    found = daemons.run(answer, use)
+    assert found == [
+        ('stop-cuts-nothing', '0 requests left, 1 in flight'),
+    ]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -578,3 +578,33 @@
     assert len(runs) == 1
     assert reported == {'at-most-once'}
     assert response.header('oleander-verdict') == 'may-have-run'
+
+
+def test_not_run_is_told_only_if_all_attempts_prove_it(monkeypatch):
+    """The decision forgets the first attempt; the answer doesn't."""
+    monkeypatch.setattr(retry, 'combine', lambda earlier, latest: latest)
+    runs = []
+
+    async def cut_then_refuse(request):
+        runs.append(request.target)
+        if len(runs) == 1:
+            raise ConnectionResetError('cut')
+        return http.Response(503, [], b'')
+
+    async def use(world):
+        response = await call(world, 'POST')
+        reported = {name for name, _ in world.proxy.path.invariants.recent}
+        world.proxy.path.invariants.recent.clear()
+        return response, reported
+
+    response, reported = utils.run(
+        use,
+        cut_then_refuse,
+        cut_then_refuse,
+        idempotent=True,
+        retry_share=1.0,
+        refusal_statuses=(503,),
+    )
+    assert reported == {'not-run-is-proven'}
+    assert response.header('oleander-verdict') == 'may-have-run'
+    assert response.header('retry-after') is None
