--- a/tests/fault_counts.py
+++ b/tests/fault_counts.py
@@ -1,12 +1,15 @@
 """Count of the faults that the random tests try: ``-m tests.fault_counts``.
 
-The tests run as ever, with the functions that make the faults wrapped.
+The tests run as ever, with the functions that make the faults wrapped. A
+number as argument runs so many longer schedules for the controllers more.
 """
 
 import collections
 import logging
+import sys
 import unittest.mock
 
+from tests import defects_controller
 from tests import test_proxy_random
 from tests import test_region_faults
 from tests import test_rollout
@@ -119,14 +122,27 @@
     return counts
 
 
-def main():
-    """Print the counts."""
+def drawn(many):
+    """Run schedules of 60 actions; print and count those that fail."""
+    failed = 0
+    for seed in range(1, many + 1):
+        fault = defects_controller.fault_of('', seed)
+        if fault:
+            failed += 1
+            print(f'seed {seed}: {fault}')
+    print(f'drawn schedules: {many} run, {failed} failed')
+    return failed
+
+
+def main(many):
+    """Print the counts; give the exit status."""
     logging.disable()
     for count in (region, store, requests, applies):
         found = count()
         text = ', '.join(f'{kind} {n:,}' for kind, n in found.most_common())
         print(f'{count.__name__}: {text}')
+    return bool(many and drawn(many))
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(main(int(sys.argv[1]) if sys.argv[1:] else 0))
