Prove the check that an answer is its own request's

Nothing made the assertion own-answer fail, so it counted for nothing. The new test lets a connection carry another request by the time its answer comes; the planted defect that leaves the check out is caught by it.

--- a/tests/mutants_requests.py
+++ b/tests/mutants_requests.py
@@ -210,6 +210,12 @@
         (http_client, 'end_cycle', _end_cycle_with_bytes_left),
         (http_client, 'silent', _true),
     ),
+    utils.planted(
+        'owner-of-answer-not-checked',
+        KIND.WHOLE,
+        'proxy.py::test_answer_on_a_connection_of_another_request_is_refused',
+        (attempt, '_check_own_answer', _none),
+    ),
     utils.planted(
         'smuggling-check-off',
         KIND.WHOLE,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -608,3 +608,25 @@
     assert reported == {'not-run-is-proven'}
     assert response.header('oleander-verdict') == 'may-have-run'
     assert response.header('retry-after') is None
+
+
+def test_answer_on_a_connection_of_another_request_is_refused(monkeypatch):
+    read_head = http_client.read_head
+
+    async def late(connection):
+        response = await read_head(connection)
+        if connection.carries.startswith('e-'):
+            connection.carries = 'of another'
+        return response
+
+    async def use(world):
+        response = await call(world, 'POST')
+        reported = {name for name, _ in world.proxy.path.invariants.recent}
+        world.proxy.path.invariants.recent.clear()
+        return response, reported
+
+    monkeypatch.setattr(http_client, 'read_head', late)
+    response, reported = utils.run(use, echo)
+    assert reported == {'own-answer'}
+    assert response.status == 502
+    assert response.header('oleander-verdict') == 'may-have-run'
