--- a/oleanderwood/upstream_set.py
+++ b/oleanderwood/upstream_set.py
@@ -80,25 +80,48 @@
     return [up for up in upstreams.by_vm.values() if up.serving]
 
 
-def candidates(
-    upstreams: UpstreamSet, limit: routing.Limit, entries: int, now_s: float
-) -> list[routing.Upstream]:
+def set_allowed(
+    upstreams: UpstreamSet, limit: routing.Limit, entries: int
+) -> None:
+    """Set what one of some entries may have at each upstream."""
+    for upstream in upstreams.by_vm.values():
+        upstream.allowed = min(
+            limit(upstream, entries),
+            routing.connection_limit(upstream.connections, entries),
+        )
+
+
+def candidates(upstreams: UpstreamSet, now_s: float) -> list[routing.Upstream]:
     """List the upstreams that may be used, with their limits set."""
     found = []
-    for vm, upstream in upstreams.by_vm.items():
-        if not upstream.serving:
-            continue
-        health = upstreams.healths[vm]
-        upstream.doubtful = ejection.is_doubtful(health, now_s)
-        usable = ejection.usable_slots(health, limit(upstream, entries), now_s)
-        upstream.limit = min(
-            usable, routing.connection_limit(upstream.connections, entries)
-        )
+    for vm, health in upstreams.healths.items():
+        upstream = upstreams.by_vm[vm]
+        upstream.limit = upstream.allowed
+        upstream.doubtful = False
+        if not ejection.is_sound(health):
+            upstream.doubtful = ejection.is_doubtful(health, now_s)
+            upstream.limit = ejection.usable_slots(
+                health, upstream.allowed, now_s
+            )
         if upstream.limit:
             found.append(upstream)
     return found
 
 
+def has_hope(
+    upstreams: UpstreamSet,
+    tried: collections.abc.Container[ids.VmId],
+    now_s: float,
+) -> bool:
+    """Say whether an upstream is left whose last answer was good."""
+    return any(
+        vm not in tried
+        and not ejection.is_ejected(health, now_s)
+        and not ejection.is_doubtful(health, now_s)
+        for vm, health in upstreams.healths.items()
+    )
+
+
 def enter(upstreams: UpstreamSet, upstream: routing.Upstream) -> bool:
     """Count a request in; say whether the upstream's limit was kept."""
     upstream.in_flight += 1
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -109,3 +109,14 @@
     waits_s = [call_budget.take(budget, 0.0) for _ in range(6)]
     assert waits_s == [0.0, 0.0, 0.0, 0.5, 1.0, 1.5]
     assert call_budget.take(budget, 100.0) == 0.0
+
+
+def test_read_without_an_answer_is_not_run():
+    async def lose(key):
+        raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, 'lost')
+
+    fake = utils_store.FakeStore()
+    client = utils_store.connect(fake, replaced={'get': lose})
+    with pytest.raises(errors.StoreUnavailable) as caught:
+        _run(client.get, KEY)
+    assert caught.value.verdict is verdicts.Verdict.NOT_RUN
