--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,10 +56,10 @@
 
 def run(mutant):
     """Run one defect; give what came of it."""
-    options = []
+    options = ['-m', 'slow or not slow']
     variables = {}
     if mutant.patches:
-        options = ['-p', mutant_plugin.__name__]
+        options += ['-p', mutant_plugin.__name__]
         variables[mutant_plugin.VARIABLE] = mutant.name
     status = _pytest([mutant.proof], TIMEOUT_S, *options, **variables)
     if status is None:
--- a/tests/mutants_inside.py
+++ b/tests/mutants_inside.py
@@ -313,7 +313,69 @@
 )
 """Forged evidence, by which the checker of the long runs must fail."""
 
+WAVES = 'wave.py::test_planted_defect_is_caught'
+BUFFER = 'buffer.py::test_planted_defect_is_caught'
+DAEMONS = 'faults/test_planted.py::test_planted_defect_is_noticed'
+
+_WAVES = (
+    *inside(
+        KIND.BUDGET,
+        'batch',
+        WAVES,
+        'check_minimum-oleanderwood.batch-_take-_take_all',
+        'check_once-oleanderwood.batch-left_of-_forget',
+    ),
+    *inside(
+        KIND.BUDGET,
+        'reserve',
+        WAVES,
+        'check_reserve-oleanderwood.reserve-try_take-_take_if_asked',
+    ),
+    *inside(
+        KIND.BUDGET,
+        'budget',
+        WAVES,
+        'check_quarter-oleanderwood.budget-affords-<lambda>',
+    ),
+    *inside(
+        KIND.TASKS,
+        'buffer',
+        WAVES,
+        'check_progress-oleanderwood.buffer-_lend-<lambda>',
+        'check_monotone-oleanderwood.buffer-_lend-_hoard',
+    ),
+    *inside(
+        KIND.BUDGET,
+        'buffer',
+        BUFFER,
+        'check_stable-_can_lend_extra-_lends_loans',
+        'check_lenders_keep_their_minimum-_lender_vm-_any_vm',
+        'check_data_centres-_spare_to_keep-_any_spare',
+    ),
+)
+
+_DAEMONS = (
+    *inside(KIND.LEAVING, 'catch_up', DAEMONS, 'deaf'),
+    *inside(KIND.STOP, 'grants', DAEMONS, 'hides-work'),
+    *inside(KIND.ONCE, 'retry', DAEMONS, 'repeats-all'),
+    *inside(KIND.NOT_RUN, 'http_client', DAEMONS, 'denies-runs'),
+    *inside(KIND.NOT_RUN, 'request_headers', DAEMONS, 'mute'),
+    *inside(KIND.WHOLE, 'attempt', DAEMONS, 'mixes-answers'),
+    *inside(KIND.CONFIG, 'config_state', DAEMONS, 'applies-staged'),
+    *inside(KIND.CONFIG, 'rollout_run', DAEMONS, 'overwrites'),
+    *inside(KIND.STOP, 'release', DAEMONS, 'waits-for-none'),
+    *inside(KIND.BUDGET, 'reserve', DAEMONS, 'promises-nothing'),
+    *inside(
+        KIND.STOP,
+        'http_server',
+        'faults/test_planted.py::test_stop_that_cuts_is_noticed',
+    ),
+)
+"""Whole daemons with a defect, which the checker must notice."""
+
 MUTANTS = (
+    *_DAEMONS,
+    *_WAVES,
     *_CONTROLLER,
     *_MODELS,
     *_CONFIGURATION,
--- a/tests/mutants_state.py
+++ b/tests/mutants_state.py
@@ -27,6 +27,11 @@
 KIND = utils.Invariant
 
 
+def _take_unasked(census, vm):
+    reserve.take(census, vm)
+    return True
+
+
 def _serves_in_any_state(held, vm, epoch):
     row = held.rows.get(vm)
     return row is not None and row.epoch == epoch
@@ -143,7 +148,7 @@
         'reserve-ignored',
         KIND.BUDGET,
         'wave.py::test_losses_to_survive_leave_no_room',
-        (reserve, 'holds_without', _true),
+        (reserve, 'try_take', _take_unasked),
     ),
     utils.planted(
         'shortage-of-quarter-not-written',
--- a/tests/utils_mutants.py
+++ b/tests/utils_mutants.py
@@ -24,6 +24,9 @@
 LEAST = 2
 """Defects that each required invariant must have."""
 
+SLOW = 'faults/'
+"""Directory of the proofs that run whole daemons."""
+
 Patch = tuple[typing.Any, str, typing.Any]
 """Module or class, attribute, and what stands in for it."""
 
@@ -64,7 +67,9 @@
 
     :param names: its parameters; none for a test without
     """
-    node = f'tests/test_{proof}'
+    node = f'tests/{proof}'
+    if not proof.startswith(SLOW):
+        node = f'tests/test_{proof}'
     if not names:
         name = proof.partition('::')[2].removeprefix('test_')
         return (Mutant(name, invariant, mechanism, node),)
