--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -3,10 +3,8 @@
 import functools
 import logging
 import time
-import typing
 
 import curio
-import cyclopts
 
 from oleanderwood import attempt
 from oleanderwood import connections
@@ -21,6 +19,7 @@
 from oleanderwood import peer_grpc
 from oleanderwood import settings
 from oleanderwood import tickets
+from oleanderwood import ticks
 from oleanderwood import view as views
 
 LOG = logging.getLogger('entry')
@@ -80,7 +79,7 @@
         entry_parts.take_over(entry)
         await _cut_if_due(entry)
         entry_parts.report_breaches(entry)
-        await curio.sleep(FOLLOW_S)
+        await ticks.pause(FOLLOW_S)
 
 
 async def _cut_if_due(entry: entry_parts.Entry) -> None:
@@ -94,7 +93,7 @@
 
 async def _sweep(entry: entry_parts.Entry) -> None:
     while True:
-        await curio.sleep(SWEEP_S)
+        await ticks.pause(SWEEP_S)
         since_s = time.monotonic() - connections.IDLE_S
         await connections.drop_idle(entry.proxy.path.connections, since_s)
 
@@ -132,8 +131,6 @@
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
 
-Many = typing.Annotated[list[str], cyclopts.Parameter(consume_multiple=True)]
-
 
 @APP.default
 def start(
@@ -142,12 +139,12 @@
     region: str,
     data_centre: str,
     vm: str,
-    store: Many,
+    store: settings.Many,
     listen: str = '127.0.0.1:0',
     admin_listen: str = '127.0.0.1:0',
     peer_listen: str = '127.0.0.1:0',
     platform: str = '',
-    peer: Many | None = None,
+    peer: settings.Many | None = None,
     drain_notice_s: float = 5.0,
     max_connections: int = http_server.MAX_CONNECTIONS,
     log_level: str = 'info',
@@ -183,6 +180,7 @@
             *settings.addresses('--peer', peers),
             settings.between('--drain-notice-s', drain_notice_s, 0, 600),
             settings.between('--max-connections', max_connections, 1, 100000),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -158,6 +158,28 @@
             check(seed)
 
 
+def test_takes_no_more_than_the_minimum_allows():
+    pools = (utils_decisions.pool(size=4, min_up=3, survives='nothing'),)
+    rows, sites = utils_decisions.fleet_of(('p', 4))
+    plan = configuration.Wave(name='w', pools=('p',))
+    progress = wave.begin(plan, rows, 0.0)
+    batch = wave.next_batch(
+        plan,
+        progress,
+        pools,
+        rows,
+        0.0,
+        utils_decisions.WEIGHTS,
+        wave.Conditions(sites),
+    )
+    assert len(batch.take) == 1
+
+
+def test_vm_that_was_out_for_no_time_still_counts_as_out():
+    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
+    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
+
+
 def _batch(pools, rows, sites, outcomes=(), now_s=0.0, **plan):
     names = tuple(one.name for one in pools)
     described = configuration.Wave(name='w', pools=names, **plan)
@@ -337,10 +359,6 @@
     ).take
 
 
-def test_takes_no_more_than_the_minimum_allows():
-    assert len(_taken()) == 1
-
-
 def test_vms_that_are_out_leave_no_room():
     assert _taken(out=1) == ()
 
@@ -354,8 +372,3 @@
 def test_losses_to_survive_leave_no_room():
     assert _taken(survives='vm') == ()
     assert len(_taken(survives='vm', min_up=2)) == 1
-
-
-def test_vm_that_was_out_for_no_time_still_counts_as_out():
-    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
-    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
