--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -6,18 +6,21 @@
 
 import curio
 
+from oleanderwood import attempt
 from oleanderwood import connections
 from oleanderwood import daemon
 from oleanderwood import entry_parts
 from oleanderwood import follower
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import membership
 from oleanderwood import peer_answers
 from oleanderwood import peer_grpc
 from oleanderwood import settings
 from oleanderwood import tickets
 from oleanderwood import ticks
+from oleanderwood import view as views
 
 LOG = logging.getLogger('entry')
 
@@ -74,9 +77,20 @@
 async def _follow(entry: entry_parts.Entry) -> None:
     while True:
         entry_parts.take_over(entry)
+        await _cut_if_due(entry)
+        entry_parts.report_breaches(entry)
         await ticks.pause(FOLLOW_S)
 
 
+async def _cut_if_due(entry: entry_parts.Entry) -> None:
+    """Cut what is in flight once the entry was without contact for long."""
+    if not views.must_cut(entry.node.view, time.monotonic()):
+        return
+    for exchange in list(entry.proxy.active.values()):
+        LOG.warning('%s is cut: no contact.', exchange.request_id)
+        await attempt.cut(exchange)
+
+
 async def _sweep(entry: entry_parts.Entry) -> None:
     while True:
         await ticks.pause(SWEEP_S)
@@ -93,6 +107,7 @@
     http_server.retire(entry.server)
     await curio.sleep(entry.settings.drain_notice_s)
     await http_server.stop(entry.server)
+    _check_drained(entry)
     LOG.info('The last request has its answer.')
     # It would join again.
     await entry.following.cancel()
@@ -100,6 +115,18 @@
         await membership.resign(entry.node)
 
 
+def _check_drained(entry: entry_parts.Entry) -> None:
+    """Report requests that a stop would cut."""
+    left = len(entry.proxy.active)
+    in_flight = entry.node.view.grants.in_flight.total()
+    invariants.check(
+        entry.proxy.path.invariants,
+        not left and not in_flight,
+        'stop-cuts-nothing',
+        f'{left} requests left, {in_flight} in flight',
+    )
+
+
 APP = settings.application(
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -108,6 +108,13 @@
     assert _run(use) == (None, 0.0)
 
 
+def test_calls_over_the_budget_wait_their_turn():
+    budget = call_budget.make(2.0, 3.0, 0.0)
+    waits_s = [call_budget.take(budget, 0.0) for _ in range(6)]
+    assert waits_s == [0.0, 0.0, 0.0, 0.5, 1.0, 1.5]
+    assert call_budget.take(budget, 100.0) == 0.0
+
+
 def test_read_without_an_answer_is_not_run():
     async def lose(key):
         raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, 'lost')
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -336,3 +336,39 @@
     )
     assert stuck.end_s is None
     assert not stuck.meets_deadline
+
+
+def _taken(out=0, spent_s=0.0, **changes):
+    """Give what a wave takes of four VMs, some of which are out."""
+    fields = {'size': 4, 'min_up': 3, 'survives': 'nothing', **changes}
+    pools = (utils_decisions.pool(**fields),)
+    rows, sites = utils_decisions.fleet_of(('p', 4))
+    for index in range(out):
+        state = fleet.VmState.REBOOTING
+        rows[index] = utils_decisions.row(rows[index].vm, 'p', state)
+    spent = {ids.PoolId('p'): budget.Spent(ids.PoolId('p'), 0.0, spent_s)}
+    plan = configuration.Wave(name='w', pools=('p',))
+    return wave.next_batch(
+        plan,
+        wave.begin(plan, rows, 0.0),
+        pools,
+        rows,
+        0.0,
+        utils_decisions.WEIGHTS,
+        wave.Conditions(sites, spent),
+    ).take
+
+
+def test_vms_that_are_out_leave_no_room():
+    assert _taken(out=1) == ()
+
+
+def test_spent_budget_of_the_quarter_stops_the_wave():
+    left_s = utils_decisions.pool().unavailability_budget_s
+    assert len(_taken(spent_s=left_s / 2)) == 1
+    assert _taken(spent_s=left_s) == ()
+
+
+def test_losses_to_survive_leave_no_room():
+    assert _taken(survives='vm') == ()
+    assert len(_taken(survives='vm', min_up=2)) == 1
