Gossip less often while there is nothing to tell

At rest the exchanges of gossip were the largest part left: a thread and a future on each side, and some 200 wake-ups a second of gRPC's 12 threads. While nobody tells of a request in flight, contact is fresh, grants are held without a sponsor and nothing is staged, an entry goes through its peers in 4.5 s: each 0.64 s with 8 entries, at most each second. Otherwise it is as often as before. 4.5 s is below the age from which loads aren't used, so the limits of upstreams are the same as before.

--- a/oleanderwood/follower.py
+++ b/oleanderwood/follower.py
@@ -52,11 +52,7 @@
             await group.spawn(_tick, name, pause_s, step)
 
         await every('keep', settings.renew_s, lambda: membership.keep(node))
-        await every(
-            'gossip',
-            1.0 / settings.gossip_per_s,
-            lambda: gossip.tell_next(node),
-        )
+        await group.spawn(_gossip, node)
         await tick('sponsor', SPONSOR_S, lambda: gossip.seek_sponsor(node))
         await tick('lapse', settings.tick_s, lambda: _lapse(node))
         await tick('staged', HEAD_POLL_S, lambda: _poll_head(node))
@@ -78,6 +74,13 @@
         await curio.sleep(pause_s * rng.uniform(0.9, 1.1))
 
 
+async def _gossip(node: nodes.Node) -> None:
+    rng = node.settings.rng
+    while True:
+        await _guarded('gossip', lambda: gossip.tell_next(node))
+        await curio.sleep(gossip.pause_s(node) * rng.uniform(0.9, 1.1))
+
+
 async def _tick(name: str, pause_s: float, step: Step) -> None:
     """Run a step for ever that seldom has anything to do."""
     while True:
--- a/oleanderwood/gossip.py
+++ b/oleanderwood/gossip.py
@@ -23,6 +23,40 @@
 """How long the store may fail to give the head before peers are asked."""
 
 
+BUSY_FOR_S = 5.0
+"""How long after the last load was told, by anyone, there may be more."""
+
+FRESH_CONTACT_S = 0.5
+"""Age of the contact after an exchange that went well."""
+
+REST_SLOWER = 2.0
+"""How much longer the pauses may be while there is nothing to tell."""
+
+REST_ROTATION_S = 4.5
+"""Time to go through all peers up to which the pauses may be longer.
+
+Below ``peer_loads.MAX_AGE_S``: what a peer told doesn't age at rest.
+"""
+
+
+def pause_s(node: nodes.Node) -> float:
+    """Give the pause until the next exchange; longer at rest.
+
+    At rest: nobody told of requests in flight, the last exchange brought
+    contact, and there is no revision whose outcome is to be passed on.
+    """
+    usual_s = 1.0 / node.settings.gossip_per_s
+    now_s = nodes.now_s(node)
+    view = node.view
+    busy = now_s - node.neighbours.loads_s < BUSY_FOR_S
+    stale = now_s - view.contact_s > FRESH_CONTACT_S
+    settled = view.granted and not view.sponsor and not view.config.stages
+    if busy or stale or not settled:
+        return usual_s
+    share_s = REST_ROTATION_S / max(1, len(nodes.region_peers(node)))
+    return max(usual_s, min(REST_SLOWER * usual_s, share_s))
+
+
 async def tell_next(node: nodes.Node) -> None:
     """Exchange news with the next peer in rotation.
 
@@ -39,8 +73,12 @@
         node.view.member.peer,
         load_vectors.pack(node.settings.give_loads(), node.view.grants),
     )
+    if request.loads:
+        node.neighbours.loads_s = sent_s
     try:
         reply = await node.peers.gossip(member.peer, request)
+        if reply.loads:
+            node.neighbours.loads_s = nodes.now_s(node)
         if reply.standing.incarnation != member.incarnation:
             return
         loads = load_vectors.unpack(reply.loads, node.view.grants)
--- a/oleanderwood/neighbours.py
+++ b/oleanderwood/neighbours.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 
 from oleanderwood import ids
 from oleanderwood import isolation
@@ -29,6 +30,7 @@
     :ivar heard_s: when something of a process last arrived
     :ivar sponsored: by incarnation
     :ivar turn: place in the rotation of peers
+    :ivar loads_s: when a request in flight, here or elsewhere, was last told
     :ivar ahead: peer addresses whose processes follow something further,
         with what they follow
     """
@@ -37,6 +39,7 @@
     heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
     sponsored: dict[str, Sponsored] = dataclasses.field(default_factory=dict)
     turn: int = 0
+    loads_s: float = -math.inf
     ahead: dict[ids.Address, messages.Standing] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/peer_answers.py
+++ b/oleanderwood/peer_answers.py
@@ -49,6 +49,8 @@
     held = node.view.grants
     loads = load_vectors.unpack(request.loads, held)
     node.settings.take_loads(theirs.entry, loads)
+    if request.loads:
+        node.neighbours.loads_s = now_s
     if views.offers(node.view, theirs):
         node.neighbours.ahead[request.peer] = theirs
     return messages.GossipReply(
