--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -3,22 +3,24 @@
 import functools
 import logging
 import time
-import typing
 
 import curio
-import cyclopts
 
+from oleanderwood import attempt
 from oleanderwood import connections
 from oleanderwood import daemon
 from oleanderwood import entry_parts
 from oleanderwood import follower
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import invariants
 from oleanderwood import membership
 from oleanderwood import peer_answers
 from oleanderwood import peer_grpc
 from oleanderwood import settings
 from oleanderwood import tickets
+from oleanderwood import ticks
+from oleanderwood import view as views
 
 LOG = logging.getLogger('entry')
 
@@ -75,12 +77,23 @@
 async def _follow(entry: entry_parts.Entry) -> None:
     while True:
         entry_parts.take_over(entry)
-        await curio.sleep(FOLLOW_S)
+        await _cut_if_due(entry)
+        entry_parts.report_breaches(entry)
+        await ticks.pause(FOLLOW_S)
+
+
+async def _cut_if_due(entry: entry_parts.Entry) -> None:
+    """Cut what is in flight once the entry was without contact for long."""
+    if not views.must_cut(entry.node.view, time.monotonic()):
+        return
+    for exchange in list(entry.proxy.active.values()):
+        LOG.warning('%s is cut: no contact.', exchange.request_id)
+        await attempt.cut(exchange)
 
 
 async def _sweep(entry: entry_parts.Entry) -> None:
     while True:
-        await curio.sleep(SWEEP_S)
+        await ticks.pause(SWEEP_S)
         since_s = time.monotonic() - connections.IDLE_S
         await connections.drop_idle(entry.proxy.path.connections, since_s)
 
@@ -94,6 +107,7 @@
     http_server.retire(entry.server)
     await curio.sleep(entry.settings.drain_notice_s)
     await http_server.stop(entry.server)
+    _check_drained(entry)
     LOG.info('The last request has its answer.')
     # It would join again.
     await entry.following.cancel()
@@ -101,12 +115,22 @@
         await membership.resign(entry.node)
 
 
+def _check_drained(entry: entry_parts.Entry) -> None:
+    """Report requests that a stop would cut."""
+    left = len(entry.proxy.active)
+    in_flight = entry.node.view.grants.in_flight.total()
+    invariants.check(
+        entry.proxy.path.invariants,
+        not left and not in_flight,
+        'stop-cuts-nothing',
+        f'{left} requests left, {in_flight} in flight',
+    )
+
+
 APP = settings.application(
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
 
-Many = typing.Annotated[list[str], cyclopts.Parameter(consume_multiple=True)]
-
 
 @APP.default
 def start(
@@ -115,12 +139,12 @@
     region: str,
     data_centre: str,
     vm: str,
-    store: Many,
+    store: settings.Many,
     listen: str = '127.0.0.1:0',
     admin_listen: str = '127.0.0.1:0',
     peer_listen: str = '127.0.0.1:0',
     platform: str = '',
-    peer: Many | None = None,
+    peer: settings.Many | None = None,
     drain_notice_s: float = 5.0,
     max_connections: int = http_server.MAX_CONNECTIONS,
     log_level: str = 'info',
@@ -156,6 +180,7 @@
             *settings.addresses('--peer', peers),
             settings.between('--drain-notice-s', drain_notice_s, 0, 600),
             settings.between('--max-connections', max_connections, 1, 100000),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
