Own, take and hand over idempotency keys; guard not wired in yet

Cause: the pure modules decided on keys, but no entry owned any.

Built: peer calls claim, settle and hand_over; entries create the table, take buckets whose owner left the roster, confirm theirs with new epochs after isolation, share, and hand over on a planned stop; `once` runs a request with a key behind a guard and replays kept answers.

Ruled out: an owner that comes back while its buckets are taken (table is read before the roster, a comer swaps the table); a late table write after records were sent (buckets stay frozen until a newer table); one write for all buckets of a stop (frozen too long, eight at once now); refusing claims while a bucket moves (repeated for 1 s).

Without it: 4 of 4 of tests/faults/test_entries.py pass, and 104 tests of the parts touched. The whole suite was not run on this last state.

--- a/oleanderwood/attempt.py
+++ b/oleanderwood/attempt.py
@@ -98,6 +98,7 @@
     if not path.permissions.may_send(row.vm, row.epoch, upload.moved_s):
         raise permissions.Gone(verdicts.Verdict.NOT_RUN, f'{row.vm}: no grant')
     connection.carries = exchange.request_id
+    exchange.sent = True
     await _write(exchange, connection, data)
     if exchange.kept_body is None:
         upload.task = await curio.spawn(
--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -14,6 +14,7 @@
 from oleanderwood import follower
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood import key_owner
 from oleanderwood import membership
 from oleanderwood import peer_answers
 from oleanderwood import peer_grpc
@@ -29,6 +30,7 @@
 """How often idle connections to upstreams are looked through."""
 
 RESIGN_TIMEOUT_S = 10.0
+HAND_OVER_TIMEOUT_S = 5.0
 
 
 async def run(entry: entry_parts.Entry) -> None:
@@ -95,6 +97,8 @@
     await curio.sleep(entry.settings.drain_notice_s)
     await http_server.stop(entry.server)
     LOG.info('The last request has its answer.')
+    async with curio.ignore_after(HAND_OVER_TIMEOUT_S):
+        await key_owner.leave(entry.node)
     # It would join again.
     await entry.following.cancel()
     async with curio.ignore_after(RESIGN_TIMEOUT_S):
--- a/oleanderwood/entry_metrics.py
+++ b/oleanderwood/entry_metrics.py
@@ -34,6 +34,7 @@
     refused: prometheus_client.Counter
     attempts: prometheus_client.Counter
     abandoned: prometheus_client.Counter
+    claims: prometheus_client.Counter
     in_flight: prometheus_client.Gauge
     latency: prometheus_client.Histogram
 
@@ -62,6 +63,11 @@
             'Requests whose caller left or whose answer was cut.',
             ['service'],
         ),
+        claims=counter(
+            'oleander_idempotency_claims',
+            'Requests with an idempotency key, by what its owner said.',
+            ['service', 'outcome'],
+        ),
         in_flight=prometheus_client.Gauge(
             'oleander_in_flight',
             'Requests between arrival and final answer.',
--- a/oleanderwood/exchange.py
+++ b/oleanderwood/exchange.py
@@ -7,6 +7,7 @@
 from oleanderwood import connections
 from oleanderwood import errors
 from oleanderwood import http
+from oleanderwood import ids
 from oleanderwood import invariants
 from oleanderwood import permissions
 from oleanderwood import verdict as verdicts
@@ -20,6 +21,8 @@
     :ivar length_bytes: the declared length of the body, None for chunked
     :ivar deadline_s: monotonic time of the caller's deadline
     :ivar attempts: verdicts of the attempts that ended
+    :ivar key: the caller's idempotency key, None if it doesn't count
+    :ivar sent: whether a byte may have gone to an upstream
     :ivar body_started: whether a streamed body was read from
     :ivar answering: whether bytes of the answer may have left
     """
@@ -33,6 +36,8 @@
     kept_body: bytes | None = None
     length_bytes: int | None = 0
     attempts: list[verdicts.Verdict] = dataclasses.field(default_factory=list)
+    key: ids.RequestKey | None = None
+    sent: bool = False
     body_started: bool = False
     answering: bool = False
 
--- a/oleanderwood/follower.py
+++ b/oleanderwood/follower.py
@@ -11,6 +11,7 @@
 import curio
 import msgspec
 
+from oleanderwood import buckets
 from oleanderwood import catch_up
 from oleanderwood import codec
 from oleanderwood import errors
@@ -18,6 +19,8 @@
 from oleanderwood import gossip
 from oleanderwood import grants
 from oleanderwood import ids
+from oleanderwood import key_owner
+from oleanderwood import key_table
 from oleanderwood import membership
 from oleanderwood import node as nodes
 from oleanderwood import roster
@@ -54,6 +57,7 @@
             lambda: gossip.tell_next(node),
         )
         await every('sponsor', SPONSOR_S, lambda: gossip.seek_sponsor(node))
+        await every('keys', settings.tick_s, lambda: key_owner.keep(node))
         await every('lapse', settings.tick_s, lambda: _lapse(node))
         await every('staged', HEAD_POLL_S, lambda: _poll_head(node))
         await every('outcome', HEAD_POLL_S, lambda: gossip.ask_outcome(node))
@@ -61,6 +65,7 @@
             await every('vms', settings.list_poll_s, lambda: poll_list(node))
         await group.spawn(_watch_head, node)
         await group.spawn(_watch_roster, node)
+        await group.spawn(_watch_buckets, node)
         await _watch_shards(node, group)
 
 
@@ -123,6 +128,14 @@
     await _watch(node, store.ROSTER_KEY, take)
 
 
+async def _watch_buckets(node: nodes.Node) -> None:
+    async def take(item: store.Item | None, sent_s: float) -> None:
+        if item is not None:
+            key_table.follow(node, codec.unpack(item.value, buckets.Table))
+
+    await _watch(node, buckets.table_key(node.view.member.region), take)
+
+
 async def _watch_shards(node: nodes.Node, group: curio.TaskGroup) -> None:
     """Watch the shards of all data centres that are followed."""
     watched: set[ids.DataCentre] = set()
--- a/oleanderwood/gossip.py
+++ b/oleanderwood/gossip.py
@@ -10,6 +10,7 @@
 from oleanderwood import config_state
 from oleanderwood import errors
 from oleanderwood import ids
+from oleanderwood import key_table
 from oleanderwood import load_vectors
 from oleanderwood import messages
 from oleanderwood import neighbours
@@ -137,6 +138,16 @@
     return [address for address in ordered if address != own.peer]
 
 
+async def _fetch_table(node: nodes.Node, address: ids.Address) -> None:
+    """Fetch the table of idempotency keys' owners if we have none."""
+    if node.keys.table is not None:
+        return
+    request = messages.FetchRequest(buckets=True)
+    reply = await node.peers.fetch(address, request)
+    if reply.buckets is not None:
+        key_table.follow(node, reply.buckets)
+
+
 async def _ask(node: nodes.Node, address: ids.Address) -> bool:
     """Ask one peer; catch up if it follows anything further."""
     request = messages.SponsorRequest(node.view.member)
@@ -145,6 +156,7 @@
         reply = await node.peers.sponsor(address, request)
         if reply.sponsored:
             await catch_up.fetch(node, address, reply.standing)
+            await _fetch_table(node, address)
     except errors.CallFailed as error:
         LOG.debug('%s does not sponsor: %s.', address, error)
         return False
--- a/oleanderwood/idempotency.py
+++ b/oleanderwood/idempotency.py
@@ -265,6 +265,15 @@
     )
 
 
+def thaw(ledger: Ledger, bucket: int) -> None:
+    """Let a bucket be used again whose hand-over is given up.
+
+    Only if it is certain that the table will never name that hand-over.
+    """
+    if bucket in ledger.held:
+        ledger.held[bucket].frozen = False
+
+
 def receive(ledger: Ledger, sent: HandOver) -> None:
     """Keep a hand-over until the table shows it."""
     ledger.received[sent.bucket] = sent
--- a/oleanderwood/membership.py
+++ b/oleanderwood/membership.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import contextlib
 import logging
 
 import curio
@@ -13,6 +14,7 @@
 from oleanderwood import change
 from oleanderwood import errors
 from oleanderwood import isolation
+from oleanderwood import key_table
 from oleanderwood import neighbours
 from oleanderwood import node as nodes
 from oleanderwood import roster as rosters
@@ -54,6 +56,8 @@
     # Copies that came from peers count too, though nothing is routed there.
     for data_centre in {*views.followed(view), *view.grants.shards}:
         await catch_up.read_shard(node, data_centre)
+    with contextlib.suppress(errors.StoreConflict):
+        await key_table.read(node)
     views.contact(view, sent_s, nodes.now_s(node))
     views.grant(view)
     LOG.info('Joined as %s.', member.incarnation)
--- a/oleanderwood/messages.py
+++ b/oleanderwood/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from oleanderwood import buckets as bucket_tables
 from oleanderwood import configuration as configurations
 from oleanderwood import fleet
 from oleanderwood import ids
@@ -72,6 +73,7 @@
     config: bool = False
     shards: tuple[ids.DataCentre, ...] = ()
     roster: bool = False
+    buckets: bool = False
 
 
 class FetchReply(msgspec.Struct, frozen=True):
@@ -81,6 +83,7 @@
     configuration: configurations.Configuration | None = None
     shards: tuple[fleet.Shard, ...] = ()
     roster: rosters.Roster | None = None
+    buckets: bucket_tables.Table | None = None
 
 
 class SponsorRequest(msgspec.Struct, frozen=True):
@@ -165,3 +168,15 @@
     heard_ages_s: dict[str, float]
     up_s: float
     sponsored: tuple[rosters.Member, ...] = ()
+
+
+class SettleReply(msgspec.Struct, frozen=True):
+    """Whether the owner of a key took note of how its request ended."""
+
+    taken: bool
+
+
+class HandOverReply(msgspec.Struct, frozen=True):
+    """Whether a bucket's records are kept until the table shows them."""
+
+    taken: bool
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -10,6 +10,7 @@
 
 from oleanderwood import config_state
 from oleanderwood import ids
+from oleanderwood import key_state
 from oleanderwood import messages
 from oleanderwood import neighbours
 from oleanderwood import peer
@@ -64,6 +65,7 @@
     watch_s: float = 25.0
     tick_s: float = 0.5
     clock: collections.abc.Callable[[], float] = time.monotonic
+    wall_clock: collections.abc.Callable[[], float] = time.time
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
 
@@ -71,6 +73,7 @@
 class Node:
     """One entry process as its peers and the store see it.
 
+    :ivar keys: idempotency keys and their owners
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
     :ivar publish: brings the metrics up to date
@@ -81,6 +84,7 @@
     peers: peer.Peers
     view: views.View
     neighbours: neighbours.Neighbours
+    keys: key_state.Keys
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
     publish: Publish = do_nothing
@@ -94,7 +98,8 @@
 ) -> Node:
     """Make the state of a process that starts now."""
     started = neighbours.Neighbours(settings.clock())
-    return Node(settings, kept, peers, view, started)
+    keys = key_state.make(view.member)
+    return Node(settings, kept, peers, view, started, keys)
 
 
 def now_s(node: Node) -> float:
@@ -149,6 +154,8 @@
         'leaving': sorted(view.grants.leaving),
         'heard_ages_s': neighbours.ages_s(node.neighbours, at_s),
         'sponsored': neighbours.sponsored(node.neighbours, at_s),
+        'key_buckets': len(node.keys.ledger.held),
+        'keys_settling': len(node.keys.settling),
         'refusals': dict(view.counts.refusals),
         'breaches': dict(view.counts.breaches),
     }
--- a/oleanderwood/node_metrics.py
+++ b/oleanderwood/node_metrics.py
@@ -23,6 +23,7 @@
     staged: prometheus_client.Gauge
     shard_revision: prometheus_client.Gauge
     sponsored: prometheus_client.Gauge
+    key_buckets: prometheus_client.Gauge
     refusals: prometheus_client.Counter
     invariants: invariants.Invariants
     counted: collections.Counter = dataclasses.field(
@@ -56,6 +57,9 @@
             'shard_revision', 'Revision followed.', 'data_centre'
         ),
         sponsored=gauge('sponsored', 'Entries sponsored by this one.'),
+        key_buckets=gauge(
+            'key_buckets', 'Buckets of idempotency keys owned by this one.'
+        ),
         refusals=prometheus_client.Counter(
             'oleander_refused_revisions',
             'Offers of revisions lower than one already seen.',
@@ -80,10 +84,12 @@
         metrics.shard_revision.labels(data_centre).set(shard.revision)
     known = neighbours.sponsored(node.neighbours, now_s)
     metrics.sponsored.set(len(known))
+    metrics.key_buckets.set(len(node.keys.ledger.held))
     for kind, number in view.counts.refusals.items():
         grown = _grown(metrics, f'refused {kind}', number)
         metrics.refusals.labels(kind).inc(grown)
-    for kind, number in view.counts.breaches.items():
+    breaches = view.counts.breaches + node.keys.ledger.breaches
+    for kind, number in breaches.items():
         for _ in range(_grown(metrics, kind, number)):
             name = kind.replace(' ', '-')
             invariants.report(metrics.invariants, name, 'in the view')
--- a/oleanderwood/peer.py
+++ b/oleanderwood/peer.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from oleanderwood import idempotency
 from oleanderwood import ids
 from oleanderwood import messages
 
@@ -38,6 +39,9 @@
     Method('prepare', messages.PrepareRequest, messages.PrepareReply, 3.0),
     Method('commit', messages.CommitRequest, messages.CommitReply),
     Method('release', messages.ReleaseRequest, messages.ReleaseReply),
+    Method('claim', idempotency.Claim, idempotency.ClaimReply),
+    Method('settle', idempotency.Settlement, messages.SettleReply),
+    Method('hand_over', idempotency.HandOver, messages.HandOverReply, 2.0),
 )
 
 
@@ -55,3 +59,6 @@
     prepare: Call
     commit: Call
     release: Call
+    claim: Call
+    settle: Call
+    hand_over: Call
--- a/oleanderwood/peer_answers.py
+++ b/oleanderwood/peer_answers.py
@@ -7,6 +7,7 @@
 from oleanderwood import catch_up
 from oleanderwood import config_state
 from oleanderwood import grants
+from oleanderwood import key_owner
 from oleanderwood import load_vectors
 from oleanderwood import messages
 from oleanderwood import neighbours
@@ -28,6 +29,9 @@
         'prepare': prepare,
         'commit': commit,
         'release': release,
+        'claim': key_owner.claim,
+        'settle': key_owner.settle,
+        'hand_over': key_owner.receive,
     }
     return {name: _bound(node, answer) for name, answer in answers.items()}
 
@@ -68,6 +72,7 @@
         configuration=view.config.content if request.config else None,
         shards=tuple(held[name] for name in request.shards if name in held),
         roster=view.roster if request.roster else None,
+        buckets=node.keys.table if request.buckets else None,
     )
 
 
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -20,6 +20,7 @@
 from oleanderwood import http
 from oleanderwood import ids
 from oleanderwood import invariants
+from oleanderwood import once
 from oleanderwood import permissions
 from oleanderwood import request_headers
 from oleanderwood import routes
@@ -55,6 +56,7 @@
     :ivar rows: the VMs that serve, by which a decision's VM is found
     :ivar entries: how many entries share the upstreams
     :ivar refresh: brings ``rows`` and the dispatcher up to date
+    :ivar guard: sees to it that requests with a key run at most once
     :ivar active: requests between arrival and final answer
     """
 
@@ -66,6 +68,7 @@
     rows: dict[ids.VmId, fleet.VmRow] = dataclasses.field(default_factory=dict)
     entries: int = 1
     refresh: collections.abc.Callable[[], None] = lambda: None
+    guard: once.Guard | None = None
     active: dict[int, exchanges.Exchange] = dataclasses.field(
         default_factory=dict
     )
@@ -136,7 +139,10 @@
         return
     proxy.active[ticket] = exchange
     try:
-        await _dispatch(proxy, exchange, ask)
+        if exchange.key is None:
+            await _dispatch(proxy, exchange, ask)
+        else:
+            await _dispatch_once(proxy, exchange, ask)
     finally:
         del proxy.active[ticket]
         await tickets.abandon(proxy.tickets, ticket)
@@ -169,6 +175,8 @@
         kept_body=await _small_body(request, length_bytes),
         length_bytes=length_bytes,
     )
+    if proxy.guard is not None and not service.idempotent:
+        exchange.key = once.key(exchange, wishes.team)
     return exchange, _ask(ticket, exchange, wishes)
 
 
@@ -202,6 +210,26 @@
     )
 
 
+async def _dispatch_once(
+    proxy: Proxy, exchange: exchanges.Exchange, ask: dispatch.Ask
+) -> None:
+    """Dispatch a request if the owner of its key lets it run."""
+    reply = await once.ask(proxy.guard, exchange, ask.team)
+    outcome = once.outcome(reply)
+    proxy.metrics.claims.labels(exchange.service.name, outcome).inc()
+    if once.granted(reply):
+        serve = functools.partial(_dispatch, proxy, exchange, ask)
+        await once.run(proxy.guard, exchange, serve)
+        return
+    ended = once.replay(reply)
+    if ended is None:
+        refuse = once.refusal(ask.ticket, reply)
+        await _answer_refusal(proxy, exchange, refuse, 0)
+        return
+    _count_answer(proxy, exchange, RAN)
+    await exchange.request.respond(ended)
+
+
 async def _dispatch(
     proxy: Proxy, exchange: exchanges.Exchange, ask: dispatch.Ask
 ) -> None:
--- a/oleanderwood/request_headers.py
+++ b/oleanderwood/request_headers.py
@@ -16,6 +16,8 @@
 REQUEST_ID = b'oleander-request-id'
 POOL = b'oleander-pool'
 EPOCH = b'oleander-epoch'
+REPLAYED = b'oleander-replayed'
+REPLAYED_STATUS = b'oleander-replayed-status'
 VERDICT = verdicts.HEADER.lower().encode('ascii')
 
 _OWN_PREFIX = b'oleander-'
--- a/oleanderwood/view.py
+++ b/oleanderwood/view.py
@@ -26,6 +26,7 @@
         on the roster, or sponsored, and it wasn't isolated since
     :ivar sponsor: incarnation of the rostered entry that answers for this
         one, '' if it is on the roster itself
+    :ivar joins: how often it came to hold grants after it had none
     :ivar contact_s: when the last request that brought contact was sent
     """
 
@@ -37,6 +38,7 @@
     granted: bool = False
     sponsor: str = ''
     stopping: bool = False
+    joins: int = 0
     contact_s: float = -math.inf
 
 
@@ -147,6 +149,7 @@
 
 def grant(view: View, sponsor: str = '') -> None:
     """Hold grants from now on; see ``View.granted`` for when."""
+    view.joins += not view.granted
     view.granted = True
     view.sponsor = sponsor
 
--- a/tests/test_peer_grpc.py
+++ b/tests/test_peer_grpc.py
@@ -4,6 +4,7 @@
 import pytest
 
 from oleanderwood import errors
+from oleanderwood import idempotency
 from oleanderwood import messages
 from oleanderwood import node as nodes
 from oleanderwood import peer_answers
@@ -38,6 +39,30 @@
     assert (reply.entry, reply.revision) == ('e1', 7)
 
 
+def test_records_of_keys_over_the_wire():
+    record = idempotency.Record(
+        'c', 'f', 2.5, verdicts.Verdict.RAN, 200, b'\x00\xff'
+    )
+    sent = idempotency.HandOver(7, 'h', 1.5, 2.5, {'t/s/k': record}, {})
+    settled = idempotency.Settlement('t/s/k', 'c', verdicts.Verdict.NOT_RUN)
+    taken = []
+
+    async def take(request):
+        taken.append(request)
+        return messages.HandOverReply(True)
+
+    async def use(peers, server):
+        reply = await peers.hand_over(server.address, sent)
+        claim = idempotency.Claim(1, 't/s/k', 'c', 'f')
+        answer = await peers.claim(server.address, claim)
+        told = await peers.settle(server.address, settled)
+        return reply.taken, answer.answer, told.taken
+
+    found = _serve(use, {'hand_over': take})
+    assert found == (True, idempotency.Answer.NOT_OWNER, False)
+    assert taken == [sent]
+
+
 def test_calls_run_side_by_side():
     async def use(peers, server):
         request = messages.FetchRequest(shards=(build.DATA_CENTRE,))
