--- a/oleanderwood/admin.py
+++ b/oleanderwood/admin.py
@@ -9,7 +9,6 @@
 import uuid
 
 import curio
-import cyclopts
 import prometheus_client
 
 from oleanderwood import absence
@@ -142,9 +141,7 @@
     *,
     listen: str,
     admin_listen: str,
-    store: typing.Annotated[
-        list[str], cyclopts.Parameter(consume_multiple=True, negative=())
-    ],
+    store: settings.Many,
     platform: str,
     region: str,
     data_centre: str,
@@ -204,15 +201,15 @@
     token: str,
 ) -> None:
     registry = prometheus_client.CollectorRegistry()
-    control_bytes = traffic.counter(registry)
-    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
-    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
-    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
+    counts = traffic.register(registry)
     kept = store_http.connect(
-        stores, registry, calls_per_s=CALLS_PER_S, count=count_store
+        stores,
+        registry,
+        calls_per_s=CALLS_PER_S,
+        count=counts.store,
     )
-    client = peer_grpc.connect(count_peers)
-    listing = platform_http.connect(platform, count=count_platform)
+    client = peer_grpc.connect(counts.peers)
+    listing = platform_http.connect(platform, count=counts.platform)
     list_vms = listing.list_vms
     calls = peer_grpc.calls(client)
     api = make_api(kept, calls, list_vms, limits, token, registry)
--- a/oleanderwood/controller.py
+++ b/oleanderwood/controller.py
@@ -83,11 +83,8 @@
     registry = prometheus_client.CollectorRegistry()
     metrics = controller_metrics.create(registry)
     rng = random.Random()
-    control_bytes = traffic.counter(registry)
-    count_peers = traffic.counts(control_bytes, traffic.Channel.PEERS)
-    count_store = traffic.counts(control_bytes, traffic.Channel.STORE)
-    count_platform = traffic.counts(control_bytes, traffic.Channel.PLATFORM)
-    store = store_http.connect(wanted.store, registry, count=count_store)
+    counts = traffic.register(registry)
+    store = store_http.connect(wanted.store, registry, count=counts.store)
     watched = watches.Watched(store, rng)
     record = leadership.Record(ids.HolderId(wanted.name), wanted.admin_listen)
     seat = leadership.Seat(wanted.region, record)
@@ -98,9 +95,9 @@
         platform=platform_http.connect(
             wanted.platform,
             on_call=_count_call(metrics),
-            count=count_platform,
+            count=counts.platform,
         ),
-        peers=peer_grpc.calls(peer_grpc.connect(count_peers)),
+        peers=peer_grpc.calls(peer_grpc.connect(counts.peers)),
         probe=accepts_connections,
         monotonic_s=time.monotonic,
         now_s=time.time,
@@ -332,7 +329,7 @@
     *,
     region: str,
     name: str,
-    store: list[str],
+    store: settings.Many,
     platform: str,
     admin_listen: str = '127.0.0.1:0',
     tick_s: float = 1.0,
@@ -348,7 +345,6 @@
     :param tick_s: seconds between passes without news, 0.1 to 60
     :param log_level: debug, info, warning or error
     """
-    levels = ('debug', 'info', 'warning', 'error')
     settings.validate(
         [
             settings.name('--region', region),
@@ -357,12 +353,7 @@
             settings.address('--platform', platform),
             settings.address('--admin-listen', admin_listen),
             settings.between('--tick-s', tick_s, 0.1, 60.0),
-            settings.Check(
-                '--log-level',
-                log_level,
-                ', '.join(levels),
-                levels.__contains__,
-            ),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
--- a/oleanderwood/entry.py
+++ b/oleanderwood/entry.py
@@ -3,10 +3,8 @@
 import functools
 import logging
 import time
-import typing
 
 import curio
-import cyclopts
 
 from oleanderwood import connections
 from oleanderwood import daemon
@@ -20,6 +18,7 @@
 from oleanderwood import peer_grpc
 from oleanderwood import settings
 from oleanderwood import tickets
+from oleanderwood import ticks
 
 LOG = logging.getLogger('entry')
 
@@ -77,12 +76,12 @@
 async def _follow(entry: entry_parts.Entry) -> None:
     while True:
         entry_parts.take_over(entry)
-        await curio.sleep(FOLLOW_S)
+        await ticks.pause(FOLLOW_S)
 
 
 async def _sweep(entry: entry_parts.Entry) -> None:
     while True:
-        await curio.sleep(SWEEP_S)
+        await ticks.pause(SWEEP_S)
         since_s = time.monotonic() - connections.IDLE_S
         await connections.drop_idle(entry.proxy.path.connections, since_s)
 
@@ -109,8 +108,6 @@
     'oleander-entry', 'Carry requests of callers to upstreams.'
 )
 
-Many = typing.Annotated[list[str], cyclopts.Parameter(consume_multiple=True)]
-
 
 @APP.default
 def start(
@@ -119,12 +116,12 @@
     region: str,
     data_centre: str,
     vm: str,
-    store: Many,
+    store: settings.Many,
     listen: str = '127.0.0.1:0',
     admin_listen: str = '127.0.0.1:0',
     peer_listen: str = '127.0.0.1:0',
     platform: str = '',
-    peer: Many | None = None,
+    peer: settings.Many | None = None,
     drain_notice_s: float = 5.0,
     max_connections: int = http_server.MAX_CONNECTIONS,
     log_level: str = 'info',
@@ -160,6 +157,7 @@
             *settings.addresses('--peer', peers),
             settings.between('--drain-notice-s', drain_notice_s, 0, 600),
             settings.between('--max-connections', max_connections, 1, 100000),
+            settings.log_level(log_level),
         ]
     )
     daemon.log_to_stderr(log_level)
--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -7,6 +7,8 @@
 import typing
 import uuid
 
+import curio
+
 
 from oleanderwood import config_state
 from oleanderwood import ids
@@ -76,6 +78,7 @@
     :ivar keys: idempotency keys and their owners
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
+    :ivar fetching: held while parts are read
     :ivar publish: brings the metrics up to date
     """
 
@@ -87,6 +90,7 @@
     keys: key_state.Keys
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    fetching: curio.Lock = dataclasses.field(default_factory=curio.Lock)
     publish: Publish = do_nothing
 
 
@@ -142,6 +146,7 @@
         'member': view.member,
         'ready': views.ready(view, at_s) or 'ready',
         'granted': view.granted,
+        'lease': node.lease,
         'sponsor': view.sponsor,
         'contact_age_s': min(at_s - view.contact_s, 1e9),
         'config_revision': config_state.revision(view.config),
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -158,6 +158,28 @@
             check(seed)
 
 
+def test_takes_no_more_than_the_minimum_allows():
+    pools = (utils_decisions.pool(size=4, min_up=3, survives='nothing'),)
+    rows, sites = utils_decisions.fleet_of(('p', 4))
+    plan = configuration.Wave(name='w', pools=('p',))
+    progress = wave.begin(plan, rows, 0.0)
+    batch = wave.next_batch(
+        plan,
+        progress,
+        pools,
+        rows,
+        0.0,
+        utils_decisions.WEIGHTS,
+        wave.Conditions(sites),
+    )
+    assert len(batch.take) == 1
+
+
+def test_vm_that_was_out_for_no_time_still_counts_as_out():
+    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
+    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
+
+
 def _batch(pools, rows, sites, outcomes=(), now_s=0.0, **plan):
     names = tuple(one.name for one in pools)
     described = configuration.Wave(name='w', pools=names, **plan)
@@ -314,8 +336,3 @@
     )
     assert stuck.end_s is None
     assert not stuck.meets_deadline
-
-
-def test_vm_that_was_out_for_no_time_still_counts_as_out():
-    outcome = failure_estimate.Outcome(ids.VmId('v'), 5.0, 5.0, False)
-    assert wave.typical_s([outcome]) == wave.SHORTEST_VM_TIME_S
