--- a/oleanderwood/node.py
+++ b/oleanderwood/node.py
@@ -12,6 +12,7 @@
 
 from oleanderwood import config_state
 from oleanderwood import ids
+from oleanderwood import key_state
 from oleanderwood import messages
 from oleanderwood import neighbours
 from oleanderwood import peer
@@ -66,6 +67,7 @@
     watch_s: float = 25.0
     tick_s: float = 0.5
     clock: collections.abc.Callable[[], float] = time.monotonic
+    wall_clock: collections.abc.Callable[[], float] = time.time
     rng: random.Random = dataclasses.field(default_factory=random.Random)
 
 
@@ -73,6 +75,7 @@
 class Node:
     """One entry process as its peers and the store see it.
 
+    :ivar keys: idempotency keys and their owners
     :ivar lease: of the member's key, None if there is none
     :ivar parts: parts of the configuration held, by reference
     :ivar fetching: held while parts are read
@@ -84,6 +87,7 @@
     peers: peer.Peers
     view: views.View
     neighbours: neighbours.Neighbours
+    keys: key_state.Keys
     lease: str | None = None
     parts: dict[str, bytes] = dataclasses.field(default_factory=dict)
     fetching: curio.Lock = dataclasses.field(default_factory=curio.Lock)
@@ -98,7 +102,8 @@
 ) -> Node:
     """Make the state of a process that starts now."""
     started = neighbours.Neighbours(settings.clock())
-    return Node(settings, kept, peers, view, started)
+    keys = key_state.make(view.member)
+    return Node(settings, kept, peers, view, started, keys)
 
 
 def now_s(node: Node) -> float:
@@ -154,6 +159,8 @@
         'leaving': sorted(view.grants.leaving),
         'heard_ages_s': neighbours.ages_s(node.neighbours, at_s),
         'sponsored': neighbours.sponsored(node.neighbours, at_s),
+        'key_buckets': len(node.keys.ledger.held),
+        'keys_settling': len(node.keys.settling),
         'refusals': dict(view.counts.refusals),
         'breaches': dict(view.counts.breaches),
     }
--- a/oleanderwood/proxy.py
+++ b/oleanderwood/proxy.py
@@ -21,6 +21,7 @@
 from oleanderwood import http
 from oleanderwood import ids
 from oleanderwood import invariants
+from oleanderwood import once
 from oleanderwood import permissions
 from oleanderwood import request_headers
 from oleanderwood import routes
@@ -58,6 +59,7 @@
     :ivar entries: those that share the upstreams, and where
     :ivar upstreams: what the dispatcher was given, by service
     :ivar refresh: brings ``rows`` and the dispatcher up to date
+    :ivar guard: sees to it that requests with a key run at most once
     :ivar active: requests between arrival and final answer
     """
 
@@ -75,6 +77,7 @@
         default_factory=dict
     )
     refresh: collections.abc.Callable[[], None] = lambda: None
+    guard: once.Guard | None = None
     active: dict[int, exchanges.Exchange] = dataclasses.field(
         default_factory=dict
     )
@@ -145,7 +148,10 @@
         return
     proxy.active[ticket] = exchange
     try:
-        await _dispatch(proxy, exchange, ask)
+        if exchange.key is None:
+            await _dispatch(proxy, exchange, ask)
+        else:
+            await _dispatch_once(proxy, exchange, ask)
     finally:
         del proxy.active[ticket]
         await tickets.abandon(proxy.tickets, ticket)
@@ -178,6 +184,8 @@
         kept_body=await _small_body(request, length_bytes),
         length_bytes=length_bytes,
     )
+    if proxy.guard is not None and not service.idempotent:
+        exchange.key = once.key(exchange, wishes.team)
     return exchange, _ask(ticket, exchange, wishes)
 
 
@@ -211,6 +219,26 @@
     )
 
 
+async def _dispatch_once(
+    proxy: Proxy, exchange: exchanges.Exchange, ask: dispatch.Ask
+) -> None:
+    """Dispatch a request if the owner of its key lets it run."""
+    reply = await once.ask(proxy.guard, exchange, ask.team)
+    outcome = once.outcome(reply)
+    proxy.metrics.claims.labels(exchange.service.name, outcome).inc()
+    if once.granted(reply):
+        serve = functools.partial(_dispatch, proxy, exchange, ask)
+        await once.run(proxy.guard, exchange, serve)
+        return
+    ended = once.replay(reply)
+    if ended is None:
+        refuse = once.refusal(ask.ticket, reply)
+        await _answer_refusal(proxy, exchange, refuse, 0)
+        return
+    _count_answer(proxy, exchange, RAN)
+    await exchange.request.respond(ended)
+
+
 async def _dispatch(
     proxy: Proxy, exchange: exchanges.Exchange, ask: dispatch.Ask
 ) -> None:
--- a/oleanderwood/view.py
+++ b/oleanderwood/view.py
@@ -26,6 +26,7 @@
         on the roster, or sponsored, and it wasn't isolated since
     :ivar sponsor: incarnation of the rostered entry that answers for this
         one, '' if it is on the roster itself
+    :ivar joins: how often it came to hold grants after it had none
     :ivar contact_s: when the last request that brought contact was sent
     :ivar cut_after_s: age of the contact at which what is in flight is cut
     """
@@ -38,6 +39,7 @@
     granted: bool = False
     sponsor: str = ''
     stopping: bool = False
+    joins: int = 0
     contact_s: float = -math.inf
     cut_after_s: float = isolation.REQUEST_TIMEOUT_S
 
@@ -161,6 +163,7 @@
 
     A sponsor names an entry to the leader for ``isolation.QUIET_S`` only.
     """
+    view.joins += not view.granted
     view.granted = True
     view.sponsor = sponsor
     view.cut_after_s = isolation.REQUEST_TIMEOUT_S
