--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(RUN) -m measure.run --seed $(SEED)
 
 slopes: $(VENV)/.installed
-	$(RUN) -m measure.slopes
+	$(RUN) -m measure.slopes --plot-file docs/slopes.png
 
 soak: $(VENV)/.installed
 	$(RUN) -m demo.soak --seconds $(SECONDS) --seed $(SEED)
