Read the hours of a wave in one place

Cause: the check of a file and the wave planner each read `not_between` by code of their own; the planner's took texts that the check refuses. Ruled out: letting the planner call the check's function (a decision would depend on the checks of files), so both read by the new module hours. An accepted file means the same as before; a text that no accepted file can hold is a ValueError in the planner, as its docstring says.

--- /dev/null
+++ b/oleanderwood/hours.py
@@ -0,0 +1,28 @@
+"""Access to hours of the day as an operators' file writes them (UTC)."""
+
+import dataclasses
+import re
+
+DAY_S = 86_400
+
+_HOURS = re.compile(r'^([01]\d|2[0-3]):([0-5]\d)-([01]\d|2[0-3]):([0-5]\d)$')
+
+
+@dataclasses.dataclass(frozen=True)
+class Hours:
+    """A part of each day, in seconds after midnight; it may span midnight."""
+
+    start_s: int
+    end_s: int
+
+
+def read(text: str) -> Hours | None:
+    """Read hours as in ``05:00-07:30``, None if it is no such text."""
+    match = _HOURS.match(text)
+    if match is None:
+        return None
+    first_h, first_m, last_h, last_m = (int(g) for g in match.groups())
+    return Hours(
+        first_h * 3600 + first_m * 60,
+        last_h * 3600 + last_m * 60,
+    )
--- a/oleanderwood/wave.py
+++ b/oleanderwood/wave.py
@@ -18,6 +18,7 @@
 from oleanderwood import configuration
 from oleanderwood import failure_estimate
 from oleanderwood import fleet
+from oleanderwood import hours
 from oleanderwood import ids
 from oleanderwood import reserve
 
@@ -30,9 +31,6 @@
 ABSENCE_MARGIN = 2.0
 """A VM is charged to the quarter for this multiple of the typical time."""
 
-_DAY_S = 24 * 3600.0
-_MINUTE_S = 60.0
-
 
 class Phase(enum.Enum):
     """Where a wave stands."""
@@ -137,13 +135,14 @@
 
     :raises ValueError: an entry of ``not_between`` is no span of time
     """
-    of_day_s = now_s % _DAY_S
+    of_day_s = now_s % hours.DAY_S
     ends = []
     for span in wave.not_between:
-        first, _, last = span.partition('-')
-        start_s = _time_of_day_s(first)
-        length_s = (_time_of_day_s(last) - start_s) % _DAY_S
-        inside_s = (of_day_s - start_s) % _DAY_S
+        found = hours.read(span)
+        if found is None:
+            raise ValueError(f'{span!r} names no hours of day')
+        length_s = (found.end_s - found.start_s) % hours.DAY_S
+        inside_s = (of_day_s - found.start_s) % hours.DAY_S
         if inside_s < length_s:
             ends.append(now_s + length_s - inside_s)
     return max(ends, default=None)
@@ -320,8 +319,3 @@
     )
     even = _even_rounds(census, left, choice)
     return now_s + vm_time_s * max(rounds, even)
-
-
-def _time_of_day_s(text: str) -> float:
-    hours, _, minutes = text.strip().partition(':')
-    return int(hours) * 3600.0 + int(minutes) * _MINUTE_S
--- a/oleanderwood/wave_check.py
+++ b/oleanderwood/wave_check.py
@@ -3,15 +3,12 @@
 import collections
 import collections.abc
 import math
-import re
 
 from oleanderwood import configuration
 from oleanderwood import errors
+from oleanderwood import hours
 from oleanderwood import platform_api
 
-DAY_S = 86_400
-_HOURS = re.compile(r'^([01]\d|2[0-3]):([0-5]\d)-([01]\d|2[0-3]):([0-5]\d)$')
-
 Faults = collections.abc.Iterator[errors.ConfigurationFault]
 Vms = tuple[platform_api.ListedVm, ...]
 
@@ -35,19 +32,10 @@
                 yield from _deadline(path, wave, pool, spare, fastest_cycle_s)
 
 
-def hours_s(text: str) -> tuple[int, int] | None:
-    """Read hours of day as in ``05:00-07:30``: seconds after midnight."""
-    match = _HOURS.match(text)
-    if match is None:
-        return None
-    first_h, first_m, last_h, last_m = (int(g) for g in match.groups())
-    return first_h * 3600 + first_m * 60, last_h * 3600 + last_m * 60
-
-
 def _hours(path: str, wave: configuration.Wave) -> Faults:
     for number, text in enumerate(wave.not_between):
-        hours = hours_s(text)
-        if hours is None or hours[0] == hours[1]:
+        found = hours.read(text)
+        if found is None or found.start_s == found.end_s:
             yield errors.ConfigurationFault(
                 f'{path}.not_between[{number}]',
                 f'{text!r} names no hours of day',
@@ -63,11 +51,11 @@
 
 def _open_s(wave: configuration.Wave) -> int:
     """Count the seconds of a day at which batches may start."""
-    closed = bytearray(DAY_S // 60)
+    closed = bytearray(hours.DAY_S // 60)
     for text in wave.not_between:
-        first_s, last_s = hours_s(text) or (0, 0)
-        minute = first_s // 60
-        while minute != last_s // 60:
+        found = hours.read(text) or hours.Hours(0, 0)
+        minute = found.start_s // 60
+        while minute != found.end_s // 60:
             closed[minute] = 1
             minute = (minute + 1) % len(closed)
     return (len(closed) - sum(closed)) * 60
