--- /dev/null
+++ b/oleanderwood/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: routing, handing in, asking, cancelling."""
--- /dev/null
+++ b/oleanderwood/frontend/asking.py
@@ -0,0 +1,125 @@
+"""What callers ask for: a job's state, and how many of a queue wait."""
+
+import dataclasses
+
+import msgspec
+
+from oleanderwood import connections
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood import verdict as verdicts
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import record
+from oleanderwood.leading import state as states
+from oleanderwood.platform import store as stores
+from oleanderwood.platform import transport
+
+ASK_TIMEOUT_S = 0.4
+"""Longest wait for the leader; then the store is read instead. Callers wait
+3 s in all, and the store may be slow as well."""
+
+STATE_PATH = '/state/'
+PENDING_PATH = '/pending/'
+
+
+class Told(msgspec.Struct, frozen=True):
+    """The leader's answer.
+
+    :ivar state: None if it doesn't know the job
+    """
+
+    state: model.State | None = None
+    pending: int = 0
+
+
+@dataclasses.dataclass
+class Asking:
+    """Calls to the leader."""
+
+    server: states.Server
+    kept: connections.Connections = dataclasses.field(
+        default_factory=connections.Connections
+    )
+
+
+def tell_state(leader: states.Leader, job: ids.JobId) -> Told:
+    """Answer for a job, as the leader."""
+    entry = leader.ledger.entries.get(job)
+    return Told(ledgers.shown_state(entry) if entry else None)
+
+
+def tell_pending(leader: states.Leader, queue: str) -> Told:
+    """Count a queue's jobs of which no task has started, as the leader."""
+    count = sum(
+        1
+        for entry in leader.ledger.entries.values()
+        if entry.job.queue.name == queue and not ledgers.has_begun(entry)
+    )
+    return Told(pending=count)
+
+
+async def state(asking: Asking, job: ids.JobId) -> model.State | None:
+    """Give a job's state; None if there is no such job.
+
+    :raises errors.CallFailed: neither the leader nor the store answers
+    """
+    leader = asking.server.leader
+    if leader is not None and not leader.deposed:
+        told = tell_state(leader, job)
+    else:
+        told = await _ask(asking, STATE_PATH + job)
+    if told is not None and told.state is not None:
+        return told.state
+    return await _kept_state(asking.server.store, job)
+
+
+async def _kept_state(
+    store: stores.Store, job: ids.JobId
+) -> model.State | None:
+    kept = await stores.read(store, record.progress_key(job))
+    if kept is not None:
+        return msgspec.json.decode(kept.value, type=record.Progress).state
+    if await stores.read(store, record.job_key(job)) is None:
+        return None
+    return model.State.QUEUED
+
+
+async def pending(asking: Asking, queue: str) -> int:
+    """Count a queue's accepted jobs of which no task has started.
+
+    :raises errors.CallFailed: the leader doesn't answer
+    """
+    leader = asking.server.leader
+    if leader is not None and not leader.deposed:
+        return tell_pending(leader, queue).pending
+    told = await _ask(asking, PENDING_PATH + queue)
+    if told is None:
+        raise errors.CallFailed(
+            verdicts.Verdict.NOT_RUN, 'the leader does not answer'
+        )
+    return told.pending
+
+
+async def _ask(asking: Asking, target: str) -> Told | None:
+    """Ask the leader; None if it doesn't answer or doesn't lead."""
+    leader = asking.server.roles.leader
+    if leader is None or leader.process == asking.server.process:
+        return None
+    try:
+        answer = await transport.call(
+            asking.kept,
+            leader.address,
+            'GET',
+            target,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        if answer.status != 200:
+            return None
+        return msgspec.json.decode(answer.body, type=Told)
+    except (errors.CallFailed, msgspec.MsgspecError) as error:
+        event_log.emit(
+            'caller', 'leader-silent', target=target, why=str(error)
+        )
+        return None
--- /dev/null
+++ b/oleanderwood/frontend/intake.py
@@ -0,0 +1,175 @@
+"""Handing jobs in and cancelling them: written before it is answered."""
+
+import dataclasses
+
+import curio
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood import verdict as verdicts
+from oleanderwood.jobs import model
+from oleanderwood.jobs import record
+from oleanderwood.platform import store as stores
+
+MOST_A_WRITE = stores.MAX_WRITES // 2
+"""Jobs written at once; each takes a condition and a write."""
+
+ATTEMPTS = 3
+"""Times that a write without an answer is tried."""
+
+WAIT_S = 2.0
+"""Longest time that a caller waits for the write; callers wait 3 s in all."""
+
+
+@dataclasses.dataclass
+class Handed:
+    """One job on its way to the store.
+
+    :ivar verdict: RAN once it lies there
+    """
+
+    job: model.Job
+    verdict: verdicts.Verdict | None = None
+    reason: str = ''
+    known: bool = False
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+@dataclasses.dataclass
+class Intake:
+    """Jobs that wait for the next write."""
+
+    store: stores.Store
+    waiting: list[Handed] = dataclasses.field(default_factory=list)
+    arrived: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+async def hand_in(intake: Intake, job: model.Job) -> Handed:
+    """Write a job; gives what came of it."""
+    handed = Handed(job)
+    intake.waiting.append(handed)
+    await intake.arrived.set()
+    async with curio.ignore_after(WAIT_S):
+        await handed.done.wait()
+    if handed.verdict is None:
+        handed.verdict = verdicts.Verdict.MAY_HAVE_RUN
+        handed.reason = 'the store did not answer in time'
+        if handed in intake.waiting:
+            intake.waiting.remove(handed)
+            handed.verdict = verdicts.Verdict.NOT_RUN
+    return handed
+
+
+async def write_always(intake: Intake) -> None:
+    """Write what waits, one transaction after another, until cancelled.
+
+    Each is written by a task of its own, so that one that gets no answer
+    doesn't hold up the others.
+    """
+    while True:
+        await intake.arrived.wait()
+        intake.arrived.clear()
+        while intake.waiting:
+            batch = intake.waiting[:MOST_A_WRITE]
+            del intake.waiting[:MOST_A_WRITE]
+            await curio.spawn(_write, intake.store, batch, daemon=True)
+
+
+async def _write(store: stores.Store, batch: list[Handed]) -> None:
+    try:
+        for _attempt in range(ATTEMPTS):
+            batch = await _try(store, batch)
+            if not batch:
+                return
+    finally:
+        for handed in batch:
+            if handed.verdict is None:
+                handed.verdict = verdicts.Verdict.MAY_HAVE_RUN
+            await handed.done.set()
+
+
+async def _try(store: stores.Store, batch: list[Handed]) -> list[Handed]:
+    """Write a batch; gives those that have to be tried again."""
+    keys: dict[str, list[Handed]] = {}
+    for handed in batch:
+        keys.setdefault(record.job_key(handed.job.job), []).append(handed)
+    try:
+        await stores.write(
+            store,
+            dict.fromkeys(keys, 0),
+            {
+                key: msgspec.json.encode(rows[0].job)
+                for key, rows in keys.items()
+            },
+            timeout_s=WAIT_S / ATTEMPTS,
+        )
+    except stores.Conflict as conflict:
+        there = {item.key for item in conflict.items if not item.removed}
+        left = []
+        for key, rows in keys.items():
+            if key not in there:
+                left += rows
+                continue
+            for handed in rows:
+                handed.known = True
+                await _settle(handed, verdicts.Verdict.RAN, 'known')
+        return left
+    except errors.CallFailed as error:
+        return await _after_failure(batch, error)
+    for handed in batch:
+        await _settle(handed, verdicts.Verdict.RAN, '')
+    return []
+
+
+async def _after_failure(
+    batch: list[Handed], error: errors.CallFailed
+) -> list[Handed]:
+    event_log.emit(
+        'caller',
+        'not-written',
+        jobs=[handed.job.job for handed in batch],
+        verdict=error.verdict.value,
+        why=error.reason,
+    )
+    if error.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        for handed in batch:
+            handed.reason = 'in doubt'
+        return batch
+    left = []
+    for handed in batch:
+        if handed.reason == 'in doubt':
+            # An earlier try may yet be carried out.
+            left.append(handed)
+        else:
+            await _settle(handed, verdicts.Verdict.NOT_RUN, error.reason)
+    return left
+
+
+async def _settle(
+    handed: Handed, verdict: verdicts.Verdict, reason: str
+) -> None:
+    handed.verdict = verdict
+    handed.reason = reason
+    await handed.done.set()
+
+
+async def cancel(store: stores.Store, job: ids.JobId) -> bool:
+    """Mark a job as cancelled; False if there is no such job.
+
+    :raises errors.CallFailed: the mark may not be there
+    """
+    for attempt in range(ATTEMPTS):
+        try:
+            if await stores.read(store, record.job_key(job)) is None:
+                return False
+            mark = {record.cancel_key(job): b'%d' % clock.wall_ms()}
+            await stores.write(store, {}, mark)
+            return True
+        except errors.CallFailed:
+            if attempt == ATTEMPTS - 1:
+                raise
+            await curio.sleep(0.05)
+    return False
--- /dev/null
+++ b/oleanderwood/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: what callers hand in, and what is known of their tasks."""
--- /dev/null
+++ b/oleanderwood/jobs/ledger.py
@@ -0,0 +1,380 @@
+"""What is known of all jobs and of the runs of their tasks.
+
+Pure: no clock, socket or log. A task is started again only once each of its
+earlier runs is known to be over; the functions here keep that.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+
+from oleanderwood import errors
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.pools import reports
+
+ATTEMPTS_PER_TERM = 1000
+"""Attempts of one task under one term.
+
+A later leader can't know the attempts that an earlier one gave on workers
+that have died since, so each term numbers from a base of its own.
+"""
+
+
+class RunPhase(enum.Enum):
+    """What is known of a run that may be going on."""
+
+    ORDERED = 'ordered'
+    """Its start is under way."""
+
+    RUNNING = 'running'
+    """Its worker has answered that it runs."""
+
+    DOUBTFUL = 'doubtful'
+    """Its start got no answer, or a report lacks it."""
+
+    STOPPING = 'stopping'
+    """Its stop was ordered."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Run:
+    """A run that may be going on.
+
+    :ivar phase_since_s: when the phase began
+    :ivar stop_answered_s: when its worker took the order to stop it
+    :ivar at_work_since_s: since when a long-running task works
+    """
+
+    worker: ids.VmId
+    attempt: int
+    phase: RunPhase
+    begun_s: float
+    phase_since_s: float
+    stop_answered_s: float | None = None
+    at_work_since_s: float | None = None
+    percent: float = 0.0
+    moved_on_s: float = 0.0
+    latency_or_cpu: float = 0.0
+    pace_percent: int = 100
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Task:
+    """One task.
+
+    :ivar over_attempt: all runs up to this one are over
+    :ivar failed_attempts: runs that ended as failed
+    :ivar away_since_s: since when a long-running task hasn't worked
+    """
+
+    name: ids.TaskId
+    group: 'Group'
+    index: int
+    run: Run | None = None
+    done: bool = False
+    last_attempt: int = 0
+    over_attempt: int = 0
+    failed_attempts: set[int] = dataclasses.field(default_factory=set)
+    failed_on: ids.VmId = ids.VmId('')
+    checkpoint: str = ''
+    not_before_s: float = 0.0
+    away_since_s: float = 0.0
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Group:
+    """The tasks of one step in one occurrence of a job."""
+
+    entry: 'Entry'
+    occurrence: int
+    number: int
+    step: model.Step
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    waiting: dict[int, Task] = dataclasses.field(default_factory=dict)
+    left: int = 0
+    ready_since_s: float = 0.0
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Entry:
+    """One job.
+
+    :ivar state: what is known now
+    :ivar kept_state: what lies in the store
+    :ivar inherited: it was accepted before this term
+    :ivar cause: why it has failed
+    :ivar dirty: something about it must be written
+    """
+
+    job: model.Job
+    arrived_s: float
+    inherited: bool
+    groups: dict[tuple[int, int], Group] = dataclasses.field(
+        default_factory=dict
+    )
+    state: model.State = model.State.QUEUED
+    kept_state: model.State = model.State.QUEUED
+    cause: str = ''
+    dirty: bool = False
+    ended_s: float = 0.0
+
+
+@dataclasses.dataclass(eq=False)
+class Ledger:
+    """All jobs.
+
+    :ivar open_groups: groups with waiting tasks, in order of arrival
+    :ivar dirty: jobs of which something must be written
+    """
+
+    term: int = 1
+    entries: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
+    open_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
+    dirty: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
+
+
+def add(
+    ledger: Ledger, job: model.Job, now_s: float, inherited: bool
+) -> Entry:
+    """Take a job in; one that is known already stays as it is."""
+    known = ledger.entries.get(job.job)
+    if known is not None:
+        return known
+    entry = Entry(job, now_s, inherited)
+    for occurrence in range(model.occurrences(job)):
+        for number, step in enumerate(job.work.steps):
+            group = Group(entry, occurrence, number, step, left=step.tasks)
+            entry.groups[occurrence, number] = group
+            for index in range(step.tasks):
+                name = model.task_name(job.job, occurrence, number, index)
+                task = Task(name, group, index, away_since_s=now_s)
+                group.tasks.append(task)
+                group.waiting[index] = task
+            ledger.open_groups[group] = None
+    ledger.entries[job.job] = entry
+    return entry
+
+
+def final(entry: Entry) -> bool:
+    """Say whether the job has reached its last state."""
+    return entry.state in model.FINAL
+
+
+def is_ready(group: Group, wall_ms: float) -> bool:
+    """Say whether the turn of a group's tasks has come."""
+    if wall_ms < model.due_ms(group.entry.job, group.occurrence):
+        return False
+    groups = group.entry.groups
+    return all(
+        groups[group.occurrence, number].left == 0
+        for number in group.step.after
+    )
+
+
+def find(ledger: Ledger, name: ids.TaskId) -> Task | None:
+    """Find a task by its name; None if there is no such task."""
+    parts = name.split('.')
+    entry = ledger.entries.get(ids.JobId(parts[0]))
+    if entry is None or len(parts) != 4:
+        return None
+    group = entry.groups.get((int(parts[1]), int(parts[2])))
+    index = int(parts[3])
+    if group is None or not 0 <= index < len(group.tasks):
+        return None
+    return group.tasks[index]
+
+
+def begin(
+    ledger: Ledger,
+    task: Task,
+    worker: ids.VmId,
+    now_s: float,
+    attempt: int | None = None,
+) -> Run:
+    """Note a start that is about to be ordered.
+
+    :param attempt: shared by the members of a gang; None: the next
+    :raises errors.InvariantBreach: the task may be running, is done, or
+        its job has ended
+    """
+    if task.run is not None or task.done or final(task.group.entry):
+        raise errors.InvariantBreach(f'task {task.name} must not be started')
+    attempt = attempt or next_attempt(ledger, task)
+    task.last_attempt = attempt
+    task.run = Run(worker, attempt, RunPhase.ORDERED, now_s, now_s)
+    _not_waiting(ledger, task)
+    entry = task.group.entry
+    if entry.state is model.State.QUEUED:
+        entry.state = model.State.RUNNING
+    return task.run
+
+
+def next_attempt(ledger: Ledger, task: Task) -> int:
+    """Give the number of the task's next run."""
+    base = 0
+    if task.group.entry.inherited:
+        base = (ledger.term - 1) * ATTEMPTS_PER_TERM
+    return max(task.last_attempt, task.over_attempt, base) + 1
+
+
+def adopt(
+    ledger: Ledger, task: Task, worker: ids.VmId, attempt: int, now_s: float
+) -> Run:
+    """Note a run of an earlier leader that a worker reports."""
+    task.last_attempt = max(task.last_attempt, attempt)
+    task.run = Run(worker, attempt, RunPhase.RUNNING, now_s, now_s)
+    task.run.moved_on_s = now_s
+    _not_waiting(ledger, task)
+    entry = task.group.entry
+    if entry.state is model.State.QUEUED:
+        entry.state = model.State.RUNNING
+    return task.run
+
+
+def set_phase(run: Run, phase: RunPhase, now_s: float) -> None:
+    """Note what became known of a run."""
+    run.phase = phase
+    run.phase_since_s = now_s
+
+
+def over(
+    ledger: Ledger, task: Task, now_s: float, checkpoint: str = ''
+) -> None:
+    """Note that the task's run is over and the task isn't done."""
+    run = task.run
+    if run is None:
+        return
+    task.over_attempt = max(task.over_attempt, run.attempt)
+    if checkpoint:
+        task.checkpoint = checkpoint
+    task.away_since_s = now_s
+    task.run = None
+    if not task.done and not final(task.group.entry):
+        task.group.waiting[task.index] = task
+        ledger.open_groups[task.group] = None
+
+
+def mark_done(ledger: Ledger, task: Task, now_s: float) -> bool:
+    """Note that a run of the task ended as done; False if known already.
+
+    A run that may be going on elsewhere stays noted; it has to be stopped.
+    """
+    if task.done:
+        return False
+    task.done = True
+    group = task.group
+    _not_waiting(ledger, task)
+    group.left -= 1
+    _touch(ledger, group.entry)
+    _settle(ledger, group.entry, now_s)
+    return True
+
+
+def mark_failed(
+    ledger: Ledger,
+    task: Task,
+    worker: ids.VmId,
+    attempt: int,
+    max_attempts: int,
+    now_s: float,
+) -> bool:
+    """Note that a run ended as failed; False if that was known."""
+    if attempt in task.failed_attempts:
+        return False
+    task.failed_attempts.add(attempt)
+    task.failed_on = worker
+    entry = task.group.entry
+    _touch(ledger, entry)
+    if task.group.step.long_running or task.done or final(entry):
+        return True
+    if len(task.failed_attempts) >= max_attempts:
+        entry.cause = f'{task.name} failed {len(task.failed_attempts)} times'
+        end(ledger, entry, model.State.FAILED, now_s)
+    return True
+
+
+def end(
+    ledger: Ledger, entry: Entry, state: model.State, now_s: float
+) -> None:
+    """Note that a job has reached a last state."""
+    if final(entry):
+        return
+    entry.state = state
+    entry.ended_s = now_s
+    for group in entry.groups.values():
+        group.waiting.clear()
+        ledger.open_groups.pop(group, None)
+    _touch(ledger, entry)
+
+
+def shown_state(entry: Entry) -> model.State:
+    """Give what callers may be told: a last state only once it is kept."""
+    if final(entry) and entry.kept_state is not entry.state:
+        return model.State.RUNNING
+    return entry.state
+
+
+def has_begun(entry: Entry) -> bool:
+    """Say whether any task of the job has been started."""
+    return entry.state is not model.State.QUEUED
+
+
+def forget(ledger: Ledger, job: ids.JobId) -> None:
+    """Drop a job that nobody asks for any more."""
+    entry = ledger.entries.pop(job, None)
+    ledger.dirty.pop(job, None)
+    if entry is not None:
+        for group in entry.groups.values():
+            ledger.open_groups.pop(group, None)
+
+
+def runs(entry: Entry) -> collections.abc.Iterator[Task]:
+    """Give the tasks of a job that may be running."""
+    for group in entry.groups.values():
+        for task in group.tasks:
+            if task.run is not None:
+                yield task
+
+
+def _settle(ledger: Ledger, entry: Entry, now_s: float) -> None:
+    if final(entry):
+        return
+    if all(group.left == 0 for group in entry.groups.values()):
+        end(ledger, entry, model.State.COMPLETED, now_s)
+
+
+def _touch(ledger: Ledger, entry: Entry) -> None:
+    entry.dirty = True
+    ledger.dirty[entry.job.job] = entry
+
+
+def _not_waiting(ledger: Ledger, task: Task) -> None:
+    group = task.group
+    group.waiting.pop(task.index, None)
+    if not group.waiting:
+        ledger.open_groups.pop(group, None)
+
+
+def apply_report(task: Task, row: reports.Running, now_s: float) -> None:
+    """Take over what a worker says of the task's current run."""
+    run = task.run
+    if run is None:
+        return
+    if row.percent != run.percent:
+        run.moved_on_s = now_s
+    run.percent = row.percent
+    run.latency_or_cpu = row.latency_or_cpu
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
+    if task.group.step.long_running:
+        _note_work(task, run, now_s)
+
+
+def _note_work(task: Task, run: Run, now_s: float) -> None:
+    if run.percent >= 100:
+        if run.at_work_since_s is None:
+            run.at_work_since_s = now_s
+    elif run.at_work_since_s is not None:
+        run.at_work_since_s = None
+        task.away_since_s = now_s
--- /dev/null
+++ b/oleanderwood/jobs/model.py
@@ -0,0 +1,129 @@
+"""Jobs as callers hand them in: steps of equal tasks."""
+
+import enum
+
+import msgspec
+
+from oleanderwood import ids
+from oleanderwood.jobs import queues
+
+
+class State(enum.Enum):
+    """What a caller is told of a job."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+FINAL = (State.COMPLETED, State.FAILED, State.CANCELLED)
+"""States that a job doesn't leave."""
+
+
+class Resources(msgspec.Struct, frozen=True):
+    """What a task needs, or what a worker has."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Equal tasks of a job.
+
+    :ivar estimate_ms: the caller's rough guess of one task's time
+    :ivar after: numbers of the steps that must be done before
+    :ivar checkpoints: a task can go on from where it was stopped
+    :ivar gang: the tasks run at the same time or not at all
+    :ivar same_rack: a gang is slow when it spans racks
+    :ivar label: a worker must have it; '' if any will do
+    :ivar near_rack: where the data lies; elsewhere a task is slow
+    :ivar max_per_worker: most tasks of the step on one worker; 0: no limit
+    :ivar speculative: copies of a task may run at the same time
+    :ivar long_running: the tasks run until the job is cancelled
+    :ivar latency_target_ms: what a serving task's latency must stay below
+    :ivar uses_leftover: its processor time is what others leave
+    :ivar may_miss: tasks that may be away at once through our own orders
+    """
+
+    tasks: int
+    needs: Resources = Resources()
+    estimate_ms: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ''
+    near_rack: str = ''
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    latency_target_ms: float = 0.0
+    uses_leftover: bool = False
+    may_miss: int = 0
+
+
+class Work(msgspec.Struct, frozen=True):
+    """What a caller asks for.
+
+    :ivar text: opaque to us, passed on to each task
+    :ivar repeats: how often the steps run; 0: once, as soon as possible
+    :ivar first_due_ms: when the first repetition is due, since 1970
+    """
+
+    text: str
+    steps: tuple[Step, ...]
+    repeats: int = 0
+    first_due_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+class Job(msgspec.Struct, frozen=True):
+    """An accepted job, as it lies in the store.
+
+    :ivar queue: the queue as it was when the job was handed in; what the
+        newest configuration says of it goes first
+    :ivar handed_in_ms: when, since 1970, by the clock of the process that
+        took it
+    """
+
+    job: ids.JobId
+    queue: queues.Queue
+    work: Work
+    handed_in_ms: float = 0.0
+
+
+def occurrences(job: Job) -> int:
+    """Give how often the job's steps run."""
+    return max(1, job.work.repeats)
+
+
+def due_ms(job: Job, occurrence: int) -> float:
+    """Give when an occurrence is due, in milliseconds since 1970."""
+    if job.work.repeats == 0:
+        return 0.0
+    return job.work.first_due_ms + occurrence * job.work.interval_ms
+
+
+def longest_chain_ms(work: Work) -> float:
+    """Give the least time that the steps take one after another."""
+    ends: list[float] = []
+    for step in work.steps:
+        begin = max((ends[other] for other in step.after), default=0.0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0.0)
+
+
+def task_name(
+    job: ids.JobId, occurrence: int, step: int, index: int
+) -> ids.TaskId:
+    """Name a task, as executors report it."""
+    return ids.TaskId(f'{job}.{occurrence}.{step}.{index}')
+
+
+def job_of(task: ids.TaskId) -> ids.JobId:
+    """Give the job that a task's name belongs to."""
+    return ids.JobId(task.partition('.')[0])
--- /dev/null
+++ b/oleanderwood/jobs/record.py
@@ -0,0 +1,116 @@
+"""Jobs and their progress as they lie in the store."""
+
+import msgspec
+
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+
+PREFIX = 'ow/'
+INTAKE_PREFIX = 'ow/in/'
+"""What callers ask for: jobs and cancels. Each is written once."""
+
+JOB_PREFIX = 'ow/in/job/'
+CANCEL_PREFIX = 'ow/in/cancel/'
+PROGRESS_PREFIX = 'ow/progress/'
+
+
+class GroupProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of one step in one occurrence.
+
+    :ivar done: indices of tasks, as bits of a number in hexadecimal
+    :ivar failed: attempts that failed, by index of the task
+    :ivar checkpoints: the last ones that are known, by index
+    """
+
+    occurrence: int
+    step: int
+    done: str = '0'
+    failed: dict[int, list[int]] = {}
+    checkpoints: dict[int, str] = {}
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """Progress of one job."""
+
+    state: model.State
+    groups: list[GroupProgress] = []
+
+
+def job_key(job: ids.JobId) -> str:
+    """Give the key of a job."""
+    return JOB_PREFIX + job
+
+
+def cancel_key(job: ids.JobId) -> str:
+    """Give the key that marks a job as cancelled by its caller."""
+    return CANCEL_PREFIX + job
+
+
+def progress_key(job: ids.JobId) -> str:
+    """Give the key of a job's progress."""
+    return PROGRESS_PREFIX + job
+
+
+def progress_of(entry: ledgers.Entry) -> Progress:
+    """Give what has to be kept of a job's progress."""
+    rows = []
+    for group in entry.groups.values():
+        row = _group_progress(group)
+        if row.done != '0' or row.failed:
+            rows.append(row)
+    return Progress(entry.state, rows)
+
+
+def _group_progress(group: ledgers.Group) -> GroupProgress:
+    done = 0
+    failed = {}
+    checkpoints = {}
+    for task in group.tasks:
+        if task.done:
+            done |= 1 << task.index
+        elif task.checkpoint:
+            checkpoints[task.index] = task.checkpoint
+        if task.failed_attempts and not task.done:
+            failed[task.index] = sorted(task.failed_attempts)
+    return GroupProgress(
+        group.occurrence, group.number, f'{done:x}', failed, checkpoints
+    )
+
+
+def restore(
+    ledger: ledgers.Ledger,
+    entry: ledgers.Entry,
+    progress: Progress,
+    now_s: float,
+) -> None:
+    """Bring a job that was just taken in to the progress that was kept."""
+    for row in progress.groups:
+        group = entry.groups.get((row.occurrence, row.step))
+        if group is not None:
+            _restore_group(ledger, group, row, now_s)
+    if progress.state in model.FINAL:
+        ledgers.end(ledger, entry, progress.state, now_s)
+    elif not ledgers.final(entry):
+        entry.state = progress.state
+    entry.kept_state = progress.state
+    if entry.kept_state is entry.state:
+        entry.dirty = False
+        ledger.dirty.pop(entry.job.job, None)
+
+
+def _restore_group(
+    ledger: ledgers.Ledger,
+    group: ledgers.Group,
+    row: GroupProgress,
+    now_s: float,
+) -> None:
+    done = int(row.done, 16)
+    for task in group.tasks:
+        if done >> task.index & 1:
+            ledgers.mark_done(ledger, task, now_s)
+        task.failed_attempts.update(row.failed.get(task.index, ()))
+        task.checkpoint = row.checkpoints.get(task.index, '')
+        task.last_attempt = max(
+            task.failed_attempts, default=task.last_attempt
+        )
--- /dev/null
+++ b/oleanderwood/leading/confirming.py
@@ -0,0 +1,111 @@
+"""Whether a leader that doesn't reach the store may go on.
+
+While the store is down nobody can take over, and the leader has to go on. If
+the store only refuses the leader, another one takes over, and the first has
+to stop. The other servers tell which it is.
+"""
+
+import curio
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.platform import transport
+
+CHECK_S = 0.25
+"""Time between two rounds of questions while the lease isn't renewed."""
+
+CONFIRMED_S = 1.0
+"""How long a round's result counts. A later leader waits that much longer
+for what this one may have ordered."""
+
+CONTACT_S = 1.0
+"""A server that was answered by the store within this time reaches it."""
+
+ASK_TIMEOUT_S = 0.2
+"""Longest wait for another server's answer, on a network of 1 ms."""
+
+PATH = '/contact'
+
+
+class Contact(msgspec.Struct, frozen=True):
+    """What a server knows of the store and of who leads."""
+
+    term: int
+    contact_age_s: float
+
+
+def contact(server: states.Server) -> Contact:
+    """Give what this server answers to the question."""
+    leader = server.roles.leader
+    age_s = clock.now_s() - server.contact_s
+    return Contact(leader.term if leader else 0, age_s)
+
+
+async def confirm_always(leader: states.Leader) -> None:
+    """Ask the other servers whenever the lease isn't renewed in time."""
+    confirmed = False
+    while True:
+        await curio.sleep(CHECK_S / 2)
+        now_s = clock.now_s()
+        if now_s + CHECK_S < leader.server.lease_until_s:
+            if confirmed:
+                event_log.emit('leader', 'lease-back')
+                confirmed = False
+            continue
+        if await _confirmed(leader):
+            if not confirmed:
+                event_log.emit('leader', 'confirmed')
+            confirmed = True
+            leader.confirmed_until_s = now_s + CONFIRMED_S
+        await curio.sleep(CHECK_S)
+
+
+async def _confirmed(leader: states.Leader) -> bool:
+    """Ask all; at least half must answer, and none reach the store."""
+    server = leader.server
+    others = roles_.peers(server.roles, server.process)
+    answers = await ask_all(leader, [row.address for row in others])
+    known = [answer for answer in answers if answer is not None]
+    for answer in known:
+        if answer.term > leader.term:
+            await states.depose(leader, 'another server knows a higher term')
+            return False
+        if answer.contact_age_s < CONTACT_S:
+            event_log.emit('leader', 'not-confirmed', why='the store lives')
+            return False
+    enough = 2 * len(known) >= len(others)
+    if not enough:
+        event_log.emit(
+            'leader',
+            'not-confirmed',
+            why=f'{len(known)} of {len(others)} servers answer',
+        )
+    return enough
+
+
+async def ask_all(
+    leader: states.Leader, addresses: list[ids.Address]
+) -> list[Contact | None]:
+    """Ask servers at the same time; None for one that didn't answer."""
+    tasks = [await curio.spawn(_ask, leader, address) for address in addresses]
+    return [await task.join() for task in tasks]
+
+
+async def _ask(leader: states.Leader, address: ids.Address) -> Contact | None:
+    try:
+        answer = await transport.call(
+            leader.peer_connections,
+            address,
+            'GET',
+            PATH,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        return msgspec.json.decode(answer.body, type=Contact)
+    except (errors.CallFailed, msgspec.MsgspecError) as error:
+        event_log.emit('leader', 'unasked', address=address, why=str(error))
+        return None
--- /dev/null
+++ b/oleanderwood/leading/election.py
@@ -0,0 +1,133 @@
+"""How a server becomes the leader, and how it hands over."""
+
+import curio
+import msgspec
+
+from oleanderwood import boot
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.leading import term as terms
+from oleanderwood.platform import store as stores
+
+TURN_S = 0.05
+"""Head start of each server in line over the next: about ten times what a
+write to the store takes."""
+
+LONGEST_WAIT_S = 0.5
+"""The roles are looked at at least this often."""
+
+PAUSE_S = 0.1
+"""Pause after a failed attempt."""
+
+
+async def run_always(server: states.Server) -> None:
+    """Lead whenever nobody does, until the server stops."""
+    while not server.stopping:
+        await server.roles_changed.wait(LONGEST_WAIT_S)
+        if not _vacant(server):
+            continue
+        place = roles_.place_in_line(server.roles, server.settings.name)
+        if not _was_us(server):
+            await curio.sleep(place * TURN_S)
+        if not _vacant(server) or server.stopping:
+            continue
+        try:
+            won = await _try(server)
+        except (errors.CallFailed, stores.LeaseEnded) as error:
+            event_log.emit('election', 'failed', why=str(error))
+            await curio.sleep(PAUSE_S)
+            continue
+        if won is not None:
+            await terms.lead(server, *won)
+
+
+def _vacant(server: states.Server) -> bool:
+    """Say whether nobody leads, as far as we know, and we could."""
+    roles = server.roles
+    if not roles.known or server.configuration is None:
+        return False
+    if clock.now_s() >= server.lease_until_s:
+        return False
+    return not roles.alive_revision or _was_us(server)
+
+
+def _was_us(server: states.Server) -> bool:
+    """Say whether the leader is an earlier life of this server.
+
+    Its lease may go on for a while, but it surely is dead.
+    """
+    leader = server.roles.leader
+    return (
+        leader is not None
+        and bool(server.roles.alive_revision)
+        and server.roles.alive_process == leader.process
+        and leader.holder == server.settings.name
+        and leader.process != server.process
+    )
+
+
+async def _try(server: states.Server) -> tuple[int, int] | None:
+    """Try to become the leader; gives term and revision of the key.
+
+    :raises errors.CallFailed: with the verdict
+    """
+    roles = server.roles
+    term = (roles.leader.term if roles.leader else 0) + 1
+    settings = server.settings
+    row = roles_.Leader(
+        term, settings.name, server.process, boot.inner_address(settings)
+    )
+    conditions = {
+        roles_.LEADER_KEY: roles.leader_revision,
+        roles_.ALIVE_KEY: roles.alive_revision,
+    }
+    writes = {
+        roles_.LEADER_KEY: msgspec.json.encode(row),
+        roles_.ALIVE_KEY: server.process.encode('ascii'),
+    }
+    try:
+        revision = await stores.write(
+            server.store,
+            conditions,
+            writes,
+            leases={roles_.ALIVE_KEY: server.lease},
+        )
+    except stores.Conflict as conflict:
+        return _after_conflict(server, conflict)
+    take_role(server, row, revision)
+    return term, revision
+
+
+def _after_conflict(
+    server: states.Server, conflict: stores.Conflict
+) -> tuple[int, int] | None:
+    """Learn who leads; it may be us, by a write whose answer was lost."""
+    roles = server.roles
+    found = {item.key: item for item in conflict.items}
+    alive = found.get(roles_.ALIVE_KEY)
+    if alive is None or alive.removed:
+        roles.alive_revision = 0
+        roles.alive_process = ''
+    for item in conflict.items:
+        if not item.removed:
+            roles_.take(roles, item.key, item.value, item.revision)
+    leader = roles.leader
+    if leader is None or leader.process != server.process:
+        return None
+    if roles.alive_process != server.process:
+        return None
+    return leader.term, roles.leader_revision
+
+
+def take_role(
+    server: states.Server, row: roles_.Leader, revision: int
+) -> None:
+    """Note that we lead."""
+    roles = server.roles
+    roles.leader = row
+    roles.leader_revision = revision
+    roles.alive_revision = revision
+    roles.alive_process = server.process
--- /dev/null
+++ b/oleanderwood/leading/fleet_loop.py
@@ -0,0 +1,168 @@
+"""The leader's orders to machines: waves of maintenance."""
+
+import curio
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.platform import machines as machine_calls
+from oleanderwood.platform import operator
+from oleanderwood.platform import store as stores
+from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import fleet
+from oleanderwood.upkeeps import wave_plan
+
+PASS_S = 0.1
+"""Time between two passes over waves."""
+
+READ_S = 0.3
+"""Time between two readings of the list of machines while it is needed."""
+
+REFUSED_S = 0.5
+"""Time after which a machine that refused an order is tried again."""
+
+
+async def manage_always(leader: states.Leader) -> None:
+    """Drive waves and learn of dead machines, until cancelled."""
+    while True:
+        await curio.sleep(PASS_S)
+        if not states.may_act(leader):
+            continue
+        if _needs_list(leader):
+            await _read(leader)
+        for progress in list(leader.waves.values()):
+            if not progress.completed:
+                await _drive(leader, progress)
+
+
+def _needs_list(leader: states.Leader) -> bool:
+    if clock.now_s() - leader.machines_read_s < READ_S:
+        return False
+    if any(not progress.completed for progress in leader.waves.values()):
+        return True
+    return any(
+        not worker.fenced or worker.silent_since_s is not None
+        for worker in leader.workers.values()
+    )
+
+
+async def _read(leader: states.Leader) -> None:
+    sent_s = clock.now_s()
+    try:
+        machines = await machine_calls.read_all(leader.machine_calls)
+    except errors.CallFailed as error:
+        event_log.emit('fleet', 'not-read', why=error.reason)
+        leader.machines_read_s = clock.now_s()
+        return
+    leader.machines_read_s = sent_s
+    leader.machines = {machine.machine: machine for machine in machines}
+    living = {
+        machine.worker
+        for machine in machines
+        if machine.state is fleet.State.UP
+    }
+    for worker in list(leader.workers.values()):
+        silent = worker.silent_since_s
+        if silent is None and worker.fenced:
+            continue
+        if silent is not None and silent > sent_s:
+            continue
+        if worker.entry.worker not in living:
+            await worker_loop.lost(leader, worker, 'its machine is down')
+    for progress in leader.waves.values():
+        wave_plan.note_returns(progress, leader.machines)
+
+
+def _by_machine(leader: states.Leader) -> dict[str, workers_.Worker]:
+    found = {}
+    for worker in leader.workers.values():
+        machine = leader.machines.get(worker.entry.machine)
+        if machine is not None and machine.worker == worker.entry.worker:
+            found[worker.entry.machine] = worker
+    return found
+
+
+async def _drive(leader: states.Leader, progress: wave_plan.Progress) -> None:
+    now_s = clock.now_s()
+    settings = leader.server.settings
+    if now_s - leader.began_s < settings.machine_turn_ms / 1000:
+        return
+    if now_s - leader.machines_read_s > 2 * READ_S or not leader.machines:
+        return
+    by_machine = _by_machine(leader)
+    decision = wave_plan.decide(
+        progress, leader.machines, by_machine, settings.maintenance_s, now_s
+    )
+    for name, worker in by_machine.items():
+        if name in progress.wave.machines:
+            worker.closed = name in decision.close
+    for name in decision.order:
+        await _maintain(leader, progress, name, by_machine.get(name))
+    await _write_status(leader, progress, decision.completed)
+
+
+async def _maintain(
+    leader: states.Leader,
+    progress: wave_plan.Progress,
+    name: str,
+    worker: workers_.Worker | None,
+) -> None:
+    if not states.holds_lease(leader):
+        return
+    wave = progress.wave.wave
+    before = leader.machines[name].worker
+    progress.down[name] = before
+    try:
+        outcome = await machine_calls.maintain(
+            leader.machine_calls, name, wave, leader.term
+        )
+    except errors.CallFailed as error:
+        event_log.emit('wave', 'doubtful', machine=name, why=error.reason)
+        progress.refused_until_s[name] = clock.now_s() + REFUSED_S
+        return
+    event_log.emit(
+        'wave',
+        'ordered',
+        wave=wave,
+        machine=name,
+        outcome=outcome.value,
+        runs=len(worker.runs) if worker else 0,
+        left=len(progress.wave.machines) - len(progress.begun) - 1,
+    )
+    if outcome is machine_calls.Outcome.DONE:
+        progress.begun.add(name)
+        if worker is not None:
+            await worker_loop.lost(leader, worker, 'down for maintenance')
+        return
+    del progress.down[name]
+    progress.refused_until_s[name] = clock.now_s() + REFUSED_S
+    if outcome in (
+        machine_calls.Outcome.NOT_OF_WAVE,
+        machine_calls.Outcome.INVALID,
+    ):
+        progress.begun.add(name)
+
+
+async def _write_status(
+    leader: states.Leader, progress: wave_plan.Progress, completed: bool
+) -> None:
+    word = 'completed' if completed else 'running'
+    if progress.status_written == word:
+        return
+    key = f'{operator.WAVE_STATUS_PREFIX}{progress.wave.wave}'
+    condition = {roles_.LEADER_KEY: leader.revision}
+    value = operator.encode_wave_status(completed)
+    try:
+        await stores.write(leader.server.store, condition, {key: value})
+    except stores.Conflict:
+        await states.depose(leader, 'another server leads')
+        return
+    except errors.CallFailed as error:
+        event_log.emit('wave', 'status-not-written', why=error.reason)
+        return
+    progress.status_written = word
+    event_log.emit('wave', word, wave=progress.wave.wave)
+    progress.completed = completed
--- /dev/null
+++ b/oleanderwood/leading/intake.py
@@ -0,0 +1,175 @@
+"""What reaches the leader through the store: jobs, cancels, workers, waves."""
+
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import record
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.platform import executors
+from oleanderwood.platform import operator
+from oleanderwood.platform import store as stores
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import wave_plan
+
+JOB_DECODER = msgspec.json.Decoder(model.Job)
+
+
+def take_intake(
+    leader: states.Leader, item: stores.Item, inherited: bool
+) -> None:
+    """Take in a job or a cancel."""
+    now_s = clock.now_s()
+    if item.removed:
+        return
+    if item.key.startswith(record.JOB_PREFIX):
+        job = JOB_DECODER.decode(item.value)
+        if job.job in leader.ledger.entries:
+            return
+        ledgers.add(leader.ledger, job, now_s, inherited)
+        if not inherited:
+            event_log.emit(
+                'job',
+                'taken',
+                job=job.job,
+                queue=job.queue.name,
+                steps=len(job.work.steps),
+                tasks=sum(step.tasks for step in job.work.steps),
+                age_ms=round(clock.wall_ms() - job.handed_in_ms),
+            )
+        if job.job in leader.cancelled_unknown:
+            cancel(leader, job.job)
+    elif item.key.startswith(record.CANCEL_PREFIX):
+        cancel(leader, ids.JobId(item.key.removeprefix(record.CANCEL_PREFIX)))
+
+
+def cancel(leader: states.Leader, job: ids.JobId) -> None:
+    """Cancel a job that its caller doesn't want any more."""
+    entry = leader.ledger.entries.get(job)
+    if entry is None:
+        leader.cancelled_unknown.add(job)
+        return
+    if ledgers.final(entry):
+        return
+    event_log.emit('job', 'cancelled', job=job, was=entry.state.value)
+    ledgers.end(leader.ledger, entry, model.State.CANCELLED, clock.now_s())
+
+
+async def after_intake(leader: states.Leader) -> None:
+    """Do what newly taken jobs and cancels make necessary."""
+    await leader.due.set()
+    if leader.ledger.dirty:
+        await worker_loop.stop_ended_jobs(leader)
+        await leader.unkept.set()
+
+
+async def take_worker(leader: states.Leader, item: stores.Item) -> None:
+    """Take over a worker's entry in the store, or its removal."""
+    name = ids.VmId(item.key.removeprefix(executors.PREFIX))
+    known = leader.workers.get(name)
+    if item.removed:
+        if known is not None and known.listed:
+            known.listed = False
+            event_log.emit('worker', 'unlisted', worker=name)
+        return
+    try:
+        entry = executors.decode_entry(item.key, item.value)
+    except msgspec.MsgspecError as error:
+        event_log.emit('worker', 'malformed', worker=name, why=str(error))
+        return
+    if known is None:
+        await _replace_earlier(leader, entry)
+        await meet(leader, entry, listed=True)
+        return
+    if entry.draining and not known.entry.draining:
+        event_log.emit('worker', 'draining', worker=name)
+        known.entry = entry
+        await leave_draining(leader, known)
+    known.entry = entry
+    if not known.listed:
+        known.listed = True
+        event_log.emit('worker', 'listed-again', worker=name)
+    await leader.due.set()
+
+
+async def unlist_others(
+    leader: states.Leader, items: list[stores.Item]
+) -> None:
+    """Note which workers a whole reading of the entries lacks."""
+    listed = {item.key.removeprefix(executors.PREFIX) for item in items}
+    for name, worker in leader.workers.items():
+        if worker.listed and name not in listed:
+            worker.listed = False
+            event_log.emit('worker', 'unlisted', worker=name)
+
+
+async def leave_draining(
+    leader: states.Leader, worker: workers_.Worker
+) -> None:
+    """Take long-running tasks off a worker that is about to leave."""
+    for task in list(worker.runs.values()):
+        if task.group.step.long_running:
+            await worker_loop.stop_run(leader, task)
+
+
+async def _replace_earlier(
+    leader: states.Leader, entry: reports.Entry
+) -> None:
+    """Note that earlier lives of a worker's machine are over."""
+    for worker in list(leader.workers.values()):
+        if entry.machine and worker.entry.machine == entry.machine:
+            await worker_loop.lost(leader, worker, 'its machine lives anew')
+
+
+async def meet(
+    leader: states.Leader, entry: reports.Entry, listed: bool
+) -> workers_.Worker:
+    """Begin to renew a worker that wasn't known."""
+    now_s = clock.now_s()
+    worker = workers_.Worker(entry, listed=listed, idle_since_s=now_s)
+    leader.workers[entry.worker] = worker
+    leader.ends_kept[entry.worker] = states.Wake()
+    leader.orders[entry.worker] = states.curio.Queue()
+    leader.roster_dirty.add(entry.service)
+    event_log.emit(
+        'worker',
+        'met',
+        worker=entry.worker,
+        service=entry.service,
+        address=entry.address,
+        machine=entry.machine,
+        draining=entry.draining,
+        listed=listed,
+    )
+    await leader.fresh_workers.put(worker)
+    await leader.unkept.set()
+    return worker
+
+
+def take_wave(leader: states.Leader, item: stores.Item) -> None:
+    """Take over a wave that the operator asks for."""
+    if item.removed:
+        return
+    try:
+        wave = operator.decode_wave(item.value)
+    except msgspec.MsgspecError as error:
+        event_log.emit('wave', 'malformed', key=item.key, why=str(error))
+        return
+    known = leader.waves.get(wave.wave)
+    if known is not None:
+        known.wave = wave
+        return
+    leader.waves[wave.wave] = wave_plan.Progress(wave, clock.now_s())
+    event_log.emit(
+        'wave',
+        'taken',
+        wave=wave.wave,
+        machines=len(wave.machines),
+        time_s=wave.time_s,
+        at_once=wave.most_at_once,
+    )
--- /dev/null
+++ b/oleanderwood/leading/lease.py
@@ -0,0 +1,82 @@
+"""The server's lease in the store, and its own row under it."""
+
+import curio
+import msgspec
+
+from oleanderwood import boot
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.platform import store as stores
+
+RENEW_S = states.LEASE_S / 3
+"""Time between two renewals: two may be lost before the lease ends."""
+
+RETRY_S = 0.1
+"""Pause after a failed renewal."""
+
+MARGIN_S = 0.1
+"""How much earlier than the store we take the lease for ended; clocks of
+two machines differ in rate by far less over a lease."""
+
+
+async def keep_always(server: states.Server) -> None:
+    """Hold a lease and the server's row, until cancelled."""
+    while True:
+        try:
+            if not server.lease:
+                await _take(server)
+            else:
+                await _renew(server)
+        except stores.LeaseEnded:
+            event_log.emit('lease', 'ended', lease=server.lease)
+            server.lease = 0
+            server.lease_until_s = 0.0
+            continue
+        except (errors.CallFailed, stores.Conflict) as error:
+            event_log.emit('lease', 'not-renewed', why=str(error))
+            await curio.sleep(RETRY_S)
+            continue
+        await server.lease_wanted.wait(RENEW_S)
+
+
+def lease_s(server: states.Server) -> float:
+    """Give the time of a lease, as the store allows it."""
+    least_s = server.settings.store_lease_min_ms / 1000
+    return max(states.LEASE_S, least_s)
+
+
+async def _take(server: states.Server) -> None:
+    sent_s = clock.now_s()
+    server.lease = await stores.grant(server.store, lease_s(server))
+    note_contact(server, sent_s)
+    settings = server.settings
+    row = roles_.Server(
+        settings.name, server.process, boot.inner_address(settings)
+    )
+    key = roles_.SERVER_PREFIX + settings.name
+    await stores.write(
+        server.store,
+        {},
+        {key: msgspec.json.encode(row)},
+        leases={key: server.lease},
+    )
+    server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
+    event_log.emit('lease', 'taken', lease=server.lease)
+    await server.roles_changed.set()
+
+
+async def _renew(server: states.Server) -> None:
+    sent_s = clock.now_s()
+    left_s = max(0.2, server.lease_until_s - sent_s)
+    timeout_s = min(stores.CALL_TIMEOUT_S, left_s)
+    await stores.renew(server.store, server.lease, timeout_s)
+    note_contact(server, sent_s)
+    server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
+
+
+def note_contact(server: states.Server, sent_s: float) -> None:
+    """Note that the store answered a call sent at some time."""
+    server.contact_s = max(server.contact_s, sent_s)
--- /dev/null
+++ b/oleanderwood/leading/schedule.py
@@ -0,0 +1,109 @@
+"""The leader's passes over waiting tasks, workers and leases."""
+
+import curio
+
+from oleanderwood import clock
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.pools import placing
+from oleanderwood.pools import workers as workers_
+
+PASS_GAP_S = 0.01
+"""Least time between two passes: events come in bursts."""
+
+LONGEST_WAIT_S = 0.2
+"""A pass is made at least this often: due times and pauses end unnoticed."""
+
+STARTS_A_PASS = 200
+"""Starts decided at once for a pool."""
+
+UNKNOWN_LEASE_SLACK_S = 1.5
+"""How much longer than a lease an earlier leader may have gone on: it acts
+for up to 1 s after it was last confirmed, and an order takes its time."""
+
+
+async def place_always(leader: states.Leader) -> None:
+    """Make passes until cancelled."""
+    while True:
+        await leader.due.wait(LONGEST_WAIT_S)
+        await check_leases(leader)
+        if states.may_act(leader):
+            await place(leader)
+        await curio.sleep(PASS_GAP_S)
+
+
+async def check_leases(leader: states.Leader) -> None:
+    """Give up the runs of silent workers whose leases have ended."""
+    now_s = clock.now_s()
+    for worker in list(leader.workers.values()):
+        if worker.fenced and worker.silent_since_s is None:
+            continue
+        if now_s <= worker.lease_end_s:
+            continue
+        if worker.runs:
+            tasks = workers_.lost(leader.ledger, worker, now_s)
+            event_log.emit(
+                'worker',
+                'lease-over',
+                worker=worker.entry.worker,
+                tasks=[task.name for task in tasks],
+            )
+        if not worker.listed:
+            await worker_loop.lost(leader, worker, 'silent and unlisted')
+
+
+def unresolved(leader: states.Leader) -> set[ids.ServiceId]:
+    """Give the pools with a worker that may run what we don't know of.
+
+    It was in use under an earlier term, hasn't answered under this one, and
+    a lease of that time may not have ended. What an earlier leader may have
+    started isn't started again in such a pool.
+    """
+    now_s = clock.now_s()
+    return {
+        worker.entry.service
+        for worker in leader.workers.values()
+        if not worker.fenced and now_s <= worker.lease_end_s
+    }
+
+
+async def place(leader: states.Leader) -> None:
+    """Decide starts for all pools, and order them."""
+    now_s = clock.now_s()
+    known = states.known_queues(leader)
+    blocked = unresolved(leader)
+    ready = placing.by_service(leader.ledger, known, clock.wall_ms(), now_s)
+    pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
+    for worker in leader.workers.values():
+        if worker.entry.worker in leader.rostered:
+            pools.setdefault(worker.entry.service, []).append(worker)
+    for service, groups in ready.items():
+        if service in blocked:
+            groups = [row for row in groups if not row.entry.inherited]
+        pool = pools.get(service, [])
+        decided = placing.decide(groups, pool, now_s, STARTS_A_PASS)
+        await _order(leader, decided, now_s)
+
+
+async def _order(
+    leader: states.Leader, decided: list[placing.Placement], now_s: float
+) -> None:
+    gangs: dict[ledgers.Group, int] = {}
+    for placement in decided:
+        task = placement.task
+        attempt = None
+        if task.group.step.gang:
+            if task.group not in gangs:
+                gangs[task.group] = max(
+                    ledgers.next_attempt(leader.ledger, member)
+                    for member in task.group.tasks
+                )
+            attempt = gangs[task.group]
+        worker = placement.worker
+        name = worker.entry.worker
+        run = ledgers.begin(leader.ledger, task, name, now_s, attempt)
+        worker.runs[task.name] = task
+        await leader.orders[name].put(('start', task, run))
--- /dev/null
+++ b/oleanderwood/leading/state.py
@@ -0,0 +1,209 @@
+"""What a server process and a leader remember."""
+
+import dataclasses
+import typing
+
+import curio
+
+from oleanderwood import boot
+from oleanderwood import clock
+from oleanderwood import connections
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import queues
+from oleanderwood.leading import roles as roles_
+from oleanderwood.platform import executors
+from oleanderwood.platform import machines as machines_
+from oleanderwood.platform import store as stores
+from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import fleet
+from oleanderwood.upkeeps import wave_plan
+
+LEASE_S = 1.5
+"""Time of a server's lease: a dead leader is followed after it. Below it a
+store that is 60 times slower than usual (0.25 s) couldn't be told from one
+that is gone."""
+
+TASK_LEASE_S = 5.0
+"""Time of a worker's lease on its tasks. It has to outlive a change of
+leader (lease, election, first renewals: about 2.5 s) and delays the restart
+of what ran on a worker that fell silent."""
+
+
+class Wake:
+    """A signal to one waiting task; signals before it waits aren't lost."""
+
+    def __init__(self) -> None:
+        self._event = curio.Event()
+        self.is_set = False
+
+    async def set(self) -> None:
+        """Wake the waiting task."""
+        self.is_set = True
+        await self._event.set()
+
+    async def wait(self, longest_s: float) -> None:
+        """Wait for a signal, or for a while."""
+        async with curio.ignore_after(longest_s):
+            await self._event.wait()
+        self._event.clear()
+        self.is_set = False
+
+
+@dataclasses.dataclass
+class Server:
+    """One server process.
+
+    :ivar process: one life of this server
+    :ivar lease_until_s: by when the server's lease may have ended
+    :ivar contact_s: when the last call was sent that the store answered
+    """
+
+    settings: boot.Settings
+    process: str
+    store: stores.Store
+    roles: roles_.Roles = dataclasses.field(default_factory=roles_.Roles)
+    configuration: queues.Configuration | None = None
+    configuration_revision: int = 0
+    lease: int = 0
+    lease_until_s: float = 0.0
+    contact_s: float = -1e9
+    leader: 'Leader | None' = None
+    stopping: bool = False
+    roles_changed: Wake = dataclasses.field(default_factory=Wake)
+    lease_wanted: Wake = dataclasses.field(default_factory=Wake)
+
+
+@dataclasses.dataclass
+class Leader:
+    """The leader of one term.
+
+    :ivar revision: of the leader's key, the condition of all its writes
+    :ivar deposed: why it must stop; '' while it leads
+    :ivar confirmed_until_s: by when servers that don't reach the store
+        either have to confirm again that none leads
+    """
+
+    server: Server
+    term: int
+    revision: int
+    began_s: float
+    ledger: ledgers.Ledger
+    calls: executors.Executors = dataclasses.field(
+        default_factory=executors.Executors
+    )
+    machine_calls: machines_.Machines | None = None
+    workers: dict[ids.VmId, workers_.Worker] = dataclasses.field(
+        default_factory=dict
+    )
+    orders: dict[ids.VmId, curio.Queue] = dataclasses.field(
+        default_factory=dict
+    )
+    ends_kept: dict[ids.VmId, Wake] = dataclasses.field(default_factory=dict)
+    reported_s: dict[ids.VmId, float] = dataclasses.field(default_factory=dict)
+    rostered: set[ids.VmId] = dataclasses.field(default_factory=set)
+    roster_dirty: set[ids.ServiceId] = dataclasses.field(default_factory=set)
+    waves: dict[int, wave_plan.Progress] = dataclasses.field(
+        default_factory=dict
+    )
+    machines: dict[str, fleet.Machine] = dataclasses.field(
+        default_factory=dict
+    )
+    machines_read_s: float = -1e9
+    deposed: str = ''
+    confirmed_until_s: float = 0.0
+    cancelled_unknown: set[ids.JobId] = dataclasses.field(default_factory=set)
+    peer_connections: connections.Connections = dataclasses.field(
+        default_factory=connections.Connections
+    )
+    due: Wake = dataclasses.field(default_factory=Wake)
+    unkept: Wake = dataclasses.field(default_factory=Wake)
+    ended: Wake = dataclasses.field(default_factory=Wake)
+    fresh_workers: curio.Queue = dataclasses.field(default_factory=curio.Queue)
+
+
+def may_act(leader: Leader) -> bool:
+    """Say whether this process may still take itself for the leader."""
+    now_s = clock.now_s()
+    return not leader.deposed and (
+        now_s < leader.server.lease_until_s or now_s < leader.confirmed_until_s
+    )
+
+
+def holds_lease(leader: Leader) -> bool:
+    """Say whether the leader's lease is surely in force.
+
+    Orders to machines need this: no other check guards them.
+    """
+    return not leader.deposed and clock.now_s() < leader.server.lease_until_s
+
+
+async def depose(leader: Leader, why: str) -> None:
+    """End the leader's term as far as this process is concerned."""
+    if not leader.deposed:
+        leader.deposed = why
+        await leader.ended.set()
+
+
+def task_lease_s(settings: boot.Settings) -> float:
+    """Give the time of the leases that workers get."""
+    return min(TASK_LEASE_S, settings.max_task_lease_ms / 1000)
+
+
+def known_queues(leader: Leader) -> dict[str, queues.Queue]:
+    """Give the queues of the newest configuration."""
+    configuration = leader.server.configuration
+    return queues.by_name(configuration) if configuration else {}
+
+
+def dump(server: Server) -> dict[str, typing.Any]:
+    """Give the process's state as plain data."""
+    now_s = clock.now_s()
+    roles = server.roles
+    value: dict[str, typing.Any] = {
+        'name': server.settings.name,
+        'process': server.process,
+        'stopping': server.stopping,
+        'lease_left_s': round(server.lease_until_s - now_s, 2),
+        'contact_age_s': round(now_s - server.contact_s, 2),
+        'leader': roles.leader.holder if roles.leader else None,
+        'term': roles.leader.term if roles.leader else 0,
+        'servers': sorted(row.name for row in roles.servers.values()),
+    }
+    if server.configuration is not None:
+        value['configuration_version'] = server.configuration.version
+    if server.leader is not None:
+        value['leading'] = _dump_leader(server.leader, now_s)
+    return value
+
+
+def _dump_leader(leader: Leader, now_s: float) -> dict[str, typing.Any]:
+    return {
+        'term': leader.term,
+        'jobs': len(leader.ledger.entries),
+        'groups_waiting': len(leader.ledger.open_groups),
+        'unwritten': len(leader.ledger.dirty),
+        'workers': {
+            name: {
+                'service': worker.entry.service,
+                'fenced': worker.fenced,
+                'silent': worker.silent_since_s is not None,
+                'closed': worker.closed,
+                'lease_left_s': round(worker.lease_end_s - now_s, 2),
+                'runs': {
+                    task: [row.run.attempt, row.run.phase.value]
+                    for task, row in worker.runs.items()
+                    if row.run is not None
+                },
+            }
+            for name, worker in leader.workers.items()
+        },
+        'waves': {
+            number: {
+                'begun': len(progress.begun),
+                'down': sorted(progress.down),
+                'of': len(progress.wave.machines),
+            }
+            for number, progress in leader.waves.items()
+        },
+    }
--- /dev/null
+++ b/oleanderwood/leading/term.py
@@ -0,0 +1,273 @@
+"""The life of one term: taking over, leading, handing over."""
+
+import traceback
+
+import curio
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import record
+from oleanderwood.leading import confirming
+from oleanderwood.leading import fleet_loop
+from oleanderwood.leading import following
+from oleanderwood.leading import intake
+from oleanderwood.leading import keeping
+from oleanderwood.leading import lease
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import schedule
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.platform import executors
+from oleanderwood.platform import machines as machine_calls
+from oleanderwood.platform import operator
+from oleanderwood.platform import store as stores
+from oleanderwood.pools import workers as workers_
+
+WATCH_S = 1.0
+"""Longest wait of a watch; a silent connection is found after it and the
+client's own slack, in time for a change of the configuration."""
+
+ROLE_CHECK_S = 0.05
+"""Time between two looks at who leads."""
+
+HAND_OVER_S = 0.6
+"""Longest time for the last writes of a leader that stops."""
+
+
+async def lead(server: states.Server, term: int, revision: int) -> None:
+    """Lead until deposed or until the server stops."""
+    now_s = clock.now_s()
+    leader = states.Leader(
+        server, term, revision, now_s, ledgers.Ledger(term=term)
+    )
+    settings = server.settings
+    if settings.machines_address is not None:
+        leader.machine_calls = machine_calls.Machines(
+            settings.machines_address, settings.name
+        )
+    event_log.emit('leader', 'took-over', term=term)
+    try:
+        await _inherit(leader)
+    except errors.CallFailed as error:
+        event_log.emit('leader', 'gave-up', term=term, why=error.reason)
+        await _resign(leader)
+        return
+    server.leader = leader
+    event_log.emit(
+        'leader',
+        'leads',
+        term=term,
+        jobs=len(leader.ledger.entries),
+        workers=len(leader.workers),
+        after_s=round(clock.now_s() - now_s, 3),
+    )
+    async with curio.TaskGroup(wait=any) as group:
+        for part in _parts(leader):
+            await group.spawn(part)
+        await group.spawn(leader.ended.wait, 1e9)
+    server.leader = None
+    why = leader.deposed or 'stops'
+    for task in group.tasks:
+        if task.exception is not None and not isinstance(
+            task.exception, curio.CancelledError
+        ):
+            why = repr(task.exception)
+            event_log.emit('leader', 'fault', why=_traceback(task.exception))
+    event_log.emit('leader', 'ended', term=term, why=why)
+    await _resign(leader)
+
+
+def _traceback(error: BaseException) -> str:
+    return ''.join(traceback.format_exception(error))[-3000:]
+
+
+def _parts(leader: states.Leader) -> list:
+    """Give what runs at the same time while a term lasts."""
+    parts = [
+        _follow_intake(leader),
+        _follow_workers(leader),
+        _follow_waves(leader),
+        _serve_workers(leader),
+        schedule.place_always(leader),
+        keeping.keep_always(leader),
+        keeping.forget_always(leader),
+        confirming.confirm_always(leader),
+        _watch_role(leader),
+    ]
+    if leader.machine_calls is not None:
+        parts.append(fleet_loop.manage_always(leader))
+    return parts
+
+
+async def _inherit(leader: states.Leader) -> None:
+    """Take in all that lies in the store.
+
+    :raises errors.CallFailed: the store didn't answer
+    """
+    store = leader.server.store
+    rosters = await stores.read_range(store, keeping.ROSTER_PREFIX)
+    taken = await stores.read_range(store, record.INTAKE_PREFIX)
+    kept = await stores.read_range(store, record.PROGRESS_PREFIX)
+    now_s = clock.now_s()
+    for item in taken.items:
+        if item.key.startswith(record.JOB_PREFIX):
+            intake.take_intake(leader, item, inherited=True)
+    for item in kept.items:
+        job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
+        entry = leader.ledger.entries.get(job)
+        if entry is not None:
+            progress = msgspec.json.decode(item.value, type=record.Progress)
+            record.restore(leader.ledger, entry, progress, now_s)
+    for item in taken.items:
+        if item.key.startswith(record.CANCEL_PREFIX):
+            intake.take_intake(leader, item, inherited=True)
+    lease_s = states.task_lease_s(leader.server.settings)
+    longest_s = lease_s / workers_.SLOW_CLOCK_RATE
+    for item in rosters.items:
+        for entry in keeping.decode_roster(item.value):
+            worker = await intake.meet(leader, entry, listed=False)
+            worker.lease_end_s = (
+                now_s + longest_s + schedule.UNKNOWN_LEASE_SLACK_S
+            )
+
+
+def _contact(leader: states.Leader) -> following.Contact:
+    def note(sent_s: float) -> None:
+        lease.note_contact(leader.server, sent_s)
+
+    return note
+
+
+async def _follow_intake(leader: states.Leader) -> None:
+    async def take(items: list[stores.Item], whole: bool) -> None:
+        for item in items:
+            intake.take_intake(leader, item, inherited=False)
+        await intake.after_intake(leader)
+
+    await following.follow(
+        leader.server.store,
+        record.INTAKE_PREFIX,
+        WATCH_S,
+        take,
+        _contact(leader),
+    )
+
+
+async def _follow_workers(leader: states.Leader) -> None:
+    async def take(items: list[stores.Item], whole: bool) -> None:
+        for item in items:
+            await intake.take_worker(leader, item)
+        if whole:
+            await intake.unlist_others(leader, items)
+
+    await following.follow(
+        leader.server.store,
+        executors.PREFIX,
+        WATCH_S,
+        take,
+        _contact(leader),
+    )
+
+
+async def _follow_waves(leader: states.Leader) -> None:
+    async def take(items: list[stores.Item], whole: bool) -> None:
+        for item in items:
+            intake.take_wave(leader, item)
+
+    await following.follow(
+        leader.server.store,
+        operator.WAVES_PREFIX,
+        WATCH_S,
+        take,
+        _contact(leader),
+    )
+
+
+async def _serve_workers(leader: states.Leader) -> None:
+    """Run the loops of each worker, from when it is met."""
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(_meet_workers, leader, group)
+
+
+async def _meet_workers(leader: states.Leader, group: curio.TaskGroup) -> None:
+    async with curio.TaskGroup(wait=None) as loops:
+        while True:
+            worker = await leader.fresh_workers.get()
+            await loops.spawn(worker_loop.renew_always, leader, worker)
+            await loops.spawn(worker_loop.send_orders, leader, worker)
+
+
+async def _watch_role(leader: states.Leader) -> None:
+    """End the term once the store shows another leader, or on a stop."""
+    server = leader.server
+    while not leader.deposed:
+        await curio.sleep(ROLE_CHECK_S)
+        roles = server.roles
+        if roles.leader_revision > leader.revision:
+            await states.depose(leader, 'another server leads')
+        elif server.stopping:
+            await _hand_over(leader)
+            await states.depose(leader, 'stops')
+        elif not roles.alive_revision and roles.known and server.lease:
+            await _stay(leader)
+
+
+async def _stay(leader: states.Leader) -> None:
+    """Put the mark that we lead under a new lease."""
+    server = leader.server
+    conditions = {
+        roles_.LEADER_KEY: leader.revision,
+        roles_.ALIVE_KEY: 0,
+    }
+    writes = {roles_.ALIVE_KEY: server.process.encode('ascii')}
+    try:
+        revision = await stores.write(
+            server.store,
+            conditions,
+            writes,
+            leases={roles_.ALIVE_KEY: server.lease},
+        )
+    except (errors.CallFailed, stores.LeaseEnded) as error:
+        event_log.emit('leader', 'not-marked', why=str(error))
+        return
+    except stores.Conflict as conflict:
+        for item in conflict.items:
+            if not item.removed:
+                roles_.take(server.roles, item.key, item.value, item.revision)
+        event_log.emit('leader', 'not-marked', why=str(conflict))
+        return
+    server.roles.alive_revision = revision
+    server.roles.alive_process = server.process
+    event_log.emit('leader', 'marked-again', term=leader.term)
+
+
+async def _hand_over(leader: states.Leader) -> None:
+    """Write what is unwritten before another takes over."""
+    event_log.emit('leader', 'hands-over', term=leader.term)
+    try:
+        async with curio.timeout_after(HAND_OVER_S):
+            await keeping.keep(leader)
+    except (errors.CallFailed, stores.Conflict, curio.TaskTimeout) as error:
+        # The workers still list what wasn't acknowledged.
+        event_log.emit('leader', 'not-all-written', why=repr(error))
+
+
+async def _resign(leader: states.Leader) -> None:
+    """Let another server lead at once, if we still seem to."""
+    server = leader.server
+    if server.roles.leader_revision != leader.revision:
+        return
+    try:
+        await stores.write(
+            server.store,
+            {roles_.LEADER_KEY: leader.revision},
+            {},
+            (roles_.ALIVE_KEY,),
+            timeout_s=HAND_OVER_S,
+        )
+    except (errors.CallFailed, stores.Conflict) as error:
+        event_log.emit('leader', 'not-resigned', why=str(error))
--- /dev/null
+++ b/oleanderwood/leading/worker_loop.py
@@ -0,0 +1,367 @@
+"""Renewals and orders for one worker."""
+
+import curio
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood import verdict as verdicts
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.platform import executors
+from oleanderwood.pools import placing
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+
+BUSY_WAIT_MS = 1000
+"""How long a worker with runs waits for an end before it answers; also the
+longest time between two renewals, a fifth of a lease."""
+
+IDLE_WAIT_MS = 2000
+"""As above for a worker without runs, the most that is allowed."""
+
+SILENT_PAUSE_S = 0.2
+"""Pause between calls to a worker that doesn't answer."""
+
+KEEP_PAUSE_S = 0.25
+"""Longest wait for ends to be written; a worker that lists ends which aren't
+acknowledged answers at once, and would be asked without pause."""
+
+REFUSED_PAUSE_S = 0.15
+"""Time after which a task that a worker refused is placed again."""
+
+UNHEALTHY_S = 1.0
+"""Time for which a worker that says it can't serve gets no tasks."""
+
+
+async def renew_always(leader: states.Leader, worker: workers_.Worker) -> None:
+    """Renew a worker's lease and take its reports, until it is gone."""
+    while not worker.gone and not leader.deposed:
+        if not states.may_act(leader):
+            await curio.sleep(SILENT_PAUSE_S)
+            continue
+        wait_ms = IDLE_WAIT_MS
+        if worker.runs:
+            wait_ms = BUSY_WAIT_MS
+        if not worker.fenced or worker.silent_since_s is not None:
+            wait_ms = 0
+        answered = await look(leader, worker, wait_ms)
+        if not answered:
+            await curio.sleep(SILENT_PAUSE_S)
+        elif worker.seen_end > worker.kept_end:
+            await leader.unkept.set()
+            wake = leader.ends_kept[worker.entry.worker]
+            await wake.wait(KEEP_PAUSE_S)
+
+
+async def look(
+    leader: states.Leader, worker: workers_.Worker, wait_ms: int
+) -> bool:
+    """Renew once; says whether the worker answered."""
+    sent_s = clock.now_s()
+    lease_end_ms = None
+    if worker.fenced and worker.silent_since_s is None and worker.runs:
+        lease_end_ms = _lease_end_ms(leader, worker, sent_s)
+        workers_.note_lease(worker, lease_end_ms)
+    order = reports.Renewal(
+        leader.term, worker.kept_end, lease_end_ms, wait_ms
+    )
+    try:
+        report = await executors.renew(leader.calls, worker.entry, order)
+    except executors.Fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return False
+    except executors.Replaced:
+        await lost(leader, worker, 'replaced at its address')
+        return False
+    except errors.CallFailed as error:
+        _note_silence(worker, error)
+        return False
+    await _take(leader, worker, report, sent_s)
+    return True
+
+
+def _lease_end_ms(
+    leader: states.Leader, worker: workers_.Worker, now_s: float
+) -> float:
+    lease_s = states.task_lease_s(leader.server.settings)
+    return workers_.clock_now_ms(worker, now_s) + lease_s * 1000
+
+
+async def _take(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    report: reports.Report,
+    sent_s: float,
+) -> None:
+    name = worker.entry.worker
+    if worker.gone or sent_s < leader.reported_s.get(name, 0.0):
+        return
+    leader.reported_s[name] = sent_s
+    now_s = clock.now_s()
+    if not worker.fenced or worker.silent_since_s is not None:
+        event_log.emit(
+            'worker',
+            'answers',
+            worker=name,
+            service=worker.entry.service,
+            first=not worker.fenced,
+            running=len(report.running),
+            ended=len(report.ended),
+        )
+        await leader.due.set()
+    workers_.note_answer(worker, report, now_s)
+    known = states.known_queues(leader)
+
+    def max_attempts(entry: ledgers.Entry) -> int:
+        return placing.queue_of(entry, known).max_attempts
+
+    outcome = workers_.take_report(
+        leader.ledger, worker, report, sent_s, now_s, max_attempts
+    )
+    for event, task, attempt, why in outcome.notes:
+        event_log.emit(
+            'run', event, task=task, attempt=attempt, worker=name, why=why
+        )
+    for task, attempt in outcome.stops:
+        await leader.orders[name].put(('stop', task, attempt))
+    for task in outcome.elsewhere:
+        await stop_run(leader, task)
+    if leader.ledger.dirty:
+        await leader.unkept.set()
+        await stop_ended_jobs(leader)
+    if outcome.changed:
+        await leader.due.set()
+
+
+async def stop_ended_jobs(leader: states.Leader) -> None:
+    """Stop what still runs of jobs that have ended."""
+    for entry in list(leader.ledger.dirty.values()):
+        if ledgers.final(entry):
+            for task in list(ledgers.runs(entry)):
+                await stop_run(leader, task)
+
+
+def _note_silence(worker: workers_.Worker, error: errors.CallFailed) -> None:
+    if worker.silent_since_s is None:
+        worker.silent_since_s = clock.now_s()
+        event_log.emit(
+            'worker',
+            'silent',
+            worker=worker.entry.worker,
+            why=error.reason,
+            runs=len(worker.runs),
+            lease_left_s=round(worker.lease_end_s - clock.now_s(), 2),
+        )
+
+
+async def lost(
+    leader: states.Leader, worker: workers_.Worker, why: str
+) -> None:
+    """Note that a worker is gone, and with it all its runs."""
+    if worker.gone:
+        return
+    worker.gone = True
+    now_s = clock.now_s()
+    tasks = workers_.lost(leader.ledger, worker, now_s)
+    name = worker.entry.worker
+    event_log.emit(
+        'worker',
+        'gone',
+        worker=name,
+        why=why,
+        tasks=[task.name for task in tasks],
+    )
+    leader.workers.pop(name, None)
+    leader.roster_dirty.add(worker.entry.service)
+    await leader.orders[name].put(None)
+    await leader.unkept.set()
+    await leader.due.set()
+
+
+async def stop_run(leader: states.Leader, task: ledgers.Task) -> None:
+    """Order the stop of a task's run, once."""
+    run = task.run
+    if run is None or run.phase is ledgers.RunPhase.STOPPING:
+        return
+    if run.phase is ledgers.RunPhase.ORDERED:
+        # Its start may be under way; the answer to it will be followed by
+        # the stop.
+        return
+    ledgers.set_phase(run, ledgers.RunPhase.STOPPING, clock.now_s())
+    run.stop_answered_s = None
+    orders = leader.orders.get(run.worker)
+    if orders is not None:
+        await orders.put(('stop', task.name, run.attempt))
+
+
+async def send_orders(leader: states.Leader, worker: workers_.Worker) -> None:
+    """Send the orders for a worker one after another, until it is gone."""
+    orders = leader.orders[worker.entry.worker]
+    while True:
+        order = await orders.get()
+        if order is None or worker.gone or leader.deposed:
+            return
+        if order[0] == 'start':
+            await _send_start(leader, worker, order[1], order[2])
+        elif order[0] == 'pace':
+            await _send_pace(leader, worker, order[1], order[2])
+        else:
+            await _send_stop(leader, worker, order[1], order[2])
+
+
+async def _send_start(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    task: ledgers.Task,
+    run: ledgers.Run,
+) -> None:
+    if task.run is not run:
+        return
+    now_s = clock.now_s()
+    entry = task.group.entry
+    if (
+        ledgers.final(entry)
+        or task.done
+        or not states.may_act(leader)
+        or not workers_.accepts(worker, now_s)
+    ):
+        await _not_started(leader, worker, task, 'not sent')
+        return
+    lease_end_ms = _lease_end_ms(leader, worker, now_s)
+    workers_.note_lease(worker, lease_end_ms)
+    order = reports.Start(
+        task.name,
+        run.attempt,
+        entry.job.work.text,
+        lease_end_ms,
+        leader.term,
+        task.checkpoint,
+    )
+    try:
+        refusal = await executors.start(leader.calls, worker.entry, order)
+    except errors.CallFailed as error:
+        await _start_unanswered(leader, worker, task, run, error)
+        return
+    await _start_answered(leader, worker, task, run, refusal)
+
+
+async def _start_unanswered(leader, worker, task, run, error) -> None:
+    _log_start(worker, task, run, error.verdict.value, error.reason)
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        _note_silence(worker, error)
+        if task.run is run:
+            await _not_started(leader, worker, task, 'not sent')
+        return
+    if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+        ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+    await look(leader, worker, 0)
+
+
+async def _start_answered(leader, worker, task, run, refusal) -> None:
+    if refusal is None:
+        _log_start(worker, task, run, 'ran', '')
+        if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+            now_s = clock.now_s()
+            ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
+            run.moved_on_s = now_s
+            if ledgers.final(task.group.entry) or task.done:
+                await stop_run(leader, task)
+        return
+    _log_start(worker, task, run, 'refused', refusal.value)
+    if refusal is executors.Refusal.FENCED:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    if refusal is executors.Refusal.REPLACED:
+        await lost(leader, worker, 'replaced at its address')
+        return
+    if refusal is executors.Refusal.UNHEALTHY:
+        worker.unhealthy_until_s = clock.now_s() + UNHEALTHY_S
+    if task.run is run:
+        await _not_started(leader, worker, task, refusal.value)
+
+
+async def _not_started(leader, worker, task, why) -> None:
+    """Let a task wait again whose start has surely not run."""
+    task.not_before_s = clock.now_s() + REFUSED_PAUSE_S
+    workers_.end_run(leader.ledger, worker, task, clock.now_s())
+    await leader.due.set()
+
+
+def _log_start(worker, task, run, outcome, why) -> None:
+    event_log.emit(
+        'run',
+        'start',
+        task=task.name,
+        attempt=run.attempt,
+        worker=worker.entry.worker,
+        outcome=outcome,
+        why=why,
+    )
+
+
+async def _send_stop(leader, worker, task, attempt) -> None:
+    try:
+        await executors.stop(
+            leader.calls, worker.entry, task, attempt, leader.term
+        )
+    except executors.Fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    except executors.Replaced:
+        await lost(leader, worker, 'replaced at its address')
+        return
+    except errors.CallFailed as error:
+        event_log.emit(
+            'run',
+            'stop',
+            task=task,
+            attempt=attempt,
+            worker=worker.entry.worker,
+            outcome=error.verdict.value,
+            why=error.reason,
+        )
+        return
+    event_log.emit(
+        'run',
+        'stop',
+        task=task,
+        attempt=attempt,
+        worker=worker.entry.worker,
+        outcome='ran',
+    )
+    known = ledgers.find(leader.ledger, task)
+    if known is None or not workers_.is_current(worker, known, attempt):
+        return
+    known.run.stop_answered_s = clock.now_s()
+    if leader.orders[worker.entry.worker].empty():
+        await look(leader, worker, 0)
+
+
+async def _send_pace(leader, worker, task, percent) -> None:
+    run = task.run
+    if run is None or run.worker != worker.entry.worker:
+        return
+    try:
+        await executors.pace(
+            leader.calls,
+            worker.entry,
+            task.name,
+            run.attempt,
+            percent,
+            leader.term,
+        )
+    except (errors.CallFailed, executors.Replaced) as error:
+        event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
+        return
+    except executors.Fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    run.pace_percent = percent
+    event_log.emit(
+        'run',
+        'paced',
+        task=task.name,
+        worker=worker.entry.worker,
+        percent=percent,
+    )
--- /dev/null
+++ b/oleanderwood/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/oleanderwood/platform/callers.py
@@ -0,0 +1,90 @@
+"""Callers' requests: jobs as they are handed in, and the answers."""
+
+import msgspec
+
+from oleanderwood import errors
+from oleanderwood.jobs import model
+
+
+class _WirePhase(msgspec.Struct):
+    # What the wire calls phases are the steps of a job.
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    affinity: str = ''
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _WireJob(msgspec.Struct):
+    spec: str = ''
+    phases: list[_WirePhase] = []
+    repeat_count: int = 0
+    start_time_ms: float = 0
+    interval_ms: float = 0
+
+
+def decode_job(body: bytes) -> model.Work:
+    """Decode a job that a caller hands in.
+
+    :raises errors.BadMessage: 400, the body is malformed
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireJob)
+    except msgspec.MsgspecError as error:
+        raise errors.BadMessage(400, str(error)) from error
+    if not wire.phases or any(phase.count < 1 for phase in wire.phases):
+        raise errors.BadMessage(400, 'a job needs steps with tasks')
+    for number, phase in enumerate(wire.phases):
+        if any(not 0 <= other < number for other in phase.after):
+            raise errors.BadMessage(400, f'step {number} waits for a later')
+    return model.Work(
+        text=wire.spec,
+        steps=tuple(_step(phase) for phase in wire.phases),
+        repeats=wire.repeat_count,
+        first_due_ms=wire.start_time_ms,
+        interval_ms=wire.interval_ms,
+    )
+
+
+def _step(wire: _WirePhase) -> model.Step:
+    return model.Step(
+        tasks=wire.count,
+        needs=model.Resources(wire.cpu, wire.mem_mb, wire.gpu),
+        estimate_ms=wire.estimate_ms,
+        after=tuple(wire.after),
+        checkpoints=wire.checkpointing,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        label=wire.required_label,
+        near_rack=wire.affinity,
+        max_per_worker=wire.max_per_server,
+        speculative=wire.speculative,
+        long_running=wire.long_running,
+        image=wire.image,
+        latency_target_ms=wire.target_ms,
+        uses_leftover=wire.fills,
+        may_miss=wire.may_miss,
+    )
+
+
+def encode_state(state: model.State) -> bytes:
+    """Encode the answer to a caller who asks for a job's state."""
+    return msgspec.json.encode({'state': state.value})
+
+
+def encode_pending(count: int) -> bytes:
+    """Encode how many accepted jobs of a queue haven't begun."""
+    return msgspec.json.encode({'pending': count})
--- /dev/null
+++ b/oleanderwood/platform/executors.py
@@ -0,0 +1,270 @@
+"""The platform's executors: their entries in the store, and the calls."""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from oleanderwood import connections
+from oleanderwood import errors
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.platform import transport
+from oleanderwood.pools import reports
+
+PREFIX = 'servers/'
+"""Prefix of the executors' entries in the store."""
+
+ORDER_TIMEOUT_S = 0.8
+"""Longest wait for the answer to an order; a calm one takes 2 ms, and on a
+machine of ours that is slowed down five times as long."""
+
+
+class Refusal(enum.Enum):
+    """Why an executor didn't start a task. In all cases nothing ran."""
+
+    FENCED = 'fence'
+    """It has seen a higher term."""
+
+    OUTDATED = 'old'
+    """A run as high was stopped or has ended there."""
+
+    LATE = 'late'
+    """The lease that the start carried is over."""
+
+    NO_ROOM = 'room'
+    NO_TICKET = 'ticket'
+    UNHEALTHY = 'unhealthy'
+    """429 or 503: it can't serve now."""
+
+    REPLACED = 'replaced'
+    """Another executor listens at this address."""
+
+    INVALID = 'invalid'
+
+
+@dataclasses.dataclass
+class Executors:
+    """Calls to executors, under one term."""
+
+    kept: connections.Connections = dataclasses.field(
+        default_factory=connections.Connections
+    )
+
+
+class Replaced(errors.OleanderError):
+    """Another executor listens at the address: the one meant is gone."""
+
+
+class Fenced(errors.OleanderError):
+    """The executor has seen a higher term."""
+
+
+class _WireCapacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _WireEntry(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str = ''
+    version: str = ''
+    slots: int = 0
+    state: str = 'ready'
+    cold_left_ms: float = 0
+    machine: str = ''
+    capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
+    labels: list[str] = []
+    remaining_ms: float | None = None
+
+
+def decode_entry(key: str, value: bytes) -> reports.Entry:
+    """Decode an executor's entry in the store.
+
+    ``labels`` holds its kind and its rack in this order; ``machine`` is
+    given by executors of machines that can be moved.
+
+    :raises msgspec.MsgspecError: the entry is malformed
+    """
+    wire = msgspec.json.decode(value, type=_WireEntry)
+    return reports.Entry(
+        worker=ids.VmId(key.removeprefix(PREFIX)),
+        service=ids.ServiceId(wire.service),
+        address=ids.Address(wire.addr),
+        data_centre=ids.DataCentre(wire.zone),
+        capacity=decode_capacity(wire.capacity),
+        labels=tuple(wire.labels),
+        machine=wire.machine,
+        draining=wire.state == 'draining',
+    )
+
+
+def decode_capacity(wire: _WireCapacity) -> model.Resources:
+    """Decode what a machine has; ``cpu`` is in thousandths of a core."""
+    return model.Resources(wire.cpu, wire.mem_mb, wire.gpu)
+
+
+class _WireAnswer(msgspec.Struct):
+    clock_ms: float = 0
+    reason: str = ''
+
+
+class _WireReport(msgspec.Struct):
+    clock_ms: float = 0
+    reason: str = ''
+    running: list[list] = []
+    finished: list[list] = []
+
+
+_ENDS = {
+    'done': reports.How.DONE,
+    'failed': reports.How.FAILED,
+    'stopped': reports.How.STOPPED,
+    'lapsed': reports.How.LAPSED,
+    'broken': reports.How.BROKEN,
+    'alone': reports.How.ALONE,
+}
+
+
+async def start(
+    calls: Executors, at: reports.Entry, order: reports.Start
+) -> Refusal | None:
+    """Order a start; gives None if it runs, else why it doesn't.
+
+    :raises errors.CallFailed: with the verdict; the order may yet be
+        carried out unless it is ``NOT_RUN``
+    """
+    body: dict = {
+        'task': order.task,
+        'attempt': order.attempt,
+        'spec': order.text,
+        'deadline_ms': int(order.lease_end_clock_ms),
+        'fence': order.term,
+    }
+    if order.checkpoint:
+        body['checkpoint'] = order.checkpoint
+    if order.ticket:
+        body['ticket'] = order.ticket
+    answer = await _call(calls, at, '/run-start', body)
+    if answer.status == 200:
+        return None
+    if answer.status == 421:
+        return Refusal.REPLACED
+    if answer.status in (429, 503):
+        return Refusal.UNHEALTHY
+    if answer.status == 409:
+        reason = msgspec.json.decode(answer.body, type=_WireAnswer).reason
+        return Refusal(reason)
+    if answer.status == 400:
+        return Refusal.INVALID
+    raise transport.refused(answer, 'start')
+
+
+async def stop(
+    calls: Executors, at: reports.Entry, task: str, attempt: int, term: int
+) -> None:
+    """Stop a run; one that isn't there yet will be refused there.
+
+    :raises Replaced: the executor is gone
+    :raises Fenced: it has seen a higher term
+    :raises errors.CallFailed: with the verdict
+    """
+    body = {'task': task, 'attempt': attempt, 'fence': term}
+    _checked(await _call(calls, at, '/run-stop', body), 'stop')
+
+
+async def pace(
+    calls: Executors,
+    at: reports.Entry,
+    task: str,
+    attempt: int,
+    percent: int,
+    term: int,
+) -> None:
+    """Let a run work at a share of its speed, in percent.
+
+    :raises Replaced: the executor is gone
+    :raises Fenced: it has seen a higher term
+    :raises errors.CallFailed: with the verdict
+    """
+    body = {
+        'task': task,
+        'attempt': attempt,
+        'percent': percent,
+        'fence': term,
+    }
+    _checked(await _call(calls, at, '/pace', body), 'pace')
+
+
+async def renew(
+    calls: Executors, at: reports.Entry, order: reports.Renewal
+) -> reports.Report:
+    """Renew the lease of all that runs, and read what runs and has ended.
+
+    ``last_seen`` on the wire acknowledges ends, for good.
+
+    :raises Replaced: the executor is gone
+    :raises Fenced: it has seen a higher term
+    :raises errors.CallFailed: with the verdict
+    """
+    body: dict = {'fence': order.term, 'last_seen': order.acknowledged}
+    if order.lease_end_clock_ms is not None:
+        body['deadline_ms'] = int(order.lease_end_clock_ms)
+    if order.wait_ms:
+        body['wait_ms'] = order.wait_ms
+    timeout_s = ORDER_TIMEOUT_S + order.wait_ms / 1000
+    answer = await _call(calls, at, '/hold', body, timeout_s)
+    return _report(_checked(answer, 'renewal'))
+
+
+def _report(answer: transport.Answer) -> reports.Report:
+    wire = msgspec.json.decode(answer.body, type=_WireReport)
+    running = [
+        reports.Running(
+            task=row[0],
+            attempt=row[1],
+            checkpoint=row[2] or '',
+            percent=float(row[3]),
+            # The fifth is the latency of a task that serves, and the
+            # processor time in use of any other.
+            latency_or_cpu=float(row[4]) if len(row) > 4 else 0.0,
+        )
+        for row in wire.running
+    ]
+    ended = [
+        reports.Ended(row[0], row[1], row[2], _ENDS[row[3]], row[4] or '')
+        for row in wire.finished
+    ]
+    return reports.Report(wire.clock_ms, running, ended)
+
+
+def _checked(answer: transport.Answer, what: str) -> transport.Answer:
+    if answer.status == 200:
+        return answer
+    if answer.status == 421:
+        raise Replaced(what)
+    if answer.status == 409:
+        reason = msgspec.json.decode(answer.body, type=_WireAnswer).reason
+        if reason == Refusal.FENCED.value:
+            raise Fenced(what)
+    raise transport.refused(answer, what)
+
+
+async def _call(
+    calls: Executors,
+    at: reports.Entry,
+    target: str,
+    body: dict,
+    timeout_s: float = ORDER_TIMEOUT_S,
+) -> transport.Answer:
+    return await transport.call(
+        calls.kept,
+        at.address,
+        'POST',
+        target,
+        msgspec.json.encode(body),
+        [(b'expect-instance', at.worker.encode('ascii'))],
+        timeout_s=timeout_s,
+    )
--- /dev/null
+++ b/oleanderwood/platform/transport.py
@@ -0,0 +1,86 @@
+"""HTTP calls to the platform over kept connections, each with a verdict."""
+
+import dataclasses
+
+import curio
+
+from oleanderwood import connections
+from oleanderwood import errors
+from oleanderwood import http
+from oleanderwood import http_client
+from oleanderwood import ids
+from oleanderwood import verdict as verdicts
+
+KEEP_S = 30.0
+"""How long an idle connection is kept; each new one has a price."""
+
+MAX_CONNECTIONS = 16
+"""Connections to one address; executors accept 64 from all callers."""
+
+MAX_ANSWER_BYTES = 8 << 20
+"""Largest answer read; a page of the store holds about 1 MB."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+async def call(
+    kept: connections.Connections,
+    address: ids.Address,
+    method: str,
+    target: str,
+    body: bytes = b'',
+    headers: http.Headers | None = None,
+    *,
+    timeout_s: float,
+) -> Answer:
+    """Make one call within ``timeout_s``.
+
+    :raises errors.CallFailed: no whole answer; its verdict says whether
+        the call may have run
+    """
+    sent = [(b'host', address.encode('ascii'))]
+    if body:
+        sent.append((b'content-type', b'application/json'))
+    sent += headers or []
+    connection = None
+    try:
+        async with curio.timeout_after(timeout_s):
+            connection = await connections.take(
+                kept, address, MAX_CONNECTIONS, timeout_s, KEEP_S
+            )
+            head = await http_client.exchange(
+                connection, method, target, sent, body
+            )
+            whole = await http.read_all(head.body, MAX_ANSWER_BYTES)
+    except curio.TaskTimeout as error:
+        if connection is None:
+            raise errors.CallFailed(
+                verdicts.Verdict.NOT_RUN, f'connect to {address}: timeout'
+            ) from error
+        await connections.drop(kept, connection)
+        raise http_client.failure(
+            connection, f'no answer in {timeout_s} s'
+        ) from error
+    except BaseException:
+        if connection is not None:
+            await connections.drop(kept, connection)
+        raise
+    await connections.give_back(kept, connection)
+    return Answer(head.status, whole)
+
+
+def refused(answer: Answer, what: str) -> errors.CallFailed:
+    """Make the error of an answer that the call's contract doesn't name.
+
+    The platform promises for 429 and 503 that nothing was done.
+    """
+    verdict = verdicts.Verdict.MAY_HAVE_RUN
+    if answer.status in (429, 503) or 400 <= answer.status < 500:
+        verdict = verdicts.Verdict.NOT_RUN
+    return errors.CallFailed(verdict, f'{what}: status {answer.status}')
--- /dev/null
+++ b/oleanderwood/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Workers of pools: reports, leases, room, and where tasks start."""
--- /dev/null
+++ b/oleanderwood/pools/placing.py
@@ -0,0 +1,270 @@
+"""Which waiting task starts on which worker. Pure.
+
+Load it answers: each queue asks by turns for five times its mean, more than
+its pool holds, and nearly nothing in between.
+"""
+
+import collections
+import dataclasses
+
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+
+LATE_FACTOR = 3.0
+"""A job is worth something up to this many times its objective."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """One start that was decided."""
+
+    task: ledgers.Task
+    worker: workers_.Worker
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """What is free on a worker while starts are decided."""
+
+    worker: workers_.Worker
+    cpu_millicores: int
+    memory_mb: int
+    gpus: int
+    rack: str
+    suspect: bool
+    tasks: int
+    mates: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def rooms(pool: list[workers_.Worker], now_s: float) -> list[Room]:
+    """Give the room of the workers that may be given tasks."""
+    found = []
+    for worker in pool:
+        if not workers_.accepts(worker, now_s):
+            continue
+        used = workers_.used(worker)
+        capacity = worker.entry.capacity
+        room = Room(
+            worker,
+            capacity.cpu_millicores - used.cpu_millicores,
+            capacity.memory_mb - used.memory_mb,
+            capacity.gpus - used.gpus,
+            reports.rack(worker.entry),
+            workers_.suspect(worker),
+            len(worker.runs),
+        )
+        for task in worker.runs.values():
+            room.mates[task.group] += 1
+        found.append(room)
+    return found
+
+
+def decide(
+    groups: list[ledgers.Group],
+    pool: list[workers_.Worker],
+    now_s: float,
+    most: int,
+) -> list[Placement]:
+    """Decide starts for the groups in their order.
+
+    :param most: starts to decide at once
+    """
+    free = rooms(pool, now_s)
+    decided: list[Placement] = []
+    for group in groups:
+        if not free or len(decided) >= most:
+            break
+        if group.step.gang:
+            decided += _place_gang(group, free, now_s)
+        else:
+            decided += _place_tasks(group, free, now_s, most - len(decided))
+    return decided
+
+
+def _place_tasks(
+    group: ledgers.Group, free: list[Room], now_s: float, most: int
+) -> list[Placement]:
+    placed: list[Placement] = []
+    for task in list(group.waiting.values()):
+        if len(placed) >= most:
+            break
+        if task.not_before_s > now_s:
+            continue
+        best = _best(group, task, free)
+        if best is None:
+            if not task.failed_on:
+                break
+            continue
+        _take(best, group)
+        placed.append(Placement(task, best.worker))
+    return placed
+
+
+def _best(
+    group: ledgers.Group, task: ledgers.Task, free: list[Room]
+) -> Room | None:
+    fitting = [room for room in free if fits(room, group)]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda room: _preference(room, group, task))
+
+
+def _preference(room: Room, group: ledgers.Group, task: ledgers.Task):
+    """Order workers: sound ones first, near the data, then the fullest.
+
+    Tasks that last are spread, so that maintenance meets few at once; the
+    others are packed, so that whole workers stay free.
+    """
+    step = group.step
+    near = not step.near_rack or room.rack == step.near_rack
+    fill = room.cpu_millicores
+    if step.long_running:
+        fill = -fill
+    return (
+        room.suspect,
+        room.worker.entry.worker == task.failed_on,
+        not near,
+        room.mates[group] if step.long_running else 0,
+        fill,
+    )
+
+
+def fits(room: Room, group: ledgers.Group) -> bool:
+    """Say whether one more task of a group may start on a worker."""
+    step = group.step
+    needs = step.needs
+    if not step.uses_leftover and needs.cpu_millicores > room.cpu_millicores:
+        return False
+    if needs.memory_mb > room.memory_mb or needs.gpus > room.gpus:
+        return False
+    if step.label and step.label not in room.worker.entry.labels:
+        return False
+    if step.max_per_worker and room.mates[group] >= step.max_per_worker:
+        return False
+    return not (room.suspect and room.tasks > 0)
+
+
+def _take(room: Room, group: ledgers.Group) -> None:
+    needs = group.step.needs
+    if not group.step.uses_leftover:
+        room.cpu_millicores -= needs.cpu_millicores
+    room.memory_mb -= needs.memory_mb
+    room.gpus -= needs.gpus
+    room.mates[group] += 1
+    room.tasks += 1
+
+
+def _give_back(room: Room, group: ledgers.Group) -> None:
+    needs = group.step.needs
+    if not group.step.uses_leftover:
+        room.cpu_millicores += needs.cpu_millicores
+    room.memory_mb += needs.memory_mb
+    room.gpus += needs.gpus
+    room.mates[group] -= 1
+    room.tasks -= 1
+
+
+def _place_gang(
+    group: ledgers.Group, free: list[Room], now_s: float
+) -> list[Placement]:
+    """Place all tasks of a gang or none."""
+    members = [task for task in group.tasks if not task.done]
+    if any(task.run is not None for task in members):
+        return []
+    if any(task.not_before_s > now_s for task in members):
+        return []
+    racks = {room.rack for room in free} if group.step.same_rack else set()
+    choices = [
+        [room for room in free if room.rack == rack]
+        for rack in sorted(
+            racks, key=lambda name: name != group.step.near_rack
+        )
+    ]
+    for choice in [*choices, free]:
+        placed = _place_all(group, members, choice)
+        if placed:
+            return placed
+    return []
+
+
+def _place_all(
+    group: ledgers.Group, members: list[ledgers.Task], free: list[Room]
+) -> list[Placement]:
+    taken: list[Room] = []
+    placed: list[Placement] = []
+    for task in members:
+        best = _best(group, task, free)
+        if best is None:
+            for room in taken:
+                _give_back(room, group)
+            return []
+        _take(best, group)
+        taken.append(best)
+        placed.append(Placement(task, best.worker))
+    return placed
+
+
+def objective_s(entry: ledgers.Entry, queue: queues.Queue) -> float:
+    """Give the time in which a job should be done, by the caller's guess."""
+    chain_ms = model.longest_chain_ms(entry.job.work)
+    return (queue.stretch * chain_ms + queue.objective_ms) / 1000
+
+
+def rank(group: ledgers.Group, queue: queues.Queue, now_s: float):
+    """Order the groups of a pool; lower goes first.
+
+    Tasks that last go first: their work counts by the second. Then by
+    priority; then jobs that can still be on time in order of arrival, then
+    those that are late, and those that are worthless by now last.
+    """
+    entry = group.entry
+    if group.step.long_running:
+        return (0, queue.priority, 0, entry.arrived_s, group.number)
+    age_s = now_s - entry.arrived_s
+    objective = objective_s(entry, queue)
+    tier = 0
+    if age_s > LATE_FACTOR * objective:
+        tier = 2
+    elif age_s > objective:
+        tier = 1
+    return (1, queue.priority, tier, entry.arrived_s, group.number)
+
+
+def by_service(
+    ledger: ledgers.Ledger,
+    known: dict[str, queues.Queue],
+    wall_ms: float,
+    now_s: float,
+) -> dict[ids.ServiceId, list[ledgers.Group]]:
+    """Give the groups whose turn has come, in order, by pool."""
+    ready: dict[ids.ServiceId, list] = {}
+    for group in list(ledger.open_groups):
+        if not group.waiting or not ledgers.is_ready(group, wall_ms):
+            continue
+        if not group.ready_since_s:
+            group.ready_since_s = now_s
+        queue = queue_of(group.entry, known)
+        key = rank(group, queue, now_s)
+        ready.setdefault(queue.service, []).append((key, group))
+    for rows in ready.values():
+        rows.sort(key=lambda row: row[0])
+    return {
+        service: [group for _key, group in rows]
+        for service, rows in ready.items()
+    }
+
+
+def queue_of(
+    entry: ledgers.Entry, known: dict[str, queues.Queue]
+) -> queues.Queue:
+    """Give a job's queue as the newest configuration has it.
+
+    A queue that was removed goes on as it was when the job came.
+    """
+    return known.get(entry.job.queue.name, entry.job.queue)
--- /dev/null
+++ b/oleanderwood/pools/workers.py
@@ -0,0 +1,318 @@
+"""What is known of one worker: its lease, its runs, its room.
+
+Pure. A run is over only on proof: its worker lists its end, the worker took
+the order to stop it and reports without it, the worker is gone, or the last
+lease that it can hold has ended.
+"""
+
+import collections.abc
+import dataclasses
+
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.pools import reports
+
+SLOW_CLOCK_RATE = 0.98
+"""Rate of the slowest steady clock of a worker, by the platform's promise."""
+
+STOP_REPEAT_S = 1.0
+"""Time after which a stop is ordered again while its run is still listed;
+a stop takes 0.2 s."""
+
+FAILURES_IN_A_ROW = 3
+"""Failed runs of different tasks, with no good one between, after which a
+worker is tried with one task at a time; a sound one fails a few in 1,000."""
+
+STALLED_FACTOR = 4.0
+"""How many times the expected time a run may take to its next sign of
+progress; a slow worker takes up to about six times as long in all."""
+
+STALLED_MIN_S = 2.5
+"""A run that moved within this time isn't stalled, however short it is."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Worker:
+    """One worker.
+
+    :ivar fenced: it has answered under this term, so that orders of an
+        earlier one are refused there
+    :ivar silent_since_s: since when calls to it fail; None: it answers
+    :ivar gone: proven: nothing runs there any more, and nothing will
+    :ivar clock_ms, clock_at_s: its clock, and when it was read
+    :ivar lease_end_s: by when any lease that it may hold has ended
+    :ivar seen_end: number of the last end taken in
+    :ivar kept_end: number of the last end that is in the store
+    :ivar closed: no new tasks, its machine is about to go down or move
+    :ivar failures: failed runs since the last good one
+    """
+
+    entry: reports.Entry
+    listed: bool = True
+    fenced: bool = False
+    silent_since_s: float | None = None
+    gone: bool = False
+    clock_ms: float = 0.0
+    clock_at_s: float = 0.0
+    lease_end_s: float = 0.0
+    seen_end: int = 0
+    kept_end: int = 0
+    closed: bool = False
+    unhealthy_until_s: float = 0.0
+    failures: int = 0
+    failed_tasks: set[str] = dataclasses.field(default_factory=set)
+    stalled: int = 0
+    runs: dict[ids.TaskId, ledgers.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    strays: dict[tuple[ids.TaskId, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    idle_since_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a report makes necessary.
+
+    :ivar stops: tasks and attempts to stop at this worker
+    :ivar elsewhere: tasks that are done whose run elsewhere is to be stopped
+    :ivar changed: whether tasks became ready or room became free
+    :ivar notes: for the log
+    """
+
+    stops: list[tuple[ids.TaskId, int]] = dataclasses.field(
+        default_factory=list
+    )
+    elsewhere: list[ledgers.Task] = dataclasses.field(default_factory=list)
+    changed: bool = False
+    notes: list[tuple[str, ids.TaskId, int, str]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+def clock_now_ms(worker: Worker, now_s: float) -> float:
+    """Estimate the worker's clock."""
+    return worker.clock_ms + (now_s - worker.clock_at_s) * 1000
+
+
+def note_lease(worker: Worker, lease_end_clock_ms: float) -> None:
+    """Note that the worker may get a lease up to a time of its clock."""
+    left_s = (lease_end_clock_ms - worker.clock_ms) / 1000
+    end_s = worker.clock_at_s + left_s / SLOW_CLOCK_RATE
+    worker.lease_end_s = max(worker.lease_end_s, end_s)
+
+
+def note_answer(worker: Worker, report: reports.Report, now_s: float) -> None:
+    """Note that the worker answered under this term."""
+    worker.fenced = True
+    worker.silent_since_s = None
+    worker.clock_ms = report.clock_ms
+    worker.clock_at_s = now_s
+
+
+def take_report(
+    ledger: ledgers.Ledger,
+    worker: Worker,
+    report: reports.Report,
+    sent_s: float,
+    now_s: float,
+    max_attempts: collections.abc.Callable[[ledgers.Entry], int],
+) -> Outcome:
+    """Take over a worker's report.
+
+    :param sent_s: when the call was sent that the report answers
+    :param max_attempts: how often a job's task may fail
+    """
+    outcome = Outcome()
+    for row in report.ended:
+        if row.number > worker.seen_end:
+            worker.seen_end = row.number
+            _take_end(ledger, worker, row, now_s, max_attempts, outcome)
+    listed = set()
+    for row in report.running:
+        listed.add((row.task, row.attempt))
+        _take_running(ledger, worker, row, now_s, outcome)
+    for name, task in list(worker.runs.items()):
+        run = task.run
+        if run is None or run.worker != worker.entry.worker:
+            del worker.runs[name]
+        elif (name, run.attempt) not in listed:
+            _take_absence(ledger, worker, task, sent_s, now_s, outcome)
+    return outcome
+
+
+def _take_end(ledger, worker, row, now_s, max_attempts, outcome) -> None:
+    outcome.changed = True
+    outcome.notes.append((row.how.value, row.task, row.attempt, ''))
+    task = ledgers.find(ledger, row.task)
+    if task is None:
+        return
+    current = is_current(worker, task, row.attempt)
+    expected = current and task.run.phase is not ledgers.RunPhase.STOPPING
+    if row.how is reports.How.DONE:
+        worker.failures = 0
+        worker.failed_tasks.clear()
+        members = [task]
+        if task.group.step.gang:
+            members = task.group.tasks
+        for member in members:
+            if ledgers.mark_done(ledger, member, now_s):
+                _stop_elsewhere(worker, member, row.attempt, outcome)
+    elif row.how is reports.How.FAILED:
+        if expected:
+            worker.failures += 1
+            worker.failed_tasks.add(row.task)
+        ledgers.mark_failed(
+            ledger,
+            task,
+            worker.entry.worker,
+            row.attempt,
+            max_attempts(task.group.entry),
+            now_s,
+        )
+    if current:
+        end_run(ledger, worker, task, now_s, row.checkpoint)
+
+
+def _stop_elsewhere(worker, task, attempt, outcome) -> None:
+    run = task.run
+    if run is None:
+        return
+    if run.worker != worker.entry.worker or run.attempt != attempt:
+        outcome.elsewhere.append(task)
+
+
+def is_current(worker: Worker, task: ledgers.Task, attempt: int) -> bool:
+    """Say whether this is the task's run that we know of."""
+    run = task.run
+    return (
+        run is not None
+        and run.worker == worker.entry.worker
+        and run.attempt == attempt
+    )
+
+
+def end_run(
+    ledger: ledgers.Ledger,
+    worker: Worker,
+    task: ledgers.Task,
+    now_s: float,
+    checkpoint: str = '',
+) -> None:
+    """Note that the task's run on this worker is over."""
+    worker.runs.pop(task.name, None)
+    if not worker.runs:
+        worker.idle_since_s = now_s
+    ledgers.over(ledger, task, now_s, checkpoint)
+
+
+def _take_running(ledger, worker, row, now_s, outcome) -> None:
+    task = ledgers.find(ledger, row.task)
+    if task is None or task.done or ledgers.final(task.group.entry):
+        _stop_stray(worker, row, now_s, outcome, 'not wanted')
+        return
+    if is_current(worker, task, row.attempt):
+        run = task.run
+        if run.phase in (
+            ledgers.RunPhase.ORDERED,
+            ledgers.RunPhase.DOUBTFUL,
+        ):
+            ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
+            run.moved_on_s = now_s
+        ledgers.apply_report(task, row, now_s)
+        if (
+            run.phase is ledgers.RunPhase.STOPPING
+            and now_s - run.phase_since_s > STOP_REPEAT_S
+        ):
+            ledgers.set_phase(run, run.phase, now_s)
+            outcome.stops.append((row.task, row.attempt))
+        return
+    if row.attempt <= task.over_attempt:
+        _stop_stray(worker, row, now_s, outcome, 'over')
+        return
+    if task.run is not None and row.attempt <= task.run.attempt:
+        _stop_stray(worker, row, now_s, outcome, 'older')
+        return
+    if task.run is not None:
+        outcome.elsewhere.append(task)
+        _stop_stray(worker, row, now_s, outcome, 'second')
+        return
+    ledgers.adopt(ledger, task, worker.entry.worker, row.attempt, now_s)
+    worker.runs[task.name] = task
+    ledgers.apply_report(task, row, now_s)
+    outcome.notes.append(('adopted', row.task, row.attempt, ''))
+
+
+def _stop_stray(worker, row, now_s, outcome, why) -> None:
+    key = (row.task, row.attempt)
+    if now_s - worker.strays.get(key, -STOP_REPEAT_S) < STOP_REPEAT_S:
+        return
+    worker.strays[key] = now_s
+    outcome.stops.append(key)
+    outcome.notes.append(('stray', row.task, row.attempt, why))
+
+
+def _take_absence(ledger, worker, task, sent_s, now_s, outcome) -> None:
+    """Draw conclusions from a report that lacks a run that we know of."""
+    run = task.run
+    if run.phase is ledgers.RunPhase.STOPPING:
+        if run.stop_answered_s is not None and sent_s >= run.stop_answered_s:
+            outcome.notes.append(('settled', task.name, run.attempt, ''))
+            outcome.changed = True
+            end_run(ledger, worker, task, now_s)
+        elif now_s - run.phase_since_s > STOP_REPEAT_S:
+            ledgers.set_phase(run, run.phase, now_s)
+            outcome.stops.append((task.name, run.attempt))
+        return
+    if run.phase is ledgers.RunPhase.ORDERED or sent_s < run.phase_since_s:
+        return
+    # It may yet begin there; once a stop was taken, it can't.
+    ledgers.set_phase(run, ledgers.RunPhase.STOPPING, now_s)
+    run.stop_answered_s = None
+    outcome.stops.append((task.name, run.attempt))
+    outcome.notes.append(('absent', task.name, run.attempt, ''))
+
+
+def lost(
+    ledger: ledgers.Ledger, worker: Worker, now_s: float
+) -> list[ledgers.Task]:
+    """Note that all runs on a worker are over; gives their tasks."""
+    tasks = []
+    for task in list(worker.runs.values()):
+        if task.run is not None and task.run.worker == worker.entry.worker:
+            tasks.append(task)
+            end_run(ledger, worker, task, now_s)
+    worker.runs.clear()
+    return tasks
+
+
+def used(worker: Worker) -> model.Resources:
+    """Give what the runs on a worker take, as far as it counts."""
+    cpu = memory = gpus = 0
+    for task in worker.runs.values():
+        needs = task.group.step.needs
+        if not task.group.step.uses_leftover:
+            cpu += needs.cpu_millicores
+        memory += needs.memory_mb
+        gpus += needs.gpus
+    return model.Resources(cpu, memory, gpus)
+
+
+def accepts(worker: Worker, now_s: float) -> bool:
+    """Say whether a worker may be given new tasks now."""
+    return (
+        worker.fenced
+        and worker.listed
+        and not worker.gone
+        and not worker.closed
+        and worker.silent_since_s is None
+        and not worker.entry.draining
+        and now_s >= worker.unhealthy_until_s
+    )
+
+
+def suspect(worker: Worker) -> bool:
+    """Say whether a worker seems to fail or stall whatever it runs."""
+    return len(worker.failed_tasks) >= FAILURES_IN_A_ROW or worker.stalled > 0
--- /dev/null
+++ b/oleanderwood/server.py
@@ -0,0 +1,244 @@
+"""The server process: takes callers' jobs, and leads if it is its turn."""
+
+import os
+import signal
+import sys
+import uuid
+
+import curio
+import msgspec
+import prometheus_client
+
+from oleanderwood import boot
+from oleanderwood import clock
+from oleanderwood import daemon
+from oleanderwood import event_log
+from oleanderwood import http
+from oleanderwood import http_server
+from oleanderwood import ids
+from oleanderwood.frontend import asking as askings
+from oleanderwood.frontend import handler as handlers
+from oleanderwood.frontend import intake as intakes
+from oleanderwood.leading import confirming
+from oleanderwood.leading import election
+from oleanderwood.leading import following
+from oleanderwood.leading import lease
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.leading import term
+from oleanderwood.platform import operator
+from oleanderwood.platform import store as stores
+
+STOP_RESERVE_S = 0.7
+"""Time left before the process would be killed when it cuts what still
+goes on."""
+
+QUIET_S = 1.5
+"""A stopping process ends once it was asked nothing for this long, and the
+balancer has had two looks at it, a second apart."""
+
+
+def main() -> None:
+    """Run a server until it is told to stop."""
+    path = os.environ.get(boot.PATH_VARIABLE, '')
+    try:
+        settings = boot.read(path)
+    except boot.BadSettings as error:
+        event_log.set_up('')
+        event_log.emit('server', 'bad-settings', path=path, why=str(error))
+        sys.exit(2)
+    event_log.set_up(settings.name)
+    process = f'{settings.name}/{uuid.uuid4().hex[:12]}'
+    server = states.Server(
+        settings, process, stores.Store(settings.store_address)
+    )
+    event_log.emit('server', 'starts', process=process)
+    curio.run(_run, server, path)
+    event_log.emit('server', 'ends', process=process)
+
+
+async def _run(server: states.Server, path: str) -> None:
+    settings = server.settings
+    intake = intakes.Intake(server.store)
+    frontend = handlers.Frontend(server, intake, askings.Asking(server))
+    callers = http_server.listen(
+        settings.callers_listen, handlers.make_handler(frontend)
+    )
+    ready = http_server.listen(settings.ready_listen, _ready(server))
+    inner = http_server.listen(boot.inner_address(settings), _inner(server))
+    parts = [
+        await curio.spawn(part, daemon=True)
+        for part in (
+            http_server.run(callers),
+            http_server.run(ready),
+            http_server.run(inner),
+            intakes.write_always(intake),
+            _follow_configuration(server),
+            _follow_roles(server),
+            lease.keep_always(server),
+            _reload_on_signal(server, path),
+        )
+    ]
+    elections = await curio.spawn(election.run_always, server, daemon=True)
+    await daemon.until_stopped()
+    await _stop(server, callers, elections)
+    for part in parts:
+        await part.cancel()
+
+
+async def _stop(
+    server: states.Server,
+    callers: http_server.Server,
+    elections: curio.Task,
+) -> None:
+    """Hand over, and serve on until callers have gone elsewhere."""
+    began_s = clock.now_s()
+    event_log.emit('server', 'stops', leads=server.leader is not None)
+    server.stopping = True
+    http_server.retire(callers)
+    end_s = began_s + server.settings.stop_time_s - STOP_RESERVE_S
+    async with curio.ignore_after(max(0.1, end_s - clock.now_s())):
+        await elections.join()
+    while clock.now_s() < end_s:
+        await curio.sleep(0.1)
+        if clock.now_s() - began_s > QUIET_S and not callers.connections:
+            break
+    async with curio.ignore_after(STOP_RESERVE_S / 2):
+        await http_server.stop(callers)
+    if server.lease:
+        try:
+            await stores.end_lease(server.store, server.lease)
+        except Exception as error:
+            event_log.emit('lease', 'not-ended', why=str(error))
+
+
+def _ready(server: states.Server) -> http.Handler:
+    async def handle(request: http.Request) -> http.Response:
+        if server.stopping:
+            return http.Response(503, [], b'stopping\n')
+        if server.configuration is None:
+            return http.Response(503, [], b'no configuration yet\n')
+        return http.Response(200, [], b'ready\n')
+
+    return handle
+
+
+def _inner(server: states.Server) -> http.Handler:
+    """Make the handler of what the other servers and operators ask."""
+    probes = daemon.probe_handler(
+        daemon.Probes(
+            lambda: states.dump(server),
+            lambda: 'stopping' if server.stopping else '',
+            prometheus_client.REGISTRY,
+        )
+    )
+
+    async def handle(request: http.Request) -> http.Response:
+        path = request.target
+        if path == confirming.PATH:
+            return _json(confirming.contact(server))
+        if path.startswith((askings.STATE_PATH, askings.PENDING_PATH)):
+            return _tell(server, path)
+        return await probes(request)
+
+    return handle
+
+
+def _tell(server: states.Server, path: str) -> http.Response:
+    leader = server.leader
+    if leader is None or leader.deposed:
+        return http.Response(409, [], b'does not lead\n')
+    if path.startswith(askings.STATE_PATH):
+        job = ids.JobId(path.removeprefix(askings.STATE_PATH))
+        return _json(askings.tell_state(leader, job))
+    queue = path.removeprefix(askings.PENDING_PATH)
+    return _json(askings.tell_pending(leader, queue))
+
+
+def _json(value: msgspec.Struct) -> http.Response:
+    return http.Response(200, [handlers.JSON], msgspec.json.encode(value))
+
+
+async def _follow_configuration(server: states.Server) -> None:
+    async def take(items: list[stores.Item], whole: bool) -> None:
+        for item in items:
+            await _take_configuration(server, item)
+
+    await following.follow(
+        server.store,
+        operator.CONFIGURATION_KEY,
+        term.WATCH_S,
+        take,
+        lambda sent_s: lease.note_contact(server, sent_s),
+    )
+
+
+async def _take_configuration(
+    server: states.Server, item: stores.Item
+) -> None:
+    if item.removed or item.key != operator.CONFIGURATION_KEY:
+        return
+    if item.revision <= server.configuration_revision:
+        return
+    try:
+        configuration = operator.decode_configuration(item.value)
+    except msgspec.MsgspecError as error:
+        event_log.emit('configuration', 'malformed', why=str(error))
+        return
+    server.configuration = configuration
+    server.configuration_revision = item.revision
+    event_log.emit(
+        'configuration',
+        'in-force',
+        version=configuration.version,
+        queues=len(configuration.queues),
+        revision=item.revision,
+    )
+    await server.roles_changed.set()
+    if server.leader is not None:
+        await server.leader.due.set()
+
+
+async def _follow_roles(server: states.Server) -> None:
+    roles = server.roles
+
+    async def take(items: list[stores.Item], whole: bool) -> None:
+        if whole:
+            roles_.clear(roles)
+        for item in items:
+            if item.removed:
+                roles_.drop(roles, item.key, item.revision)
+            else:
+                roles_.take(roles, item.key, item.value, item.revision)
+        roles.known = True
+        await server.roles_changed.set()
+
+    await following.follow(
+        server.store,
+        roles_.PREFIX,
+        term.WATCH_S,
+        take,
+        lambda sent_s: lease.note_contact(server, sent_s),
+    )
+
+
+async def _reload_on_signal(server: states.Server, path: str) -> None:
+    """Read the settings again on SIGHUP; a faulty file changes nothing."""
+    arrivals = await daemon.signal_socket(signal.SIGHUP)
+    while await arrivals.recv(1):
+        try:
+            settings = boot.read(path)
+        except boot.BadSettings as error:
+            event_log.emit('server', 'not-reloaded', why=str(error))
+            continue
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(server.settings, name)
+        ]
+        server.settings = settings
+        event_log.emit('server', 'reloaded', changed=changed)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/oleanderwood/upkeeps/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: maintenance waves, and moves between pools."""
--- /dev/null
+++ b/oleanderwood/upkeeps/availability.py
@@ -0,0 +1,50 @@
+"""How many tasks that last may be taken away by our own orders. Pure."""
+
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.pools import workers as workers_
+
+AT_WORK_PERCENT = 100.0
+"""What a long-running task reports once it serves."""
+
+SETTLED_S = 0.5
+"""How long a task must have worked before it counts as back: reports are up
+to a renewal old."""
+
+
+def at_work(task: ledgers.Task, now_s: float) -> bool:
+    """Say whether a long-running task surely works now."""
+    run = task.run
+    return (
+        run is not None
+        and run.phase is ledgers.RunPhase.RUNNING
+        and run.at_work_since_s is not None
+        and now_s - run.at_work_since_s >= SETTLED_S
+    )
+
+
+def away(group: ledgers.Group, now_s: float) -> int:
+    """Count the tasks of a step that may not be at work."""
+    return sum(not at_work(task, now_s) for task in group.tasks)
+
+
+def spares(group: ledgers.Group, now_s: float) -> int:
+    """Count the tasks of a step that we may take away now.
+
+    A step without an allowance may lose one at a time: maintenance has to
+    go on.
+    """
+    return max(1, group.step.may_miss) - away(group, now_s)
+
+
+def may_end_all(worker: workers_.Worker, now_s: float) -> bool:
+    """Say whether all that runs on a worker may be ended by an order."""
+    here: dict[ledgers.Group, int] = {}
+    for task in worker.runs.values():
+        group = task.group
+        if group.step.long_running and not ledgers.final(group.entry):
+            # One that doesn't work is counted as away already.
+            here[group] = here.get(group, 0) + at_work(task, now_s)
+    return all(
+        count == 0 or count <= spares(group, now_s)
+        for group, count in here.items()
+    )
--- /dev/null
+++ b/oleanderwood/upkeeps/fleet.py
@@ -0,0 +1,45 @@
+"""Machines and waves of maintenance, as the platform lists them."""
+
+import enum
+
+import msgspec
+
+from oleanderwood import ids
+from oleanderwood.jobs import model
+
+
+class State(enum.Enum):
+    """What the platform says of a machine."""
+
+    UP = 'up'
+    MOVING = 'moving'
+    MAINTAINED = 'upkeep'
+    DOWN = 'down'
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """A machine; its executor changes with each of its lives.
+
+    :ivar worker: its executor, '' if it has none now
+    """
+
+    machine: str
+    pool: ids.PoolId
+    state: State
+    data_centre: ids.DataCentre = ids.DataCentre('')
+    labels: tuple[str, ...] = ()
+    capacity: model.Resources = model.Resources()
+    worker: ids.VmId = ids.VmId('')
+
+
+class Wave(msgspec.Struct, frozen=True):
+    """Machines that are due for maintenance.
+
+    :ivar time_s: within which all have to be done
+    :ivar most_at_once: of its machines, down for it at the same time
+    """
+
+    wave: int
+    machines: tuple[str, ...]
+    time_s: float
+    most_at_once: int
--- /dev/null
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -0,0 +1,155 @@
+"""Which machine of a wave goes down next. Pure.
+
+Load it answers: two machines in five are due within 25 s, some at once,
+while their pools carry peaks. Machines without work go first; others are
+closed to new tasks ahead, so that they are empty when their turn comes.
+"""
+
+import collections.abc
+import dataclasses
+
+from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import availability
+from oleanderwood.upkeeps import fleet
+
+CYCLE_SLACK_S = 0.7
+"""Time between a machine's return and the next one's order, beside the
+maintenance itself: the entry's way through the store and our own pass."""
+
+CLOSED_AHEAD = 1
+"""Machines closed beyond those whose turn it is; each costs room."""
+
+HURRY_FACTOR = 1.25
+"""The rest of a wave is hurried once the time left is less than this many
+times what it takes; measured on days with two machines in five due."""
+
+
+@dataclasses.dataclass
+class Progress:
+    """How far a wave is.
+
+    :ivar begun: machines whose maintenance has begun
+    :ivar down: of these, those that aren't back, with the worker they had
+    """
+
+    wave: fleet.Wave
+    seen_s: float
+    begun: set[str] = dataclasses.field(default_factory=set)
+    down: dict[str, str] = dataclasses.field(default_factory=dict)
+    refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    completed: bool = False
+    status_written: str = ''
+
+
+@dataclasses.dataclass
+class Decision:
+    """What a pass over a wave comes to."""
+
+    order: list[str] = dataclasses.field(default_factory=list)
+    close: set[str] = dataclasses.field(default_factory=set)
+    completed: bool = False
+
+
+def note_returns(
+    progress: Progress, machines: dict[str, fleet.Machine]
+) -> None:
+    """Note which machines are back in a new life, or gone for good."""
+    for name, before in list(progress.down.items()):
+        machine = machines.get(name)
+        if machine is None:
+            del progress.down[name]
+        elif machine.state is fleet.State.UP and machine.worker != before:
+            del progress.down[name]
+
+
+def decide(
+    progress: Progress,
+    machines: dict[str, fleet.Machine],
+    workers: collections.abc.Mapping[str, workers_.Worker],
+    maintenance_s: float,
+    now_s: float,
+) -> Decision:
+    """Decide what goes down now, and what is closed to new tasks.
+
+    :param workers: by machine
+    """
+    wave = progress.wave
+    left = [
+        name
+        for name in wave.machines
+        if name in machines and name not in progress.begun
+    ]
+    decision = Decision()
+    if not left:
+        decision.completed = not progress.down
+        return decision
+    slots = wave.most_at_once - len(_down(progress, machines))
+    ready = [
+        name
+        for name in left
+        if machines[name].state is fleet.State.UP
+        and progress.refused_until_s.get(name, 0.0) <= now_s
+    ]
+    ready.sort(key=lambda name: _cost(workers.get(name), now_s))
+    hurry = _hurried(progress, len(left), maintenance_s, now_s)
+    for name in ready:
+        worker = workers.get(name)
+        if len(decision.order) < slots and _may_go(worker, hurry, now_s):
+            decision.order.append(name)
+        elif len(decision.close) < wave.most_at_once + CLOSED_AHEAD:
+            if not _lasting(worker) or hurry:
+                decision.close.add(name)
+    decision.close.update(decision.order)
+    return decision
+
+
+def _down(progress: Progress, machines: dict[str, fleet.Machine]) -> set[str]:
+    """Give the wave's machines that are, or may be, down for maintenance."""
+    listed = {
+        name
+        for name in progress.wave.machines
+        if name in machines and machines[name].state is fleet.State.MAINTAINED
+    }
+    return listed | set(progress.down)
+
+
+def _may_go(worker: workers_.Worker | None, hurry: bool, now_s: float) -> bool:
+    if worker is None:
+        return True
+    if not availability.may_end_all(worker, now_s):
+        return False
+    return hurry or not _batch(worker)
+
+
+def _batch(worker: workers_.Worker) -> int:
+    return sum(
+        not task.group.step.long_running for task in worker.runs.values()
+    )
+
+
+def _lasting(worker: workers_.Worker | None) -> int:
+    if worker is None:
+        return 0
+    return sum(task.group.step.long_running for task in worker.runs.values())
+
+
+def _cost(worker: workers_.Worker | None, now_s: float):
+    """Order machines by what their loss would throw away."""
+    if worker is None:
+        return (0, 0, 0)
+    batch = sum(
+        task.group.step.needs.cpu_millicores
+        for task in worker.runs.values()
+        if not task.group.step.long_running
+    )
+    may_go = availability.may_end_all(worker, now_s)
+    return (not may_go, _lasting(worker), batch)
+
+
+def _hurried(
+    progress: Progress, left: int, maintenance_s: float, now_s: float
+) -> bool:
+    rounds = -(-left // max(1, progress.wave.most_at_once))
+    needed_s = rounds * (maintenance_s + CYCLE_SLACK_S)
+    left_s = progress.seen_s + progress.wave.time_s - now_s
+    return left_s < HURRY_FACTOR * needed_s
