Count what an order may end as away at once; tell lives of a machine apart

Ruled out: that fences let an order of the earlier leader pass; the logs show each worker answering the new term first.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -1,6 +1,9 @@
 """The leader's orders to machines: waves of maintenance."""
 
+import dataclasses
+
 import curio
+import msgspec
 
 from oleanderwood import clock
 from oleanderwood import errors
@@ -12,6 +15,7 @@
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
 from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import availability
 from oleanderwood.upkeeps import fleet
 from oleanderwood.upkeeps import wave_plan
 
@@ -21,10 +25,27 @@
 READ_S = 0.3
 """Time between two readings of the list of machines while it is needed."""
 
+LIST_LAG_S = 1.0
+"""A worker's entry may come this much before the list shows it."""
+
 REFUSED_S = 0.5
 """Time after which a machine that refused an order is tried again."""
 
 
+WAVES_PREFIX = 'ow/waves/'
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """What is kept of a wave.
+
+    :ivar begun: machines whose maintenance has begun
+    :ivar seen_wall_ms: when the wave was first seen, since 1970
+    """
+
+    begun: list[str]
+    seen_wall_ms: float
+
+
 async def manage_always(leader: states.Leader) -> None:
     """Drive waves and learn of dead machines, until cancelled."""
     while True:
@@ -66,14 +87,19 @@
     }
     for worker in list(leader.workers.values()):
         silent = worker.silent_since_s
-        if silent is None and worker.fenced:
+        if worker.met_s > sent_s - LIST_LAG_S:
             continue
         if silent is not None and silent > sent_s:
             continue
         if worker.entry.worker not in living:
             await worker_loop.lost(leader, worker, 'its machine is down')
     for progress in leader.waves.values():
-        wave_plan.note_returns(progress, leader.machines)
+        wave_plan.note_returns(
+            progress,
+            leader.machines,
+            sent_s,
+            leader.server.settings.maintenance_s,
+        )
 
 
 def _by_machine(leader: states.Leader) -> dict[str, workers_.Worker]:
@@ -101,6 +127,11 @@
             worker.closed = name in decision.close
     for name in decision.order:
         await _maintain(leader, progress, name, by_machine.get(name))
+    if decision.order:
+        # What went down is told by the list: a machine that was done
+        # before, by an earlier leader's order, stays up.
+        await _read(leader)
+        await _write_begun(leader, progress)
     await _write_status(leader, progress, decision.completed)
 
 
@@ -112,9 +143,15 @@
 ) -> None:
     if not states.holds_lease(leader):
         return
+    now_s = clock.now_s()
+    if worker is not None and not availability.may_end_all(worker, now_s):
+        # An order of this pass has taken the allowance.
+        return
     wave = progress.wave.wave
-    before = leader.machines[name].worker
-    progress.down[name] = before
+    ordered = wave_plan.Ordered(leader.machines[name].worker, now_s)
+    progress.down[name] = ordered
+    if worker is not None:
+        availability.note_order(worker, now_s)
     try:
         outcome = await machine_calls.maintain(
             leader.machine_calls, name, wave, leader.term
@@ -134,8 +171,7 @@
     )
     if outcome is machine_calls.Outcome.DONE:
         progress.begun.add(name)
-        if worker is not None:
-            await worker_loop.lost(leader, worker, 'down for maintenance')
+        progress.down[name] = dataclasses.replace(ordered, taken=True)
         return
     del progress.down[name]
     progress.refused_until_s[name] = clock.now_s() + REFUSED_S
@@ -166,3 +202,32 @@
     progress.status_written = word
     event_log.emit('wave', word, wave=progress.wave.wave)
     progress.completed = completed
+
+
+async def _write_begun(
+    leader: states.Leader, progress: wave_plan.Progress
+) -> None:
+    """Tell a later leader what has begun, and since when the wave is known.
+
+    What isn't written costs that leader an order that changes nothing.
+    """
+    key = f'{WAVES_PREFIX}{progress.wave.wave}'
+    age_s = clock.now_s() - progress.seen_s
+    kept = Kept(sorted(progress.begun), clock.wall_ms() - age_s * 1000)
+    condition = {roles_.LEADER_KEY: leader.revision}
+    try:
+        await stores.write(
+            leader.server.store, condition, {key: msgspec.json.encode(kept)}
+        )
+    except stores.Conflict:
+        await states.depose(leader, 'another server leads')
+    except errors.CallFailed as error:
+        event_log.emit('wave', 'begun-not-written', why=error.reason)
+
+
+def restore(progress: wave_plan.Progress, value: bytes) -> None:
+    """Bring a wave to what an earlier leader wrote of it."""
+    kept = msgspec.json.decode(value, type=Kept)
+    progress.begun.update(kept.begun)
+    age_s = max(0.0, (clock.wall_ms() - kept.seen_wall_ms) / 1000)
+    progress.seen_s = clock.now_s() - age_s
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -8,6 +8,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
+from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import executors
@@ -78,13 +79,13 @@
             event_log.emit('worker', 'unlisted', worker=name)
         return
     try:
-        entry = executors.decode_entry(item.key, item.value)
+        entry = executors.decode_entry(item.key, item.value, item.created)
     except msgspec.MsgspecError as error:
         event_log.emit('worker', 'malformed', worker=name, why=str(error))
         return
     if known is None:
-        await _replace_earlier(leader, entry)
-        await meet(leader, entry, listed=True)
+        if await _is_latest_life(leader, entry):
+            await meet(leader, entry, listed=True)
         return
     if entry.draining and not known.entry.draining:
         event_log.emit('worker', 'draining', worker=name)
@@ -117,13 +118,18 @@
             await worker_loop.stop_run(leader, task)
 
 
-async def _replace_earlier(
-    leader: states.Leader, entry: reports.Entry
-) -> None:
-    """Note that earlier lives of a worker's machine are over."""
+async def _is_latest_life(leader: states.Leader, entry: reports.Entry) -> bool:
+    """Say whether a worker is its machine's latest life.
+
+    Earlier ones are gone: an entry outlives its worker by some heartbeats.
+    """
     for worker in list(leader.workers.values()):
-        if entry.machine and worker.entry.machine == entry.machine:
-            await worker_loop.lost(leader, worker, 'its machine lives anew')
+        if not entry.machine or worker.entry.machine != entry.machine:
+            continue
+        if worker.entry.created > entry.created:
+            return False
+        await worker_loop.lost(leader, worker, 'its machine lives anew')
+    return True
 
 
 async def meet(
@@ -131,7 +137,9 @@
 ) -> workers_.Worker:
     """Begin to renew a worker that wasn't known."""
     now_s = clock.now_s()
-    worker = workers_.Worker(entry, listed=listed, idle_since_s=now_s)
+    worker = workers_.Worker(
+        entry, listed=listed, idle_since_s=now_s, met_s=now_s
+    )
     leader.workers[entry.worker] = worker
     leader.ends_kept[entry.worker] = states.Wake()
     leader.orders[entry.worker] = states.curio.Queue()
@@ -164,7 +172,11 @@
     if known is not None:
         known.wave = wave
         return
-    leader.waves[wave.wave] = wave_plan.Progress(wave, clock.now_s())
+    progress = wave_plan.Progress(wave, clock.now_s())
+    leader.waves[wave.wave] = progress
+    kept = leader.kept_waves.get(str(wave.wave))
+    if kept is not None:
+        fleet_loop.restore(progress, kept)
     event_log.emit(
         'wave',
         'taken',
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -106,6 +106,7 @@
     waves: dict[int, wave_plan.Progress] = dataclasses.field(
         default_factory=dict
     )
+    kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
     machines: dict[str, fleet.Machine] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -112,6 +112,10 @@
     rosters = await stores.read_range(store, keeping.ROSTER_PREFIX)
     taken = await stores.read_range(store, record.INTAKE_PREFIX)
     kept = await stores.read_range(store, record.PROGRESS_PREFIX)
+    waves = await stores.read_range(store, fleet_loop.WAVES_PREFIX)
+    for item in waves.items:
+        number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
+        leader.kept_waves[number] = item.value
     now_s = clock.now_s()
     for item in taken.items:
         if item.key.startswith(record.JOB_PREFIX):
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -26,11 +26,13 @@
     """One value of the store; a removed one has no value.
 
     :ivar revision: the store's counter at the item's last change
+    :ivar created: the store's counter when the key came into being
     """
 
     key: str
     value: bytes = b''
     revision: int = 0
+    created: int = 0
     lease: int = 0
     removed: bool = False
 
@@ -75,6 +77,7 @@
     key: str
     value: str | None = None
     revision: int = 0
+    created: int = 0
     lease: int = 0
     removed: bool = False
     current_rev: int = 0
@@ -107,7 +110,7 @@
 def _item(wire: _WireItem) -> Item:
     value = base64.b64decode(wire.value) if wire.value else b''
     gone = wire.removed or wire.value is None
-    return Item(wire.key, value, wire.revision, wire.lease, gone)
+    return Item(wire.key, value, wire.revision, wire.created, wire.lease, gone)
 
 
 async def read(store: Store, key: str) -> Item | None:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -70,6 +70,7 @@
         default_factory=dict
     )
     idle_since_s: float = 0.0
+    met_s: float = 0.0
 
 
 @dataclasses.dataclass
--- a/oleanderwood/upkeeps/availability.py
+++ b/oleanderwood/upkeeps/availability.py
@@ -36,6 +36,14 @@
     return max(1, group.step.may_miss) - away(group, now_s)
 
 
+def note_order(worker: workers_.Worker, now_s: float) -> None:
+    """Count all that runs on a worker as away: an order may end it."""
+    for task in worker.runs.values():
+        if task.run is not None:
+            task.run.at_work_since_s = None
+            task.away_since_s = now_s
+
+
 def may_end_all(worker: workers_.Worker, now_s: float) -> bool:
     """Say whether all that runs on a worker may be ended by an order."""
     here: dict[ledgers.Group, int] = {}
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -24,18 +24,31 @@
 times what it takes; measured on days with two machines in five due."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Ordered:
+    """An order for maintenance.
+
+    :ivar before: the worker that the machine had, '' if it was off
+    :ivar taken: the platform answered that it is done
+    """
+
+    before: str
+    at_s: float
+    taken: bool = False
+
+
 @dataclasses.dataclass
 class Progress:
     """How far a wave is.
 
     :ivar begun: machines whose maintenance has begun
-    :ivar down: of these, those that aren't back, with the worker they had
+    :ivar down: machines that were ordered down and aren't known to be back
     """
 
     wave: fleet.Wave
     seen_s: float
     begun: set[str] = dataclasses.field(default_factory=set)
-    down: dict[str, str] = dataclasses.field(default_factory=dict)
+    down: dict[str, Ordered] = dataclasses.field(default_factory=dict)
     refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     completed: bool = False
     status_written: str = ''
@@ -51,14 +64,27 @@
 
 
 def note_returns(
-    progress: Progress, machines: dict[str, fleet.Machine]
+    progress: Progress,
+    machines: dict[str, fleet.Machine],
+    read_s: float,
+    maintenance_s: float,
 ) -> None:
-    """Note which machines are back in a new life, or gone for good."""
-    for name, before in list(progress.down.items()):
+    """Note which machines are back, or gone for good.
+
+    One that was off has no worker that would tell its lives apart; it is
+    back once it is up after the time that maintenance takes.
+
+    :param read_s: when the list of machines was asked for
+    """
+    for name, ordered in list(progress.down.items()):
         machine = machines.get(name)
         if machine is None:
             del progress.down[name]
-        elif machine.state is fleet.State.UP and machine.worker != before:
+            continue
+        if machine.state is not fleet.State.UP or not ordered.taken:
+            continue
+        late = read_s - ordered.at_s > maintenance_s + CYCLE_SLACK_S
+        if machine.worker != ordered.before or late:
             del progress.down[name]
 
 
