--- /dev/null
+++ b/emulator/checker.py
@@ -0,0 +1,241 @@
+"""The rules, checked from what was seen outside the product."""
+
+import collections
+
+from emulator import evidence as evidences
+
+Kind = evidences.Kind
+
+NOTE_S = 1.0
+"""Time after which every leader has to know an acknowledged end."""
+
+CANCEL_S = 3.0
+"""Time after which nothing of a cancelled job may start."""
+
+NOTICE_S = 4.5
+"""Time after which a task counts as away for whatever cause."""
+
+DRAIN_S = 2.0
+"""Time after which nothing starts on an executor that leaves."""
+
+
+def check(
+    evidence: evidences.Evidence,
+    jobs: dict[str, dict],
+    max_attempts: int,
+    most_down: dict[int, int],
+    maintenance_s: float,
+) -> list[str]:
+    """Give all breaches, as sentences."""
+    return [
+        *_twice(evidence, jobs),
+        *_order(evidence, jobs),
+        *_attempts(evidence, max_attempts, jobs),
+        *_shown(evidence, jobs, max_attempts),
+        *_asked(evidence),
+        *_drained(evidence),
+        *_maintained(evidence, most_down, maintenance_s),
+        *_away(evidence, jobs),
+    ]
+
+
+def _twice(evidence, jobs):
+    """No two runs of a task at once, and none after an acknowledged end."""
+    open_runs = collections.defaultdict(dict)
+    noted = {}
+    for sight in evidence.sights:
+        if sight.kind is Kind.STARTED:
+            if _step(jobs, sight.task).get('speculative'):
+                continue
+            others = {
+                place
+                for place in open_runs[sight.task]
+                if place != sight.place
+            }
+            if others:
+                yield (
+                    f'TWICE at {sight.at_s:.2f}: {sight.task} runs on '
+                    f'{others} and {sight.place}'
+                )
+            if sight.task in noted:
+                yield (
+                    f'TWICE at {sight.at_s:.2f}: {sight.task} was done at '
+                    f'{noted[sight.task]:.2f}'
+                )
+            open_runs[sight.task][sight.place] = sight
+        elif sight.kind is Kind.ENDED:
+            open_runs[sight.task].pop(sight.place, None)
+        elif sight.kind is Kind.DIED:
+            for places in open_runs.values():
+                places.pop(sight.place, None)
+        elif sight.kind is Kind.NOTED and sight.how == 'done':
+            noted.setdefault(sight.task, sight.at_s)
+
+
+def _step(jobs, task):
+    job, _occurrence, step, _index = task.split('.')
+    return jobs[job]['phases'][int(step)]
+
+
+def _order(evidence, jobs):
+    """No start before the steps that it waits for are done."""
+    done = set()
+    for sight in evidence.sights:
+        if sight.kind is Kind.ENDED and sight.how == 'done':
+            done.add(sight.task)
+        if sight.kind is not Kind.STARTED:
+            continue
+        for other in _step(jobs, sight.task).get('after', ()):
+            count = jobs[sight.job]['phases'][other]['count']
+            names = {f'{sight.job}.0.{other}.{i}' for i in range(count)}
+            if names - done:
+                yield f'ORDER at {sight.at_s:.2f}: {sight.task} is early'
+
+
+def _attempts(evidence, max_attempts, jobs):
+    """No start after the last allowed failure was acknowledged."""
+    failed = collections.defaultdict(set)
+    for sight in evidence.sights:
+        if sight.kind is Kind.NOTED and sight.how == 'failed':
+            failed[sight.task].add((sight.place, sight.attempt))
+        if (
+            sight.kind is Kind.STARTED
+            and len(failed[sight.task]) >= max_attempts
+            and not _step(jobs, sight.task).get('long_running')
+        ):
+            yield f'BUDGET at {sight.at_s:.2f}: {sight.task}'
+
+
+def _shown(evidence, jobs, max_attempts):
+    """What callers are told is true, and an accepted job stays known."""
+    done = set()
+    failed = collections.Counter()
+    accepted = set()
+    cancelled = set()
+    for sight in evidence.sights:
+        if sight.kind is Kind.ENDED:
+            if sight.how == 'done':
+                done.add(sight.task)
+            elif sight.how == 'failed':
+                failed[sight.task] += 1
+        elif sight.kind is Kind.HANDED_IN and sight.how == '200':
+            accepted.add(sight.job)
+        elif sight.kind is Kind.CANCELLED:
+            cancelled.add(sight.job)
+        elif sight.kind is Kind.SHOWN:
+            yield from _shown_once(
+                sight, jobs, done, failed, accepted, cancelled, max_attempts
+            )
+
+
+def _shown_once(sight, jobs, done, failed, accepted, cancelled, max_attempts):
+    job = sight.job
+    names = {
+        f'{job}.0.{number}.{index}'
+        for number, step in enumerate(jobs[job]['phases'])
+        for index in range(step['count'])
+    }
+    where = f'at {sight.at_s:.2f}: {job}'
+    if sight.how == 'completed' and names - done:
+        yield f'MIXED {where} is shown as completed'
+    if sight.how == 'failed' and not any(
+        failed[name] >= max_attempts for name in names
+    ):
+        yield f'LOST {where} is shown as failed without cause'
+    if sight.how == 'cancelled' and job not in cancelled:
+        yield f'LOST {where} is shown as cancelled without cause'
+    if sight.how == '410' and job in accepted and job not in cancelled:
+        yield f'LOST {where} is not known any more'
+
+
+def _asked(evidence):
+    """Nothing runs that was refused, or long after it was cancelled."""
+    sent = set()
+    answers = collections.defaultdict(list)
+    cancelled = {}
+    started = {}
+    for sight in evidence.sights:
+        if sight.kind is Kind.HANDED_IN:
+            if sight.how == 'sent':
+                sent.add(sight.job)
+            else:
+                answers[sight.job].append(sight.how)
+        elif sight.kind is Kind.CANCELLED:
+            cancelled.setdefault(sight.job, sight.at_s)
+        elif sight.kind is Kind.STARTED:
+            started[sight.job] = sight.at_s
+            if sight.job not in sent:
+                yield f'UNASKED at {sight.at_s:.2f}: {sight.task}'
+            at_s = cancelled.get(sight.job)
+            if at_s is not None and sight.at_s > at_s + CANCEL_S:
+                yield f'UNASKED at {sight.at_s:.2f}: {sight.task}'
+    for job in started:
+        if set(answers[job]) <= {'429', '503'}:
+            yield f'REFUSED: {job} runs, but each try was refused'
+
+
+def _drained(evidence):
+    """Nothing starts on an executor some time after its notice."""
+    notice = {}
+    for sight in evidence.sights:
+        if sight.kind is Kind.DRAINING:
+            notice[sight.place] = sight.at_s
+        elif sight.kind is Kind.STARTED and sight.place in notice:
+            if sight.at_s > notice[sight.place] + DRAIN_S:
+                yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
+
+
+def _maintained(evidence, most_down, maintenance_s):
+    """Not more machines of a wave are down at once than may be."""
+    begun = collections.defaultdict(list)
+    for sight in evidence.sights:
+        if sight.kind is Kind.MAINTAINED:
+            rows = begun[sight.attempt]
+            rows.append(sight.at_s)
+            down = sum(at > sight.at_s - maintenance_s for at in rows)
+            if down > most_down[sight.attempt]:
+                yield f'LIMIT at {sight.at_s:.2f}: {down} machines down'
+
+
+def _away(evidence, jobs):
+    """No order of ours ends a task that lasts while too many are away.
+
+    One is away while an order of ours keeps it so, or after a while for any
+    cause.
+    """
+    working = collections.defaultdict(dict)
+    missing = {}
+    for sight in evidence.sights:
+        if sight.kind is Kind.STARTED:
+            working[sight.place][sight.task] = sight.at_s
+            missing.pop(sight.task, None)
+        elif sight.kind is Kind.ENDED:
+            working[sight.place].pop(sight.task, None)
+            by_us = sight.how == 'stopped'
+            missing.setdefault(sight.task, (sight.at_s, by_us))
+        elif sight.kind is Kind.DIED:
+            ended = working.pop(sight.place, {})
+            if sight.how == 'order':
+                yield from _ended_by_order(sight, ended, missing, jobs)
+            for task in ended:
+                missing[task] = (sight.at_s, sight.how == 'order')
+
+
+def _ended_by_order(sight, ended, missing, jobs):
+    groups = collections.Counter(
+        task.rpartition('.')[0]
+        for task in ended
+        if _step(jobs, task).get('long_running')
+    )
+    for group, here in groups.items():
+        step = _step(jobs, f'{group}.0')
+        away = sum(
+            by_us or sight.at_s - at_s >= NOTICE_S
+            for task, (at_s, by_us) in missing.items()
+            if task.rpartition('.')[0] == group
+        )
+        if away + here > max(1, step.get('may_miss', 0)):
+            yield (
+                f'AVAIL at {sight.at_s:.2f}: {here} of {group} are ended, '
+                f'{away} are away'
+            )
--- /dev/null
+++ b/emulator/day.py
@@ -0,0 +1,240 @@
+"""One emulated day: servers, machines, callers, troubles, and the verdict."""
+
+import dataclasses
+import json
+import random
+
+import curio
+
+from emulator import callers as callers_
+from emulator import checker
+from emulator import evidence as evidences
+from emulator import executors
+from emulator import fleet as fleets
+from emulator import network as networks
+from emulator import servers
+from emulator import store as stores
+from emulator import troubles as troubles_
+from emulator import virtual
+
+MAX_ATTEMPTS = 3
+LEAD_S = 4.0
+"""Time between the servers' start and the first job."""
+
+FINISH_S = 30.0
+"""Time after the last job in which all have to end."""
+
+POOLS = ('drafts', 'finals')
+PREFIXES = {'drafts': '/drafts/', 'finals': '/finals/'}
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What a day is made of.
+
+    :ivar jobs_per_s: of all queues together, in the mean
+    :ivar turn_s: time of one queue's turn; 0: both ask alike
+    """
+
+    seed: int
+    length_s: float = 12.0
+    server_count: int = 3
+    machines_a_pool: int = 4
+    machines_on_standby: int = 2
+    jobs_per_s: float = 2.0
+    turn_s: float = 0.0
+    lasting: bool = True
+    troubles: tuple[troubles_.Trouble, ...] = ()
+
+
+@dataclasses.dataclass
+class Result:
+    """What a day came to.
+
+    :ivar unfinished: accepted jobs that weren't shown as ended in time
+    :ivar waits_s: time from handing in until shown as ended, by job
+    """
+
+    breaches: list[str]
+    handed_in: int
+    accepted: int
+    unfinished: list[str]
+    waits_s: list[float]
+    starts: int
+    store_calls: int
+    evidence: evidences.Evidence
+
+
+def play(plan: Plan) -> Result:
+    """Play a day in virtual time."""
+    return virtual.run(lambda: _play(plan))
+
+
+async def _play(plan: Plan) -> Result:
+    rng = random.Random(plan.seed)
+    network = networks.Network(random.Random(plan.seed + 1))
+    store = stores.Store()
+    evidence = evidences.Evidence()
+    world = executors.World(evidence, store, rng)
+    fleet = fleets.Fleet(world, network)
+    processes = [
+        servers.Process(f's{i}', f'10.0.0.{i}:1', f'10.0.0.{i}:2')
+        for i in range(plan.server_count)
+    ]
+    network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
+    network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
+    scene = troubles_.Scene(
+        network, store, fleet, processes, random.Random(plan.seed + 2)
+    )
+    with networks.installed(network):
+        await curio.spawn(stores.run_leases, store, daemon=True)
+        await stores.put(store, 'op/config', _configuration())
+        await _build_fleet(fleet, plan)
+        for process in processes:
+            await servers.start(network, process)
+        callers = callers_.Callers(
+            network, world, processes, random.Random(plan.seed + 3)
+        )
+        await curio.sleep(LEAD_S)
+        for trouble in plan.troubles:
+            late = dataclasses.replace(trouble, at_s=LEAD_S + trouble.at_s)
+            await curio.spawn(troubles_.strike, scene, late, daemon=True)
+        await _traffic(callers, plan, rng)
+        await curio.sleep(FINISH_S)
+    return _result(callers, fleet, store)
+
+
+def _result(callers, fleet, store) -> Result:
+    world = callers.world
+    evidence = world.evidence
+    lasting = {
+        job
+        for job, spec in world.jobs.items()
+        if any(step.get('long_running') for step in spec['phases'])
+    }
+    unfinished = sorted(
+        set(callers.accepted) - set(callers.finished_s) - lasting
+    )
+    breaches = checker.check(
+        evidence,
+        world.jobs,
+        MAX_ATTEMPTS,
+        {number: wave['max_count'] for number, wave in fleet.waves.items()},
+        fleets.MAINTENANCE_S,
+    )
+    return Result(
+        breaches=breaches,
+        handed_in=len(world.jobs),
+        accepted=len(callers.accepted),
+        unfinished=unfinished,
+        waits_s=sorted(callers.finished_s.values()),
+        starts=sum(
+            sight.kind is evidences.Kind.STARTED for sight in evidence.sights
+        ),
+        store_calls=store.calls,
+        evidence=evidence,
+    )
+
+
+def _configuration() -> bytes:
+    routes = [
+        {
+            'name': f'queue-{pool}',
+            'host': callers_.HOST,
+            'prefix': PREFIXES[pool],
+            'kind': 'unsafe',
+            'timeout_ms': 3000,
+            'target_duration_ms': 600,
+            'priority': 0,
+            'service': pool,
+            'max_attempts': MAX_ATTEMPTS,
+            'stretch': 1.6,
+        }
+        for pool in POOLS
+    ]
+    names = [*POOLS, fleets.STANDBY]
+    services = [
+        {
+            'name': name,
+            'admission_check': True,
+            'standby': name == fleets.STANDBY,
+        }
+        for name in names
+    ]
+    value = {'version': 7, 'routes': routes, 'services': services}
+    return json.dumps(value).encode()
+
+
+async def _build_fleet(fleet: fleets.Fleet, plan: Plan) -> None:
+    rows = [(pool, plan.machines_a_pool) for pool in POOLS]
+    rows.append((fleets.STANDBY, plan.machines_on_standby))
+    number = 0
+    for pool, count in rows:
+        for _ in range(count):
+            number += 1
+            machine = fleets.Machine(
+                f'm{number}', pool, f'10.1.0.{number}:1', f'r{number % 3}'
+            )
+            fleet.machines[machine.name] = machine
+            await fleets.begin_life(fleet, machine)
+
+
+async def _traffic(
+    callers: callers_.Callers, plan: Plan, rng: random.Random
+) -> None:
+    if plan.lasting:
+        for pool in POOLS:
+            await _hand_in(callers, pool, rng, _lasting_spec(), None)
+    elapsed_s = 0.0
+    while elapsed_s < plan.length_s:
+        gap_s = rng.expovariate(plan.jobs_per_s)
+        elapsed_s += gap_s
+        await curio.sleep(gap_s)
+        pool = rng.choice(POOLS)
+        if plan.turn_s:
+            pool = POOLS[int(elapsed_s / plan.turn_s) % len(POOLS)]
+        cancel_s = rng.uniform(0.0, 2.0) if rng.random() < 0.1 else None
+        await _hand_in(callers, pool, rng, _spec(rng), cancel_s)
+
+
+async def _hand_in(callers, pool, rng, spec, cancel_s) -> None:
+    job = f'{rng.getrandbits(64):016x}'
+    await curio.spawn(
+        callers_.hand_in,
+        callers,
+        PREFIXES[pool],
+        job,
+        spec,
+        cancel_s,
+        daemon=True,
+    )
+
+
+def _spec(rng: random.Random) -> dict:
+    steps = [_step(rng)]
+    if rng.random() < 0.5:
+        steps.append({**_step(rng), 'after': [0]})
+    if rng.random() < 0.05:
+        steps[0]['poison'] = True
+    return {'phases': steps}
+
+
+def _step(rng: random.Random) -> dict:
+    return {
+        'count': rng.randint(1, 6),
+        'cpu': rng.randint(500, 4000),
+        'mem_mb': 500,
+        'estimate_ms': rng.randint(200, 1500),
+    }
+
+
+def _lasting_spec() -> dict:
+    step = {
+        'count': 4,
+        'cpu': 1000,
+        'mem_mb': 500,
+        'estimate_ms': 700,
+        'long_running': True,
+        'may_miss': 1,
+    }
+    return {'phases': [step]}
--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,221 @@
+"""Machines: the list, moves and maintenance, and their executors' lives."""
+
+import dataclasses
+import json
+
+import curio
+
+from emulator import evidence as evidences
+from emulator import executors
+from emulator import network as networks
+from emulator import store as stores
+from emulator import virtual
+from oleanderwood import clock
+from oleanderwood.platform import transport
+
+MOVE_S = 1.5
+MAINTENANCE_S = 2.0
+STANDBY = 'standby-pool'
+
+
+@dataclasses.dataclass(eq=False)
+class Machine:
+    """One machine.
+
+    :ivar executor: None while it is off, down or on its way
+    :ivar waves: waves whose maintenance it has had
+    """
+
+    name: str
+    pool: str
+    address: str
+    rack: str
+    state: str = 'up'
+    executor: executors.Executor | None = None
+    waves: set[int] = dataclasses.field(default_factory=set)
+    lives: int = 0
+
+
+@dataclasses.dataclass
+class Fleet:
+    """All machines."""
+
+    world: executors.World
+    network: networks.Network
+    machines: dict[str, Machine] = dataclasses.field(default_factory=dict)
+    waves: dict[int, dict] = dataclasses.field(default_factory=dict)
+    cores: int = 16
+    memory_mb: int = 65536
+
+
+async def begin_life(fleet: Fleet, machine: Machine) -> None:
+    """Start a machine's executor, unless it is on standby."""
+    machine.state = 'up'
+    machine.lives += 1
+    if machine.pool == STANDBY:
+        return
+    rng = fleet.world.rng
+    executor = executors.Executor(
+        f'i-{machine.name}-{machine.lives}',
+        machine.name,
+        machine.pool,
+        machine.address,
+        fleet.cores,
+        fleet.memory_mb,
+        machine.rack,
+        rng.uniform(0.0, 1000.0),
+        rng.uniform(0.98, 1.0),
+    )
+    machine.executor = executor
+    handler = executors.make_handler(fleet.world, executor)
+    fleet.network.handlers[machine.address] = handler
+    await virtual.spawn_in_world(executors.live, fleet.world, executor)
+    await virtual.spawn_in_world(_register, fleet.world, executor)
+
+
+async def _register(world, executor) -> None:
+    """Keep the entry in the store while the executor lives and is heard."""
+    key = f'servers/{executor.name}'
+    seen = None
+    silent_s = 0.0
+    while True:
+        heard = executor.up and not executor.dark
+        if heard and not world.store.down:
+            value = executors.entry(executor)
+            if value != seen or key not in world.store.items:
+                await stores.put(world.store, key, value)
+                seen = value
+            silent_s = 0.0
+        elif not heard:
+            silent_s += 0.25
+            if silent_s >= 3 * executors.HEARTBEAT_S:
+                await stores.remove(world.store, key)
+                if not executor.up:
+                    return
+        await curio.sleep(0.25)
+
+
+async def end_life(fleet: Fleet, machine: Machine, how: str) -> None:
+    """End the life of a machine's executor, if it has one."""
+    if machine.executor is not None:
+        executors.die(fleet.world, machine.executor, how)
+        machine.executor = None
+
+
+async def crash(fleet: Fleet, machine: Machine, for_s: float) -> None:
+    """Crash a machine for a while."""
+    await end_life(fleet, machine, 'crash')
+    machine.state = 'down'
+    await curio.sleep(for_s)
+    if machine.state == 'down':
+        await begin_life(fleet, machine)
+
+
+async def hide(machine: Machine, for_s: float) -> None:
+    """Cut a machine's executor off; what runs there goes on."""
+    executor = machine.executor
+    if executor is None:
+        return
+    executor.dark = True
+    await curio.sleep(for_s)
+    executor.dark = False
+
+
+async def drain(fleet: Fleet, machine: Machine) -> None:
+    """Let a machine's executor leave with notice, and come anew."""
+    executor = machine.executor
+    if executor is None:
+        return
+    executor.draining = True
+    evidences.note(
+        fleet.world.evidence,
+        clock.now_s(),
+        evidences.Kind.DRAINING,
+        place=executor.name,
+    )
+    await curio.sleep(executors.LINGER_S)
+    if machine.executor is executor:
+        await end_life(fleet, machine, 'left')
+        machine.state = 'down'
+        await stores.remove(fleet.world.store, f'servers/{executor.name}')
+        await curio.sleep(3.0)
+        await begin_life(fleet, machine)
+
+
+def make_handler(fleet: Fleet):
+    """Make the handler of the machines' interface."""
+
+    async def handle(source, method, target, body, headers):
+        if method == 'GET':
+            return _list(fleet)
+        asked = json.loads(body)
+        machine = fleet.machines.get(asked['machine'])
+        if machine is None:
+            return transport.Answer(400, b'')
+        if target == '/machine-move':
+            return await _move(fleet, machine, asked['pool'])
+        return await _maintain(fleet, machine, asked['wave'], source)
+
+    return handle
+
+
+def _list(fleet):
+    rows = [
+        {
+            'machine': machine.name,
+            'pool': machine.pool,
+            'state': machine.state,
+            'zone': 'zone-a',
+            'labels': ['a', machine.rack],
+            'capacity': {
+                'cpu': fleet.cores * 1000,
+                'mem_mb': fleet.memory_mb,
+                'gpu': 0,
+            },
+            'id': machine.executor.name if machine.executor else '',
+        }
+        for machine in fleet.machines.values()
+    ]
+    value = {'machines': rows, 'next_token': None}
+    return transport.Answer(200, json.dumps(value).encode())
+
+
+async def _move(fleet, machine, pool):
+    if machine.pool == pool:
+        return transport.Answer(200, b'{}')
+    if machine.state != 'up':
+        return transport.Answer(409, b'{"reason":"busy"}')
+    machine.pool = pool
+    await _restart(fleet, machine, 'moving', MOVE_S)
+    return transport.Answer(200, b'{}')
+
+
+async def _maintain(fleet, machine, wave, source):
+    if machine.name not in fleet.waves.get(wave, {}).get('machines', ()):
+        return transport.Answer(409, b'{"reason":"wave"}')
+    if wave in machine.waves:
+        return transport.Answer(200, b'{}')
+    if machine.state != 'up':
+        return transport.Answer(409, b'{"reason":"busy"}')
+    machine.waves.add(wave)
+    evidences.note(
+        fleet.world.evidence,
+        clock.now_s(),
+        evidences.Kind.MAINTAINED,
+        place=machine.name,
+        attempt=wave,
+        by=source,
+    )
+    await _restart(fleet, machine, 'upkeep', MAINTENANCE_S)
+    return transport.Answer(200, b'{}')
+
+
+async def _restart(fleet, machine, state, after_s) -> None:
+    await end_life(fleet, machine, 'order')
+    machine.state = state
+
+    async def back() -> None:
+        await curio.sleep(after_s)
+        await begin_life(fleet, machine)
+
+    await virtual.spawn_in_world(back)
--- /dev/null
+++ b/emulator/network.py
@@ -0,0 +1,126 @@
+"""The network below the adapter: delays, cuts, lost and late answers."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+
+import curio
+
+from emulator import virtual
+from oleanderwood import errors
+from oleanderwood.platform import transport
+from oleanderwood import verdict as verdicts
+
+DELAY_S = 0.001
+"""One way, between any two places."""
+
+Handler = collections.abc.Callable[
+    [str, str, str, bytes, dict[str, str]],
+    collections.abc.Awaitable[transport.Answer],
+]
+"""Takes source, method, target, body and headers."""
+
+
+@dataclasses.dataclass
+class Network:
+    """All addresses, and what goes wrong between them.
+
+    :ivar cuts: pairs of a process and an address that don't hear each other
+    :ivar dead: processes whose calls go nowhere
+    :ivar frozen_until_s: processes that stand still until a time
+    :ivar lost_share: part of the calls to an address that are carried out
+        without an answer
+    :ivar late_share: part that is carried out 2 to 12 s later
+    """
+
+    rng: random.Random
+    handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
+    cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    dead: set[str] = dataclasses.field(default_factory=set)
+    frozen_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    lost_share: dict[str, float] = dataclasses.field(default_factory=dict)
+    late_share: dict[str, float] = dataclasses.field(default_factory=dict)
+    calls: int = 0
+
+
+@contextlib.contextmanager
+def installed(network: Network) -> collections.abc.Iterator[None]:
+    """Let the adapter's calls go through an emulated network."""
+    kept = transport.call
+
+    async def call(
+        _kept, address, method, target, body=b'', headers=None, *, timeout_s
+    ):
+        return await _call(
+            network, address, method, target, body, headers, timeout_s
+        )
+
+    transport.call = call
+    try:
+        yield
+    finally:
+        transport.call = kept
+
+
+async def _call(network, address, method, target, body, headers, timeout_s):
+    source = await virtual.process()
+    network.calls += 1
+    reached = False
+    try:
+        async with curio.timeout_after(timeout_s):
+            await _pass(network, source, address)
+            handler = network.handlers.get(address)
+            if handler is None:
+                raise errors.CallFailed(
+                    verdicts.Verdict.NOT_RUN, f'connect to {address}: refused'
+                )
+            reached = True
+            named = {
+                key.decode().lower(): value.decode()
+                for key, value in headers or []
+            }
+            arguments = (source, method, target, body, named)
+            answer = await _carry_out(network, address, handler, arguments)
+            await _pass(network, source, address)
+            return answer
+    except curio.TaskTimeout as error:
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if not reached:
+            verdict = verdicts.Verdict.NOT_RUN
+        raise errors.CallFailed(
+            verdict, f'{address}: no answer in {timeout_s} s'
+        ) from error
+
+
+async def _pass(network: Network, source: str, address: str) -> None:
+    """Go one way; never arrives if the way is cut."""
+    await curio.sleep(DELAY_S)
+    await stand_still(network, source)
+    if source in network.dead or (source, address) in network.cuts:
+        await virtual.forever()
+
+
+async def stand_still(network: Network, process: str) -> None:
+    """Wait while a process is frozen."""
+    while network.frozen_until_s.get(process, 0.0) > (await curio.clock()):
+        await curio.sleep(0.05)
+
+
+async def _carry_out(network, address, handler, arguments):
+    drawn = network.rng.random()
+    late = network.late_share.get(address, 0.0)
+    lost = network.lost_share.get(address, 0.0)
+    if drawn < late:
+        late_s = network.rng.uniform(2.0, 12.0)
+        await virtual.spawn_in_world(_later, late_s, handler, arguments)
+        await virtual.forever()
+    answer = await handler(*arguments)
+    if drawn < late + lost:
+        await virtual.forever()
+    return answer
+
+
+async def _later(after_s, handler, arguments) -> None:
+    await curio.sleep(after_s)
+    await handler(*arguments)
--- /dev/null
+++ b/emulator/troubles.py
@@ -0,0 +1,271 @@
+"""What goes wrong in a run: kinds of trouble, and drawn series of them."""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+
+import curio
+
+from emulator import executors
+from emulator import fleet as fleets
+from emulator import network as networks
+from emulator import servers
+from emulator import store as stores
+from oleanderwood import clock
+
+
+class Kind(enum.Enum):
+    """A kind of trouble."""
+
+    LEADER_KILLED = 'leader-killed'
+    SERVER_KILLED = 'server-killed'
+    ALL_KILLED = 'all-killed'
+    LEADER_STOPPED = 'leader-stopped'
+    LEADER_FROZEN = 'leader-frozen'
+    LEADER_REFUSED = 'leader-refused'
+    LEADER_CUT = 'leader-cut'
+    STORE_DOWN = 'store-down'
+    STORE_SILENT = 'store-silent'
+    STORE_SLOW = 'store-slow'
+    STORE_LOSES_ANSWERS = 'store-loses-answers'
+    STORE_LATE = 'store-late'
+    HISTORY_LOST = 'history-lost'
+    EXECUTOR_CRASHED = 'executor-crashed'
+    EXECUTOR_HIDDEN = 'executor-hidden'
+    EXECUTOR_DRAINED = 'executor-drained'
+    EXECUTOR_GREY = 'executor-grey'
+    ORDERS_LATE = 'orders-late'
+    ANSWERS_LOST = 'answers-lost'
+    WAVE = 'wave'
+
+
+@dataclasses.dataclass(frozen=True)
+class Trouble:
+    """One trouble."""
+
+    kind: Kind
+    at_s: float
+    for_s: float = 3.0
+
+
+@dataclasses.dataclass
+class Scene:
+    """What troubles strike."""
+
+    network: networks.Network
+    store: stores.Store
+    fleet: fleets.Fleet
+    processes: list[servers.Process]
+    rng: random.Random
+
+
+def draw(seed: int, length_s: float, count: int) -> list[Trouble]:
+    """Draw a series of troubles."""
+    rng = random.Random(seed)
+    kinds = list(Kind)
+    rows = [
+        Trouble(
+            rng.choice(kinds),
+            rng.uniform(1.0, length_s * 0.8),
+            rng.uniform(1.0, 6.0),
+        )
+        for _ in range(count)
+    ]
+    return sorted(rows, key=lambda row: row.at_s)
+
+
+async def strike(scene: Scene, trouble: Trouble) -> None:
+    """Let a trouble come at its time, and pass."""
+    await curio.sleep(max(0.0, trouble.at_s - clock.now_s()))
+    await _STRIKES[trouble.kind](scene, trouble)
+
+
+def _leader(scene: Scene) -> servers.Process:
+    for process in scene.processes:
+        if servers.leads(process):
+            return process
+    return scene.rng.choice(scene.processes)
+
+
+async def _kill(scene, process, for_s) -> None:
+    if process.state is None:
+        return
+    await servers.kill(scene.network, process)
+    await curio.sleep(for_s)
+    await servers.start(scene.network, process)
+
+
+async def _leader_killed(scene, trouble) -> None:
+    await _kill(scene, _leader(scene), trouble.for_s)
+
+
+async def _server_killed(scene, trouble) -> None:
+    await _kill(scene, scene.rng.choice(scene.processes), trouble.for_s)
+
+
+async def _all_killed(scene, trouble) -> None:
+    for process in scene.processes:
+        await curio.spawn(
+            _kill, scene, process, min(2.0, trouble.for_s), daemon=True
+        )
+
+
+async def _leader_stopped(scene, trouble) -> None:
+    process = _leader(scene)
+    if process.state is None or process.state.stopping:
+        return
+    await servers.stop(scene.network, process, 3.0)
+    await servers.start(scene.network, process)
+
+
+async def _leader_frozen(scene, trouble) -> None:
+    name = _leader(scene).name
+    scene.network.frozen_until_s[name] = clock.now_s() + trouble.for_s
+
+
+async def _leader_refused(scene, trouble) -> None:
+    name = _leader(scene).name
+    scene.store.refused.add(name)
+    await curio.sleep(trouble.for_s)
+    scene.store.refused.discard(name)
+
+
+async def _leader_cut(scene, trouble) -> None:
+    pair = (_leader(scene).name, servers.STORE_ADDRESS)
+    scene.network.cuts.add(pair)
+    await curio.sleep(trouble.for_s)
+    scene.network.cuts.discard(pair)
+
+
+async def _store_down(scene, trouble, how='busy') -> None:
+    scene.store.down = how
+    await curio.sleep(trouble.for_s)
+    scene.store.down = ''
+
+
+async def _store_silent(scene, trouble) -> None:
+    await _store_down(scene, trouble, 'silent')
+
+
+async def _store_slow(scene, trouble) -> None:
+    scene.store.slow_s = 0.2
+    await curio.sleep(trouble.for_s)
+    scene.store.slow_s = 0.0
+
+
+async def _spoil(shares, addresses, share, for_s) -> None:
+    for address in addresses:
+        shares[address] = share
+    await curio.sleep(for_s)
+    for address in addresses:
+        shares.pop(address, None)
+
+
+async def _store_loses(scene, trouble) -> None:
+    await _spoil(
+        scene.network.lost_share, [servers.STORE_ADDRESS], 0.3, trouble.for_s
+    )
+
+
+async def _store_late(scene, trouble) -> None:
+    await _spoil(
+        scene.network.late_share, [servers.STORE_ADDRESS], 0.15, trouble.for_s
+    )
+
+
+async def _history_lost(scene, trouble) -> None:
+    stores.lose_history(scene.store)
+
+
+def _machine(scene) -> fleets.Machine:
+    machines = [row for row in scene.fleet.machines.values() if row.executor]
+    return scene.rng.choice(machines or list(scene.fleet.machines.values()))
+
+
+async def _crashed(scene, trouble) -> None:
+    machine = _machine(scene)
+    if machine.state == 'up':
+        await fleets.crash(scene.fleet, machine, trouble.for_s)
+
+
+async def _hidden(scene, trouble) -> None:
+    await fleets.hide(_machine(scene), 2 * trouble.for_s)
+
+
+async def _drained(scene, trouble) -> None:
+    await fleets.drain(scene.fleet, _machine(scene))
+
+
+async def _grey(scene, trouble) -> None:
+    executor = _machine(scene).executor
+    if executor is not None:
+        executor.grey = 1.0
+        await curio.sleep(trouble.for_s)
+        executor.grey = 0.0
+
+
+def _executor_addresses(scene) -> list[str]:
+    return [machine.address for machine in scene.fleet.machines.values()]
+
+
+async def _orders_late(scene, trouble) -> None:
+    await _spoil(
+        scene.network.late_share,
+        _executor_addresses(scene),
+        0.05,
+        trouble.for_s,
+    )
+
+
+async def _answers_lost(scene, trouble) -> None:
+    await _spoil(
+        scene.network.lost_share,
+        _executor_addresses(scene),
+        0.05,
+        trouble.for_s,
+    )
+
+
+async def _wave(scene, trouble) -> None:
+    fleet = scene.fleet
+    number = len(fleet.waves) + 1
+    names = sorted(fleet.machines)
+    machines = scene.rng.sample(names, len(names) // 2)
+    wave = {
+        'wave': number,
+        'machines': machines,
+        'duration_s': 20,
+        'max_count': 2,
+    }
+    fleet.waves[number] = wave
+    value = executors.json.dumps(wave).encode()
+    await stores.put(scene.store, f'op/wave/{number}', value)
+
+
+_Strike = collections.abc.Callable[
+    [Scene, Trouble], collections.abc.Awaitable[None]
+]
+
+_STRIKES: dict[Kind, _Strike] = {
+    Kind.LEADER_KILLED: _leader_killed,
+    Kind.SERVER_KILLED: _server_killed,
+    Kind.ALL_KILLED: _all_killed,
+    Kind.LEADER_STOPPED: _leader_stopped,
+    Kind.LEADER_FROZEN: _leader_frozen,
+    Kind.LEADER_REFUSED: _leader_refused,
+    Kind.LEADER_CUT: _leader_cut,
+    Kind.STORE_DOWN: _store_down,
+    Kind.STORE_SILENT: _store_silent,
+    Kind.STORE_SLOW: _store_slow,
+    Kind.STORE_LOSES_ANSWERS: _store_loses,
+    Kind.STORE_LATE: _store_late,
+    Kind.HISTORY_LOST: _history_lost,
+    Kind.EXECUTOR_CRASHED: _crashed,
+    Kind.EXECUTOR_HIDDEN: _hidden,
+    Kind.EXECUTOR_DRAINED: _drained,
+    Kind.EXECUTOR_GREY: _grey,
+    Kind.ORDERS_LATE: _orders_late,
+    Kind.ANSWERS_LOST: _answers_lost,
+    Kind.WAVE: _wave,
+}
--- a/oleanderwood/leading/confirming.py
+++ b/oleanderwood/leading/confirming.py
@@ -92,8 +92,10 @@
     leader: states.Leader, addresses: list[ids.Address]
 ) -> list[Contact | None]:
     """Ask servers at the same time; None for one that didn't answer."""
-    tasks = [await curio.spawn(_ask, leader, address) for address in addresses]
-    return [await task.join() for task in tasks]
+    async with curio.TaskGroup(wait=all) as group:
+        for address in addresses:
+            await group.spawn(_ask, leader, address)
+    return group.results
 
 
 async def _ask(leader: states.Leader, address: ids.Address) -> Contact | None:
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -55,9 +55,11 @@
 
 
 def _was_us(server: states.Server) -> bool:
-    """Say whether the leader is an earlier life of this server.
+    """Say whether the mark of a leader is this server's own.
 
-    Its lease may go on for a while, but it surely is dead.
+    It is asked only while this process doesn't lead: the mark is that of an
+    earlier life, which surely is dead, or was left by a write of ours whose
+    answer was lost.
     """
     leader = server.roles.leader
     return (
@@ -65,7 +67,6 @@
         and bool(server.roles.alive_revision)
         and server.roles.alive_process == leader.process
         and leader.holder == server.settings.name
-        and leader.process != server.process
     )
 
 
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -8,8 +8,8 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood.leading import guarded
 from oleanderwood.leading import pool_loop
-from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
@@ -166,10 +166,9 @@
     if progress.status_written == word:
         return
     key = f'{operator.WAVE_STATUS_PREFIX}{progress.wave.wave}'
-    condition = {roles_.LEADER_KEY: leader.revision}
     value = operator.encode_wave_status(completed)
     try:
-        await stores.write(leader.server.store, condition, {key: value})
+        await guarded.write(leader, {key: value})
     except stores.Conflict:
         await states.depose(leader, 'another server leads')
         return
@@ -191,11 +190,8 @@
     key = f'{WAVES_PREFIX}{progress.wave.wave}'
     age_s = clock.now_s() - progress.seen_s
     kept = Kept(sorted(progress.begun), clock.wall_ms() - age_s * 1000)
-    condition = {roles_.LEADER_KEY: leader.revision}
     try:
-        await stores.write(
-            leader.server.store, condition, {key: msgspec.json.encode(kept)}
-        )
+        await guarded.write(leader, {key: msgspec.json.encode(kept)})
     except stores.Conflict:
         await states.depose(leader, 'another server leads')
     except errors.CallFailed as error:
--- /dev/null
+++ b/oleanderwood/leading/guarded.py
@@ -0,0 +1,67 @@
+"""A leader's writes: refused once another leads, and never out of order.
+
+A write without an answer may be carried out seconds later. It must not put
+an older value over a newer one, so each names the revision that it replaces.
+"""
+
+from oleanderwood import event_log
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.platform import store as stores
+
+KEYS_A_WRITE = (stores.MAX_WRITES - 1) // 2
+"""Each key takes a condition and a write; one condition is the leader's."""
+
+ATTEMPTS = 4
+"""Times that a write is tried whose condition doesn't hold: one try finds
+the revision that an unanswered write has left."""
+
+
+async def write(leader: states.Leader, values: dict[str, bytes]) -> None:
+    """Write a leader's values, at most ``KEYS_A_WRITE`` of them.
+
+    :raises stores.Conflict: another server leads
+    :raises errors.CallFailed: the values may be written, now or later, but
+        not over those of a later call
+    """
+    known = leader.written
+    for _attempt in range(ATTEMPTS):
+        conditions = {key: known.get(key, 0) for key in values}
+        conditions[roles_.LEADER_KEY] = leader.revision
+        try:
+            revision = await stores.write(
+                leader.server.store, conditions, values
+            )
+        except stores.Conflict as conflict:
+            last = conflict
+            _learn(leader, conflict, values)
+            continue
+        for key in values:
+            known[key] = max(revision, known.get(key, 0))
+        return
+    raise last
+
+
+def _learn(
+    leader: states.Leader,
+    conflict: stores.Conflict,
+    values: dict[str, bytes],
+) -> None:
+    """Take over the revisions that a refused write has shown.
+
+    :raises stores.Conflict: another server leads
+    """
+    found = {
+        item.key: item.revision for item in conflict.items if not item.removed
+    }
+    if found.get(roles_.LEADER_KEY) != leader.revision:
+        raise conflict
+    for key in values:
+        if found.get(key, 0) != leader.written.get(key, 0):
+            event_log.emit('store', 'written-meanwhile', key=key)
+        leader.written[key] = found.get(key, 0)
+
+
+def note_read(leader: states.Leader, item: stores.Item) -> None:
+    """Note the revision of a value that a new leader has read."""
+    leader.written[item.key] = item.revision
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -9,6 +9,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import record
+from oleanderwood.leading import guarded
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
@@ -24,9 +25,6 @@
 FAILED_PAUSE_S = 0.15
 """Pause after a failed write."""
 
-JOBS_A_WRITE = stores.MAX_WRITES - 2
-"""A write holds a condition beside the jobs."""
-
 FORGET_SLACK_S = 30.0
 """How much longer than callers may ask an ended job is kept."""
 
@@ -57,13 +55,21 @@
 async def keep(leader: states.Leader) -> None:
     """Write all that is unwritten now.
 
+    One call at a time: what another has taken up isn't written yet.
+
     :raises stores.Conflict: another server leads
     :raises errors.CallFailed: nothing is known to be written
     """
-    await _keep_rosters(leader)
+    async with leader.writing:
+        await _keep(leader)
+
+
+async def _keep(leader: states.Leader) -> None:
+    while leader.roster_dirty:
+        await _keep_rosters(leader)
     seen = {name: row.seen_end for name, row in leader.workers.items()}
     while leader.ledger.dirty:
-        rows = list(leader.ledger.dirty.values())[:JOBS_A_WRITE]
+        rows = list(leader.ledger.dirty.values())[: guarded.KEYS_A_WRITE]
         await _keep_jobs(leader, rows)
     for name, number in seen.items():
         worker = leader.workers.get(name)
@@ -84,7 +90,7 @@
         key = record.progress_key(entry.job.job)
         writes[key] = msgspec.json.encode(progress)
     try:
-        await stores.write(leader.server.store, _condition(leader), writes)
+        await guarded.write(leader, writes)
     except BaseException:
         for entry in entries:
             leader.ledger.dirty[entry.job.job] = entry
@@ -109,18 +115,14 @@
     )
 
 
-def _condition(leader: states.Leader) -> dict[str, int]:
-    return {roles_.LEADER_KEY: leader.revision}
-
-
 async def _keep_rosters(leader: states.Leader) -> None:
     """Write which workers may be given tasks, before any is."""
-    services = set(leader.roster_dirty)
+    services = set(list(leader.roster_dirty)[: guarded.KEYS_A_WRITE])
     if not services:
         return
     writes = {}
     members: set[ids.VmId] = set()
-    for service in list(services)[:JOBS_A_WRITE]:
+    for service in services:
         rows = [
             worker.entry
             for worker in leader.workers.values()
@@ -128,7 +130,7 @@
         ]
         members.update(row.worker for row in rows)
         writes[ROSTER_PREFIX + service] = msgspec.json.encode(rows)
-    await stores.write(leader.server.store, _condition(leader), writes)
+    await guarded.write(leader, writes)
     leader.roster_dirty -= services
     leader.rostered |= members
     await leader.due.set()
@@ -166,7 +168,10 @@
         ]
     try:
         await stores.write(
-            leader.server.store, _condition(leader), {}, tuple(keys)
+            leader.server.store,
+            {roles_.LEADER_KEY: leader.revision},
+            {},
+            tuple(keys),
         )
     except (errors.CallFailed, stores.Conflict) as error:
         event_log.emit('job', 'not-forgotten', why=str(error))
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -114,12 +114,14 @@
         default_factory=dict
     )
     machines_read_s: float = -1e9
+    written: dict[str, int] = dataclasses.field(default_factory=dict)
     deposed: str = ''
     confirmed_until_s: float = 0.0
     cancelled_unknown: set[ids.JobId] = dataclasses.field(default_factory=set)
     peer_connections: connections.Connections = dataclasses.field(
         default_factory=connections.Connections
     )
+    writing: curio.Lock = dataclasses.field(default_factory=curio.Lock)
     due: Wake = dataclasses.field(default_factory=Wake)
     unkept: Wake = dataclasses.field(default_factory=Wake)
     ended: Wake = dataclasses.field(default_factory=Wake)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -14,6 +14,7 @@
 from oleanderwood.leading import confirming
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import following
+from oleanderwood.leading import guarded
 from oleanderwood.leading import intake
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
@@ -115,6 +116,8 @@
     taken = await stores.read_range(store, record.INTAKE_PREFIX)
     kept = await stores.read_range(store, record.PROGRESS_PREFIX)
     waves = await stores.read_range(store, fleet_loop.WAVES_PREFIX)
+    for item in [*rosters.items, *kept.items, *waves.items]:
+        guarded.note_read(leader, item)
     for item in waves.items:
         number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
         leader.kept_waves[number] = item.value
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -104,7 +104,7 @@
 
 class _WireLease(msgspec.Struct):
     lease: int
-    ttl_ms: int
+    ttl_ms: float
 
 
 def _item(wire: _WireItem) -> Item:
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -48,34 +48,53 @@
         event_log.emit('server', 'bad-settings', path=path, why=str(error))
         sys.exit(2)
     event_log.set_up(settings.name)
+    server = make_server(settings)
+    event_log.emit('server', 'starts', process=server.process)
+    curio.run(_run, server, path)
+    event_log.emit('server', 'ends', process=server.process)
+
+
+def make_server(settings: boot.Settings) -> states.Server:
+    """Make the state of a new life of a server."""
     process = f'{settings.name}/{uuid.uuid4().hex[:12]}'
-    server = states.Server(
+    return states.Server(
         settings, process, stores.Store(settings.store_address)
     )
-    event_log.emit('server', 'starts', process=process)
-    curio.run(_run, server, path)
-    event_log.emit('server', 'ends', process=process)
+
+
+def make_frontend(server: states.Server) -> handlers.Frontend:
+    """Make what callers' requests are answered from."""
+    intake = intakes.Intake(server.store)
+    return handlers.Frontend(server, intake, askings.Asking(server))
+
+
+def make_parts(server: states.Server, frontend: handlers.Frontend) -> list:
+    """Give what a server does beside listening and leading."""
+    return [
+        intakes.write_always(frontend.intake),
+        _follow_configuration(server),
+        _follow_roles(server),
+        lease.keep_always(server),
+    ]
 
 
 async def _run(server: states.Server, path: str) -> None:
     settings = server.settings
-    intake = intakes.Intake(server.store)
-    frontend = handlers.Frontend(server, intake, askings.Asking(server))
+    frontend = make_frontend(server)
     callers = http_server.listen(
         settings.callers_listen, handlers.make_handler(frontend)
     )
     ready = http_server.listen(settings.ready_listen, _ready(server))
-    inner = http_server.listen(boot.inner_address(settings), _inner(server))
+    inner = http_server.listen(
+        boot.inner_address(settings), make_inner_handler(server)
+    )
     parts = [
         await curio.spawn(part, daemon=True)
         for part in (
             http_server.run(callers),
             http_server.run(ready),
             http_server.run(inner),
-            intakes.write_always(intake),
-            _follow_configuration(server),
-            _follow_roles(server),
-            lease.keep_always(server),
+            *make_parts(server, frontend),
             _reload_on_signal(server, path),
         )
     ]
@@ -123,7 +142,7 @@
     return handle
 
 
-def _inner(server: states.Server) -> http.Handler:
+def make_inner_handler(server: states.Server) -> http.Handler:
     """Make the handler of what the other servers and operators ask."""
     probes = daemon.probe_handler(
         daemon.Probes(
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -139,7 +139,9 @@
             continue
         decision.waits[name] = blocked
         if len(decision.close) < wave.most_at_once + CLOSED_AHEAD:
-            if hurry or availability.may_end_all(worker, now_s):
+            if worker is None or hurry:
+                decision.close.add(name)
+            elif availability.may_end_all(worker, now_s):
                 decision.close.add(name)
         if decision.relocate is None and worker is not None:
             decision.relocate = _crowded(worker, now_s)
