--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -17,7 +17,7 @@
 """Time that a stop takes."""
 
 HEARTBEAT_S = 1.5
-LINGER_S = 2.0
+LINGER_S = 4.0
 """Time that a leaving executor goes on after its notice."""
 
 TICK_S = 0.02
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -42,6 +42,7 @@
             continue
         if won is not None:
             await terms.lead(server, *won)
+            await curio.sleep(PAUSE_S)
 
 
 def _vacant(server: states.Server) -> bool:
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -55,8 +55,8 @@
     event_log.emit('leader', 'took-over', term=term)
     try:
         await _inherit(leader)
-    except errors.CallFailed as error:
-        event_log.emit('leader', 'gave-up', term=term, why=error.reason)
+    except (errors.CallFailed, msgspec.MsgspecError) as error:
+        event_log.emit('leader', 'gave-up', term=term, why=str(error))
         await _resign(leader)
         return
     server.leader = leader
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -1,8 +1,10 @@
 """The server process: takes callers' jobs, and leads if it is its turn."""
 
+import collections.abc
 import os
 import signal
 import sys
+import traceback
 import uuid
 
 import curio
@@ -33,6 +35,9 @@
 """Time left before the process would be killed when it cuts what still
 goes on."""
 
+MAX_FAULT_TEXT = 3000
+"""Characters of a fault's traceback that are logged."""
+
 QUIET_S = 1.5
 """A stopping process ends once it was asked nothing for this long, and the
 balancer has had two looks at it, a second apart."""
@@ -94,17 +99,29 @@
             http_server.run(callers),
             http_server.run(ready),
             http_server.run(inner),
-            *make_parts(server, frontend),
-            _reload_on_signal(server, path),
+            *map(_until_fault, make_parts(server, frontend)),
+            _until_fault(_reload_on_signal(server, path)),
         )
     ]
-    elections = await curio.spawn(election.run_always, server, daemon=True)
+    elections = await curio.spawn(
+        _until_fault(election.run_always(server)), daemon=True
+    )
     await daemon.until_stopped()
     await _stop(server, callers, elections)
     for part in parts:
         await part.cancel()
 
 
+async def _until_fault(part: collections.abc.Awaitable) -> None:
+    """End the process at a fault: its next life begins from the store."""
+    try:
+        await part
+    except Exception as error:
+        text = ''.join(traceback.format_exception(error))
+        event_log.emit('server', 'fault', why=text[-MAX_FAULT_TEXT:])
+        raise SystemExit(1) from error
+
+
 async def _stop(
     server: states.Server,
     callers: http_server.Server,
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -71,6 +71,8 @@
     if turns.began_s is None:
         turns.began_s = at_s
     line = turns.lines.setdefault(pool, Line())
+    # Ends a turn that went by unnoticed.
+    update(turns, pool, at_s)
     line.arrivals.append((at_s, core_s))
     while line.arrivals[0][0] < at_s - MEAN_S:
         line.arrivals.popleft()
--- /dev/null
+++ b/tests/test_emulated_days.py
@@ -0,0 +1,59 @@
+"""Whole days in virtual time, judged from outside the product."""
+
+import pytest
+
+from emulator import day
+from emulator import troubles
+
+FOUND = {
+    3: 'a machine of a wave without a worker ended the pass',
+    71: 'an election without an answer left nobody leading',
+    156: 'late progress was written over newer progress',
+    275: 'ends were acknowledged before another write of them was through',
+}
+"""Seeds that once broke a rule or left jobs unfinished, and why."""
+
+DRAWN = range(500, 512)
+TROUBLES_A_DAY = 4
+
+
+def _drawn(seed: int, count: int = TROUBLES_A_DAY) -> day.Plan:
+    drawn = troubles.draw(seed, day.Plan(seed).length_s, count)
+    return day.Plan(seed, troubles=tuple(drawn))
+
+
+def _check(plan: day.Plan) -> day.Result:
+    result = day.play(plan)
+    assert not result.breaches, result.breaches[:5]
+    assert not result.unfinished, result.unfinished
+    return result
+
+
+def test_calm_day_serves_every_job_without_waiting():
+    result = _check(day.Plan(1, jobs_per_s=1.5))
+    assert result.accepted == result.handed_in
+    assert result.waits_s[-1] < 9.0
+
+
+def test_same_seed_gives_the_same_day():
+    first, second = day.play(_drawn(7)), day.play(_drawn(7))
+    assert first.evidence.sights == second.evidence.sights
+
+
+@pytest.mark.parametrize('seed', sorted(FOUND))
+def test_seed_that_failed_once(seed):
+    _check(_drawn(seed))
+
+
+@pytest.mark.parametrize('seed', DRAWN)
+def test_drawn_day(seed):
+    _check(_drawn(seed))
+
+
+@pytest.mark.parametrize('kind', list(troubles.Kind), ids=lambda k: k.value)
+def test_each_kind_of_trouble_twice(kind):
+    rows = (
+        troubles.Trouble(kind, 2.0, 3.0),
+        troubles.Trouble(kind, 7.0, 3.0),
+    )
+    _check(day.Plan(41, troubles=rows))
--- /dev/null
+++ b/tests/test_event_log.py
@@ -0,0 +1,48 @@
+"""Tests of the structured log."""
+
+import json
+import os
+import subprocess
+import sys
+
+from oleanderwood import event_log
+
+TALKATIVE = """
+from oleanderwood import event_log
+event_log.set_up('s1')
+for number in range(1500):
+    event_log.emit('part', 'event', number=number, text='x' * 200)
+import sys
+sys.stderr.write('finished')
+"""
+
+
+def test_line_holds_what_was_given(capfd):
+    event_log.emit('leader', 'took-over', term=3)
+    row = json.loads(capfd.readouterr().out.splitlines()[-1])
+    assert row['part'] == 'leader' and row['term'] == 3
+
+
+def test_reader_who_stops_reading_stops_nothing():
+    reader, writer = os.pipe()
+    try:
+        done = subprocess.run(
+            [sys.executable, '-c', TALKATIVE],
+            stdout=writer,
+            stderr=subprocess.PIPE,
+            timeout=60,
+            check=True,
+        )
+    finally:
+        os.close(writer)
+    text = os.read(reader, 1 << 20)
+    os.close(reader)
+    assert done.stderr == b'finished'
+    assert 0 < text.count(b'\n') < 1500
+
+
+def test_lines_beyond_the_bound_are_dropped_and_counted(capfd):
+    before = event_log.DROPPED._value.get()
+    for number in range(event_log.MAX_LINES_PER_S + 50):
+        event_log.emit('part', 'event', number=number)
+    assert event_log.DROPPED._value.get() > before
--- /dev/null
+++ b/tests/test_pool_plan.py
@@ -0,0 +1,150 @@
+"""Tests of foreseen turns and of machines that change their pool."""
+
+from oleanderwood import ids
+from oleanderwood.upkeeps import pool_plan
+from oleanderwood.upkeeps import turns as turns_
+from tests import utils_jobs as build
+
+TURN_S = 4.0
+MOVE_S = 1.5
+POOLS = ('a', 'b', 'c')
+OFF = ids.ServiceId('off')
+
+
+def _play(turns, until_s, from_s=0.0, per_s=5.0, core_s=20.0):
+    """Let the pools take turns, each at a steady rate."""
+    count = int((until_s - from_s) * per_s)
+    for number in range(count):
+        at_s = from_s + number / per_s
+        pool = POOLS[int(at_s / TURN_S) % len(POOLS)]
+        turns_.note(turns, pool, at_s, core_s)
+
+
+def test_turn_is_noticed_within_its_first_second():
+    turns = turns_.Turns()
+    _play(turns, 5.0)
+    assert turns.lines['b'].in_turn
+    assert turns.lines['b'].turn_s <= 5.0
+
+
+def test_turn_ends_when_nothing_arrives():
+    turns = turns_.Turns()
+    _play(turns, 4.0)
+    turns_.update(turns, 'a', 6.0)
+    assert not turns.lines['a'].in_turn
+
+
+def test_next_turn_is_foreseen_after_one_cycle():
+    turns = turns_.Turns()
+    _play(turns, 11.0)
+    assert abs(turns_.next_turn_s(turns, 'a') - 12.0) < 1.0
+    assert abs(turns_.next_turn_s(turns, 'b') - 16.0) < 1.5
+
+
+def test_nothing_is_foreseen_before_a_cycle_is_seen():
+    turns = turns_.Turns()
+    _play(turns, 3.0)
+    assert turns_.next_turn_s(turns, 'a') is None
+
+
+def test_single_arrivals_are_no_turn():
+    turns = turns_.Turns()
+    for number in range(10):
+        turns_.note(turns, 'a', number * 3.0, 20.0)
+    assert not turns.lines['a'].in_turn
+
+
+def test_present_rate_gives_the_cores_it_keeps_busy():
+    turns = turns_.Turns()
+    _play(turns, 3.0)
+    cores = turns_.present_cores(turns.lines['a'], 2.9)
+    assert 80.0 <= cores <= 120.0
+
+
+def _member(name, busy=False, idle_s=5.0, now_s=10.0, fixed=False):
+    worker = build.worker(f'w-{name}')
+    worker.idle_since_s = now_s - idle_s
+    if busy:
+        ledger = build.ledger_with(build.job())
+        build.start(ledger, build.task(ledger), worker)
+    return pool_plan.Member(name, 8.0, worker, fixed)
+
+
+def _resting(*names):
+    return {OFF: [pool_plan.Member(name, 8.0, None) for name in names]}
+
+
+def _pool(service, members, busy_cores=0.0, held_cores=0.0):
+    return pool_plan.PoolView(
+        ids.ServiceId(service), members, busy_cores, held_cores
+    )
+
+
+def _decide(pools, standby=None, turns=None, now_s=10.0):
+    return pool_plan.decide(
+        pools, standby or {}, turns or turns_.Turns(), MOVE_S, now_s
+    )
+
+
+def test_pool_in_need_gets_machines_from_standby_first():
+    pools = [
+        _pool('a', [_member('m1', busy=True)], busy_cores=16.0),
+        _pool('b', [_member(f'n{i}') for i in range(5)]),
+    ]
+    moves = _decide(pools, _resting('s1', 's2'))
+    needed = [move.machine for move in moves if move.why == 'needed']
+    assert needed == ['s1', 's2']
+
+
+def test_idle_machines_of_others_help_when_standby_is_empty():
+    pools = [
+        _pool('a', [_member('m1', busy=True)], busy_cores=12.0),
+        _pool('b', [_member(f'n{i}') for i in range(3)]),
+    ]
+    moves = _decide(pools)
+    assert moves and all(move.source == 'b' for move in moves)
+
+
+def test_machine_with_work_or_of_a_wave_never_moves():
+    pools = [
+        _pool('a', [_member('m1', busy=True)], busy_cores=40.0),
+        _pool(
+            'b',
+            [_member('n1', busy=True), _member('n2', fixed=True)],
+        ),
+    ]
+    assert not _decide(pools)
+
+
+def test_pool_keeps_what_its_own_work_needs():
+    pools = [
+        _pool('a', [_member('m1', busy=True)], busy_cores=40.0),
+        _pool('b', [_member('n1'), _member('n2')], busy_cores=14.0),
+    ]
+    assert not _decide(pools)
+
+
+def test_idle_machines_rest_only_when_their_turn_is_far():
+    turns = turns_.Turns()
+    now_s = 17.5
+    _play(turns, now_s)
+    for pool in POOLS:
+        turns_.update(turns, pool, now_s)
+    pools = [
+        _pool(
+            name,
+            [_member(f'{name}{i}', now_s=now_s, idle_s=3.0) for i in range(4)],
+        )
+        for name in ('a', 'c')
+    ]
+    moves = _decide(pools, {OFF: []}, turns, now_s=now_s)
+    resting = {move.source for move in moves if move.why == 'idle'}
+    assert resting == {'a'}
+
+
+def test_machines_come_ahead_of_a_foreseen_turn():
+    turns = turns_.Turns()
+    _play(turns, 10.9)
+    pools = [_pool('a', [_member('m1')])]
+    moves = _decide(pools, _resting('s1', 's2', 's3'), turns, now_s=10.9)
+    assert [move.target for move in moves] == ['a'] * 3
--- /dev/null
+++ b/tests/test_wave_plan.py
@@ -0,0 +1,154 @@
+"""Tests of which machine of a wave goes down next."""
+
+from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import availability
+from oleanderwood.upkeeps import fleet
+from oleanderwood.upkeeps import wave_plan
+from tests import utils_jobs as build
+
+MAINTENANCE_S = 2.0
+
+
+def _machines(*names, state=fleet.State.UP):
+    return {
+        name: fleet.Machine(name, build.POOL, state, worker=f'w-{name}')
+        for name in names
+    }
+
+
+def _progress(*names, most=2, time_s=60.0):
+    wave = fleet.Wave(1, names, time_s, most)
+    return wave_plan.Progress(wave, 0.0)
+
+
+def _decide(progress, machines, workers=(), now_s=10.0):
+    return wave_plan.decide(
+        progress, machines, dict(workers), MAINTENANCE_S, now_s
+    )
+
+
+def _serving(*workers, tasks, **fields):
+    """Let a step of long-running tasks work on some workers in turn."""
+    step = build.step(tasks, long_running=True, **fields)
+    ledger = build.ledger_with(build.job(step))
+    for index in range(tasks):
+        worker = workers[index % len(workers)]
+        run = build.start(ledger, build.task(ledger, 0, index), worker)
+        run.at_work_since_s = 1.0
+    return ledger
+
+
+def test_not_more_go_down_than_may():
+    progress = _progress('a', 'b', 'c', most=2)
+    decision = _decide(progress, _machines('a', 'b', 'c'))
+    assert len(decision.order) == 2
+
+
+def test_those_that_are_down_count():
+    progress = _progress('a', 'b', 'c', most=2)
+    progress.down['a'] = wave_plan.Ordered('w-a', 9.0, True)
+    progress.begun.add('a')
+    decision = _decide(progress, _machines('a', 'b', 'c'))
+    assert len(decision.order) == 1
+
+
+def test_one_ordered_by_an_earlier_leader_counts():
+    progress = _progress('a', 'b', most=1)
+    machines = _machines('b')
+    machines.update(_machines('a', state=fleet.State.MAINTAINED))
+    assert not _decide(progress, machines).order
+
+
+def test_machine_with_work_is_closed_and_waited_for():
+    progress = _progress('a')
+    worker = build.worker()
+    ledger = build.ledger_with(build.job())
+    build.start(ledger, build.task(ledger), worker)
+    decision = _decide(progress, _machines('a'), {'a': worker})
+    assert not decision.order and decision.close == {'a'}
+    workers_.lost(ledger, worker, 2.0)
+    decision = _decide(progress, _machines('a'), {'a': worker})
+    assert decision.order == ['a']
+
+
+def test_machine_with_work_goes_down_when_time_is_short():
+    progress = _progress('a', time_s=12.0)
+    worker = build.worker()
+    ledger = build.ledger_with(build.job())
+    build.start(ledger, build.task(ledger), worker)
+    decision = _decide(progress, _machines('a'), {'a': worker})
+    assert decision.order == ['a']
+
+
+def test_serving_tasks_stay_within_their_allowance():
+    first, second = build.worker('w1'), build.worker('w2')
+    _serving(first, second, tasks=2, may_miss=1)
+    assert availability.may_end_all(first, 10.0)
+    availability.note_order(first, 10.0)
+    assert not availability.may_end_all(second, 10.0)
+
+
+def test_orders_of_one_pass_share_the_allowance():
+    first, second = build.worker('w1'), build.worker('w2')
+    _serving(first, second, tasks=2, may_miss=1)
+    progress = _progress('a', 'b', most=2)
+    workers = {'a': first, 'b': second}
+    decision = _decide(progress, _machines('a', 'b'), workers)
+    done = []
+    for name in decision.order:
+        if availability.may_end_all(workers[name], 10.0):
+            availability.note_order(workers[name], 10.0)
+            done.append(name)
+    assert len(done) == 1
+
+
+def test_task_that_came_back_just_now_counts_as_away():
+    worker = build.worker()
+    ledger = _serving(worker, tasks=1)
+    run = build.task(ledger).run
+    run.at_work_since_s = 9.9
+    assert not availability.at_work(build.task(ledger), 10.0)
+    assert availability.at_work(build.task(ledger), 10.5)
+
+
+def test_crowded_machine_has_a_task_relocated():
+    first, second = build.worker('w1'), build.worker('w2')
+    ledger = _serving(first, second, tasks=4, may_miss=1)
+    decision = _decide(_progress('a'), _machines('a'), {'a': first})
+    assert not decision.order
+    assert decision.relocate in set(first.runs.values())
+    build.task(ledger, 0, 1).run.at_work_since_s = None
+    decision = _decide(_progress('a'), _machines('a'), {'a': first})
+    assert decision.relocate is None
+
+
+def test_wave_is_completed_when_all_are_back():
+    progress = _progress('a')
+    progress.begun.add('a')
+    progress.down['a'] = wave_plan.Ordered('w-a', 9.0, True)
+    assert not _decide(progress, _machines('a')).completed
+    wave_plan.note_returns(progress, _returned('a'), 11.2, MAINTENANCE_S)
+    assert _decide(progress, _machines('a')).completed
+
+
+def _returned(name):
+    """Give the list with a machine in its next life."""
+    machine = fleet.Machine(name, build.POOL, fleet.State.UP, worker='next')
+    return {name: machine}
+
+
+def test_machine_that_is_off_returns_by_time():
+    progress = _progress('a')
+    progress.down['a'] = wave_plan.Ordered('', 9.0, True)
+    machines = {'a': fleet.Machine('a', build.POOL, fleet.State.UP)}
+    wave_plan.note_returns(progress, machines, 10.0, MAINTENANCE_S)
+    assert progress.down
+    wave_plan.note_returns(progress, machines, 12.0, MAINTENANCE_S)
+    assert not progress.down
+
+
+def test_order_without_an_answer_stays_counted():
+    progress = _progress('a')
+    progress.down['a'] = wave_plan.Ordered('w-a', 9.0)
+    wave_plan.note_returns(progress, _returned('a'), 20.0, MAINTENANCE_S)
+    assert progress.down
--- /dev/null
+++ b/tests/test_worker_reports.py
@@ -0,0 +1,137 @@
+"""Tests of what reports of workers prove, and what they don't."""
+
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+from tests import utils_jobs as build
+
+Phase = ledgers.RunPhase
+
+
+def _world():
+    ledger = build.ledger_with(build.job(build.step(2)))
+    return ledger, build.task(ledger), build.worker()
+
+
+def test_listed_end_ends_the_run():
+    ledger, task, worker = _world()
+    build.start(ledger, task, worker)
+    end = (1, task.name, 1, reports.How.DONE)
+    outcome = build.take(ledger, worker, build.report(ended=[end]))
+    assert task.done and task.run is None and outcome.changed
+    assert worker.seen_end == 1 and worker.kept_end == 0
+
+
+def test_same_end_is_taken_in_once():
+    ledger, task, worker = _world()
+    build.start(ledger, task, worker)
+    end = (1, task.name, 1, reports.How.FAILED)
+    build.take(ledger, worker, build.report(ended=[end]))
+    build.start(ledger, task, worker)
+    build.take(ledger, worker, build.report([(task.name, 2)], [end]))
+    assert task.run is not None and task.failed_attempts == {1}
+
+
+def test_unanswered_start_is_over_only_after_a_stop_was_taken():
+    ledger, task, worker = _world()
+    run = build.start(ledger, task, worker)
+    ledgers.set_phase(run, Phase.DOUBTFUL, 1.0)
+    outcome = build.take(ledger, worker, build.report(), sent_s=1.5)
+    assert outcome.stops == [(task.name, 1)]
+    assert run.phase is Phase.STOPPING and task.run is run
+    build.take(ledger, worker, build.report(), sent_s=1.6)
+    assert task.run is run
+    run.stop_answered_s = 1.7
+    build.take(ledger, worker, build.report(), sent_s=1.65)
+    assert task.run is run
+    build.take(ledger, worker, build.report(), sent_s=1.8)
+    assert task.run is None and task.over_attempt == 1
+
+
+def test_unanswered_start_that_is_listed_runs():
+    ledger, task, worker = _world()
+    run = build.start(ledger, task, worker)
+    ledgers.set_phase(run, Phase.DOUBTFUL, 1.0)
+    build.take(ledger, worker, build.report([(task.name, 1)]))
+    assert run.phase is Phase.RUNNING
+
+
+def test_report_asked_for_before_a_start_proves_nothing_of_it():
+    ledger, task, worker = _world()
+    run = build.start(ledger, task, worker, now_s=3.0)
+    outcome = build.take(ledger, worker, build.report(), sent_s=2.0)
+    assert not outcome.stops and run.phase is Phase.RUNNING
+
+
+def test_run_of_an_earlier_leader_is_adopted():
+    ledger, task, worker = _world()
+    build.take(ledger, worker, build.report([(task.name, 7)]))
+    assert task.run.attempt == 7
+    assert worker.runs[task.name] is task
+    assert not task.group.waiting.get(task.index)
+
+
+def test_run_of_an_unknown_job_is_stopped():
+    ledger, _task, worker = _world()
+    outcome = build.take(
+        ledger, worker, build.report([('ffffffffffffffff.0.0.0', 1)])
+    )
+    assert outcome.stops == [('ffffffffffffffff.0.0.0', 1)]
+
+
+def test_second_run_of_a_task_is_stopped():
+    ledger, task, worker = _world()
+    build.start(ledger, task, build.worker('w2'))
+    outcome = build.take(ledger, worker, build.report([(task.name, 1)]))
+    assert outcome.stops == [(task.name, 1)]
+    assert task.run.worker == 'w2'
+
+
+def test_run_that_was_given_up_is_stopped_when_it_shows_again():
+    ledger, task, worker = _world()
+    build.start(ledger, task, worker)
+    workers_.lost(ledger, worker, 2.0)
+    outcome = build.take(ledger, worker, build.report([(task.name, 1)]))
+    assert outcome.stops == [(task.name, 1)] and task.run is None
+
+
+def test_done_elsewhere_stops_the_other_run():
+    ledger, task, worker = _world()
+    build.start(ledger, task, worker)
+    workers_.lost(ledger, worker, 2.0)
+    build.start(ledger, task, build.worker('w2'))
+    end = (1, task.name, 1, reports.How.DONE)
+    outcome = build.take(ledger, worker, build.report(ended=[end]))
+    assert task.done and outcome.elsewhere == [task]
+
+
+def test_lost_worker_lets_its_tasks_wait_again():
+    ledger, task, worker = _world()
+    build.start(ledger, task, worker)
+    assert workers_.lost(ledger, worker, 2.0) == [task]
+    assert task.run is None and task.group.waiting[task.index] is task
+
+
+def test_lease_bound_covers_a_slow_clock():
+    worker = build.worker()
+    workers_.note_answer(worker, build.report(clock_ms=10_000.0), 100.0)
+    workers_.note_lease(worker, 15_000.0)
+    assert worker.lease_end_s >= 100.0 + 5.0 / 0.98
+    workers_.note_lease(worker, 12_000.0)
+    assert worker.lease_end_s >= 100.0 + 5.0 / 0.98
+
+
+def test_worker_that_only_fails_is_suspect_until_one_run_is_done():
+    ledger = build.ledger_with(build.job(build.step(4)))
+    worker = build.worker()
+    for index in range(3):
+        task = build.task(ledger, 0, index)
+        build.start(ledger, task, worker)
+        end = (index + 1, task.name, 1, reports.How.FAILED)
+        build.take(ledger, worker, build.report(ended=[end]), attempts=9)
+    assert workers_.suspect(worker)
+    task = build.task(ledger, 0, 3)
+    build.start(ledger, task, worker)
+    end = (4, task.name, 1, reports.How.DONE)
+    build.take(ledger, worker, build.report(ended=[end]))
+    assert not workers_.suspect(worker)
