--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -8,6 +8,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
+from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.upkeeps import fleet
 from oleanderwood.upkeeps import pool_plan
@@ -17,6 +18,9 @@
 LIST_LAG_S = 1.0
 """A worker's entry may come this much before the list shows it."""
 
+SHORTAGE_S = 1.0
+"""Time between two log lines on pools that lack machines."""
+
 INVALID_S = 60.0
 """Time for which a machine that can't be moved as asked stays."""
 
@@ -66,18 +70,50 @@
         return
     if now_s - leader.machines_read_s > FRESH_S or configuration is None:
         return
+    leader.turns.pools = frozenset(
+        queue.service for queue in configuration.queues
+    )
     for pool in configuration.services:
         turns_.update(leader.turns, pool, now_s)
     views, standby = _views(leader, now_s)
     moves = pool_plan.decide(
         views, standby, leader.turns, settings.move_s, now_s
     )
+    _log_shortage(leader, views, standby, now_s)
     for move in moves:
         await _move(leader, move)
     if moves:
         await read(leader)
 
 
+def _log_shortage(
+    leader: states.Leader,
+    views: list[pool_plan.PoolView],
+    standby: dict[ids.ServiceId, list[pool_plan.Member]],
+    now_s: float,
+) -> None:
+    """Say once a second which pools have fewer machines than they need."""
+    if now_s - leader.shortage_told_s < SHORTAGE_S:
+        return
+    move_s = leader.server.settings.move_s
+    wanted = pool_plan.needs(views, standby, leader.turns, move_s, now_s)
+    rows = {
+        view.service: {
+            'has': len(view.members),
+            'needs': wanted[view.service],
+            'idle': sum(
+                member.worker is not None and not member.worker.runs
+                for member in view.members
+            ),
+            'fixed': sum(member.fixed for member in view.members),
+        }
+        for view in views
+    }
+    if any(row['has'] < row['needs'] for row in rows.values()):
+        leader.shortage_told_s = now_s
+        event_log.emit('fleet', 'short', pools=rows)
+
+
 def _views(
     leader: states.Leader, now_s: float
 ) -> tuple[
@@ -217,4 +253,5 @@
     if core_ms:
         known = states.known_queues(leader)
         queue = placing.queue_of(entry, known)
+        core_ms *= lengths.factor(leader.lengths, queue.name)
         turns_.note(leader.turns, queue.service, at_s, core_ms / 1e6)
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -15,6 +15,7 @@
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
+from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import workers as workers_
 from oleanderwood.upkeeps import fleet
 from oleanderwood.upkeeps import turns as turns_
@@ -107,7 +108,11 @@
     waves: dict[int, wave_plan.Progress] = dataclasses.field(
         default_factory=dict
     )
+    lengths: lengths_.Lengths = dataclasses.field(
+        default_factory=lengths_.Lengths
+    )
     turns: turns_.Turns = dataclasses.field(default_factory=turns_.Turns)
+    shortage_told_s: float = -1e9
     moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
     machines: dict[str, fleet.Machine] = dataclasses.field(
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -8,6 +8,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
+from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
@@ -123,6 +124,8 @@
         event_log.emit(
             'run', event, task=task, attempt=attempt, worker=name, why=why
         )
+    for group, length_s in outcome.lengths:
+        lengths.note(leader.lengths, group, length_s)
     for task, attempt in outcome.stops:
         await leader.orders[name].put(('stop', task, attempt))
     for task in outcome.elsewhere:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -81,6 +81,7 @@
 
     :ivar stops: tasks and attempts to stop at this worker
     :ivar elsewhere: tasks that are done whose run elsewhere is to be stopped
+    :ivar lengths: steps whose tasks are done, and how long those took
     :ivar changed: whether tasks became ready or room became free
     :ivar notes: for the log
     """
@@ -89,6 +90,9 @@
         default_factory=list
     )
     elsewhere: list[ledgers.Task] = dataclasses.field(default_factory=list)
+    lengths: list[tuple[ledgers.Group, float]] = dataclasses.field(
+        default_factory=list
+    )
     changed: bool = False
     notes: list[tuple[str, ids.TaskId, int, str]] = dataclasses.field(
         default_factory=list
@@ -157,6 +161,9 @@
     if row.how is reports.How.DONE:
         worker.failures = 0
         worker.failed_tasks.clear()
+        if current:
+            length_s = now_s - task.run.begun_s
+            outcome.lengths.append((task.group, length_s))
         members = [task]
         if task.group.step.gang:
             members = task.group.tasks
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -90,13 +90,30 @@
     if line is not None:
         arriving = turns_.present_cores(line, now_s)
         cores = max(cores, pool.held_cores + arriving)
-        begin_s = turns_.next_turn_s(turns, pool.service)
+        begin_s = turns_.next_turn_s(turns, pool.service, now_s)
         if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
             peak = FORESEEN_PART * turns_.expected_peak(line)
             cores = max(cores, pool.held_cores + peak)
     return math.ceil(cores / (cores_each * FILL))
 
 
+def needs(
+    pools: collections.abc.Sequence[PoolView],
+    standby: dict[ids.ServiceId, list[Member]],
+    turns: turns_.Turns,
+    move_s: float,
+    now_s: float,
+) -> dict[ids.ServiceId, int]:
+    """Give how many machines each pool needs."""
+    cores_each = _cores_each(pools, standby)
+    if not cores_each:
+        return {pool.service: 0 for pool in pools}
+    return {
+        pool.service: needed(pool, turns, cores_each, move_s, now_s)
+        for pool in pools
+    }
+
+
 def _near(begin_s: float, now_s: float, ahead_s: float) -> bool:
     """Say whether a foreseen turn is about to begin, or should have."""
     return begin_s - ahead_s <= now_s <= begin_s + turns_.WINDOW_S
@@ -110,13 +127,7 @@
     now_s: float,
 ) -> list[Move]:
     """Decide moves: first to pools that lack machines, then to standby."""
-    cores_each = _cores_each(pools, standby)
-    if not cores_each:
-        return []
-    wanted = {
-        pool.service: needed(pool, turns, cores_each, move_s, now_s)
-        for pool in pools
-    }
+    wanted = needs(pools, standby, turns, move_s, now_s)
     sources = _sources(pools, wanted, turns, move_s, now_s)
     moves = _to_lacking(pools, standby, wanted, sources)
     if standby:
@@ -145,7 +156,7 @@
     """Give idle machines beyond what their pools need, idlest first."""
     rows = []
     for pool in pools:
-        begin_s = turns_.next_turn_s(turns, pool.service)
+        begin_s = turns_.next_turn_s(turns, pool.service, now_s)
         if begin_s is not None and _near(begin_s, now_s, KEEP_NEAR_S + move_s):
             continue
         surplus = len(pool.members) - wanted[pool.service] - SPARE_MACHINES
@@ -195,7 +206,7 @@
     turns: turns_.Turns, service: ids.ServiceId, move_s: float, now_s: float
 ) -> bool:
     """Say whether a pool's next turn is surely some time away."""
-    begin_s = turns_.next_turn_s(turns, service)
+    begin_s = turns_.earliest_turn_s(turns, service, now_s)
     if begin_s is None:
         return False
     return begin_s - now_s > KEEP_NEAR_S + move_s
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -39,14 +39,14 @@
     """Arrivals of one pool's jobs.
 
     :ivar arrivals: time and work, in seconds of one core
-    :ivar turn_s: when the last turn began; None before the first
+    :ivar starts_s: when its turns began
     :ivar peak_cores: cores that the last turn kept busy at its height
     """
 
     arrivals: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
-    turn_s: float | None = None
+    starts_s: list[float] = dataclasses.field(default_factory=list)
     in_turn: bool = False
     peak_cores: float = 0.0
     last_peak_cores: float = 0.0
@@ -57,10 +57,12 @@
     """Arrivals of all pools.
 
     :ivar began_s: when the first arrival came
+    :ivar pools: those that take turns
     :ivar gaps_s: times between the starts of successive turns
     """
 
     lines: dict[str, Line] = dataclasses.field(default_factory=dict)
+    pools: frozenset[str] = frozenset()
     began_s: float | None = None
     last_start_s: float | None = None
     gaps_s: list[float] = dataclasses.field(default_factory=list)
@@ -115,14 +117,10 @@
 
 def _begin(turns: Turns, line: Line, now_s: float) -> None:
     line.in_turn = True
-    gap_s = turn_length_s(turns)
-    if (
-        line.turn_s is not None
-        and gap_s is not None
-        and now_s - line.turn_s < (1 + SAME_TURN) * gap_s
-    ):
+    gap_s = turn_length_s(turns) or MIN_GAP_S
+    if line.starts_s and now_s - line.starts_s[-1] < (1 + SAME_TURN) * gap_s:
         return
-    line.turn_s = now_s
+    line.starts_s.append(now_s)
     line.peak_cores = 0.0
     if turns.last_start_s is not None:
         gap_s = now_s - turns.last_start_s
@@ -139,23 +137,60 @@
     return ordered[len(ordered) // 2]
 
 
-def next_turn_s(turns: Turns, pool: str) -> float | None:
+def next_turn_s(turns: Turns, pool: str, now_s: float) -> float | None:
     """Foresee when a pool's next turn begins; None if nothing tells.
 
-    The pools take turns in the same order each time: the one whose turn is
-    longest ago is next. It needs every pool's turn to have been seen.
+    A pool that had two turns keeps their distance. Before that, the pools
+    take turns in the same order each time: the one whose turn is longest ago
+    is next, once each pool's turn has been seen.
     """
-    gap_s = turn_length_s(turns)
-    seen = [line for line in turns.lines.values() if line.turn_s is not None]
     line = turns.lines.get(pool)
-    if gap_s is None or line is None or line.turn_s is None:
+    if line is None or not line.starts_s:
         return None
-    if len(seen) < 2 or len(seen) < len(turns.lines):
+    if len(line.starts_s) > 1:
+        period_s = line.starts_s[-1] - line.starts_s[-2]
+        return _upcoming_s(line.starts_s[-1], period_s, now_s)
+    gap_s = turn_length_s(turns)
+    if gap_s is None or len(turns.pools) < 2 or _unseen(turns):
         return None
-    ahead = sum(other.turn_s <= line.turn_s for other in seen)
+    ahead = sum(
+        other.starts_s[-1] <= line.starts_s[-1]
+        for other in turns.lines.values()
+        if other.starts_s
+    )
     return turns.last_start_s + ahead * gap_s
 
 
+def _upcoming_s(last_s: float, period_s: float, now_s: float) -> float:
+    """Give the first of a series of turns that isn't missed by now."""
+    begin_s = last_s + period_s
+    while period_s > 0 and begin_s + WINDOW_S < now_s:
+        begin_s += period_s
+    return begin_s
+
+
+def _unseen(turns: Turns) -> int:
+    """Count the pools whose first turn is still to come."""
+    seen = {pool for pool, line in turns.lines.items() if line.starts_s}
+    return len(turns.pools - seen)
+
+
+def earliest_turn_s(turns: Turns, pool: str, now_s: float) -> float | None:
+    """Give before when a pool's next turn surely doesn't begin.
+
+    None if it may begin at any moment. While other pools haven't had their
+    first turn, one that had its own comes after them.
+    """
+    begin_s = next_turn_s(turns, pool, now_s)
+    if begin_s is not None:
+        return begin_s
+    line = turns.lines.get(pool)
+    if line is None or not line.starts_s or line.in_turn:
+        return None
+    gap_s = turn_length_s(turns) or MIN_GAP_S
+    return now_s + _unseen(turns) * gap_s
+
+
 def expected_peak(line: Line) -> float:
     """Give the cores that a pool's next turn will keep busy."""
     return max(line.last_peak_cores, line.peak_cores)
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -21,41 +21,43 @@
 
 
 def test_turn_is_noticed_within_its_first_second():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     _play(turns, 5.0)
     assert turns.lines['b'].in_turn
-    assert turns.lines['b'].turn_s <= 5.0
+    assert turns.lines['b'].starts_s[0] <= 5.0
 
 
 def test_turn_ends_when_nothing_arrives():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     _play(turns, 4.0)
     turns_.update(turns, 'a', 6.0)
     assert not turns.lines['a'].in_turn
 
 
 def test_next_turn_is_foreseen_after_one_cycle():
-    turns = turns_.Turns()
-    _play(turns, 11.0)
-    assert abs(turns_.next_turn_s(turns, 'a') - 12.0) < 1.0
-    assert abs(turns_.next_turn_s(turns, 'b') - 16.0) < 1.5
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    now_s = 11.0
+    _play(turns, now_s)
+    assert abs(turns_.next_turn_s(turns, 'a', now_s) - 12.0) < 1.0
+    assert abs(turns_.next_turn_s(turns, 'b', now_s) - 16.0) < 1.5
 
 
 def test_nothing_is_foreseen_before_a_cycle_is_seen():
-    turns = turns_.Turns()
-    _play(turns, 3.0)
-    assert turns_.next_turn_s(turns, 'a') is None
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    now_s = 3.0
+    _play(turns, now_s)
+    assert turns_.next_turn_s(turns, 'a', now_s) is None
 
 
 def test_single_arrivals_are_no_turn():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     for number in range(10):
         turns_.note(turns, 'a', number * 3.0, 20.0)
     assert not turns.lines['a'].in_turn
 
 
 def test_present_rate_gives_the_cores_it_keeps_busy():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     _play(turns, 3.0)
     cores = turns_.present_cores(turns.lines['a'], 2.9)
     assert 80.0 <= cores <= 120.0
@@ -125,7 +127,7 @@
 
 
 def test_idle_machines_rest_only_when_their_turn_is_far():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     now_s = 17.5
     _play(turns, now_s)
     for pool in POOLS:
@@ -143,7 +145,7 @@
 
 
 def test_machines_come_ahead_of_a_foreseen_turn():
-    turns = turns_.Turns()
+    turns = turns_.Turns(pools=frozenset(POOLS))
     _play(turns, 10.9)
     pools = [_pool('a', [_member('m1')])]
     moves = _decide(pools, _resting('s1', 's2', 's3'), turns, now_s=10.9)
