Take no entry in the store as proof of who lives

Ruled out: a wrong order of creation in the store: the late write really came later. Only calls to the address and the list of machines tell now. Test: the emulator writes entries of earlier lives once more; fails before, passes after.

--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -38,6 +38,7 @@
     ORDERS_LATE = 'orders-late'
     ANSWERS_LOST = 'answers-lost'
     WAVE = 'wave'
+    ENTRY_LATE = 'entry-late'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -243,6 +244,20 @@
     await stores.put(scene.store, f'op/wave/{number}', value)
 
 
+async def _entry_late(scene, trouble) -> None:
+    """Let entries of executors' earlier lives be written once more."""
+    for machine in scene.fleet.machines.values():
+        if machine.executor is None:
+            continue
+        earlier = dataclasses.replace(
+            machine.executor, name=f'i-{machine.name}-{machine.lives - 1}'
+        )
+        key = f'servers/{earlier.name}'
+        await stores.put(scene.store, key, executors.entry(earlier))
+        await curio.sleep(trouble.for_s / 10)
+        await stores.remove(scene.store, key)
+
+
 _Strike = collections.abc.Callable[
     [Scene, Trouble], collections.abc.Awaitable[None]
 ]
@@ -268,4 +283,5 @@
     Kind.ORDERS_LATE: _orders_late,
     Kind.ANSWERS_LOST: _answers_lost,
     Kind.WAVE: _wave,
+    Kind.ENTRY_LATE: _entry_late,
 }
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -99,13 +99,14 @@
             event_log.emit('worker', 'unlisted', worker=name)
         return
     try:
-        entry = executors.decode_entry(item.key, item.value, item.created)
+        entry = executors.decode_entry(item.key, item.value)
     except msgspec.MsgspecError as error:
         event_log.emit('worker', 'malformed', worker=name, why=str(error))
         return
     if known is None:
-        if await _is_latest_life(leader, entry):
-            await meet(leader, entry, listed=True)
+        # It may be an earlier life of a known worker's machine, written
+        # late: entries are no proof of who lives. Calls are.
+        await meet(leader, entry, listed=True)
         return
     if entry.draining and not known.entry.draining:
         event_log.emit('worker', 'draining', worker=name)
@@ -138,20 +139,6 @@
             await worker_loop.stop_run(leader, task)
 
 
-async def _is_latest_life(leader: states.Leader, entry: reports.Entry) -> bool:
-    """Say whether a worker is its machine's latest life.
-
-    Earlier ones are gone: an entry outlives its worker by some heartbeats.
-    """
-    for worker in list(leader.workers.values()):
-        if not entry.machine or worker.entry.machine != entry.machine:
-            continue
-        if worker.entry.created > entry.created:
-            return False
-        await worker_loop.lost(leader, worker, 'its machine lives anew')
-    return True
-
-
 async def meet(
     leader: states.Leader, entry: reports.Entry, listed: bool
 ) -> workers_.Worker:
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -5,6 +5,7 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
@@ -253,5 +254,11 @@
     if core_ms:
         known = states.known_queues(leader)
         queue = placing.queue_of(entry, known)
-        core_ms *= lengths.factor(leader.lengths, queue.name)
-        turns_.note(leader.turns, queue.service, at_s, core_ms / 1e6)
+        factor = lengths.factor(leader.lengths, queue.name)
+        turns_.note(
+            leader.turns,
+            queue.service,
+            at_s,
+            core_ms * factor / 1e6,
+            model.longest_chain_ms(work) * factor / 1e3,
+        )
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -80,7 +80,7 @@
     remaining_ms: float | None = None
 
 
-def decode_entry(key: str, value: bytes, created: int) -> reports.Entry:
+def decode_entry(key: str, value: bytes) -> reports.Entry:
     """Decode an executor's entry in the store.
 
     ``labels`` holds its kind and its rack in this order; ``machine`` is
@@ -97,7 +97,6 @@
         capacity=decode_capacity(wire.capacity),
         labels=tuple(wire.labels),
         machine=wire.machine,
-        created=created,
         draining=wire.state == 'draining',
     )
 
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -14,6 +14,11 @@
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 
+LASTING_TOGETHER = 3
+"""Long-running tasks of one step that are put on one worker. More on one
+free whole machines for other pools; fewer make maintenance quicker, which
+has to take them away one by one."""
+
 LATE_FACTOR = 3.0
 """A job is worth something up to this many times its objective."""
 
@@ -37,6 +42,7 @@
     rack: str
     suspect: bool
     tasks: int
+    lasting: int
     mates: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -58,6 +64,7 @@
             reports.rack(worker.entry),
             workers_.suspect(worker),
             len(worker.runs),
+            sum(task.group.step.long_running for task in worker.runs.values()),
         )
         for task in worker.runs.values():
             room.mates[task.group] += 1
@@ -118,21 +125,20 @@
 def _preference(room: Room, group: ledgers.Group, task: ledgers.Task):
     """Order workers: sound ones first, near the data, then the fullest.
 
-    Tasks that last are spread, so that maintenance meets few at once; the
-    others are packed, so that whole workers stay free.
+    All are packed, so that whole workers stay free, which may move. Tasks
+    that last go where others last, but not all to one worker.
     """
     step = group.step
     near = not step.near_rack or room.rack == step.near_rack
-    fill = room.cpu_millicores
-    if step.long_running:
-        fill = -fill
+    lasts = step.long_running
     return (
         room.suspect,
         room.worker.entry.worker == task.failed_on,
         not near,
-        step.long_running and room.worker.due,
-        room.mates[group] if step.long_running else 0,
-        fill,
+        lasts and room.worker.due,
+        lasts and room.mates[group] >= LASTING_TOGETHER,
+        lasts and not room.lasting,
+        room.cpu_millicores,
     )
 
 
@@ -159,6 +165,7 @@
     room.gpus -= needs.gpus
     room.mates[group] += 1
     room.tasks += 1
+    room.lasting += group.step.long_running
 
 
 def _give_back(room: Room, group: ledgers.Group) -> None:
@@ -169,6 +176,7 @@
     room.gpus += needs.gpus
     room.mates[group] -= 1
     room.tasks -= 1
+    room.lasting -= group.step.long_running
 
 
 def _place_gang(
--- a/oleanderwood/pools/reports.py
+++ b/oleanderwood/pools/reports.py
@@ -13,8 +13,6 @@
 
     :ivar worker: one life of a machine's executor
     :ivar labels: its kind, then its rack
-    :ivar created: the store's counter when the entry came into being; of
-        two lives of a machine the later has the higher one
     """
 
     worker: ids.VmId
@@ -24,7 +22,6 @@
     capacity: model.Resources = model.Resources()
     labels: tuple[str, ...] = ()
     machine: str = ''
-    created: int = 0
     draining: bool = False
 
 
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -88,8 +88,9 @@
     cores = pool.busy_cores
     line = turns.lines.get(pool.service)
     if line is not None:
-        arriving = turns_.present_cores(line, now_s)
-        cores = max(cores, pool.held_cores + arriving)
+        work = pool.busy_cores - pool.held_cores
+        soon = turns_.soon_cores(line, work, move_s + AHEAD_S, now_s)
+        cores = max(cores, pool.held_cores + soon)
         begin_s = turns_.next_turn_s(turns, pool.service, now_s)
         if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
             peak = FORESEEN_PART * turns_.expected_peak(line)
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -24,6 +24,17 @@
 """A turn begins when the rate is this many times the mean; users say about
 five times, measured over a window that the turn doesn't fill yet."""
 
+TURN_END_FACTOR = 0.7
+"""A turn ends when the rate is this many times the mean; between turns it
+is near a twentieth. One that ends early by chance goes on as the same."""
+
+RATE_S = 2.0
+"""Time over which the rate is measured that decides on machines: the sizes
+of jobs differ by several times, and half of it is too noisy."""
+
+MIN_CHAIN_S = 0.5
+"""Shortest time that a job is taken to last."""
+
 TURN_ARRIVALS = 2
 """Arrivals in the window that a turn takes at least."""
 
@@ -38,7 +49,8 @@
 class Line:
     """Arrivals of one pool's jobs.
 
-    :ivar arrivals: time and work, in seconds of one core
+    :ivar arrivals: time, work in seconds of one core, and the time that the
+        job takes at least
     :ivar starts_s: when its turns began
     :ivar peak_cores: cores that the last turn kept busy at its height
     """
@@ -68,25 +80,52 @@
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
 
-def note(turns: Turns, pool: str, at_s: float, core_s: float) -> None:
+def note(
+    turns: Turns, pool: str, at_s: float, core_s: float, chain_s: float
+) -> None:
     """Note the arrival of a job; arrivals come in order of time."""
     if turns.began_s is None:
         turns.began_s = at_s
     line = turns.lines.setdefault(pool, Line())
     # Ends a turn that went by unnoticed.
     update(turns, pool, at_s)
-    line.arrivals.append((at_s, core_s))
+    line.arrivals.append((at_s, core_s, chain_s))
     while line.arrivals[0][0] < at_s - MEAN_S:
         line.arrivals.popleft()
     update(turns, pool, at_s)
 
 
-def present_cores(line: Line, now_s: float) -> float:
+def present_cores(
+    line: Line, now_s: float, window_s: float = WINDOW_S
+) -> float:
     """Give the cores that arrivals at the present rate keep busy."""
     work = sum(
-        core_s for at_s, core_s in line.arrivals if at_s > now_s - WINDOW_S
+        core_s
+        for at_s, core_s, _chain_s in line.arrivals
+        if at_s > now_s - window_s
     )
-    return work / WINDOW_S
+    return work / window_s
+
+
+def soon_cores(
+    line: Line, busy_cores: float, ahead_s: float, now_s: float
+) -> float:
+    """Give the cores that will be busy some time ahead.
+
+    Those that are busy now, and what arrives until then at the present
+    rate: a job takes up its cores over the time that it lasts.
+    """
+    window_s = RATE_S if line.in_turn else WINDOW_S
+    rate = present_cores(line, now_s, window_s)
+    chains = [
+        chain_s
+        for at_s, _core_s, chain_s in line.arrivals
+        if at_s > now_s - window_s
+    ]
+    if not chains:
+        return busy_cores
+    chain_s = max(MIN_CHAIN_S, sum(chains) / len(chains))
+    return min(max(busy_cores, rate), busy_cores + rate * ahead_s / chain_s)
 
 
 def mean_cores(turns: Turns, line: Line, now_s: float) -> float:
@@ -94,7 +133,7 @@
     if turns.began_s is None:
         return 0.0
     span_s = min(MEAN_S, max(MEAN_MIN_S, now_s - turns.began_s))
-    return sum(core_s for _at_s, core_s in line.arrivals) / span_s
+    return sum(row[1] for row in line.arrivals) / span_s
 
 
 def update(turns: Turns, pool: str, now_s: float) -> None:
@@ -102,13 +141,13 @@
     line = turns.lines.get(pool)
     if line is None:
         return
-    recent = sum(at_s > now_s - WINDOW_S for at_s, _ in line.arrivals)
+    recent = sum(row[0] > now_s - WINDOW_S for row in line.arrivals)
     present = present_cores(line, now_s)
     mean = mean_cores(turns, line, now_s)
     high = recent >= TURN_ARRIVALS and present >= TURN_FACTOR * mean
     if high and not line.in_turn:
         _begin(turns, line, now_s)
-    elif line.in_turn and recent == 0:
+    elif line.in_turn and present < TURN_END_FACTOR * mean:
         line.in_turn = False
         line.last_peak_cores = line.peak_cores
     if line.in_turn:
