--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -5,7 +5,6 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.jobs import model
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
@@ -260,5 +259,4 @@
             queue.service,
             at_s,
             core_ms * factor / 1e6,
-            model.longest_chain_ms(work) * factor / 1e3,
         )
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -20,8 +20,8 @@
 AHEAD_S = 0.4
 """How long before a foreseen turn its machines should be there."""
 
-FORESEEN_PART = 0.8
-"""Part of the last turn's peak that is brought ahead of the next; the rest
+FORESEEN_PART = 1.0
+"""Part of the last turn's mean that is brought ahead of the next; the rest
 follows the demand. Turns differ, and a machine too many costs twice a move."""
 
 IDLE_S = 1.0
@@ -88,13 +88,12 @@
     cores = pool.busy_cores
     line = turns.lines.get(pool.service)
     if line is not None:
-        work = pool.busy_cores - pool.held_cores
-        soon = turns_.soon_cores(line, work, move_s + AHEAD_S, now_s)
+        soon = turns_.soon_cores(line, now_s)
         cores = max(cores, pool.held_cores + soon)
         begin_s = turns_.next_turn_s(turns, pool.service, now_s)
         if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
-            peak = FORESEEN_PART * turns_.expected_peak(line)
-            cores = max(cores, pool.held_cores + peak)
+            foreseen = FORESEEN_PART * line.turn_cores
+            cores = max(cores, pool.held_cores + foreseen)
     return math.ceil(cores / (cores_each * FILL))
 
 
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -28,12 +28,9 @@
 """A turn ends when the rate is this many times the mean; between turns it
 is near a twentieth. One that ends early by chance goes on as the same."""
 
-RATE_S = 2.0
-"""Time over which the rate is measured that decides on machines: the sizes
-of jobs differ by several times, and half of it is too noisy."""
-
-MIN_CHAIN_S = 0.5
-"""Shortest time that a job is taken to last."""
+DOUBT_ARRIVALS = 2.0
+"""Arrivals at which a rate counts for half. Ten of small jobs in a window are
+sure; two of large ones asked for thrice what was needed in the mean."""
 
 TURN_ARRIVALS = 2
 """Arrivals in the window that a turn takes at least."""
@@ -49,10 +46,9 @@
 class Line:
     """Arrivals of one pool's jobs.
 
-    :ivar arrivals: time, work in seconds of one core, and the time that the
-        job takes at least
+    :ivar arrivals: time and work, in seconds of one core
     :ivar starts_s: when its turns began
-    :ivar peak_cores: cores that the last turn kept busy at its height
+    :ivar turn_cores: cores that the last turn kept busy in its mean
     """
 
     arrivals: collections.deque = dataclasses.field(
@@ -60,8 +56,7 @@
     )
     starts_s: list[float] = dataclasses.field(default_factory=list)
     in_turn: bool = False
-    peak_cores: float = 0.0
-    last_peak_cores: float = 0.0
+    turn_cores: float = 0.0
 
 
 @dataclasses.dataclass
@@ -80,52 +75,37 @@
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
 
-def note(
-    turns: Turns, pool: str, at_s: float, core_s: float, chain_s: float
-) -> None:
+def note(turns: Turns, pool: str, at_s: float, core_s: float) -> None:
     """Note the arrival of a job; arrivals come in order of time."""
     if turns.began_s is None:
         turns.began_s = at_s
     line = turns.lines.setdefault(pool, Line())
     # Ends a turn that went by unnoticed.
     update(turns, pool, at_s)
-    line.arrivals.append((at_s, core_s, chain_s))
+    line.arrivals.append((at_s, core_s))
     while line.arrivals[0][0] < at_s - MEAN_S:
         line.arrivals.popleft()
     update(turns, pool, at_s)
 
 
-def present_cores(
-    line: Line, now_s: float, window_s: float = WINDOW_S
-) -> float:
+def present_cores(line: Line, now_s: float) -> float:
     """Give the cores that arrivals at the present rate keep busy."""
-    work = sum(
-        core_s
-        for at_s, core_s, _chain_s in line.arrivals
-        if at_s > now_s - window_s
-    )
-    return work / window_s
+    return _work(line, now_s - WINDOW_S) / WINDOW_S
+
+
+def _work(line: Line, since_s: float) -> float:
+    return sum(core_s for at_s, core_s in line.arrivals if at_s > since_s)
 
 
-def soon_cores(
-    line: Line, busy_cores: float, ahead_s: float, now_s: float
-) -> float:
-    """Give the cores that will be busy some time ahead.
+def soon_cores(line: Line, now_s: float) -> float:
+    """Give the cores that the present rate will keep busy for sure.
 
-    Those that are busy now, and what arrives until then at the present
-    rate: a job takes up its cores over the time that it lasts.
+    Few arrivals say little of the rate, as the sizes of jobs differ by
+    several times; they count for less.
     """
-    window_s = RATE_S if line.in_turn else WINDOW_S
-    rate = present_cores(line, now_s, window_s)
-    chains = [
-        chain_s
-        for at_s, _core_s, chain_s in line.arrivals
-        if at_s > now_s - window_s
-    ]
-    if not chains:
-        return busy_cores
-    chain_s = max(MIN_CHAIN_S, sum(chains) / len(chains))
-    return min(max(busy_cores, rate), busy_cores + rate * ahead_s / chain_s)
+    count = sum(row[0] > now_s - WINDOW_S for row in line.arrivals)
+    part = count / (count + DOUBT_ARRIVALS)
+    return part * present_cores(line, now_s)
 
 
 def mean_cores(turns: Turns, line: Line, now_s: float) -> float:
@@ -149,9 +129,8 @@
         _begin(turns, line, now_s)
     elif line.in_turn and present < TURN_END_FACTOR * mean:
         line.in_turn = False
-        line.last_peak_cores = line.peak_cores
     if line.in_turn:
-        line.peak_cores = max(line.peak_cores, present)
+        _measure(line, now_s)
 
 
 def _begin(turns: Turns, line: Line, now_s: float) -> None:
@@ -160,7 +139,6 @@
     if line.starts_s and now_s - line.starts_s[-1] < (1 + SAME_TURN) * gap_s:
         return
     line.starts_s.append(now_s)
-    line.peak_cores = 0.0
     if turns.last_start_s is not None:
         gap_s = now_s - turns.last_start_s
         if gap_s >= MIN_GAP_S:
@@ -168,6 +146,14 @@
     turns.last_start_s = now_s
 
 
+def _measure(line: Line, now_s: float) -> None:
+    """Measure the present turn, once it has lasted for a while."""
+    began_s = line.starts_s[-1] - WINDOW_S
+    length_s = now_s - began_s
+    if length_s >= 2 * WINDOW_S:
+        line.turn_cores = _work(line, began_s) / length_s
+
+
 def turn_length_s(turns: Turns) -> float | None:
     """Give the usual time between two starts; None if it isn't known."""
     if not turns.gaps_s:
@@ -228,8 +214,3 @@
         return None
     gap_s = turn_length_s(turns) or MIN_GAP_S
     return now_s + _unseen(turns) * gap_s
-
-
-def expected_peak(line: Line) -> float:
-    """Give the cores that a pool's next turn will keep busy."""
-    return max(line.last_peak_cores, line.peak_cores)
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -17,7 +17,7 @@
     for number in range(count):
         at_s = from_s + number / per_s
         pool = POOLS[int(at_s / TURN_S) % len(POOLS)]
-        turns_.note(turns, pool, at_s, core_s, 1.0)
+        turns_.note(turns, pool, at_s, core_s)
 
 
 def test_turn_is_noticed_within_its_first_second():
@@ -52,7 +52,7 @@
 def test_single_arrivals_are_no_turn():
     turns = turns_.Turns(pools=frozenset(POOLS))
     for number in range(10):
-        turns_.note(turns, 'a', number * 3.0, 20.0, 1.0)
+        turns_.note(turns, 'a', number * 3.0, 20.0)
     assert not turns.lines['a'].in_turn
 
 
