--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -11,6 +11,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
+from oleanderwood.leading import intake
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
 from oleanderwood.platform import transport
@@ -22,6 +23,7 @@
 
 STATE_PATH = '/state/'
 PENDING_PATH = '/pending/'
+JOBS_PATH = '/jobs'
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -60,6 +62,32 @@
     return Told(pending=count)
 
 
+async def tell_jobs(asking: Asking, jobs: list[model.Job]) -> None:
+    """Tell the leader of jobs that lie in the store.
+
+    It would see them there itself, but a watch may hear nothing for a
+    second. Nothing depends on the call.
+    """
+    leader = asking.server.leader
+    if leader is not None and not leader.deposed:
+        await intake.take_jobs(leader, jobs)
+        return
+    known = asking.server.roles.leader
+    if known is None or known.process == asking.server.process:
+        return
+    try:
+        await transport.call(
+            asking.kept,
+            known.address,
+            'POST',
+            JOBS_PATH,
+            msgspec.json.encode(jobs),
+            timeout_s=ASK_TIMEOUT_S,
+        )
+    except errors.CallFailed as error:
+        event_log.emit('caller', 'leader-not-told', why=error.reason)
+
+
 async def state(asking: Asking, job: ids.JobId) -> model.State | None:
     """Give a job's state; None if there is no such job.
 
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -1,5 +1,6 @@
 """Handing jobs in and cancelling them: written before it is answered."""
 
+import collections.abc
 import dataclasses
 
 import curio
@@ -38,11 +39,20 @@
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
+Written = collections.abc.Callable[
+    [list[model.Job]], collections.abc.Awaitable[None]
+]
+
+
 @dataclasses.dataclass
 class Intake:
-    """Jobs that wait for the next write."""
+    """Jobs that wait for the next write.
+
+    :ivar written: gets jobs that lie in the store now
+    """
 
     store: stores.Store
+    written: Written
     waiting: list[Handed] = dataclasses.field(default_factory=list)
     arrived: curio.Event = dataclasses.field(default_factory=curio.Event)
 
@@ -75,20 +85,28 @@
         while intake.waiting:
             batch = intake.waiting[:MOST_A_WRITE]
             del intake.waiting[:MOST_A_WRITE]
-            await curio.spawn(_write, intake.store, batch, daemon=True)
+            await curio.spawn(_write, intake, batch, daemon=True)
 
 
-async def _write(store: stores.Store, batch: list[Handed]) -> None:
+async def _write(intake: Intake, batch: list[Handed]) -> None:
+    left = batch
     try:
         for _attempt in range(ATTEMPTS):
-            batch = await _try(store, batch)
-            if not batch:
-                return
+            left = await _try(intake.store, left)
+            if not left:
+                break
     finally:
-        for handed in batch:
+        for handed in left:
             if handed.verdict is None:
                 handed.verdict = verdicts.Verdict.MAY_HAVE_RUN
             await handed.done.set()
+    done = [
+        handed.job
+        for handed in batch
+        if handed.verdict is verdicts.Verdict.RAN and not handed.known
+    ]
+    if done:
+        await intake.written(done)
 
 
 async def _try(store: stores.Store, batch: list[Handed]) -> list[Handed]:
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -31,27 +31,41 @@
         return
     if item.key.startswith(record.JOB_PREFIX):
         job = JOB_DECODER.decode(item.value)
-        if job.job in leader.ledger.entries:
-            return
-        entry = ledgers.add(leader.ledger, job, now_s, inherited)
-        if not inherited:
-            pool_loop.note_arrival(leader, entry, now_s)
-            event_log.emit(
-                'job',
-                'taken',
-                job=job.job,
-                queue=job.queue.name,
-                steps=len(job.work.steps),
-                tasks=sum(step.tasks for step in job.work.steps),
-                traits=_traits(job),
-                age_ms=round(clock.wall_ms() - job.handed_in_ms),
-            )
-        if job.job in leader.cancelled_unknown:
-            cancel(leader, job.job)
+        _take_job(leader, job, now_s, inherited)
     elif item.key.startswith(record.CANCEL_PREFIX):
         cancel(leader, ids.JobId(item.key.removeprefix(record.CANCEL_PREFIX)))
 
 
+def _take_job(
+    leader: states.Leader, job: model.Job, now_s: float, inherited: bool
+) -> None:
+    if job.job in leader.ledger.entries:
+        return
+    entry = ledgers.add(leader.ledger, job, now_s, inherited)
+    if not inherited:
+        pool_loop.note_arrival(leader, entry, now_s)
+        event_log.emit(
+            'job',
+            'taken',
+            job=job.job,
+            queue=job.queue.name,
+            steps=len(job.work.steps),
+            tasks=sum(step.tasks for step in job.work.steps),
+            traits=_traits(job),
+            age_ms=round(clock.wall_ms() - job.handed_in_ms),
+        )
+    if job.job in leader.cancelled_unknown:
+        cancel(leader, job.job)
+
+
+async def take_jobs(leader: states.Leader, jobs: list[model.Job]) -> None:
+    """Take in jobs that the server which wrote them tells of."""
+    now_s = clock.now_s()
+    for job in jobs:
+        _take_job(leader, job, now_s, inherited=False)
+    await after_intake(leader)
+
+
 def _traits(job: model.Job) -> list[str]:
     """Name what a job asks for beyond plain tasks, for the log."""
     named = {
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -139,6 +139,9 @@
         elif machine.state is fleet.State.UP and service in standby:
             standby[service].append(member)
     _note_demand(leader, views, now_s)
+    for service, view in views.items():
+        size = leader.first_sizes.setdefault(service, len(view.members))
+        view.first_size = size
     return list(views.values()), standby
 
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -112,6 +112,9 @@
         default_factory=lengths_.Lengths
     )
     turns: turns_.Turns = dataclasses.field(default_factory=turns_.Turns)
+    first_sizes: dict[ids.ServiceId, int] = dataclasses.field(
+        default_factory=dict
+    )
     shortage_told_s: float = -1e9
     moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -21,9 +21,11 @@
 from oleanderwood import http
 from oleanderwood import http_server
 from oleanderwood import ids
+from oleanderwood.jobs import model
 from oleanderwood.leading import confirming
 from oleanderwood.leading import election
 from oleanderwood.leading import following
+from oleanderwood.leading import intake as leading_intake
 from oleanderwood.leading import lease
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
@@ -38,6 +40,9 @@
 MAX_FAULT_TEXT = 3000
 """Characters of a fault's traceback that are logged."""
 
+MAX_TOLD_BYTES = 1 << 20
+"""Largest message on new jobs: a write's worth of them, 5,000 bytes each."""
+
 QUIET_S = 1.5
 """A stopping process ends once it was asked nothing for this long, and the
 balancer has had two looks at it, a second apart."""
@@ -69,8 +74,13 @@
 
 def make_frontend(server: states.Server) -> handlers.Frontend:
     """Make what callers' requests are answered from."""
-    intake = intakes.Intake(server.store)
-    return handlers.Frontend(server, intake, askings.Asking(server))
+    asking = askings.Asking(server)
+
+    async def written(jobs: list[model.Job]) -> None:
+        await askings.tell_jobs(asking, jobs)
+
+    intake = intakes.Intake(server.store, written)
+    return handlers.Frontend(server, intake, asking)
 
 
 def make_parts(server: states.Server, frontend: handlers.Frontend) -> list:
@@ -173,6 +183,8 @@
         path = request.target
         if path == confirming.PATH:
             return _json(confirming.contact(server))
+        if path == askings.JOBS_PATH:
+            return await _told_jobs(server, request)
         if path.startswith((askings.STATE_PATH, askings.PENDING_PATH)):
             return _tell(server, path)
         return await probes(request)
@@ -180,6 +192,18 @@
     return handle
 
 
+async def _told_jobs(
+    server: states.Server, request: http.Request
+) -> http.Response:
+    body = await http.read_all(request.body, MAX_TOLD_BYTES)
+    leader = server.leader
+    if leader is None or leader.deposed:
+        return http.Response(409, [], b'does not lead\n')
+    jobs = msgspec.json.decode(body, type=list[model.Job])
+    await leading_intake.take_jobs(leader, jobs)
+    return http.Response(200, [], b'')
+
+
 def _tell(server: states.Server, path: str) -> http.Response:
     leader = server.leader
     if leader is None or leader.deposed:
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -35,6 +35,14 @@
 SPARE_MACHINES = 1
 """Machines beyond the demand that a pool keeps for single arrivals."""
 
+UNSEEN_PART = 0.5
+"""Part of its first machines that a pool keeps until its first turn, which
+nothing foretells."""
+
+ENDED_S = 1.0
+"""Time after a turn's end in which machines stay: a lull, or a store that
+tells nothing for a second, looks like an end."""
+
 MOST_MOVES = 4
 """Moves decided in one pass; each costs an order of about 10 ms."""
 
@@ -59,12 +67,14 @@
 
     :ivar busy_cores: cores of tasks that run or whose turn has come
     :ivar held_cores: of these, cores of tasks that last
+    :ivar first_size: machines that it had at first
     """
 
     service: ids.ServiceId
     members: list[Member]
     busy_cores: float = 0.0
     held_cores: float = 0.0
+    first_size: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -159,7 +169,10 @@
         begin_s = turns_.next_turn_s(turns, pool.service, now_s)
         if begin_s is not None and _near(begin_s, now_s, KEEP_NEAR_S + move_s):
             continue
-        surplus = len(pool.members) - wanted[pool.service] - SPARE_MACHINES
+        kept = wanted[pool.service] + SPARE_MACHINES
+        if _turn_is_to_come(turns, pool.service):
+            kept = max(kept, math.ceil(UNSEEN_PART * pool.first_size))
+        surplus = len(pool.members) - kept
         idle = [member for member in pool.members if _movable(member, now_s)]
         idle.sort(key=lambda member: member.worker.idle_since_s)
         rows += [(pool.service, member) for member in idle[: max(0, surplus)]]
@@ -167,6 +180,13 @@
     return rows
 
 
+def _turn_is_to_come(turns: turns_.Turns, service: ids.ServiceId) -> bool:
+    """Say whether a pool that takes turns hasn't had its first."""
+    line = turns.lines.get(service)
+    seen = line is not None and bool(line.starts_s)
+    return service in turns.pools and not seen
+
+
 def _movable(member: Member, now_s: float) -> bool:
     worker = member.worker
     return (
@@ -207,6 +227,9 @@
 ) -> bool:
     """Say whether a pool's next turn is surely some time away."""
     begin_s = turns_.earliest_turn_s(turns, service, now_s)
-    if begin_s is None:
+    line = turns.lines.get(service)
+    if begin_s is None or line is None or line.in_turn:
+        return False
+    if now_s - line.ended_s < ENDED_S:
         return False
     return begin_s - now_s > KEEP_NEAR_S + move_s
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -35,9 +35,6 @@
 TURN_ARRIVALS = 2
 """Arrivals in the window that a turn takes at least."""
 
-SAME_TURN = 0.5
-"""Two starts of one queue within this part of the usual gap are one turn."""
-
 MIN_GAP_S = 2.0
 """Starts of two queues closer than this tell nothing of a turn's length."""
 
@@ -56,6 +53,7 @@
     )
     starts_s: list[float] = dataclasses.field(default_factory=list)
     in_turn: bool = False
+    ended_s: float = -1e9
     turn_cores: float = 0.0
 
 
@@ -72,6 +70,7 @@
     pools: frozenset[str] = frozenset()
     began_s: float | None = None
     last_start_s: float | None = None
+    last_pool: str = ''
     gaps_s: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -126,17 +125,18 @@
     mean = mean_cores(turns, line, now_s)
     high = recent >= TURN_ARRIVALS and present >= TURN_FACTOR * mean
     if high and not line.in_turn:
-        _begin(turns, line, now_s)
+        _begin(turns, pool, line, now_s)
     elif line.in_turn and present < TURN_END_FACTOR * mean:
         line.in_turn = False
+        line.ended_s = now_s
     if line.in_turn:
         _measure(line, now_s)
 
 
-def _begin(turns: Turns, line: Line, now_s: float) -> None:
+def _begin(turns: Turns, pool: str, line: Line, now_s: float) -> None:
     line.in_turn = True
-    gap_s = turn_length_s(turns) or MIN_GAP_S
-    if line.starts_s and now_s - line.starts_s[-1] < (1 + SAME_TURN) * gap_s:
+    if turns.last_pool == pool:
+        # After a lull; turns of one pool have others' between them.
         return
     line.starts_s.append(now_s)
     if turns.last_start_s is not None:
@@ -144,6 +144,7 @@
         if gap_s >= MIN_GAP_S:
             turns.gaps_s.append(gap_s)
     turns.last_start_s = now_s
+    turns.last_pool = pool
 
 
 def _measure(line: Line, now_s: float) -> None:
@@ -174,7 +175,8 @@
         return None
     if len(line.starts_s) > 1:
         period_s = line.starts_s[-1] - line.starts_s[-2]
-        return _upcoming_s(line.starts_s[-1], period_s, now_s)
+        if period_s > MIN_GAP_S * len(turns.pools):
+            return _upcoming_s(line.starts_s[-1], period_s, now_s)
     gap_s = turn_length_s(turns)
     if gap_s is None or len(turns.pools) < 2 or _unseen(turns):
         return None
