Announce orders for machines, so that a new leader needn't wait with all

Each order is announced in the store first; the checker of the emulator knows the rule (pause, order of terms) now.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -15,6 +15,9 @@
 NOTICE_S = 4.5
 """Time after which a task counts as away for whatever cause."""
 
+TURN_S = 3.0
+"""Pause between two leaders' orders for one machine."""
+
 DRAIN_S = 2.0
 """Time after which nothing starts on an executor that leaves."""
 
@@ -36,6 +39,7 @@
         *_drained(evidence),
         *_maintained(evidence, most_down, maintenance_s),
         *_away(evidence, jobs),
+        *_turns(evidence),
     ]
 
 
@@ -179,7 +183,7 @@
     notice = {}
     for sight in evidence.sights:
         if sight.kind is Kind.DRAINING:
-            notice[sight.place] = sight.at_s
+            notice.setdefault(sight.place, sight.at_s)
         elif sight.kind is Kind.STARTED and sight.place in notice:
             if sight.at_s > notice[sight.place] + DRAIN_S:
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
@@ -197,6 +201,25 @@
                 yield f'LIMIT at {sight.at_s:.2f}: {down} machines down'
 
 
+def _turns(evidence):
+    """Two leaders don't order one machine in quick succession."""
+    last = {}
+    for sight in evidence.sights:
+        if sight.kind is not Kind.ORDERED:
+            continue
+        before = last.get(sight.place)
+        last[sight.place] = sight
+        if before is None or before.by == sight.by:
+            continue
+        if sight.attempt <= before.attempt:
+            yield f'ONE at {sight.at_s:.2f}: {sight.place}, an older term'
+        if sight.at_s - before.at_s < TURN_S:
+            yield (
+                f'ONE at {sight.at_s:.2f}: {sight.place} by {sight.by}, '
+                f'{sight.at_s - before.at_s:.2f} s after {before.by}'
+            )
+
+
 def _away(evidence, jobs):
     """No order of ours ends a task that lasts while too many are away.
 
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -25,6 +25,9 @@
     """A job's state as a caller was told."""
 
     CANCELLED = 'cancelled'
+    ORDERED = 'ordered'
+    """A machine was ordered; ``attempt`` is the term."""
+
     MAINTAINED = 'maintained'
     DRAINING = 'draining'
 
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -85,6 +85,8 @@
             if value != seen or key not in world.store.items:
                 await stores.put(world.store, key, value)
                 seen = value
+                if executor.draining:
+                    _note_notice(world, executor)
             silent_s = 0.0
         elif not heard:
             silent_s += 0.25
@@ -95,6 +97,15 @@
         await curio.sleep(0.25)
 
 
+def _note_notice(world, executor) -> None:
+    evidences.note(
+        world.evidence,
+        clock.now_s(),
+        evidences.Kind.DRAINING,
+        place=executor.name,
+    )
+
+
 async def end_life(fleet: Fleet, machine: Machine, how: str) -> None:
     """End the life of a machine's executor, if it has one."""
     if machine.executor is not None:
@@ -127,12 +138,6 @@
     if executor is None:
         return
     executor.draining = True
-    evidences.note(
-        fleet.world.evidence,
-        clock.now_s(),
-        evidences.Kind.DRAINING,
-        place=executor.name,
-    )
     await curio.sleep(executors.LINGER_S)
     if machine.executor is executor:
         await end_life(fleet, machine, 'left')
@@ -152,6 +157,14 @@
         machine = fleet.machines.get(asked['machine'])
         if machine is None:
             return transport.Answer(400, b'')
+        evidences.note(
+            fleet.world.evidence,
+            clock.now_s(),
+            evidences.Kind.ORDERED,
+            place=machine.name,
+            attempt=int(headers['fencing-token']),
+            by=headers['duty-holder'],
+        )
         if target == '/machine-move':
             return await _move(fleet, machine, asked['pool'])
         return await _maintain(fleet, machine, asked['wave'], source)
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -9,6 +9,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import guarded
+from oleanderwood.leading import machine_turns
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -78,8 +79,6 @@
 async def _drive(leader: states.Leader, progress: wave_plan.Progress) -> None:
     now_s = clock.now_s()
     settings = leader.server.settings
-    if now_s - leader.began_s < settings.machine_turn_ms / 1000:
-        return
     if now_s - leader.machines_read_s > 2 * READ_S or not leader.machines:
         return
     by_machine = _by_machine(leader)
@@ -102,9 +101,14 @@
     if decision.relocate is not None and not decision.order:
         event_log.emit('wave', 'relocates', task=decision.relocate.name)
         await worker_loop.stop_run(leader, decision.relocate)
-    for name in decision.order:
+    order = [
+        name for name in decision.order if machine_turns.is_ours(leader, name)
+    ]
+    if order and not await machine_turns.announce(leader, order):
+        return
+    for name in order:
         await _maintain(leader, progress, name, by_machine.get(name))
-    if decision.order:
+    if order:
         # What went down is told by the list: a machine that was done
         # before, by an earlier leader's order, stays up.
         await pool_loop.read(leader)
--- /dev/null
+++ b/oleanderwood/leading/machine_turns.py
@@ -0,0 +1,73 @@
+"""Whose turn it is to order a machine.
+
+The platform wants a pause between the orders of two leaders for one machine.
+Each order is announced in the store before it is sent, so that a later
+leader knows which machines it must leave alone for a while, and for which
+it needn't wait.
+"""
+
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.leading import guarded
+from oleanderwood.leading import state as states
+from oleanderwood.platform import store as stores
+
+KEY = 'ow/machine-orders'
+
+SKEW_MS = 500.0
+"""How far the times of day of two servers may differ."""
+
+KEPT_MS = 10_000.0
+"""Announcements older than this are dropped; a pause takes 3 s."""
+
+
+class Announced(msgspec.Struct, frozen=True):
+    """Orders that were about to be sent: times of day by machine."""
+
+    wall_ms: dict[str, float] = {}
+
+
+async def announce(leader: states.Leader, machines: list[str]) -> bool:
+    """Announce orders; False if they must not be sent."""
+    wall_ms = clock.wall_ms()
+    known = {
+        name: at_ms
+        for name, at_ms in leader.announced.items()
+        if wall_ms - at_ms < KEPT_MS
+    }
+    known.update(dict.fromkeys(machines, wall_ms))
+    try:
+        await guarded.write(
+            leader, {KEY: msgspec.json.encode(Announced(known))}
+        )
+    except stores.Conflict:
+        await states.depose(leader, 'another server leads')
+        return False
+    except errors.CallFailed as error:
+        event_log.emit('fleet', 'not-announced', why=error.reason)
+        return False
+    leader.announced = known
+    return True
+
+
+def restore(leader: states.Leader, value: bytes) -> None:
+    """Take over an earlier leader's announcements."""
+    pause_ms = leader.server.settings.machine_turn_ms
+    wall_ms = clock.wall_ms()
+    now_s = clock.now_s()
+    kept = msgspec.json.decode(value, type=Announced)
+    leader.announced = dict(kept.wall_ms)
+    for name, at_ms in kept.wall_ms.items():
+        left_ms = at_ms + pause_ms + SKEW_MS - wall_ms
+        # A clock that jumped must not hold a machine for long.
+        left_ms = min(left_ms, pause_ms + SKEW_MS)
+        if left_ms > 0:
+            leader.turn_after_s[name] = now_s + left_ms / 1000
+
+
+def is_ours(leader: states.Leader, machine: str) -> bool:
+    """Say whether the pause after another leader's order is over."""
+    return clock.now_s() >= leader.turn_after_s.get(machine, 0.0)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -5,6 +5,7 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import machine_turns
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
@@ -66,8 +67,6 @@
     now_s = clock.now_s()
     settings = leader.server.settings
     configuration = leader.server.configuration
-    if now_s - leader.began_s < settings.machine_turn_ms / 1000:
-        return
     if now_s - leader.machines_read_s > FRESH_S or configuration is None:
         return
     leader.turns.pools = frozenset(
@@ -80,10 +79,14 @@
         views, standby, leader.turns, settings.move_s, now_s
     )
     _log_shortage(leader, views, standby, now_s)
+    if not moves:
+        return
+    names = [move.machine for move in moves]
+    if not await machine_turns.announce(leader, names):
+        return
     for move in moves:
         await _move(leader, move)
-    if moves:
-        await read(leader)
+    await read(leader)
 
 
 def _log_shortage(
@@ -152,6 +155,11 @@
         for name, until_s in leader.moves_refused.items()
         if until_s > now_s
     }
+    fixed.update(
+        name
+        for name in leader.turn_after_s
+        if not machine_turns.is_ours(leader, name)
+    )
     for progress in leader.waves.values():
         if not progress.completed:
             fixed.update(progress.down)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -18,6 +18,7 @@
 from oleanderwood.leading import intake
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
+from oleanderwood.leading import machine_turns
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import schedule
@@ -116,6 +117,10 @@
     taken = await stores.read_range(store, record.INTAKE_PREFIX)
     kept = await stores.read_range(store, record.PROGRESS_PREFIX)
     waves = await stores.read_range(store, fleet_loop.WAVES_PREFIX)
+    orders = await stores.read(store, machine_turns.KEY)
+    if orders is not None:
+        guarded.note_read(leader, orders)
+        machine_turns.restore(leader, orders.value)
     for item in [*rosters.items, *kept.items, *waves.items]:
         guarded.note_read(leader, item)
     for item in waves.items:
