Be wary while calls to workers go unanswered

After an unanswered call, waits are short for 8 s, and a lost call is asked again at once. Ruled out: room (the pool had 18 to 20 machines) and the order of jobs. Emulated: mean time to a job's end 3.5 -> 2.4 s with one order in twenty late; the test fails before.

--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -117,6 +117,7 @@
     )
     shortage_told_s: float = -1e9
     moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
+    wary_until_s: float = 0.0
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -21,6 +21,19 @@
 IDLE_WAIT_MS = 2000
 """As above for a worker without runs, the most that is allowed."""
 
+WARY_WAIT_MS = 150
+"""As above while calls go unanswered. A lost call looks like a worker that
+has nothing to tell; with one lost in twenty and waits of a second, busy
+workers were out of reach for two thirds of the time."""
+
+WARY_TIMEOUT_S = 0.3
+"""Longest wait for an answer while calls go unanswered; calm ones take
+2 ms, on a machine of ours that is slowed down five times as long."""
+
+WARY_S = 8.0
+"""Time for which one unanswered call makes a leader wary; among the calls
+of so long a time, one in twenty isn't missed."""
+
 SILENT_PAUSE_S = 0.2
 """Pause between calls to a worker that doesn't answer."""
 
@@ -43,18 +56,34 @@
             continue
         wait_ms = IDLE_WAIT_MS
         if worker.runs:
-            wait_ms = BUSY_WAIT_MS
+            wait_ms = WARY_WAIT_MS if _is_wary(leader) else BUSY_WAIT_MS
         if not worker.fenced or worker.silent_since_s is not None:
             wait_ms = 0
+        first = worker.silent_since_s is None
         answered = await look(leader, worker, wait_ms)
         if not answered:
-            await curio.sleep(SILENT_PAUSE_S)
+            # One lost call is asked again at once.
+            await curio.sleep(0 if first else SILENT_PAUSE_S)
         elif worker.seen_end > worker.kept_end:
             await leader.unkept.set()
             wake = leader.ends_kept[worker.entry.worker]
             await wake.wait(KEEP_PAUSE_S)
 
 
+def _is_wary(leader: states.Leader) -> bool:
+    wary = clock.now_s() < leader.wary_until_s
+    if not wary:
+        leader.calls.timeout_s = executors.ORDER_TIMEOUT_S
+    return wary
+
+
+def _note_unanswered(leader: states.Leader, error: errors.CallFailed) -> None:
+    """Be wary after a call that was sent and got no answer."""
+    if error.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        leader.wary_until_s = clock.now_s() + WARY_S
+        leader.calls.timeout_s = WARY_TIMEOUT_S
+
+
 async def look(
     leader: states.Leader, worker: workers_.Worker, wait_ms: int
 ) -> bool:
@@ -76,6 +105,7 @@
         await lost(leader, worker, 'replaced at its address')
         return False
     except errors.CallFailed as error:
+        _note_unanswered(leader, error)
         _note_silence(worker, error)
         return False
     await _take(leader, worker, report, sent_s)
@@ -250,6 +280,7 @@
 
 
 async def _start_unanswered(leader, worker, task, run, error) -> None:
+    _note_unanswered(leader, error)
     _log_start(worker, task, run, error.verdict.value, error.reason)
     if error.verdict is verdicts.Verdict.NOT_RUN:
         _note_silence(worker, error)
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -45,8 +45,12 @@
 
 @dataclasses.dataclass
 class Executors:
-    """Calls to executors, under one term."""
+    """Calls to executors, under one term.
 
+    :ivar timeout_s: longest wait for the answer to an order
+    """
+
+    timeout_s: float = ORDER_TIMEOUT_S
     kept: connections.Connections = dataclasses.field(
         default_factory=connections.Connections
     )
@@ -214,8 +218,7 @@
         body['deadline_ms'] = int(order.lease_end_clock_ms)
     if order.wait_ms:
         body['wait_ms'] = order.wait_ms
-    timeout_s = ORDER_TIMEOUT_S + order.wait_ms / 1000
-    answer = await _call(calls, at, '/hold', body, timeout_s)
+    answer = await _call(calls, at, '/hold', body, order.wait_ms / 1000)
     return _report(_checked(answer, 'renewal'))
 
 
@@ -257,7 +260,7 @@
     at: reports.Entry,
     target: str,
     body: dict,
-    timeout_s: float = ORDER_TIMEOUT_S,
+    wait_s: float = 0.0,
 ) -> transport.Answer:
     return await transport.call(
         calls.kept,
@@ -266,5 +269,5 @@
         target,
         msgspec.json.encode(body),
         [(b'expect-instance', at.worker.encode('ascii'))],
-        timeout_s=timeout_s,
+        timeout_s=calls.timeout_s + wait_s,
     )
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -57,3 +57,16 @@
         troubles.Trouble(kind, 7.0, 3.0),
     )
     _check(day.Plan(41, troubles=rows))
+
+
+def test_jobs_are_in_time_while_one_order_in_twenty_gets_no_answer():
+    """Mean time to a job's end, over three days: 2.4 s; it was 3.5 s while
+    lost calls were waited for as long as others."""
+    late = troubles.Trouble(troubles.Kind.ORDERS_LATE, 0.0, 60.0)
+    waits_s = []
+    for seed in (5, 6, 7):
+        result = _check(
+            day.Plan(seed, length_s=20.0, jobs_per_s=6.0, troubles=(late,))
+        )
+        waits_s += result.waits_s
+    assert sum(waits_s) / len(waits_s) < 2.8
