--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -103,7 +103,8 @@
     rows = {
         view.service: {
             'has': len(view.members),
-            'needs': wanted[view.service],
+            'needs': wanted[view.service].now,
+            'soon': wanted[view.service].soon,
             'idle': sum(
                 member.worker is not None and not member.worker.runs
                 for member in view.members
@@ -112,7 +113,7 @@
         }
         for view in views
     }
-    if any(row['has'] < row['needs'] for row in rows.values()):
+    if any(row['has'] < row['soon'] for row in rows.values()):
         leader.shortage_told_s = now_s
         event_log.emit('fleet', 'short', pools=rows)
 
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -87,24 +87,16 @@
     why: str
 
 
-def needed(
-    pool: PoolView,
-    turns: turns_.Turns,
-    cores_each: float,
-    move_s: float,
-    now_s: float,
-) -> int:
-    """Give how many machines a pool needs by the time a move takes."""
-    cores = pool.busy_cores
-    line = turns.lines.get(pool.service)
-    if line is not None:
-        soon = turns_.soon_cores(line, now_s)
-        cores = max(cores, pool.held_cores + soon)
-        begin_s = turns_.next_turn_s(turns, pool.service, now_s)
-        if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
-            foreseen = FORESEEN_PART * line.turn_cores
-            cores = max(cores, pool.held_cores + foreseen)
-    return math.ceil(cores / (cores_each * FILL))
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Machines that a pool needs.
+
+    :ivar now: for what it has to do, and what arrives at the present rate
+    :ivar soon: also for a turn that is about to begin
+    """
+
+    now: int
+    soon: int
 
 
 def needs(
@@ -113,17 +105,38 @@
     turns: turns_.Turns,
     move_s: float,
     now_s: float,
-) -> dict[ids.ServiceId, int]:
+) -> dict[ids.ServiceId, Need]:
     """Give how many machines each pool needs."""
     cores_each = _cores_each(pools, standby)
-    if not cores_each:
-        return {pool.service: 0 for pool in pools}
     return {
-        pool.service: needed(pool, turns, cores_each, move_s, now_s)
+        pool.service: _need(pool, turns, cores_each, move_s, now_s)
         for pool in pools
     }
 
 
+def _need(
+    pool: PoolView,
+    turns: turns_.Turns,
+    cores_each: float,
+    move_s: float,
+    now_s: float,
+) -> Need:
+    line = turns.lines.get(pool.service)
+    cores = pool.busy_cores
+    if line is not None:
+        arriving = pool.held_cores + turns_.soon_cores(line, now_s)
+        cores = max(cores, arriving)
+    foreseen = 0.0
+    begin_s = turns_.next_turn_s(turns, pool.service, now_s)
+    if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
+        foreseen = pool.held_cores + FORESEEN_PART * line.turn_cores
+    each = cores_each * FILL
+    if not each:
+        return Need(0, 0)
+    now = math.ceil(cores / each)
+    return Need(now, max(now, math.ceil(foreseen / each)))
+
+
 def _near(begin_s: float, now_s: float, ahead_s: float) -> bool:
     """Say whether a foreseen turn is about to begin, or should have."""
     return begin_s - ahead_s <= now_s <= begin_s + turns_.WINDOW_S
@@ -136,18 +149,59 @@
     move_s: float,
     now_s: float,
 ) -> list[Move]:
-    """Decide moves: first to pools that lack machines, then to standby."""
+    """Decide moves.
+
+    First to pools that lack machines now, if need be from those that keep
+    idle ones for a turn to come; then to pools whose turn is about to begin;
+    then to standby.
+    """
     wanted = needs(pools, standby, turns, move_s, now_s)
-    sources = _sources(pools, wanted, turns, move_s, now_s)
-    moves = _to_lacking(pools, standby, wanted, sources)
+    free = _Free(
+        [
+            (service, member)
+            for service, members in sorted(standby.items())
+            for member in members
+            if not member.fixed
+        ],
+        _sources(pools, wanted, turns, now_s),
+    )
+    near = {
+        pool.service
+        for pool in pools
+        if _turn_is_near(turns, pool.service, move_s, now_s)
+    }
+    moves = _to_lacking(
+        pools, {name: need.now for name, need in wanted.items()}, free, set()
+    )
+    moves += _to_lacking(
+        pools, {name: need.soon for name, need in wanted.items()}, free, near
+    )
     if standby:
         target = min(standby)
-        for service, member in sources:
-            if _may_rest(turns, service, move_s, now_s):
+        for service, member in free.idle:
+            if service not in near and _may_rest(
+                turns, service, move_s, now_s
+            ):
                 moves.append(Move(member.machine, service, target, 'idle'))
     return moves[:MOST_MOVES]
 
 
+@dataclasses.dataclass
+class _Free:
+    """Machines that may move: on standby, and idle in their pools."""
+
+    resting: list[tuple[ids.ServiceId, Member]]
+    idle: list[tuple[ids.ServiceId, Member]]
+    coming: dict[ids.ServiceId, int] = dataclasses.field(default_factory=dict)
+
+
+def _turn_is_near(
+    turns: turns_.Turns, service: ids.ServiceId, move_s: float, now_s: float
+) -> bool:
+    begin_s = turns_.next_turn_s(turns, service, now_s)
+    return begin_s is not None and _near(begin_s, now_s, KEEP_NEAR_S + move_s)
+
+
 def _cores_each(pools, standby) -> float:
     members = [member for pool in pools for member in pool.members]
     members += [member for rows in standby.values() for member in rows]
@@ -158,18 +212,14 @@
 
 def _sources(
     pools: collections.abc.Sequence[PoolView],
-    wanted: dict[ids.ServiceId, int],
+    wanted: dict[ids.ServiceId, Need],
     turns: turns_.Turns,
-    move_s: float,
     now_s: float,
 ) -> list[tuple[ids.ServiceId, Member]]:
-    """Give idle machines beyond what their pools need, idlest first."""
+    """Give idle machines beyond what their pools need now, idlest first."""
     rows = []
     for pool in pools:
-        begin_s = turns_.next_turn_s(turns, pool.service, now_s)
-        if begin_s is not None and _near(begin_s, now_s, KEEP_NEAR_S + move_s):
-            continue
-        kept = wanted[pool.service] + SPARE_MACHINES
+        kept = wanted[pool.service].now + SPARE_MACHINES
         if _turn_is_to_come(turns, pool.service):
             kept = max(kept, math.ceil(UNSEEN_PART * pool.first_size))
         surplus = len(pool.members) - kept
@@ -198,30 +248,47 @@
     )
 
 
-def _to_lacking(pools, standby, wanted, sources) -> list[Move]:
-    lacking = sorted(
-        pools,
-        key=lambda pool: len(pool.members) - wanted[pool.service],
-    )
-    resting = [
-        (service, member)
-        for service, members in sorted(standby.items())
-        for member in members
-        if not member.fixed
-    ]
+def _to_lacking(
+    pools: collections.abc.Sequence[PoolView],
+    wanted: dict[ids.ServiceId, int],
+    free: _Free,
+    spared: set[ids.ServiceId],
+) -> list[Move]:
+    """Move machines to pools that lack them, the neediest first.
+
+    :param spared: pools that keep their idle machines
+    """
+    lacks = {
+        pool.service: wanted[pool.service]
+        - len(pool.members)
+        - free.coming.get(pool.service, 0)
+        for pool in pools
+    }
     moves = []
-    for pool in lacking:
-        missing = wanted[pool.service] - len(pool.members)
-        while missing > 0 and (resting or sources):
-            if resting:
-                source, member = resting.pop(0)
-            else:
-                source, member = sources.pop(0)
-            moves.append(Move(member.machine, source, pool.service, 'needed'))
-            missing -= 1
+    for service in sorted(lacks, key=lambda name: -lacks[name]):
+        for _ in range(max(0, lacks[service])):
+            taken = _take(free, service, spared)
+            if taken is None:
+                break
+            source, member = taken
+            moves.append(Move(member.machine, source, service, 'needed'))
+            free.coming[service] = free.coming.get(service, 0) + 1
     return moves
 
 
+def _take(
+    free: _Free, target: ids.ServiceId, spared: set[ids.ServiceId]
+) -> tuple[ids.ServiceId, Member] | None:
+    """Take a machine from standby, else an idle one of another pool."""
+    if free.resting:
+        return free.resting.pop(0)
+    for row in free.idle:
+        if row[0] != target and row[0] not in spared:
+            free.idle.remove(row)
+            return row
+    return None
+
+
 def _may_rest(
     turns: turns_.Turns, service: ids.ServiceId, move_s: float, now_s: float
 ) -> bool:
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -169,3 +169,13 @@
     other.first_size = 6
     moves = _decide([lacking, other], turns=turns)
     assert len(moves) == 1
+
+
+def test_present_need_goes_before_a_foreseen_turn():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    now_s = 23.0
+    _play(turns, now_s)
+    waiting = _pool('a', [_member(f'n{i}', now_s=now_s) for i in range(4)])
+    lacking = _pool('c', [_member('m1', busy=True)], busy_cores=90.0)
+    moves = _decide([waiting, lacking], turns=turns, now_s=now_s)
+    assert moves and all(move.target == 'c' for move in moves)
