--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -84,7 +84,12 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Group:
-    """The tasks of one step in one occurrence of a job."""
+    """The tasks of one step in one occurrence of a job.
+
+    :ivar tickets: workers that may run it, if its queue needs advice, with
+        what a start must carry; None before they are known
+    :ivar advised_until_s: until when the tickets are good
+    """
 
     entry: 'Entry'
     occurrence: int
@@ -94,6 +99,8 @@
     waiting: dict[int, Task] = dataclasses.field(default_factory=dict)
     left: int = 0
     ready_since_s: float = 0.0
+    tickets: dict[ids.VmId, str] | None = None
+    advised_until_s: float = 0.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- /dev/null
+++ b/oleanderwood/leading/advising.py
@@ -0,0 +1,84 @@
+"""Asking for advice on the steps of queues that need it."""
+
+import curio
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.platform import advice
+from oleanderwood.pools import placing
+
+LOOK_S = 0.05
+"""Time between two looks for steps without advice."""
+
+AGAIN_S = 2.0
+"""Time after which a step is asked for again of which no worker is good
+that is there now."""
+
+SLACK_S = 0.3
+"""How much earlier than the platform we take a ticket for expired."""
+
+
+async def advise_always(leader: states.Leader, calls: advice.Advice) -> None:
+    """Ask for one step after another, until cancelled.
+
+    The service takes a machine's questions in turn, so more at a time would
+    gain nothing.
+    """
+    while True:
+        group = _next(leader)
+        if group is None:
+            await curio.sleep(LOOK_S)
+            continue
+        await _ask(leader, calls, group)
+
+
+def _next(leader: states.Leader) -> ledgers.Group | None:
+    """Give the ready step that has waited for advice longest."""
+    known = states.known_queues(leader)
+    wall_ms = clock.wall_ms()
+    now_s = clock.now_s()
+    for group in leader.ledger.open_groups:
+        queue = placing.queue_of(group.entry, known)
+        if not queue.needs_advice or now_s < group.advised_until_s:
+            continue
+        if ledgers.is_ready(group, wall_ms):
+            return group
+    return None
+
+
+async def _ask(
+    leader: states.Leader, calls: advice.Advice, group: ledgers.Group
+) -> None:
+    known = states.known_queues(leader)
+    service = placing.queue_of(group.entry, known).service
+    workers = [
+        worker.entry.worker
+        for worker in leader.workers.values()
+        if worker.entry.service == service and not worker.entry.draining
+    ]
+    step = group.tasks[0].name.rpartition('.')[0]
+    asked_s = clock.now_s()
+    group.advised_until_s = asked_s + AGAIN_S
+    if not workers:
+        return
+    try:
+        advised = await advice.ask(calls, step, workers)
+    except errors.CallFailed as error:
+        event_log.emit('advice', 'failed', step=step, why=error.reason)
+        return
+    now_s = clock.now_s()
+    group.tickets = dict(advised.tickets)
+    event_log.emit(
+        'advice',
+        'got',
+        step=step,
+        asked=len(workers),
+        good=len(advised.tickets),
+        after_s=round(now_s - asked_s, 3),
+    )
+    if advised.tickets:
+        group.advised_until_s = now_s + max(0.0, advised.valid_s - SLACK_S)
+    await leader.due.set()
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -11,6 +11,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import record
+from oleanderwood.leading import advising
 from oleanderwood.leading import confirming
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import following
@@ -24,6 +25,7 @@
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.platform import advice
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
@@ -104,6 +106,10 @@
         confirming.confirm_always(leader),
         _watch_role(leader),
     ]
+    address = leader.server.settings.advice_address
+    if address is not None:
+        calls = advice.Advice(address)
+        parts.append(advising.advise_always(leader, calls))
     if leader.machine_calls is not None:
         parts.append(fleet_loop.manage_always(leader))
     return parts
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -9,8 +9,10 @@
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
 from oleanderwood.pools import lengths
+from oleanderwood.pools import pacing
 from oleanderwood.pools import placing
 from oleanderwood.pools import reports
+from oleanderwood.pools import stalls
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 from oleanderwood import verdict as verdicts
@@ -165,10 +167,30 @@
     if leader.ledger.dirty:
         await leader.unkept.set()
         await stop_ended_jobs(leader)
+    for pace in pacing.decide(worker):
+        await leader.orders[name].put(('pace', pace.task, pace.percent))
+    for task in stalls.stalled(worker, now_s):
+        await _give_up_stalled(leader, worker, task)
     if outcome.changed:
         await leader.due.set()
 
 
+async def _give_up_stalled(
+    leader: states.Leader, worker: workers_.Worker, task: ledgers.Task
+) -> None:
+    event_log.emit(
+        'run',
+        'stalled',
+        task=task.name,
+        attempt=task.run.attempt,
+        worker=worker.entry.worker,
+        percent=task.run.percent,
+    )
+    worker.stalled += 1
+    task.failed_on = worker.entry.worker
+    await stop_run(leader, task)
+
+
 async def stop_ended_jobs(leader: states.Leader) -> None:
     """Stop what still runs of jobs that have ended."""
     for entry in list(leader.ledger.dirty.values()):
@@ -272,6 +294,7 @@
         lease_end_ms,
         leader.term,
         task.checkpoint,
+        (task.group.tickets or {}).get(worker.entry.worker, ''),
     )
     try:
         refusal = await executors.start(leader.calls, worker.entry, order)
@@ -311,6 +334,8 @@
     if refusal is executors.Refusal.REPLACED:
         await lost(leader, worker, 'replaced at its address')
         return
+    if refusal is executors.Refusal.NO_TICKET:
+        task.group.advised_until_s = 0.0
     if refusal is executors.Refusal.UNHEALTHY:
         worker.unhealthy_until_s = clock.now_s() + UNHEALTHY_S
     if task.run is run:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -43,6 +43,7 @@
     suspect: bool
     tasks: int
     lasting: int
+    serving: bool = False
     mates: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -65,6 +66,10 @@
             workers_.suspect(worker),
             len(worker.runs),
             sum(task.group.step.long_running for task in worker.runs.values()),
+            any(
+                task.group.step.latency_target_ms > 0
+                for task in worker.runs.values()
+            ),
         )
         for task in worker.runs.values():
             room.mates[task.group] += 1
@@ -137,6 +142,7 @@
         not near,
         lasts and room.worker.due,
         lasts and room.mates[group] >= LASTING_TOGETHER,
+        step.uses_leftover and room.serving,
         lasts and not room.lasting,
         room.cpu_millicores,
     )
@@ -150,6 +156,9 @@
         return False
     if needs.memory_mb > room.memory_mb or needs.gpus > room.gpus:
         return False
+    if group.tickets is not None:
+        if room.worker.entry.worker not in group.tickets:
+            return False
     if step.label and step.label not in room.worker.entry.labels:
         return False
     if step.max_per_worker and room.mates[group] >= step.max_per_worker:
@@ -264,6 +273,8 @@
     for group in list(ledger.open_groups):
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
+        if _unadvised(group, known, now_s):
+            continue
         if not group.ready_since_s:
             group.ready_since_s = now_s
         queue = queue_of(group.entry, known)
@@ -277,6 +288,15 @@
     }
 
 
+def _unadvised(
+    group: ledgers.Group, known: dict[str, queues.Queue], now_s: float
+) -> bool:
+    """Say whether a step has to wait for advice."""
+    if not queue_of(group.entry, known).needs_advice:
+        return False
+    return group.tickets is None or now_s >= group.advised_until_s
+
+
 def queue_of(
     entry: ledgers.Entry, known: dict[str, queues.Queue]
 ) -> queues.Queue:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -24,13 +24,6 @@
 """Failed runs of different tasks, with no good one between, after which a
 worker is tried with one task at a time; a sound one fails a few in 1,000."""
 
-STALLED_FACTOR = 4.0
-"""How many times the expected time a run may take to its next sign of
-progress; a slow worker takes up to about six times as long in all."""
-
-STALLED_MIN_S = 2.5
-"""A run that moved within this time isn't stalled, however short it is."""
-
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Worker:
@@ -47,6 +40,7 @@
     :ivar due: its machine is due for maintenance
     :ivar closed: no new tasks, its machine is about to go down or move
     :ivar failures: failed runs since the last good one
+    :ivar stalled: runs that made no headway, since the last good one
     """
 
     entry: reports.Entry
@@ -160,6 +154,7 @@
     expected = current and task.run.phase is not ledgers.RunPhase.STOPPING
     if row.how is reports.How.DONE:
         worker.failures = 0
+        worker.stalled = 0
         worker.failed_tasks.clear()
         if current:
             length_s = now_s - task.run.begun_s
