--- a/oleanderwood/upkeeps/availability.py
+++ b/oleanderwood/upkeeps/availability.py
@@ -46,13 +46,28 @@
 
 def may_end_all(worker: workers_.Worker, now_s: float) -> bool:
     """Say whether all that runs on a worker may be ended by an order."""
-    here: dict[ledgers.Group, int] = {}
-    for task in worker.runs.values():
-        group = task.group
-        if group.step.long_running and not ledgers.final(group.entry):
-            # One that doesn't work is counted as away already.
-            here[group] = here.get(group, 0) + at_work(task, now_s)
-    return all(
-        count == 0 or count <= spares(group, now_s)
-        for group, count in here.items()
-    )
+    groups = {
+        task.group
+        for task in worker.runs.values()
+        if task.group.step.long_running and not ledgers.final(task.group.entry)
+    }
+    return all(_may_end(group, worker, now_s) for group in groups)
+
+
+def _may_end(
+    group: ledgers.Group, worker: workers_.Worker, now_s: float
+) -> bool:
+    """Weigh one step: those here that may work against those away.
+
+    A task that has worked for a short while only counts for the worse: here
+    it would be ended, elsewhere it is away.
+    """
+    ended = away = 0
+    for task in group.tasks:
+        run = task.run
+        here = task.name in worker.runs
+        if here and run is not None and run.at_work_since_s is not None:
+            ended += 1
+        elif not at_work(task, now_s):
+            away += 1
+    return ended == 0 or ended + away <= max(1, group.step.may_miss)
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -152,3 +152,19 @@
     progress.down['a'] = wave_plan.Ordered('w-a', 9.0)
     wave_plan.note_returns(progress, _returned('a'), 20.0, MAINTENANCE_S)
     assert progress.down
+
+
+def test_tasks_just_taken_over_from_an_earlier_leader_count_as_working():
+    worker = build.worker('w1')
+    ledger = _serving(worker, tasks=2, may_miss=1)
+    for index in range(2):
+        build.task(ledger, 0, index).run.at_work_since_s = 9.95
+    assert not availability.may_end_all(worker, 10.0)
+
+
+def test_tasks_that_start_up_may_be_ended():
+    worker = build.worker('w1')
+    ledger = _serving(worker, tasks=2, may_miss=1)
+    for index in range(2):
+        build.task(ledger, 0, index).run.at_work_since_s = None
+    assert availability.may_end_all(worker, 10.0)
