Let jobs that can't end in time any more give way before they are late

Cause: first come, first served begins each job at the edge of its time once a turn asks for more than the pool holds, so that all end late.

--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -117,6 +117,17 @@
     return max(ends, default=0.0)
 
 
+def remaining_chain_ms(work: Work, number: int) -> float:
+    """Give the least time from the begin of a step to the end of the job."""
+    rest: dict[int, float] = {}
+    for index in range(len(work.steps) - 1, number - 1, -1):
+        after = [
+            rest[later] for later in rest if index in work.steps[later].after
+        ]
+        rest[index] = work.steps[index].estimate_ms + max(after, default=0.0)
+    return rest[number]
+
+
 def task_name(
     job: ids.JobId, occurrence: int, step: int, index: int
 ) -> ids.TaskId:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -247,7 +247,9 @@
 
     Tasks that last go first: their work counts by the second. Then by
     priority; then jobs that can still be on time in order of arrival, then
-    those that are late, and those that are worthless by now last.
+    those that can't, and those that are worthless by now last. A job that
+    would begin at the edge of its time would end late and make the next one
+    late as well; in a turn that a pool can't hold, all would be.
     """
     entry = group.entry
     if group.step.long_running:
@@ -257,11 +259,17 @@
     tier = 0
     if age_s > LATE_FACTOR * objective:
         tier = 2
-    elif age_s > objective:
+    elif age_s + _remaining_s(group) > objective:
         tier = 1
     return (1, queue.priority, tier, entry.arrived_s, group.number)
 
 
+def _remaining_s(group: ledgers.Group) -> float:
+    """Give the time that a job still takes, by the caller's guess."""
+    work = group.entry.job.work
+    return model.remaining_chain_ms(work, group.number) / 1000
+
+
 def by_service(
     ledger: ledgers.Ledger,
     known: dict[str, queues.Queue],
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -129,3 +129,16 @@
     record.restore(after, entry, record.Progress(model.State.CANCELLED), 5.0)
     assert ledgers.shown_state(entry) is model.State.CANCELLED
     assert not after.open_groups
+
+
+def test_chains_follow_the_steps_that_wait_for_each_other():
+    work = build.job(
+        build.step(estimate_ms=100.0),
+        build.step(estimate_ms=700.0, after=(0,)),
+        build.step(estimate_ms=200.0, after=(0,)),
+        build.step(estimate_ms=50.0, after=(1, 2)),
+    ).work
+    assert model.longest_chain_ms(work) == 850.0
+    assert model.remaining_chain_ms(work, 0) == 850.0
+    assert model.remaining_chain_ms(work, 2) == 250.0
+    assert model.remaining_chain_ms(work, 3) == 50.0
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -101,6 +101,19 @@
     assert {row.task.group.entry.job.job for row in decided} == {'2' * 16}
 
 
+def test_job_that_would_begin_too_late_to_end_in_time_gives_way():
+    # One second of work; the objective is 2.2 s.
+    old = build.job(build.step(8), name='1' * 16)
+    fresh = build.job(build.step(8), name='2' * 16)
+    ledger = ledgers.Ledger()
+    ledgers.add(ledger, old, 0.0, False)
+    ledgers.add(ledger, fresh, 1.2, False)
+    first = _decide(ledger, [build.worker()], now_s=1.1)
+    assert {row.task.group.entry.job.job for row in first} == {'1' * 16}
+    later = _decide(ledger, [build.worker()], now_s=1.3)
+    assert {row.task.group.entry.job.job for row in later} == {'2' * 16}
+
+
 def test_job_that_fits_nowhere_blocks_no_other():
     huge = build.job(build.step(cpu=99_000), name='1' * 16)
     ledger = build.ledger_with(huge, build.job(name='2' * 16))
