Type the orders and notes of workers; end the term at a fault of their loops

Cause: bare tuples between the parts of a leader; and, found on the way, a fault in a worker's loop left that worker without renewals while the term went on.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -6,9 +6,6 @@
 
 Kind = evidences.Kind
 
-NOTE_S = 1.0
-"""Time after which every leader has to know an acknowledged end."""
-
 CANCEL_S = 3.0
 """Time after which nothing of a cancelled job may start."""
 
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -21,6 +21,10 @@
 """
 
 
+AT_WORK_PERCENT = 100.0
+"""What a long-running task reports once it serves."""
+
+
 class RunPhase(enum.Enum):
     """What is known of a run that may be going on."""
 
@@ -379,7 +383,7 @@
 
 
 def _note_work(task: Task, run: Run, now_s: float) -> None:
-    if run.percent >= 100:
+    if run.percent >= AT_WORK_PERCENT:
         if run.at_work_since_s is None:
             run.at_work_since_s = now_s
     elif run.at_work_since_s is not None:
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -133,8 +133,3 @@
 ) -> ids.TaskId:
     """Name a task, as executors report it."""
     return ids.TaskId(f'{job}.{occurrence}.{step}.{index}')
-
-
-def job_of(task: ids.TaskId) -> ids.JobId:
-    """Give the job that a task's name belongs to."""
-    return ids.JobId(task.partition('.')[0])
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -6,7 +6,6 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 
-PREFIX = 'ow/'
 INTAKE_PREFIX = 'ow/in/'
 """What callers ask for: jobs and cancels. Each is written once."""
 
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -106,4 +106,4 @@
         name = worker.entry.worker
         run = ledgers.begin(leader.ledger, task, name, now_s, attempt)
         worker.runs[task.name] = task
-        await leader.orders[name].put(('start', task, run))
+        await leader.orders[name].put(states.StartOrder(task, run))
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -52,6 +52,30 @@
         self.is_set = False
 
 
+@dataclasses.dataclass(frozen=True)
+class StartOrder:
+    """A start that is to be sent to a worker."""
+
+    task: ledgers.Task
+    run: ledgers.Run
+
+
+@dataclasses.dataclass(frozen=True)
+class StopOrder:
+    """A stop that is to be sent to a worker."""
+
+    task: ids.TaskId
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PaceOrder:
+    """A pace that is to be sent to a worker."""
+
+    task: ledgers.Task
+    percent: int
+
+
 @dataclasses.dataclass
 class Server:
     """One server process.
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -1,5 +1,6 @@
 """The life of one term: taking over, leading, handing over."""
 
+import collections.abc
 import traceback
 
 import curio
@@ -233,8 +234,22 @@
     async with curio.TaskGroup(wait=None) as loops:
         while True:
             worker = await leader.fresh_workers.get()
-            await loops.spawn(worker_loop.renew_always, leader, worker)
-            await loops.spawn(worker_loop.send_orders, leader, worker)
+            for loop in (worker_loop.renew_always, worker_loop.send_orders):
+                await loops.spawn(_until_fault, leader, loop(leader, worker))
+
+
+async def _until_fault(
+    leader: states.Leader, loop: collections.abc.Awaitable
+) -> None:
+    """End the term at a fault in a worker's loop.
+
+    The worker would go on with nobody to renew it; the next term asks anew.
+    """
+    try:
+        await loop
+    except Exception as error:
+        event_log.emit('leader', 'fault', why=_traceback(error))
+        await states.depose(leader, f'a fault: {error!r}')
 
 
 async def _watch_role(leader: states.Leader) -> None:
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -153,22 +153,30 @@
     outcome = workers_.take_report(
         leader.ledger, worker, report, sent_s, now_s, max_attempts
     )
-    for event, task, attempt, why in outcome.notes:
-        server_metrics.ENDS.labels(event).inc()
+    for note in outcome.notes:
+        server_metrics.ENDS.labels(note.event).inc()
         event_log.emit(
-            'run', event, task=task, attempt=attempt, worker=name, why=why
+            'run',
+            note.event,
+            task=note.task,
+            attempt=note.attempt,
+            worker=name,
+            why=note.why,
         )
     for group, length_s in outcome.lengths:
         lengths.note(leader.lengths, group, length_s)
-    for task, attempt in outcome.stops:
-        await leader.orders[name].put(('stop', task, attempt))
+    for stop in outcome.stops:
+        order = states.StopOrder(stop.task, stop.attempt)
+        await leader.orders[name].put(order)
     for task in outcome.elsewhere:
         await stop_run(leader, task)
     if leader.ledger.dirty:
         await leader.unkept.set()
         await stop_ended_jobs(leader)
     for pace in pacing.decide(worker):
-        await leader.orders[name].put(('pace', pace.task, pace.percent))
+        await leader.orders[name].put(
+            states.PaceOrder(pace.task, pace.percent)
+        )
     for task in stalls.stalled(worker, now_s):
         await _give_up_stalled(leader, worker, task)
     if outcome.changed:
@@ -249,7 +257,7 @@
     run.stop_answered_s = None
     orders = leader.orders.get(run.worker)
     if orders is not None:
-        await orders.put(('stop', task.name, run.attempt))
+        await orders.put(states.StopOrder(task.name, run.attempt))
 
 
 async def send_orders(leader: states.Leader, worker: workers_.Worker) -> None:
@@ -259,12 +267,12 @@
         order = await orders.get()
         if order is None or worker.gone or leader.deposed:
             return
-        if order[0] == 'start':
-            await _send_start(leader, worker, order[1], order[2])
-        elif order[0] == 'pace':
-            await _send_pace(leader, worker, order[1], order[2])
+        if isinstance(order, states.StartOrder):
+            await _send_start(leader, worker, order.task, order.run)
+        elif isinstance(order, states.PaceOrder):
+            await _send_pace(leader, worker, order.task, order.percent)
         else:
-            await _send_stop(leader, worker, order[1], order[2])
+            await _send_stop(leader, worker, order.task, order.attempt)
 
 
 async def _send_start(
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -64,7 +64,9 @@
     """The executor has seen a higher term."""
 
 
-class _WireCapacity(msgspec.Struct):
+class WireCapacity(msgspec.Struct):
+    """What a machine has, as both its executor and the list tell it."""
+
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
@@ -79,7 +81,7 @@
     state: str = 'ready'
     cold_left_ms: float = 0
     machine: str = ''
-    capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
+    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
     labels: list[str] = []
     remaining_ms: float | None = None
 
@@ -105,7 +107,7 @@
     )
 
 
-def decode_capacity(wire: _WireCapacity) -> model.Resources:
+def decode_capacity(wire: WireCapacity) -> model.Resources:
     """Decode what a machine has; ``cpu`` is in thousandths of a core."""
     return model.Resources(wire.cpu, wire.mem_mb, wire.gpu)
 
--- a/oleanderwood/platform/machines.py
+++ b/oleanderwood/platform/machines.py
@@ -46,8 +46,8 @@
     state: str
     zone: str = ''
     labels: list[str] = []
-    capacity: executors._WireCapacity = msgspec.field(
-        default_factory=executors._WireCapacity
+    capacity: executors.WireCapacity = msgspec.field(
+        default_factory=executors.WireCapacity
     )
     id: str | None = None
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
@@ -25,6 +26,13 @@
 worker is tried with one task at a time; a sound one fails a few in 1,000."""
 
 
+class RunName(typing.NamedTuple):
+    """One run of a task."""
+
+    task: ids.TaskId
+    attempt: int
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Worker:
     """One worker.
@@ -62,35 +70,39 @@
     runs: dict[ids.TaskId, ledgers.Task] = dataclasses.field(
         default_factory=dict
     )
-    strays: dict[tuple[ids.TaskId, int], float] = dataclasses.field(
-        default_factory=dict
-    )
+    strays: dict[RunName, float] = dataclasses.field(default_factory=dict)
     idle_since_s: float = 0.0
     met_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """What a report told of a run, for the log."""
+
+    event: str
+    task: ids.TaskId
+    attempt: int
+    why: str = ''
+
+
 @dataclasses.dataclass
 class Outcome:
     """What a report makes necessary.
 
-    :ivar stops: tasks and attempts to stop at this worker
+    :ivar stops: runs to stop at this worker
     :ivar elsewhere: tasks that are done whose run elsewhere is to be stopped
     :ivar lengths: steps whose tasks are done, and how long those took
     :ivar changed: whether tasks became ready or room became free
     :ivar notes: for the log
     """
 
-    stops: list[tuple[ids.TaskId, int]] = dataclasses.field(
-        default_factory=list
-    )
+    stops: list[RunName] = dataclasses.field(default_factory=list)
     elsewhere: list[ledgers.Task] = dataclasses.field(default_factory=list)
     lengths: list[tuple[ledgers.Group, float]] = dataclasses.field(
         default_factory=list
     )
     changed: bool = False
-    notes: list[tuple[str, ids.TaskId, int, str]] = dataclasses.field(
-        default_factory=list
-    )
+    notes: list[Note] = dataclasses.field(default_factory=list)
 
 
 def clock_now_ms(worker: Worker, now_s: float) -> float:
@@ -146,7 +158,7 @@
 
 def _take_end(ledger, worker, row, now_s, max_attempts, outcome) -> None:
     outcome.changed = True
-    outcome.notes.append((row.how.value, row.task, row.attempt, ''))
+    outcome.notes.append(Note(row.how.value, row.task, row.attempt))
     task = ledgers.find(ledger, row.task)
     if task is None:
         return
@@ -232,7 +244,7 @@
             and now_s - run.phase_since_s > STOP_REPEAT_S
         ):
             ledgers.set_phase(run, run.phase, now_s)
-            outcome.stops.append((row.task, row.attempt))
+            outcome.stops.append(RunName(row.task, row.attempt))
         return
     if row.attempt <= task.over_attempt:
         _stop_stray(worker, row, now_s, outcome, 'over')
@@ -247,16 +259,16 @@
     ledgers.adopt(ledger, task, worker.entry.worker, row.attempt, now_s)
     worker.runs[task.name] = task
     ledgers.apply_report(task, row, now_s)
-    outcome.notes.append(('adopted', row.task, row.attempt, ''))
+    outcome.notes.append(Note('adopted', row.task, row.attempt))
 
 
 def _stop_stray(worker, row, now_s, outcome, why) -> None:
-    key = (row.task, row.attempt)
+    key = RunName(row.task, row.attempt)
     if now_s - worker.strays.get(key, -STOP_REPEAT_S) < STOP_REPEAT_S:
         return
     worker.strays[key] = now_s
     outcome.stops.append(key)
-    outcome.notes.append(('stray', row.task, row.attempt, why))
+    outcome.notes.append(Note('stray', row.task, row.attempt, why))
 
 
 def _take_absence(ledger, worker, task, sent_s, now_s, outcome) -> None:
@@ -264,20 +276,20 @@
     run = task.run
     if run.phase is ledgers.RunPhase.STOPPING:
         if run.stop_answered_s is not None and sent_s >= run.stop_answered_s:
-            outcome.notes.append(('settled', task.name, run.attempt, ''))
+            outcome.notes.append(Note('settled', task.name, run.attempt))
             outcome.changed = True
             end_run(ledger, worker, task, now_s)
         elif now_s - run.phase_since_s > STOP_REPEAT_S:
             ledgers.set_phase(run, run.phase, now_s)
-            outcome.stops.append((task.name, run.attempt))
+            outcome.stops.append(RunName(task.name, run.attempt))
         return
     if run.phase is ledgers.RunPhase.ORDERED or sent_s < run.phase_since_s:
         return
     # It may yet begin there; once a stop was taken, it can't.
     ledgers.set_phase(run, ledgers.RunPhase.STOPPING, now_s)
     run.stop_answered_s = None
-    outcome.stops.append((task.name, run.attempt))
-    outcome.notes.append(('absent', task.name, run.attempt, ''))
+    outcome.stops.append(RunName(task.name, run.attempt))
+    outcome.notes.append(Note('absent', task.name, run.attempt))
 
 
 def lost(
--- a/oleanderwood/upkeeps/availability.py
+++ b/oleanderwood/upkeeps/availability.py
@@ -3,9 +3,6 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.pools import workers as workers_
 
-AT_WORK_PERCENT = 100.0
-"""What a long-running task reports once it serves."""
-
 SETTLED_S = 0.5
 """How long a task must have worked before it counts as back: reports are up
 to a renewal old."""
