Count each long-running task of a machine as working before it goes down

Ruled out: staleness after a change of leader (the leader was the first). The test that such tasks may be ended was wrong and is replaced by its opposite.

--- a/oleanderwood/upkeeps/availability.py
+++ b/oleanderwood/upkeeps/availability.py
@@ -56,14 +56,12 @@
 ) -> bool:
     """Weigh one step: those here that may work against those away.
 
-    A task that has worked for a short while only counts for the worse: here
-    it would be ended, elsewhere it is away.
+    Reports are up to a renewal old, so each run here may be at work by now;
+    elsewhere a task counts as away until it surely is.
     """
     ended = away = 0
     for task in group.tasks:
-        run = task.run
-        here = task.name in worker.runs
-        if here and run is not None and run.at_work_since_s is not None:
+        if task.name in worker.runs and task.run is not None:
             ended += 1
         elif not at_work(task, now_s):
             away += 1
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -162,9 +162,9 @@
     assert not availability.may_end_all(worker, 10.0)
 
 
-def test_tasks_that_start_up_may_be_ended():
+def test_tasks_that_started_up_at_the_last_report_count_as_working():
     worker = build.worker('w1')
     ledger = _serving(worker, tasks=2, may_miss=1)
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = None
-    assert availability.may_end_all(worker, 10.0)
+    assert not availability.may_end_all(worker, 10.0)
