--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -87,7 +87,8 @@
             monkeypatch.setenv(utils_guide.variable(flag), value)
         line = list(words)
         if any(
-            word in words for word in ('validate', 'diff', 'plan', 'apply')
+            word in words
+            for word in ('validate', 'diff', 'plan', 'apply', 'explain')
         ):
             line.append('file')
         if 'wave' in words:
