--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -163,6 +163,9 @@
     """Say why a machine can't go down now; '' if it can."""
     if worker is None:
         return ''
+    if not worker.fenced or worker.silent_since_s is not None:
+        # What it runs isn't known, or not any more.
+        return 'its worker does not answer'
     if not availability.may_end_all(worker, now_s):
         return 'its long-running tasks are needed'
     if _batch(worker) and not hurry:
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -168,3 +168,16 @@
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = None
     assert not availability.may_end_all(worker, 10.0)
+
+
+def test_machine_whose_worker_has_not_answered_stays_up():
+    worker = build.worker('w1')
+    worker.fenced = False
+    decision = _decide(_progress('a'), _machines('a'), {'a': worker})
+    assert not decision.order
+    worker.fenced = True
+    worker.silent_since_s = 9.0
+    decision = _decide(_progress('a'), _machines('a'), {'a': worker})
+    assert not decision.order
+    worker.silent_since_s = None
+    assert _decide(_progress('a'), _machines('a'), {'a': worker}).order
