--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,143 @@
+"""``python -m soak.run``: soaks by seeds; ends with ``soak: ok`` or FAILED."""
+
+import dataclasses
+import logging
+import pathlib
+import random
+import sys
+import tempfile
+
+import curio
+import cyclopts
+
+from emulator import day
+from oleanderwood import clock
+from oleanderwood import event_log
+from soak import processes
+from soak import strikes
+from soak import world as worlds
+
+LEAD_S = 3.0
+"""Time that the servers get before the first job."""
+
+FINISH_S = 60.0
+"""Longest time after the last strike until every accepted job has ended."""
+
+STRIKES_PER_S = 0.4
+"""About one strike each 2.5 s, so that two or three overlap."""
+
+APP = cyclopts.App(name='soak', help='Real servers under drawn faults.')
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What one seed came to."""
+
+    seed: int
+    result: day.Result
+    cuts: list[worlds.Cut]
+    folder: pathlib.Path
+
+
+def failed(outcome: Outcome) -> bool:
+    """Say whether a rule was broken, or a job didn't end."""
+    result = outcome.result
+    return bool(result.breaches or result.unfinished or outcome.cuts)
+
+
+async def soak(
+    plan: day.Plan,
+    folder: pathlib.Path,
+    rows: list[strikes.Strike],
+) -> Outcome:
+    """Run one deployment under some strikes."""
+    world = await worlds.build(plan, folder)
+    try:
+        with worlds.calling(world):
+            await curio.sleep(LEAD_S)
+            for row in rows:
+                await curio.spawn(_later, world, row, daemon=True)
+            rng = random.Random(plan.seed + 4)
+            await day.hand_in_jobs(world.callers, plan, rng)
+            await _finish(world, rows)
+    finally:
+        for process in world.field.servers:
+            process.busy = True
+            await processes.kill(process)
+    store = world.field.scene.store
+    result = day.judge(world.callers, world.fleet, store)
+    return Outcome(plan.seed, result, world.cuts, folder)
+
+
+async def _later(world: worlds.World, row: strikes.Strike) -> None:
+    await curio.sleep(row.at_s)
+    await strikes.strike(world.field, row)
+
+
+async def _finish(world: worlds.World, rows: list[strikes.Strike]) -> None:
+    """Wait until all strikes have passed and all jobs have ended."""
+    last_s = max((row.at_s + row.for_s for row in rows), default=0.0)
+    await curio.sleep(max(0.0, last_s - world.plan.length_s))
+    end_s = clock.now_s() + FINISH_S
+    while clock.now_s() < end_s:
+        await curio.sleep(0.5)
+        store = world.field.scene.store
+        if not day.judge(world.callers, world.fleet, store).unfinished:
+            return
+
+
+def _quiet(part: str, event: str, **fields) -> None:
+    """Log nothing for the callers; the servers log for themselves."""
+
+
+@APP.default
+def main(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    servers: int = 3,
+) -> int:
+    """Soak some seeds, one after another.
+
+    :param seconds: of traffic and strikes, for each seed
+    :param servers: processes of the product
+    """
+    event_log.emit = _quiet
+    logging.getLogger('curio.time').setLevel(logging.ERROR)
+    bad = []
+    for number in range(seed, seed + seeds):
+        plan = day.Plan(number, length_s=seconds, server_count=servers)
+        rows = strikes.draw(number, seconds, STRIKES_PER_S)
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
+        outcome = curio.run(soak, plan, folder, rows)
+        _tell(outcome, rows)
+        if failed(outcome):
+            bad.append(number)
+    print(f'soak: FAILED, seeds {bad}' if bad else 'soak: ok')
+    return 1 if bad else 0
+
+
+def _tell(outcome: Outcome, rows: list[strikes.Strike]) -> None:
+    result = outcome.result
+    waits_s = result.waits_s or [0.0]
+    print(
+        f'seed {outcome.seed}: {result.accepted} of {result.handed_in} jobs '
+        f'accepted, {result.starts} starts, {len(rows)} strikes, half of the '
+        f'jobs ended within {waits_s[len(waits_s) // 2]:.1f} s'
+    )
+    if not failed(outcome):
+        return
+    for breach in result.breaches[:10]:
+        print(f'  {breach}')
+    for job in result.unfinished[:10]:
+        print(f'  not ended: {job}')
+    for cut in outcome.cuts[:10]:
+        print(f'  cut at {cut.server} while it stopped: {cut.why}')
+    strikes_told = [f'{row.at_s:.1f} {row.kind.value}' for row in rows]
+    print(f'  strikes: {", ".join(strikes_told)}')
+    print(f'  logs: {outcome.folder}')
+
+
+if __name__ == '__main__':
+    sys.exit(APP())
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,159 @@
+"""A deployment on loopback: real servers beside the emulated platform."""
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+
+import curio
+
+from emulator import callers as callers_
+from emulator import day
+from emulator import evidence as evidences
+from emulator import executors
+from emulator import fleet as fleets
+from emulator import network as networks
+from emulator import store as stores
+from emulator import troubles
+from oleanderwood import errors
+from oleanderwood import ids
+from oleanderwood.platform import transport
+from oleanderwood import verdict as verdicts
+from soak import processes
+from soak import proxy as proxies
+from soak import sockets
+from soak import strikes
+
+PORT = 7001
+"""Every address has an IP number of its own on loopback, so one port does."""
+
+
+@dataclasses.dataclass
+class Cut:
+    """A caller's call that a server took and didn't answer whole."""
+
+    server: str
+    why: str
+
+
+@dataclasses.dataclass
+class World:
+    """All that runs.
+
+    :ivar cuts: calls that ended while their server stopped as planned
+    """
+
+    plan: day.Plan
+    field: strikes.Field
+    fleet: fleets.Fleet
+    callers: callers_.Callers
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
+
+
+def _address(block: int, number: int) -> ids.Address:
+    return ids.Address(f'127.{block}.0.{number}:{PORT}')
+
+
+async def build(plan: day.Plan, folder: pathlib.Path) -> World:
+    """Build a deployment and start its servers."""
+    rng = random.Random(plan.seed)
+    network = networks.Network(random.Random(plan.seed + 1))
+    store = stores.Store()
+    world = executors.World(evidences.Evidence(), store, rng)
+    fleet = fleets.Fleet(world, network)
+    network.handlers['store'] = stores.make_handler(store)
+    network.handlers['machines'] = fleets.make_handler(fleet)
+    await curio.spawn(stores.run_leases, store, daemon=True)
+    await stores.put(store, 'op/config', day.configuration(plan.pools))
+    await day.build_fleet(fleet, plan, lambda n: _address(21, n))
+    servers = [_process(folder, n + 1) for n in range(plan.server_count)]
+    field = strikes.Field(
+        troubles.Scene(network, store, fleet, [], random.Random(plan.seed)),
+        servers,
+        {},
+        {},
+        {},
+        random.Random(plan.seed + 2),
+    )
+    await _connect(field, fleet)
+    callers = callers_.Callers(
+        network, world, servers, random.Random(plan.seed + 3)
+    )
+    for process in servers:
+        processes.write_settings(process)
+        processes.start(process)
+        await curio.spawn(processes.look_after, process, daemon=True)
+    return World(plan, field, fleet, callers)
+
+
+def _process(folder: pathlib.Path, number: int) -> processes.Process:
+    name = f's{number}'
+    host = f'127.11.0.{number}'
+    return processes.Process(
+        name,
+        host,
+        ids.Address(f'{host}:{PORT}'),
+        folder / f'{name}.json',
+        folder / f'{name}.log',
+        _address(12, number),
+        _address(14, number),
+    )
+
+
+async def _connect(field: strikes.Field, fleet: fleets.Fleet) -> None:
+    """Put a proxy into each link, and what it leads to behind it."""
+    network = field.scene.network
+    for number, process in enumerate(field.servers, 1):
+        field.store_links[process.name] = await _link(
+            process.store, _address(13, number), network, 'store', process.name
+        )
+        field.machine_links[process.name] = await _link(
+            process.machines,
+            _address(15, number),
+            network,
+            'machines',
+            process.name,
+        )
+    for number, machine in enumerate(fleet.machines.values(), 1):
+        field.worker_links[machine.name] = await _link(
+            machine.address,
+            _address(22, number),
+            network,
+            machine.address,
+            'server',
+        )
+
+
+async def _link(listen, behind, network, address, source) -> proxies.Proxy:
+    await sockets.spawn(network, behind, address, source)
+    proxy = proxies.Proxy(listen, behind)
+    await curio.spawn(proxies.run, proxy, daemon=True)
+    return proxy
+
+
+@contextlib.contextmanager
+def calling(world: World):
+    """Note callers' calls that are cut."""
+    real = transport.call
+
+    async def call(kept, address, *rest, **options):
+        try:
+            return await real(kept, address, *rest, **options)
+        except errors.CallFailed as error:
+            _note_cut(world, address, error)
+            raise
+
+    transport.call = call
+    try:
+        yield
+    finally:
+        transport.call = real
+
+
+def _note_cut(world: World, address: str, error: errors.CallFailed) -> None:
+    """Note a call that may have run, at a server that stops as planned."""
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        return
+    for process in world.field.servers:
+        if process.callers == address and process.stopping:
+            world.cuts.append(Cut(process.name, error.reason))
