--- a/soak/processes.py
+++ b/soak/processes.py
@@ -32,7 +32,6 @@
     """
 
     name: str
-    host: str
     callers: ids.Address
     settings_path: pathlib.Path
     log_path: pathlib.Path
@@ -50,13 +49,14 @@
 
 def write_settings(process: Process, **changes) -> None:
     """Write a server's settings file."""
+    host, _, port = process.callers.partition(':')
     values = {
         'name': process.name,
-        'ip': process.host,
+        'ip': host,
         'data_centre': 'zone-a',
         'callers_listen': process.callers,
-        'ready_listen': f'{process.host}:7002',
-        'inner_port': 7003,
+        'ready_listen': f'{host}:{int(port) + 1}',
+        'inner_port': int(port) + 2,
         'store_address': process.store,
         'machines_address': process.machines,
         'stop_time_s': STOP_TIME_S,
@@ -65,6 +65,12 @@
     process.settings_path.write_text(json.dumps(values))
 
 
+def inner_address(process: Process) -> str:
+    """Give where operators ask a server."""
+    host, _, port = process.callers.partition(':')
+    return f'{host}:{int(port) + 2}'
+
+
 def start(process: Process) -> None:
     """Start a server unless it runs."""
     if process.popen is not None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -67,10 +67,13 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, True)
     sock.bind(http.split_address(proxy.listen))
     sock.listen(64)
-    while True:
-        caller, _peer = await sock.accept()
-        link = Link(caller, _make_socket())
-        link.task = await curio.spawn(_carry, proxy, link, daemon=True)
+    try:
+        while True:
+            caller, _peer = await sock.accept()
+            link = Link(caller, _make_socket())
+            link.task = await curio.spawn(_carry, proxy, link, daemon=True)
+    finally:
+        await http.close(sock)
 
 
 async def spoil(proxy: Proxy, mode: Mode, for_s: float) -> None:
--- a/soak/sockets.py
+++ b/soak/sockets.py
@@ -35,7 +35,10 @@
         return http.Response(answer.status, [], answer.body)
 
     server = http_server.listen(listen, handle)
-    await http_server.run(server)
+    try:
+        await http_server.run(server)
+    finally:
+        await http.close(server.sock)
 
 
 async def spawn(*arguments) -> None:
