--- a/emulator/day.py
+++ b/emulator/day.py
@@ -22,6 +22,9 @@
 LEAD_S = 4.0
 """Time between the servers' start and the first job."""
 
+RESTART_S = 0.5
+"""Time until a process that was struck by a call's fate starts again."""
+
 FINISH_S = 30.0
 """Time after the last job in which all have to end."""
 
@@ -46,6 +49,8 @@
     lasting: bool = True
     pools: tuple[str, ...] = POOLS
     troubles: tuple[troubles_.Trouble, ...] = ()
+    lead_s: float = LEAD_S
+    finish_s: float = FINISH_S
 
 
 @dataclasses.dataclass
@@ -66,14 +71,23 @@
     evidence: evidences.Evidence
 
 
-def play(plan: Plan) -> Result:
-    """Play a day in virtual time."""
-    return virtual.run(lambda: _play(plan))
+def play(
+    plan: Plan,
+    fates: dict[int, networks.Fate] | None = None,
+    watched: list[int] | None = None,
+) -> Result:
+    """Play a day in virtual time.
+
+    :param fates: of single calls, by their number
+    :param watched: gets the numbers of the servers' calls from the first
+        job on
+    """
+    return virtual.run(lambda: _play(plan, fates or {}, watched))
 
 
-async def _play(plan: Plan) -> Result:
+async def _play(plan, fates, watched) -> Result:
     rng = random.Random(plan.seed)
-    network = networks.Network(random.Random(plan.seed + 1))
+    network = networks.Network(random.Random(plan.seed + 1), fates=fates)
     store = stores.Store()
     evidence = evidences.Evidence()
     world = executors.World(evidence, store, rng)
@@ -96,15 +110,32 @@
         callers = callers_.Callers(
             network, world, processes, random.Random(plan.seed + 3)
         )
-        await curio.sleep(LEAD_S)
+        await curio.spawn(_strike_processes, network, processes, daemon=True)
+        await curio.sleep(plan.lead_s)
+        network.watched = watched
         for trouble in plan.troubles:
-            late = dataclasses.replace(trouble, at_s=LEAD_S + trouble.at_s)
+            late = dataclasses.replace(
+                trouble, at_s=plan.lead_s + trouble.at_s
+            )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
         await hand_in_jobs(callers, plan, rng)
-        await curio.sleep(FINISH_S)
+        await curio.sleep(plan.finish_s)
     return judge(callers, fleet, store)
 
 
+async def _strike_processes(
+    network: networks.Network, processes: list[servers.Process]
+) -> None:
+    """Kill the processes that a call's fate strikes, and start them anew."""
+    while True:
+        name = await network.struck.get()
+        for process in processes:
+            if process.name == name and process.state is not None:
+                await servers.kill(network, process)
+                await curio.sleep(RESTART_S)
+                await servers.start(network, process)
+
+
 def judge(
     callers: callers_.Callers, fleet: fleets.Fleet, store: stores.Store
 ) -> Result:
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import enum
 import random
 
 import curio
@@ -15,6 +16,33 @@
 DELAY_S = 0.001
 """One way, between any two places."""
 
+LATE_S = 3.0
+"""Time after which a call with the fate ``LATE`` is carried out: after a
+takeover, before the leases of the earlier leader have ended."""
+
+FROZEN_S = 2.5
+"""Time for which a caller stands still: longer than its lease."""
+
+
+class Fate(enum.Enum):
+    """What becomes of one call."""
+
+    REQUEST_LOST = 'request-lost'
+    ANSWER_LOST = 'answer-lost'
+    LATE = 'late'
+    REFUSED = 'refused'
+    """Answered with 503; nothing was done."""
+
+    KILLED_BEFORE = 'killed-before'
+    """Its caller dies before it is sent."""
+
+    KILLED_AFTER = 'killed-after'
+    """Its caller dies once it was carried out."""
+
+    FROZEN_AFTER = 'frozen-after'
+    """Its caller stands still once it was carried out."""
+
+
 Handler = collections.abc.Callable[
     [str, str, str, bytes, dict[str, str]],
     collections.abc.Awaitable[transport.Answer],
@@ -32,6 +60,9 @@
     :ivar lost_share: part of the calls to an address that are carried out
         without an answer
     :ivar late_share: part that is carried out 2 to 12 s later
+    :ivar fates: of single calls, by their number
+    :ivar struck: gets processes that a fate kills
+    :ivar watched: gets the numbers of the servers' calls, but of watches
     """
 
     rng: random.Random
@@ -42,6 +73,9 @@
     lost_share: dict[str, float] = dataclasses.field(default_factory=dict)
     late_share: dict[str, float] = dataclasses.field(default_factory=dict)
     calls: int = 0
+    fates: dict[int, Fate] = dataclasses.field(default_factory=dict)
+    struck: curio.Queue = dataclasses.field(default_factory=curio.Queue)
+    watched: list[int] | None = None
 
 
 @contextlib.contextmanager
@@ -66,6 +100,10 @@
 async def _call(network, address, method, target, body, headers, timeout_s):
     source = await virtual.process()
     network.calls += 1
+    fate = network.fates.get(network.calls)
+    if network.watched is not None and source != virtual.WORLD:
+        if 'watch' not in target:
+            network.watched.append(network.calls)
     reached = False
     try:
         async with curio.timeout_after(timeout_s):
@@ -81,7 +119,10 @@
                 for key, value in headers or []
             }
             arguments = (source, method, target, body, named)
-            answer = await carry_out(network, address, handler, arguments)
+            if fate is None:
+                answer = await carry_out(network, address, handler, arguments)
+            else:
+                answer = await _suffer(network, fate, handler, arguments)
             await _pass(network, source, address)
             return answer
     except curio.TaskTimeout as error:
@@ -122,6 +163,26 @@
     return answer
 
 
+async def _suffer(network, fate, handler, arguments) -> transport.Answer:
+    """Let a call have its fate."""
+    source = arguments[0]
+    if fate is Fate.REFUSED:
+        return transport.Answer(503, b'')
+    if fate is Fate.LATE:
+        await virtual.spawn_in_world(_later, LATE_S, handler, arguments)
+    elif fate is Fate.KILLED_BEFORE:
+        await network.struck.put(source)
+    elif fate is not Fate.REQUEST_LOST:
+        answer = await handler(*arguments)
+        if fate is Fate.KILLED_AFTER:
+            await network.struck.put(source)
+        elif fate is Fate.FROZEN_AFTER:
+            until_s = await curio.clock() + FROZEN_S
+            network.frozen_until_s[source] = until_s
+            return answer
+    await virtual.forever()
+
+
 async def _later(after_s, handler, arguments) -> None:
     await curio.sleep(after_s)
     await handler(*arguments)
