Count arrivals for a turn's rate, let idle machines leave it, forget missed turns

A foreseen turn that didn't come kept its machines for good. The first list of machines, which was still filling up, was taken for a pool's first size (0).

Now the rate counts jobs, each as the mean of all, over 2.5 s within a turn; a machine idle for 2 s leaves a pool in its turn; a turn that is overdue is no longer foreseen; a pool's first size is its largest before its first turn.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -151,7 +151,12 @@
     _note_demand(leader, views, now_s)
     promised = policies.min_up(leader.policy.policy)
     for service, view in views.items():
-        size = leader.first_sizes.setdefault(service, len(view.members))
+        size = leader.first_sizes.get(service, 0)
+        line = leader.turns.lines.get(service)
+        if line is None or not line.starts_s:
+            # Machines enter the list one after another.
+            size = max(size, len(view.members))
+            leader.first_sizes[service] = size
         view.first_size = size
         view.min_up = promised.get(service, 0)
     return list(views.values()), standby
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -49,6 +49,10 @@
 """Time after a turn's end in which machines stay: a lull, or a store that
 tells nothing for a second, looks like an end."""
 
+TURN_IDLE_S = 2.0
+"""Idle time after which a machine leaves a pool in its turn: the busiest
+moment of that time didn't need it, and two moves cost as much as it waits."""
+
 MOST_MOVES = 4
 """Moves decided in one pass; each costs an order of about 10 ms."""
 
@@ -191,8 +195,9 @@
     if standby:
         target = min(standby)
         for service, member in free.idle:
-            if service not in near and _may_rest(
-                turns, service, near_s, now_s
+            if _idle_in_turn(turns, service, member, now_s) or (
+                service not in near
+                and _may_rest(turns, service, near_s, now_s)
             ):
                 moves.append(Move(member.machine, service, target, 'idle'))
     return Decision(moves[:MOST_MOVES], wanted)
@@ -301,6 +306,16 @@
     return None
 
 
+def _idle_in_turn(
+    turns: turns_.Turns, service: ids.ServiceId, member: Member, now_s: float
+) -> bool:
+    """Say whether a pool in its turn doesn't need an idle machine."""
+    line = turns.lines.get(service)
+    if line is None or not line.in_turn:
+        return False
+    return now_s - member.worker.idle_since_s >= TURN_IDLE_S
+
+
 def _may_rest(
     turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -13,6 +13,10 @@
 """Time over which the present rate is measured: in it the rarest queue of
 today's users has two arrivals in its turn and none outside."""
 
+TURN_WINDOW_S = 2.5
+"""As above within a turn, which lasts some 8 s: two of ten arrivals more or
+less in the shorter window would move several machines."""
+
 MEAN_S = 60.0
 """Time over which the mean rate is measured, a few cycles of turns."""
 
@@ -45,6 +49,8 @@
 
     :ivar arrivals: time and work, in seconds of one core
     :ivar starts_s: when its turns began
+    :ivar began_s: when the present or last turn began; turns that a lull
+        parts count apart
     :ivar turn_cores: cores that the last turn kept busy in its mean
     """
 
@@ -53,6 +59,7 @@
     )
     starts_s: list[float] = dataclasses.field(default_factory=list)
     in_turn: bool = False
+    began_s: float = -1e9
     ended_s: float = -1e9
     turn_cores: float = 0.0
 
@@ -88,8 +95,26 @@
 
 
 def present_cores(line: Line, now_s: float) -> float:
-    """Give the cores that arrivals at the present rate keep busy."""
-    return _work(line, now_s - WINDOW_S) / WINDOW_S
+    """Give the cores that arrivals at the present rate keep busy.
+
+    Jobs differ in size by several times, so the rate counts them, and each
+    counts as the mean of all.
+    """
+    return _rate(line, now_s - WINDOW_S, now_s) * _mean_size(line)
+
+
+def _rate(line: Line, since_s: float, now_s: float) -> float:
+    return _count(line, since_s) / (now_s - since_s)
+
+
+def _count(line: Line, since_s: float) -> int:
+    return sum(at_s > since_s for at_s, _core_s in line.arrivals)
+
+
+def _mean_size(line: Line) -> float:
+    if not line.arrivals:
+        return 0.0
+    return sum(row[1] for row in line.arrivals) / len(line.arrivals)
 
 
 def _work(line: Line, since_s: float) -> float:
@@ -99,12 +124,14 @@
 def soon_cores(line: Line, now_s: float) -> float:
     """Give the cores that the present rate will keep busy for sure.
 
-    Few arrivals say little of the rate, as the sizes of jobs differ by
-    several times; they count for less.
+    Few arrivals say little of the rate; they count for less.
     """
-    count = sum(row[0] > now_s - WINDOW_S for row in line.arrivals)
+    since_s = now_s - WINDOW_S
+    if line.in_turn:
+        since_s = min(since_s, max(line.began_s, now_s - TURN_WINDOW_S))
+    count = _count(line, since_s)
     part = count / (count + DOUBT_ARRIVALS)
-    return part * present_cores(line, now_s)
+    return part * _rate(line, since_s, now_s) * _mean_size(line)
 
 
 def mean_cores(turns: Turns, line: Line, now_s: float) -> float:
@@ -135,6 +162,7 @@
 
 def _begin(turns: Turns, pool: str, line: Line, now_s: float) -> None:
     line.in_turn = True
+    line.began_s = now_s - WINDOW_S
     if turns.last_pool == pool:
         # After a lull; turns of one pool have others' between them.
         return
@@ -185,7 +213,9 @@
         for other in turns.lines.values()
         if other.starts_s
     )
-    return turns.last_start_s + ahead * gap_s
+    begin_s = turns.last_start_s + ahead * gap_s
+    # One that didn't come tells that there is no such order.
+    return begin_s if begin_s + WINDOW_S >= now_s else None
 
 
 def _upcoming_s(last_s: float, period_s: float, now_s: float) -> float:
@@ -206,7 +236,9 @@
     """Give before when a pool's next turn surely doesn't begin.
 
     None if it may begin at any moment. While other pools haven't had their
-    first turn, one that had its own comes after them.
+    first turn, one that had its own comes after them. Where turns don't come
+    as foreseen, a pool that was quiet for as long as it waited for its last
+    one stays quiet.
     """
     begin_s = next_turn_s(turns, pool, now_s)
     if begin_s is not None:
@@ -215,4 +247,5 @@
     if line is None or not line.starts_s or line.in_turn:
         return None
     gap_s = turn_length_s(turns) or MIN_GAP_S
-    return now_s + _unseen(turns) * gap_s
+    unseen = _unseen(turns)
+    return now_s + (unseen or len(turns.pools)) * gap_s
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -1,5 +1,6 @@
 """Tests of foreseen turns and of machines that change their pool."""
 
+from emulator import day
 from oleanderwood import ids
 from oleanderwood.policy import model as policies
 from oleanderwood.upkeeps import pool_plan
@@ -231,3 +232,57 @@
     pool.first_size = 6
     assert turns.lines['a'].turn_cores
     assert not _decide([pool], _resting('s1', 's2'), turns, now_s=3.9)
+
+
+def test_one_huge_job_does_not_count_as_a_rate():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    _play(turns, 3.0)
+    before = turns_.soon_cores(turns.lines['a'], 3.0)
+    turns_.note(turns, 'a', 3.0, 400.0)
+    after = turns_.soon_cores(turns.lines['a'], 3.0)
+    # Sizes of jobs differ by several times; 400 of 300 core seconds came.
+    assert after < 2.5 * before
+
+
+def test_machine_that_a_turn_did_not_need_for_a_while_rests():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    _play(turns, 3.5)
+    now_s = 3.5
+    busy = [_member(f'b{i}', busy=True) for i in range(14)]
+    waiting = [
+        _member(f'w{i}', idle_s=idle_s, now_s=now_s)
+        for i, idle_s in enumerate((0.5, 1.5, 2.5, 3.0))
+    ]
+    moves = _decide(
+        [_pool('a', [*busy, *waiting], busy_cores=20.0)],
+        {OFF: []},
+        turns,
+        now_s,
+    )
+    assert sorted(move.machine for move in moves) == ['w2', 'w3']
+
+
+def test_turn_that_did_not_come_keeps_no_machine():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    _play(turns, 11.9)
+    for pool in POOLS:
+        turns_.update(turns, pool, 14.0)
+    assert turns_.next_turn_s(turns, 'a', 12.5) is not None
+    assert turns_.next_turn_s(turns, 'a', 18.0) is None
+    members = [_member(f'a{i}', now_s=18.0) for i in range(3)]
+    moves = _decide([_pool('a', members)], {OFF: []}, turns, now_s=18.0)
+    assert [move.why for move in moves] == ['idle', 'idle']
+
+
+def test_first_size_is_not_taken_from_a_list_that_is_still_filling():
+    # Ten machines come up one after another; a leader that had noted the
+    # first list kept nothing for a pool's first turn.
+    result = day.play(
+        day.Plan(3, machines_a_pool=5, lead_s=6.0, jobs_per_s=0.5)
+    )
+    moved = [
+        sight
+        for sight in result.evidence.sights
+        if sight.kind.value == 'ordered' and sight.at_s < 6.0
+    ]
+    assert not moved
