Learn lengths without bias; widen what is foreseen of a turn; let unseen pools rest

Now the factor is the mean of real times over the mean of guesses; a turn is awaited from the shortest to the longest gap seen; each young turn counts as 1.3 times the first machines; pools whose turn is to come rest down to half.

--- a/oleanderwood/pools/lengths.py
+++ b/oleanderwood/pools/lengths.py
@@ -1,22 +1,35 @@
-"""How long tasks really take, against what callers guess. Pure."""
+"""How long tasks really take, against what callers guess. Pure.
+
+Load it answers: guesses are off by up to nine tenths either way. The mean of
+real times over the mean of guesses tells by how much in all; the mean of
+their ratios would be twice too long, as the shortest guesses weigh most.
+"""
 
 import dataclasses
 
 from oleanderwood.jobs import ledger as ledgers
 
 LEARNING = 0.05
-"""Weight of one task in the mean: the last 20 or so count."""
+"""Weight of one task in the means: the last 20 or so count."""
 
 LEAST = 0.2
 MOST = 5.0
-"""Bounds of the factor; callers' guesses are off by up to 0.9 of the time."""
+"""Bounds of the factor; beyond them a guess isn't one."""
+
+
+@dataclasses.dataclass
+class Means:
+    """Of one queue's tasks, what was guessed and what they took."""
+
+    guess_s: float
+    real_s: float
 
 
 @dataclasses.dataclass
 class Lengths:
-    """By queue: mean of the real time over the guessed one."""
+    """What is known, by queue."""
 
-    factors: dict[str, float] = dataclasses.field(default_factory=dict)
+    means: dict[str, Means] = dataclasses.field(default_factory=dict)
 
 
 def note(lengths: Lengths, group: ledgers.Group, length_s: float) -> None:
@@ -25,11 +38,14 @@
     if guess_s <= 0:
         return
     name = group.entry.job.queue.name
-    seen = min(MOST, max(LEAST, length_s / guess_s))
-    known = lengths.factors.get(name, 1.0)
-    lengths.factors[name] = known + LEARNING * (seen - known)
+    means = lengths.means.setdefault(name, Means(guess_s, guess_s))
+    means.guess_s += LEARNING * (guess_s - means.guess_s)
+    means.real_s += LEARNING * (length_s - means.real_s)
 
 
 def factor(lengths: Lengths, queue: str) -> float:
     """Give by what to multiply a queue's guesses."""
-    return lengths.factors.get(queue, 1.0)
+    means = lengths.means.get(queue)
+    if means is None:
+        return 1.0
+    return min(MOST, max(LEAST, means.real_s / means.guess_s))
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -39,9 +39,9 @@
 """Part of its first machines that a pool keeps until its first turn, which
 nothing foretells."""
 
-FIRST_TURN_PART = 1.3
-"""What a pool's first turn is taken to need until it has been measured, as a
-part of the machines that it had at first. Users say that a turn asks for
+YOUNG_TURN_PART = 1.3
+"""What a pool's turn is taken to need until it can be measured, as a part of
+the machines that it had at first. Users say that a turn asks for
 more than the pool holds; those that were measured asked for 1.2 to 1.4 times
 that."""
 
@@ -135,21 +135,22 @@
         arriving = pool.held_cores + turns_.soon_cores(line, now_s)
         cores = max(cores, arriving)
     foreseen = 0.0
-    begin_s = turns_.next_turn_s(turns, pool.service, now_s)
-    if begin_s is not None and _near(begin_s, now_s, move_s + AHEAD_S):
+    turn = turns_.next_turn(turns, pool.service, now_s)
+    if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
         foreseen = pool.held_cores + FORESEEN_PART * line.turn_cores
     each = cores_each * FILL
     if not each:
         return Need(0, 0)
     now = math.ceil(cores / each)
-    if line is not None and line.in_turn and not line.turn_cores:
-        now = max(now, math.ceil(FIRST_TURN_PART * pool.first_size))
+    if line is not None and turns_.is_young(line, now_s):
+        now = max(now, math.ceil(YOUNG_TURN_PART * pool.first_size))
     return Need(now, max(now, math.ceil(foreseen / each)))
 
 
-def _near(begin_s: float, now_s: float, ahead_s: float) -> bool:
+def _near(turn: turns_.Foreseen, now_s: float, ahead_s: float) -> bool:
     """Say whether a foreseen turn is about to begin, or should have."""
-    return begin_s - ahead_s <= now_s <= begin_s + turns_.WINDOW_S
+    begins_s = turn.earliest_s - ahead_s
+    return begins_s <= now_s <= turn.latest_s + turns_.WINDOW_S
 
 
 def decide(
@@ -215,8 +216,8 @@
 def _turn_is_near(
     turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
-    begin_s = turns_.next_turn_s(turns, service, now_s)
-    return begin_s is not None and _near(begin_s, now_s, near_s)
+    turn = turns_.next_turn(turns, service, now_s)
+    return turn is not None and _near(turn, now_s, near_s)
 
 
 def _cores_each(pools, standby) -> float:
@@ -319,7 +320,11 @@
 def _may_rest(
     turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
-    """Say whether a pool's next turn is surely some time away."""
+    """Say whether a pool's idle machines aren't needed for some time."""
+    if _turn_is_to_come(turns, service):
+        # What is kept for it is no surplus; while another pool has its turn
+        # the rest may go.
+        return turns.last_start_s is not None
     begin_s = turns_.earliest_turn_s(turns, service, now_s)
     line = turns.lines.get(service)
     if begin_s is None or line is None or line.in_turn:
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -117,6 +117,11 @@
     return sum(row[1] for row in line.arrivals) / len(line.arrivals)
 
 
+def is_young(line: Line, now_s: float) -> bool:
+    """Say whether a turn has begun and can't be measured yet."""
+    return line.in_turn and now_s - line.began_s < 2 * WINDOW_S
+
+
 def _work(line: Line, since_s: float) -> float:
     return sum(core_s for at_s, core_s in line.arrivals if at_s > since_s)
 
@@ -183,15 +188,23 @@
         line.turn_cores = _work(line, began_s) / length_s
 
 
-def turn_length_s(turns: Turns) -> float | None:
-    """Give the usual time between two starts; None if it isn't known."""
+def turn_length_s(turns: Turns) -> float:
+    """Give the usual time between two starts, a short one if none is known."""
     if not turns.gaps_s:
-        return None
+        return MIN_GAP_S
     ordered = sorted(turns.gaps_s)
     return ordered[len(ordered) // 2]
 
 
-def next_turn_s(turns: Turns, pool: str, now_s: float) -> float | None:
+@dataclasses.dataclass(frozen=True)
+class Foreseen:
+    """Between which times a turn begins."""
+
+    earliest_s: float
+    latest_s: float
+
+
+def next_turn(turns: Turns, pool: str, now_s: float) -> Foreseen | None:
     """Foresee when a pool's next turn begins; None if nothing tells.
 
     A pool that had two turns keeps their distance. Before that, the pools
@@ -204,18 +217,22 @@
     if len(line.starts_s) > 1:
         period_s = line.starts_s[-1] - line.starts_s[-2]
         if period_s > MIN_GAP_S * len(turns.pools):
-            return _upcoming_s(line.starts_s[-1], period_s, now_s)
-    gap_s = turn_length_s(turns)
-    if gap_s is None or len(turns.pools) < 2 or _unseen(turns):
+            begin_s = _upcoming_s(line.starts_s[-1], period_s, now_s)
+            return Foreseen(begin_s, begin_s)
+    if not turns.gaps_s or len(turns.pools) < 2 or _unseen(turns):
         return None
     ahead = sum(
         other.starts_s[-1] <= line.starts_s[-1]
         for other in turns.lines.values()
         if other.starts_s
     )
-    begin_s = turns.last_start_s + ahead * gap_s
+    shortest_s, longest_s = min(turns.gaps_s), max(turns.gaps_s)
+    found = Foreseen(
+        turns.last_start_s + shortest_s + (ahead - 1) * turn_length_s(turns),
+        turns.last_start_s + longest_s + (ahead - 1) * turn_length_s(turns),
+    )
     # One that didn't come tells that there is no such order.
-    return begin_s if begin_s + WINDOW_S >= now_s else None
+    return found if found.latest_s + WINDOW_S >= now_s else None
 
 
 def _upcoming_s(last_s: float, period_s: float, now_s: float) -> float:
@@ -240,12 +257,12 @@
     as foreseen, a pool that was quiet for as long as it waited for its last
     one stays quiet.
     """
-    begin_s = next_turn_s(turns, pool, now_s)
-    if begin_s is not None:
-        return begin_s
+    found = next_turn(turns, pool, now_s)
+    if found is not None:
+        return found.earliest_s
     line = turns.lines.get(pool)
     if line is None or not line.starts_s or line.in_turn:
         return None
-    gap_s = turn_length_s(turns) or MIN_GAP_S
+    gap_s = turn_length_s(turns)
     unseen = _unseen(turns)
     return now_s + (unseen or len(turns.pools)) * gap_s
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -40,15 +40,17 @@
     turns = turns_.Turns(pools=frozenset(POOLS))
     now_s = 11.0
     _play(turns, now_s)
-    assert abs(turns_.next_turn_s(turns, 'a', now_s) - 12.0) < 1.0
-    assert abs(turns_.next_turn_s(turns, 'b', now_s) - 16.0) < 1.5
+    first = turns_.next_turn(turns, 'a', now_s)
+    second = turns_.next_turn(turns, 'b', now_s)
+    assert abs(first.earliest_s - 12.0) < 1.0
+    assert abs(second.earliest_s - 16.0) < 1.5
 
 
 def test_nothing_is_foreseen_before_a_cycle_is_seen():
     turns = turns_.Turns(pools=frozenset(POOLS))
     now_s = 3.0
     _play(turns, now_s)
-    assert turns_.next_turn_s(turns, 'a', now_s) is None
+    assert turns_.next_turn(turns, 'a', now_s) is None
 
 
 def test_single_arrivals_are_no_turn():
@@ -159,7 +161,7 @@
     for at_s in (0.0, 0.2, 0.4, 0.6, 3.0, 3.2, 3.4, 6.4, 6.6, 6.8):
         turns_.note(turns, 'a', at_s, 20.0)
     assert len(turns.lines['a'].starts_s) == 1
-    assert turns_.next_turn_s(turns, 'a', 7.0) is None
+    assert turns_.next_turn(turns, 'a', 7.0) is None
 
 
 def test_pool_whose_turn_is_still_to_come_keeps_half():
@@ -225,7 +227,7 @@
     assert [move.target for move in moves] == ['a', 'a']
 
 
-def test_measured_turn_goes_by_its_measure():
+def test_turn_that_can_be_measured_goes_by_its_measure():
     turns = turns_.Turns(pools=frozenset(POOLS))
     _play(turns, 3.9, core_s=4.0)
     pool = _pool('a', [_member(f'm{i}') for i in range(6)], busy_cores=20.0)
@@ -267,8 +269,8 @@
     _play(turns, 11.9)
     for pool in POOLS:
         turns_.update(turns, pool, 14.0)
-    assert turns_.next_turn_s(turns, 'a', 12.5) is not None
-    assert turns_.next_turn_s(turns, 'a', 18.0) is None
+    assert turns_.next_turn(turns, 'a', 12.5) is not None
+    assert turns_.next_turn(turns, 'a', 18.0) is None
     members = [_member(f'a{i}', now_s=18.0) for i in range(3)]
     moves = _decide([_pool('a', members)], {OFF: []}, turns, now_s=18.0)
     assert [move.why for move in moves] == ['idle', 'idle']
@@ -286,3 +288,28 @@
         if sight.kind.value == 'ordered' and sight.at_s < 6.0
     ]
     assert not moved
+
+
+def test_pool_whose_turn_is_to_come_rests_beyond_its_half():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    _play(turns, 3.0)
+    pool = _pool('b', [_member(f'n{i}', now_s=3.0) for i in range(6)])
+    pool.first_size = 6
+    moves = _decide([pool], {OFF: []}, turns, now_s=3.0)
+    assert len(moves) == 3
+
+
+def test_uneven_turns_are_awaited_from_the_shortest_to_the_longest():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    starts = {'a': 0.0, 'b': 8.0, 'c': 20.0}
+    for pool, start_s in starts.items():
+        for number in range(10):
+            turns_.note(turns, pool, start_s + number * 0.2, 20.0)
+    for pool in POOLS:
+        turns_.update(turns, pool, 25.0)
+    found = turns_.next_turn(turns, 'a', 25.0)
+    assert abs(found.earliest_s - 28.0) < 1.0
+    assert abs(found.latest_s - 32.0) < 1.0
+    members = [_member(f'a{i}', now_s=31.0) for i in range(2)]
+    moves = _decide([_pool('a', members)], {OFF: []}, turns, now_s=31.0)
+    assert not moves
