Hand jobs in through another server while the store is out of reach

Now a server that the store hasn't answered for 1.2 s isn't ready, tries its own way to the store no longer, and asks two others, the leader first, to write the job or the cancel; the store's condition keeps it one job. If nobody reaches the store, the answer is 503 at once, and true.

Ruled out: room (its pools had idle machines), the wave.

--- a/emulator/servers.py
+++ b/emulator/servers.py
@@ -78,7 +78,7 @@
     process.state = server
     frontend = servers.make_frontend(server)
     network.handlers[process.address] = _adapted(
-        servers.make_inner_handler(server)
+        servers.make_inner_handler(server, frontend)
     )
     network.handlers[process.callers] = _adapted(
         handlers.make_handler(frontend)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -25,6 +25,7 @@
     LEADER_FROZEN = 'leader-frozen'
     LEADER_REFUSED = 'leader-refused'
     LEADER_CUT = 'leader-cut'
+    SERVERS_CUT = 'servers-cut'
     STORE_DOWN = 'store-down'
     STORE_SILENT = 'store-silent'
     STORE_SLOW = 'store-slow'
@@ -139,6 +140,19 @@
     scene.network.cuts.discard(pair)
 
 
+async def _servers_cut(scene, trouble) -> None:
+    """Cut all servers but one off the store; they reach each other."""
+    spared = scene.rng.choice(scene.processes)
+    pairs = {
+        (process.name, servers.STORE_ADDRESS)
+        for process in scene.processes
+        if process is not spared
+    }
+    scene.network.cuts |= pairs
+    await curio.sleep(trouble.for_s)
+    scene.network.cuts -= pairs
+
+
 async def _store_down(scene, trouble, how='busy') -> None:
     scene.store.down = how
     await curio.sleep(trouble.for_s)
@@ -270,6 +284,7 @@
     Kind.LEADER_FROZEN: _leader_frozen,
     Kind.LEADER_REFUSED: _leader_refused,
     Kind.LEADER_CUT: _leader_cut,
+    Kind.SERVERS_CUT: _servers_cut,
     Kind.STORE_DOWN: _store_down,
     Kind.STORE_SILENT: _store_silent,
     Kind.STORE_SLOW: _store_slow,
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -9,6 +9,7 @@
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
 from oleanderwood.frontend import intake as intakes
+from oleanderwood.frontend import relaying
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
@@ -100,21 +101,39 @@
     began_s = clock.now_s()
     work = callers.decode_job(body)
     record = model.Job(job, queue, work, clock.wall_ms())
-    handed = await intakes.hand_in(frontend.intake, record)
+    verdict, reason = await _write(frontend, record)
     _log(
         'handed-in',
         job,
         began_s,
         queue=queue.name,
-        verdict=handed.verdict.value,
-        known=handed.known,
-        why=handed.reason,
+        verdict=verdict.value,
+        why=reason,
     )
-    if handed.verdict is verdicts.Verdict.RAN:
+    if verdict is verdicts.Verdict.RAN:
         return _told(model.State.QUEUED)
-    if handed.verdict is verdicts.Verdict.NOT_RUN:
-        return _refusal(503, f'not accepted: {handed.reason}')
-    return _refusal(504, f'perhaps accepted: {handed.reason}')
+    if verdict is verdicts.Verdict.NOT_RUN:
+        return _refusal(503, f'not accepted: {reason}')
+    return _refusal(504, f'perhaps accepted: {reason}')
+
+
+async def _write(
+    frontend: Frontend, job: model.Job
+) -> tuple[verdicts.Verdict, str]:
+    """Write a job to the store, through another server if need be.
+
+    Gives whether it lies there now, and why not.
+    """
+    verdict = verdicts.Verdict.NOT_RUN
+    if not relaying.store_lost(frontend.server):
+        handed = await intakes.hand_in(frontend.intake, job)
+        if handed.verdict is verdicts.Verdict.RAN:
+            return handed.verdict, handed.reason
+        verdict = handed.verdict
+    relayed = await relaying.hand_in(frontend.asking, job)
+    if relayed.verdict is not verdicts.Verdict.NOT_RUN:
+        verdict = relayed.verdict
+    return verdict, relayed.reason
 
 
 def _told(state: model.State) -> http.Response:
@@ -137,7 +156,7 @@
 async def _cancel(frontend: Frontend, job: ids.JobId) -> http.Response:
     began_s = clock.now_s()
     try:
-        there = await intakes.cancel(frontend.server.store, job)
+        there = await _mark_cancelled(frontend, job)
     except errors.CallFailed as error:
         _log('not-cancelled', job, began_s, why=error.reason)
         status = 503
@@ -150,6 +169,22 @@
     return _told(model.State.CANCELLED)
 
 
+async def _mark_cancelled(frontend: Frontend, job: ids.JobId) -> bool:
+    """Mark a job as cancelled; False if there is no such job.
+
+    :raises errors.CallFailed: neither this server nor another could do it
+    """
+    if not relaying.store_lost(frontend.server):
+        try:
+            return await intakes.cancel(frontend.server.store, job)
+        except errors.CallFailed as error:
+            _log('store-failed', job, clock.now_s(), why=error.reason)
+    relayed = await relaying.cancel(frontend.asking, job)
+    if relayed.verdict is verdicts.Verdict.RAN:
+        return relayed.there
+    raise errors.CallFailed(relayed.verdict, relayed.reason)
+
+
 async def _pending(frontend: Frontend, queue: queues.Queue) -> http.Response:
     try:
         count = await askings.pending(frontend.asking, queue.name)
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -49,10 +49,13 @@
     """Jobs that wait for the next write.
 
     :ivar written: gets jobs that lie in the store now
+    :ivar lost: says whether the store doesn't answer any more, so that
+        trying again is no use
     """
 
     store: stores.Store
     written: Written
+    lost: collections.abc.Callable[[], bool]
     waiting: list[Handed] = dataclasses.field(default_factory=list)
     arrived: curio.Event = dataclasses.field(default_factory=curio.Event)
 
@@ -93,7 +96,7 @@
     try:
         for _attempt in range(ATTEMPTS):
             left = await _try(intake.store, left)
-            if not left:
+            if not left or intake.lost():
                 break
     finally:
         for handed in left:
--- /dev/null
+++ b/oleanderwood/frontend/relaying.py
@@ -0,0 +1,138 @@
+"""Asking another server to hand in or cancel a job.
+
+A server that doesn't reach the store may reach others that do. The store's
+conditions let a job be handed in by several servers: it stays one job.
+"""
+
+import curio
+import msgspec
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.frontend import asking as askings
+from oleanderwood.frontend import intake as intakes
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import state as states
+from oleanderwood.platform import transport
+from oleanderwood import verdict as verdicts
+
+JOB_PATH = '/relay/job'
+CANCEL_PATH = '/relay/cancel/'
+
+STORE_LOST_S = 1.2
+"""Time without an answer of the store after which it counts as lost: the
+lease is renewed each 0.5 s."""
+
+TIMEOUT_S = 0.7
+"""Longest wait for another server, which waits for the store itself; a calm
+one takes 10 ms. Callers wait 3 s in all."""
+
+PEERS = 2
+"""Servers that are asked, the leader first: with half of all servers cut
+off, one in four calls finds no way."""
+
+
+class Relayed(msgspec.Struct, frozen=True):
+    """What came of a relayed call.
+
+    :ivar there: for a cancel, whether there is such a job
+    """
+
+    verdict: verdicts.Verdict
+    reason: str = ''
+    there: bool = True
+
+
+def store_lost(server: states.Server) -> bool:
+    """Say whether the store hasn't answered this server for a while."""
+    return clock.now_s() - server.contact_s > STORE_LOST_S
+
+
+async def hand_in(asking: askings.Asking, job: model.Job) -> Relayed:
+    """Let another server hand a job in."""
+    return await _ask(asking, JOB_PATH, msgspec.json.encode(job), job.job)
+
+
+async def cancel(asking: askings.Asking, job: ids.JobId) -> Relayed:
+    """Let another server cancel a job."""
+    return await _ask(asking, CANCEL_PATH + job, b'', job)
+
+
+async def _ask(
+    asking: askings.Asking, target: str, body: bytes, job: ids.JobId
+) -> Relayed:
+    """Ask servers in turn until one has done it."""
+    relayed = Relayed(verdicts.Verdict.NOT_RUN, 'the store is not reached')
+    in_doubt = False
+    for address in _peers(asking.server):
+        relayed = await _ask_one(asking, address, target, body)
+        event_log.emit(
+            'caller',
+            'relayed',
+            job=job,
+            address=address,
+            verdict=relayed.verdict.value,
+            why=relayed.reason,
+        )
+        if relayed.verdict is verdicts.Verdict.RAN:
+            return relayed
+        in_doubt |= relayed.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    if in_doubt:
+        return Relayed(verdicts.Verdict.MAY_HAVE_RUN, relayed.reason)
+    return relayed
+
+
+def _peers(server: states.Server) -> list[ids.Address]:
+    """Give some other servers, the leader first, then by their names."""
+    others = roles_.peers(server.roles, server.process)
+    leader = server.roles.leader
+    holder = leader.holder if leader is not None else ''
+    others.sort(key=lambda row: (row.name != holder, row.name))
+    return [row.address for row in others[:PEERS]]
+
+
+async def _ask_one(
+    asking: askings.Asking, address: ids.Address, target: str, body: bytes
+) -> Relayed:
+    try:
+        answer = await transport.call(
+            asking.kept, address, 'POST', target, body, timeout_s=TIMEOUT_S
+        )
+        if answer.status != 200:
+            raise transport.refused(answer, 'relay')
+        return msgspec.json.decode(answer.body, type=Relayed)
+    except errors.CallFailed as error:
+        return Relayed(error.verdict, error.reason)
+    except msgspec.MsgspecError as error:
+        return Relayed(verdicts.Verdict.MAY_HAVE_RUN, str(error))
+
+
+async def take_job(
+    server: states.Server, intake: intakes.Intake, body: bytes
+) -> Relayed:
+    """Hand a job in that another server passes on; it goes no further.
+
+    :raises msgspec.MsgspecError: the body is no job
+    """
+    job = msgspec.json.decode(body, type=model.Job)
+    if store_lost(server):
+        return Relayed(verdicts.Verdict.NOT_RUN, 'the store is lost here too')
+    handed = await intakes.hand_in(intake, job)
+    return Relayed(handed.verdict, handed.reason)
+
+
+async def take_cancel(server: states.Server, job: ids.JobId) -> Relayed:
+    """Cancel a job for another server."""
+    if store_lost(server):
+        return Relayed(verdicts.Verdict.NOT_RUN, 'the store is lost here too')
+    try:
+        async with curio.timeout_after(TIMEOUT_S):
+            there = await intakes.cancel(server.store, job)
+    except errors.CallFailed as error:
+        return Relayed(error.verdict, error.reason)
+    except curio.TaskTimeout:
+        return Relayed(verdicts.Verdict.MAY_HAVE_RUN, 'the store is slow')
+    return Relayed(verdicts.Verdict.RAN, '', there)
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -17,6 +17,7 @@
 from oleanderwood.frontend import asking as askings
 from oleanderwood.frontend import handler as handlers
 from oleanderwood.frontend import intake as intakes
+from oleanderwood.frontend import relaying
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.leading import confirming
@@ -80,7 +81,10 @@
     async def written(jobs: list[model.Job]) -> None:
         await askings.tell_jobs(asking, jobs)
 
-    intake = intakes.Intake(server.store, written)
+    def lost() -> bool:
+        return relaying.store_lost(server)
+
+    intake = intakes.Intake(server.store, written, lost)
     return handlers.Frontend(server, intake, asking)
 
 
@@ -102,7 +106,7 @@
     )
     ready = http_server.listen(settings.ready_listen, _ready(server))
     inner = http_server.listen(
-        boot.inner_address(settings), make_inner_handler(server)
+        boot.inner_address(settings), make_inner_handler(server, frontend)
     )
     parts = [
         await curio.spawn(part, daemon=True)
@@ -165,12 +169,16 @@
             return http.Response(503, [], b'stopping\n')
         if server.configuration is None:
             return http.Response(503, [], b'no configuration yet\n')
+        if relaying.store_lost(server):
+            return http.Response(503, [], b'the store is lost\n')
         return http.Response(200, [], b'ready\n')
 
     return handle
 
 
-def make_inner_handler(server: states.Server) -> http.Handler:
+def make_inner_handler(
+    server: states.Server, frontend: handlers.Frontend
+) -> http.Handler:
     """Make the handler of what the other servers and operators ask."""
     probes = daemon.probe_handler(
         daemon.Probes(
@@ -186,6 +194,14 @@
             return await api.handle(server, request)
         if path == confirming.PATH:
             return _json(confirming.contact(server))
+        if path == relaying.JOB_PATH:
+            body = await http.read_all(request.body, MAX_TOLD_BYTES)
+            return _json(
+                await relaying.take_job(server, frontend.intake, body)
+            )
+        if path.startswith(relaying.CANCEL_PATH):
+            job = ids.JobId(path.removeprefix(relaying.CANCEL_PATH))
+            return _json(await relaying.take_cancel(server, job))
         if path == askings.JOBS_PATH:
             return await _told_jobs(server, request)
         if path.startswith((askings.STATE_PATH, askings.PENDING_PATH)):
