Wait longer for answers while our own timers are late

The wait now grows by four times the lateness of the leader's timers. Ruled out: the workers (they had answered within milliseconds) and the link.

--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -11,6 +11,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
 from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import yielding
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
@@ -147,6 +148,7 @@
     shortage_told_s: float = -1e9
     moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
     wary_until_s: float = 0.0
+    pulse: yielding.Pulse = dataclasses.field(default_factory=yielding.Pulse)
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
@@ -232,6 +234,7 @@
         'groups_waiting': len(leader.ledger.open_groups),
         'unwritten': len(leader.ledger.dirty),
         'policy': leader.policy.number,
+        'timers_late_s': round(leader.pulse.late_s, 3),
         'workers': {
             name: {
                 'service': worker.entry.service,
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -257,12 +257,12 @@
 async def _watch_role(leader: states.Leader) -> None:
     """End the term for another leader's, on a stop, or for a better one."""
     server = leader.server
-    pulse = yielding.Pulse()
     while not leader.deposed:
         asleep_s = clock.now_s()
         await curio.sleep(ROLE_CHECK_S)
         now_s = clock.now_s()
-        yielding.measure(pulse, now_s - asleep_s - ROLE_CHECK_S, now_s)
+        late_s = now_s - asleep_s - ROLE_CHECK_S
+        yielding.measure(leader.pulse, late_s, now_s)
         roles = server.roles
         if roles.leader_revision > leader.revision:
             await states.depose(leader, 'another server leads')
@@ -271,21 +271,19 @@
             await states.depose(leader, 'stops')
         elif not roles.alive_revision and roles.known and server.lease:
             await _stay(leader)
-        elif why := _reason_to_yield(leader, pulse, now_s):
+        elif why := _reason_to_yield(leader, now_s):
             await _hand_over(leader)
             await states.depose(leader, why)
 
 
-def _reason_to_yield(
-    leader: states.Leader, pulse: yielding.Pulse, now_s: float
-) -> str:
+def _reason_to_yield(leader: states.Leader, now_s: float) -> str:
     """Say why another server should lead; '' while we can't let go."""
     server = leader.server
     if not states.holds_lease(leader):
         return ''
     others = roles_.peers(server.roles, server.process)
     return yielding.reason(
-        pulse,
+        leader.pulse,
         boot.cores(server.settings),
         [row.cores for row in others],
         now_s - leader.began_s,
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -37,6 +37,11 @@
 """Time for which one unanswered call makes a leader wary; among the calls
 of so long a time, one in twenty isn't missed."""
 
+LATE_FACTOR = 4.0
+"""How much longer answers are waited for, as a multiple of how late our own
+timers are: an answer that has arrived is read only when its turn comes, and
+its timeout must not be handled first."""
+
 SILENT_PAUSE_S = 0.2
 """Pause between calls to a worker that doesn't answer."""
 
@@ -54,12 +59,13 @@
 async def renew_always(leader: states.Leader, worker: workers_.Worker) -> None:
     """Renew a worker's lease and take its reports, until it is gone."""
     while not worker.gone and not leader.deposed:
+        wary = _is_wary(leader)
         if not states.may_act(leader):
             await curio.sleep(SILENT_PAUSE_S)
             continue
         wait_ms = IDLE_WAIT_MS
         if worker.runs:
-            wait_ms = WARY_WAIT_MS if _is_wary(leader) else BUSY_WAIT_MS
+            wait_ms = WARY_WAIT_MS if wary else BUSY_WAIT_MS
         if not worker.fenced or worker.silent_since_s is not None:
             wait_ms = 0
         first = worker.silent_since_s is None
@@ -75,16 +81,24 @@
 
 def _is_wary(leader: states.Leader) -> bool:
     wary = clock.now_s() < leader.wary_until_s
-    if not wary:
-        leader.calls.timeout_s = executors.ORDER_TIMEOUT_S
+    leader.calls.timeout_s = timeout_s(wary, leader.pulse.late_s)
     return wary
 
 
+def timeout_s(wary: bool, late_s: float) -> float:
+    """Give how long the answer to an order is waited for.
+
+    :param late_s: how late our own timers are
+    """
+    calm_s = WARY_TIMEOUT_S if wary else executors.ORDER_TIMEOUT_S
+    return calm_s + LATE_FACTOR * late_s
+
+
 def _note_unanswered(leader: states.Leader, error: errors.CallFailed) -> None:
     """Be wary after a call that was sent and got no answer."""
     if error.verdict is verdicts.Verdict.MAY_HAVE_RUN:
         leader.wary_until_s = clock.now_s() + WARY_S
-        leader.calls.timeout_s = WARY_TIMEOUT_S
+        _is_wary(leader)
 
 
 async def look(
--- a/tests/test_yielding.py
+++ b/tests/test_yielding.py
@@ -5,6 +5,7 @@
 from emulator import troubles
 from oleanderwood import boot
 from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import worker_loop
 from oleanderwood.leading import yielding
 
 
@@ -73,3 +74,9 @@
         if sight.kind.value == 'ordered'
     ]
     assert terms and {name for _term, name in terms} == {'s2'}
+
+
+def test_late_timers_lengthen_what_answers_may_take():
+    calm_s = worker_loop.timeout_s(wary=False, late_s=0.0)
+    assert worker_loop.timeout_s(wary=True, late_s=0.0) < calm_s
+    assert worker_loop.timeout_s(wary=True, late_s=0.5) > 2.0
