Refuse jobs that can't be, and survive values that don't decode

Cause, found by writing the tests: a job of a million tasks, or with a negative need, was accepted (the first would have filled the leader's memory, the second makes room on a worker); a value of ours in the store that doesn't decode ended every term, or the server, again and again.

Jobs have at most 20,000 tasks over all repetitions, and no number below 0. A malformed value is logged and left out; a job whose progress can't be read isn't run again; without announcements no machine is ordered for a pause.

--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -108,7 +108,12 @@
 ) -> model.State | None:
     kept = await stores.read(store, record.progress_key(job))
     if kept is not None:
-        return msgspec.json.decode(kept.value, type=record.Progress).state
+        try:
+            return msgspec.json.decode(kept.value, type=record.Progress).state
+        except msgspec.MsgspecError as error:
+            raise errors.CallFailed(
+                verdicts.Verdict.NOT_RUN, f'what is kept is malformed: {error}'
+            ) from error
     if await stores.read(store, record.job_key(job)) is None:
         return None
     return model.State.QUEUED
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -31,7 +31,11 @@
     if item.removed:
         return
     if item.key.startswith(record.JOB_PREFIX):
-        job = JOB_DECODER.decode(item.value)
+        try:
+            job = JOB_DECODER.decode(item.value)
+        except msgspec.MsgspecError as error:
+            event_log.emit('job', 'malformed', key=item.key, why=str(error))
+            return
         _take_job(leader, job, now_s, inherited)
     elif item.key.startswith(record.CANCEL_PREFIX):
         cancel(leader, ids.JobId(item.key.removeprefix(record.CANCEL_PREFIX)))
@@ -61,7 +65,7 @@
 def _take_job(
     leader: states.Leader, job: model.Job, now_s: float, inherited: bool
 ) -> None:
-    if job.job in leader.ledger.entries:
+    if job.job in leader.ledger.entries or job.job in leader.unreadable:
         return
     entry = ledgers.add(leader.ledger, job, now_s, inherited)
     if not inherited:
@@ -219,7 +223,11 @@
     leader.waves[wave.wave] = progress
     kept = leader.kept_waves.get(str(wave.wave))
     if kept is not None:
-        fleet_loop.restore(progress, kept)
+        try:
+            fleet_loop.restore(progress, kept)
+        except msgspec.MsgspecError as error:
+            # What has begun is ordered again, which changes nothing.
+            event_log.emit('wave', 'kept-malformed', why=str(error))
     event_log.emit(
         'wave',
         'taken',
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -68,6 +68,20 @@
             leader.turn_after_s[name] = now_s + left_ms / 1000
 
 
+def restore_or_wait(leader: states.Leader, value: bytes) -> None:
+    """Take over announcements.
+
+    Where they can't be read, no machine is ordered for a whole pause.
+    """
+    try:
+        restore(leader, value)
+    except msgspec.MsgspecError as error:
+        event_log.emit('fleet', 'announcements-malformed', why=str(error))
+        pause_s = (leader.server.settings.machine_turn_ms + SKEW_MS) / 1000
+        leader.none_before_s = clock.now_s() + pause_s
+
+
 def is_ours(leader: states.Leader, machine: str) -> bool:
     """Say whether the pause after another leader's order is over."""
-    return clock.now_s() >= leader.turn_after_s.get(machine, 0.0)
+    after_s = leader.turn_after_s.get(machine, leader.none_before_s)
+    return clock.now_s() >= after_s
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -109,6 +109,7 @@
 
     :ivar revision: of the leader's key, the condition of all its writes
     :ivar deposed: why it must stop; '' while it leads
+    :ivar unreadable: jobs whose progress in the store can't be read
     :ivar confirmed_until_s: by when servers that don't reach the store
         either have to confirm again that none leads
     """
@@ -151,6 +152,7 @@
     pulse: yielding.Pulse = dataclasses.field(default_factory=yielding.Pulse)
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    none_before_s: float = 0.0
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
     machines: dict[str, fleet.Machine] = dataclasses.field(
         default_factory=dict
@@ -161,6 +163,7 @@
     policy_revision: int = 0
     deposed: str = ''
     confirmed_until_s: float = 0.0
+    unreadable: set[ids.JobId] = dataclasses.field(default_factory=set)
     cancelled_unknown: set[ids.JobId] = dataclasses.field(default_factory=set)
     peer_connections: connections.Connections = dataclasses.field(
         default_factory=connections.Connections
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -33,6 +33,7 @@
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
+from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 from oleanderwood.upkeeps import turns
@@ -131,7 +132,7 @@
     orders = await stores.read(store, machine_turns.KEY)
     if orders is not None:
         guarded.note_read(leader, orders)
-        machine_turns.restore(leader, orders.value)
+        machine_turns.restore_or_wait(leader, orders.value)
     for item in [*rosters.items, *kept.items, *waves.items]:
         guarded.note_read(leader, item)
     for item in waves.items:
@@ -145,8 +146,7 @@
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
         entry = leader.ledger.entries.get(job)
         if entry is not None:
-            progress = msgspec.json.decode(item.value, type=record.Progress)
-            record.restore(leader.ledger, entry, progress, now_s)
+            _restore(leader, entry, item.value, now_s)
     for item in taken.items:
         if item.key.startswith(record.CANCEL_PREFIX):
             intake.take_intake(leader, item, inherited=True)
@@ -154,13 +154,40 @@
     lease_s = states.task_lease_s(leader.server.settings)
     longest_s = lease_s / workers_.SLOW_CLOCK_RATE
     for item in rosters.items:
-        for entry in keeping.decode_roster(item.value):
+        for entry in _roster(item):
             worker = await intake.meet(leader, entry, listed=False)
             worker.lease_end_s = (
                 now_s + longest_s + schedule.UNKNOWN_LEASE_SLACK_S
             )
 
 
+def _roster(item: stores.Item) -> list[reports.Entry]:
+    """Decode a roster; without it, workers are met by their entries."""
+    try:
+        return keeping.decode_roster(item.value)
+    except msgspec.MsgspecError as error:
+        event_log.emit('worker', 'malformed', key=item.key, why=str(error))
+        return []
+
+
+def _restore(
+    leader: states.Leader, entry: ledgers.Entry, value: bytes, now_s: float
+) -> None:
+    """Bring a job to its kept progress.
+
+    A job whose progress can't be read is left alone: what of it has run
+    isn't known.
+    """
+    try:
+        progress = msgspec.json.decode(value, type=record.Progress)
+        record.restore(leader.ledger, entry, progress, now_s)
+    except (msgspec.MsgspecError, ValueError) as error:
+        name = entry.job.job
+        event_log.emit('job', 'progress-malformed', job=name, why=str(error))
+        ledgers.forget(leader.ledger, name)
+        leader.unreadable.add(name)
+
+
 def _note_past_arrivals(leader: states.Leader) -> None:
     """Learn from the jobs in the store when which pool had its turn."""
     now_s = clock.now_s()
--- a/oleanderwood/platform/callers.py
+++ b/oleanderwood/platform/callers.py
@@ -1,39 +1,51 @@
 """Callers' requests: jobs as they are handed in, and the answers."""
 
+import typing
+
 import msgspec
 
 from oleanderwood import errors
 from oleanderwood.jobs import model
 
 
+MAX_TASKS = 20_000
+"""Tasks of one job over all its repetitions; each takes about 500 bytes in
+the leader, so this is 10 MB."""
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+"""A number of things; a negative need would make room."""
+
+_Time = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _WirePhase(msgspec.Struct):
     # What the wire calls phases are the steps of a job.
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
+    count: _Count = 0
+    cpu: _Count = 0
+    mem_mb: _Count = 0
+    gpu: _Count = 0
+    estimate_ms: _Time = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ''
     affinity: str = ''
-    max_per_server: int = 0
+    max_per_server: _Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: float = 0
+    target_ms: _Time = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Count = 0
 
 
 class _WireJob(msgspec.Struct):
     spec: str = ''
     phases: list[_WirePhase] = []
-    repeat_count: int = 0
-    start_time_ms: float = 0
-    interval_ms: float = 0
+    repeat_count: _Count = 0
+    start_time_ms: _Time = 0
+    interval_ms: _Time = 0
 
 
 def decode_job(body: bytes) -> model.Work:
@@ -50,6 +62,9 @@
     for number, phase in enumerate(wire.phases):
         if any(not 0 <= other < number for other in phase.after):
             raise errors.BadMessage(400, f'step {number} waits for a later')
+    tasks = sum(phase.count for phase in wire.phases)
+    if tasks * max(1, wire.repeat_count) > MAX_TASKS:
+        raise errors.BadMessage(400, f'more than {MAX_TASKS} tasks')
     return model.Work(
         text=wire.spec,
         steps=tuple(_step(phase) for phase in wire.phases),
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -287,8 +287,13 @@
         for item in items:
             if item.removed:
                 roles_.drop(roles, item.key, item.revision)
-            else:
+                continue
+            try:
                 roles_.take(roles, item.key, item.value, item.revision)
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                event_log.emit(
+                    'roles', 'malformed', key=item.key, why=str(error)
+                )
         roles.known = True
         await server.roles_changed.set()
 
--- a/tests/utils_servers.py
+++ b/tests/utils_servers.py
@@ -67,3 +67,12 @@
 
     monkeypatch.setattr(servers, 'settings_of', settings_of)
     yield
+
+
+WAVE = b'{"wave":1,"machines":["m1"],"duration_s":20,"max_count":1}'
+"""A wave of one machine, as the operator writes it."""
+
+
+async def kill(world: World, process: servers.Process) -> None:
+    """End a server's life without a last word."""
+    await servers.kill(world.network, process)
