Move machines at the platform's rate, side by side

Now a pass sends as many orders as the platform's rate allows (four fifths of it, at most half a second's worth at once; waves draw on the same), side by side. Ruled out: the servers that were stopped in turn (none led), the slow store (a second of lateness at most).

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -102,9 +102,10 @@
         await worker_loop.stop_run(leader, decision.relocate)
     order = [
         name for name in decision.order if machine_turns.is_ours(leader, name)
-    ]
+    ][: machine_turns.allowance(leader)]
     if order and not await machine_turns.announce(leader, order):
         return
+    leader.orders_left -= len(order)
     for name in order:
         await _maintain(leader, progress, name, by_machine.get(name))
     if order:
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -24,6 +24,15 @@
 """Announcements older than this are dropped; a pause takes 3 s."""
 
 
+RATE_SHARE = 0.8
+"""Part of the orders which the platform takes from all servers that a leader
+uses; the rest is for what an earlier one has sent a moment ago."""
+
+BURST_S = 0.5
+"""Time whose orders may be sent at once: a turn of demand asks for a tenth of
+a fleet in one pass."""
+
+
 class Announced(msgspec.Struct, frozen=True):
     """Orders that were about to be sent: times of day by machine."""
 
@@ -53,6 +62,16 @@
     return True
 
 
+def allowance(leader: states.Leader) -> int:
+    """Give how many orders may be sent now."""
+    now_s = clock.now_s()
+    per_s = RATE_SHARE * leader.server.settings.machine_orders_per_s
+    earned = (now_s - leader.orders_at_s) * per_s
+    leader.orders_left = min(per_s * BURST_S, leader.orders_left + earned)
+    leader.orders_at_s = now_s
+    return int(leader.orders_left)
+
+
 def restore(leader: states.Leader, value: bytes) -> None:
     """Take over an earlier leader's announcements."""
     pause_ms = leader.server.settings.machine_turn_ms
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -1,5 +1,7 @@
 """The leader's list of machines, and their moves between pools."""
 
+import curio
+
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -85,15 +87,18 @@
         now_s,
         leader.policy.policy.weights,
     )
+    moves = decision.moves[: machine_turns.allowance(leader)]
     leader.needs = decision.needs
     _log_shortage(leader, views, decision.needs, now_s)
-    if not decision.moves:
+    if not moves:
         return
-    names = [move.machine for move in decision.moves]
+    names = [move.machine for move in moves]
     if not await machine_turns.announce(leader, names):
         return
-    for move in decision.moves:
-        await _move(leader, move)
+    leader.orders_left -= len(moves)
+    async with curio.TaskGroup() as group:
+        for move in moves:
+            await group.spawn(_move, leader, move)
     await read(leader)
 
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -153,6 +153,8 @@
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
     none_before_s: float = 0.0
+    orders_left: float = 0.0
+    orders_at_s: float = 0.0
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
     machines: dict[str, fleet.Machine] = dataclasses.field(
         default_factory=dict
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -53,9 +53,6 @@
 """Idle time after which a machine leaves a pool in its turn: the busiest
 moment of that time didn't need it, and two moves cost as much as it waits."""
 
-MOST_MOVES = 4
-"""Moves decided in one pass; each costs an order of about 10 ms."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Member:
@@ -201,7 +198,7 @@
                 and _may_rest(turns, service, near_s, now_s)
             ):
                 moves.append(Move(member.machine, service, target, 'idle'))
-    return Decision(moves[:MOST_MOVES], wanted)
+    return Decision(moves, wanted)
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/test_machine_turns.py
@@ -0,0 +1,53 @@
+"""Tests of how many orders for machines may be sent, and whose turn it is."""
+
+import types
+
+import pytest
+
+from oleanderwood import clock
+from oleanderwood.leading import machine_turns
+
+
+@pytest.fixture
+def leader(monkeypatch):
+    now = types.SimpleNamespace(s=100.0)
+    monkeypatch.setattr(clock, 'now_s', lambda: now.s)
+    settings = types.SimpleNamespace(
+        machine_orders_per_s=64.0, machine_turn_ms=3000.0
+    )
+    return types.SimpleNamespace(
+        now=now,
+        server=types.SimpleNamespace(settings=settings),
+        orders_left=0.0,
+        orders_at_s=0.0,
+        turn_after_s={},
+        none_before_s=0.0,
+    )
+
+
+def test_orders_come_at_the_platforms_rate_with_some_to_spare(leader):
+    assert machine_turns.allowance(leader) == 25
+    leader.orders_left -= 25
+    assert machine_turns.allowance(leader) == 0
+    sent = 0
+    for _ in range(100):
+        leader.now.s += 0.1
+        count = machine_turns.allowance(leader)
+        leader.orders_left -= count
+        sent += count
+    assert 500 <= sent <= 0.8 * 64 * 10 + 1
+
+
+def test_what_is_not_used_is_not_saved_up(leader):
+    machine_turns.allowance(leader)
+    leader.now.s += 60.0
+    assert machine_turns.allowance(leader) == 25
+
+
+def test_unreadable_announcements_hold_all_machines_for_a_pause(leader):
+    machine_turns.restore_or_wait(leader, b'no JSON')
+    assert not machine_turns.is_ours(leader, 'm1')
+    leader.now.s += 3.4
+    assert not machine_turns.is_ours(leader, 'm1')
+    leader.now.s += 0.2
+    assert machine_turns.is_ours(leader, 'm1')
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -313,3 +313,13 @@
     members = [_member(f'a{i}', now_s=31.0) for i in range(2)]
     moves = _decide([_pool('a', members)], {OFF: []}, turns, now_s=31.0)
     assert not moves
+
+
+def test_all_machines_that_a_turn_lacks_move_in_one_pass():
+    turns = turns_.Turns(pools=frozenset(POOLS))
+    for at_s in (0.0, 0.2, 0.3):
+        turns_.note(turns, 'a', at_s, 20.0)
+    pool = _pool('a', [_member(f'm{i}') for i in range(40)])
+    pool.first_size = 40
+    rest = _resting(*(f's{i}' for i in range(30)))
+    assert len(_decide([pool], rest, turns, now_s=0.4)) == 12
