Follow a large fleet's turns within a second; know first sizes after a takeover

The window is now the shortest that holds 25 arrivals, a sure rise goes on over the time of a move, a turn is young for 4 s, and a later leader takes an equal part of all machines as a pool's first size. Counts and sums are kept, not made anew over a minute's arrivals ten times a second.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -156,17 +156,27 @@
     _note_demand(leader, views, now_s)
     promised = policies.min_up(leader.policy.policy)
     for service, view in views.items():
-        size = leader.first_sizes.get(service, 0)
-        line = leader.turns.lines.get(service)
-        if line is None or not line.starts_s:
-            # Machines enter the list one after another.
-            size = max(size, len(view.members))
-            leader.first_sizes[service] = size
-        view.first_size = size
+        view.first_size = _first_size(leader, view, len(views) + len(standby))
         view.min_up = promised.get(service, 0)
     return list(views.values()), standby
 
 
+def _first_size(
+    leader: states.Leader, view: pool_plan.PoolView, pool_count: int
+) -> int:
+    """Give how many machines a pool had at first.
+
+    A leader that came later takes an equal part of all machines for it.
+    """
+    line = leader.turns.lines.get(view.service)
+    size = leader.first_sizes.get(view.service, 0)
+    if line is None or not line.starts_s:
+        # Machines enter the list one after another.
+        size = max(size, len(view.members))
+        leader.first_sizes[view.service] = size
+    return size or len(leader.machines) // pool_count
+
+
 def _fixed(leader: states.Leader, now_s: float) -> set[str]:
     """Give the machines that must not move: a wave is about to take them."""
     fixed = {
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -17,6 +17,20 @@
 """As above within a turn, which lasts some 8 s: two of ten arrivals more or
 less in the shorter window would move several machines."""
 
+SHORT_WINDOW_S = 0.6
+SURE_ARRIVALS = 25
+"""Arrivals that tell a rate to a fifth; the window is as short as it may be
+to hold them. A large fleet has them within the shorter one, and its turns
+rise by half in the time that a machine takes to move. With 12, today's small
+fleets followed each chance."""
+
+RISE_MOST = 1.5
+"""Most by which a rising rate is carried on over the time of a move."""
+
+YOUNG_S = 4.0
+"""Time for which a turn is young: it takes two or three seconds to reach its
+height, and its rate is measured over 2.5 s."""
+
 MEAN_S = 60.0
 """Time over which the mean rate is measured, a few cycles of turns."""
 
@@ -52,6 +66,7 @@
     :ivar began_s: when the present or last turn began; turns that a lull
         parts count apart
     :ivar turn_cores: cores that the last turn kept busy in its mean
+    :ivar total_core_s: work of all arrivals that are remembered
     """
 
     arrivals: collections.deque = dataclasses.field(
@@ -62,6 +77,7 @@
     began_s: float = -1e9
     ended_s: float = -1e9
     turn_cores: float = 0.0
+    total_core_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -89,8 +105,9 @@
     # Ends a turn that went by unnoticed.
     update(turns, pool, at_s)
     line.arrivals.append((at_s, core_s))
+    line.total_core_s += core_s
     while line.arrivals[0][0] < at_s - MEAN_S:
-        line.arrivals.popleft()
+        line.total_core_s -= line.arrivals.popleft()[1]
     update(turns, pool, at_s)
 
 
@@ -108,22 +125,30 @@
 
 
 def _count(line: Line, since_s: float) -> int:
-    return sum(at_s > since_s for at_s, _core_s in line.arrivals)
+    count = 0
+    for at_s, _core_s in reversed(line.arrivals):
+        if at_s <= since_s:
+            break
+        count += 1
+    return count
 
 
 def _mean_size(line: Line) -> float:
-    if not line.arrivals:
-        return 0.0
-    return sum(row[1] for row in line.arrivals) / len(line.arrivals)
+    return line.total_core_s / len(line.arrivals) if line.arrivals else 0.0
 
 
 def is_young(line: Line, now_s: float) -> bool:
     """Say whether a turn has begun and can't be measured yet."""
-    return line.in_turn and now_s - line.began_s < 2 * WINDOW_S
+    return line.in_turn and now_s - line.began_s < YOUNG_S
 
 
 def _work(line: Line, since_s: float) -> float:
-    return sum(core_s for at_s, core_s in line.arrivals if at_s > since_s)
+    work = 0.0
+    for at_s, core_s in reversed(line.arrivals):
+        if at_s <= since_s:
+            break
+        work += core_s
+    return work
 
 
 def soon_cores(line: Line, now_s: float) -> float:
@@ -131,12 +156,30 @@
 
     Few arrivals say little of the rate; they count for less.
     """
+    since_s = _since_s(line, now_s)
+    count = _count(line, since_s)
+    part = count / (count + DOUBT_ARRIVALS)
+    rate = _rate(line, since_s, now_s) * _rise(line, since_s, now_s)
+    return part * rate * _mean_size(line)
+
+
+def _since_s(line: Line, now_s: float) -> float:
+    """Give where the window begins that tells the present rate best."""
+    if _count(line, now_s - SHORT_WINDOW_S) >= SURE_ARRIVALS:
+        return now_s - SHORT_WINDOW_S
     since_s = now_s - WINDOW_S
-    if line.in_turn:
+    if line.in_turn and _count(line, since_s) < SURE_ARRIVALS:
         since_s = min(since_s, max(line.began_s, now_s - TURN_WINDOW_S))
+    return since_s
+
+
+def _rise(line: Line, since_s: float, now_s: float) -> float:
+    """Give by how much a rate goes on rising, if it surely rises."""
     count = _count(line, since_s)
-    part = count / (count + DOUBT_ARRIVALS)
-    return part * _rate(line, since_s, now_s) * _mean_size(line)
+    before = _count(line, 2 * since_s - now_s) - count
+    if before < SURE_ARRIVALS:
+        return 1.0
+    return min(RISE_MOST, max(1.0, count / before))
 
 
 def mean_cores(turns: Turns, line: Line, now_s: float) -> float:
@@ -144,7 +187,7 @@
     if turns.began_s is None:
         return 0.0
     span_s = min(MEAN_S, max(MEAN_MIN_S, now_s - turns.began_s))
-    return sum(row[1] for row in line.arrivals) / span_s
+    return line.total_core_s / span_s
 
 
 def update(turns: Turns, pool: str, now_s: float) -> None:
@@ -152,7 +195,7 @@
     line = turns.lines.get(pool)
     if line is None:
         return
-    recent = sum(row[0] > now_s - WINDOW_S for row in line.arrivals)
+    recent = _count(line, now_s - WINDOW_S)
     present = present_cores(line, now_s)
     mean = mean_cores(turns, line, now_s)
     high = recent >= TURN_ARRIVALS and present >= TURN_FACTOR * mean
