--- a/oleanderwood/frontend/relaying.py
+++ b/oleanderwood/frontend/relaying.py
@@ -86,11 +86,15 @@
 
 
 def _peers(server: states.Server) -> list[ids.Address]:
-    """Give some other servers, the leader first, then by their names."""
+    """Give some other servers: the leader, then those next by name.
+
+    Each server has others next to it, so that not all ask the same.
+    """
     others = roles_.peers(server.roles, server.process)
     leader = server.roles.leader
     holder = leader.holder if leader is not None else ''
-    others.sort(key=lambda row: (row.name != holder, row.name))
+    own = server.settings.name
+    others.sort(key=lambda row: (row.name != holder, row.name < own, row.name))
     return [row.address for row in others[:PEERS]]
 
 
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -15,7 +15,6 @@
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
-from oleanderwood.platform import store as stores
 from oleanderwood.policy import hours
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import workers as workers_
@@ -53,9 +52,9 @@
         await curio.sleep(PASS_S)
         if not states.may_act(leader):
             continue
-        if clock.now_s() - leader.machines_read_s >= READ_S:
+        if clock.now_s() - leader.fleet.machines_read_s >= READ_S:
             await pool_loop.read(leader)
-        for progress in list(leader.waves.values()):
+        for progress in list(leader.fleet.waves.values()):
             if not progress.completed:
                 await _drive(leader, progress)
         await pool_loop.balance(leader)
@@ -64,7 +63,7 @@
 def _by_machine(leader: states.Leader) -> dict[str, workers_.Worker]:
     found = {}
     for worker in leader.workers.values():
-        machine = leader.machines.get(worker.entry.machine)
+        machine = leader.fleet.machines.get(worker.entry.machine)
         if machine is not None and machine.worker == worker.entry.worker:
             found[worker.entry.machine] = worker
     return found
@@ -73,12 +72,15 @@
 async def _drive(leader: states.Leader, progress: wave_plan.Progress) -> None:
     now_s = clock.now_s()
     settings = leader.server.settings
-    if now_s - leader.machines_read_s > 2 * READ_S or not leader.machines:
+    if (
+        now_s - leader.fleet.machines_read_s > 2 * READ_S
+        or not leader.fleet.machines
+    ):
         return
     by_machine = _by_machine(leader)
     decision = wave_plan.decide(
         progress,
-        leader.machines,
+        leader.fleet.machines,
         by_machine,
         settings.maintenance_s,
         now_s,
@@ -105,7 +107,7 @@
     ][: machine_turns.allowance(leader)]
     if order and not await machine_turns.announce(leader, order):
         return
-    leader.orders_left -= len(order)
+    leader.fleet.orders_left -= len(order)
     for name in order:
         await _maintain(leader, progress, name, by_machine.get(name))
     if order:
@@ -126,7 +128,7 @@
     )
     return wave_plan.Bounds(
         policies.min_up(policy),
-        {service: need.now for service, need in leader.needs.items()},
+        {service: need.now for service, need in leader.fleet.needs.items()},
         policy.maintenance.hold,
         quiet,
     )
@@ -145,7 +147,7 @@
         # An order of this pass has taken the allowance.
         return
     wave = progress.wave.wave
-    ordered = wave_plan.Ordered(leader.machines[name].worker, now_s)
+    ordered = wave_plan.Ordered(leader.fleet.machines[name].worker, now_s)
     progress.down[name] = ordered
     if worker is not None:
         availability.note_order(worker, now_s)
@@ -188,13 +190,9 @@
         return
     key = f'{operator.WAVE_STATUS_PREFIX}{progress.wave.wave}'
     value = operator.encode_wave_status(completed)
-    try:
-        await guarded.write(leader, {key: value})
-    except stores.Conflict:
-        await states.depose(leader, 'another server leads')
-        return
-    except errors.CallFailed as error:
-        event_log.emit('wave', 'status-not-written', why=error.reason)
+    if not await guarded.try_write(
+        leader, {key: value}, 'wave', 'status-not-written'
+    ):
         return
     progress.status_written = word
     event_log.emit('wave', word, wave=progress.wave.wave)
@@ -211,12 +209,8 @@
     key = f'{WAVES_PREFIX}{progress.wave.wave}'
     age_s = clock.now_s() - progress.seen_s
     kept = Kept(sorted(progress.begun), clock.wall_ms() - age_s * 1000)
-    try:
-        await guarded.write(leader, {key: msgspec.json.encode(kept)})
-    except stores.Conflict:
-        await states.depose(leader, 'another server leads')
-    except errors.CallFailed as error:
-        event_log.emit('wave', 'begun-not-written', why=error.reason)
+    values = {key: msgspec.json.encode(kept)}
+    await guarded.try_write(leader, values, 'wave', 'begun-not-written')
 
 
 def restore(progress: wave_plan.Progress, value: bytes) -> None:
--- a/oleanderwood/leading/guarded.py
+++ b/oleanderwood/leading/guarded.py
@@ -4,6 +4,7 @@
 an older value over a newer one, so each names the revision that it replaces.
 """
 
+from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
@@ -42,6 +43,27 @@
     raise last
 
 
+async def try_write(
+    leader: states.Leader, values: dict[str, bytes], part: str, event: str
+) -> bool:
+    """Write values that may be written later as well; says whether they are.
+
+    Ends the term if another server leads.
+
+    :param part: of the log line that tells of a failure
+    :param event: the same
+    """
+    try:
+        await write(leader, values)
+    except stores.Conflict:
+        await states.depose(leader, 'another server leads')
+        return False
+    except errors.CallFailed as error:
+        event_log.emit(part, event, why=error.reason)
+        return False
+    return True
+
+
 def _learn(
     leader: states.Leader,
     conflict: stores.Conflict,
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -215,13 +215,13 @@
     except msgspec.MsgspecError as error:
         event_log.emit('wave', 'malformed', key=item.key, why=str(error))
         return
-    known = leader.waves.get(wave.wave)
+    known = leader.fleet.waves.get(wave.wave)
     if known is not None:
         known.wave = wave
         return
     progress = wave_plan.Progress(wave, clock.now_s())
-    leader.waves[wave.wave] = progress
-    kept = leader.kept_waves.get(str(wave.wave))
+    leader.fleet.waves[wave.wave] = progress
+    kept = leader.fleet.kept_waves.get(str(wave.wave))
     if kept is not None:
         try:
             fleet_loop.restore(progress, kept)
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -9,11 +9,9 @@
 import msgspec
 
 from oleanderwood import clock
-from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import guarded
 from oleanderwood.leading import state as states
-from oleanderwood.platform import store as stores
 
 KEY = 'ow/machine-orders'
 
@@ -44,21 +42,14 @@
     wall_ms = clock.wall_ms()
     known = {
         name: at_ms
-        for name, at_ms in leader.announced.items()
+        for name, at_ms in leader.fleet.announced.items()
         if wall_ms - at_ms < KEPT_MS
     }
     known.update(dict.fromkeys(machines, wall_ms))
-    try:
-        await guarded.write(
-            leader, {KEY: msgspec.json.encode(Announced(known))}
-        )
-    except stores.Conflict:
-        await states.depose(leader, 'another server leads')
-        return False
-    except errors.CallFailed as error:
-        event_log.emit('fleet', 'not-announced', why=error.reason)
+    values = {KEY: msgspec.json.encode(Announced(known))}
+    if not await guarded.try_write(leader, values, 'fleet', 'not-announced'):
         return False
-    leader.announced = known
+    leader.fleet.announced = known
     return True
 
 
@@ -66,10 +57,12 @@
     """Give how many orders may be sent now."""
     now_s = clock.now_s()
     per_s = RATE_SHARE * leader.server.settings.machine_orders_per_s
-    earned = (now_s - leader.orders_at_s) * per_s
-    leader.orders_left = min(per_s * BURST_S, leader.orders_left + earned)
-    leader.orders_at_s = now_s
-    return int(leader.orders_left)
+    earned = (now_s - leader.fleet.orders_at_s) * per_s
+    leader.fleet.orders_left = min(
+        per_s * BURST_S, leader.fleet.orders_left + earned
+    )
+    leader.fleet.orders_at_s = now_s
+    return int(leader.fleet.orders_left)
 
 
 def restore(leader: states.Leader, value: bytes) -> None:
@@ -78,13 +71,13 @@
     wall_ms = clock.wall_ms()
     now_s = clock.now_s()
     kept = msgspec.json.decode(value, type=Announced)
-    leader.announced = dict(kept.wall_ms)
+    leader.fleet.announced = dict(kept.wall_ms)
     for name, at_ms in kept.wall_ms.items():
         left_ms = at_ms + pause_ms + SKEW_MS - wall_ms
         # A clock that jumped must not hold a machine for long.
         left_ms = min(left_ms, pause_ms + SKEW_MS)
         if left_ms > 0:
-            leader.turn_after_s[name] = now_s + left_ms / 1000
+            leader.fleet.turn_after_s[name] = now_s + left_ms / 1000
 
 
 def restore_or_wait(leader: states.Leader, value: bytes) -> None:
@@ -97,10 +90,12 @@
     except msgspec.MsgspecError as error:
         event_log.emit('fleet', 'announcements-malformed', why=str(error))
         pause_s = (leader.server.settings.machine_turn_ms + SKEW_MS) / 1000
-        leader.none_before_s = clock.now_s() + pause_s
+        leader.fleet.none_before_s = clock.now_s() + pause_s
 
 
 def is_ours(leader: states.Leader, machine: str) -> bool:
     """Say whether the pause after another leader's order is over."""
-    after_s = leader.turn_after_s.get(machine, leader.none_before_s)
+    after_s = leader.fleet.turn_after_s.get(
+        machine, leader.fleet.none_before_s
+    )
     return clock.now_s() >= after_s
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -40,10 +40,10 @@
         machines = await machine_calls.read_all(leader.machine_calls)
     except errors.CallFailed as error:
         event_log.emit('fleet', 'not-read', why=error.reason)
-        leader.machines_read_s = clock.now_s()
+        leader.fleet.machines_read_s = clock.now_s()
         return
-    leader.machines_read_s = sent_s
-    leader.machines = {machine.machine: machine for machine in machines}
+    leader.fleet.machines_read_s = sent_s
+    leader.fleet.machines = {machine.machine: machine for machine in machines}
     living = {
         machine.worker
         for machine in machines
@@ -57,10 +57,10 @@
             continue
         if worker.entry.worker not in living:
             await worker_loop.lost(leader, worker, 'its machine is down')
-    for progress in leader.waves.values():
+    for progress in leader.fleet.waves.values():
         wave_plan.note_returns(
             progress,
-            leader.machines,
+            leader.fleet.machines,
             sent_s,
             leader.server.settings.maintenance_s,
         )
@@ -71,31 +71,31 @@
     now_s = clock.now_s()
     settings = leader.server.settings
     configuration = leader.server.configuration
-    if now_s - leader.machines_read_s > FRESH_S or configuration is None:
+    if now_s - leader.fleet.machines_read_s > FRESH_S or configuration is None:
         return
-    leader.turns.pools = frozenset(
+    leader.fleet.turns.pools = frozenset(
         queue.service for queue in configuration.queues
     )
     for pool in configuration.services:
-        turns_.update(leader.turns, pool, now_s)
+        turns_.update(leader.fleet.turns, pool, now_s)
     views, standby = _views(leader, now_s)
     decision = pool_plan.decide(
         views,
         standby,
-        leader.turns,
+        leader.fleet.turns,
         settings.move_s,
         now_s,
         leader.policy.policy.weights,
     )
     moves = decision.moves[: machine_turns.allowance(leader)]
-    leader.needs = decision.needs
+    leader.fleet.needs = decision.needs
     _log_shortage(leader, views, decision.needs, now_s)
     if not moves:
         return
     names = [move.machine for move in moves]
     if not await machine_turns.announce(leader, names):
         return
-    leader.orders_left -= len(moves)
+    leader.fleet.orders_left -= len(moves)
     async with curio.TaskGroup() as group:
         for move in moves:
             await group.spawn(_move, leader, move)
@@ -109,7 +109,7 @@
     now_s: float,
 ) -> None:
     """Say once a second which pools have fewer machines than they need."""
-    if now_s - leader.shortage_told_s < SHORTAGE_S:
+    if now_s - leader.fleet.shortage_told_s < SHORTAGE_S:
         return
     rows = {
         view.service: {
@@ -125,7 +125,7 @@
         for view in views
     }
     if any(row['has'] < row['soon'] for row in rows.values()):
-        leader.shortage_told_s = now_s
+        leader.fleet.shortage_told_s = now_s
         event_log.emit('fleet', 'short', pools=rows)
 
 
@@ -144,7 +144,7 @@
         service: [] for service in configuration.standby
     }
     fixed = _fixed(leader, now_s)
-    for machine in leader.machines.values():
+    for machine in leader.fleet.machines.values():
         if machine.state is fleet.State.DOWN:
             continue
         member = _member(leader, machine, machine.machine in fixed)
@@ -168,28 +168,28 @@
 
     A leader that came later takes an equal part of all machines for it.
     """
-    line = leader.turns.lines.get(view.service)
-    size = leader.first_sizes.get(view.service, 0)
+    line = leader.fleet.turns.lines.get(view.service)
+    size = leader.fleet.first_sizes.get(view.service, 0)
     if line is None or not line.starts_s:
         # Machines enter the list one after another.
         size = max(size, len(view.members))
-        leader.first_sizes[view.service] = size
-    return size or len(leader.machines) // pool_count
+        leader.fleet.first_sizes[view.service] = size
+    return size or len(leader.fleet.machines) // pool_count
 
 
 def _fixed(leader: states.Leader, now_s: float) -> set[str]:
     """Give the machines that must not move: a wave is about to take them."""
     fixed = {
         name
-        for name, until_s in leader.moves_refused.items()
+        for name, until_s in leader.fleet.moves_refused.items()
         if until_s > now_s
     }
     fixed.update(
         name
-        for name in leader.turn_after_s
+        for name in leader.fleet.turn_after_s
         if not machine_turns.is_ours(leader, name)
     )
-    for progress in leader.waves.values():
+    for progress in leader.fleet.waves.values():
         if not progress.completed:
             fixed.update(progress.down)
             fixed.update(set(progress.wave.machines) - progress.begun)
@@ -246,7 +246,7 @@
 async def _move(leader: states.Leader, move: pool_plan.Move) -> None:
     if not states.holds_lease(leader):
         return
-    machine = leader.machines[move.machine]
+    machine = leader.fleet.machines[move.machine]
     worker = leader.workers.get(machine.worker)
     if worker is not None:
         if worker.runs:
@@ -276,7 +276,7 @@
         pause_s = wave_plan.CYCLE_SLACK_S
         if outcome is machine_calls.Outcome.INVALID:
             pause_s = INVALID_S
-        leader.moves_refused[move.machine] = clock.now_s() + pause_s
+        leader.fleet.moves_refused[move.machine] = clock.now_s() + pause_s
         if worker is not None:
             worker.closed = False
 
@@ -296,7 +296,7 @@
         queue = placing.queue_of(entry, known)
         factor = lengths.factor(leader.lengths, queue.name)
         turns_.note(
-            leader.turns,
+            leader.fleet.turns,
             queue.service,
             at_s,
             core_ms * factor / 1e6,
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -18,7 +18,7 @@
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import fleet
+from oleanderwood.upkeeps import fleet as fleet_
 from oleanderwood.upkeeps import pool_plan
 from oleanderwood.upkeeps import turns as turns_
 from oleanderwood.upkeeps import wave_plan
@@ -103,6 +103,49 @@
     lease_wanted: Wake = dataclasses.field(default_factory=Wake)
 
 
+@dataclasses.dataclass
+class Fleet:
+    """What a leader remembers of machines, their moves and their waves.
+
+    :ivar machines: by name, as last listed
+    :ivar machines_read_s: when that list was asked for
+    :ivar waves: by number
+    :ivar kept_waves: what an earlier leader wrote of them
+    :ivar first_sizes: machines that each pool had before its first turn
+    :ivar needs: machines that each pool needs now
+    :ivar shortage_told_s: when a lack of machines was last logged
+    :ivar moves_refused: until when a machine isn't asked to move again
+    :ivar announced: times of day of announced orders, by machine
+    :ivar turn_after_s: from when a machine may be ordered that an earlier
+        leader has ordered
+    :ivar none_before_s: the same for all others
+    :ivar orders_left: orders that may be sent, as of ``orders_at_s``
+    """
+
+    machines: dict[str, fleet_.Machine] = dataclasses.field(
+        default_factory=dict
+    )
+    machines_read_s: float = -1e9
+    waves: dict[int, wave_plan.Progress] = dataclasses.field(
+        default_factory=dict
+    )
+    kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    turns: turns_.Turns = dataclasses.field(default_factory=turns_.Turns)
+    first_sizes: dict[ids.ServiceId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    needs: dict[ids.ServiceId, pool_plan.Need] = dataclasses.field(
+        default_factory=dict
+    )
+    shortage_told_s: float = -1e9
+    moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
+    announced: dict[str, float] = dataclasses.field(default_factory=dict)
+    turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    none_before_s: float = 0.0
+    orders_left: float = 0.0
+    orders_at_s: float = 0.0
+
+
 @dataclasses.dataclass
 class Leader:
     """The leader of one term.
@@ -133,33 +176,12 @@
     reported_s: dict[ids.VmId, float] = dataclasses.field(default_factory=dict)
     rostered: set[ids.VmId] = dataclasses.field(default_factory=set)
     roster_dirty: set[ids.ServiceId] = dataclasses.field(default_factory=set)
-    waves: dict[int, wave_plan.Progress] = dataclasses.field(
-        default_factory=dict
-    )
     lengths: lengths_.Lengths = dataclasses.field(
         default_factory=lengths_.Lengths
     )
-    turns: turns_.Turns = dataclasses.field(default_factory=turns_.Turns)
-    first_sizes: dict[ids.ServiceId, int] = dataclasses.field(
-        default_factory=dict
-    )
-    needs: dict[ids.ServiceId, pool_plan.Need] = dataclasses.field(
-        default_factory=dict
-    )
-    shortage_told_s: float = -1e9
-    moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
     wary_until_s: float = 0.0
     pulse: yielding.Pulse = dataclasses.field(default_factory=yielding.Pulse)
-    announced: dict[str, float] = dataclasses.field(default_factory=dict)
-    turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    none_before_s: float = 0.0
-    orders_left: float = 0.0
-    orders_at_s: float = 0.0
-    kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    machines: dict[str, fleet.Machine] = dataclasses.field(
-        default_factory=dict
-    )
-    machines_read_s: float = -1e9
+    fleet: Fleet = dataclasses.field(default_factory=Fleet)
     written: dict[str, int] = dataclasses.field(default_factory=dict)
     policy: policies.Kept = policies.NONE
     policy_revision: int = 0
@@ -261,6 +283,6 @@
                 'down': sorted(progress.down),
                 'of': len(progress.wave.machines),
             }
-            for number, progress in leader.waves.items()
+            for number, progress in leader.fleet.waves.items()
         },
     }
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -137,7 +137,7 @@
         guarded.note_read(leader, item)
     for item in waves.items:
         number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
-        leader.kept_waves[number] = item.value
+        leader.fleet.kept_waves[number] = item.value
     now_s = clock.now_s()
     for item in taken.items:
         if not item.key.startswith(record.CANCEL_PREFIX):
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -37,7 +37,7 @@
                 progress.completed,
                 progress.waits,
             )
-            for number, progress in sorted(leader.waves.items())
+            for number, progress in sorted(leader.fleet.waves.items())
         ),
     )
 
@@ -51,7 +51,7 @@
     for service in configuration.services:
         machines = [
             machine
-            for machine in leader.machines.values()
+            for machine in leader.fleet.machines.values()
             if machine.pool == service
         ]
         busy = sum(
--- a/tests/test_machine_turns.py
+++ b/tests/test_machine_turns.py
@@ -6,6 +6,7 @@
 
 from oleanderwood import clock
 from oleanderwood.leading import machine_turns
+from oleanderwood.leading import state as states
 
 
 @pytest.fixture
@@ -18,22 +19,19 @@
     return types.SimpleNamespace(
         now=now,
         server=types.SimpleNamespace(settings=settings),
-        orders_left=0.0,
-        orders_at_s=0.0,
-        turn_after_s={},
-        none_before_s=0.0,
+        fleet=states.Fleet(),
     )
 
 
 def test_orders_come_at_the_platforms_rate_with_some_to_spare(leader):
     assert machine_turns.allowance(leader) == 25
-    leader.orders_left -= 25
+    leader.fleet.orders_left -= 25
     assert machine_turns.allowance(leader) == 0
     sent = 0
     for _ in range(100):
         leader.now.s += 0.1
         count = machine_turns.allowance(leader)
-        leader.orders_left -= count
+        leader.fleet.orders_left -= count
         sent += count
     assert 500 <= sent <= 0.8 * 64 * 10 + 1
 
