Leave slow workers; try suspect ones beside what they serve; tell of cancels

Three faults, each with tests that failed first:

Failures of one job make no worker suspect now, and the trial with one task counts batch tasks alone. - Workers that turn seven times slower kept their tasks and got more. Steps on a worker are held against those on the others of its pool; one three times slower gets no batch tasks, and what would end sooner elsewhere is begun anew. - A cancel reached the leader by its watch alone, which may hear nothing for seconds; the server that marked it tells the leader as well.

Jobs are relayed to servers of other data centres first: those of one are often cut off together.

--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -46,6 +46,7 @@
     :ivar clock_s: how far its clock is ahead; :ivar rate: how fast it is
     :ivar dark: it runs, but nobody hears it
     :ivar grey: part of its runs that fail
+    :ivar slow_factor: how many times slower than others it works
     """
 
     name: str
@@ -60,6 +61,7 @@
     up: bool = True
     dark: bool = False
     grey: float = 0.0
+    slow_factor: float = 1.0
     draining: bool = False
     fence: int = 0
     deadline_ms: float = 0.0
@@ -264,6 +266,8 @@
         now_s = clock.now_s()
         lapsed = clock_ms(executor) > executor.deadline_ms
         for run in list(executor.running.values()):
+            # What a slow one doesn't do in a tick, it does later.
+            run.begun_s += TICK_S * (1 - 1 / executor.slow_factor)
             how = _how(run, now_s, lapsed)
             if how:
                 await _end(world, executor, run, how)
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -55,7 +55,9 @@
     print('  seed   jobs  starts  calls  p50 s  p90 s  last s  verdict')
     for seed in range(first_seed, first_seed + seeds):
         lines.clear()
-        drawn = troubles.draw(seed, length_s, trouble_count)
+        drawn = troubles.draw(
+            seed, length_s, trouble_count, tuple(troubles.Kind)
+        )
         plan = day.Plan(
             seed,
             length_s=length_s,
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -36,6 +36,7 @@
     EXECUTOR_HIDDEN = 'executor-hidden'
     EXECUTOR_DRAINED = 'executor-drained'
     EXECUTOR_GREY = 'executor-grey'
+    EXECUTORS_SLOW = 'executors-slow'
     ORDERS_LATE = 'orders-late'
     ANSWERS_LOST = 'answers-lost'
     WAVE = 'wave'
@@ -62,10 +63,21 @@
     rng: random.Random
 
 
-def draw(seed: int, length_s: float, count: int) -> list[Trouble]:
+LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW)
+"""Kinds that were added since seeds were first kept."""
+
+FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
+"""What kept seeds draw from, so that they go on meaning the same days."""
+
+
+def draw(
+    seed: int,
+    length_s: float,
+    count: int,
+    kinds: collections.abc.Sequence[Kind] = FIRST_KINDS,
+) -> list[Trouble]:
     """Draw a series of troubles."""
     rng = random.Random(seed)
-    kinds = list(Kind)
     rows = [
         Trouble(
             rng.choice(kinds),
@@ -220,6 +232,17 @@
         executor.grey = 0.0
 
 
+async def _slow(scene, trouble) -> None:
+    for _ in range(2):
+        executor = _machine(scene).executor
+        if executor is not None:
+            executor.slow_factor = 7.0
+    await curio.sleep(trouble.for_s)
+    for machine in scene.fleet.machines.values():
+        if machine.executor is not None:
+            machine.executor.slow_factor = 1.0
+
+
 def _executor_addresses(scene) -> list[str]:
     return [machine.address for machine in scene.fleet.machines.values()]
 
@@ -295,6 +318,7 @@
     Kind.EXECUTOR_HIDDEN: _hidden,
     Kind.EXECUTOR_DRAINED: _drained,
     Kind.EXECUTOR_GREY: _grey,
+    Kind.EXECUTORS_SLOW: _slow,
     Kind.ORDERS_LATE: _orders_late,
     Kind.ANSWERS_LOST: _answers_lost,
     Kind.WAVE: _wave,
--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -24,6 +24,7 @@
 STATE_PATH = '/state/'
 PENDING_PATH = '/pending/'
 JOBS_PATH = '/jobs'
+CANCELLED_PATH = '/cancelled/'
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -72,6 +73,25 @@
     if leader is not None and not leader.deposed:
         await intake.take_jobs(leader, jobs)
         return
+    await _tell(asking, JOBS_PATH, msgspec.json.encode(jobs))
+
+
+async def tell_cancel(asking: Asking, job: ids.JobId) -> None:
+    """Tell the leader of a job whose cancel lies in the store.
+
+    As with new jobs, it would see the mark itself; the sooner, the less is
+    worked for nobody.
+    """
+    leader = asking.server.leader
+    if leader is not None and not leader.deposed:
+        intake.cancel(leader, job)
+        await intake.after_intake(leader)
+        return
+    await _tell(asking, CANCELLED_PATH + job, b'')
+
+
+async def _tell(asking: Asking, target: str, body: bytes) -> None:
+    """Tell the leader, if another server leads; nothing depends on it."""
     known = asking.server.roles.leader
     if known is None or known.process == asking.server.process:
         return
@@ -80,8 +100,8 @@
             asking.kept,
             known.address,
             'POST',
-            JOBS_PATH,
-            msgspec.json.encode(jobs),
+            target,
+            body,
             timeout_s=ASK_TIMEOUT_S,
         )
     except errors.CallFailed as error:
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -4,6 +4,8 @@
 import re
 import urllib.parse
 
+import curio
+
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -166,6 +168,8 @@
     _log('cancelled', job, began_s, there=there)
     if not there:
         return http.Response(410, [], b'no such job\n')
+    # The caller doesn't wait for it.
+    await curio.spawn(askings.tell_cancel, frontend.asking, job, daemon=True)
     return _told(model.State.CANCELLED)
 
 
--- a/oleanderwood/frontend/relaying.py
+++ b/oleanderwood/frontend/relaying.py
@@ -30,9 +30,9 @@
 """Longest wait for another server, which waits for the store itself; a calm
 one takes 10 ms. Callers wait 3 s in all."""
 
-PEERS = 2
+PEERS = 3
 """Servers that are asked, the leader first: with half of all servers cut
-off, one in four calls finds no way."""
+off, one in eight calls finds no way."""
 
 
 class Relayed(msgspec.Struct, frozen=True):
@@ -86,15 +86,23 @@
 
 
 def _peers(server: states.Server) -> list[ids.Address]:
-    """Give some other servers: the leader, then those next by name.
+    """Give some other servers: the leader, then those of other data centres.
 
-    Each server has others next to it, so that not all ask the same.
+    Servers of one are often cut off together. Each server has others next to
+    it by name, so that not all ask the same.
     """
     others = roles_.peers(server.roles, server.process)
     leader = server.roles.leader
     holder = leader.holder if leader is not None else ''
-    own = server.settings.name
-    others.sort(key=lambda row: (row.name != holder, row.name < own, row.name))
+    own = server.settings
+    others.sort(
+        key=lambda row: (
+            row.name != holder,
+            row.data_centre == own.data_centre,
+            row.name < own.name,
+            row.name,
+        )
+    )
     return [row.address for row in others[:PEERS]]
 
 
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -58,6 +58,7 @@
         server.process,
         boot.inner_address(settings),
         boot.cores(settings),
+        settings.data_centre,
     )
     key = roles_.SERVER_PREFIX + settings.name
     await stores.write(
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -39,6 +39,7 @@
     process: str
     address: ids.Address
     cores: float = 1.0
+    data_centre: ids.DataCentre = ids.DataCentre('')
 
 
 @dataclasses.dataclass
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -17,6 +17,7 @@
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import lengths as lengths_
+from oleanderwood.pools import slowness
 from oleanderwood.pools import workers as workers_
 from oleanderwood.upkeeps import fleet as fleet_
 from oleanderwood.upkeeps import pool_plan
@@ -182,6 +183,9 @@
     wary_until_s: float = 0.0
     pulse: yielding.Pulse = dataclasses.field(default_factory=yielding.Pulse)
     fleet: Fleet = dataclasses.field(default_factory=Fleet)
+    paces: dict[ids.VmId, slowness.Pace] = dataclasses.field(
+        default_factory=dict
+    )
     written: dict[str, int] = dataclasses.field(default_factory=dict)
     policy: policies.Kept = policies.NONE
     policy_revision: int = 0
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -42,7 +42,7 @@
     gpus: int
     rack: str
     suspect: bool
-    tasks: int
+    batch: int
     lasting: int
     serving: bool = False
     mates: collections.Counter = dataclasses.field(
@@ -57,6 +57,9 @@
         if not workers_.accepts(worker, now_s):
             continue
         used = workers_.used(worker)
+        lasting = sum(
+            task.group.step.long_running for task in worker.runs.values()
+        )
         capacity = worker.entry.capacity
         room = Room(
             worker,
@@ -65,8 +68,8 @@
             capacity.gpus - used.gpus,
             reports.rack(worker.entry),
             workers_.suspect(worker),
-            len(worker.runs),
-            sum(task.group.step.long_running for task in worker.runs.values()),
+            len(worker.runs) - lasting,
+            lasting,
             any(
                 task.group.step.latency_target_ms > 0
                 for task in worker.runs.values()
@@ -173,7 +176,9 @@
         return False
     if step.max_per_worker and room.mates[group] >= step.max_per_worker:
         return False
-    return not (room.suspect and room.tasks > 0)
+    if room.worker.slow and not step.long_running:
+        return False
+    return not (room.suspect and room.batch > 0)
 
 
 def _take(room: Room, group: ledgers.Group) -> None:
@@ -183,7 +188,7 @@
     room.memory_mb -= needs.memory_mb
     room.gpus -= needs.gpus
     room.mates[group] += 1
-    room.tasks += 1
+    room.batch += not group.step.long_running
     room.lasting += group.step.long_running
 
 
@@ -194,7 +199,7 @@
     room.memory_mb += needs.memory_mb
     room.gpus += needs.gpus
     room.mates[group] -= 1
-    room.tasks -= 1
+    room.batch -= not group.step.long_running
     room.lasting -= group.step.long_running
 
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -22,8 +22,10 @@
 a stop takes 0.2 s."""
 
 FAILURES_IN_A_ROW = 3
-"""Failed runs of different tasks, with no good one between, after which a
-worker is tried with one task at a time; a sound one fails a few in 1,000."""
+FAILED_JOBS = 2
+"""Failed runs of different tasks, and of different jobs, with no good one
+between, after which a worker is tried with one task at a time. A sound one
+fails a few in 1,000, but all tasks of a job that can't be done."""
 
 
 class RunName(typing.NamedTuple):
@@ -49,6 +51,7 @@
     :ivar closed: no new tasks, its machine is about to go down or move
     :ivar failures: failed runs since the last good one
     :ivar stalled: runs that made no headway, since the last good one
+    :ivar slow: it is several times slower than its pool
     """
 
     entry: reports.Entry
@@ -67,6 +70,7 @@
     failures: int = 0
     failed_tasks: set[str] = dataclasses.field(default_factory=set)
     stalled: int = 0
+    slow: bool = False
     runs: dict[ids.TaskId, ledgers.Task] = dataclasses.field(
         default_factory=dict
     )
@@ -91,14 +95,14 @@
 
     :ivar stops: runs to stop at this worker
     :ivar elsewhere: tasks that are done whose run elsewhere is to be stopped
-    :ivar lengths: steps whose tasks are done, and how long those took
+    :ivar lengths: tasks that are done, and how long they took
     :ivar changed: whether tasks became ready or room became free
     :ivar notes: for the log
     """
 
     stops: list[RunName] = dataclasses.field(default_factory=list)
     elsewhere: list[ledgers.Task] = dataclasses.field(default_factory=list)
-    lengths: list[tuple[ledgers.Group, float]] = dataclasses.field(
+    lengths: list[tuple[ledgers.Task, float]] = dataclasses.field(
         default_factory=list
     )
     changed: bool = False
@@ -170,7 +174,7 @@
         worker.failed_tasks.clear()
         if current:
             length_s = now_s - task.run.begun_s
-            outcome.lengths.append((task.group, length_s))
+            outcome.lengths.append((task, length_s))
         members = [task]
         if task.group.step.gang:
             members = task.group.tasks
@@ -332,4 +336,6 @@
 
 def suspect(worker: Worker) -> bool:
     """Say whether a worker seems to fail or stall whatever it runs."""
-    return len(worker.failed_tasks) >= FAILURES_IN_A_ROW or worker.stalled > 0
+    jobs = {task.partition('.')[0] for task in worker.failed_tasks}
+    fails = len(worker.failed_tasks) >= FAILURES_IN_A_ROW
+    return (fails and len(jobs) >= FAILED_JOBS) or worker.stalled > 0
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -204,6 +204,9 @@
             return _json(await relaying.take_cancel(server, job))
         if path == askings.JOBS_PATH:
             return await _told_jobs(server, request)
+        if path.startswith(askings.CANCELLED_PATH):
+            job = ids.JobId(path.removeprefix(askings.CANCELLED_PATH))
+            return await _told_cancel(server, job)
         if path.startswith((askings.STATE_PATH, askings.PENDING_PATH)):
             return _tell(server, path)
         return await probes(request)
@@ -223,6 +226,15 @@
     return http.Response(200, [], b'')
 
 
+async def _told_cancel(server: states.Server, job: ids.JobId) -> http.Response:
+    leader = server.leader
+    if leader is None or leader.deposed:
+        return http.Response(409, [], b'does not lead\n')
+    leading_intake.cancel(leader, job)
+    await leading_intake.after_intake(leader)
+    return http.Response(200, [], b'')
+
+
 def _tell(server: states.Server, path: str) -> http.Response:
     leader = server.leader
     if leader is None or leader.deposed:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,6 +5,8 @@
 
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.pools import placing
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
 
 
@@ -144,3 +146,37 @@
         needs = row.task.group.step.needs
         used[row.worker.entry.worker] += needs.cpu_millicores
     assert all(cpu <= 8000 for cpu in used.values())
+
+
+def _suspect(name):
+    worker = build.worker(name)
+    worker.failed_tasks.update(
+        f'{job}.0.0.0' for job in ('1' * 16, '2' * 16, '3' * 16)
+    )
+    return worker
+
+
+def test_suspect_worker_with_serving_tasks_is_tried_with_one_more():
+    # Once, all workers of a pool were suspect and each served something: no
+    # batch task was started there any more.
+    worker = _suspect('w1')
+    ledger = build.ledger_with(
+        build.job(build.step(long_running=True), name='1' * 16),
+        build.job(build.step(3), name='2' * 16),
+    )
+    build.start(ledger, build.task(ledger, name='1' * 16), worker)
+    assert len(_decide(ledger, [worker])) == 1
+
+
+def test_failures_of_one_job_make_no_worker_suspect():
+    ledger = build.ledger_with(build.job(build.step(6)))
+    worker = build.worker()
+    for index in range(6):
+        build.start(ledger, build.task(ledger, 0, index), worker)
+    ends = [
+        (n + 1, build.task(ledger, 0, n).name, 1, reports.How.FAILED)
+        for n in range(6)
+    ]
+    build.take(ledger, worker, build.report(ended=ends))
+    assert len(worker.failed_tasks) == 6
+    assert not workers_.suspect(worker)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -8,6 +8,7 @@
 from emulator import day
 from emulator import servers
 from emulator import troubles
+from oleanderwood.jobs import model
 from tests import utils_servers as build
 
 JOB = 'a' * 16
@@ -83,3 +84,17 @@
     result = day.play(day.Plan(3, troubles=(cut,)))
     assert not result.breaches and not result.unfinished
     assert result.accepted == result.handed_in
+
+
+def test_cancelled_job_is_stopped_though_the_watch_hears_nothing():
+    async def main(world):
+        first, second = await _two_servers(world)
+        assert await _caller(world, second, 'POST') == 200
+        entry = first.state.leader.ledger.entries[JOB]
+        # The leader's watches hear nothing any more.
+        _cut(world, first)
+        assert await _caller(world, second, 'DELETE') == 200
+        await curio.sleep(0.1)
+        assert entry.state is model.State.CANCELLED
+
+    build.run(main, day.configuration())
--- /dev/null
+++ b/tests/test_slowness.py
@@ -0,0 +1,109 @@
+"""Tests of workers that are slow against their pool."""
+
+from emulator import day
+from emulator import troubles
+from oleanderwood.pools import placing
+from oleanderwood.pools import slowness
+from tests import utils_jobs as build
+
+
+def _factor(entry):
+    return 1.0
+
+
+def _running(worker, percents, now_s=2.0, estimate_ms=1000.0):
+    """Let runs begun a second ago be so far."""
+    step = build.step(estimate_ms=estimate_ms)
+    ledger = build.ledger_with(build.job(*[step] * len(percents)))
+    for number, percent in enumerate(percents):
+        task = build.task(ledger, number)
+        run = build.start(ledger, task, worker, now_s - 1.0)
+        run.percent = percent
+        run.moved_on_s = now_s
+    return ledger
+
+
+def _pace(percents):
+    worker = build.worker()
+    _running(worker, percents)
+    pace = slowness.Pace()
+    slowness.measure(pace, worker, _factor, 2.0)
+    return pace
+
+
+def test_few_steps_tell_nothing():
+    assert _pace([10.0] * 3).ratio is None
+
+
+def test_many_tasks_of_one_step_count_as_one():
+    worker = build.worker()
+    ledger = build.ledger_with(build.job(build.step(8)))
+    for index in range(8):
+        run = build.start(ledger, build.task(ledger, 0, index), worker, 1.0)
+        run.percent = 10.0
+        run.moved_on_s = 2.0
+    pace = slowness.Pace()
+    slowness.measure(pace, worker, _factor, 2.0)
+    assert pace.ratio is None
+
+
+def test_worker_is_slow_against_its_pool_only():
+    sound = _pace([95.0] * 6)
+    slow = _pace([15.0] * 6)
+    slowness.judge(slow, [sound.ratio] * 3)
+    assert slow.slow
+    slowness.judge(slow, [slow.ratio] * 3)
+    assert not slow.slow
+    slowness.judge(sound, [sound.ratio, sound.ratio, slow.ratio])
+    assert not sound.slow
+
+
+def test_guesses_that_are_off_make_no_worker_slow():
+    sound = _pace([95.0] * 6)
+    mixed = _pace([20.0, 30.0, 60.0, 80.0, 95.0, 99.0])
+    slowness.judge(mixed, [sound.ratio] * 3)
+    assert not mixed.slow
+
+
+def test_what_ended_long_ago_tells_nothing():
+    worker = build.worker()
+    ledger = build.ledger_with(build.job(*[build.step()] * 6))
+    pace = slowness.Pace()
+    for number in range(6):
+        task = build.task(ledger, number)
+        slowness.note_end(pace, task, 7.0, 1.0, 1.0)
+    slowness.measure(pace, worker, _factor, 2.0)
+    assert pace.ratio is not None
+    slowness.measure(pace, worker, _factor, 9.0)
+    assert pace.ratio is None
+
+
+def test_run_is_begun_anew_only_where_that_is_sooner():
+    worker = build.worker()
+    ledger = _running(worker, [15.0, 90.0])
+    found = slowness.to_begin_anew(worker, _factor, 2.0)
+    assert found == [build.task(ledger, 0)]
+
+
+def test_slow_worker_gets_no_batch_tasks_but_serving_ones():
+    ledger = build.ledger_with(build.job())
+    worker = build.worker()
+    worker.slow = True
+    room = placing.rooms([worker], 1.0)[0]
+    assert not placing.fits(room, build.task(ledger).group)
+    lasting = build.ledger_with(build.job(build.step(long_running=True)))
+    assert placing.fits(room, build.task(lasting).group)
+
+
+def test_jobs_leave_slow_workers_and_end_in_time():
+    slow = troubles.Trouble(troubles.Kind.EXECUTORS_SLOW, 3.0, 12.0)
+    waits_s = []
+    for seed in (3, 4, 5):
+        result = day.play(
+            day.Plan(seed, length_s=16.0, jobs_per_s=5.0, troubles=(slow,))
+        )
+        assert not result.breaches and not result.unfinished
+        waits_s += result.waits_s
+    waits_s.sort()
+    # 4.9 s with the rule, 9.2 s without: a task of 1 s takes 7 s there.
+    assert waits_s[len(waits_s) * 19 // 20] < 7.0
