--- /dev/null
+++ b/oleanderwood/leading/slow_workers.py
@@ -0,0 +1,81 @@
+"""What the leader learns of workers' pace, and which of them are slow."""
+
+import functools
+
+from oleanderwood import event_log
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.pools import lengths
+from oleanderwood.pools import slowness
+from oleanderwood.pools import workers as workers_
+
+
+def _factor_of(leader: states.Leader, entry: ledgers.Entry) -> float:
+    return lengths.factor(leader.lengths, entry.job.queue.name)
+
+
+def note_lengths(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    rows: list[tuple[ledgers.Task, float]],
+    now_s: float,
+) -> None:
+    """Learn from tasks that are done how long theirs take, and here."""
+    pace = leader.paces.setdefault(worker.entry.worker, slowness.Pace())
+    for task, length_s in rows:
+        factor = _factor_of(leader, task.group.entry)
+        slowness.note_end(pace, task, length_s, factor, now_s)
+        lengths.note(leader.lengths, task.group, length_s)
+
+
+def to_leave(
+    leader: states.Leader, worker: workers_.Worker, now_s: float
+) -> list[ledgers.Task]:
+    """Judge a worker; gives the tasks that would end sooner elsewhere."""
+    factor_of = functools.partial(_factor_of, leader)
+    pace = leader.paces[worker.entry.worker]
+    slowness.measure(pace, worker, factor_of, now_s)
+    _judge(leader, worker, pace)
+    if not worker.slow:
+        return []
+    tasks = slowness.to_begin_anew(worker, factor_of, now_s)
+    for task in tasks:
+        event_log.emit(
+            'run',
+            'too-slow',
+            task=task.name,
+            attempt=task.run.attempt,
+            worker=worker.entry.worker,
+            percent=task.run.percent,
+        )
+    return tasks
+
+
+def _judge(
+    leader: states.Leader, worker: workers_.Worker, pace: slowness.Pace
+) -> None:
+    """Hold a worker's pace against those of its pool."""
+    if pace.ratio is not None:
+        slowness.judge(pace, _others(leader, worker))
+    if pace.slow == worker.slow:
+        return
+    worker.slow = pace.slow
+    event_log.emit(
+        'worker',
+        'slow' if pace.slow else 'not-slow',
+        worker=worker.entry.worker,
+        service=worker.entry.service,
+        ratio=pace.ratio and round(pace.ratio, 2),
+    )
+
+
+def _others(leader: states.Leader, worker: workers_.Worker) -> list[float]:
+    """Give what is known of the other workers of a pool."""
+    return [
+        leader.paces[name].ratio
+        for name, row in leader.workers.items()
+        if row.entry.service == worker.entry.service
+        and row is not worker
+        and name in leader.paces
+        and leader.paces[name].ratio is not None
+    ]
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -6,13 +6,12 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import slow_workers
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
-from oleanderwood.pools import lengths
 from oleanderwood.pools import pacing
 from oleanderwood.pools import placing
 from oleanderwood.pools import reports
-from oleanderwood.pools import slowness
 from oleanderwood.pools import stalls
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
@@ -178,7 +177,7 @@
             worker=name,
             why=note.why,
         )
-    _note_lengths(leader, worker, outcome.lengths, now_s)
+    slow_workers.note_lengths(leader, worker, outcome.lengths, now_s)
     for stop in outcome.stops:
         order = states.StopOrder(stop.task, stop.attempt)
         await leader.orders[name].put(order)
@@ -193,78 +192,13 @@
         )
     for task in stalls.stalled(worker, now_s):
         await _give_up_stalled(leader, worker, task)
-    if _is_slow(leader, worker, now_s):
-        await _begin_anew(leader, worker, now_s)
+    for task in slow_workers.to_leave(leader, worker, now_s):
+        task.failed_on = name
+        await stop_run(leader, task)
     if outcome.changed:
         await leader.due.set()
 
 
-def _factor_of(leader: states.Leader, entry: ledgers.Entry) -> float:
-    return lengths.factor(leader.lengths, entry.job.queue.name)
-
-
-def _note_lengths(leader, worker, rows, now_s) -> None:
-    """Learn from tasks that are done how long theirs take, and here."""
-    pace = leader.paces.setdefault(worker.entry.worker, slowness.Pace())
-    for task, length_s in rows:
-        factor = _factor_of(leader, task.group.entry)
-        slowness.note_end(pace, task, length_s, factor, now_s)
-        lengths.note(leader.lengths, task.group, length_s)
-
-
-def _is_slow(
-    leader: states.Leader, worker: workers_.Worker, now_s: float
-) -> bool:
-    """Measure a worker's pace against that of its pool."""
-    pace = leader.paces[worker.entry.worker]
-
-    def factor_of(entry: ledgers.Entry) -> float:
-        return _factor_of(leader, entry)
-
-    slowness.measure(pace, worker, factor_of, now_s)
-    if pace.ratio is not None:
-        others = [
-            leader.paces[name].ratio
-            for name, row in leader.workers.items()
-            if row.entry.service == worker.entry.service
-            and row is not worker
-            and name in leader.paces
-            and leader.paces[name].ratio is not None
-        ]
-        slowness.judge(pace, others)
-    if pace.slow != worker.slow:
-        worker.slow = pace.slow
-        event_log.emit(
-            'worker',
-            'slow' if pace.slow else 'not-slow',
-            worker=worker.entry.worker,
-            service=worker.entry.service,
-            ratio=pace.ratio and round(pace.ratio, 2),
-        )
-    return worker.slow
-
-
-async def _begin_anew(
-    leader: states.Leader, worker: workers_.Worker, now_s: float
-) -> None:
-    """Stop what would end sooner elsewhere."""
-
-    def factor_of(entry: ledgers.Entry) -> float:
-        return _factor_of(leader, entry)
-
-    for task in slowness.to_begin_anew(worker, factor_of, now_s):
-        event_log.emit(
-            'run',
-            'too-slow',
-            task=task.name,
-            attempt=task.run.attempt,
-            worker=worker.entry.worker,
-            percent=task.run.percent,
-        )
-        task.failed_on = worker.entry.worker
-        await stop_run(leader, task)
-
-
 async def _give_up_stalled(
     leader: states.Leader, worker: workers_.Worker, task: ledgers.Task
 ) -> None:
--- a/tests/test_yielding.py
+++ b/tests/test_yielding.py
@@ -1,9 +1,10 @@
 """Tests of when a leader lets another server lead."""
 
+import msgspec
+
 from emulator import day
 from emulator import servers
 from emulator import troubles
-from oleanderwood import boot
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import worker_loop
 from oleanderwood.leading import yielding
@@ -59,10 +60,8 @@
     real = servers.settings_of
 
     def settings_of(process):
-        kept = real(process)
-        fields = {name: getattr(kept, name) for name in kept.__struct_fields__}
-        fields['cpu_share'] = 1.0 if process.name == 's2' else 0.25
-        return boot.Settings(**fields)
+        share = 1.0 if process.name == 's2' else 0.25
+        return msgspec.structs.replace(real(process), cpu_share=share)
 
     monkeypatch.setattr(servers, 'settings_of', settings_of)
     wave = troubles.Trouble(troubles.Kind.WAVE, 2.0)
--- a/tests/utils_servers.py
+++ b/tests/utils_servers.py
@@ -4,6 +4,7 @@
 import random
 
 import curio
+import msgspec
 
 from emulator import network as networks
 from emulator import servers
@@ -61,9 +62,7 @@
     real = servers.settings_of
 
     def settings_of(process):
-        kept = real(process)
-        fields = {name: getattr(kept, name) for name in kept.__struct_fields__}
-        return type(kept)(**{**fields, 'admin_token': token})
+        return msgspec.structs.replace(real(process), admin_token=token)
 
     monkeypatch.setattr(servers, 'settings_of', settings_of)
     yield
