Tell a cancel as not done only if it surely isn't; keep promises by machines up

A cancel whose own write to the store got no answer, and which no other server could do, was answered 503 as if nothing had been done. And a pool's promised machines were counted with those on their way, so a move could leave fewer up for 1.5 s.

--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -178,15 +178,19 @@
 
     :raises errors.CallFailed: neither this server nor another could do it
     """
+    verdict = verdicts.Verdict.NOT_RUN
     if not relaying.store_lost(frontend.server):
         try:
             return await intakes.cancel(frontend.server.store, job)
         except errors.CallFailed as error:
             _log('store-failed', job, clock.now_s(), why=error.reason)
+            verdict = error.verdict
     relayed = await relaying.cancel(frontend.asking, job)
     if relayed.verdict is verdicts.Verdict.RAN:
         return relayed.there
-    raise errors.CallFailed(relayed.verdict, relayed.reason)
+    if relayed.verdict is not verdicts.Verdict.NOT_RUN:
+        verdict = relayed.verdict
+    raise errors.CallFailed(verdict, relayed.reason)
 
 
 async def _pending(frontend: Frontend, queue: queues.Queue) -> http.Response:
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -237,7 +237,9 @@
         kept = max(pool.min_up, wanted[pool.service].now + SPARE_MACHINES)
         if _turn_is_to_come(turns, pool.service):
             kept = max(kept, math.ceil(UNSEEN_PART * pool.first_size))
-        surplus = len(pool.members) - kept
+        # Machines on their way count as coming, but keep no promise yet.
+        up = sum(member.worker is not None for member in pool.members)
+        surplus = min(len(pool.members) - kept, up - pool.min_up)
         idle = [member for member in pool.members if _movable(member, now_s)]
         idle.sort(key=lambda member: member.worker.idle_since_s)
         rows += [(pool.service, member) for member in idle[: max(0, surplus)]]
--- a/tests/test_pool_plan.py
+++ b/tests/test_pool_plan.py
@@ -345,3 +345,11 @@
     risen = turns_.soon_cores(turns.lines['a'], 4.75)
     # The rate is three times as high; machines take 1.5 s to come.
     assert risen > 2.5 * steady
+
+
+def test_machines_on_their_way_keep_no_promise():
+    lacking = _pool('a', [_member('m1', busy=True)], busy_cores=90.0)
+    coming = [pool_plan.Member(f'c{i}', 8.0, None) for i in range(3)]
+    other = _pool('b', [*coming, *(_member(f'n{i}') for i in range(4))])
+    other.min_up = 4
+    assert not _decide([lacking, other])
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -98,3 +98,15 @@
         assert entry.state is model.State.CANCELLED
 
     build.run(main, day.configuration())
+
+
+def test_cancel_that_may_be_done_is_not_told_as_not_done():
+    async def main(world):
+        _first, second = await _two_servers(world)
+        assert await _caller(world, second, 'POST') == 200
+        # The mark is written, its answer lost, and then nobody reaches the
+        # store any more.
+        world.network.lost_share[servers.STORE_ADDRESS] = 1.0
+        assert await _caller(world, second, 'DELETE') == 504
+
+    build.run(main, day.configuration())
