Count waiting work by its time left; empty machines that a past turn holds

Now waiting work asks for the cores that end it in time, beside what arrives; and while a pool lacks machines that no other has idle, those with the least work in pools beyond their need get no more tasks, and tasks that save their progress go on elsewhere in their pool. Long-running tasks, gangs, machines of a wave and tasks that would lose their work for longer than a move stay.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -7,6 +7,8 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -15,6 +17,8 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood import server_metrics
+from oleanderwood.upkeeps import backlog
+from oleanderwood.upkeeps import emptying
 from oleanderwood.upkeeps import fleet
 from oleanderwood.upkeeps import pool_plan
 from oleanderwood.upkeeps import turns as turns_
@@ -72,6 +76,7 @@
     settings = leader.server.settings
     configuration = leader.server.configuration
     if now_s - leader.fleet.machines_read_s > FRESH_S or configuration is None:
+        await _empty(leader, [])
         return
     leader.fleet.turns.pools = frozenset(
         queue.service for queue in configuration.queues
@@ -90,6 +95,7 @@
     moves = decision.moves[: machine_turns.allowance(leader)]
     leader.fleet.needs = decision.needs
     _log_shortage(leader, views, decision.needs, now_s)
+    await _empty(leader, decision.emptied)
     if not moves:
         return
     names = [move.machine for move in moves]
@@ -102,6 +108,26 @@
     await read(leader)
 
 
+async def _empty(
+    leader: states.Leader, emptied: list[emptying.Emptied]
+) -> None:
+    """Close the machines that are to be emptied, and open all others."""
+    wanted = {row.machine: row for row in emptied}
+    for worker in leader.workers.values():
+        row = wanted.get(worker.entry.machine)
+        if (row is not None) != worker.emptying:
+            event_log.emit(
+                'worker',
+                'emptied' if row is not None else 'not-emptied',
+                worker=worker.entry.worker,
+                runs=len(worker.runs),
+                stops=len(row.stops) if row is not None else 0,
+            )
+        worker.emptying = row is not None
+        for task in row.stops if row is not None else ():
+            await worker_loop.stop_run(leader, task)
+
+
 def _log_shortage(
     leader: states.Leader,
     views: list[pool_plan.PoolView],
@@ -220,7 +246,7 @@
         if view is None:
             continue
         for task in worker.runs.values():
-            _add(view, task.group, 1)
+            _add_cores(view, task.group, 1)
     known = states.known_queues(leader)
     wall_ms = clock.wall_ms()
     for group in leader.ledger.open_groups:
@@ -228,13 +254,35 @@
             continue
         queue = placing.queue_of(group.entry, known)
         view = views.get(queue.service)
-        if view is not None and not placing.hopeless(
-            group.entry, queue, now_s
-        ):
-            _add(view, group, len(group.waiting))
+        if view is None or placing.hopeless(group.entry, queue, now_s):
+            continue
+        if group.step.long_running:
+            _add_cores(view, group, len(group.waiting))
+        elif not group.step.uses_leftover:
+            factor = lengths.factor(leader.lengths, queue.name)
+            view.waiting.append(_waiting(group, queue, factor, now_s))
 
 
-def _add(view: pool_plan.PoolView, group: ledgers.Group, tasks: int) -> None:
+def _waiting(
+    group: ledgers.Group, queue: queues.Queue, factor: float, now_s: float
+) -> backlog.Waiting:
+    """Say what waits of a step, and by when it has to end.
+
+    :param factor: of real lengths to callers' guesses
+    """
+    entry = group.entry
+    length_s = factor * group.step.estimate_ms / 1000
+    chain_s = factor * model.longest_chain_ms(entry.job.work) / 1000
+    rest_s = model.remaining_chain_ms(entry.job.work, group.number) / 1000
+    due_s = queue.stretch * chain_s + queue.objective_ms / 1000
+    left_s = due_s - (now_s - entry.arrived_s) - (factor * rest_s - length_s)
+    cores = len(group.waiting) * group.step.needs.cpu_millicores / 1000
+    return backlog.Waiting(cores, length_s, left_s)
+
+
+def _add_cores(
+    view: pool_plan.PoolView, group: ledgers.Group, tasks: int
+) -> None:
     if group.step.uses_leftover:
         return
     cores = tasks * group.step.needs.cpu_millicores / 1000
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -111,6 +111,16 @@
     return (run.moved_on_s - run.begun_s) / run.percent * 100
 
 
+def left_s(task: ledgers.Task, now_s: float) -> float:
+    """Give how much longer a run takes, by its headway or else its guess."""
+    if task.run is None:
+        return 0.0
+    total_s = _projected_s(task, now_s)
+    if total_s is None:
+        total_s = task.group.step.estimate_ms / 1000
+    return max(0.0, total_s - (now_s - task.run.begun_s))
+
+
 def judge(pace: Pace, others: list[float]) -> None:
     """Judge a worker against the others of its pool.
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -49,6 +49,7 @@
     :ivar kept_end: number of the last end that is in the store
     :ivar due: its machine is due for maintenance
     :ivar closed: no new tasks, its machine is about to go down or move
+    :ivar emptying: no new tasks, another pool wants its machine
     :ivar failures: failed runs since the last good one
     :ivar stalled: runs that made no headway, since the last good one
     :ivar slow: it is several times slower than its pool
@@ -66,6 +67,7 @@
     kept_end: int = 0
     due: bool = False
     closed: bool = False
+    emptying: bool = False
     unhealthy_until_s: float = 0.0
     failures: int = 0
     failed_tasks: set[str] = dataclasses.field(default_factory=set)
@@ -328,6 +330,7 @@
         and worker.listed
         and not worker.gone
         and not worker.closed
+        and not worker.emptying
         and worker.silent_since_s is None
         and not worker.entry.draining
         and now_s >= worker.unhealthy_until_s
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -12,6 +12,8 @@
 from oleanderwood import ids
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import workers as workers_
+from oleanderwood.upkeeps import backlog
+from oleanderwood.upkeeps import emptying
 from oleanderwood.upkeeps import turns as turns_
 
 FILL = 0.9
@@ -76,8 +78,9 @@
 class PoolView:
     """One pool.
 
-    :ivar busy_cores: cores of tasks that run or whose turn has come
+    :ivar busy_cores: cores of tasks that run, and of those that last
     :ivar held_cores: of these, cores of tasks that last
+    :ivar waiting: other tasks whose turn has come
     :ivar first_size: machines that it had at first
     :ivar min_up: machines that it keeps by an operator's promise
     """
@@ -88,6 +91,7 @@
     held_cores: float = 0.0
     first_size: int = 0
     min_up: int = 0
+    waiting: list[backlog.Waiting] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,10 +121,12 @@
     """What a pass comes to.
 
     :ivar needs: machines that each pool needs
+    :ivar emptied: busy machines that are emptied for pools that lack some
     """
 
     moves: list[Move]
     needs: dict[ids.ServiceId, Need]
+    emptied: list[emptying.Emptied] = dataclasses.field(default_factory=list)
 
 
 def _need(
@@ -135,6 +141,7 @@
     if line is not None:
         arriving = pool.held_cores + turns_.soon_cores(line, now_s)
         cores = max(cores, arriving)
+    cores += backlog.cores(pool.waiting)
     foreseen = 0.0
     turn = turns_.next_turn(turns, pool.service, now_s)
     if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
@@ -202,7 +209,23 @@
                 and _may_rest(turns, service, near_s, now_s)
             ):
                 moves.append(Move(member.machine, service, target, 'idle'))
-    return Decision(moves, wanted)
+    lacking = {
+        pool.service: wanted[pool.service].now
+        - len(pool.members)
+        - free.coming.get(pool.service, 0)
+        for pool in pools
+    }
+    emptied = emptying.decide(
+        [
+            emptying.Surplus(
+                pool.service, pool.members, -lacking[pool.service]
+            )
+            for pool in pools
+        ],
+        sum(lack for lack in lacking.values() if lack > 0),
+        now_s,
+    )
+    return Decision(moves, wanted, emptied)
 
 
 @dataclasses.dataclass
@@ -260,13 +283,12 @@
 
 def _movable(member: Member, now_s: float) -> bool:
     worker = member.worker
-    return (
-        worker is not None
-        and not member.fixed
-        and not worker.runs
-        and workers_.accepts(worker, now_s)
-        and now_s - worker.idle_since_s >= IDLE_S
-    )
+    if worker is None or member.fixed or worker.runs:
+        return False
+    if worker.emptying:
+        return True
+    idle_s = now_s - worker.idle_since_s
+    return workers_.accepts(worker, now_s) and idle_s >= IDLE_S
 
 
 def _to_lacking(
--- /dev/null
+++ b/tests/test_backlog.py
@@ -0,0 +1,56 @@
+"""Tests of how many cores a pool's waiting work asks for."""
+
+import hypothesis
+from hypothesis import strategies
+
+from oleanderwood.upkeeps import backlog
+
+
+def test_work_with_time_to_spare_needs_fewer_cores():
+    urgent = backlog.Waiting(cores=100.0, length_s=2.0, left_s=2.0)
+    patient = backlog.Waiting(cores=100.0, length_s=2.0, left_s=8.0)
+    assert backlog.cores([urgent]) == 100.0
+    assert backlog.cores([patient]) == 25.0
+
+
+def test_the_time_that_asks_most_decides():
+    rows = [
+        backlog.Waiting(cores=60.0, length_s=2.0, left_s=2.0),
+        backlog.Waiting(cores=60.0, length_s=2.0, left_s=8.0),
+    ]
+    assert backlog.cores(rows) == 60.0
+
+
+def test_late_work_asks_for_no_more_than_it_can_use():
+    late = backlog.Waiting(cores=80.0, length_s=3.0, left_s=-4.0)
+    assert backlog.cores([late]) == 80.0
+
+
+def test_short_work_counts_by_the_time_machines_take_to_come():
+    row = backlog.Waiting(cores=90.0, length_s=0.5, left_s=0.4)
+    assert backlog.cores([row]) == 90.0 * 0.5 / backlog.LEAST_LEFT_S
+
+
+def test_nothing_waiting_asks_for_nothing():
+    assert backlog.cores([]) == 0.0
+
+
+ROWS = strategies.lists(
+    strategies.builds(
+        backlog.Waiting,
+        strategies.floats(0.0, 500.0),
+        strategies.floats(0.1, 10.0),
+        strategies.floats(-10.0, 20.0),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(ROWS)
+def test_never_more_than_all_at_once(rows):
+    assert backlog.cores(rows) <= sum(row.cores for row in rows) + 1e-6
+
+
+@hypothesis.given(ROWS, ROWS)
+def test_more_work_never_asks_for_less(some, more):
+    assert backlog.cores(some + more) >= backlog.cores(some) - 1e-6
--- /dev/null
+++ b/tests/test_emptying.py
@@ -0,0 +1,108 @@
+"""Tests of which busy machines are emptied for another pool."""
+
+from oleanderwood import ids
+from oleanderwood.upkeeps import emptying
+from oleanderwood.upkeeps import pool_plan
+from tests import utils_jobs as build
+
+NOW_S = 10.0
+SERVICE = ids.ServiceId('drafts')
+
+
+def _member(name, *tasks, fixed=False):
+    """Build a machine that runs a job with these tasks, all begun lately.
+
+    :param tasks: what differs of each task's step
+    """
+    worker = build.worker(f'w-{name}')
+    for number, fields in enumerate(tasks):
+        job = f'{name}-{number}'
+        ledger = build.ledger_with(build.job(build.step(**fields), name=job))
+        task = build.task(ledger, name=job)
+        build.start(ledger, task, worker, NOW_S - 0.2)
+    return pool_plan.Member(name, 8.0, worker, fixed)
+
+
+def _decide(members, count=9, wanted=9):
+    surplus = emptying.Surplus(SERVICE, members, count)
+    return emptying.decide([surplus], wanted, NOW_S)
+
+
+def _names(members, **numbers):
+    return [row.machine for row in _decide(members, **numbers)]
+
+
+LONG = {'estimate_ms': 5000.0}
+SAVED = {'estimate_ms': 5000.0, 'checkpoints': True}
+SHORT = {'estimate_ms': 700.0}
+
+
+def test_task_that_saves_its_progress_makes_room_at_once():
+    (emptied,) = _decide([_member('m1', SAVED)])
+    assert [task.name for task in emptied.stops] == ['m1-0.0.0.0']
+
+
+def test_task_that_would_lose_its_work_is_never_stopped():
+    assert _names([_member('m1', LONG)]) == []
+    (emptied,) = _decide([_member('m1', SHORT)])
+    assert emptied.stops == []
+
+
+def test_task_that_ends_soon_is_left_to_end():
+    soon = {'estimate_ms': 900.0, 'checkpoints': True}
+    (emptied,) = _decide([_member('m1', soon)])
+    assert emptied.stops == []
+
+
+def test_long_running_tasks_hold_their_machine():
+    lasting = {'long_running': True, 'checkpoints': True}
+    assert _names([_member('m1', lasting, SAVED)]) == []
+
+
+def test_gangs_hold_their_machine():
+    assert _names([_member('m1', {**SAVED, 'gang': True})]) == []
+
+
+def test_machine_of_a_wave_is_left_alone():
+    assert _names([_member('m1', SAVED, fixed=True)]) == []
+
+
+def test_machines_with_the_least_work_go_first():
+    members = [
+        _member('m1', SAVED, SAVED),
+        _member('m2', SAVED),
+        _member('m3', SHORT, SHORT, SHORT),
+    ]
+    assert _names(members, wanted=2) == ['m2', 'm1']
+
+
+def test_pool_gives_no_more_than_its_surplus():
+    members = [_member(f'm{i}', SAVED) for i in range(4)]
+    assert len(_decide(members, count=1)) == 1
+    assert _decide(members, count=-2) == []
+    assert _decide(members, wanted=0) == []
+
+
+def test_machine_that_is_being_emptied_stays_chosen():
+    members = [_member('m1', SAVED), _member('m2', SAVED, SAVED)]
+    chosen = _names(members, wanted=1)
+    members[0].worker.emptying = True
+    assert _names(members, wanted=1) == chosen == ['m1']
+
+
+def test_pool_in_need_gets_machines_that_a_past_turn_holds():
+    past = pool_plan.PoolView(
+        ids.ServiceId('past'),
+        [_member(f'p{i}', {**SAVED, 'cpu': 500}) for i in range(6)],
+        busy_cores=3.0,
+    )
+    lacking = pool_plan.PoolView(
+        ids.ServiceId('now'), [_member('n1', LONG)], busy_cores=20.0
+    )
+    standby = {ids.ServiceId('off'): []}
+    decision = pool_plan.decide(
+        [past, lacking], standby, pool_plan.turns_.Turns(), 1.5, NOW_S
+    )
+    # Twenty cores take three machines of eight; one is there.
+    assert len(decision.emptied) == 2
+    assert not decision.moves
