Tell turns from chance arrivals; lend until a first turn may begin

Two small jobs that met by chance at second 4 counted as their pool's first turn; it kept one machine from then on and had one when its turn came at 16. A wave's fifteen machines stayed where they were from its first second, most of them idle, while the pool in its turn lacked ten. And pools whose first turn was far kept all their machines. Now a turn keeps at least three tenths of its pool's first cores busy; only machines that go down next are held by a wave; pools lend while another has its turn, until that is as old as others became, and machines come ahead of a first turn, evenly to the pools that may have it. First sizes go to a later leader beside the announced orders; what it counted itself held machines that had already moved.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -86,6 +86,7 @@
         now_s,
         _bounds(leader),
     )
+    progress.closed = decision.close
     if decision.waits != progress.waits:
         progress.waits = decision.waits
         event_log.emit(
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -76,7 +76,11 @@
             job=job.job,
             queue=job.queue.name,
             steps=len(job.work.steps),
+            pool=job.queue.service,
             task_count=sum(step.tasks for step in job.work.steps),
+            guesses_ms=[step.estimate_ms for step in job.work.steps],
+            stretch=job.queue.stretch,
+            objective_ms=job.queue.objective_ms,
             traits=_traits(job),
             age_ms=round(clock.wall_ms() - job.handed_in_ms),
         )
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -10,6 +10,7 @@
 
 from oleanderwood import clock
 from oleanderwood import event_log
+from oleanderwood import ids
 from oleanderwood.leading import guarded
 from oleanderwood.leading import state as states
 
@@ -32,9 +33,16 @@
 
 
 class Announced(msgspec.Struct, frozen=True):
-    """Orders that were about to be sent: times of day by machine."""
+    """Orders that were about to be sent, and what was before the first.
+
+    :ivar wall_ms: times of day, by machine
+    :ivar first_sizes: machines that each pool had
+    :ivar pool_cores: their cores, by pool
+    """
 
     wall_ms: dict[str, float] = {}
+    first_sizes: dict[ids.ServiceId, int] = {}
+    pool_cores: dict[str, float] = {}
 
 
 async def announce(leader: states.Leader, machines: list[str]) -> bool:
@@ -46,7 +54,10 @@
         if wall_ms - at_ms < KEPT_MS
     }
     known.update(dict.fromkeys(machines, wall_ms))
-    values = {KEY: msgspec.json.encode(Announced(known))}
+    announced = Announced(
+        known, leader.fleet.first_sizes, leader.fleet.turns.pool_cores
+    )
+    values = {KEY: msgspec.json.encode(announced)}
     if not await guarded.try_write(leader, values, 'fleet', 'not-announced'):
         return False
     leader.fleet.announced = known
@@ -72,6 +83,8 @@
     now_s = clock.now_s()
     kept = msgspec.json.decode(value, type=Announced)
     leader.fleet.announced = dict(kept.wall_ms)
+    leader.fleet.first_sizes = dict(kept.first_sizes)
+    leader.fleet.turns.pool_cores = dict(kept.pool_cores)
     for name, at_ms in kept.wall_ms.items():
         left_ms = at_ms + pause_ms + SKEW_MS - wall_ms
         # A clock that jumped must not hold a machine for long.
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -181,26 +181,32 @@
             standby[service].append(member)
     _note_demand(leader, views, now_s)
     promised = policies.min_up(leader.policy.policy)
+    _note_first_sizes(leader, views)
     for service, view in views.items():
-        view.first_size = _first_size(leader, view, len(views) + len(standby))
         view.min_up = promised.get(service, 0)
     return list(views.values()), standby
 
 
-def _first_size(
-    leader: states.Leader, view: pool_plan.PoolView, pool_count: int
-) -> int:
-    """Give how many machines a pool had at first.
+def _note_first_sizes(
+    leader: states.Leader, views: dict[ids.ServiceId, pool_plan.PoolView]
+) -> None:
+    """Note how many machines the pools have, until the first order moves one.
 
-    A leader that came later takes an equal part of all machines for it.
+    Machines enter the list one after another. Later leaders learn the sizes
+    from what was announced; without that, an equal part counts.
     """
-    line = leader.fleet.turns.lines.get(view.service)
-    size = leader.fleet.first_sizes.get(view.service, 0)
-    if line is None or not line.starts_s:
-        # Machines enter the list one after another.
-        size = max(size, len(view.members))
-        leader.fleet.first_sizes[view.service] = size
-    return size or len(leader.fleet.machines) // pool_count
+    sizes = leader.fleet.first_sizes
+    machines = leader.fleet.machines
+    for service, view in views.items():
+        if not leader.fleet.announced:
+            sizes[service] = max(sizes.get(service, 0), len(view.members))
+        view.first_size = sizes.get(service) or len(machines) // (
+            len(views) + 1
+        )
+        cores = [member.cores for member in view.members]
+        if cores:
+            each = sum(cores) / len(cores)
+            leader.fleet.turns.pool_cores[service] = view.first_size * each
 
 
 def _fixed(leader: states.Leader, now_s: float) -> set[str]:
@@ -218,7 +224,7 @@
     for progress in leader.fleet.waves.values():
         if not progress.completed:
             fixed.update(progress.down)
-            fixed.update(set(progress.wave.machines) - progress.begun)
+            fixed.update(progress.closed)
     return fixed
 
 
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -37,11 +37,6 @@
 SPARE_MACHINES = 1
 """Machines beyond the demand that a pool keeps for single arrivals."""
 
-UNSEEN_PART = 1.0
-"""Part of its first machines that a pool keeps until its first turn, which
-nothing foretells. With half of them, three seconds of a first turn's callers
-waited for machines to come back."""
-
 YOUNG_TURN_PART = 2.0
 """What a pool's turn is taken to need until it can be measured, as a part of
 the machines that it had at first. Users say that a turn asks for more than
@@ -142,17 +137,26 @@
         arriving = pool.held_cores + turns_.soon_cores(line, now_s)
         cores = max(cores, arriving)
     cores += backlog.cores(pool.waiting)
-    foreseen = 0.0
-    turn = turns_.next_turn(turns, pool.service, now_s)
-    if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
-        foreseen = pool.held_cores + FORESEEN_PART * line.turn_cores
     each = cores_each * FILL
     if not each:
         return Need(0, 0)
     now = math.ceil(cores / each)
     if line is not None and turns_.is_young(line, now_s):
-        now = max(now, math.ceil(YOUNG_TURN_PART * pool.first_size))
-    return Need(now, max(now, math.ceil(foreseen / each)))
+        now = max(now, _young_machines(pool))
+    soon = 0
+    turn = turns_.next_turn(turns, pool.service, now_s)
+    if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
+        if _turn_is_to_come(turns, pool.service):
+            soon = _young_machines(pool)
+        else:
+            foreseen = pool.held_cores + FORESEEN_PART * line.turn_cores
+            soon = math.ceil(foreseen / each)
+    return Need(now, max(now, soon))
+
+
+def _young_machines(pool: PoolView) -> int:
+    """Give what a turn is taken to need that can't be measured yet."""
+    return math.ceil(YOUNG_TURN_PART * pool.first_size)
 
 
 def _near(turn: turns_.Foreseen, now_s: float, ahead_s: float) -> bool:
@@ -187,7 +191,7 @@
             for member in members
             if not member.fixed
         ],
-        _sources(pools, wanted, turns, now_s),
+        _sources(pools, wanted, turns, move_s + AHEAD_S, now_s),
     )
     near_s = KEEP_NEAR_S * weights.moves / weights.buffer + move_s
     near = {
@@ -201,33 +205,55 @@
     moves += _to_lacking(
         pools, {name: need.soon for name, need in wanted.items()}, free, near
     )
+    floors = {
+        pool.service: pool.first_size
+        if _turn_is_to_come(turns, pool.service)
+        else 0
+        for pool in pools
+    }
+    left = {
+        pool.service: len(pool.members)
+        - sum(move.source == pool.service for move in moves)
+        for pool in pools
+    }
     if standby:
         target = min(standby)
         for service, member in free.idle:
+            if left[service] <= floors[service]:
+                continue
             if _idle_in_turn(turns, service, member, now_s) or (
                 service not in near
                 and _may_rest(turns, service, near_s, now_s)
             ):
                 moves.append(Move(member.machine, service, target, 'idle'))
-    lacking = {
-        pool.service: wanted[pool.service].now
-        - len(pool.members)
-        - free.coming.get(pool.service, 0)
-        for pool in pools
-    }
-    emptied = emptying.decide(
-        [
-            emptying.Surplus(
-                pool.service, pool.members, -lacking[pool.service]
-            )
-            for pool in pools
-        ],
-        sum(lack for lack in lacking.values() if lack > 0),
-        now_s,
-    )
+                left[service] -= 1
+    emptied = _to_empty(pools, wanted, free, left, now_s)
     return Decision(moves, wanted, emptied)
 
 
+def _to_empty(
+    pools: collections.abc.Sequence[PoolView],
+    wanted: dict[ids.ServiceId, Need],
+    free: '_Free',
+    left: dict[ids.ServiceId, int],
+    now_s: float,
+) -> list[emptying.Emptied]:
+    """Choose busy machines for pools that found too few idle ones.
+
+    :param left: members of each pool after the moves that were decided
+    """
+    lack = 0
+    surplus = []
+    for pool in pools:
+        need = wanted[pool.service].now
+        coming = free.coming.get(pool.service, 0)
+        lack += max(0, need - len(pool.members) - coming)
+        kept = max(pool.min_up, need + SPARE_MACHINES)
+        spare = left[pool.service] - kept
+        surplus.append(emptying.Surplus(pool.service, pool.members, spare))
+    return emptying.decide(surplus, lack, now_s)
+
+
 @dataclasses.dataclass
 class _Free:
     """Machines that may move: on standby, and idle in their pools."""
@@ -256,14 +282,15 @@
     pools: collections.abc.Sequence[PoolView],
     wanted: dict[ids.ServiceId, Need],
     turns: turns_.Turns,
+    near_s: float,
     now_s: float,
 ) -> list[tuple[ids.ServiceId, Member]]:
     """Give idle machines beyond what their pools need now, idlest first."""
     rows = []
     for pool in pools:
         kept = max(pool.min_up, wanted[pool.service].now + SPARE_MACHINES)
-        if _turn_is_to_come(turns, pool.service):
-            kept = max(kept, math.ceil(UNSEEN_PART * pool.first_size))
+        if _awaits_first(turns, pool.service, near_s, now_s):
+            kept = max(kept, pool.first_size)
         # Machines on their way count as coming, but keep no promise yet.
         up = sum(member.worker is not None for member in pool.members)
         surplus = min(len(pool.members) - kept, up - pool.min_up)
@@ -281,6 +308,24 @@
     return service in turns.pools and not seen
 
 
+def _awaits_first(
+    turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
+) -> bool:
+    """Say whether a pool's first turn may begin before a machine can come.
+
+    One pool has its turn at a time: while the present one is young, others
+    may borrow.
+    """
+    if not _turn_is_to_come(turns, service):
+        return False
+    if turns.last_start_s is None:
+        return True
+    turn = turns_.next_turn(turns, service, now_s)
+    if turn is not None:
+        return _near(turn, now_s, near_s)
+    return not turns.lines[turns.last_pool].in_turn
+
+
 def _movable(member: Member, now_s: float) -> bool:
     worker = member.worker
     if worker is None or member.fixed or worker.runs:
@@ -308,14 +353,18 @@
         for pool in pools
     }
     moves = []
-    for service in sorted(lacks, key=lambda name: -lacks[name]):
-        for _ in range(max(0, lacks[service])):
-            taken = _take(free, service, spared)
-            if taken is None:
-                break
-            source, member = taken
-            moves.append(Move(member.machine, source, service, 'needed'))
-            free.coming[service] = free.coming.get(service, 0) + 1
+    while lacks:
+        service = max(lacks, key=lambda name: lacks[name])
+        if lacks[service] <= 0:
+            break
+        taken = _take(free, service, spared)
+        if taken is None:
+            del lacks[service]
+            continue
+        source, member = taken
+        moves.append(Move(member.machine, source, service, 'needed'))
+        free.coming[service] = free.coming.get(service, 0) + 1
+        lacks[service] -= 1
     return moves
 
 
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -53,6 +53,11 @@
 TURN_ARRIVALS = 2
 """Arrivals in the window that a turn takes at least."""
 
+TURN_POOL_PART = 0.3
+"""Part of its pool's cores that a turn keeps busy at least; users say that it
+asks for more than the pool holds. Two small jobs that met by chance asked for
+a tenth; taken for the pool's turn, they let its machines go before it."""
+
 MIN_GAP_S = 2.0
 """Starts of two queues closer than this tell nothing of a turn's length."""
 
@@ -87,6 +92,7 @@
     :ivar began_s: when the first arrival came
     :ivar pools: those that take turns
     :ivar gaps_s: times between the starts of successive turns
+    :ivar pool_cores: cores that each pool had at first, as far as known
     """
 
     lines: dict[str, Line] = dataclasses.field(default_factory=dict)
@@ -95,6 +101,7 @@
     last_start_s: float | None = None
     last_pool: str = ''
     gaps_s: list[float] = dataclasses.field(default_factory=list)
+    pool_cores: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def note(turns: Turns, pool: str, at_s: float, core_s: float) -> None:
@@ -198,7 +205,10 @@
     recent = _count(line, now_s - WINDOW_S)
     present = present_cores(line, now_s)
     mean = mean_cores(turns, line, now_s)
-    high = recent >= TURN_ARRIVALS and present >= TURN_FACTOR * mean
+    least = max(
+        TURN_FACTOR * mean, TURN_POOL_PART * turns.pool_cores.get(pool, 0.0)
+    )
+    high = recent >= TURN_ARRIVALS and present >= least
     if high and not line.in_turn:
         _begin(turns, pool, line, now_s)
     elif line.in_turn and present < TURN_END_FACTOR * mean:
@@ -256,7 +266,7 @@
     """
     line = turns.lines.get(pool)
     if line is None or not line.starts_s:
-        return None
+        return _first_turn(turns, pool, now_s)
     if len(line.starts_s) > 1:
         period_s = line.starts_s[-1] - line.starts_s[-2]
         if period_s > MIN_GAP_S * len(turns.pools):
@@ -278,6 +288,27 @@
     return found if found.latest_s + WINDOW_S >= now_s else None
 
 
+def _first_turn(turns: Turns, pool: str, now_s: float) -> Foreseen | None:
+    """Foresee the first turn of a pool.
+
+    One pool follows another, so it may be the next one's once the present
+    turn is as old as others became, or is over.
+    """
+    if turns.last_start_s is None or pool not in turns.pools:
+        return None
+    last = turns.lines[turns.last_pool]
+    if turns.gaps_s:
+        earliest_s = turns.last_start_s + min(turns.gaps_s)
+        latest_s = turns.last_start_s + max(turns.gaps_s)
+    elif not last.in_turn:
+        earliest_s = last.ended_s
+        latest_s = last.ended_s + (last.ended_s - turns.last_start_s)
+    else:
+        return None
+    found = Foreseen(earliest_s, latest_s)
+    return found if found.latest_s + WINDOW_S >= now_s else None
+
+
 def _upcoming_s(last_s: float, period_s: float, now_s: float) -> float:
     """Give the first of a series of turns that isn't missed by now."""
     begin_s = last_s + period_s
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -62,12 +62,14 @@
 
     :ivar begun: machines whose maintenance has begun
     :ivar down: machines that were ordered down and aren't known to be back
+    :ivar closed: machines that go down next
     """
 
     wave: fleet.Wave
     seen_s: float
     begun: set[str] = dataclasses.field(default_factory=set)
     down: dict[str, Ordered] = dataclasses.field(default_factory=dict)
+    closed: set[str] = dataclasses.field(default_factory=set)
     refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     waits: dict[str, str] = dataclasses.field(default_factory=dict)
     completed: bool = False
--- a/tests/test_machine_turns.py
+++ b/tests/test_machine_turns.py
@@ -2,6 +2,7 @@
 
 import types
 
+import msgspec
 import pytest
 
 from oleanderwood import clock
@@ -49,3 +50,18 @@
     assert not machine_turns.is_ours(leader, 'm1')
     leader.now.s += 0.2
     assert machine_turns.is_ours(leader, 'm1')
+
+
+def test_later_leader_learns_what_pools_had_before_the_first_move(leader):
+    kept = machine_turns.Announced(
+        {'m1': 0.0}, {'drafts': 6}, {'drafts': 384.0}
+    )
+    machine_turns.restore(leader, msgspec.json.encode(kept))
+    assert leader.fleet.first_sizes == {'drafts': 6}
+    assert leader.fleet.turns.pool_cores == {'drafts': 384.0}
+
+
+def test_announcements_of_an_earlier_release_are_read(leader):
+    machine_turns.restore(leader, b'{"wall_ms":{"m1":0.0}}')
+    assert leader.fleet.announced == {'m1': 0.0}
+    assert leader.fleet.first_sizes == {}
