Answer what is in hand before a stopping server ends

Ruled out: the balancer's part (the calls were on connections that the server had accepted). Now each request that is still in hand is answered 504 with Retry-After before the lease is ended, which gets 0.15 s.

--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -92,6 +92,14 @@
     return http.Response(status, headers, reason.encode() + b'\n')
 
 
+def in_doubt(reason: str) -> http.Response:
+    """Make the answer to a call of which it isn't known whether it was done.
+
+    Its caller asks again; a job stays one job.
+    """
+    return _refusal(504, f'perhaps done: {reason}')
+
+
 def _log(event: str, job: str, began_s: float, **fields) -> None:
     after_ms = round((clock.now_s() - began_s) * 1000, 1)
     event_log.emit('caller', event, job=job, after_ms=after_ms, **fields)
@@ -116,7 +124,7 @@
         return _told(model.State.QUEUED)
     if verdict is verdicts.Verdict.NOT_RUN:
         return _refusal(503, f'not accepted: {reason}')
-    return _refusal(504, f'perhaps accepted: {reason}')
+    return in_doubt(reason)
 
 
 async def _write(
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -13,6 +13,7 @@
 from oleanderwood import boot
 from oleanderwood import clock
 from oleanderwood import daemon
+from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
 from oleanderwood.frontend import handler as handlers
@@ -39,6 +40,10 @@
 """Time left before the process would be killed when it cuts what still
 goes on."""
 
+END_LEASE_S = 0.15
+"""Longest wait for the end of the server's lease; without it the lease ends by
+itself in 1.5 s."""
+
 MAX_FAULT_TEXT = 3000
 """Characters of a fault's traceback that are logged."""
 
@@ -108,10 +113,10 @@
     inner = http_server.listen(
         boot.inner_address(settings), make_inner_handler(server, frontend)
     )
+    serving = await curio.spawn(http_server.run(callers), daemon=True)
     parts = [
         await curio.spawn(part, daemon=True)
         for part in (
-            http_server.run(callers),
             http_server.run(ready),
             http_server.run(inner),
             *map(_until_fault, make_parts(server, frontend)),
@@ -122,7 +127,7 @@
         _until_fault(election.run_always(server)), daemon=True
     )
     await daemon.until_stopped()
-    await _stop(server, callers, elections)
+    await _stop(server, callers, serving, elections)
     for part in parts:
         await part.cancel()
 
@@ -140,6 +145,7 @@
 async def _stop(
     server: states.Server,
     callers: http_server.Server,
+    serving: curio.Task,
     elections: curio.Task,
 ) -> None:
     """Hand over, and serve on until callers have gone elsewhere."""
@@ -147,6 +153,7 @@
     event_log.emit('server', 'stops', leads=server.leader is not None)
     server.stopping = True
     http_server.retire(callers)
+    callers.cut_answer = handlers.in_doubt('the server stops')
     end_s = began_s + server.settings.stop_time_s - STOP_RESERVE_S
     async with curio.ignore_after(max(0.1, end_s - clock.now_s())):
         await elections.join()
@@ -156,11 +163,20 @@
             break
     async with curio.ignore_after(STOP_RESERVE_S / 2):
         await http_server.stop(callers)
+    # What is still in hand is answered before the store is asked once more:
+    # a silent one would use up the time that is left.
+    await serving.cancel()
     if server.lease:
-        try:
+        await _end_lease(server)
+
+
+async def _end_lease(server: states.Server) -> None:
+    """End the server's lease, so that others know at once that it is gone."""
+    try:
+        async with curio.timeout_after(END_LEASE_S):
             await stores.end_lease(server.store, server.lease)
-        except Exception as error:
-            event_log.emit('lease', 'not-ended', why=str(error))
+    except (errors.CallFailed, curio.TaskTimeout) as error:
+        event_log.emit('lease', 'not-ended', why=repr(error))
 
 
 def _ready(server: states.Server) -> http.Handler:
--- a/oleanderwood/web/http_server.py
+++ b/oleanderwood/web/http_server.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server over curio and h11."""
 
+import contextlib
 import dataclasses
 import logging
 import math
@@ -24,6 +25,10 @@
 HEAD_S = 10.0
 """How long a request's head may take from its first byte."""
 
+CUT_ANSWER_S = 0.2
+"""Longest time for the answer to a request that a stopping server gives up;
+the peer may read nothing."""
+
 BACKLOG = 1024
 _POLL_S = 0.05
 MAX_CONNECTIONS = 4096
@@ -37,6 +42,8 @@
     :ivar refusal_headers: sent with refusals of malformed requests
     :ivar closing: answers announce that their connection ends
     :ivar stopping: nothing new is accepted
+    :ivar cut_answer: what a request gets that is still being handled when
+        the server is cancelled; None: its connection is cut
     """
 
     address: ids.Address
@@ -46,6 +53,7 @@
     refusal_headers: http.Headers = dataclasses.field(default_factory=list)
     closing: bool = False
     stopping: bool = False
+    cut_answer: http.Response | None = None
     accepting: curio.Task | None = None
     connections: set[http_accepted.Connection] = dataclasses.field(
         default_factory=set
@@ -82,8 +90,11 @@
     finally:
         await server.accepting.cancel()
         await watching.cancel()
-        for connection in list(server.connections):
-            await connection.task.cancel()
+        cut = [connection.task for connection in server.connections]
+        for task in cut:
+            await task.cancel(blocking=False)
+        for task in cut:
+            await task.cancel()
 
 
 def retire(server: Server) -> None:
@@ -243,6 +254,9 @@
             raise
         body = error.reason.encode() + b'\n'
         await request.respond(http.Response(error.status, [], body))
+    except curio.CancelledError:
+        await _answer_cut(server, connection, request)
+        raise
     except (OSError, h11.ProtocolError, errors.CallFailed):
         raise
     except Exception:
@@ -252,6 +266,19 @@
         await request.respond(http.Response(500, [], b'internal fault\n'))
 
 
+async def _answer_cut(
+    server: Server, connection: http_accepted.Connection, request: http.Request
+) -> None:
+    """Answer a request that is cut, if nothing of an answer was sent."""
+    if server.cut_answer is None:
+        return
+    if connection.protocol.our_state is not h11.SEND_RESPONSE:
+        return
+    with contextlib.suppress(OSError, h11.ProtocolError):
+        async with curio.ignore_after(CUT_ANSWER_S):
+            await request.respond(server.cut_answer)
+
+
 async def _respond(
     server: Server,
     connection: http_accepted.Connection,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,3 +160,27 @@
     received = with_server(use)
     places = [received.index(b'\r\n\r\n' + n) for n in (b'1', b'2', b'3')]
     assert places == sorted(places)
+
+
+@pytest.mark.parametrize('cut_answer', [None, http.Response(504, [], b'x')])
+def test_request_in_hand_is_answered_when_the_server_ends(cut_answer):
+    async def never(request):
+        await curio.sleep(30.0)
+
+    async def main():
+        server = http_server.listen('127.0.0.1:0', never)
+        server.cut_answer = cut_answer
+        serving = await curio.spawn(http_server.run, server)
+        socks = [await connect(server) for _ in range(3)]
+        for sock in socks:
+            await sock.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        await curio.sleep(0.1)
+        await serving.cancel()
+        return [await read_to_end(sock) for sock in socks]
+
+    received = curio.run(main)
+    if cut_answer is None:
+        assert received == [b''] * 3
+    else:
+        assert all(row.startswith(b'HTTP/1.1 504 ') for row in received)
+        assert all(row.endswith(b'\r\n\r\nx') for row in received)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,12 @@
 FILE = "[[pools]]\nname = 'drafts'\nmin_up = 2\n"
 TOKEN = 'secret'
 
-FOUND: dict[int, str] = {}
-"""Seeds that once failed, with a line on the cause."""
+FOUND = {
+    70913: 30.0,
+    # Calls were cut at a server that was told to stop while its store was
+    # silent: a job in hand waits 2 s for the store, the server had less.
+}
+"""Seeds that once failed, with the seconds they were played and the cause."""
 
 
 @pytest.fixture(autouse=True)
@@ -34,10 +38,10 @@
     assert outcome.result.accepted == outcome.result.handed_in
 
 
-@pytest.mark.parametrize('seed', [2, *FOUND])
-def test_drawn_strikes_break_no_rule(seed, tmp_path):
-    plan = day.Plan(seed, length_s=6.0, server_count=3)
-    rows = strikes.draw(seed, 6.0, run.STRIKES_PER_S)
+@pytest.mark.parametrize(('seed', 'length_s'), [(2, 6.0), *FOUND.items()])
+def test_drawn_strikes_break_no_rule(seed, length_s, tmp_path):
+    plan = day.Plan(seed, length_s=length_s, server_count=3)
+    rows = strikes.draw(seed, length_s, run.STRIKES_PER_S)
     outcome = curio.run(run.soak, plan, tmp_path, rows)
     assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
 
@@ -108,3 +112,43 @@
     assert capsys.readouterr().err.count('\n') == 2
     file.write_text(FILE)
     assert ctl.validate(file) == ctl.Exit.OK
+
+
+SUBMIT = (
+    b'POST /drafts/0123456789abcdef HTTP/1.1\r\nhost: callers.example\r\n'
+    b'content-type: application/json\r\ncontent-length: %d\r\n\r\n%s'
+)
+BODY = b'{"spec":"text","phases":[{"count":1,"cpu":500,"mem_mb":100}]}'
+
+
+async def _stop_in_hand(folder: pathlib.Path) -> bytes:
+    """Hand a job in just before a server ends whose store fell silent.
+
+    Gives what the caller receives.
+    """
+    world = await worlds.build(day.Plan(1, server_count=1), folder)
+    (process,) = world.field.servers
+    process.busy = True
+    try:
+        await curio.sleep(2.5)
+        host, _, port = process.callers.partition(':')
+        async with await curio.open_connection(host, int(port)) as sock:
+            stopping = await curio.spawn(processes.stop, process)
+            await curio.sleep(processes.STOP_TIME_S - 1.0)
+            world.field.scene.store.down = 'silent'
+            await sock.sendall(SUBMIT % (len(BODY), BODY))
+            received = b''
+            async with curio.ignore_after(2.0):
+                while piece := await sock.recv(65536):
+                    received += piece
+            await stopping.join()
+        return received
+    finally:
+        await processes.kill(process)
+
+
+def test_job_in_hand_is_answered_when_its_server_ends(tmp_path):
+    # The write would take 2 s, the server has 0.3 s left.
+    received = curio.run(_stop_in_hand, tmp_path)
+    assert received.startswith(b'HTTP/1.1 504 ')
+    assert b'retry-after' in received
