Read what earlier leaders left side by side

The term is taken before the reads and later writes of an earlier leader fail, so their order among each other doesn't matter; jobs, progress and cancels are taken in as before. Ruled out as the larger part: the election (0.97 s, two slow writes and a watch).

--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -1,6 +1,7 @@
 """The life of one term: taking over, leading, handing over."""
 
 import collections.abc
+import dataclasses
 import traceback
 
 import curio
@@ -119,38 +120,87 @@
     return parts
 
 
+@dataclasses.dataclass(frozen=True)
+class Legacy:
+    """What earlier leaders and the front ends left in the store."""
+
+    rosters: stores.Items
+    taken: stores.Items
+    kept: stores.Items
+    waves: stores.Items
+    orders: stores.Item | None
+
+
+async def _read_legacy(store: stores.Store) -> Legacy:
+    """Read all that lies in the store, side by side.
+
+    While a store answered sixty times slower, in 0.24 s, one read after
+    another took 1.9 s of 3.5 s without a leader.
+
+    :raises errors.CallFailed: the store didn't answer
+    """
+    async with curio.TaskGroup() as group:
+        tasks = [
+            await group.spawn(stores.read_range, store, prefix)
+            for prefix in (
+                keeping.ROSTER_PREFIX,
+                record.INTAKE_PREFIX,
+                record.PROGRESS_PREFIX,
+                fleet_loop.WAVES_PREFIX,
+            )
+        ]
+        tasks.append(await group.spawn(stores.read, store, machine_turns.KEY))
+    failures = [task.exception for task in tasks if task.exception]
+    # Those that were cancelled for another's failure tell nothing.
+    failures.sort(key=lambda error: not isinstance(error, errors.CallFailed))
+    if failures:
+        raise failures[0]
+    return Legacy(*[task.result for task in tasks])
+
+
 async def _inherit(leader: states.Leader) -> None:
     """Take in all that lies in the store.
 
     :raises errors.CallFailed: the store didn't answer
     """
-    store = leader.server.store
-    rosters = await stores.read_range(store, keeping.ROSTER_PREFIX)
-    taken = await stores.read_range(store, record.INTAKE_PREFIX)
-    kept = await stores.read_range(store, record.PROGRESS_PREFIX)
-    waves = await stores.read_range(store, fleet_loop.WAVES_PREFIX)
-    orders = await stores.read(store, machine_turns.KEY)
+    legacy = await _read_legacy(leader.server.store)
+    orders, waves = legacy.orders, legacy.waves
     if orders is not None:
         guarded.note_read(leader, orders)
         machine_turns.restore_or_wait(leader, orders.value)
-    for item in [*rosters.items, *kept.items, *waves.items]:
+    for item in [*legacy.rosters.items, *legacy.kept.items, *waves.items]:
         guarded.note_read(leader, item)
     for item in waves.items:
         number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
         leader.fleet.kept_waves[number] = item.value
+    _take_jobs(leader, legacy)
+    _note_past_arrivals(leader)
+    await _meet_former_workers(leader, legacy.rosters)
+
+
+def _take_jobs(leader: states.Leader, legacy: Legacy) -> None:
+    """Take in jobs, then how far they are, then their cancels."""
     now_s = clock.now_s()
-    for item in taken.items:
-        if not item.key.startswith(record.CANCEL_PREFIX):
+    cancels = []
+    for item in legacy.taken.items:
+        if item.key.startswith(record.CANCEL_PREFIX):
+            cancels.append(item)
+        else:
             intake.take_intake(leader, item, inherited=True)
-    for item in kept.items:
+    for item in legacy.kept.items:
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
         entry = leader.ledger.entries.get(job)
         if entry is not None:
             _restore(leader, entry, item.value, now_s)
-    for item in taken.items:
-        if item.key.startswith(record.CANCEL_PREFIX):
-            intake.take_intake(leader, item, inherited=True)
-    _note_past_arrivals(leader)
+    for item in cancels:
+        intake.take_intake(leader, item, inherited=True)
+
+
+async def _meet_former_workers(
+    leader: states.Leader, rosters: stores.Items
+) -> None:
+    """Meet the workers that an earlier leader may have used."""
+    now_s = clock.now_s()
     lease_s = states.task_lease_s(leader.server.settings)
     longest_s = lease_s / workers_.SLOW_CLOCK_RATE
     for item in rosters.items:
