Explain jobs in logs that count jobs as well

'leader leads' has the number of jobs in the field that other lines have a list in; explaining any job from a log with that line ended in a TypeError. Found while the cause of late ends was looked up; test first failed so.

--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -81,12 +81,18 @@
 
 
 def _touches(row: Row, job: str) -> bool:
-    if row.get('job') == job or job in (row.get('jobs') or ()):
+    if row.get('job') == job or job in _listed(row, 'jobs'):
         return True
-    names = [row.get('task') or '', *(row.get('tasks') or ())]
+    names = [row.get('task') or '', *_listed(row, 'tasks')]
     return any(str(name).startswith(f'{job}.') for name in names)
 
 
+def _listed(row: Row, field: str) -> list:
+    """Give a field that is a list; some lines hold a count by its name."""
+    value = row.get(field)
+    return value if isinstance(value, list) else []
+
+
 def _within(row: Row, touching: list[Row]) -> bool:
     first, last = touching[0]['time_s'], touching[-1]['time_s']
     return first <= row['time_s'] <= last
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -81,3 +81,13 @@
 
 def test_lines_of_others_are_passed_over():
     assert explain.read(['noise', '{"time_s": broken', '']) == []
+
+
+def test_line_that_counts_jobs_touches_none():
+    rows = explain.read(
+        [
+            '{"time_s":1.0,"part":"leader","event":"leads","jobs":7}',
+            '{"time_s":2.0,"part":"job","event":"taken","job":"a"}',
+        ]
+    )
+    assert len(explain.explain(rows, 'a').lines) == 1
