Write ends side by side, of jobs that have ended first

Ends were written 15 jobs a call and one call after another, 0.24 s each, among them progress that nobody waits for. Six calls at a time now; jobs that have ended go first. Their keys differ, so their order doesn't matter.

--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -10,6 +10,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import record
 from oleanderwood.leading import guarded
+from oleanderwood.leading import parallel
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
@@ -23,6 +24,11 @@
 """Time in which ends are gathered for one write. It delays callers' sight
 of a completed job by as much; each write has a price."""
 
+WRITES_AT_ONCE = 6
+"""Writes that are under way at the same time. While a store answered sixty
+times slower, in 0.24 s, one after another they took 60 jobs a second, and
+ends were written up to 1.4 s late."""
+
 FAILED_PAUSE_S = 0.15
 """Pause after a failed write."""
 
@@ -70,8 +76,7 @@
         await _keep_rosters(leader)
     seen = {name: row.seen_end for name, row in leader.workers.items()}
     while leader.ledger.dirty:
-        rows = list(leader.ledger.dirty.values())[: guarded.KEYS_A_WRITE]
-        await _keep_jobs(leader, rows)
+        await _keep_side_by_side(leader)
     for name, number in seen.items():
         worker = leader.workers.get(name)
         if worker is not None and number > worker.kept_end:
@@ -79,6 +84,26 @@
             await leader.ends_kept[name].set()
 
 
+async def _keep_side_by_side(leader: states.Leader) -> None:
+    """Write unwritten jobs in several calls, those that have ended first.
+
+    :raises stores.Conflict: another server leads
+    :raises errors.CallFailed: one of the calls failed
+    """
+    dirty = sorted(
+        leader.ledger.dirty.values(),
+        key=lambda entry: not ledgers.final(entry),
+    )
+    size = guarded.KEYS_A_WRITE
+    rows = dirty[: size * WRITES_AT_ONCE]
+    async with curio.TaskGroup() as group:
+        tasks = [
+            await group.spawn(_keep_jobs, leader, rows[start : start + size])
+            for start in range(0, len(rows), size)
+        ]
+    parallel.raise_first(tasks)
+
+
 async def _keep_jobs(
     leader: states.Leader, entries: list[ledgers.Entry]
 ) -> None:
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -23,6 +23,7 @@
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_turns
+from oleanderwood.leading import parallel
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import schedule
@@ -150,11 +151,7 @@
             )
         ]
         tasks.append(await group.spawn(stores.read, store, machine_turns.KEY))
-    failures = [task.exception for task in tasks if task.exception]
-    # Those that were cancelled for another's failure tell nothing.
-    failures.sort(key=lambda error: not isinstance(error, errors.CallFailed))
-    if failures:
-        raise failures[0]
+    parallel.raise_first(tasks)
     return Legacy(*[task.result for task in tasks])
 
 
