Count a job as late a quarter of its next step early

Cause: in an overloaded turn jobs were begun until the moment at which they would end in time if all went as expected; lengths spread by a third about what is expected, so every second one ended late and made others late. In a pure play of turns that ask for 1.7 times what a pool holds, 60 instead of 56 of 100 jobs in time, the largest tenth alike (test).

--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -25,6 +25,14 @@
 """A job is worth something up to this many times its objective."""
 
 
+LATENESS_MARGIN = 1.25
+"""A job counts as late once its next step would have to take this many times
+less than expected. Lengths of small jobs spread by a third about what is
+expected of them; begun at the edge, every second one ends late. In turns that
+asked for 1.7 times what a pool held it brought 60 instead of 56 of 100 jobs
+in time, and as many of the largest tenth."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """One start that was decided."""
@@ -323,7 +331,8 @@
 ) -> bool:
     """Say whether a job can't be in time if a step of it begins now."""
     length_s = lengths_.of_job(lengths, group.entry)[group.number]
-    return left_s(group, queue, lengths, now_s) < length_s
+    left = left_s(group, queue, lengths, now_s)
+    return left < LATENESS_MARGIN * length_s
 
 
 def by_service(
