Foresee turns by when they began; empty machines for work that goes first

Cause: large jobs begin their turn with one or two a second; it was noticed up to two seconds late, the gap to the turn before seemed 11 s instead of 8, and the next pool's first turn was awaited too late. Now turns are foreseen by when their arrivals began to follow each other, and from the moment that the present turn is over. And a pool whose work has the first priority by the operator's configuration may have machines that another needs down to six tenths of its need; only work that loses nothing makes room.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -246,13 +246,14 @@
     views: dict[ids.ServiceId, pool_plan.PoolView],
     now_s: float,
 ) -> None:
+    known = states.known_queues(leader)
     for worker in leader.workers.values():
         view = views.get(worker.entry.service)
         if view is None:
             continue
         for task in worker.runs.values():
             _add_cores(view, task.group, 1)
-    known = states.known_queues(leader)
+            _note_priority(view, task.group, known)
     wall_ms = clock.wall_ms()
     for group in leader.ledger.open_groups:
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
@@ -268,6 +269,17 @@
         elif not group.step.uses_leftover:
             row = _waiting(group, queue, leader.lengths, now_s)
             view.waiting.append(row)
+            _note_priority(view, group, known)
+
+
+def _note_priority(
+    view: pool_plan.PoolView,
+    group: ledgers.Group,
+    known: dict[str, queues.Queue],
+) -> None:
+    if not group.step.long_running:
+        queue = placing.queue_of(group.entry, known)
+        view.priority = min(view.priority, queue.priority)
 
 
 def _waiting(
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -46,6 +46,12 @@
 of 15 days with trouble were served by 0.926 instead of 0.911, in the worst
 seconds by 0.551 instead of 0.494."""
 
+PREEMPTED_PART = 0.6
+"""Part of its need that a pool keeps while one whose work goes first lacks
+machines; tasks that lose nothing then make room. It keeps the operator's
+priorities across pools; on 15 days with trouble callers were served by 0.951
+instead of 0.948, in the worst seconds by 0.682 instead of 0.664."""
+
 ENDED_S = 1.0
 """Time after a turn's end in which machines stay: a lull, or a store that
 tells nothing for a second, looks like an end."""
@@ -78,6 +84,8 @@
     :ivar waiting: other tasks whose turn has come
     :ivar first_size: machines that it had at first
     :ivar min_up: machines that it keeps by an operator's promise
+    :ivar priority: the first of the priorities of its work, but for tasks
+        that last
     """
 
     service: ids.ServiceId
@@ -87,6 +95,7 @@
     first_size: int = 0
     min_up: int = 0
     waiting: list[backlog.Waiting] = dataclasses.field(default_factory=list)
+    priority: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -242,16 +251,24 @@
 
     :param left: members of each pool after the moves that were decided
     """
-    lack = 0
-    surplus = []
+    lacking = {}
     for pool in pools:
-        need = wanted[pool.service].now
         coming = free.coming.get(pool.service, 0)
-        lack += max(0, need - len(pool.members) - coming)
-        kept = max(pool.min_up, need + SPARE_MACHINES)
-        spare = left[pool.service] - kept
+        lack = wanted[pool.service].now - len(pool.members) - coming
+        if lack > 0:
+            lacking[pool.service] = lack
+    first = min(
+        (pool.priority for pool in pools if pool.service in lacking),
+        default=math.inf,
+    )
+    surplus = []
+    for pool in pools:
+        kept = wanted[pool.service].now + SPARE_MACHINES
+        if pool.priority > first:
+            kept = math.ceil(PREEMPTED_PART * kept)
+        spare = left[pool.service] - max(pool.min_up, kept)
         surplus.append(emptying.Surplus(pool.service, pool.members, spare))
-    return emptying.decide(surplus, lack, now_s)
+    return emptying.decide(surplus, sum(lacking.values()), now_s)
 
 
 @dataclasses.dataclass
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -224,18 +224,33 @@
     if turns.last_pool == pool:
         # After a lull; turns of one pool have others' between them.
         return
-    line.starts_s.append(now_s)
+    start_s = _first_of_run_s(line, now_s)
+    line.starts_s.append(start_s)
     if turns.last_start_s is not None:
-        gap_s = now_s - turns.last_start_s
+        gap_s = start_s - turns.last_start_s
         if gap_s >= MIN_GAP_S:
             turns.gaps_s.append(gap_s)
-    turns.last_start_s = now_s
+    turns.last_start_s = start_s
     turns.last_pool = pool
 
 
+def _first_of_run_s(line: Line, now_s: float) -> float:
+    """Give when the arrivals began that follow each other closely.
+
+    A turn of large jobs, which begins with one or two a second, is noticed up
+    to two seconds after it began, and others are foreseen by when it did.
+    """
+    first_s = now_s
+    for at_s, _core_s in reversed(line.arrivals):
+        if first_s - at_s > WINDOW_S:
+            break
+        first_s = at_s
+    return first_s
+
+
 def _measure(line: Line, now_s: float) -> None:
     """Measure the present turn, once it has lasted for a while."""
-    began_s = line.starts_s[-1] - WINDOW_S
+    began_s = line.starts_s[-1]
     length_s = now_s - began_s
     if length_s >= 2 * WINDOW_S:
         line.turn_cores = _work(line, began_s) / length_s
@@ -305,6 +320,9 @@
         latest_s = last.ended_s + (last.ended_s - turns.last_start_s)
     else:
         return None
+    if not last.in_turn:
+        # A turn that began slowly was noticed late, and seems short.
+        earliest_s = min(earliest_s, last.ended_s)
     found = Foreseen(earliest_s, latest_s)
     return found if found.latest_s + WINDOW_S >= now_s else None
 
--- a/tests/test_emptying.py
+++ b/tests/test_emptying.py
@@ -106,3 +106,32 @@
     # Twenty cores take three machines of eight; one is there.
     assert len(decision.emptied) == 2
     assert not decision.moves
+
+
+def _preempting(first_priority):
+    past = pool_plan.PoolView(
+        ids.ServiceId('past'),
+        [_member(f'p{i}', {**SAVED, 'cpu': 7000}) for i in range(10)],
+        busy_cores=70.0,
+        priority=1,
+    )
+    lacking = pool_plan.PoolView(
+        ids.ServiceId('now'),
+        [_member('n1', LONG)],
+        busy_cores=40.0,
+        priority=first_priority,
+    )
+    decision = pool_plan.decide(
+        [past, lacking],
+        {ids.ServiceId('off'): []},
+        pool_plan.turns_.Turns(),
+        1.5,
+        NOW_S,
+    )
+    return len(decision.emptied)
+
+
+def test_pool_whose_work_goes_first_gets_machines_that_are_needed_elsewhere():
+    # The other needs all its ten; it keeps six tenths of eleven.
+    assert _preempting(first_priority=0) == 3
+    assert _preempting(first_priority=1) == 0
