Move the sending of orders into a module of its own

leading.worker_loop had grown to 454 lines; sending starts, stops and paces goes to leading.ordering, renewals and reports stay. No behaviour changed.

--- /dev/null
+++ b/oleanderwood/leading/ordering.py
@@ -0,0 +1,196 @@
+"""Sending a worker its orders, one after another."""
+
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.platform import executors
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+from oleanderwood import server_metrics
+from oleanderwood import verdict as verdicts
+
+REFUSED_PAUSE_S = 0.15
+"""Time after which a task that a worker refused is placed again."""
+
+UNHEALTHY_S = 1.0
+"""Time for which a worker that says it can't serve gets no tasks."""
+
+
+async def send_orders(leader: states.Leader, worker: workers_.Worker) -> None:
+    """Send the orders for a worker one after another, until it is gone."""
+    orders = leader.orders[worker.entry.worker]
+    while True:
+        order = await orders.get()
+        if order is None or worker.gone or leader.deposed:
+            return
+        if isinstance(order, states.StartOrder):
+            await _send_start(leader, worker, order.task, order.run)
+        elif isinstance(order, states.PaceOrder):
+            await _send_pace(leader, worker, order.task, order.percent)
+        else:
+            await _send_stop(leader, worker, order.task, order.attempt)
+
+
+async def _send_start(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    task: ledgers.Task,
+    run: ledgers.Run,
+) -> None:
+    if task.run is not run:
+        return
+    now_s = clock.now_s()
+    entry = task.group.entry
+    if (
+        ledgers.final(entry)
+        or task.done
+        or not states.may_act(leader)
+        or not workers_.accepts(worker, now_s)
+    ):
+        await _not_started(leader, worker, task, 'not sent')
+        return
+    lease_end_ms = worker_loop.new_lease_end_ms(leader, worker, now_s)
+    workers_.note_lease(worker, lease_end_ms)
+    order = reports.Start(
+        task.name,
+        run.attempt,
+        entry.job.work.text,
+        lease_end_ms,
+        leader.term,
+        task.checkpoint,
+        (task.group.tickets or {}).get(worker.entry.worker, ''),
+    )
+    try:
+        refusal = await executors.start(leader.calls, worker.entry, order)
+    except errors.CallFailed as error:
+        await _start_unanswered(leader, worker, task, run, error)
+        return
+    await _start_answered(leader, worker, task, run, refusal)
+
+
+async def _start_unanswered(leader, worker, task, run, error) -> None:
+    worker_loop.note_unanswered(leader, error)
+    _log_start(worker, task, run, error.verdict.value, error.reason)
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        worker_loop.note_silence(worker, error)
+        if task.run is run:
+            await _not_started(leader, worker, task, 'not sent')
+        return
+    if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+        ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+    await worker_loop.look(leader, worker, 0)
+
+
+async def _start_answered(leader, worker, task, run, refusal) -> None:
+    if refusal is None:
+        _log_start(worker, task, run, 'ran', '')
+        if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+            now_s = clock.now_s()
+            ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
+            run.moved_on_s = now_s
+            if ledgers.final(task.group.entry) or task.done:
+                await worker_loop.stop_run(leader, task)
+        return
+    _log_start(worker, task, run, 'refused', refusal.value)
+    if refusal is executors.Refusal.FENCED:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    if refusal is executors.Refusal.REPLACED:
+        await worker_loop.lost(leader, worker, 'replaced at its address')
+        return
+    if refusal is executors.Refusal.NO_TICKET:
+        task.group.advised_until_s = 0.0
+    if refusal is executors.Refusal.UNHEALTHY:
+        worker.unhealthy_until_s = clock.now_s() + UNHEALTHY_S
+    if task.run is run:
+        await _not_started(leader, worker, task, refusal.value)
+
+
+async def _not_started(leader, worker, task, why) -> None:
+    """Let a task wait again whose start has surely not run."""
+    task.not_before_s = clock.now_s() + REFUSED_PAUSE_S
+    workers_.end_run(leader.ledger, worker, task, clock.now_s())
+    await leader.due.set()
+
+
+def _log_start(worker, task, run, outcome, why) -> None:
+    server_metrics.STARTS.labels(outcome).inc()
+    event_log.emit(
+        'run',
+        'start',
+        task=task.name,
+        attempt=run.attempt,
+        worker=worker.entry.worker,
+        outcome=outcome,
+        why=why,
+    )
+
+
+async def _send_stop(leader, worker, task, attempt) -> None:
+    try:
+        await executors.stop(
+            leader.calls, worker.entry, task, attempt, leader.term
+        )
+    except executors.Fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    except executors.Replaced:
+        await worker_loop.lost(leader, worker, 'replaced at its address')
+        return
+    except errors.CallFailed as error:
+        event_log.emit(
+            'run',
+            'stop',
+            task=task,
+            attempt=attempt,
+            worker=worker.entry.worker,
+            outcome=error.verdict.value,
+            why=error.reason,
+        )
+        return
+    event_log.emit(
+        'run',
+        'stop',
+        task=task,
+        attempt=attempt,
+        worker=worker.entry.worker,
+        outcome='ran',
+    )
+    known = ledgers.find(leader.ledger, task)
+    if known is None or not workers_.is_current(worker, known, attempt):
+        return
+    known.run.stop_answered_s = clock.now_s()
+    if leader.orders[worker.entry.worker].empty():
+        await worker_loop.look(leader, worker, 0)
+
+
+async def _send_pace(leader, worker, task, percent) -> None:
+    run = task.run
+    if run is None or run.worker != worker.entry.worker:
+        return
+    try:
+        await executors.pace(
+            leader.calls,
+            worker.entry,
+            task.name,
+            run.attempt,
+            percent,
+            leader.term,
+        )
+    except (errors.CallFailed, executors.Replaced) as error:
+        event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
+        return
+    except executors.Fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+        return
+    run.pace_percent = percent
+    event_log.emit(
+        'run',
+        'paced',
+        task=task.name,
+        worker=worker.entry.worker,
+        percent=percent,
+    )
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -23,6 +23,7 @@
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_turns
+from oleanderwood.leading import ordering
 from oleanderwood.leading import parallel
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import roles as roles_
@@ -310,7 +311,7 @@
     async with curio.TaskGroup(wait=None) as loops:
         while True:
             worker = await leader.fresh_workers.get()
-            for loop in (worker_loop.renew_always, worker_loop.send_orders):
+            for loop in (worker_loop.renew_always, ordering.send_orders):
                 await loops.spawn(_until_fault, leader, loop(leader, worker))
 
 
--- a/tests/test_emulated_defects.py
+++ b/tests/test_emulated_defects.py
@@ -6,6 +6,7 @@
 from emulator import troubles
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import guarded
+from oleanderwood.leading import ordering
 from oleanderwood.leading import schedule
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import store as stores
@@ -37,21 +38,21 @@
 
 
 def _silence_is_death(patch):
-    note = worker_loop._note_silence
+    note = worker_loop.note_silence
 
     def eager(worker, error):
         note(worker, error)
         worker.lease_end_s = 0.0
 
-    patch.setattr(worker_loop, '_note_silence', eager)
+    patch.setattr(worker_loop, 'note_silence', eager)
 
 
 def _unanswered_start_did_not_run(patch):
     async def forget(leader, worker, task, run, error):
         if task.run is run:
-            await worker_loop._not_started(leader, worker, task, 'lost')
+            await ordering._not_started(leader, worker, task, 'lost')
 
-    patch.setattr(worker_loop, '_start_unanswered', forget)
+    patch.setattr(ordering, '_start_unanswered', forget)
 
 
 def _takeover_blocks_nothing(patch):
@@ -107,7 +108,7 @@
     'takes a silent worker for dead': (_silence_is_death, 602),
     'takes an unanswered start for not run': (
         _unanswered_start_did_not_run,
-        614,
+        643,
     ),
     'starts again while a lease may go on': (_takeover_blocks_nothing, 607),
     'forgets progress at a change of leader': (_progress_is_not_restored, 600),
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -4,7 +4,7 @@
 
 from emulator import network as networks
 from emulator import search
-from oleanderwood.leading import worker_loop
+from oleanderwood.leading import ordering
 
 STRIDE = 17
 """Every so many-th fault; ``python -m emulator.search`` plays them all."""
@@ -31,9 +31,9 @@
 def test_search_finds_a_start_that_is_taken_for_not_run(monkeypatch):
     async def forget(leader, worker, task, run, error):
         if task.run is run:
-            await worker_loop._not_started(leader, worker, task, 'lost')
+            await ordering._not_started(leader, worker, task, 'lost')
 
-    monkeypatch.setattr(worker_loop, '_start_unanswered', forget)
+    monkeypatch.setattr(ordering, '_start_unanswered', forget)
     fates = (networks.Fate.ANSWER_LOST, networks.Fate.LATE)
     assert any(
         search.breaches(search.PLAN, {number: fate})
