--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -214,12 +214,6 @@
     moves += _to_lacking(
         pools, {name: need.soon for name, need in wanted.items()}, free, near
     )
-    floors = {
-        pool.service: pool.first_size
-        if _turn_is_to_come(turns, pool.service)
-        else 0
-        for pool in pools
-    }
     left = {
         pool.service: len(pool.members)
         - sum(move.source == pool.service for move in moves)
@@ -227,19 +221,45 @@
     }
     if standby:
         target = min(standby)
-        for service, member in free.idle:
-            if left[service] <= floors[service]:
-                continue
-            if _idle_in_turn(turns, service, member, now_s) or (
-                service not in near
-                and _may_rest(turns, service, near_s, now_s)
-            ):
-                moves.append(Move(member.machine, service, target, 'idle'))
-                left[service] -= 1
+        for service, member in _resting(
+            pools, turns, free, left, near_s, now_s
+        ):
+            moves.append(Move(member.machine, service, target, 'idle'))
+            left[service] -= 1
     emptied = _to_empty(pools, wanted, free, left, now_s)
     return Decision(moves, wanted, emptied)
 
 
+def _resting(
+    pools: collections.abc.Sequence[PoolView],
+    turns: turns_.Turns,
+    free: '_Free',
+    left: dict[ids.ServiceId, int],
+    near_s: float,
+    now_s: float,
+) -> list[tuple[ids.ServiceId, Member]]:
+    """Choose idle machines that go to standby.
+
+    A pool keeps its first size until its first turn.
+
+    :param left: members of each pool after the moves that were decided
+    """
+    spare = dict(left)
+    for pool in pools:
+        if _turn_is_to_come(turns, pool.service):
+            spare[pool.service] -= pool.first_size
+    rows = []
+    for service, member in free.idle:
+        far = not _turn_is_near(turns, service, near_s, now_s)
+        rests = _idle_in_turn(turns, service, member, now_s) or (
+            far and _may_rest(turns, service, near_s, now_s)
+        )
+        if rests and spare[service] > 0:
+            rows.append((service, member))
+            spare[service] -= 1
+    return rows
+
+
 def _to_empty(
     pools: collections.abc.Sequence[PoolView],
     wanted: dict[ids.ServiceId, Need],
