Let pools rest beside another's turn; take turns for as large as others were

Its pools hold their turns nearly; whole pools were kept until first turns, and young turns were taken at twice a pool of eight. Now a pool rests down to half while another has its turn and is filled ahead of its own, and a turn is taken for one and a half times the mean of the largest that was measured, if that is less than twice.

--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -37,6 +37,12 @@
 SPARE_MACHINES = 1
 """Machines beyond the demand that a pool keeps for single arrivals."""
 
+UNSEEN_PART = 0.5
+"""Part of its first machines that a pool keeps beside another's turn until
+its own first may begin; the rest is brought back ahead of it. With all of
+them kept, a calm day with eight machines a pool paid for 1,257 instead of
+1,010 machine-seconds and served as many callers in time."""
+
 YOUNG_TURN_PART = 2.0
 """What a pool's turn is taken to need until it can be measured, as a part of
 the machines that it had at first. Users say that a turn asks for more than
@@ -52,6 +58,10 @@
 priorities across pools; on 15 days with trouble callers were served by 0.951
 instead of 0.948, in the worst seconds by 0.682 instead of 0.664."""
 
+HEIGHT_FACTOR = 1.5
+"""Height of a turn over its mean; arrivals of measured ones rose to 1.8 times
+their mean, and work follows them by a second."""
+
 ENDED_S = 1.0
 """Time after a turn's end in which machines stay: a lull, or a store that
 tells nothing for a second, looks like an end."""
@@ -151,21 +161,28 @@
         return Need(0, 0)
     now = math.ceil(cores / each)
     if line is not None and turns_.is_young(line, now_s):
-        now = max(now, _young_machines(pool))
+        now = max(now, _young_machines(pool, turns))
     soon = 0
     turn = turns_.next_turn(turns, pool.service, now_s)
     if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
         if _turn_is_to_come(turns, pool.service):
-            soon = _young_machines(pool)
+            soon = _young_machines(pool, turns)
         else:
             foreseen = pool.held_cores + FORESEEN_PART * line.turn_cores
             soon = math.ceil(foreseen / each)
     return Need(now, max(now, soon))
 
 
-def _young_machines(pool: PoolView) -> int:
-    """Give what a turn is taken to need that can't be measured yet."""
-    return math.ceil(YOUNG_TURN_PART * pool.first_size)
+def _young_machines(pool: PoolView, turns: turns_.Turns) -> int:
+    """Give what a turn is taken to need that can't be measured yet.
+
+    Once others were measured, it is taken for as large as they were.
+    """
+    part = YOUNG_TURN_PART
+    seen = turns_.largest_part(turns)
+    if seen is not None:
+        part = min(part, max(1.0, HEIGHT_FACTOR * seen))
+    return math.ceil(part * pool.first_size)
 
 
 def _near(turn: turns_.Foreseen, now_s: float, ahead_s: float) -> bool:
@@ -240,14 +257,17 @@
 ) -> list[tuple[ids.ServiceId, Member]]:
     """Choose idle machines that go to standby.
 
-    A pool keeps its first size until its first turn.
+    A pool keeps its first size while its first turn may begin, and a part of
+    it before.
 
     :param left: members of each pool after the moves that were decided
     """
     spare = dict(left)
     for pool in pools:
-        if _turn_is_to_come(turns, pool.service):
+        if _awaits_first(turns, pool.service, near_s, now_s):
             spare[pool.service] -= pool.first_size
+        elif _turn_is_to_come(turns, pool.service):
+            spare[pool.service] -= math.ceil(UNSEEN_PART * pool.first_size)
     rows = []
     for service, member in free.idle:
         far = not _turn_is_near(turns, service, near_s, now_s)
--- a/oleanderwood/upkeeps/turns.py
+++ b/oleanderwood/upkeeps/turns.py
@@ -256,6 +256,19 @@
         line.turn_cores = _work(line, began_s) / length_s
 
 
+def largest_part(turns: Turns) -> float | None:
+    """Give the most that a turn kept busy, by its pool's first cores.
+
+    The mean over a turn counts. None if no turn was measured.
+    """
+    parts = [
+        line.turn_cores / turns.pool_cores[pool]
+        for pool, line in turns.lines.items()
+        if line.turn_cores and turns.pool_cores.get(pool)
+    ]
+    return max(parts, default=None)
+
+
 def turn_length_s(turns: Turns) -> float:
     """Give the usual time between two starts, a short one if none is known."""
     if not turns.gaps_s:
