Hold the clock still in the test of the log's bound

Cause: it wrote 2,050 lines and expected some to be dropped beyond 2,000 in one second of the real clock; when a second of it ends meanwhile, none is. The product is right. The test depended on when it was begun; with its clock held still it asks for all 50 now, and for none in the next second.

--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import types
 
 from oleanderwood import event_log
 from oleanderwood import server_metrics
@@ -42,8 +43,16 @@
     assert 0 < text.count(b'\n') < 1500
 
 
-def test_lines_beyond_the_bound_are_dropped_and_counted(capfd):
+def test_lines_beyond_the_bound_are_dropped_and_counted(capfd, monkeypatch):
+    # On a busy machine the lines would spread over two seconds of its clock.
+    now = types.SimpleNamespace(s=1e6)
+    clock = types.SimpleNamespace(monotonic=lambda: now.s, time=lambda: 0.0)
+    monkeypatch.setattr(event_log, 'time', clock)
     before = server_metrics.LOG_DROPPED._value.get()
     for number in range(event_log.MAX_LINES_PER_S + 50):
         event_log.emit('part', 'event', number=number)
-    assert server_metrics.LOG_DROPPED._value.get() > before
+    assert server_metrics.LOG_DROPPED._value.get() >= before + 50
+    dropped = server_metrics.LOG_DROPPED._value.get()
+    now.s += 1.0
+    event_log.emit('part', 'event', number=0)
+    assert server_metrics.LOG_DROPPED._value.get() == dropped
