--- a/emulator/store.py
+++ b/emulator/store.py
@@ -42,6 +42,7 @@
     """The store and its troubles.
 
     :ivar down: '', or how it doesn't answer: ``busy`` or ``silent``
+    :ivar lapses: leases run out while it is down
     :ivar refused: processes that it turns away with 503
     :ivar slow_s: time by which its answers are late
     :ivar floor: history up to this revision is lost
@@ -54,6 +55,7 @@
     leases: dict[int, Lease] = dataclasses.field(default_factory=dict)
     next_lease: int = 1
     down: str = ''
+    lapses: bool = False
     refused: set[str] = dataclasses.field(default_factory=set)
     slow_s: float = 0.0
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
@@ -239,11 +241,11 @@
 
 
 async def run_leases(store: Store) -> None:
-    """End leases whose time is over; an outage lets none end."""
+    """End leases whose time is over; most outages let none end."""
     while True:
         await curio.sleep(0.02)
         now_s = clock.now_s()
-        if store.down:
+        if store.down and not store.lapses:
             for lease in store.leases.values():
                 lease.end_s += 0.02
             continue
