Log what tells two leaders' acts on one job apart

Two hypotheses on two runs at once could not be told apart by the log: a former leader that goes on after the next one has read the store, or a reading that missed a job. Now `leader leads` has the revision of its own key and of its reading, `job taken` the revision at which the store has the job, `run` lines the term, and a stray run says whether its job is unknown, its task done or its job ended (`not wanted` before). Ends of unknown jobs were passed over without a line. Orders under way when a term ends leave a line. Logs only; the decisions are the same.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -36,7 +36,7 @@
         except msgspec.MsgspecError as error:
             event_log.emit('job', 'malformed', key=item.key, why=str(error))
             return
-        _take_job(leader, job, now_s, inherited)
+        _take_job(leader, job, now_s, inherited, item.revision)
     elif item.key.startswith(record.CANCEL_PREFIX):
         cancel(leader, ids.JobId(item.key.removeprefix(record.CANCEL_PREFIX)))
     elif item.key == record.POLICY_KEY:
@@ -63,8 +63,17 @@
 
 
 def _take_job(
-    leader: states.Leader, job: model.Job, now_s: float, inherited: bool
+    leader: states.Leader,
+    job: model.Job,
+    now_s: float,
+    inherited: bool,
+    revision: int = 0,
 ) -> None:
+    """Take a job in.
+
+    :param revision: of the store as it wrote the job; 0 if the server that
+        wrote it has told of it
+    """
     if job.job in leader.ledger.entries or job.job in leader.unreadable:
         return
     entry = ledgers.add(leader.ledger, job, now_s, inherited)
@@ -83,6 +92,7 @@
             objective_ms=job.queue.objective_ms,
             traits=_traits(job),
             age_ms=round(clock.wall_ms() - job.handed_in_ms),
+            revision=revision,
         )
     if job.job in leader.cancelled_unknown:
         cancel(leader, job.job)
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -1,5 +1,7 @@
 """Sending a worker its orders, one after another."""
 
+import curio
+
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -68,12 +70,16 @@
     except errors.CallFailed as error:
         await _start_unanswered(leader, worker, task, run, error)
         return
+    except curio.CancelledError:
+        # The next leader's log shows the run; this line tells whose it is.
+        _log_start(leader, worker, task, run, 'left', 'the term has ended')
+        raise
     await _start_answered(leader, worker, task, run, refusal)
 
 
 async def _start_unanswered(leader, worker, task, run, error) -> None:
     worker_loop.note_unanswered(leader, error)
-    _log_start(worker, task, run, error.verdict.value, error.reason)
+    _log_start(leader, worker, task, run, error.verdict.value, error.reason)
     if error.verdict is verdicts.Verdict.NOT_RUN:
         worker_loop.note_silence(worker, error)
         if task.run is run:
@@ -86,7 +92,7 @@
 
 async def _start_answered(leader, worker, task, run, refusal) -> None:
     if refusal is None:
-        _log_start(worker, task, run, 'ran', '')
+        _log_start(leader, worker, task, run, 'ran', '')
         if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
             now_s = clock.now_s()
             ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
@@ -94,7 +100,7 @@
             if ledgers.final(task.group.entry) or task.done:
                 await worker_loop.stop_run(leader, task)
         return
-    _log_start(worker, task, run, 'refused', refusal.value)
+    _log_start(leader, worker, task, run, 'refused', refusal.value)
     if refusal is executors.Refusal.FENCED:
         await states.depose(leader, 'a worker has seen a higher term')
         return
@@ -116,7 +122,7 @@
     await leader.due.set()
 
 
-def _log_start(worker, task, run, outcome, why) -> None:
+def _log_start(leader, worker, task, run, outcome, why) -> None:
     server_metrics.STARTS.labels(outcome).inc()
     event_log.emit(
         'run',
@@ -126,6 +132,7 @@
         worker=worker.entry.worker,
         outcome=outcome,
         why=why,
+        term=leader.term,
     )
 
 
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -66,7 +66,7 @@
     event_log.emit('leader', 'took-over', term=term)
     server_metrics.TERMS.inc()
     try:
-        await _inherit(leader)
+        read_at = await _inherit(leader)
     except (errors.CallFailed, msgspec.MsgspecError) as error:
         event_log.emit('leader', 'gave-up', term=term, why=str(error))
         await _resign(leader)
@@ -79,6 +79,8 @@
         jobs=len(leader.ledger.entries),
         workers=len(leader.workers),
         after_s=round(clock.now_s() - now_s, 3),
+        revision=revision,
+        read_at=read_at,
     )
     async with curio.TaskGroup(wait=any) as group:
         for part in _parts(leader):
@@ -156,8 +158,8 @@
     return Legacy(*[task.result for task in tasks])
 
 
-async def _inherit(leader: states.Leader) -> None:
-    """Take in all that lies in the store.
+async def _inherit(leader: states.Leader) -> int:
+    """Take in all that lies in the store; gives the revision of the jobs.
 
     :raises errors.CallFailed: the store didn't answer
     """
@@ -174,6 +176,7 @@
     _take_jobs(leader, legacy)
     _note_past_arrivals(leader)
     await _meet_former_workers(leader, legacy.rosters)
+    return legacy.taken.revision
 
 
 def _take_jobs(leader: states.Leader, legacy: Legacy) -> None:
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -170,6 +170,7 @@
             attempt=note.attempt,
             worker=name,
             why=note.why,
+            term=leader.term,
         )
     slow_workers.note_lengths(leader, worker, outcome.lengths, now_s)
     for stop in outcome.stops:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -167,6 +167,9 @@
     outcome.notes.append(Note(row.how.value, row.task, row.attempt))
     task = ledgers.find(ledger, row.task)
     if task is None:
+        outcome.notes.append(
+            Note('stray-end', row.task, row.attempt, 'its job is not known')
+        )
         return
     current = is_current(worker, task, row.attempt)
     expected = current and task.run.phase is not ledgers.RunPhase.STOPPING
@@ -233,8 +236,9 @@
 
 def _take_running(ledger, worker, row, now_s, outcome) -> None:
     task = ledgers.find(ledger, row.task)
-    if task is None or task.done or ledgers.final(task.group.entry):
-        _stop_stray(worker, row, now_s, outcome, 'not wanted')
+    why = _why_unwanted(task)
+    if why:
+        _stop_stray(worker, row, now_s, outcome, why)
         return
     if is_current(worker, task, row.attempt):
         run = task.run
@@ -268,6 +272,17 @@
     outcome.notes.append(Note('adopted', row.task, row.attempt))
 
 
+def _why_unwanted(task: ledgers.Task | None) -> str:
+    """Say why no run of a task is wanted; '' if one is."""
+    if task is None:
+        return 'its job is not known'
+    if task.done:
+        return 'its task is done'
+    if ledgers.final(task.group.entry):
+        return 'its job has ended'
+    return ''
+
+
 def _stop_stray(worker, row, now_s, outcome, why) -> None:
     key = RunName(row.task, row.attempt)
     if now_s - worker.strays.get(key, -STOP_REPEAT_S) < STOP_REPEAT_S:
