--- /dev/null
+++ b/tests/utils_takeover.py
@@ -0,0 +1,146 @@
+"""A takeover in virtual time while the former leader still acts."""
+
+import dataclasses
+import random
+
+import curio
+
+from emulator import callers as callers_
+from emulator import day
+from emulator import evidence as evidences
+from emulator import executors
+from emulator import fleet as fleets
+from emulator import network as networks
+from emulator import servers
+from emulator import store as stores
+from emulator import virtual
+
+PLAN = day.Plan(
+    seed=1,
+    server_count=3,
+    machines_a_pool=3,
+    machines_on_standby=0,
+    pools=('drafts',),
+)
+
+CALM_S = 4.0
+"""Time until one server leads and has met all workers."""
+
+AFTER_S = 0.3
+"""Time after the store's return in which jobs are handed in."""
+
+GAP_S = 0.01
+"""Time between two of them."""
+
+FINISH_S = 15.0
+
+LONG_MS = 1000
+BRIEF_MS = 40
+"""Guesses of the length of a task."""
+
+
+@dataclasses.dataclass
+class Scene:
+    """All that a story acts on."""
+
+    network: networks.Network
+    store: stores.Store
+    fleet: fleets.Fleet
+    callers: callers_.Callers
+    processes: list[servers.Process]
+    jobs: int = 0
+
+
+def play(story) -> day.Result:
+    """Let ``story(scene)`` act on a calm system; gives what came of it."""
+    return virtual.run(lambda: _play(story))
+
+
+async def _play(story) -> day.Result:
+    network = networks.Network(random.Random(2))
+    store = stores.Store()
+    world = executors.World(evidences.Evidence(), store, random.Random(1))
+    fleet = fleets.Fleet(world, network)
+    processes = [
+        servers.Process(f's{i}', f'10.0.0.{i}:1', f'10.0.0.{i}:2')
+        for i in range(PLAN.server_count)
+    ]
+    network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
+    network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
+    callers = callers_.Callers(network, world, processes, random.Random(3))
+    scene = Scene(network, store, fleet, callers, processes)
+    with networks.installed(network):
+        await curio.spawn(stores.run_leases, store, daemon=True)
+        await stores.put(store, 'op/config', day.configuration(PLAN.pools))
+        await day.build_fleet(fleet, PLAN)
+        for process in processes:
+            await servers.start(network, process)
+        await curio.sleep(CALM_S)
+        await story(scene)
+        await curio.sleep(FINISH_S)
+    return day.judge(callers, fleet, store)
+
+
+def leader(scene: Scene) -> servers.Process:
+    """Give the server that leads."""
+    return next(row for row in scene.processes if servers.leads(row))
+
+
+async def lose_store(scene: Scene, away_s: float) -> None:
+    """Let the store answer 503 for a while; leases run out meanwhile."""
+    scene.store.down, scene.store.lapses = 'busy', True
+    await curio.sleep(away_s)
+    scene.store.down, scene.store.lapses = '', False
+
+
+def hold_up_orders(
+    scene: Scene, former: servers.Process, machine: str, delay_s: float
+) -> None:
+    """Let all servers but one reach a machine's worker later."""
+    address = scene.fleet.machines[machine].address
+    handler = scene.network.handlers[address]
+
+    async def later(source, *rest):
+        if source != former.name:
+            await curio.sleep(delay_s)
+        return await handler(source, *rest)
+
+    scene.network.handlers[address] = later
+
+
+def hold_up_jobs(
+    scene: Scene, former: servers.Process, delay_s: float
+) -> None:
+    """Let all servers but one hear of new jobs later, once they have read.
+
+    Each reads the jobs once as it takes over; what it asks for after that is
+    answered late.
+    """
+    handler = scene.network.handlers[servers.STORE_ADDRESS]
+    read: set[str] = set()
+
+    async def later(source, method, target, *rest):
+        if source != former.name and 'ow%2Fin' in target:
+            if source in read:
+                await curio.sleep(delay_s)
+            read.add(source)
+        return await handler(source, method, target, *rest)
+
+    scene.network.handlers[servers.STORE_ADDRESS] = later
+
+
+async def hand_in_often(
+    scene: Scene, at: servers.Process, estimate_ms: int
+) -> None:
+    """Hand one small job after another in at one server, for a while."""
+    step = {'count': 2, 'cpu': 1500, 'mem_mb': 500, 'estimate_ms': estimate_ms}
+    work = {'phases': [step]}
+    callers = dataclasses.replace(scene.callers, processes=[at])
+    for _ in range(round(AFTER_S / GAP_S)):
+        scene.jobs += 1
+        job = f'{scene.jobs:016x}'
+        prefix = day.prefix('drafts')
+        await curio.spawn(
+            callers_.hand_in, callers, prefix, job, work, daemon=True
+        )
+        await curio.sleep(GAP_S)
