Write jobs under the term in which they are accepted

Cause: a leader took every job that its reading of the store lacked for one that no earlier leader can have started. A former leader acts on for a while (a second by confirmation, longer by a lease that the store ended early), and a job accepted in that while was started by both. Class: an act under an old belief that nobody fences, and "I didn't see it" taken for "it didn't happen".

Mend: the store decides. A job is written under the condition that the leader's key is unchanged, and carries that leader's term. A leader that is given a job of a later term ends its own term and starts nothing of it; a leader takes only jobs of its own term for never started, all others get numbers of runs from its term's base and wait for workers that haven't answered. No clock and no waiting take part. A server that hasn't heard of the newest leader learns it from the refused write and tries again at once: one more answer of the store at a change of leader, none otherwise.

Ways weighed: to hold back all jobs of a pool until each former worker has answered (up to 6.6 s without starts beside one dark worker, and ends of unknown jobs are still acknowledged); to read the jobs again once all workers have answered (the same wait); not to go on by confirmation (no work while the store is away). None of these is needed with the condition.

Jobs without a term, of an earlier version, count as possibly started.

The emulated store now refuses transactions of more than 32 entries, as the platform does.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -46,6 +46,7 @@
     :ivar refused: processes that it turns away with 503
     :ivar slow_s: time by which its answers are late
     :ivar floor: history up to this revision is lost
+    :ivar largest: most entries that one transaction had
     """
 
     items: dict[str, Item] = dataclasses.field(default_factory=dict)
@@ -60,6 +61,7 @@
     slow_s: float = 0.0
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
     calls: int = 0
+    largest: int = 0
     last_writer: str = ''
 
 
@@ -84,6 +86,12 @@
     return handle
 
 
+_ENTRIES = ('precondition', 'writes', 'remove')
+
+MOST_ENTRIES = 32
+"""Entries that a transaction may have, of all three kinds together."""
+
+
 async def _answer(store, source, method, path, asked, body):
     if path == '/kv-key':
         item = store.items.get(asked['key'])
@@ -167,6 +175,10 @@
 
 
 async def _transaction(store, source, asked):
+    entries = sum(len(asked[kind]) for kind in _ENTRIES)
+    store.largest = max(store.largest, entries)
+    if entries > MOST_ENTRIES:
+        return transport.Answer(400, b'')
     wrong = [
         row
         for row in asked['precondition']
--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -72,7 +72,8 @@
     leader = asking.server.leader
     if leader is not None and not leader.deposed:
         await intake.take_jobs(leader, jobs)
-        return
+        if not leader.deposed:
+            return
     await _tell(asking, JOBS_PATH, msgspec.json.encode(jobs))
 
 
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -12,15 +12,22 @@
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
+from oleanderwood.leading import roles as roles_
 from oleanderwood.platform import store as stores
 from oleanderwood import verdict as verdicts
 
-MOST_A_WRITE = stores.MAX_WRITES // 2
-"""Jobs written at once; each takes a condition and a write."""
+MOST_A_WRITE = (stores.MAX_WRITES - 1) // 2
+"""Jobs written at once; each takes a condition and a write, and one
+condition is that the leader is still the one that we know."""
 
 ATTEMPTS = 3
 """Times that a write without an answer is tried."""
 
+CHANGES_OF_LEADER = 3
+"""Times that a write is tried again at once as another server has begun to
+lead. It costs a caller one more answer of the store, 4 ms, at a change of
+leader; more than one change while a job is written hasn't been seen."""
+
 WAIT_S = 2.0
 """Longest time that a caller waits for the write; callers wait 3 s in all."""
 
@@ -48,12 +55,14 @@
 class Intake:
     """Jobs that wait for the next write.
 
+    :ivar roles: who leads, as far as this server knows
     :ivar written: gets jobs that lie in the store now
     :ivar lost: says whether the store doesn't answer any more, so that
         trying again is no use
     """
 
     store: stores.Store
+    roles: roles_.Roles
     written: Written
     lost: collections.abc.Callable[[], bool]
     waiting: list[Handed] = dataclasses.field(default_factory=list)
@@ -95,7 +104,7 @@
     left = batch
     try:
         for _attempt in range(ATTEMPTS):
-            left = await _try(intake.store, left)
+            left = await _try_under_leader(intake, left)
             if not left or intake.lost():
                 break
     finally:
@@ -112,15 +121,39 @@
         await intake.written(done)
 
 
-async def _try(store: stores.Store, batch: list[Handed]) -> list[Handed]:
-    """Write a batch; gives those that have to be tried again."""
+async def _try_under_leader(
+    intake: Intake, batch: list[Handed]
+) -> list[Handed]:
+    """Write a batch, again at once if another server has begun to lead."""
+    left = batch
+    for _change in range(CHANGES_OF_LEADER):
+        known = intake.roles.leader_revision
+        left = await _try(intake, left)
+        if not left or intake.roles.leader_revision == known:
+            break
+    return left
+
+
+async def _try(intake: Intake, batch: list[Handed]) -> list[Handed]:
+    """Write a batch; gives those that have to be tried again.
+
+    Each job carries the term under which it is accepted, and the store checks
+    that no other has begun. A former leader that acts on for a while can tell
+    by it that the job isn't its own, and the next one that the job may not
+    have been started by an earlier leader.
+    """
     keys: dict[str, list[Handed]] = {}
+    leader = intake.roles.leader
+    term = leader.term if leader is not None else 0
     for handed in batch:
+        handed.job = msgspec.structs.replace(handed.job, term=term)
         keys.setdefault(record.job_key(handed.job.job), []).append(handed)
+    conditions = dict.fromkeys(keys, 0)
+    conditions[roles_.LEADER_KEY] = intake.roles.leader_revision
     try:
         await stores.write(
-            store,
-            dict.fromkeys(keys, 0),
+            intake.store,
+            conditions,
             {
                 key: msgspec.json.encode(rows[0].job)
                 for key, rows in keys.items()
@@ -128,6 +161,7 @@
             timeout_s=WAIT_S / ATTEMPTS,
         )
     except stores.Conflict as conflict:
+        roles_.learn(intake.roles, conflict.items)
         there = {item.key for item in conflict.items if not item.removed}
         left = []
         for key, rows in keys.items():
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -112,7 +112,7 @@
 
     :ivar state: what is known now
     :ivar kept_state: what lies in the store
-    :ivar inherited: it was accepted before this term
+    :ivar inherited: an earlier leader may have started tasks of it
     :ivar cause: why it has failed
     :ivar dirty: something about it must be written
     :ivar expected_s: how long a task of each step is expected to take, as
@@ -148,14 +148,16 @@
     dirty: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
 
 
-def add(
-    ledger: Ledger, job: model.Job, now_s: float, inherited: bool
-) -> Entry:
-    """Take a job in; one that is known already stays as it is."""
+def add(ledger: Ledger, job: model.Job, now_s: float) -> Entry:
+    """Take a job in; one that is known already stays as it is.
+
+    That it wasn't there when this leader read the store proves nothing: an
+    earlier leader may act for a while after that.
+    """
     known = ledger.entries.get(job.job)
     if known is not None:
         return known
-    entry = Entry(job, now_s, inherited)
+    entry = Entry(job, now_s, inherited=job.term < ledger.term)
     for occurrence in range(model.occurrences(job)):
         for number, step in enumerate(job.work.steps):
             group = Group(entry, occurrence, number, step, left=step.tasks)
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -89,12 +89,15 @@
         newest configuration says of it goes first
     :ivar handed_in_ms: when, since 1970, by the clock of the process that
         took it
+    :ivar term: under which it was accepted; the store has checked it in the
+        same write. No leader of an earlier term may start it. 0: not known
     """
 
     job: ids.JobId
     queue: queues.Queue
     work: Work
     handed_in_ms: float = 0.0
+    term: int = 0
 
 
 def occurrences(job: Job) -> int:
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -113,9 +113,7 @@
     if alive is None or alive.removed:
         roles.alive_revision = 0
         roles.alive_process = ''
-    for item in conflict.items:
-        if not item.removed:
-            roles_.take(roles, item.key, item.value, item.revision)
+    roles_.learn(roles, conflict.items)
     leader = roles.leader
     if leader is None or leader.process != server.process:
         return None
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -24,9 +24,12 @@
 
 
 def take_intake(
-    leader: states.Leader, item: stores.Item, inherited: bool
+    leader: states.Leader, item: stores.Item, taking_over: bool
 ) -> None:
-    """Take in a job or a cancel."""
+    """Take in a job or a cancel.
+
+    :param taking_over: it lay in the store as this leader read it
+    """
     now_s = clock.now_s()
     if item.removed:
         return
@@ -36,7 +39,7 @@
         except msgspec.MsgspecError as error:
             event_log.emit('job', 'malformed', key=item.key, why=str(error))
             return
-        _take_job(leader, job, now_s, inherited, item.revision)
+        _take_job(leader, job, now_s, taking_over, item.revision)
     elif item.key.startswith(record.CANCEL_PREFIX):
         cancel(leader, ids.JobId(item.key.removeprefix(record.CANCEL_PREFIX)))
     elif item.key == record.POLICY_KEY:
@@ -66,7 +69,7 @@
     leader: states.Leader,
     job: model.Job,
     now_s: float,
-    inherited: bool,
+    taking_over: bool,
     revision: int = 0,
 ) -> None:
     """Take a job in.
@@ -76,8 +79,11 @@
     """
     if job.job in leader.ledger.entries or job.job in leader.unreadable:
         return
-    entry = ledgers.add(leader.ledger, job, now_s, inherited)
-    if not inherited:
+    if job.term > leader.term:
+        _note_superseded(leader, job)
+        return
+    entry = ledgers.add(leader.ledger, job, now_s)
+    if not taking_over:
         pool_loop.note_arrival(leader, entry, now_s)
         event_log.emit(
             'job',
@@ -93,16 +99,34 @@
             traits=_traits(job),
             age_ms=round(clock.wall_ms() - job.handed_in_ms),
             revision=revision,
+            accepted_under=job.term,
         )
     if job.job in leader.cancelled_unknown:
         cancel(leader, job.job)
 
 
+def _note_superseded(leader: states.Leader, job: model.Job) -> None:
+    """Stop leading: the job was accepted under a later leader.
+
+    That one takes it for a job that nobody else has started.
+    """
+    if leader.deposed:
+        return
+    leader.deposed = 'a job of a later term was accepted'
+    event_log.emit(
+        'leader',
+        'superseded',
+        term=leader.term,
+        job=job.job,
+        accepted_under=job.term,
+    )
+
+
 async def take_jobs(leader: states.Leader, jobs: list[model.Job]) -> None:
     """Take in jobs that the server which wrote them tells of."""
     now_s = clock.now_s()
     for job in jobs:
-        _take_job(leader, job, now_s, inherited=False)
+        _take_job(leader, job, now_s, taking_over=False)
     await after_intake(leader)
 
 
@@ -137,6 +161,9 @@
 
 async def after_intake(leader: states.Leader) -> None:
     """Do what newly taken jobs and cancels make necessary."""
+    if leader.deposed:
+        await leader.ended.set()
+        return
     await leader.due.set()
     if leader.ledger.dirty:
         await worker_loop.stop_ended_jobs(leader)
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -1,10 +1,12 @@
 """Who leads and which servers there are, as it lies in the store."""
 
+import collections.abc
 import dataclasses
 
 import msgspec
 
 from oleanderwood import ids
+from oleanderwood.platform import store as stores
 
 PREFIX = 'ow/roles/'
 LEADER_KEY = 'ow/roles/leader'
@@ -74,6 +76,13 @@
         roles.servers[key] = server
 
 
+def learn(roles: Roles, items: collections.abc.Iterable[stores.Item]) -> None:
+    """Take over what a refused write has shown of its conditions."""
+    for item in items:
+        if not item.removed:
+            take(roles, item.key, item.value, item.revision)
+
+
 def drop(roles: Roles, key: str, revision: int) -> None:
     """Note that a key was removed at a revision of the store."""
     if key == ALIVE_KEY and revision > roles.alive_revision:
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -61,7 +61,8 @@
 
     It was in use under an earlier term, hasn't answered under this one, and
     a lease of that time may not have ended. What an earlier leader may have
-    started isn't started again in such a pool.
+    started, by the term under which it was accepted, isn't started again in
+    such a pool.
     """
     now_s = clock.now_s()
     return {
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -187,14 +187,14 @@
         if item.key.startswith(record.CANCEL_PREFIX):
             cancels.append(item)
         else:
-            intake.take_intake(leader, item, inherited=True)
+            intake.take_intake(leader, item, taking_over=True)
     for item in legacy.kept.items:
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
         entry = leader.ledger.entries.get(job)
         if entry is not None:
             _restore(leader, entry, item.value, now_s)
     for item in cancels:
-        intake.take_intake(leader, item, inherited=True)
+        intake.take_intake(leader, item, taking_over=True)
 
 
 async def _meet_former_workers(
@@ -262,7 +262,7 @@
 async def _follow_intake(leader: states.Leader) -> None:
     async def take(items: list[stores.Item], whole: bool) -> None:
         for item in items:
-            intake.take_intake(leader, item, inherited=False)
+            intake.take_intake(leader, item, taking_over=False)
         await intake.after_intake(leader)
 
     await following.follow(
@@ -388,9 +388,7 @@
         event_log.emit('leader', 'not-marked', why=str(error))
         return
     except stores.Conflict as conflict:
-        for item in conflict.items:
-            if not item.removed:
-                roles_.take(server.roles, item.key, item.value, item.revision)
+        roles_.learn(server.roles, conflict.items)
         event_log.emit('leader', 'not-marked', why=str(conflict))
         return
     server.roles.alive_revision = revision
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -89,7 +89,7 @@
     def lost() -> bool:
         return relaying.store_lost(server)
 
-    intake = intakes.Intake(server.store, written, lost)
+    intake = intakes.Intake(server.store, server.roles, written, lost)
     return handlers.Frontend(server, intake, asking)
 
 
--- /dev/null
+++ b/tests/test_handing_in.py
@@ -0,0 +1,133 @@
+"""Tests of jobs on their way to the store, and of the term they carry."""
+
+import curio
+import msgspec
+
+from emulator import day
+from emulator import store as stores
+from oleanderwood.frontend import intake as intakes
+from oleanderwood.jobs import model
+from oleanderwood.jobs import record
+from oleanderwood.leading import intake as leading_intake
+from oleanderwood.leading import roles as roles_
+from oleanderwood.platform import store as platform_stores
+from oleanderwood import verdict as verdicts
+from tests import utils_jobs as build
+from tests import utils_servers as servers
+
+CONFIGURATION = day.configuration(('drafts',))
+
+
+def _job(number: int) -> model.Job:
+    return build.job(name=f'{number:016x}')
+
+
+def _intake(world) -> intakes.Intake:
+    async def written(jobs):
+        told.extend(jobs)
+
+    told: list[model.Job] = []
+    intake = intakes.Intake(
+        platform_stores.Store(servers.STORE_ADDRESS),
+        roles_.Roles(),
+        written,
+        lambda: False,
+    )
+    return intake, told
+
+
+def _leader(term: int) -> bytes:
+    return msgspec.json.encode(roles_.Leader(term, 's9', 's9/1', '10.0.0.9:1'))
+
+
+def _kept(world, job: model.Job) -> model.Job:
+    value = world.store.items[record.job_key(job.job)].value
+    return msgspec.json.decode(value, type=model.Job)
+
+
+def test_job_carries_the_term_that_holds_as_it_is_written():
+    """A server that hasn't heard of the newest leader learns it by the way."""
+
+    async def main(world):
+        intake, told = _intake(world)
+        await curio.spawn(intakes.write_always, intake, daemon=True)
+        await intakes.hand_in(intake, _job(1))
+        calls = world.store.calls
+        for term in (4, 5):
+            await stores.put(world.store, roles_.LEADER_KEY, _leader(term))
+            handed = await intakes.hand_in(intake, _job(term))
+            assert handed.verdict is verdicts.Verdict.RAN
+        await intakes.hand_in(intake, _job(6))
+        terms = [_kept(world, _job(number)).term for number in (1, 4, 5, 6)]
+        return terms, [job.term for job in told], world.store.calls - calls
+
+    kept, told, calls = servers.run(main)
+    assert kept == told == [0, 4, 5, 5]
+    # Two calls at each change of leader, one without.
+    assert calls == 5
+
+
+def test_as_many_jobs_as_one_write_takes_fit_beside_the_condition():
+    async def main(world):
+        intake, _told = _intake(world)
+        handed = [intakes.Handed(_job(n)) for n in range(40)]
+        intake.waiting += handed
+        await intake.arrived.set()
+        await curio.spawn(intakes.write_always, intake, daemon=True)
+        for row in handed:
+            await row.done.wait()
+        return [row.verdict for row in handed], world.store.largest
+
+    verdicts_, largest = servers.run(main)
+    assert set(verdicts_) == {verdicts.Verdict.RAN}
+    assert largest <= platform_stores.MAX_WRITES
+
+
+def test_unanswered_write_under_an_earlier_leader_has_no_effect_later():
+    """What is tried again under the next leader stays its job alone."""
+
+    async def main(world):
+        intake, _told = _intake(world)
+        await stores.put(world.store, roles_.LEADER_KEY, _leader(4))
+        roles_.take(
+            intake.roles,
+            roles_.LEADER_KEY,
+            _leader(4),
+            world.store.items[roles_.LEADER_KEY].revision,
+        )
+        world.network.late_share[servers.STORE_ADDRESS] = 1.0
+        await curio.spawn(intakes.write_always, intake, daemon=True)
+        task = await curio.spawn(intakes.hand_in, intake, _job(1))
+        await curio.sleep(0.1)
+        world.network.late_share.clear()
+        await stores.put(world.store, roles_.LEADER_KEY, _leader(5))
+        handed = await task.join()
+        await curio.sleep(15.0)
+        return handed, _kept(world, _job(1))
+
+    handed, kept = servers.run(main)
+    assert handed.verdict is verdicts.Verdict.RAN
+    assert handed.job.term == kept.term == 5
+
+
+def test_leader_ends_at_a_job_of_a_later_term_and_starts_nothing_of_it():
+    async def main(world):
+        process = await servers.start(world)
+        await curio.sleep(2.0)
+        leader = process.state.leader
+        later = msgspec.structs.replace(_job(1), term=leader.term + 1)
+        await leading_intake.take_jobs(leader, [later])
+        deposed = leader.deposed
+        await curio.sleep(0.01)
+        return leader, deposed, process.state.leader
+
+    leader, deposed, present = servers.run(main, CONFIGURATION)
+    assert deposed and not leader.ledger.entries
+    assert present is not leader
+
+
+def test_only_a_job_of_the_leaders_own_term_counts_as_never_started():
+    earlier = build.ledger_with(_job(1), term=3, inherited=True)
+    own = build.ledger_with(_job(2), term=3)
+    assert [row.inherited for row in earlier.entries.values()] == [True]
+    assert [row.inherited for row in own.entries.values()] == [False]
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -98,8 +98,8 @@
     late = build.job(build.step(8), name='1' * 16)
     fresh = build.job(build.step(8), name='2' * 16)
     ledger = ledgers.Ledger()
-    ledgers.add(ledger, late, 0.0, False)
-    ledgers.add(ledger, fresh, 9.0, False)
+    ledgers.add(ledger, late, 0.0)
+    ledgers.add(ledger, fresh, 9.0)
     decided = _decide(ledger, [build.worker()], now_s=10.0)
     assert {row.task.group.entry.job.job for row in decided} == {'2' * 16}
 
@@ -110,8 +110,8 @@
     old = build.job(build.step(8), name='1' * 16)
     fresh = build.job(build.step(8), name='2' * 16)
     ledger = ledgers.Ledger()
-    ledgers.add(ledger, old, 0.0, False)
-    ledgers.add(ledger, fresh, 0.8, False)
+    ledgers.add(ledger, old, 0.0)
+    ledgers.add(ledger, fresh, 0.8)
     first = _decide(ledger, [build.worker()], now_s=0.9)
     assert {row.task.group.entry.job.job for row in first} == {'1' * 16}
     later = _decide(ledger, [build.worker()], now_s=1.0)
--- a/tests/utils_jobs.py
+++ b/tests/utils_jobs.py
@@ -1,5 +1,7 @@
 """Builders of jobs, workers and reports for tests."""
 
+import msgspec
+
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
@@ -40,8 +42,10 @@
 def ledger_with(*jobs: model.Job, term: int = 1, inherited: bool = False):
     """Build a ledger that holds some jobs."""
     ledger = ledgers.Ledger(term=term)
+    accepted_under = term - 1 if inherited else term
     for row in jobs:
-        ledgers.add(ledger, row, 0.0, inherited)
+        job_ = msgspec.structs.replace(row, term=accepted_under)
+        ledgers.add(ledger, job_, 0.0)
     return ledger
 
 
--- a/tests/utils_overload.py
+++ b/tests/utils_overload.py
@@ -96,7 +96,7 @@
     now_s, coming = 0.0, list(reversed(rows))
     while coming or ends:
         while coming and coming[-1][0] <= now_s:
-            ledgers.add(ledger, coming.pop()[1], now_s, False)
+            ledgers.add(ledger, coming.pop()[1], now_s)
         while ends and ends[0][0] <= now_s:
             _end(ledger, workers, lengths, heapq.heappop(ends))
         _start(ledger, pool, known, lengths, ends, real, now_s)
--- a/tests/utils_servers.py
+++ b/tests/utils_servers.py
@@ -12,6 +12,9 @@
 from emulator import virtual
 
 
+STORE_ADDRESS = servers.STORE_ADDRESS
+
+
 class World:
     """A store, the network, and servers that were started."""
 
