--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -133,14 +133,42 @@
     scene: Scene, at: servers.Process, estimate_ms: int
 ) -> None:
     """Hand one small job after another in at one server, for a while."""
-    step = {'count': 2, 'cpu': 1500, 'mem_mb': 500, 'estimate_ms': estimate_ms}
-    work = {'phases': [step]}
-    callers = dataclasses.replace(scene.callers, processes=[at])
     for _ in range(round(AFTER_S / GAP_S)):
-        scene.jobs += 1
-        job = f'{scene.jobs:016x}'
-        prefix = day.prefix('drafts')
-        await curio.spawn(
-            callers_.hand_in, callers, prefix, job, work, daemon=True
-        )
+        await hand_in(scene, at, step(2, 1500, estimate_ms))
         await curio.sleep(GAP_S)
+
+
+def step(count: int, cpu: int, estimate_ms: int) -> dict:
+    """Build a step as callers send it; ``cpu`` in thousandths of a core."""
+    return {
+        'count': count,
+        'cpu': cpu,
+        'mem_mb': 500,
+        'estimate_ms': estimate_ms,
+    }
+
+
+async def hand_in(scene: Scene, at: servers.Process, step_: dict) -> None:
+    """Let a caller hand a job of one step in at one server."""
+    callers = dataclasses.replace(scene.callers, processes=[at])
+    scene.jobs += 1
+    job = f'{scene.jobs:016x}'
+    prefix = day.prefix('drafts')
+    work = {'phases': [step_]}
+    await curio.spawn(
+        callers_.hand_in, callers, prefix, job, work, daemon=True
+    )
+
+
+def on_start(scene: Scene, machine: str, act) -> None:
+    """Let ``act()`` be awaited once a machine's worker has begun a task."""
+    address = scene.fleet.machines[machine].address
+    handler = scene.network.handlers[address]
+
+    async def handle(source, method, target, *rest):
+        answer = await handler(source, method, target, *rest)
+        if target == '/run-start' and answer.status == 200:
+            await act()
+        return answer
+
+    scene.network.handlers[address] = handle
