Forget a lost worker's place in the roster until it is written again

Cause: `leader.rostered` only grew, so a worker that was lost and met again under its id was given tasks before the roster in the store named it; the next leader then didn't wait for it. Now the leader remembers by pool what the roster in the store surely names: while one is written, only what both the last and the new one name.

The test's caller now asks through a server that lives on: through the one that was killed it never heard of the end, which the earlier assertion had hidden.

--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -144,23 +144,31 @@
 
 
 async def _keep_rosters(leader: states.Leader) -> None:
-    """Write which workers may be given tasks, before any is."""
+    """Write which workers may be given tasks, before any is.
+
+    While a roster is written, only workers that both the last one and this
+    one name may be given tasks: the next leader may read either. One that was
+    lost and met again has to wait until it is named again.
+    """
     services = set(list(leader.roster_dirty)[: guarded.KEYS_A_WRITE])
     if not services:
         return
     writes = {}
-    members: set[ids.VmId] = set()
+    members: dict[ids.ServiceId, set[ids.VmId]] = {}
     for service in services:
         rows = [
             worker.entry
             for worker in leader.workers.values()
             if worker.entry.service == service and not worker.gone
         ]
-        members.update(row.worker for row in rows)
+        members[service] = {row.worker for row in rows}
+        leader.rostered.setdefault(service, set()).intersection_update(
+            members[service]
+        )
         writes[ROSTER_PREFIX + service] = msgspec.json.encode(rows)
     await guarded.write(leader, writes)
     leader.roster_dirty -= services
-    leader.rostered |= members
+    leader.rostered.update(members)
     await leader.due.set()
 
 
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -82,8 +82,9 @@
     )
     pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
     for worker in leader.workers.values():
-        if worker.entry.worker in leader.rostered:
-            pools.setdefault(worker.entry.service, []).append(worker)
+        service = worker.entry.service
+        if worker.entry.worker in leader.rostered.get(service, ()):
+            pools.setdefault(service, []).append(worker)
     quotas = quotas_.make(leader.policy.policy, leader.workers.values())
     for service, groups in ready.items():
         if service in blocked:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -153,6 +153,7 @@
 
     :ivar revision: of the leader's key, the condition of all its writes
     :ivar deposed: why it must stop; '' while it leads
+    :ivar rostered: workers that the rosters in the store surely name
     :ivar unreadable: jobs whose progress in the store can't be read
     :ivar confirmed_until_s: by when servers that don't reach the store
         either have to confirm again that none leads
@@ -175,7 +176,9 @@
     )
     ends_kept: dict[ids.VmId, Wake] = dataclasses.field(default_factory=dict)
     reported_s: dict[ids.VmId, float] = dataclasses.field(default_factory=dict)
-    rostered: set[ids.VmId] = dataclasses.field(default_factory=set)
+    rostered: dict[ids.ServiceId, set[ids.VmId]] = dataclasses.field(
+        default_factory=dict
+    )
     roster_dirty: set[ids.ServiceId] = dataclasses.field(default_factory=set)
     lengths: lengths_.Lengths = dataclasses.field(
         default_factory=lengths_.Lengths
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -46,8 +46,10 @@
         assert _named(scene) == []
         leader = build.leader(scene)
         build.on_start(scene, WORKER, lambda: act(scene, leader))
+        # The one that hands in asks on; the leader may die meanwhile.
+        other = next(row for row in scene.processes if row is not leader)
         for _ in scene.fleet.machines:
-            await build.hand_in(scene, leader, WHOLE)
+            await build.hand_in(scene, other, WHOLE)
         await curio.sleep(0.4)
         scene.store.slow_s = slow_s
         await curio.sleep(3.0)
