Show two runs at once after a queue has changed its pool, failing; known red

What an earlier leader may have started waits for the workers that haven't answered the next one, but only for those of the pool that the queue has now. The operator gives a queue another pool, the leader dies, the next one doesn't reach the worker of the former pool and starts the task in the new one. One play, two runs at once.

--- a/tests/test_former_leader.py
+++ b/tests/test_former_leader.py
@@ -16,6 +16,8 @@
 leader's order after the election.
 """
 
+import curio
+
 from tests import utils_takeover as build
 
 AWAY_S = [round(3.0 + step / 50, 2) for step in range(8)]
@@ -76,3 +78,22 @@
 
     for away_s in AWAY_S:
         _check(_played(away_s, hold_up))
+
+
+def test_run_is_waited_for_in_the_pool_that_the_queue_had():
+    """A queue that has been given another pool meanwhile changes nothing.
+
+    The worker that the next leader doesn't reach is of the former pool.
+    """
+
+    async def story(scene):
+        former = build.leader(scene)
+        other = next(row for row in scene.processes if row is not former)
+        await build.hand_in(scene, other, build.step(1, 1000, 6000))
+        await curio.sleep(1.0)
+        build.cut_off_runs(scene, former)
+        await build.send_queue_to(scene, 'finals')
+        await curio.sleep(0.5)
+        await build.kill(scene, former)
+
+    _check(build.play(story, build.TWO_POOLS))
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -1,6 +1,7 @@
 """A takeover in virtual time while the former leader still acts."""
 
 import dataclasses
+import json
 import random
 
 import curio
@@ -23,6 +24,8 @@
     pools=('drafts',),
 )
 
+TWO_POOLS = dataclasses.replace(PLAN, pools=('drafts', 'finals'))
+
 CALM_S = 4.0
 """Time until one server leads and has met all workers."""
 
@@ -51,19 +54,19 @@
     jobs: int = 0
 
 
-def play(story) -> day.Result:
+def play(story, plan: day.Plan = PLAN) -> day.Result:
     """Let ``story(scene)`` act on a calm system; gives what came of it."""
-    return virtual.run(lambda: _play(story))
+    return virtual.run(lambda: _play(story, plan))
 
 
-async def _play(story) -> day.Result:
+async def _play(story, plan) -> day.Result:
     network = networks.Network(random.Random(2))
     store = stores.Store()
     world = executors.World(evidences.Evidence(), store, random.Random(1))
     fleet = fleets.Fleet(world, network)
     processes = [
         servers.Process(f's{i}', f'10.0.0.{i}:1', f'10.0.0.{i}:2')
-        for i in range(PLAN.server_count)
+        for i in range(plan.server_count)
     ]
     network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
     network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
@@ -71,8 +74,8 @@
     scene = Scene(network, store, fleet, callers, processes)
     with networks.installed(network):
         await curio.spawn(stores.run_leases, store, daemon=True)
-        await stores.put(store, 'op/config', day.configuration(PLAN.pools))
-        await day.build_fleet(fleet, PLAN)
+        await stores.put(store, 'op/config', day.configuration(plan.pools))
+        await day.build_fleet(fleet, plan)
         for process in processes:
             await servers.start(network, process)
         await curio.sleep(CALM_S)
@@ -172,3 +175,27 @@
         return answer
 
     scene.network.handlers[address] = handle
+
+
+def cut_off_runs(scene: Scene, former: servers.Process) -> None:
+    """Let only one server reach the workers that run something."""
+    for machine in scene.fleet.machines.values():
+        if machine.executor is None or not machine.executor.running:
+            continue
+        for process in scene.processes:
+            if process is not former:
+                scene.network.cuts.add((process.name, machine.address))
+
+
+async def send_queue_to(scene: Scene, pool: str) -> None:
+    """Let the operator give all queues one pool."""
+    value = json.loads(scene.store.items['op/config'].value)
+    value['version'] += 1
+    for route in value['routes']:
+        route['service'] = pool
+    await stores.put(scene.store, 'op/config', json.dumps(value).encode())
+
+
+async def kill(scene: Scene, process: servers.Process) -> None:
+    """End a server's life without a last word."""
+    await servers.kill(scene.network, process)
