Hold tasks back in all pools where their queue may have been served

Cause: after a takeover, what an earlier leader may have started was held back by the pool that its queue has now. Now, if the operator has given the queue another pool since the job was handed in, any worker that hasn't answered holds it back. Others wait for their own pool as before, so one dark worker still stops only its pool's earlier jobs.

Not covered: a queue that was given another pool and then its own back while the job ran, with the leader's death and a worker out of reach at the end.

--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -72,6 +72,26 @@
     }
 
 
+def _held_back(
+    group: ledgers.Group,
+    service: ids.ServiceId,
+    blocked: set[ids.ServiceId],
+) -> bool:
+    """Say whether a worker that we can't ask may run a group's tasks.
+
+    If the operator has given the queue another pool since the job was handed
+    in, that worker may be in any pool.
+
+    :param service: the pool that the queue has now
+    """
+    entry = group.entry
+    if not entry.inherited:
+        return False
+    if service != entry.job.queue.service:
+        return bool(blocked)
+    return service in blocked
+
+
 async def place(leader: states.Leader) -> None:
     """Decide starts for all pools, and order them."""
     now_s = clock.now_s()
@@ -87,8 +107,9 @@
             pools.setdefault(service, []).append(worker)
     quotas = quotas_.make(leader.policy.policy, leader.workers.values())
     for service, groups in ready.items():
-        if service in blocked:
-            groups = [row for row in groups if not row.entry.inherited]
+        groups = [
+            row for row in groups if not _held_back(row, service, blocked)
+        ]
         pool = pools.get(service, [])
         decided = placing.decide(groups, pool, now_s, STARTS_A_PASS, quotas)
         await _order(leader, decided, now_s)
