--- a/tests/test_former_leader.py
+++ b/tests/test_former_leader.py
@@ -89,7 +89,7 @@
     async def story(scene):
         former = build.leader(scene)
         other = next(row for row in scene.processes if row is not former)
-        await build.hand_in(scene, other, build.step(1, 1000, 6000))
+        await build.hand_in(scene, other, build.step(1, 1000, 4000))
         await curio.sleep(1.0)
         build.cut_off_runs(scene, former)
         await build.send_queue_to(scene, 'finals')
