--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -23,10 +23,10 @@
 ATTEMPTS = 3
 """Times that a write without an answer is tried."""
 
-CHANGES_OF_LEADER = 3
-"""Times that a write is tried again at once as another server has begun to
-lead. It costs a caller one more answer of the store, 4 ms, at a change of
-leader; more than one change while a job is written hasn't been seen."""
+TRIES = ATTEMPTS + 1
+"""One more than that: a write that finds another leader than the one that we
+know is tried again at once, which costs a caller one more answer of the
+store, 4 ms."""
 
 WAIT_S = 2.0
 """Longest time that a caller waits for the write; callers wait 3 s in all."""
@@ -103,8 +103,8 @@
 async def _write(intake: Intake, batch: list[Handed]) -> None:
     left = batch
     try:
-        for _attempt in range(ATTEMPTS):
-            left = await _try_under_leader(intake, left)
+        for _attempt in range(TRIES):
+            left = await _try(intake, left)
             if not left or intake.lost():
                 break
     finally:
@@ -121,19 +121,6 @@
         await intake.written(done)
 
 
-async def _try_under_leader(
-    intake: Intake, batch: list[Handed]
-) -> list[Handed]:
-    """Write a batch, again at once if another server has begun to lead."""
-    left = batch
-    for _change in range(CHANGES_OF_LEADER):
-        known = intake.roles.leader_revision
-        left = await _try(intake, left)
-        if not left or intake.roles.leader_revision == known:
-            break
-    return left
-
-
 async def _try(intake: Intake, batch: list[Handed]) -> list[Handed]:
     """Write a batch; gives those that have to be tried again.
 
