Lead no term twice within a process

Cause: as a refused write showed a server its own mark, it led on under that term even if it had led it before and had forgotten what it had started. A server now remembers the last term that it led and takes the next number instead. Jobs of the earlier term count as possibly started then.

--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -119,6 +119,9 @@
         return None
     if roles.alive_process != server.process:
         return None
+    if leader.term <= server.led_term:
+        # Led once, a term is over: what it has started isn't known any more.
+        return None
     return leader.term, roles.leader_revision
 
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -87,6 +87,7 @@
     :ivar process: one life of this server
     :ivar lease_until_s: by when the server's lease may have ended
     :ivar contact_s: when the last call was sent that the store answered
+    :ivar led_term: the last term that this process has led, or leads
     """
 
     settings: boot.Settings
@@ -98,6 +99,7 @@
     lease: int = 0
     lease_until_s: float = 0.0
     contact_s: float = -1e9
+    led_term: int = 0
     leader: 'Leader | None' = None
     stopping: bool = False
     roles_changed: Wake = dataclasses.field(default_factory=Wake)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -63,6 +63,7 @@
         leader.machine_calls = machine_calls.Machines(
             settings.machines_address, settings.name
         )
+    server.led_term = term
     event_log.emit('leader', 'took-over', term=term)
     server_metrics.TERMS.inc()
     try:
