Name jobs' fields in our own words; one piece for workers that refuse

Several types of the product carried names of the platform's wire: the steps' `may_miss`, `estimate_ms`, `long_running` and `same_rack`, `interval_ms` of a job's work, `max_attempts` of a queue, `clock_ms` and `wait_ms` of reports and renewals. They are `most_away`, `guess_ms`, `lasting`, `one_rack`, `repeat_every_ms`, `most_attempts`, `own_clock_ms` and `longest_wait_ms` now.

In the store, and between servers, the fields keep the names under which they were first written (`jobs.stored`): a server of either version reads what the other wrote. Without that an earlier leader would take a lasting step for one that ends.

Left as they are: settings of a process (`move_s`, `maintenance_s`, `heartbeat_ms`), which stand in the operators' template, and single words that are terms of the field (`gang`, `speculative`, `image`).

`pool_plan` works out once which turns are near and has one piece for what a pool lacks. What follows from a worker that has seen a higher term, or was replaced, is one piece for renewals, starts, stops and paces. An order to pace that meets another worker is still only logged; the next renewal tells.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -290,7 +290,7 @@
     task: Task,
     worker: ids.VmId,
     attempt: int,
-    max_attempts: int,
+    most_attempts: int,
     now_s: float,
 ) -> bool:
     """Note that a run ended as failed; False if that was known."""
@@ -300,9 +300,9 @@
     task.failed_on = worker
     entry = task.group.entry
     _touch(ledger, entry)
-    if task.group.step.long_running or task.done or final(entry):
+    if task.group.step.lasting or task.done or final(entry):
         return True
-    if len(task.failed_attempts) >= max_attempts:
+    if len(task.failed_attempts) >= most_attempts:
         entry.cause = f'{task.name} failed {len(task.failed_attempts)} times'
         end(ledger, entry, model.State.FAILED, now_s)
     return True
@@ -381,7 +381,7 @@
     run.latency_or_cpu = row.latency_or_cpu
     if row.checkpoint:
         task.checkpoint = row.checkpoint
-    if task.group.step.long_running:
+    if task.group.step.lasting:
         _note_work(task, run, now_s)
 
 
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -7,6 +7,7 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import queues
+from oleanderwood.jobs import stored
 
 
 class State(enum.Enum):
@@ -31,43 +32,43 @@
     gpus: int = 0
 
 
-class Step(msgspec.Struct, frozen=True):
+class Step(msgspec.Struct, frozen=True, rename=stored.STEP):
     """Equal tasks of a job.
 
-    :ivar estimate_ms: the caller's rough guess of one task's time
+    :ivar guess_ms: the caller's rough guess of one task's time
     :ivar after: numbers of the steps that must be done before
     :ivar checkpoints: a task can go on from where it was stopped
     :ivar gang: the tasks run at the same time or not at all
-    :ivar same_rack: a gang is slow when it spans racks
+    :ivar one_rack: a gang is slow when it spans racks
     :ivar label: a worker must have it; '' if any will do
     :ivar near_rack: where the data lies; elsewhere a task is slow
     :ivar max_per_worker: most tasks of the step on one worker; 0: no limit
     :ivar speculative: copies of a task may run at the same time
-    :ivar long_running: the tasks run until the job is cancelled
+    :ivar lasting: the tasks run until the job is cancelled
     :ivar latency_target_ms: what a serving task's latency must stay below
     :ivar uses_leftover: its processor time is what others leave
-    :ivar may_miss: tasks that may be away at once through our own orders
+    :ivar most_away: tasks that may be away at once through our own orders
     """
 
     tasks: int
     needs: Resources = Resources()
-    estimate_ms: float = 0.0
+    guess_ms: float = 0.0
     after: tuple[int, ...] = ()
     checkpoints: bool = False
     gang: bool = False
-    same_rack: bool = False
+    one_rack: bool = False
     label: str = ''
     near_rack: str = ''
     max_per_worker: int = 0
     speculative: bool = False
-    long_running: bool = False
+    lasting: bool = False
     image: str = ''
     latency_target_ms: float = 0.0
     uses_leftover: bool = False
-    may_miss: int = 0
+    most_away: int = 0
 
 
-class Work(msgspec.Struct, frozen=True):
+class Work(msgspec.Struct, frozen=True, rename=stored.WORK):
     """What a caller asks for.
 
     :ivar text: opaque to us, passed on to each task
@@ -79,7 +80,7 @@
     steps: tuple[Step, ...]
     repeats: int = 0
     first_due_ms: float = 0.0
-    interval_ms: float = 0.0
+    repeat_every_ms: float = 0.0
 
 
 class Job(msgspec.Struct, frozen=True):
@@ -106,7 +107,7 @@
     """Give when an occurrence is due, in milliseconds since 1970."""
     if job.work.repeats == 0:
         return 0.0
-    return job.work.first_due_ms + occurrence * job.work.interval_ms
+    return job.work.first_due_ms + occurrence * job.work.repeat_every_ms
 
 
 def longest_chain_s(
--- a/oleanderwood/jobs/queues.py
+++ b/oleanderwood/jobs/queues.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from oleanderwood import ids
+from oleanderwood.jobs import stored
 
 
-class Queue(msgspec.Struct, frozen=True):
+class Queue(msgspec.Struct, frozen=True, rename=stored.QUEUE):
     """One queue of jobs.
 
     :ivar host: the host name callers use
@@ -14,7 +15,7 @@
     :ivar objective_ms: part of the time objective of a job; the other is
         ``stretch`` times its longest chain of steps
     :ivar priority: 0 comes first
-    :ivar max_attempts: failures of a task after which its job has failed
+    :ivar most_attempts: failures of a task after which its job has failed
     """
 
     name: str
@@ -24,7 +25,7 @@
     objective_ms: float = 0.0
     stretch: float = 1.0
     priority: int = 0
-    max_attempts: int = 1
+    most_attempts: int = 1
     needs_advice: bool = False
 
 
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -78,7 +78,7 @@
             steps=len(job.work.steps),
             pool=job.queue.service,
             task_count=sum(step.tasks for step in job.work.steps),
-            guesses_ms=[step.estimate_ms for step in job.work.steps],
+            guesses_ms=[step.guess_ms for step in job.work.steps],
             stretch=job.queue.stretch,
             objective_ms=job.queue.objective_ms,
             traits=_traits(job),
@@ -99,7 +99,7 @@
 def _traits(job: model.Job) -> list[str]:
     """Name what a job asks for beyond plain tasks, for the log."""
     named = {
-        'long-running': any(step.long_running for step in job.work.steps),
+        'long-running': any(step.lasting for step in job.work.steps),
         'leftover': any(step.uses_leftover for step in job.work.steps),
         'gang': any(step.gang for step in job.work.steps),
         'label': any(step.label for step in job.work.steps),
@@ -179,7 +179,7 @@
 ) -> None:
     """Take long-running tasks off a worker that is about to leave."""
     for task in list(worker.runs.values()):
-        if task.group.step.long_running:
+        if task.group.step.lasting:
             await worker_loop.stop_run(leader, task)
 
 
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -95,11 +95,9 @@
                 await worker_loop.stop_run(leader, task)
         return
     _log_start(worker, task, run, 'refused', refusal.value)
-    if refusal is executors.Refusal.FENCED:
-        await states.depose(leader, 'a worker has seen a higher term')
-        return
-    if refusal is executors.Refusal.REPLACED:
-        await worker_loop.lost(leader, worker, 'replaced at its address')
+    fenced = refusal is executors.Refusal.FENCED
+    if fenced or refusal is executors.Refusal.REPLACED:
+        await worker_loop.note_refused(leader, worker, fenced)
         return
     if refusal is executors.Refusal.NO_TICKET:
         task.group.advised_until_s = 0.0
@@ -134,11 +132,9 @@
         await executors.stop(
             leader.calls, worker.entry, task, attempt, leader.term
         )
-    except executors.Fenced:
-        await states.depose(leader, 'a worker has seen a higher term')
-        return
-    except executors.Replaced:
-        await worker_loop.lost(leader, worker, 'replaced at its address')
+    except (executors.Fenced, executors.Replaced) as error:
+        fenced = isinstance(error, executors.Fenced)
+        await worker_loop.note_refused(leader, worker, fenced)
         return
     except errors.CallFailed as error:
         event_log.emit(
@@ -180,12 +176,13 @@
             percent,
             leader.term,
         )
+    except executors.Fenced:
+        await worker_loop.note_refused(leader, worker, fenced=True)
+        return
     except (errors.CallFailed, executors.Replaced) as error:
+        # The next renewal tells of another worker at the address.
         event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
         return
-    except executors.Fenced:
-        await states.depose(leader, 'a worker has seen a higher term')
-        return
     run.pace_percent = percent
     event_log.emit(
         'run',
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -264,7 +264,7 @@
             group.entry, queue, leader.lengths, now_s
         ):
             continue
-        if group.step.long_running:
+        if group.step.lasting:
             _add_cores(view, group, len(group.waiting))
         elif not group.step.uses_leftover:
             row = _waiting(group, queue, leader.lengths, now_s)
@@ -277,7 +277,7 @@
     group: ledgers.Group,
     known: dict[str, queues.Queue],
 ) -> None:
-    if not group.step.long_running:
+    if not group.step.lasting:
         queue = placing.queue_of(group.entry, known)
         view.priority = min(view.priority, queue.priority)
 
@@ -302,7 +302,7 @@
         return
     cores = tasks * group.step.needs.cpu_millicores / 1000
     view.busy_cores += cores
-    if group.step.long_running:
+    if group.step.lasting:
         view.held_cores += cores
 
 
@@ -350,9 +350,9 @@
     """Note what a job that has arrived asks of its pool."""
     work = entry.job.work
     core_ms = sum(
-        step.tasks * step.needs.cpu_millicores * step.estimate_ms
+        step.tasks * step.needs.cpu_millicores * step.guess_ms
         for step in work.steps
-        if not step.long_running
+        if not step.lasting
     )
     if core_ms:
         known = states.known_queues(leader)
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -57,13 +57,13 @@
         if not states.may_act(leader):
             await curio.sleep(SILENT_PAUSE_S)
             continue
-        wait_ms = IDLE_WAIT_MS
+        longest_wait_ms = IDLE_WAIT_MS
         if worker.runs:
-            wait_ms = WARY_WAIT_MS if wary else BUSY_WAIT_MS
+            longest_wait_ms = WARY_WAIT_MS if wary else BUSY_WAIT_MS
         if not worker.fenced or worker.silent_since_s is not None:
-            wait_ms = 0
+            longest_wait_ms = 0
         first = worker.silent_since_s is None
-        answered = await look(leader, worker, wait_ms)
+        answered = await look(leader, worker, longest_wait_ms)
         if not answered:
             # One lost call is asked again at once.
             await curio.sleep(0 if first else SILENT_PAUSE_S)
@@ -96,7 +96,7 @@
 
 
 async def look(
-    leader: states.Leader, worker: workers_.Worker, wait_ms: int
+    leader: states.Leader, worker: workers_.Worker, longest_wait_ms: int
 ) -> bool:
     """Renew once; says whether the worker answered."""
     sent_s = clock.now_s()
@@ -105,15 +105,12 @@
         lease_end_ms = new_lease_end_ms(leader, worker, sent_s)
         workers_.note_lease(worker, lease_end_ms)
     order = reports.Renewal(
-        leader.term, worker.kept_end, lease_end_ms, wait_ms
+        leader.term, worker.kept_end, lease_end_ms, longest_wait_ms
     )
     try:
         report = await executors.renew(leader.calls, worker.entry, order)
-    except executors.Fenced:
-        await states.depose(leader, 'a worker has seen a higher term')
-        return False
-    except executors.Replaced:
-        await lost(leader, worker, 'replaced at its address')
+    except (executors.Fenced, executors.Replaced) as error:
+        await note_refused(leader, worker, isinstance(error, executors.Fenced))
         return False
     except errors.CallFailed as error:
         note_unanswered(leader, error)
@@ -155,11 +152,11 @@
     workers_.note_answer(worker, report, now_s)
     known = states.known_queues(leader)
 
-    def max_attempts(entry: ledgers.Entry) -> int:
-        return placing.queue_of(entry, known).max_attempts
+    def most_attempts(entry: ledgers.Entry) -> int:
+        return placing.queue_of(entry, known).most_attempts
 
     outcome = workers_.take_report(
-        leader.ledger, worker, report, sent_s, now_s, max_attempts
+        leader.ledger, worker, report, sent_s, now_s, most_attempts
     )
     for note in outcome.notes:
         server_metrics.ENDS.labels(note.event).inc()
@@ -230,6 +227,20 @@
         )
 
 
+async def note_refused(
+    leader: states.Leader, worker: workers_.Worker, fenced: bool
+) -> None:
+    """Note that a worker takes no order of this leader any more.
+
+    :param fenced: it has seen a higher term; otherwise another worker stands
+        at its address
+    """
+    if fenced:
+        await states.depose(leader, 'a worker has seen a higher term')
+    else:
+        await lost(leader, worker, 'replaced at its address')
+
+
 async def lost(
     leader: states.Leader, worker: workers_.Worker, why: str
 ) -> None:
--- a/oleanderwood/platform/callers.py
+++ b/oleanderwood/platform/callers.py
@@ -70,7 +70,7 @@
         steps=tuple(_step(phase) for phase in wire.phases),
         repeats=wire.repeat_count,
         first_due_ms=wire.start_time_ms,
-        interval_ms=wire.interval_ms,
+        repeat_every_ms=wire.interval_ms,
     )
 
 
@@ -78,20 +78,20 @@
     return model.Step(
         tasks=wire.count,
         needs=model.Resources(wire.cpu, wire.mem_mb, wire.gpu),
-        estimate_ms=wire.estimate_ms,
+        guess_ms=wire.estimate_ms,
         after=tuple(wire.after),
         checkpoints=wire.checkpointing,
         gang=wire.gang,
-        same_rack=wire.same_rack,
+        one_rack=wire.same_rack,
         label=wire.required_label,
         near_rack=wire.affinity,
         max_per_worker=wire.max_per_server,
         speculative=wire.speculative,
-        long_running=wire.long_running,
+        lasting=wire.long_running,
         image=wire.image,
         latency_target_ms=wire.target_ms,
         uses_leftover=wire.fills,
-        may_miss=wire.may_miss,
+        most_away=wire.may_miss,
     )
 
 
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -218,9 +218,11 @@
     body: dict = {'fence': order.term, 'last_seen': order.acknowledged}
     if order.lease_end_clock_ms is not None:
         body['deadline_ms'] = int(order.lease_end_clock_ms)
-    if order.wait_ms:
-        body['wait_ms'] = order.wait_ms
-    answer = await _call(calls, at, '/hold', body, order.wait_ms / 1000)
+    if order.longest_wait_ms:
+        body['wait_ms'] = order.longest_wait_ms
+    answer = await _call(
+        calls, at, '/hold', body, order.longest_wait_ms / 1000
+    )
     return _report(_checked(answer, 'renewal'))
 
 
--- a/oleanderwood/platform/operator.py
+++ b/oleanderwood/platform/operator.py
@@ -56,7 +56,7 @@
             objective_ms=route.target_duration_ms,
             stretch=route.stretch,
             priority=route.priority,
-            max_attempts=route.max_attempts,
+            most_attempts=route.max_attempts,
             needs_advice=route.advice is not None,
         )
         for route in wire.routes
--- a/oleanderwood/pools/lengths.py
+++ b/oleanderwood/pools/lengths.py
@@ -69,7 +69,7 @@
 
 def note(lengths: Lengths, group: ledgers.Group, length_s: float) -> None:
     """Note how long a task of a step took."""
-    guess_s = group.step.estimate_ms / 1000
+    guess_s = group.step.guess_ms / 1000
     if guess_s <= 0:
         return
     name = group.entry.job.queue.name
@@ -131,7 +131,7 @@
         queue = entry.job.queue.name
         entry.expected_version = version
         entry.expected_s = tuple(
-            expected_s(lengths, queue, step.estimate_ms / 1000)
+            expected_s(lengths, queue, step.guess_ms / 1000)
             for step in entry.job.work.steps
         )
     return entry.expected_s
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -66,9 +66,7 @@
         if not workers_.accepts(worker, now_s):
             continue
         used = workers_.used(worker)
-        lasting = sum(
-            task.group.step.long_running for task in worker.runs.values()
-        )
+        lasting = sum(task.group.step.lasting for task in worker.runs.values())
         capacity = worker.entry.capacity
         room = Room(
             worker,
@@ -157,7 +155,7 @@
     """
     step = group.step
     near = not step.near_rack or room.rack == step.near_rack
-    lasts = step.long_running
+    lasts = step.lasting
     return (
         room.suspect,
         room.worker.entry.worker == task.failed_on,
@@ -185,7 +183,7 @@
         return False
     if step.max_per_worker and room.mates[group] >= step.max_per_worker:
         return False
-    if room.worker.slow and not step.long_running:
+    if room.worker.slow and not step.lasting:
         return False
     return not (room.suspect and room.batch > 0)
 
@@ -197,8 +195,8 @@
     room.memory_mb -= needs.memory_mb
     room.gpus -= needs.gpus
     room.mates[group] += 1
-    room.batch += not group.step.long_running
-    room.lasting += group.step.long_running
+    room.batch += not group.step.lasting
+    room.lasting += group.step.lasting
 
 
 def _give_back(room: Room, group: ledgers.Group) -> None:
@@ -208,8 +206,8 @@
     room.memory_mb += needs.memory_mb
     room.gpus += needs.gpus
     room.mates[group] -= 1
-    room.batch -= not group.step.long_running
-    room.lasting -= group.step.long_running
+    room.batch -= not group.step.lasting
+    room.lasting -= group.step.lasting
 
 
 def _place_gang(
@@ -226,7 +224,7 @@
         return []
     if any(task.not_before_s > now_s for task in members):
         return []
-    racks = {room.rack for room in free} if group.step.same_rack else set()
+    racks = {room.rack for room in free} if group.step.one_rack else set()
     choices = [
         [room for room in free if room.rack == rack]
         for rack in sorted(
@@ -292,7 +290,7 @@
     now_s: float,
 ) -> bool:
     """Say whether a job is too late to be worth anything to its caller."""
-    if entry.groups[0, 0].step.long_running:
+    if entry.groups[0, 0].step.lasting:
         return False
     age_s = now_s - entry.arrived_s
     return age_s > LATE_FACTOR * objective_s(entry, queue, lengths)
@@ -313,7 +311,7 @@
     late as well; in a turn that a pool can't hold, all would be.
     """
     entry = group.entry
-    if group.step.long_running:
+    if group.step.lasting:
         return (0, queue.priority, 0, entry.arrived_s, group.number)
     tier = 0
     if hopeless(entry, queue, lengths, now_s):
--- a/oleanderwood/pools/quotas.py
+++ b/oleanderwood/pools/quotas.py
@@ -60,6 +60,6 @@
 
 def _team(quotas: Quotas, group: ledgers.Group) -> ids.TeamId | None:
     """Give the team whose quota a task counts against; None if none does."""
-    if group.step.long_running or group.step.uses_leftover:
+    if group.step.lasting or group.step.uses_leftover:
         return None
     return quotas.team_of.get(group.entry.job.queue.name)
--- a/oleanderwood/pools/reports.py
+++ b/oleanderwood/pools/reports.py
@@ -72,10 +72,10 @@
 class Report(msgspec.Struct, frozen=True):
     """A worker's answer to a renewal.
 
-    :ivar clock_ms: the worker's own steady clock
+    :ivar own_clock_ms: the worker's own steady clock
     """
 
-    clock_ms: float
+    own_clock_ms: float
     running: list[Running]
     ended: list[Ended]
 
@@ -97,10 +97,10 @@
 
     :ivar acknowledged: ends up to this number may be forgotten
     :ivar lease_end_clock_ms: on the worker's clock; None: no renewal
-    :ivar wait_ms: how long the worker may wait for an end
+    :ivar longest_wait_ms: how long the worker may wait for an end
     """
 
     term: int
     acknowledged: int = 0
     lease_end_clock_ms: float | None = None
-    wait_ms: int = 0
+    longest_wait_ms: int = 0
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -72,7 +72,7 @@
 
 
 def _guess_s(task: ledgers.Task, factor: float) -> float:
-    return task.group.step.estimate_ms / 1000 * factor
+    return task.group.step.guess_ms / 1000 * factor
 
 
 def measure(
@@ -100,7 +100,7 @@
     run = task.run
     if (
         run is None
-        or task.group.step.long_running
+        or task.group.step.lasting
         or task.group.step.uses_leftover
         or run.phase is not ledgers.RunPhase.RUNNING
         or now_s - run.begun_s < LEAST_RUN_S
@@ -117,7 +117,7 @@
         return 0.0
     total_s = _projected_s(task, now_s)
     if total_s is None:
-        total_s = task.group.step.estimate_ms / 1000
+        total_s = task.group.step.guess_ms / 1000
     return max(0.0, total_s - (now_s - task.run.begun_s))
 
 
--- a/oleanderwood/pools/stalls.py
+++ b/oleanderwood/pools/stalls.py
@@ -35,7 +35,7 @@
     if run.pace_percent < 100 or run.moved_on_s == 0:
         return False
     still_s = now_s - run.moved_on_s
-    if task.group.step.long_running:
+    if task.group.step.lasting:
         return run.at_work_since_s is None and still_s > STARTUP_S
-    guess_s = task.group.step.estimate_ms / 1000
+    guess_s = task.group.step.guess_ms / 1000
     return still_s > max(STALLED_S, LONG_FACTOR * guess_s)
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -43,7 +43,7 @@
         earlier one are refused there
     :ivar silent_since_s: since when calls to it fail; None: it answers
     :ivar gone: proven: nothing runs there any more, and nothing will
-    :ivar clock_ms, clock_at_s: its clock, and when it was read
+    :ivar own_clock_ms, clock_at_s: its clock, and when it was read
     :ivar lease_end_s: by when any lease that it may hold has ended
     :ivar seen_end: number of the last end taken in
     :ivar kept_end: number of the last end that is in the store
@@ -60,7 +60,7 @@
     fenced: bool = False
     silent_since_s: float | None = None
     gone: bool = False
-    clock_ms: float = 0.0
+    own_clock_ms: float = 0.0
     clock_at_s: float = 0.0
     lease_end_s: float = 0.0
     seen_end: int = 0
@@ -113,12 +113,12 @@
 
 def clock_now_ms(worker: Worker, now_s: float) -> float:
     """Estimate the worker's clock."""
-    return worker.clock_ms + (now_s - worker.clock_at_s) * 1000
+    return worker.own_clock_ms + (now_s - worker.clock_at_s) * 1000
 
 
 def note_lease(worker: Worker, lease_end_clock_ms: float) -> None:
     """Note that the worker may get a lease up to a time of its clock."""
-    left_s = (lease_end_clock_ms - worker.clock_ms) / 1000
+    left_s = (lease_end_clock_ms - worker.own_clock_ms) / 1000
     end_s = worker.clock_at_s + left_s / SLOW_CLOCK_RATE
     worker.lease_end_s = max(worker.lease_end_s, end_s)
 
@@ -127,7 +127,7 @@
     """Note that the worker answered under this term."""
     worker.fenced = True
     worker.silent_since_s = None
-    worker.clock_ms = report.clock_ms
+    worker.own_clock_ms = report.own_clock_ms
     worker.clock_at_s = now_s
 
 
@@ -137,18 +137,18 @@
     report: reports.Report,
     sent_s: float,
     now_s: float,
-    max_attempts: collections.abc.Callable[[ledgers.Entry], int],
+    most_attempts: collections.abc.Callable[[ledgers.Entry], int],
 ) -> Outcome:
     """Take over a worker's report.
 
     :param sent_s: when the call was sent that the report answers
-    :param max_attempts: how often a job's task may fail
+    :param most_attempts: how often a job's task may fail
     """
     outcome = Outcome()
     for row in report.ended:
         if row.number > worker.seen_end:
             worker.seen_end = row.number
-            _take_end(ledger, worker, row, now_s, max_attempts, outcome)
+            _take_end(ledger, worker, row, now_s, most_attempts, outcome)
     listed = set()
     for row in report.running:
         listed.add((row.task, row.attempt))
@@ -162,7 +162,7 @@
     return outcome
 
 
-def _take_end(ledger, worker, row, now_s, max_attempts, outcome) -> None:
+def _take_end(ledger, worker, row, now_s, most_attempts, outcome) -> None:
     outcome.changed = True
     outcome.notes.append(Note(row.how.value, row.task, row.attempt))
     task = ledgers.find(ledger, row.task)
@@ -192,7 +192,7 @@
             task,
             worker.entry.worker,
             row.attempt,
-            max_attempts(task.group.entry),
+            most_attempts(task.group.entry),
             now_s,
         )
     if current:
--- a/oleanderwood/upkeeps/availability.py
+++ b/oleanderwood/upkeeps/availability.py
@@ -30,7 +30,7 @@
     A step without an allowance may lose one at a time: maintenance has to
     go on.
     """
-    return max(1, group.step.may_miss) - away(group, now_s)
+    return max(1, group.step.most_away) - away(group, now_s)
 
 
 def note_order(worker: workers_.Worker, now_s: float) -> None:
@@ -46,7 +46,7 @@
     groups = {
         task.group
         for task in worker.runs.values()
-        if task.group.step.long_running and not ledgers.final(task.group.entry)
+        if task.group.step.lasting and not ledgers.final(task.group.entry)
     }
     return all(_may_end(group, worker, now_s) for group in groups)
 
@@ -65,4 +65,4 @@
             ended += 1
         elif not at_work(task, now_s):
             away += 1
-    return ended == 0 or ended + away <= max(1, group.step.may_miss)
+    return ended == 0 or ended + away <= max(1, group.step.most_away)
--- a/oleanderwood/upkeeps/emptying.py
+++ b/oleanderwood/upkeeps/emptying.py
@@ -96,7 +96,7 @@
         return None
     longest_s = 0.0
     for task in worker.runs.values():
-        if task.group.step.long_running or task.group.step.gang:
+        if task.group.step.lasting or task.group.step.gang:
             return None
         longest_s = max(longest_s, _task_leave_s(task, now_s))
     return longest_s
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -239,7 +239,7 @@
     if standby:
         target = min(standby)
         for service, member in _resting(
-            pools, turns, free, left, near_s, now_s
+            pools, turns, free, left, near, near_s, now_s
         ):
             moves.append(Move(member.machine, service, target, 'idle'))
             left[service] -= 1
@@ -252,6 +252,7 @@
     turns: turns_.Turns,
     free: '_Free',
     left: dict[ids.ServiceId, int],
+    near: set[ids.ServiceId],
     near_s: float,
     now_s: float,
 ) -> list[tuple[ids.ServiceId, Member]]:
@@ -261,6 +262,7 @@
     it before.
 
     :param left: members of each pool after the moves that were decided
+    :param near: pools whose next turn comes within ``near_s``
     """
     spare = dict(left)
     for pool in pools:
@@ -270,9 +272,8 @@
             spare[pool.service] -= math.ceil(UNSEEN_PART * pool.first_size)
     rows = []
     for service, member in free.idle:
-        far = not _turn_is_near(turns, service, near_s, now_s)
         rests = _idle_in_turn(turns, service, member, now_s) or (
-            far and _may_rest(turns, service, near_s, now_s)
+            service not in near and _may_rest(turns, service, near_s, now_s)
         )
         if rests and spare[service] > 0:
             rows.append((service, member))
@@ -293,8 +294,7 @@
     """
     lacking = {}
     for pool in pools:
-        coming = free.coming.get(pool.service, 0)
-        lack = wanted[pool.service].now - len(pool.members) - coming
+        lack = _lack(pool, wanted[pool.service].now, free)
         if lack > 0:
             lacking[pool.service] = lack
     first = min(
@@ -320,6 +320,11 @@
     coming: dict[ids.ServiceId, int] = dataclasses.field(default_factory=dict)
 
 
+def _lack(pool: PoolView, wanted: int, free: _Free) -> int:
+    """Give how many machines a pool lacks beside those that it gets."""
+    return wanted - len(pool.members) - free.coming.get(pool.service, 0)
+
+
 def _turn_is_near(
     turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
@@ -404,10 +409,7 @@
     :param spared: pools that keep their idle machines
     """
     lacks = {
-        pool.service: wanted[pool.service]
-        - len(pool.members)
-        - free.coming.get(pool.service, 0)
-        for pool in pools
+        pool.service: _lack(pool, wanted[pool.service], free) for pool in pools
     }
     moves = []
     while lacks:
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -232,25 +232,23 @@
     """
     here: dict[ledgers.Group, list[ledgers.Task]] = {}
     for task in worker.runs.values():
-        if task.group.step.long_running:
+        if task.group.step.lasting:
             here.setdefault(task.group, []).append(task)
     for group, tasks in here.items():
-        allowed = max(1, group.step.may_miss)
+        allowed = max(1, group.step.most_away)
         if len(tasks) > allowed and availability.spares(group, now_s) > 0:
             return tasks[0]
     return None
 
 
 def _batch(worker: workers_.Worker) -> int:
-    return sum(
-        not task.group.step.long_running for task in worker.runs.values()
-    )
+    return sum(not task.group.step.lasting for task in worker.runs.values())
 
 
 def _lasting(worker: workers_.Worker | None) -> int:
     if worker is None:
         return 0
-    return sum(task.group.step.long_running for task in worker.runs.values())
+    return sum(task.group.step.lasting for task in worker.runs.values())
 
 
 def _cost(worker: workers_.Worker | None, now_s: float):
@@ -260,7 +258,7 @@
     batch = sum(
         task.group.step.needs.cpu_millicores
         for task in worker.runs.values()
-        if not task.group.step.long_running
+        if not task.group.step.lasting
     )
     may_go = availability.may_end_all(worker, now_s)
     return (not may_go, _lasting(worker), batch)
--- a/tests/test_emptying.py
+++ b/tests/test_emptying.py
@@ -32,9 +32,9 @@
     return [row.machine for row in _decide(members, **numbers)]
 
 
-LONG = {'estimate_ms': 5000.0}
-SAVED = {'estimate_ms': 5000.0, 'checkpoints': True}
-SHORT = {'estimate_ms': 700.0}
+LONG = {'guess_ms': 5000.0}
+SAVED = {'guess_ms': 5000.0, 'checkpoints': True}
+SHORT = {'guess_ms': 700.0}
 
 
 def test_task_that_saves_its_progress_makes_room_at_once():
@@ -49,13 +49,13 @@
 
 
 def test_task_that_ends_soon_is_left_to_end():
-    soon = {'estimate_ms': 900.0, 'checkpoints': True}
+    soon = {'guess_ms': 900.0, 'checkpoints': True}
     (emptied,) = _decide([_member('m1', soon)])
     assert emptied.stops == []
 
 
 def test_long_running_tasks_hold_their_machine():
-    lasting = {'long_running': True, 'checkpoints': True}
+    lasting = {'lasting': True, 'checkpoints': True}
     assert _names([_member('m1', lasting, SAVED)]) == []
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -22,7 +22,7 @@
 
 
 def test_occurrence_waits_for_its_time():
-    job = build.job(repeats=2, first_due_ms=1000.0, interval_ms=500.0)
+    job = build.job(repeats=2, first_due_ms=1000.0, repeat_every_ms=500.0)
     ledger = build.ledger_with(job)
     groups = ledger.entries[build.JOB].groups
     assert not ledgers.is_ready(groups[0, 0], 999.0)
@@ -90,7 +90,7 @@
 
 
 def test_long_running_task_may_fail_any_number_of_times():
-    ledger = build.ledger_with(build.job(build.step(long_running=True)))
+    ledger = build.ledger_with(build.job(build.step(lasting=True)))
     task = build.task(ledger)
     for attempt in range(1, 6):
         ledgers.mark_failed(ledger, task, 'w1', attempt, 2, 1.0)
@@ -133,10 +133,10 @@
 
 def test_chains_follow_the_steps_that_wait_for_each_other():
     work = build.job(
-        build.step(estimate_ms=100.0),
-        build.step(estimate_ms=700.0, after=(0,)),
-        build.step(estimate_ms=200.0, after=(0,)),
-        build.step(estimate_ms=50.0, after=(1, 2)),
+        build.step(guess_ms=100.0),
+        build.step(guess_ms=700.0, after=(0,)),
+        build.step(guess_ms=200.0, after=(0,)),
+        build.step(guess_ms=50.0, after=(1, 2)),
     ).work
     lengths_s = [0.125, 0.75, 0.25, 0.0625]
     assert model.longest_chain_s(work, lengths_s) == 0.9375
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -8,7 +8,7 @@
 
 
 def _note(lengths, guess_s, real_s):
-    step = build.step(estimate_ms=guess_s * 1000)
+    step = build.step(guess_ms=guess_s * 1000)
     ledger = build.ledger_with(build.job(step))
     lengths_.note(lengths, build.task(ledger).group, real_s)
 
@@ -68,7 +68,7 @@
 
 def test_known_jobs_are_expected_anew_as_more_is_learned():
     lengths = lengths_.Lengths()
-    ledger = build.ledger_with(build.job(build.step(estimate_ms=2000.0)))
+    ledger = build.ledger_with(build.job(build.step(guess_ms=2000.0)))
     entry = ledger.entries[build.JOB]
     assert lengths_.of_job(lengths, entry) == (2.0,)
     for _ in range(lengths_.REFIT_TASKS):
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -10,7 +10,7 @@
 
 def _beside(latency_ms, percent=100):
     """Build a worker with a serving task and one that uses leftovers."""
-    serving = build.step(long_running=True, latency_target_ms=100.0)
+    serving = build.step(lasting=True, latency_target_ms=100.0)
     using = build.step(uses_leftover=True)
     ledger = build.ledger_with(build.job(serving, using))
     worker = build.worker()
@@ -69,7 +69,7 @@
 
 
 def test_long_task_may_stand_longer():
-    worker, _run = _run_since(10.0, estimate_ms=20_000.0)
+    worker, _run = _run_since(10.0, guess_ms=20_000.0)
     assert not stalls.stalled(worker, 19.0)
     assert stalls.stalled(worker, 21.0)
 
@@ -81,7 +81,7 @@
 
 
 def test_serving_task_at_work_never_stalls():
-    worker, run = _run_since(10.0, long_running=True)
+    worker, run = _run_since(10.0, lasting=True)
     assert stalls.stalled(worker, 17.0)
     run.at_work_since_s = 11.0
     assert not stalls.stalled(worker, 99.0)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -81,7 +81,7 @@
 
 
 def test_gang_stays_in_one_rack_if_it_can():
-    step = build.step(2, cpu=5000, gang=True, same_rack=True)
+    step = build.step(2, cpu=5000, gang=True, one_rack=True)
     ledger = build.ledger_with(build.job(step))
     pool = [
         build.worker('w1', labels=('a', 'r1')),
@@ -163,7 +163,7 @@
     # batch task was started there any more.
     worker = _suspect('w1')
     ledger = build.ledger_with(
-        build.job(build.step(long_running=True), name='1' * 16),
+        build.job(build.step(lasting=True), name='1' * 16),
         build.job(build.step(3), name='2' * 16),
     )
     build.start(ledger, build.task(ledger, name='1' * 16), worker)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -44,7 +44,7 @@
 
 
 def test_long_running_tasks_have_no_quota():
-    ledger = build.ledger_with(_job('1' * 16, 6, long_running=True))
+    ledger = build.ledger_with(_job('1' * 16, 6, lasting=True))
     assert len(_decide(ledger, [build.worker()])) == 6
 
 
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -11,9 +11,9 @@
     return 1.0
 
 
-def _running(worker, percents, now_s=2.0, estimate_ms=1000.0):
+def _running(worker, percents, now_s=2.0, guess_ms=1000.0):
     """Let runs begun a second ago be so far."""
-    step = build.step(estimate_ms=estimate_ms)
+    step = build.step(guess_ms=guess_ms)
     ledger = build.ledger_with(build.job(*[step] * len(percents)))
     for number, percent in enumerate(percents):
         task = build.task(ledger, number)
@@ -91,7 +91,7 @@
     worker.slow = True
     room = placing.rooms([worker], 1.0)[0]
     assert not placing.fits(room, build.task(ledger).group)
-    lasting = build.ledger_with(build.job(build.step(long_running=True)))
+    lasting = build.ledger_with(build.job(build.step(lasting=True)))
     assert placing.fits(room, build.task(lasting).group)
 
 
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -29,7 +29,7 @@
 
 def _serving(*workers, tasks, **fields):
     """Let a step of long-running tasks work on some workers in turn."""
-    step = build.step(tasks, long_running=True, **fields)
+    step = build.step(tasks, lasting=True, **fields)
     ledger = build.ledger_with(build.job(step))
     for index in range(tasks):
         worker = workers[index % len(workers)]
@@ -82,7 +82,7 @@
 
 def test_serving_tasks_stay_within_their_allowance():
     first, second = build.worker('w1'), build.worker('w2')
-    _serving(first, second, tasks=2, may_miss=1)
+    _serving(first, second, tasks=2, most_away=1)
     assert availability.may_end_all(first, 10.0)
     availability.note_order(first, 10.0)
     assert not availability.may_end_all(second, 10.0)
@@ -90,7 +90,7 @@
 
 def test_orders_of_one_pass_share_the_allowance():
     first, second = build.worker('w1'), build.worker('w2')
-    _serving(first, second, tasks=2, may_miss=1)
+    _serving(first, second, tasks=2, most_away=1)
     progress = _progress('a', 'b', most=2)
     workers = {'a': first, 'b': second}
     decision = _decide(progress, _machines('a', 'b'), workers)
@@ -113,7 +113,7 @@
 
 def test_crowded_machine_has_a_task_relocated():
     first, second = build.worker('w1'), build.worker('w2')
-    ledger = _serving(first, second, tasks=4, may_miss=1)
+    ledger = _serving(first, second, tasks=4, most_away=1)
     decision = _decide(_progress('a'), _machines('a'), {'a': first})
     assert not decision.order
     assert decision.relocate in set(first.runs.values())
@@ -156,7 +156,7 @@
 
 def test_tasks_just_taken_over_from_an_earlier_leader_count_as_working():
     worker = build.worker('w1')
-    ledger = _serving(worker, tasks=2, may_miss=1)
+    ledger = _serving(worker, tasks=2, most_away=1)
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = 9.95
     assert not availability.may_end_all(worker, 10.0)
@@ -164,7 +164,7 @@
 
 def test_tasks_that_started_up_at_the_last_report_count_as_working():
     worker = build.worker('w1')
-    ledger = _serving(worker, tasks=2, may_miss=1)
+    ledger = _serving(worker, tasks=2, most_away=1)
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = None
     assert not availability.may_end_all(worker, 10.0)
--- a/tests/test_worker_reports.py
+++ b/tests/test_worker_reports.py
@@ -114,7 +114,7 @@
 
 def test_lease_bound_covers_a_slow_clock():
     worker = build.worker()
-    workers_.note_answer(worker, build.report(clock_ms=10_000.0), 100.0)
+    workers_.note_answer(worker, build.report(own_clock_ms=10_000.0), 100.0)
     workers_.note_lease(worker, 15_000.0)
     assert worker.lease_end_s >= 100.0 + 5.0 / 0.98
     workers_.note_lease(worker, 12_000.0)
--- a/tests/utils_jobs.py
+++ b/tests/utils_jobs.py
@@ -20,7 +20,7 @@
         'service': POOL,
         'objective_ms': 600.0,
         'stretch': 1.6,
-        'max_attempts': 2,
+        'most_attempts': 2,
     }
     return queues.Queue(**{**values, **fields})
 
@@ -28,7 +28,7 @@
 def step(tasks: int = 1, **fields) -> model.Step:
     """Build a step of tasks that take one core for a second."""
     needs = model.Resources(fields.pop('cpu', 1000), fields.pop('mem', 100))
-    return model.Step(tasks, needs, **{'estimate_ms': 1000.0, **fields})
+    return model.Step(tasks, needs, **{'guess_ms': 1000.0, **fields})
 
 
 def job(*steps: model.Step, name: str = JOB, **fields) -> model.Job:
@@ -77,10 +77,10 @@
     return run
 
 
-def report(running=(), ended=(), clock_ms: float = 0.0) -> reports.Report:
+def report(running=(), ended=(), own_clock_ms: float = 0.0) -> reports.Report:
     """Build a report: rows of task and attempt, and ends in full."""
     return reports.Report(
-        clock_ms,
+        own_clock_ms,
         [
             reports.Running(row[0], row[1], percent=(*row, 50.0)[2])
             for row in running
--- a/tests/utils_overload.py
+++ b/tests/utils_overload.py
@@ -71,7 +71,7 @@
                 build.step(
                     min(24, max(1, round(rng.lognormvariate(1.6, 0.6)))),
                     cpu=rng.randint(2000, 5000),
-                    estimate_ms=max(30.0, length_s * math.exp(off) * 700),
+                    guess_ms=max(30.0, length_s * math.exp(off) * 700),
                     after=(number - 1,) if number else (),
                 )
             )
