Check each field of a worker's entry at the boundary

Cause: an entry was decoded with defaults for most fields and nothing was checked but types. An entry with a state nobody knows, without a state, with an address that can't be called or with less than no capacity was taken for a worker and met. Lists nested some thousand times deep ended the term with a RecursionError, and an id that isn't ASCII can't be sent as a header.

Now the adapter refuses, with a typed reason: keys that are no ids, bytes and fields that can't be read, lacking fields, states that aren't named, addresses other than an IPv4 number and port of one host, capacities below 0 or beyond all bounds, and texts of any length. Optional stay the machine, the time left, the GPUs and fields that we don't know. Whether a service of that name exists isn't the adapter's to say.

Ruled out: refusing good entries; those that the users' tool prints for all four deployments that are open have every field that is required here.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -12,10 +12,12 @@
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.platform import entries
 from oleanderwood.platform import executors
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import reading
+from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 from oleanderwood.upkeeps import wave_plan
@@ -143,9 +145,9 @@
             event_log.emit('worker', 'unlisted', worker=name)
         return
     try:
-        entry = executors.decode_entry(item.key, item.value)
-    except msgspec.MsgspecError as error:
-        event_log.emit('worker', 'malformed', worker=name, why=str(error))
+        entry = entries.decode(item.key, item.value)
+    except entries_.BadEntry as error:
+        event_log.emit('worker', 'malformed', worker=name, why=error.reason)
         return
     if known is None:
         # It may be an earlier life of a known worker's machine, written
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from oleanderwood import errors
-from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.platform import transport
 from oleanderwood.pools import reports
@@ -72,41 +71,6 @@
     gpu: int = 0
 
 
-class _WireEntry(msgspec.Struct):
-    service: str
-    addr: str
-    zone: str = ''
-    version: str = ''
-    slots: int = 0
-    state: str = 'ready'
-    cold_left_ms: float = 0
-    machine: str = ''
-    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
-    labels: list[str] = []
-    remaining_ms: float | None = None
-
-
-def decode_entry(key: str, value: bytes) -> reports.Entry:
-    """Decode an executor's entry in the store.
-
-    ``labels`` holds its kind and its rack in this order; ``machine`` is
-    given by executors of machines that can be moved.
-
-    :raises msgspec.MsgspecError: the entry is malformed
-    """
-    wire = msgspec.json.decode(value, type=_WireEntry)
-    return reports.Entry(
-        worker=ids.VmId(key.removeprefix(PREFIX)),
-        service=ids.ServiceId(wire.service),
-        address=ids.Address(wire.addr),
-        data_centre=ids.DataCentre(wire.zone),
-        capacity=decode_capacity(wire.capacity),
-        labels=tuple(wire.labels),
-        machine=wire.machine,
-        draining=wire.state == 'draining',
-    )
-
-
 def decode_capacity(wire: WireCapacity) -> model.Resources:
     """Decode what a machine has; ``cpu`` is in thousandths of a core."""
     return model.Resources(wire.cpu, wire.mem_mb, wire.gpu)
