Meet a worker only once the configuration names its service

Cause: an entry of a service that no configuration names was met, called again and again and written into a roster of its own.

Such an entry waits now, at most 4,000 of them, and is taken up as soon as the configuration names the service, without the entry being written again; it is forgotten when it is removed or missing from a whole reading. A worker that is known stays known when its service isn't named any more: what runs there goes on, and what its entry tells (that it leaves) counts.

Ruled out: dropping the entry and reading all entries again at each change of the configuration. A reading may be older than a removal that the watch has already told, and the worker would then stay listed for good.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -1,5 +1,6 @@
 """What reaches the leader through the store: jobs, cancels, workers, waves."""
 
+import curio
 import msgspec
 
 from oleanderwood import clock
@@ -7,6 +8,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import pool_loop
@@ -22,6 +24,9 @@
 from oleanderwood.pools import workers as workers_
 from oleanderwood.upkeeps import wave_plan
 
+NAMED_CHECK_S = 0.1
+"""Time between two looks at which services the configuration names."""
+
 JOB_DECODER = msgspec.json.Decoder(model.Job)
 
 
@@ -138,8 +143,9 @@
 async def take_worker(leader: states.Leader, item: stores.Item) -> None:
     """Take over a worker's entry in the store, or its removal."""
     name = ids.VmId(item.key.removeprefix(executors.PREFIX))
-    known = leader.workers.get(name)
+    entries_.forget(leader.entries, name)
     if item.removed:
+        known = leader.workers.get(name)
         if known is not None and known.listed:
             known.listed = False
             event_log.emit('worker', 'unlisted', worker=name)
@@ -149,7 +155,16 @@
     except entries_.BadEntry as error:
         event_log.emit('worker', 'malformed', worker=name, why=error.reason)
         return
+    await _take_entry(leader, entry)
+
+
+async def _take_entry(leader: states.Leader, entry: reports.Entry) -> None:
+    name = entry.worker
+    known = leader.workers.get(name)
     if known is None:
+        if not _names(leader.server.configuration, entry.service):
+            entries_.wait(leader.entries, entry)
+            return
         # It may be an earlier life of a known worker's machine, written
         # late: entries are no proof of who lives. Calls are.
         await meet(leader, entry, listed=True)
@@ -165,11 +180,33 @@
     await leader.due.set()
 
 
+def _names(
+    configuration: queues.Configuration | None, service: ids.ServiceId
+) -> bool:
+    return configuration is not None and service in configuration.services
+
+
+async def take_named_always(leader: states.Leader) -> None:
+    """Take up entries whose service has been named, until cancelled."""
+    services: tuple[ids.ServiceId, ...] = ()
+    while True:
+        configuration = leader.server.configuration
+        if configuration is not None and configuration.services != services:
+            services = configuration.services
+            for entry in list(leader.entries.waiting.values()):
+                # Another may have come while one was taken.
+                if leader.entries.waiting.get(entry.worker) is entry:
+                    entries_.forget(leader.entries, entry.worker)
+                    await _take_entry(leader, entry)
+        await curio.sleep(NAMED_CHECK_S)
+
+
 async def unlist_others(
     leader: states.Leader, items: list[stores.Item]
 ) -> None:
     """Note which workers a whole reading of the entries lacks."""
     listed = {item.key.removeprefix(executors.PREFIX) for item in items}
+    entries_.keep_only(leader.entries, listed)
     for name, worker in leader.workers.items():
         if worker.listed and name not in listed:
             worker.listed = False
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -16,6 +16,7 @@
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import slowness
 from oleanderwood.pools import workers as workers_
@@ -193,6 +194,7 @@
     confirmed_until_s: float = 0.0
     unreadable: set[ids.JobId] = dataclasses.field(default_factory=set)
     cancelled_unknown: set[ids.JobId] = dataclasses.field(default_factory=set)
+    entries: entries_.Book = dataclasses.field(default_factory=entries_.Book)
     peer_connections: connections.Connections = dataclasses.field(
         default_factory=connections.Connections
     )
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -105,6 +105,7 @@
     parts = [
         _follow_intake(leader),
         _follow_workers(leader),
+        intake.take_named_always(leader),
         _follow_waves(leader),
         _serve_workers(leader),
         schedule.place_always(leader),
--- a/oleanderwood/pools/entries.py
+++ b/oleanderwood/pools/entries.py
@@ -3,6 +3,7 @@
 Pure. Other writers may write beside the workers' own entries, or over them.
 """
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -13,10 +14,6 @@
 MAX_REASON = 200
 """Characters of a reason that are kept and logged."""
 
-MOST_REFUSED = 1000
-"""Refused entries whose reasons are remembered: as many as there are workers
-at the design size. Further ones are counted but not logged."""
-
 MOST_WAITING = 4000
 """Entries that wait for their service to be named, four times the workers of
 the design size; the one that has waited longest goes first."""
@@ -38,9 +35,6 @@
     SERVICE = 'service'
     """No configuration names its service so far."""
 
-    CONTRADICTS = 'contradicts'
-    """It names another place than the worker that answers under this id."""
-
 
 class BadEntry(errors.OleanderError):
     """An entry that names no worker to use.
@@ -58,33 +52,16 @@
 class Book:
     """What a leader remembers of entries that it doesn't use.
 
-    :ivar refused: the last reason, by worker
     :ivar waiting: sound entries whose service isn't named yet
     """
 
-    refused: dict[ids.VmId, str] = dataclasses.field(default_factory=dict)
     waiting: dict[ids.VmId, reports.Entry] = dataclasses.field(
         default_factory=dict
     )
 
 
-def note_refusal(book: Book, name: ids.VmId, reason: str) -> bool:
-    """Note a refusal; says whether it is to be logged.
-
-    An entry that is written again and again is logged when its reason
-    changes.
-    """
-    if book.refused.get(name) == reason:
-        return False
-    if name not in book.refused and len(book.refused) >= MOST_REFUSED:
-        return False
-    book.refused[name] = reason
-    return True
-
-
 def forget(book: Book, name: ids.VmId) -> None:
     """Forget an entry that is gone, or good again."""
-    book.refused.pop(name, None)
     book.waiting.pop(name, None)
 
 
@@ -96,10 +73,9 @@
         del book.waiting[next(iter(book.waiting))]
 
 
-def same_place(entry: reports.Entry, other: reports.Entry) -> bool:
-    """Say whether two entries may be of one life of a worker."""
-    return (entry.service, entry.address, entry.machine) == (
-        other.service,
-        other.address,
-        other.machine,
-    )
+def keep_only(
+    book: Book, listed: collections.abc.Collection[ids.VmId]
+) -> None:
+    """Forget all entries but those that a whole reading has."""
+    for name in set(book.waiting) - set(listed):
+        forget(book, name)
