Say once why an entry is refused, and count each reading of it

Cause: an entry that can't be used is written again with each heartbeat, and each time gave a line; nothing counted them.

A line now has the key, what is wrong with it, the reason (200 characters at most) and whether a worker of this id is in use, and comes again only when the reason changes or the entry was good in between. The memory for it holds 1,000 entries; further ones are counted but not logged, since dropping the oldest would let 1,001 of them log at each heartbeat. The counter is oleander_server_entries_refused_total.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -22,6 +22,7 @@
 from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
+from oleanderwood import server_metrics
 from oleanderwood.upkeeps import wave_plan
 
 NAMED_CHECK_S = 0.1
@@ -143,8 +144,8 @@
 async def take_worker(leader: states.Leader, item: stores.Item) -> None:
     """Take over a worker's entry in the store, or its removal."""
     name = ids.VmId(item.key.removeprefix(executors.PREFIX))
-    entries_.forget(leader.entries, name)
     if item.removed:
+        entries_.forget(leader.entries, name)
         known = leader.workers.get(name)
         if known is not None and known.listed:
             known.listed = False
@@ -153,22 +154,48 @@
     try:
         entry = entries.decode(item.key, item.value)
     except entries_.BadEntry as error:
-        event_log.emit('worker', 'malformed', worker=name, why=error.reason)
+        leader.entries.waiting.pop(name, None)
+        _refuse(leader, name, 'malformed', error)
         return
     await _take_entry(leader, entry)
 
 
+def _refuse(
+    leader: states.Leader,
+    name: ids.VmId,
+    event: str,
+    error: entries_.BadEntry,
+) -> None:
+    """Count an entry that can't be used; log it unless that was just said."""
+    server_metrics.ENTRIES_REFUSED.labels(error.fault.value).inc()
+    if entries_.note_refusal(leader.entries, name, error.reason):
+        event_log.emit(
+            'worker',
+            event,
+            worker=name[: entries_.MAX_REASON],
+            fault=error.fault.value,
+            why=error.reason,
+            known=name in leader.workers,
+        )
+
+
 async def _take_entry(leader: states.Leader, entry: reports.Entry) -> None:
     name = entry.worker
     known = leader.workers.get(name)
     if known is None:
         if not _names(leader.server.configuration, entry.service):
             entries_.wait(leader.entries, entry)
+            error = entries_.BadEntry(
+                entries_.Fault.SERVICE, f'service {entry.service!r}'
+            )
+            _refuse(leader, name, 'not-named', error)
             return
+        entries_.forget(leader.entries, name)
         # It may be an earlier life of a known worker's machine, written
         # late: entries are no proof of who lives. Calls are.
         await meet(leader, entry, listed=True)
         return
+    entries_.forget(leader.entries, name)
     if entry.draining and not known.entry.draining:
         event_log.emit('worker', 'draining', worker=name)
         known.entry = entry
@@ -195,8 +222,8 @@
             services = configuration.services
             for entry in list(leader.entries.waiting.values()):
                 # Another may have come while one was taken.
-                if leader.entries.waiting.get(entry.worker) is entry:
-                    entries_.forget(leader.entries, entry.worker)
+                current = leader.entries.waiting.get(entry.worker) is entry
+                if current and _names(configuration, entry.service):
                     await _take_entry(leader, entry)
         await curio.sleep(NAMED_CHECK_S)
 
--- a/oleanderwood/pools/entries.py
+++ b/oleanderwood/pools/entries.py
@@ -14,6 +14,10 @@
 MAX_REASON = 200
 """Characters of a reason that are kept and logged."""
 
+MOST_REFUSED = 1000
+"""Refused entries whose reasons are remembered: as many as there are workers
+at the design size. Further ones are counted but not logged."""
+
 MOST_WAITING = 4000
 """Entries that wait for their service to be named, four times the workers of
 the design size; the one that has waited longest goes first."""
@@ -52,16 +56,33 @@
 class Book:
     """What a leader remembers of entries that it doesn't use.
 
+    :ivar refused: the last reason, by worker
     :ivar waiting: sound entries whose service isn't named yet
     """
 
+    refused: dict[ids.VmId, str] = dataclasses.field(default_factory=dict)
     waiting: dict[ids.VmId, reports.Entry] = dataclasses.field(
         default_factory=dict
     )
 
 
+def note_refusal(book: Book, name: ids.VmId, reason: str) -> bool:
+    """Note a refusal; says whether it is to be logged.
+
+    An entry that is written again and again is logged when its reason
+    changes.
+    """
+    if book.refused.get(name) == reason:
+        return False
+    if name not in book.refused and len(book.refused) >= MOST_REFUSED:
+        return False
+    book.refused[name] = reason
+    return True
+
+
 def forget(book: Book, name: ids.VmId) -> None:
     """Forget an entry that is gone, or good again."""
+    book.refused.pop(name, None)
     book.waiting.pop(name, None)
 
 
@@ -77,5 +98,5 @@
     book: Book, listed: collections.abc.Collection[ids.VmId]
 ) -> None:
     """Forget all entries but those that a whole reading has."""
-    for name in set(book.waiting) - set(listed):
+    for name in {*book.refused, *book.waiting} - set(listed):
         forget(book, name)
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -61,6 +61,13 @@
     registry=REGISTRY,
 )
 
+ENTRIES_REFUSED = prometheus_client.Counter(
+    'oleander_server_entries_refused_total',
+    "Readings of workers' entries that can't be used, by what is wrong.",
+    ('why',),
+    registry=REGISTRY,
+)
+
 LOG_DROPPED = prometheus_client.Counter(
     'oleander_server_log_dropped_total',
     'Log lines that were not written.',
--- a/tests/test_unnamed_entries.py
+++ b/tests/test_unnamed_entries.py
@@ -1,40 +1,23 @@
 """Tests of entries whose service the configuration doesn't name yet."""
 
-import json
-
 import curio
 import pytest
 
 from emulator import day
 from emulator import store as stores
-from oleanderwood.platform import transport
 from oleanderwood.pools import entries as entries_
 from tests import utils_entries as build
 from tests import utils_jobs
+from tests import utils_leading as leading
 from tests import utils_servers
 
 KEY = 'servers/i-1'
-ADDRESS = '10.128.0.9:8080'
-
-
-async def _answer(source, method, target, body, headers):
-    """Answer as an executor on which nothing runs."""
-    await curio.sleep(0.05)
-    return transport.Answer(200, json.dumps({'clock_ms': 1000.0}).encode())
-
-
-async def _lead(world):
-    world.network.handlers[ADDRESS] = _answer
-    process = await utils_servers.start(world)
-    await curio.sleep(3.0)
-    assert process.state.leader is not None
-    return process.state.leader
 
 
 def test_worker_of_a_service_that_nobody_named_is_not_met():
     async def main(world):
         await stores.put(world.store, KEY, build.encode(service='nowhere'))
-        leader = await _lead(world)
+        leader = await leading.lead(world)
         assert not leader.workers
         assert 'ow/workers/nowhere' not in world.store.items
 
@@ -44,7 +27,7 @@
 def test_worker_is_met_once_its_service_is_named():
     async def main(world):
         await stores.put(world.store, KEY, build.encode(service='later'))
-        leader = await _lead(world)
+        leader = await leading.lead(world)
         assert not leader.workers
         named = day.configuration((*day.POOLS, 'later'))
         await stores.put(world.store, 'op/config', named)
@@ -59,7 +42,7 @@
 def test_entry_that_goes_before_its_service_is_named_is_not_met(lost):
     async def main(world):
         await stores.put(world.store, KEY, build.encode(service='later'))
-        leader = await _lead(world)
+        leader = await leading.lead(world)
         await stores.remove(world.store, KEY)
         if lost:
             stores.lose_history(world.store)
@@ -75,7 +58,7 @@
 def test_worker_stays_whose_service_is_named_no_more():
     async def main(world):
         await stores.put(world.store, KEY, build.encode())
-        leader = await _lead(world)
+        leader = await leading.lead(world)
         assert leader.workers['i-1'].fenced
         await stores.put(world.store, 'op/config', day.configuration(('x',)))
         await stores.put(world.store, KEY, build.encode(state='draining'))
