--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -1,5 +1,6 @@
 """What reaches the leader through the store: jobs, cancels, workers, waves."""
 
+import curio
 import msgspec
 
 from oleanderwood import clock
@@ -7,19 +8,26 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.platform import entries
 from oleanderwood.platform import executors
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import reading
+from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
+from oleanderwood import server_metrics
 from oleanderwood.upkeeps import wave_plan
 
+NAMED_CHECK_S = 0.1
+"""Time between two looks at which services the configuration names."""
+
 JOB_DECODER = msgspec.json.Decoder(model.Job)
 
 
@@ -173,22 +181,58 @@
 async def take_worker(leader: states.Leader, item: stores.Item) -> None:
     """Take over a worker's entry in the store, or its removal."""
     name = ids.VmId(item.key.removeprefix(executors.PREFIX))
-    known = leader.workers.get(name)
     if item.removed:
+        entries_.forget(leader.entries, name)
+        known = leader.workers.get(name)
         if known is not None and known.listed:
             known.listed = False
             event_log.emit('worker', 'unlisted', worker=name)
         return
     try:
-        entry = executors.decode_entry(item.key, item.value)
-    except msgspec.MsgspecError as error:
-        event_log.emit('worker', 'malformed', worker=name, why=str(error))
+        entry = entries.decode(item.key, item.value)
+    except entries_.BadEntry as error:
+        leader.entries.waiting.pop(name, None)
+        _refuse(leader, name, 'malformed', error)
         return
+    await _take_entry(leader, entry)
+
+
+def _refuse(
+    leader: states.Leader,
+    name: ids.VmId,
+    event: str,
+    error: entries_.BadEntry,
+) -> None:
+    """Count an entry that can't be used; log it unless that was just said."""
+    server_metrics.ENTRIES_REFUSED.labels(error.fault.value).inc()
+    if entries_.note_refusal(leader.entries, name, error.reason):
+        event_log.emit(
+            'worker',
+            event,
+            worker=name[: entries_.MAX_REASON],
+            fault=error.fault.value,
+            why=error.reason,
+            known=name in leader.workers,
+        )
+
+
+async def _take_entry(leader: states.Leader, entry: reports.Entry) -> None:
+    name = entry.worker
+    known = leader.workers.get(name)
     if known is None:
+        if not _names(leader.server.configuration, entry.service):
+            entries_.wait(leader.entries, entry)
+            error = entries_.BadEntry(
+                entries_.Fault.SERVICE, f'service {entry.service!r}'
+            )
+            _refuse(leader, name, 'not-named', error)
+            return
+        entries_.forget(leader.entries, name)
         # It may be an earlier life of a known worker's machine, written
         # late: entries are no proof of who lives. Calls are.
         await meet(leader, entry, listed=True)
         return
+    entries_.forget(leader.entries, name)
     if entry.draining and not known.entry.draining:
         event_log.emit('worker', 'draining', worker=name)
         known.entry = entry
@@ -200,11 +244,33 @@
     await leader.due.set()
 
 
+def _names(
+    configuration: queues.Configuration | None, service: ids.ServiceId
+) -> bool:
+    return configuration is not None and service in configuration.services
+
+
+async def take_named_always(leader: states.Leader) -> None:
+    """Take up entries whose service has been named, until cancelled."""
+    services: tuple[ids.ServiceId, ...] = ()
+    while True:
+        configuration = leader.server.configuration
+        if configuration is not None and configuration.services != services:
+            services = configuration.services
+            for entry in list(leader.entries.waiting.values()):
+                # Another may have come while one was taken.
+                current = leader.entries.waiting.get(entry.worker) is entry
+                if current and _names(configuration, entry.service):
+                    await _take_entry(leader, entry)
+        await curio.sleep(NAMED_CHECK_S)
+
+
 async def unlist_others(
     leader: states.Leader, items: list[stores.Item]
 ) -> None:
     """Note which workers a whole reading of the entries lacks."""
     listed = {item.key.removeprefix(executors.PREFIX) for item in items}
+    entries_.keep_only(leader.entries, listed)
     for name, worker in leader.workers.items():
         if worker.listed and name not in listed:
             worker.listed = False
