--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -21,6 +21,9 @@
 ASK_S = 0.7
 """Time between two questions for a job's state."""
 
+TIMES = ('repeat_count', 'start_time_ms', 'interval_ms')
+"""Fields of a job that runs at times of its own."""
+
 
 @dataclasses.dataclass
 class Callers:
@@ -80,8 +83,9 @@
     cancel_after_s: float | None = None,
 ) -> None:
     """Hand a job in and follow it to its end."""
-    callers.world.jobs[job] = spec
+    callers.world.jobs[job] = {**spec, 'service': prefix.strip('/')}
     sent = {
+        **{key: spec[key] for key in TIMES if key in spec},
         'spec': job,
         'phases': [
             {key: value for key, value in step.items() if key != 'poison'}
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -3,6 +3,7 @@
 import collections
 
 from emulator import evidence as evidences
+from emulator import feature_rules
 
 Kind = evidences.Kind
 
@@ -25,8 +26,12 @@
     max_attempts: int,
     most_down: dict[int, int],
     maintenance_s: float,
+    troubled: feature_rules.Spans = (),
 ) -> list[str]:
-    """Give all breaches, as sentences."""
+    """Give all breaches, as sentences.
+
+    :param troubled: spans with a trouble
+    """
     return [
         *_twice(evidence, jobs),
         *_order(evidence, jobs),
@@ -37,6 +42,7 @@
         *_maintained(evidence, most_down, maintenance_s),
         *_away(evidence, jobs),
         *_turns(evidence),
+        *feature_rules.check(evidence, jobs, troubled),
     ]
 
 
@@ -58,10 +64,11 @@
                     f'TWICE at {sight.at_s:.2f}: {sight.task} runs on '
                     f'{others} and {sight.place}'
                 )
-            if sight.task in noted:
+            whole = _unit(jobs, sight.task)
+            if whole in noted:
                 yield (
                     f'TWICE at {sight.at_s:.2f}: {sight.task} was done at '
-                    f'{noted[sight.task]:.2f}'
+                    f'{noted[whole]:.2f}'
                 )
             open_runs[sight.task][sight.place] = sight
         elif sight.kind is Kind.ENDED:
@@ -70,12 +77,11 @@
             for places in open_runs.values():
                 places.pop(sight.place, None)
         elif sight.kind is Kind.NOTED and sight.how == 'done':
-            noted.setdefault(sight.task, sight.at_s)
+            noted.setdefault(_unit(jobs, sight.task), sight.at_s)
 
 
-def _step(jobs, task):
-    job, _occurrence, step, _index = task.split('.')
-    return jobs[job]['phases'][int(step)]
+_step = feature_rules.step_of
+_unit = feature_rules.unit
 
 
 def _order(evidence, jobs):
@@ -86,9 +92,11 @@
             done.add(sight.task)
         if sight.kind is not Kind.STARTED:
             continue
+        occurrence = sight.task.split('.')[1]
         for other in _step(jobs, sight.task).get('after', ()):
             count = jobs[sight.job]['phases'][other]['count']
-            names = {f'{sight.job}.0.{other}.{i}' for i in range(count)}
+            group = f'{sight.job}.{occurrence}.{other}'
+            names = {f'{group}.{index}' for index in range(count)}
             if names - done:
                 yield f'ORDER at {sight.at_s:.2f}: {sight.task} is early'
 
@@ -98,10 +106,13 @@
     failed = collections.defaultdict(set)
     for sight in evidence.sights:
         if sight.kind is Kind.NOTED and sight.how == 'failed':
-            failed[sight.task].add((sight.place, sight.attempt))
+            whole = _unit(jobs, sight.task)
+            # The members of a gang fail as one.
+            place = sight.place if whole == sight.task else ''
+            failed[whole].add((place, sight.attempt))
         if (
             sight.kind is Kind.STARTED
-            and len(failed[sight.task]) >= max_attempts
+            and len(failed[_unit(jobs, sight.task)]) >= max_attempts
             and not _step(jobs, sight.task).get('long_running')
         ):
             yield f'BUDGET at {sight.at_s:.2f}: {sight.task}'
@@ -110,7 +121,7 @@
 def _shown(evidence, jobs, max_attempts):
     """What callers are told is true, and an accepted job stays known."""
     done = set()
-    failed = collections.Counter()
+    failed = collections.defaultdict(set)
     accepted = set()
     cancelled = set()
     for sight in evidence.sights:
@@ -118,7 +129,9 @@
             if sight.how == 'done':
                 done.add(sight.task)
             elif sight.how == 'failed':
-                failed[sight.task] += 1
+                whole = _unit(jobs, sight.task)
+                place = sight.place if whole == sight.task else ''
+                failed[whole].add((place, sight.attempt))
         elif sight.kind is Kind.HANDED_IN and sight.how == '200':
             accepted.add(sight.job)
         elif sight.kind is Kind.CANCELLED:
@@ -132,7 +145,8 @@
 def _shown_once(sight, jobs, done, failed, accepted, cancelled, max_attempts):
     job = sight.job
     names = {
-        f'{job}.0.{number}.{index}'
+        f'{job}.{occurrence}.{number}.{index}'
+        for occurrence in range(max(1, jobs[job].get('repeat_count', 0)))
         for number, step in enumerate(jobs[job]['phases'])
         for index in range(step['count'])
     }
@@ -140,7 +154,7 @@
     if sight.how == 'completed' and names - done:
         yield f'MIXED {where} is shown as completed'
     if sight.how == 'failed' and not any(
-        failed[name] >= max_attempts for name in names
+        len(failed[_unit(jobs, name)]) >= max_attempts for name in names
     ):
         yield f'LOST {where} is shown as failed without cause'
     if sight.how == 'cancelled' and job not in cancelled:
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -1,8 +1,10 @@
 """One emulated day: servers, machines, callers, troubles, and the verdict."""
 
+import collections
 import collections.abc
 import dataclasses
 import json
+import math
 import random
 
 import curio
@@ -11,6 +13,7 @@
 from emulator import checker
 from emulator import evidence as evidences
 from emulator import executors
+from emulator import features as features_
 from emulator import fleet as fleets
 from emulator import network as networks
 from emulator import servers
@@ -37,6 +40,7 @@
 
     :ivar jobs_per_s: of all queues together, in the mean
     :ivar turn_s: time of one queue's turn; 0: both ask alike
+    :ivar features: what its jobs ask for beyond plain tasks
     """
 
     seed: int
@@ -51,6 +55,7 @@
     troubles: tuple[troubles_.Trouble, ...] = ()
     lead_s: float = LEAD_S
     finish_s: float = FINISH_S
+    features: tuple[features_.Feature, ...] = ()
 
 
 @dataclasses.dataclass
@@ -59,6 +64,7 @@
 
     :ivar unfinished: accepted jobs that weren't shown as ended in time
     :ivar waits_s: time from handing in until shown as ended, by job
+    :ivar met: starts that met each feature
     """
 
     breaches: list[str]
@@ -69,6 +75,8 @@
     starts: int
     store_calls: int
     evidence: evidences.Evidence
+    jobs: dict[str, dict]
+    met: collections.Counter
 
 
 def play(
@@ -103,7 +111,9 @@
     )
     with networks.installed(network):
         await curio.spawn(stores.run_leases, store, daemon=True)
-        await stores.put(store, 'op/config', configuration(plan.pools))
+        await stores.put(
+            store, 'op/config', configuration(plan.pools, plan.features)
+        )
         await build_fleet(fleet, plan)
         for process in processes:
             await servers.start(network, process)
@@ -120,7 +130,11 @@
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
         await hand_in_jobs(callers, plan, rng)
         await curio.sleep(plan.finish_s)
-    return judge(callers, fleet, store)
+    troubled = [
+        (plan.lead_s + row.at_s, plan.lead_s + row.at_s + 2 * row.for_s)
+        for row in plan.troubles
+    ]
+    return judge(callers, fleet, store, troubled)
 
 
 async def _strike_processes(
@@ -137,9 +151,15 @@
 
 
 def judge(
-    callers: callers_.Callers, fleet: fleets.Fleet, store: stores.Store
+    callers: callers_.Callers,
+    fleet: fleets.Fleet,
+    store: stores.Store,
+    troubled: collections.abc.Collection[tuple[float, float]] | None = None,
 ) -> Result:
-    """Judge what was seen."""
+    """Judge what was seen.
+
+    :param troubled: spans with a trouble; None: all the time
+    """
     world = callers.world
     evidence = world.evidence
     lasting = {
@@ -156,6 +176,7 @@
         MAX_ATTEMPTS,
         {number: wave['max_count'] for number, wave in fleet.waves.items()},
         fleets.MAINTENANCE_S,
+        [(-math.inf, math.inf)] if troubled is None else troubled,
     )
     return Result(
         breaches=breaches,
@@ -168,11 +189,15 @@
         ),
         store_calls=store.calls,
         evidence=evidence,
+        jobs=world.jobs,
+        met=features_.met(evidence, world.jobs),
     )
 
 
-def configuration(pools: tuple[str, ...] = POOLS) -> bytes:
-    """Give the operator's configuration of all days."""
+def configuration(
+    pools: tuple[str, ...] = POOLS, features: features_.Features = ()
+) -> bytes:
+    """Give the operator's configuration of a day."""
     routes = [
         {
             'name': f'queue-{pool}',
@@ -192,7 +217,7 @@
     services = [
         {
             'name': name,
-            'admission_check': True,
+            'admission_check': features_.Feature.UNGUARDED not in features,
             'standby': name == fleets.STANDBY,
         }
         for name in names
@@ -216,6 +241,10 @@
     address_of: collections.abc.Callable[[int], str] = _machine_address,
 ) -> None:
     """Start the machines of a day, and what runs on them."""
+    fleet.guarded = features_.Feature.UNGUARDED not in plan.features
+    kinds = ('a',)
+    if features_.Feature.LABELS in plan.features:
+        kinds = features_.KINDS
     rows = [(pool, plan.machines_a_pool) for pool in plan.pools]
     rows.append((fleets.STANDBY, plan.machines_on_standby))
     number = 0
@@ -223,7 +252,11 @@
         for _ in range(count):
             number += 1
             machine = fleets.Machine(
-                f'm{number}', pool, address_of(number), f'r{number % 3}'
+                f'm{number}',
+                pool,
+                address_of(number),
+                f'r{number % 3}',
+                kind=kinds[number % len(kinds)],
             )
             fleet.machines[machine.name] = machine
             await fleets.begin_life(fleet, machine)
@@ -246,7 +279,8 @@
             turn = int(elapsed_s / plan.turn_s)
             pool = plan.pools[turn % len(plan.pools)]
         cancel_s = rng.uniform(0.0, 2.0) if rng.random() < 0.1 else None
-        await _hand_in(callers, pool, rng, _spec(rng), cancel_s)
+        spec = features_.adorn(rng, plan.features, _spec(rng))
+        await _hand_in(callers, pool, rng, spec, cancel_s)
 
 
 async def _hand_in(callers, pool, rng, spec, cancel_s) -> None:
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -30,6 +30,8 @@
 
     MAINTAINED = 'maintained'
     DRAINING = 'draining'
+    SAVED = 'saved'
+    """A run saved its progress; ``saved`` is the value."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     """One thing that was seen.
 
     :ivar by: the process whose order or answer it was
+    :ivar saved: the value that a start carried, or that a run saved
     """
 
     at_s: float
@@ -47,13 +50,32 @@
     place: str = ''
     how: str = ''
     by: str = ''
+    saved: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """One life of an executor, as it was built.
+
+    :ivar guards: it rejects what doesn't fit
+    """
+
+    service: str
+    labels: tuple[str, ...]
+    cpu: int
+    memory_mb: int
+    guards: bool = True
 
 
 @dataclasses.dataclass
 class Evidence:
-    """All that was seen, in order of time."""
+    """All that was seen, in order of time.
+
+    :ivar places: the executors, by name
+    """
 
     sights: list[Sight] = dataclasses.field(default_factory=list)
+    places: dict[str, Place] = dataclasses.field(default_factory=dict)
 
 
 def note(evidence: Evidence, at_s: float, kind: Kind, **fields) -> None:
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -6,7 +6,9 @@
 
 import curio
 
+from emulator import checkpoints
 from emulator import evidence as evidences
+from emulator import gangs
 from emulator import store as stores
 from emulator import virtual
 from oleanderwood import clock
@@ -24,10 +26,20 @@
 STARTUP_S = 0.4
 """Time until a task that lasts is at work."""
 
+REMOTE_FACTOR = 3.0
+"""How many times longer a task takes away from its data, or a gang that has
+to stay in one rack in several."""
+
 
 @dataclasses.dataclass(eq=False)
 class Running:
-    """One run."""
+    """One run.
+
+    :ivar begun_s: when it would have begun if it had always worked at full
+        speed
+    :ivar came_s: when it was started
+    :ivar saved: the value of its last saved work
+    """
 
     task: str
     attempt: int
@@ -36,7 +48,10 @@
     lasts: bool
     length_s: float
     fails: bool
+    came_s: float = 0.0
     stopped_s: float | None = None
+    saved: str = ''
+    gang: gangs.Gang | None = None
 
 
 @dataclasses.dataclass(eq=False)
@@ -47,6 +62,8 @@
     :ivar dark: it runs, but nobody hears it
     :ivar grey: part of its runs that fail
     :ivar slow_factor: how many times slower than others it works
+    :ivar kind: of its machine
+    :ivar guards: it rejects what doesn't fit
     """
 
     name: str
@@ -62,6 +79,8 @@
     dark: bool = False
     grey: float = 0.0
     slow_factor: float = 1.0
+    kind: str = 'a'
+    guards: bool = True
     draining: bool = False
     fence: int = 0
     deadline_ms: float = 0.0
@@ -79,12 +98,14 @@
 
     :ivar jobs: what callers handed in, by id; the executors learn from it
         how long tasks really take
+    :ivar gang_runs: runs of gangs, on all executors
     """
 
     evidence: evidences.Evidence
     store: stores.Store
     rng: random.Random
     jobs: dict[str, dict] = dataclasses.field(default_factory=dict)
+    gang_runs: gangs.Gangs = dataclasses.field(default_factory=dict)
 
 
 def clock_ms(executor: Executor) -> float:
@@ -108,7 +129,7 @@
                 'mem_mb': executor.memory_mb,
                 'gpu': 0,
             },
-            'labels': ['a', executor.rack],
+            'labels': [executor.kind, executor.rack],
             'machine': executor.machine,
             'seq': 1,
         }
@@ -163,10 +184,17 @@
     _extend(executor, asked)
     job, _occurrence, step, _index = name.split('.')
     spec = world.jobs[job]['phases'][int(step)]
-    used = sum(run.spec['cpu'] for run in executor.running.values())
-    if used + spec['cpu'] > executor.cores * 1000:
+    if executor.guards and not _fits(executor, spec):
         return _answer(executor, 409, reason='room')
-    executor.running[name] = _run(world, executor, name, attempt, spec)
+    checkpoint = asked.get('checkpoint', '')
+    run = _run(world, executor, name, attempt, spec)
+    if checkpoint:
+        worked_s = checkpoints.worked_s(name, spec, checkpoint)
+        run.begun_s += checkpoints.RESTORE_S - worked_s
+        run.saved = checkpoint
+    if spec.get('gang'):
+        run.gang = gangs.join(world.gang_runs, executor, run, checkpoint)
+    executor.running[name] = run
     evidences.note(
         world.evidence,
         clock.now_s(),
@@ -176,18 +204,30 @@
         attempt=attempt,
         place=executor.name,
         by=source,
+        saved=checkpoint,
     )
     return _answer(executor, 200)
 
 
+def _fits(executor, spec) -> bool:
+    runs = executor.running.values()
+    cpu = sum(run.spec['cpu'] for run in runs)
+    memory_mb = sum(run.spec['mem_mb'] for run in runs)
+    return (
+        cpu + spec['cpu'] <= executor.cores * 1000
+        and memory_mb + spec['mem_mb'] <= executor.memory_mb
+    )
+
+
 def _run(world, executor, name, attempt, spec) -> Running:
-    rng = random.Random(name)
+    rng = random.Random(checkpoints.unit(name, spec))
     length_s = spec['estimate_ms'] / 1000 * rng.uniform(0.7, 1.6)
     fails = spec.get('poison', False) or world.rng.random() < max(
         0.01, executor.grey
     )
     lasts = spec.get('long_running', False)
-    return Running(name, attempt, spec, clock.now_s(), lasts, length_s, fails)
+    now_s = clock.now_s()
+    return Running(name, attempt, spec, now_s, lasts, length_s, fails, now_s)
 
 
 def _stop(world, executor, asked):
@@ -211,7 +251,13 @@
             await virtual.forever()
     now_s = clock.now_s()
     rows = [
-        [run.task, run.attempt, '', _percent(run, now_s), run.spec['cpu']]
+        [
+            run.task,
+            run.attempt,
+            run.saved,
+            _percent(run, now_s),
+            run.spec['cpu'],
+        ]
         for run in executor.running.values()
     ]
     return _answer(executor, 200, running=rows, finished=executor.ended[:500])
@@ -220,7 +266,7 @@
 def _percent(run, now_s) -> float:
     if run.lasts:
         return min(100.0, (now_s - run.begun_s) / STARTUP_S * 100)
-    return min(99.0, (now_s - run.begun_s) / run.length_s * 100)
+    return max(0.0, min(99.0, (now_s - run.begun_s) / run.length_s * 100))
 
 
 def _note(world, executor, last_seen) -> None:
@@ -243,7 +289,7 @@
     del executor.running[run.task]
     executor.over[run.task] = max(executor.over.get(run.task, 0), run.attempt)
     executor.number += 1
-    row = [executor.number, run.task, run.attempt, how, '']
+    row = [executor.number, run.task, run.attempt, how, run.saved]
     executor.ended.append(row)
     evidences.note(
         world.evidence,
@@ -266,11 +312,48 @@
         now_s = clock.now_s()
         lapsed = clock_ms(executor) > executor.deadline_ms
         for run in list(executor.running.values()):
+            if executor.running.get(run.task) is not run:
+                # It ended with the rest of its gang.
+                continue
             # What a slow one doesn't do in a tick, it does later.
-            run.begun_s += TICK_S * (1 - 1 / executor.slow_factor)
+            run.begun_s += TICK_S * (1 - _speed(executor, run))
             how = _how(run, now_s, lapsed)
+            if run.spec.get('checkpointing'):
+                _save(world, executor, run, now_s, how == 'stopped')
             if how:
-                await _end(world, executor, run, how)
+                await _finish(world, executor, run, how)
+
+
+def _speed(executor, run) -> float:
+    """Give the share of full speed at which a run works."""
+    factor = executor.slow_factor
+    near = run.spec.get('affinity')
+    if near and near != executor.rack:
+        factor *= REMOTE_FACTOR
+    if run.gang is not None:
+        if not run.gang.whole:
+            return 0.0
+        if gangs.is_remote(run.gang, run):
+            factor *= REMOTE_FACTOR
+    return 1 / factor
+
+
+def _save(world, executor, run, now_s, stopped) -> None:
+    """Save a run's work, each time that it has done some more."""
+    worked_s = now_s - run.begun_s
+    before_s = checkpoints.worked_s(run.task, run.spec, run.saved)
+    if worked_s < before_s + (0.001 if stopped else checkpoints.INTERVAL_S):
+        return
+    run.saved = checkpoints.value(run.task, run.spec, worked_s)
+    evidences.note(
+        world.evidence,
+        now_s,
+        evidences.Kind.SAVED,
+        task=run.task,
+        attempt=run.attempt,
+        place=executor.name,
+        saved=run.saved,
+    )
 
 
 def _how(run, now_s, lapsed) -> str:
@@ -278,14 +361,55 @@
         return 'stopped'
     if lapsed:
         return 'lapsed'
+    if run.gang is not None:
+        return _how_gang(run, now_s)
     if not run.lasts and now_s - run.begun_s >= run.length_s:
         return 'failed' if run.fails else 'done'
     return ''
 
 
+def _how_gang(run, now_s) -> str:
+    gang = run.gang
+    if gang.broken:
+        return 'broken'
+    if not gang.whole:
+        late = now_s - run.came_s >= gangs.GANG_TIMEOUT_S
+        return 'alone' if late else ''
+    if all(
+        now_s - other.begun_s >= other.length_s
+        for _place, other in gang.members.values()
+    ):
+        return 'done'
+    return ''
+
+
+async def _finish(world, executor, run, how) -> None:
+    """End a run; those of a gang that has done its work end together."""
+    gang = run.gang
+    if gang is None:
+        await _end(world, executor, run, how)
+        return
+    if how != 'done':
+        gangs.leave(gang, run.task)
+        await _end(world, executor, run, how)
+        return
+    members = list(gang.members.values())
+    gang.members.clear()
+    failing = [other for _place, other in members if other.fails]
+    bad = world.rng.choice(failing) if failing else None
+    for place, other in members:
+        how = 'done'
+        if bad is not None:
+            how = 'failed' if other is bad else 'broken'
+        await _end(world, place, other, how)
+
+
 def die(world: World, executor: Executor, how: str) -> None:
     """End an executor's life and all that runs there."""
     executor.up = False
+    for run in executor.running.values():
+        if run.gang is not None:
+            gangs.leave(run.gang, run.task)
     executor.running.clear()
     evidences.note(
         world.evidence,
--- /dev/null
+++ b/emulator/feature_rules.py
@@ -0,0 +1,147 @@
+"""The rules on what few jobs ask for, checked from what was seen outside."""
+
+import collections
+import collections.abc
+
+from emulator import evidence as evidences
+
+Kind = evidences.Kind
+
+EARLY_S = 0.25
+"""How much before its time a task may start."""
+
+CONTACT_S = 3.0
+"""Time after a trouble until things count as calm again."""
+
+WALL_S = 1_700_000_000.0
+"""Time of day at which a day begins, since 1970."""
+
+Spans = collections.abc.Collection[tuple[float, float]]
+
+
+def step_of(jobs: dict[str, dict], task: str) -> dict:
+    """Give the step of a task, as it was handed in."""
+    job, _occurrence, step, _index = task.split('.')
+    return jobs[job]['phases'][int(step)]
+
+
+def unit(jobs: dict[str, dict], task: str) -> str:
+    """Give what ends and fails as one: a gang, or else a task."""
+    if step_of(jobs, task).get('gang'):
+        return task.rpartition('.')[0]
+    return task
+
+
+def check(
+    evidence: evidences.Evidence, jobs: dict[str, dict], troubled: Spans
+) -> list[str]:
+    """Give all breaches, as sentences."""
+    return [
+        *_routed(evidence, jobs),
+        *_fitting(evidence, jobs),
+        *_timely(evidence, jobs),
+        *_alone(evidence, jobs, troubled),
+        *_saved(evidence, jobs),
+    ]
+
+
+def _is_calm(at_s: float, troubled: Spans) -> bool:
+    return all(
+        not begin_s <= at_s <= end_s + CONTACT_S for begin_s, end_s in troubled
+    )
+
+
+def _running(evidence):
+    """Give each start with the tasks that run on its executor before it."""
+    there = collections.defaultdict(set)
+    for sight in evidence.sights:
+        if sight.kind is Kind.STARTED:
+            yield sight, there[sight.place]
+            there[sight.place].add(sight.task)
+        elif sight.kind is Kind.ENDED:
+            there[sight.place].discard(sight.task)
+        elif sight.kind is Kind.DIED:
+            there.pop(sight.place, None)
+
+
+def _routed(evidence, jobs):
+    """Each start is on an executor that its queue and its step allow."""
+    for sight, there in _running(evidence):
+        place = evidence.places.get(sight.place)
+        step = step_of(jobs, sight.task)
+        where = f'ROUTE at {sight.at_s:.2f}: {sight.task} on {sight.place}'
+        service = jobs[sight.job].get('service')
+        if place is not None and service not in (None, place.service):
+            yield f'{where}, of {place.service}'
+        label = step.get('required_label')
+        if place is not None and label and label not in place.labels:
+            yield f'{where}, without {label}'
+        most = step.get('max_per_server')
+        group = sight.task.rpartition('.')[0]
+        here = sum(task.rpartition('.')[0] == group for task in there)
+        if most and here >= most:
+            yield f'{where}, beside {here} of its step'
+
+
+def _fitting(evidence, jobs):
+    """No start brings an executor that doesn't guard itself over its size."""
+    for sight, there in _running(evidence):
+        place = evidence.places.get(sight.place)
+        if place is None or place.guards:
+            continue
+        steps = [step_of(jobs, task) for task in {*there, sight.task}]
+        cpu = sum(
+            step.get('cpu', 0) for step in steps if not step.get('fills')
+        )
+        memory_mb = sum(step.get('mem_mb', 0) for step in steps)
+        if cpu > place.cpu or memory_mb > place.memory_mb:
+            yield (
+                f'LIMIT at {sight.at_s:.2f}: {sight.task} brings '
+                f'{sight.place} to {cpu} and {memory_mb} MB'
+            )
+
+
+def _timely(evidence, jobs):
+    """No task of a repetition starts long before its time."""
+    for sight in evidence.sights:
+        if sight.kind is not Kind.STARTED:
+            continue
+        spec = jobs[sight.job]
+        if not spec.get('repeat_count'):
+            continue
+        number = int(sight.task.split('.')[1])
+        due_ms = spec['start_time_ms'] + number * spec['interval_ms']
+        early_s = due_ms / 1000 - WALL_S - sight.at_s
+        if early_s > EARLY_S:
+            yield (
+                f'ORDER at {sight.at_s:.2f}: {sight.task} is '
+                f'{early_s:.2f} s before its time'
+            )
+
+
+def _alone(evidence, jobs, troubled):
+    """While all is calm, no task waits in vain for the rest of its gang."""
+    cancelled = set()
+    for sight in evidence.sights:
+        if sight.kind is Kind.CANCELLED:
+            cancelled.add(sight.job)
+        elif sight.kind is Kind.ENDED and sight.how == 'alone':
+            if sight.job not in cancelled and _is_calm(sight.at_s, troubled):
+                yield f'GANG at {sight.at_s:.2f}: {sight.task} was alone'
+
+
+def _saved(evidence, jobs):
+    """Starts carry only what their task saved, and a gang's all the same."""
+    saved = collections.defaultdict(set)
+    carried = {}
+    for sight in evidence.sights:
+        if sight.kind is Kind.SAVED:
+            saved[unit(jobs, sight.task)].add(sight.saved)
+        if sight.kind is not Kind.STARTED:
+            continue
+        whose = unit(jobs, sight.task)
+        if sight.saved and sight.saved not in saved[whose]:
+            yield f'UNASKED at {sight.at_s:.2f}: {sight.task} goes on wrongly'
+        first = carried.setdefault((whose, sight.attempt), sight.saved)
+        if whose != sight.task and first != sight.saved:
+            yield f'UNASKED at {sight.at_s:.2f}: {sight.task} unlike its gang'
--- /dev/null
+++ b/emulator/features.py
@@ -0,0 +1,129 @@
+"""What jobs and pools may ask for beyond plain tasks, drawn for a day."""
+
+import collections
+import collections.abc
+import enum
+import random
+
+from emulator import evidence as evidences
+from oleanderwood import clock
+
+
+class Feature(enum.Enum):
+    """One thing that few days ask for."""
+
+    GANGS = 'gangs'
+    UNGUARDED = 'unguarded'
+    """Executors start whatever they are told to."""
+
+    REPEATS = 'repeats'
+    LABELS = 'labels'
+    RACKS = 'racks'
+    SPREAD = 'spread'
+    """At most so many tasks of a step on one executor."""
+
+    COPIES = 'copies'
+    CHECKPOINTS = 'checkpoints'
+
+
+KINDS = ('a', 'b')
+"""Kinds of machines on days that ask for labels."""
+
+RACKS = ('r0', 'r1', 'r2')
+
+SHARE = 0.5
+"""Part of the jobs that ask for a feature of the day."""
+
+Features = collections.abc.Collection[Feature]
+
+
+def adorn(rng: random.Random, features: Features, spec: dict) -> dict:
+    """Let a drawn job ask for some of a day's features."""
+    for feature in Feature:
+        if feature in features and feature in _ADORN:
+            if rng.random() < SHARE:
+                _ADORN[feature](rng, spec)
+    return spec
+
+
+def _gang(rng, spec) -> None:
+    step = rng.choice(spec['phases'])
+    step['gang'] = True
+    step['count'] = max(2, step['count'])
+    step['same_rack'] = rng.random() < 0.5
+
+
+def _large(rng, spec) -> None:
+    for step in spec['phases']:
+        step['mem_mb'] = rng.randint(1000, 16000)
+
+
+def _repeats(rng, spec) -> None:
+    spec['repeat_count'] = rng.randint(2, 4)
+    spec['start_time_ms'] = int(clock.wall_ms()) + rng.randint(500, 3000)
+    spec['interval_ms'] = rng.randint(500, 2500)
+
+
+def _label(rng, spec) -> None:
+    rng.choice(spec['phases'])['required_label'] = rng.choice(KINDS)
+
+
+def _rack(rng, spec) -> None:
+    rng.choice(spec['phases'])['affinity'] = rng.choice(RACKS)
+
+
+def _spread(rng, spec) -> None:
+    step = rng.choice(spec['phases'])
+    # Without more of them than a few machines take, no job waits for good.
+    step['max_per_server'] = rng.randint(1, 2)
+
+
+def _copies(rng, spec) -> None:
+    rng.choice(spec['phases'])['speculative'] = True
+
+
+def _checkpoints(rng, spec) -> None:
+    for step in spec['phases']:
+        step['checkpointing'] = True
+
+
+_ADORN = {
+    Feature.GANGS: _gang,
+    Feature.UNGUARDED: _large,
+    Feature.REPEATS: _repeats,
+    Feature.LABELS: _label,
+    Feature.RACKS: _rack,
+    Feature.SPREAD: _spread,
+    Feature.COPIES: _copies,
+    Feature.CHECKPOINTS: _checkpoints,
+}
+
+_FIELDS = {
+    Feature.GANGS: 'gang',
+    Feature.LABELS: 'required_label',
+    Feature.RACKS: 'affinity',
+    Feature.SPREAD: 'max_per_server',
+    Feature.COPIES: 'speculative',
+    Feature.CHECKPOINTS: 'checkpointing',
+}
+"""The field of a step that asks for a feature."""
+
+
+def met(
+    evidence: evidences.Evidence, jobs: dict[str, dict]
+) -> collections.Counter:
+    """Count the starts that met each feature."""
+    count: collections.Counter = collections.Counter()
+    for sight in evidence.sights:
+        if sight.kind is not evidences.Kind.STARTED:
+            continue
+        spec = jobs.get(sight.job)
+        if spec is None:
+            continue
+        step = spec['phases'][int(sight.task.split('.')[2])]
+        for feature, field in _FIELDS.items():
+            count[feature] += bool(step.get(field))
+        count[Feature.REPEATS] += bool(spec.get('repeat_count'))
+        place = evidence.places.get(sight.place)
+        count[Feature.UNGUARDED] += place is not None and not place.guards
+    return count
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -22,6 +22,7 @@
 class Machine:
     """One machine.
 
+    :ivar kind: told as a label
     :ivar executor: None while it is off, down or on its way
     :ivar waves: waves whose maintenance it has had
     """
@@ -34,11 +35,15 @@
     executor: executors.Executor | None = None
     waves: set[int] = dataclasses.field(default_factory=set)
     lives: int = 0
+    kind: str = 'a'
 
 
 @dataclasses.dataclass
 class Fleet:
-    """All machines."""
+    """All machines.
+
+    :ivar guarded: executors reject what doesn't fit
+    """
 
     world: executors.World
     network: networks.Network
@@ -46,6 +51,7 @@
     waves: dict[int, dict] = dataclasses.field(default_factory=dict)
     cores: int = 16
     memory_mb: int = 65536
+    guarded: bool = True
 
 
 async def begin_life(fleet: Fleet, machine: Machine) -> None:
@@ -65,8 +71,17 @@
         machine.rack,
         rng.uniform(0.0, 1000.0),
         rng.uniform(0.98, 1.0),
+        kind=machine.kind,
+        guards=fleet.guarded,
     )
     machine.executor = executor
+    fleet.world.evidence.places[executor.name] = evidences.Place(
+        machine.pool,
+        (machine.kind, machine.rack),
+        fleet.cores * 1000,
+        fleet.memory_mb,
+        fleet.guarded,
+    )
     handler = executors.make_handler(fleet.world, executor)
     fleet.network.handlers[machine.address] = handler
     await virtual.spawn_in_world(executors.live, fleet.world, executor)
@@ -179,7 +194,7 @@
             'pool': machine.pool,
             'state': machine.state,
             'zone': 'zone-a',
-            'labels': ['a', machine.rack],
+            'labels': [machine.kind, machine.rack],
             'capacity': {
                 'cpu': fleet.cores * 1000,
                 'mem_mb': fleet.memory_mb,
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -13,28 +13,53 @@
     'b' * 16: {'phases': [{'count': 2, 'long_running': True, 'may_miss': 1}]},
     # Nobody hands this one in.
     'c' * 16: {'phases': [{'count': 1}]},
+    'd' * 16: {'phases': [{'count': 2, 'gang': True}]},
+    'e' * 16: {
+        'phases': [
+            {'count': 3, 'cpu': 3000, 'mem_mb': 100, 'max_per_server': 2},
+            {'count': 2, 'cpu': 1000, 'mem_mb': 900, 'required_label': 'b'},
+        ],
+        'service': 'drafts',
+    },
+    'f' * 16: {
+        'phases': [{'count': 1}, {'count': 1, 'after': [0]}],
+        'repeat_count': 2,
+        'start_time_ms': 1_700_000_005_000,
+        'interval_ms': 10_000,
+    },
 }
 LASTING = ['b' * 16 + f'.0.0.{index}' for index in range(2)]
 
+GANG = ['d' * 16 + f'.0.0.{index}' for index in range(2)]
+LARGE = 'e' * 16 + '.0.0.'
+LABELLED = 'e' * 16 + '.0.1.'
+FIRST, SECOND = ('f' * 16 + f'.{occurrence}.0.0' for occurrence in range(2))
+PLACES = {
+    'w1': evidences.Place('drafts', ('a', 'r1'), 8000, 1500, False),
+    'w2': evidences.Place('finals', ('b', 'r2'), 8000, 1500, False),
+    'w3': evidences.Place('drafts', ('b', 'r1'), 8000, 1500, True),
+}
+
 HANDED_IN = [
     (0.0, Kind.HANDED_IN, {'job': job, 'how': how})
-    for job in list(JOBS)[:2]
+    for job in JOBS
+    if job != 'c' * 16
     for how in ('sent', '200')
 ]
 
 
-def _check(*rows):
-    evidence = evidences.Evidence()
+def _check(*rows, troubled=()):
+    evidence = evidences.Evidence(places=PLACES)
     for at_s, kind, fields in [*HANDED_IN, *rows]:
         fields = {**fields}
         if 'task' in fields:
             fields.setdefault('job', fields['task'].partition('.')[0])
         evidences.note(evidence, at_s, kind, **fields)
-    return checker.check(evidence, JOBS, 2, {1: 1}, 2.0)
+    return checker.check(evidence, JOBS, 2, {1: 1}, 2.0, troubled)
 
 
-def _start(at_s, place, task=TASK, attempt=1):
-    fields = {'task': task, 'attempt': attempt, 'place': place}
+def _start(at_s, place, task=TASK, attempt=1, saved=''):
+    fields = {'task': task, 'attempt': attempt, 'place': place, 'saved': saved}
     return at_s, Kind.STARTED, fields
 
 
@@ -43,13 +68,17 @@
     return at_s, Kind.ENDED, fields
 
 
-def _noted(at_s, place, how='done', attempt=1):
-    fields = {'task': TASK, 'attempt': attempt, 'place': place, 'how': how}
+def _noted(at_s, place, how='done', attempt=1, task=TASK):
+    fields = {'task': task, 'attempt': attempt, 'place': place, 'how': how}
     return at_s, Kind.NOTED, fields
 
 
-def _shown(at_s, how):
-    return at_s, Kind.SHOWN, {'job': JOB, 'how': how}
+def _saved(at_s, saved, task=TASK):
+    return at_s, Kind.SAVED, {'task': task, 'saved': saved}
+
+
+def _shown(at_s, how, job=JOB):
+    return at_s, Kind.SHOWN, {'job': job, 'how': how}
 
 
 def _ordered(at_s, by, term):
@@ -121,6 +150,89 @@
             (5.0, Kind.DIED, {'place': 'w1', 'how': 'order'}),
         ],
     ),
+    'a gang that waits in vain': (
+        'GANG',
+        [_start(1, 'w1', task=GANG[0]), _end(4, 'w1', 'alone', GANG[0])],
+    ),
+    'a member again after the end of another': (
+        'TWICE',
+        [
+            _start(1, 'w1', task=GANG[0]),
+            _start(1, 'w2', task=GANG[1]),
+            _end(2, 'w1', task=GANG[0]),
+            _noted(2, 'w1', task=GANG[0]),
+            (3.0, Kind.DIED, {'place': 'w2', 'how': 'crash'}),
+            _start(4, 'w1', task=GANG[1], attempt=2),
+        ],
+    ),
+    'a gang that has failed too often': (
+        'BUDGET',
+        [
+            _noted(1, 'w1', 'failed', 1, GANG[0]),
+            _noted(2, 'w2', 'failed', 2, GANG[1]),
+            _start(3, 'w1', task=GANG[0], attempt=3),
+        ],
+    ),
+    'a gang that failed once, in two members': (
+        'LOST',
+        [
+            _end(1, 'w1', 'failed', GANG[0]),
+            _end(1, 'w2', 'failed', GANG[1]),
+            _shown(2, 'failed', 'd' * 16),
+        ],
+    ),
+    'a gang that goes on from two places': (
+        'UNASKED',
+        [
+            _saved(1, 'x', GANG[0]),
+            _saved(1, 'y', GANG[1]),
+            _start(2, 'w1', task=GANG[0], attempt=2, saved='x'),
+            _start(2, 'w2', task=GANG[1], attempt=2, saved='y'),
+        ],
+    ),
+    'work that another task saved': (
+        'UNASKED',
+        [_saved(1, 'x', f'{JOB}.0.1.0'), _start(2, 'w1', saved='x')],
+    ),
+    'a worker of another pool': (
+        'ROUTE',
+        [_start(1, 'w2', task=LARGE + '0')],
+    ),
+    'a worker without the label': (
+        'ROUTE',
+        [_start(1, 'w1', task=LABELLED + '0')],
+    ),
+    'too many of a step on a worker': (
+        'ROUTE',
+        [_start(1, 'w3', task=LARGE + number) for number in '012'],
+    ),
+    'more cores than there are': (
+        'LIMIT',
+        [_start(1, 'w1', task=LARGE + number) for number in '012'],
+    ),
+    'more memory than there is': (
+        'LIMIT',
+        [_start(1, 'w2', task=LABELLED + number) for number in '01'],
+    ),
+    'a repetition before its time': (
+        'ORDER',
+        [_start(5.1, 'w1', task=FIRST), _start(14.7, 'w1', task=SECOND)],
+    ),
+    'a step that only an earlier repetition may begin': (
+        'ORDER',
+        [
+            _start(15.1, 'w1', task=FIRST),
+            _end(15.9, 'w1', task=FIRST),
+            _start(16.0, 'w1', task='f' * 16 + '.1.1.0'),
+        ],
+    ),
+    'completed without its last repetition': (
+        'MIXED',
+        [
+            *(_end(1, 'w1', task=f'{"f" * 16}.0.{step}.0') for step in (0, 1)),
+            _shown(2, 'completed', 'f' * 16),
+        ],
+    ),
 }
 
 
@@ -154,3 +266,37 @@
         _ordered(9, 's1', 1),
         _ordered(20, 's2', 2),
     )
+
+
+def test_lone_gang_beside_a_trouble_or_a_cancel_is_no_breach():
+    rows = [_start(1, 'w1', task=GANG[0]), _end(4, 'w1', 'alone', GANG[0])]
+    cancelled = (0.9, Kind.CANCELLED, {'job': 'd' * 16, 'how': '200'})
+    assert _check(*rows)
+    assert not _check(*rows, troubled=[(0.0, 1.5)])
+    assert not _check(cancelled, *rows)
+
+
+def test_sound_evidence_of_what_few_ask_for_has_no_breach():
+    assert not _check(
+        _start(1, 'w1', task=GANG[0]),
+        _start(1, 'w2', task=GANG[1]),
+        _saved(1.5, 'x', GANG[0]),
+        _end(2, 'w1', 'failed', GANG[0]),
+        _end(2, 'w2', 'broken', GANG[1]),
+        _noted(2, 'w1', 'failed', 1, GANG[0]),
+        _start(3, 'w2', task=GANG[0], attempt=2, saved='x'),
+        _start(3, 'w1', task=GANG[1], attempt=2, saved='x'),
+        _end(4, 'w2', 'failed', GANG[0], 2),
+        _end(4, 'w1', 'broken', GANG[1], 2),
+        _shown(5, 'failed', 'd' * 16),
+        _start(4.8, 'w1', task=FIRST),
+        _start(6, 'w3', task=LARGE + '0'),
+        _start(6, 'w3', task=LARGE + '1'),
+        _start(7, 'w3', task=LABELLED + '0'),
+        _end(7, 'w3', 'stopped', LARGE + '0'),
+        _start(8, 'w3', task=LARGE + '2'),
+        _start(8, 'w1', task=LARGE + '0', attempt=2),
+        _end(8, 'w1', 'stopped', FIRST),
+        _end(8, 'w3', 'stopped', LARGE + '1'),
+        _start(9, 'w1', task=LARGE + '1', attempt=2),
+    )
