Count the failures of a gang as one

A gang of a job that can't be done was started more often than the queue allows: each time another member was the one that ended as failed, and the ledger counted the failures of each member apart.

A gang's failures are now the different attempts in which any member failed. Attempts are shared by all members, so two that fail in one run count once.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -302,12 +302,21 @@
     _touch(ledger, entry)
     if task.group.step.long_running or task.done or final(entry):
         return True
-    if len(task.failed_attempts) >= max_attempts:
-        entry.cause = f'{task.name} failed {len(task.failed_attempts)} times'
+    failures = _failures(task)
+    if failures >= max_attempts:
+        entry.cause = f'{task.name} failed {failures} times'
         end(ledger, entry, model.State.FAILED, now_s)
     return True
 
 
+def _failures(task: Task) -> int:
+    """Count the failed runs of a task; a gang fails as one."""
+    if not task.group.step.gang:
+        return len(task.failed_attempts)
+    members = task.group.tasks
+    return len(set().union(*(row.failed_attempts for row in members)))
+
+
 def end(
     ledger: Ledger, entry: Entry, state: model.State, now_s: float
 ) -> None:
