Let a gang's members go on from the same saved work

Each member of a gang was started with what it had itself saved last.

What one member saves is now noted for all, and a run keeps the value that it was begun with, so that an end of an earlier run which is listed late can't part the members. All runs of a pass begin before any order is passed on.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -46,6 +46,7 @@
     """A run that may be going on.
 
     :ivar phase_since_s: when the phase began
+    :ivar checkpoint: saved work that it goes on from
     :ivar stop_answered_s: when its worker took the order to stop it
     :ivar at_work_since_s: since when a long-running task works
     """
@@ -55,6 +56,7 @@
     phase: RunPhase
     begun_s: float
     phase_since_s: float
+    checkpoint: str = ''
     stop_answered_s: float | None = None
     at_work_since_s: float | None = None
     percent: float = 0.0
@@ -216,7 +218,9 @@
         raise errors.InvariantBreach(f'task {task.name} must not be started')
     attempt = attempt or next_attempt(ledger, task)
     task.last_attempt = attempt
-    task.run = Run(worker, attempt, RunPhase.ORDERED, now_s, now_s)
+    task.run = Run(
+        worker, attempt, RunPhase.ORDERED, now_s, now_s, task.checkpoint
+    )
     _not_waiting(ledger, task)
     entry = task.group.entry
     if entry.state is model.State.QUEUED:
@@ -260,8 +264,7 @@
     if run is None:
         return
     task.over_attempt = max(task.over_attempt, run.attempt)
-    if checkpoint:
-        task.checkpoint = checkpoint
+    note_checkpoint(task, checkpoint)
     task.away_since_s = now_s
     task.run = None
     if not task.done and not final(task.group.entry):
@@ -269,6 +272,15 @@
         ledger.open_groups[task.group] = None
 
 
+def note_checkpoint(task: Task, checkpoint: str) -> None:
+    """Note what a task has saved; a gang's members go on from the same."""
+    if not checkpoint:
+        return
+    members = task.group.tasks if task.group.step.gang else (task,)
+    for member in members:
+        member.checkpoint = checkpoint
+
+
 def mark_done(ledger: Ledger, task: Task, now_s: float) -> bool:
     """Note that a run of the task ended as done; False if known already.
 
@@ -388,8 +400,7 @@
         run.moved_on_s = now_s
     run.percent = row.percent
     run.latency_or_cpu = row.latency_or_cpu
-    if row.checkpoint:
-        task.checkpoint = row.checkpoint
+    note_checkpoint(task, row.checkpoint)
     if task.group.step.long_running:
         _note_work(task, run, now_s)
 
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -60,7 +60,7 @@
         entry.job.work.text,
         lease_end_ms,
         leader.term,
-        task.checkpoint,
+        run.checkpoint,
         (task.group.tickets or {}).get(worker.entry.worker, ''),
     )
     try:
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -96,6 +96,9 @@
     leader: states.Leader, decided: list[placing.Placement], now_s: float
 ) -> None:
     gangs: dict[ledgers.Group, int] = {}
+    orders = []
+    # All begin before any order is passed on: a gang's members go on from
+    # the same saved work.
     for placement in decided:
         task = placement.task
         attempt = None
@@ -110,4 +113,6 @@
         name = worker.entry.worker
         run = ledgers.begin(leader.ledger, task, name, now_s, attempt)
         worker.runs[task.name] = task
-        await leader.orders[name].put(states.StartOrder(task, run))
+        orders.append((name, states.StartOrder(task, run)))
+    for name, order in orders:
+        await leader.orders[name].put(order)
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -1,16 +1,36 @@
 """Days that ask for more than plain tasks, judged from outside the product."""
 
+import dataclasses
+
 import pytest
 
 from emulator import day
 from emulator import features
+from emulator import troubles
 
 Feature = features.Feature
 
-FOUND = {
-    5: (Feature.GANGS, 'the failures of each member were counted apart'),
-}
-"""Calm days that once broke a rule or left jobs unfinished, and why."""
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """A day that once broke a rule or left jobs unfinished, and why."""
+
+    seed: int
+    features: tuple[Feature, ...]
+    why: str
+    troubles: int = 0
+    jobs_per_s: float = 2.0
+
+
+FOUND = (
+    Found(5, (Feature.GANGS,), 'members failures were counted apart'),
+    Found(
+        22,
+        (Feature.GANGS, Feature.CHECKPOINTS),
+        'members went on from different work',
+        troubles=4,
+    ),
+)
 
 
 def _check(plan: day.Plan) -> day.Result:
@@ -20,7 +40,16 @@
     return result
 
 
-@pytest.mark.parametrize('seed', FOUND)
-def test_calm_day_that_failed_once(seed):
-    feature, _cause = FOUND[seed]
-    _check(day.Plan(seed, features=(feature,)))
+def _plan(seed, wanted, count=0, jobs_per_s=2.0) -> day.Plan:
+    drawn = troubles.draw(seed, 12.0, count, tuple(troubles.Kind))
+    return day.Plan(
+        seed,
+        features=tuple(wanted),
+        troubles=tuple(drawn),
+        jobs_per_s=jobs_per_s,
+    )
+
+
+@pytest.mark.parametrize('row', FOUND, ids=lambda row: row.why)
+def test_day_that_failed_once(row):
+    _check(_plan(row.seed, row.features, row.troubles, row.jobs_per_s))
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -2,6 +2,7 @@
 
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.pools import reports
 from tests import utils_jobs as build
 
 
@@ -29,3 +30,26 @@
     ledgers.mark_failed(ledger, first, 'w1', 1, 2, 1.0)
     ledgers.mark_failed(ledger, second, 'w2', 1, 2, 1.0)
     assert not ledgers.final(first.group.entry)
+
+
+def test_members_go_on_from_the_same_saved_work():
+    # Each member was told what it had saved last itself. Values of one
+    # attempt must be the same, else the members don't work together: each
+    # waited for the others until it ended alone, again and again. Seen on
+    # days with gangs that save their work, seed 22 with four troubles.
+    ledger, (first, second) = _gang(checkpoints=True)
+    workers = [build.worker('w1'), build.worker('w2')]
+    for task, worker in zip((first, second), workers, strict=True):
+        build.start(ledger, task, worker)
+    row = reports.Running(first.name, 1, checkpoint='c1')
+    build.take(ledger, workers[0], reports.Report(0.0, [row], []))
+    for task in (first, second):
+        ledgers.over(ledger, task, 3.0)
+    runs = [
+        ledgers.begin(ledger, task, worker.entry.worker, 4.0, 2)
+        for task, worker in zip((first, second), workers, strict=True)
+    ]
+    # An end of an earlier run that is listed late must not part them.
+    ended = (1, second.name, 1, reports.How.LAPSED, 'c0')
+    build.take(ledger, workers[1], build.report([(second.name, 2)], [ended]))
+    assert [run.checkpoint for run in runs] == ['c1', 'c1']
