--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -46,6 +46,7 @@
     """A run that may be going on.
 
     :ivar phase_since_s: when the phase began
+    :ivar checkpoint: saved work that it goes on from
     :ivar stop_answered_s: when its worker took the order to stop it
     :ivar at_work_since_s: since when a long-running task works
     """
@@ -55,6 +56,7 @@
     phase: RunPhase
     begun_s: float
     phase_since_s: float
+    checkpoint: str = ''
     stop_answered_s: float | None = None
     at_work_since_s: float | None = None
     percent: float = 0.0
@@ -218,7 +220,9 @@
         raise errors.InvariantBreach(f'task {task.name} must not be started')
     attempt = attempt or next_attempt(ledger, task)
     task.last_attempt = attempt
-    task.run = Run(worker, attempt, RunPhase.ORDERED, now_s, now_s)
+    task.run = Run(
+        worker, attempt, RunPhase.ORDERED, now_s, now_s, task.checkpoint
+    )
     _not_waiting(ledger, task)
     entry = task.group.entry
     if entry.state is model.State.QUEUED:
@@ -262,8 +266,7 @@
     if run is None:
         return
     task.over_attempt = max(task.over_attempt, run.attempt)
-    if checkpoint:
-        task.checkpoint = checkpoint
+    note_checkpoint(task, checkpoint)
     task.away_since_s = now_s
     task.run = None
     if not task.done and not final(task.group.entry):
@@ -271,6 +274,15 @@
         ledger.open_groups[task.group] = None
 
 
+def note_checkpoint(task: Task, checkpoint: str) -> None:
+    """Note what a task has saved; a gang's members go on from the same."""
+    if not checkpoint:
+        return
+    members = task.group.tasks if task.group.step.gang else (task,)
+    for member in members:
+        member.checkpoint = checkpoint
+
+
 def mark_done(ledger: Ledger, task: Task, now_s: float) -> bool:
     """Note that a run of the task ended as done; False if known already.
 
@@ -304,12 +316,21 @@
     _touch(ledger, entry)
     if task.group.step.lasting or task.done or final(entry):
         return True
-    if len(task.failed_attempts) >= most_attempts:
-        entry.cause = f'{task.name} failed {len(task.failed_attempts)} times'
+    failures = _failures(task)
+    if failures >= most_attempts:
+        entry.cause = f'{task.name} failed {failures} times'
         end(ledger, entry, model.State.FAILED, now_s)
     return True
 
 
+def _failures(task: Task) -> int:
+    """Count the failed runs of a task; a gang fails as one."""
+    if not task.group.step.gang:
+        return len(task.failed_attempts)
+    members = task.group.tasks
+    return len(set().union(*(row.failed_attempts for row in members)))
+
+
 def end(
     ledger: Ledger, entry: Entry, state: model.State, now_s: float
 ) -> None:
@@ -381,8 +402,7 @@
         run.moved_on_s = now_s
     run.percent = row.percent
     run.latency_or_cpu = row.latency_or_cpu
-    if row.checkpoint:
-        task.checkpoint = row.checkpoint
+    note_checkpoint(task, row.checkpoint)
     if task.group.step.lasting:
         _note_work(task, run, now_s)
 
