Let the checker know of pools that a queue is given later

A job may name the pools that later configurations send its queue to; forged evidence shows that any other is still a breach.

--- a/emulator/feature_rules.py
+++ b/emulator/feature_rules.py
@@ -64,14 +64,19 @@
             there.pop(sight.place, None)
 
 
+def _sent_to(job: dict, service: str) -> bool:
+    """Say whether some configuration sends a job's queue to a service."""
+    first = job.get('service')
+    return first is None or service in (first, *job.get('later_services', ()))
+
+
 def _routed(evidence, jobs):
     """Each start is on an executor that its queue and its step allow."""
     for sight, there in _running(evidence):
         place = evidence.places.get(sight.place)
         step = step_of(jobs, sight.task)
         where = f'ROUTE at {sight.at_s:.2f}: {sight.task} on {sight.place}'
-        service = jobs[sight.job].get('service')
-        if place is not None and service not in (None, place.service):
+        if place is not None and not _sent_to(jobs[sight.job], place.service):
             yield f'{where}, of {place.service}'
         label = step.get('required_label')
         if place is not None and label and label not in place.labels:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -21,6 +21,11 @@
         ],
         'service': 'drafts',
     },
+    '9' * 16: {
+        'phases': [{'count': 1}],
+        'service': 'drafts',
+        'later_services': ['finals'],
+    },
     'f' * 16: {
         'phases': [{'count': 1}, {'count': 1, 'after': [0]}],
         'repeat_count': 2,
@@ -34,10 +39,12 @@
 LARGE = 'e' * 16 + '.0.0.'
 LABELLED = 'e' * 16 + '.0.1.'
 FIRST, SECOND = ('f' * 16 + f'.{occurrence}.0.0' for occurrence in range(2))
+MOVED = '9' * 16 + '.0.0.0'
 PLACES = {
     'w1': evidences.Place('drafts', ('a', 'r1'), 8000, 1500, False),
     'w2': evidences.Place('finals', ('b', 'r2'), 8000, 1500, False),
     'w3': evidences.Place('drafts', ('b', 'r1'), 8000, 1500, True),
+    'w4': evidences.Place('others', ('b', 'r1'), 8000, 1500, False),
 }
 
 HANDED_IN = [
@@ -198,6 +205,10 @@
         'ROUTE',
         [_start(1, 'w2', task=LARGE + '0')],
     ),
+    'a worker of a pool that the queue never had': (
+        'ROUTE',
+        [_start(1, 'w4', task=MOVED)],
+    ),
     'a worker without the label': (
         'ROUTE',
         [_start(1, 'w1', task=LABELLED + '0')],
@@ -290,6 +301,7 @@
         _end(4, 'w1', 'broken', GANG[1], 2),
         _shown(5, 'failed', 'd' * 16),
         _start(4.8, 'w1', task=FIRST),
+        _start(5, 'w2', task=MOVED),
         _start(6, 'w3', task=LARGE + '0'),
         _start(6, 'w3', task=LARGE + '1'),
         _start(7, 'w3', task=LABELLED + '0'),
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -193,6 +193,8 @@
     value['version'] += 1
     for route in value['routes']:
         route['service'] = pool
+    for spec in scene.callers.world.jobs.values():
+        spec['later_services'] = [pool]
     await stores.put(scene.store, 'op/config', json.dumps(value).encode())
 
 
