Hold a worker whose entry is spoiled; believe no other place for it

Cause: an entry was taken over whatever it said, also for a worker in use. One that named the address of another worker had ours called there; the other answered that it isn't ours, which passed for the proof that ours was gone: its tasks started elsewhere while they ran on. An entry with an address at which nobody answers let the runs lapse; one that can't be read left the worker among those given tasks.

Now an entry that can't be used counts as none: runs are held and renewed, nothing new starts, and only answers, leases and the list of machines say that the worker is gone. An entry that names another service, address or machine than the worker that is known is refused as long as something may run there; if it never answered under this term and no lease can last, the place is taken from the entry. A worker that is met again is no longer taken for one that stands in the written roster, which may have its former place. Rows of a roster that can't be called (met by earlier code) are skipped; they ended each term with a fault.

Ruled out: calling the worker lost (it works on), and giving it tasks by its last good entry (it may have said that it leaves before it was spoiled).

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -146,10 +146,7 @@
     name = ids.VmId(item.key.removeprefix(executors.PREFIX))
     if item.removed:
         entries_.forget(leader.entries, name)
-        known = leader.workers.get(name)
-        if known is not None and known.listed:
-            known.listed = False
-            event_log.emit('worker', 'unlisted', worker=name)
+        _unlist(leader, name)
         return
     try:
         entry = entries.decode(item.key, item.value)
@@ -160,13 +157,24 @@
     await _take_entry(leader, entry)
 
 
+def _unlist(leader: states.Leader, name: ids.VmId) -> None:
+    """Note that a worker has no entry, or none that can be used."""
+    known = leader.workers.get(name)
+    if known is not None and known.listed:
+        known.listed = False
+        event_log.emit('worker', 'unlisted', worker=name)
+
+
 def _refuse(
     leader: states.Leader,
     name: ids.VmId,
     event: str,
     error: entries_.BadEntry,
 ) -> None:
-    """Count an entry that can't be used; log it unless that was just said."""
+    """Count an entry that can't be used; log it unless that was just said.
+
+    A worker that is known by this id goes on as one without an entry.
+    """
     server_metrics.ENTRIES_REFUSED.labels(error.fault.value).inc()
     if entries_.note_refusal(leader.entries, name, error.reason):
         event_log.emit(
@@ -177,23 +185,25 @@
             why=error.reason,
             known=name in leader.workers,
         )
+    _unlist(leader, name)
 
 
 async def _take_entry(leader: states.Leader, entry: reports.Entry) -> None:
     name = entry.worker
     known = leader.workers.get(name)
-    if known is None:
-        if not _names(leader.server.configuration, entry.service):
-            entries_.wait(leader.entries, entry)
+    if known is not None and not entries_.same_place(entry, known.entry):
+        if workers_.may_run(known, clock.now_s()):
             error = entries_.BadEntry(
-                entries_.Fault.SERVICE, f'service {entry.service!r}'
+                entries_.Fault.CONTRADICTS,
+                f'{entry.service!r} at {entry.address} on {entry.machine!r}',
             )
-            _refuse(leader, name, 'not-named', error)
+            _refuse(leader, name, 'contradicted', error)
             return
-        entries_.forget(leader.entries, name)
-        # It may be an earlier life of a known worker's machine, written
-        # late: entries are no proof of who lives. Calls are.
-        await meet(leader, entry, listed=True)
+        # Nobody has answered where it was said to be.
+        await worker_loop.lost(leader, known, 'listed at another place')
+        known = None
+    if known is None:
+        await _take_new(leader, entry)
         return
     entries_.forget(leader.entries, name)
     if entry.draining and not known.entry.draining:
@@ -207,6 +217,21 @@
     await leader.due.set()
 
 
+async def _take_new(leader: states.Leader, entry: reports.Entry) -> None:
+    """Meet a worker, unless no configuration names its service so far."""
+    if not _names(leader.server.configuration, entry.service):
+        entries_.wait(leader.entries, entry)
+        error = entries_.BadEntry(
+            entries_.Fault.SERVICE, f'service {entry.service!r}'
+        )
+        _refuse(leader, entry.worker, 'not-named', error)
+        return
+    entries_.forget(leader.entries, entry.worker)
+    # It may be an earlier life of a known worker's machine, written
+    # late: entries are no proof of who lives. Calls are.
+    await meet(leader, entry, listed=True)
+
+
 def _names(
     configuration: queues.Configuration | None, service: ids.ServiceId
 ) -> bool:
@@ -234,10 +259,9 @@
     """Note which workers a whole reading of the entries lacks."""
     listed = {item.key.removeprefix(executors.PREFIX) for item in items}
     entries_.keep_only(leader.entries, listed)
-    for name, worker in leader.workers.items():
-        if worker.listed and name not in listed:
-            worker.listed = False
-            event_log.emit('worker', 'unlisted', worker=name)
+    for name in leader.workers:
+        if name not in listed:
+            _unlist(leader, name)
 
 
 async def leave_draining(
@@ -258,6 +282,8 @@
         entry, listed=listed, idle_since_s=now_s, met_s=now_s
     )
     leader.workers[entry.worker] = worker
+    # A roster that is written may have another place under this id.
+    leader.rostered.discard(entry.worker)
     leader.ends_kept[entry.worker] = states.Wake()
     leader.orders[entry.worker] = states.curio.Queue()
     leader.roster_dirty.add(entry.service)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -32,6 +32,7 @@
 from oleanderwood.leading import worker_loop
 from oleanderwood.leading import yielding
 from oleanderwood.platform import advice
+from oleanderwood.platform import entries
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
@@ -211,12 +212,16 @@
 
 
 def _roster(item: stores.Item) -> list[reports.Entry]:
-    """Decode a roster; without it, workers are met by their entries."""
+    """Decode a roster; without it, workers are met by their entries.
+
+    A worker that can't be called was never given anything.
+    """
     try:
-        return keeping.decode_roster(item.value)
+        rows = keeping.decode_roster(item.value)
     except msgspec.MsgspecError as error:
         event_log.emit('worker', 'malformed', key=item.key, why=str(error))
         return []
+    return [row for row in rows if entries.is_callable(row)]
 
 
 def _restore(
--- a/oleanderwood/platform/entries.py
+++ b/oleanderwood/platform/entries.py
@@ -143,3 +143,8 @@
         return False
     numbers = [int(part) for part in host]
     return 1 <= numbers[0] < 224 and max(numbers) < 256 and port < 65536
+
+
+def is_callable(entry: reports.Entry) -> bool:
+    """Say whether orders can be addressed to an entry's worker at all."""
+    return bool(_ID.fullmatch(entry.worker)) and can_be_called(entry.address)
--- a/oleanderwood/pools/entries.py
+++ b/oleanderwood/pools/entries.py
@@ -39,6 +39,9 @@
     SERVICE = 'service'
     """No configuration names its service so far."""
 
+    CONTRADICTS = 'contradicts'
+    """It names another place than the worker that is known by this id."""
+
 
 class BadEntry(errors.OleanderError):
     """An entry that names no worker to use.
@@ -100,3 +103,12 @@
     """Forget all entries but those that a whole reading has."""
     for name in {*book.refused, *book.waiting} - set(listed):
         forget(book, name)
+
+
+def same_place(entry: reports.Entry, other: reports.Entry) -> bool:
+    """Say whether two entries may be of one life of a worker."""
+    return (entry.service, entry.address, entry.machine) == (
+        other.service,
+        other.address,
+        other.machine,
+    )
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -39,6 +39,7 @@
 class Worker:
     """One worker.
 
+    :ivar listed: its entry in the store is there and can be used
     :ivar fenced: it has answered under this term, so that orders of an
         earlier one are refused there
     :ivar silent_since_s: since when calls to it fail; None: it answers
@@ -323,6 +324,11 @@
     return model.Resources(cpu, memory, gpus)
 
 
+def may_run(worker: Worker, now_s: float) -> bool:
+    """Say whether something may run on a worker, known to us or not."""
+    return worker.fenced or now_s <= worker.lease_end_s
+
+
 def accepts(worker: Worker, now_s: float) -> bool:
     """Say whether a worker may be given new tasks now."""
     return (
