--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -15,6 +15,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
 from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 
 ROSTER_PREFIX = 'ow/workers/'
@@ -146,29 +147,29 @@
 async def _keep_rosters(leader: states.Leader) -> None:
     """Write which workers may be given tasks, before any is.
 
-    While a roster is written, only workers that both the last one and this
-    one name may be given tasks: the next leader may read either. One that was
-    lost and met again has to wait until it is named again.
+    The next leader waits for the workers that it reads there, and for no
+    others. One that was lost and met again has to be written again first: its
+    row may have gone, or tell where it was before.
     """
     services = set(list(leader.roster_dirty)[: guarded.KEYS_A_WRITE])
     if not services:
         return
     writes = {}
-    members: dict[ids.ServiceId, set[ids.VmId]] = {}
+    members: list[workers_.Worker] = []
     for service in services:
         rows = [
-            worker.entry
+            worker
             for worker in leader.workers.values()
             if worker.entry.service == service and not worker.gone
         ]
-        members[service] = {row.worker for row in rows}
-        leader.rostered.setdefault(service, set()).intersection_update(
-            members[service]
+        members += rows
+        writes[ROSTER_PREFIX + service] = msgspec.json.encode(
+            [row.entry for row in rows]
         )
-        writes[ROSTER_PREFIX + service] = msgspec.json.encode(rows)
     await guarded.write(leader, writes)
     leader.roster_dirty -= services
-    leader.rostered.update(members)
+    for worker in members:
+        worker.rostered = True
     await leader.due.set()
 
 
