Write a roster again if a worker was met while it was written

Cause: a pool was taken off the list of rosters to write after its write, so what had changed meanwhile was forgotten: a worker that was met then got no task until another one of its pool came or went.

--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -166,8 +166,13 @@
         writes[ROSTER_PREFIX + service] = msgspec.json.encode(
             [row.entry for row in rows]
         )
-    await guarded.write(leader, writes)
+    # What is met or lost during the write is to be written after it.
     leader.roster_dirty -= services
+    try:
+        await guarded.write(leader, writes)
+    except BaseException:
+        leader.roster_dirty |= services
+        raise
     for worker in members:
         worker.rostered = True
     await leader.due.set()
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -94,3 +94,35 @@
         result = _play(slow_s, strike)
         assert struck
         assert not result.breaches and not result.unfinished
+
+
+def test_worker_that_is_met_as_a_roster_is_written_gets_tasks():
+    """Its row has to be written after the write that is under way.
+
+    What is lost otherwise is the worker: it gets nothing until another one of
+    its pool comes or goes.
+    """
+    begun = []
+
+    async def story(scene):
+        for machine in scene.fleet.machines.values():
+            executor = machine.executor
+            await curio.spawn(fleets.crash, scene.fleet, machine, 2.0)
+            await curio.sleep(0.15)
+            assert executor is not machine.executor
+        await curio.sleep(1.6)
+        scene.store.slow_s = 0.3
+        await curio.sleep(2.0)
+        scene.store.slow_s = 0.0
+
+        async def note(name):
+            begun.append(name)
+
+        for name in scene.fleet.machines:
+            build.on_start(scene, name, lambda name=name: note(name))
+        for _ in scene.fleet.machines:
+            await build.hand_in(scene, build.leader(scene), WHOLE)
+
+    result = build.play(story)
+    assert not result.breaches and not result.unfinished
+    assert len(set(begun)) == 3
