Strike takeovers in the emulator; suspend processes whole

A suspended process does nothing at all until it wakes: its tasks don't go on, calls to it wait, what was under way at others is carried out, and its answers and timers are there when it wakes. What strikes share has a module of its own.

--- a/emulator/day.py
+++ b/emulator/day.py
@@ -13,6 +13,7 @@
 from emulator import executors
 from emulator import fleet as fleets
 from emulator import network as networks
+from emulator import scenes
 from emulator import servers
 from emulator import store as stores
 from emulator import troubles as troubles_
@@ -74,13 +75,13 @@
 def play(
     plan: Plan,
     fates: dict[int, networks.Fate] | None = None,
-    watched: list[int] | None = None,
+    watched: dict[int, float] | None = None,
 ) -> Result:
     """Play a day in virtual time.
 
     :param fates: of single calls, by their number
-    :param watched: gets the numbers of the servers' calls from the first
-        job on
+    :param watched: gets the times of the servers' calls from the first job
+        on, by their number
     """
     return virtual.run(lambda: _play(plan, fates or {}, watched))
 
@@ -98,7 +99,7 @@
     ]
     network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
     network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
-    scene = troubles_.Scene(
+    scene = scenes.Scene(
         network, store, fleet, processes, random.Random(plan.seed + 2)
     )
     with networks.installed(network):
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -147,6 +147,20 @@
         await begin_life(fleet, machine)
 
 
+async def ask_wave(fleet: Fleet, machines: list[str]) -> None:
+    """Ask for the maintenance of some machines, as the operator does."""
+    number = len(fleet.waves) + 1
+    wave = {
+        'wave': number,
+        'machines': machines,
+        'duration_s': 20,
+        'max_count': 2,
+    }
+    fleet.waves[number] = wave
+    value = json.dumps(wave).encode()
+    await stores.put(fleet.world.store, f'op/wave/{number}', value)
+
+
 def make_handler(fleet: Fleet):
     """Make the handler of the machines' interface."""
 
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -54,28 +54,39 @@
 class Network:
     """All addresses, and what goes wrong between them.
 
+    :ivar homes: the processes that answer at addresses
     :ivar cuts: pairs of a process and an address that don't hear each other
     :ivar dead: processes whose calls go nowhere
     :ivar frozen_until_s: processes that stand still until a time
+    :ivar away_s: by how much a process's ways to an address take longer than
+        ``DELAY_S``
+    :ivar jitter_s: the most that any way takes longer; without the two, what
+        servers do at the same pace stays in step
     :ivar lost_share: part of the calls to an address that are carried out
         without an answer
     :ivar late_share: part that is carried out 2 to 12 s later
     :ivar fates: of single calls, by their number
     :ivar struck: gets processes that a fate kills
-    :ivar watched: gets the numbers of the servers' calls, but of watches
+    :ivar watched: gets the times of the servers' calls, but of watches, by
+        their number
     """
 
     rng: random.Random
     handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
+    homes: dict[str, str] = dataclasses.field(default_factory=dict)
     cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     dead: set[str] = dataclasses.field(default_factory=set)
     frozen_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    away_s: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    jitter_s: float = 0.0
     lost_share: dict[str, float] = dataclasses.field(default_factory=dict)
     late_share: dict[str, float] = dataclasses.field(default_factory=dict)
     calls: int = 0
     fates: dict[int, Fate] = dataclasses.field(default_factory=dict)
     struck: curio.Queue = dataclasses.field(default_factory=curio.Queue)
-    watched: list[int] | None = None
+    watched: dict[int, float] | None = None
 
 
 @contextlib.contextmanager
@@ -103,7 +114,7 @@
     fate = network.fates.get(network.calls)
     if network.watched is not None and source != virtual.WORLD:
         if 'watch' not in target:
-            network.watched.append(network.calls)
+            network.watched[network.calls] = await curio.clock()
     reached = False
     try:
         async with curio.timeout_after(timeout_s):
@@ -119,10 +130,20 @@
                 for key, value in headers or []
             }
             arguments = (source, method, target, body, named)
-            if fate is None:
-                answer = await carry_out(network, address, handler, arguments)
-            else:
-                answer = await _suffer(network, fate, handler, arguments)
+            home = network.homes.get(address, virtual.WORLD)
+            before = await virtual.act_for(virtual.WORLD)
+            try:
+                await virtual.until_awake(home)
+                await virtual.act_for(home)
+                if fate is None:
+                    answer = await carry_out(
+                        network, address, handler, arguments
+                    )
+                else:
+                    answer = await _suffer(network, fate, handler, arguments)
+            finally:
+                await virtual.act_for(before)
+                await virtual.until_awake(before)
             await _pass(network, source, address)
             return answer
     except curio.TaskTimeout as error:
@@ -136,7 +157,10 @@
 
 async def _pass(network: Network, source: str, address: str) -> None:
     """Go one way; never arrives if the way is cut."""
-    await curio.sleep(DELAY_S)
+    late_s = network.away_s.get((source, address), 0.0)
+    if network.jitter_s:
+        late_s += network.rng.uniform(0.0, network.jitter_s)
+    await curio.sleep(DELAY_S + late_s)
     await stand_still(network, source)
     if source in network.dead or (source, address) in network.cuts:
         await virtual.forever()
--- a/emulator/search.py
+++ b/emulator/search.py
@@ -43,9 +43,9 @@
     Those of the last seconds, in which nothing happens any more, are left
     out.
     """
-    numbers: list[int] = []
-    day.play(dataclasses.replace(plan, finish_s=BUSY_S), {}, numbers)
-    return numbers
+    times_s: dict[int, float] = {}
+    day.play(dataclasses.replace(plan, finish_s=BUSY_S), {}, times_s)
+    return list(times_s)
 
 
 def single(numbers: list[int]) -> collections.abc.Iterator[Faults]:
--- a/emulator/servers.py
+++ b/emulator/servers.py
@@ -72,6 +72,8 @@
         await kill(network, process)
     process.lives += 1
     network.dead.discard(process.name)
+    network.homes[process.address] = process.name
+    network.homes[process.callers] = process.name
     server = servers.make_server(settings_of(process))
     # A drawn id would make runs differ.
     server.process = f'{process.name}/{process.lives}'
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -9,9 +9,10 @@
 
 from emulator import executors
 from emulator import fleet as fleets
-from emulator import network as networks
+from emulator import scenes
 from emulator import servers
 from emulator import store as stores
+from emulator import takeovers
 from oleanderwood import clock
 
 
@@ -41,6 +42,18 @@
     ANSWERS_LOST = 'answers-lost'
     WAVE = 'wave'
     ENTRY_LATE = 'entry-late'
+    STORE_LAPSES = 'store-lapses'
+    STORE_LAPSES_SILENT = 'store-lapses-silent'
+    STORE_LAPSES_PARTED = 'store-lapses-parted'
+    STORE_LAPSES_TWICE = 'store-lapses-twice'
+    LEADER_SUSPENDED = 'leader-suspended'
+    LEADER_SUSPENDED_IN_OUTAGE = 'leader-suspended-in-outage'
+    LEADERS_STOPPED = 'leaders-stopped'
+    LEASES_REVOKED = 'leases-revoked'
+    LATE_ACROSS_TAKEOVER = 'late-across-takeover'
+    ALL_KILLED_IN_TAKEOVER = 'all-killed-in-takeover'
+    WAVE_AND_STOP = 'wave-and-stop'
+    REACH_PARTED = 'reach-parted'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,18 +65,24 @@
     for_s: float = 3.0
 
 
-@dataclasses.dataclass
-class Scene:
-    """What troubles strike."""
-
-    network: networks.Network
-    store: stores.Store
-    fleet: fleets.Fleet
-    processes: list[servers.Process]
-    rng: random.Random
-
-
-LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW)
+TAKEOVER_KINDS = (
+    Kind.STORE_LAPSES,
+    Kind.STORE_LAPSES_SILENT,
+    Kind.STORE_LAPSES_PARTED,
+    Kind.STORE_LAPSES_TWICE,
+    Kind.LEADER_SUSPENDED,
+    Kind.LEADER_SUSPENDED_IN_OUTAGE,
+    Kind.LEADERS_STOPPED,
+    Kind.LEASES_REVOKED,
+    Kind.LATE_ACROSS_TAKEOVER,
+    Kind.ALL_KILLED_IN_TAKEOVER,
+    Kind.WAVE_AND_STOP,
+    Kind.REACH_PARTED,
+)
+"""Kinds that force a change of leader, or strike one."""
+
+
+LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW, *TAKEOVER_KINDS)
 """Kinds that were added since seeds were first kept."""
 
 FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
@@ -89,67 +108,43 @@
     return sorted(rows, key=lambda row: row.at_s)
 
 
-async def strike(scene: Scene, trouble: Trouble) -> None:
+async def strike(scene: scenes.Scene, trouble: Trouble) -> None:
     """Let a trouble come at its time, and pass."""
     await curio.sleep(max(0.0, trouble.at_s - clock.now_s()))
     await _STRIKES[trouble.kind](scene, trouble)
 
 
-def _leader(scene: Scene) -> servers.Process:
-    for process in scene.processes:
-        if servers.leads(process):
-            return process
-    return scene.rng.choice(scene.processes)
-
-
-async def _kill(scene, process, for_s) -> None:
-    if process.state is None:
-        return
-    await servers.kill(scene.network, process)
-    await curio.sleep(for_s)
-    await servers.start(scene.network, process)
-
-
 async def _leader_killed(scene, trouble) -> None:
-    await _kill(scene, _leader(scene), trouble.for_s)
+    await scenes.kill(scene, scenes.leader(scene), trouble.for_s)
 
 
 async def _server_killed(scene, trouble) -> None:
-    await _kill(scene, scene.rng.choice(scene.processes), trouble.for_s)
+    await scenes.kill(scene, scene.rng.choice(scene.processes), trouble.for_s)
 
 
 async def _all_killed(scene, trouble) -> None:
-    for process in scene.processes:
-        await curio.spawn(
-            _kill, scene, process, min(2.0, trouble.for_s), daemon=True
-        )
+    await scenes.kill_all(scene, min(2.0, trouble.for_s))
 
 
 async def _leader_stopped(scene, trouble) -> None:
-    process = _leader(scene)
-    if process.state is None or process.state.stopping:
-        return
-    await servers.stop(scene.network, process, 3.0)
-    await servers.start(scene.network, process)
+    await scenes.stop(scene, scenes.leader(scene), 3.0)
 
 
 async def _leader_frozen(scene, trouble) -> None:
-    name = _leader(scene).name
+    name = scenes.leader(scene).name
     scene.network.frozen_until_s[name] = clock.now_s() + trouble.for_s
 
 
 async def _leader_refused(scene, trouble) -> None:
-    name = _leader(scene).name
+    name = scenes.leader(scene).name
     scene.store.refused.add(name)
     await curio.sleep(trouble.for_s)
     scene.store.refused.discard(name)
 
 
 async def _leader_cut(scene, trouble) -> None:
-    pair = (_leader(scene).name, servers.STORE_ADDRESS)
-    scene.network.cuts.add(pair)
-    await curio.sleep(trouble.for_s)
-    scene.network.cuts.discard(pair)
+    pair = (scenes.leader(scene).name, servers.STORE_ADDRESS)
+    await scenes.cut(scene, {pair}, trouble.for_s)
 
 
 async def _servers_cut(scene, trouble) -> None:
@@ -160,19 +155,15 @@
         for process in scene.processes
         if process is not spared
     }
-    scene.network.cuts |= pairs
-    await curio.sleep(trouble.for_s)
-    scene.network.cuts -= pairs
+    await scenes.cut(scene, pairs, trouble.for_s)
 
 
-async def _store_down(scene, trouble, how='busy') -> None:
-    scene.store.down = how
-    await curio.sleep(trouble.for_s)
-    scene.store.down = ''
+async def _store_down(scene, trouble) -> None:
+    await scenes.store_away(scene, trouble.for_s, 'busy')
 
 
 async def _store_silent(scene, trouble) -> None:
-    await _store_down(scene, trouble, 'silent')
+    await scenes.store_away(scene, trouble.for_s, 'silent')
 
 
 async def _store_slow(scene, trouble) -> None:
@@ -181,22 +172,14 @@
     scene.store.slow_s = 0.0
 
 
-async def _spoil(shares, addresses, share, for_s) -> None:
-    for address in addresses:
-        shares[address] = share
-    await curio.sleep(for_s)
-    for address in addresses:
-        shares.pop(address, None)
-
-
 async def _store_loses(scene, trouble) -> None:
-    await _spoil(
+    await scenes.spoil(
         scene.network.lost_share, [servers.STORE_ADDRESS], 0.3, trouble.for_s
     )
 
 
 async def _store_late(scene, trouble) -> None:
-    await _spoil(
+    await scenes.spoil(
         scene.network.late_share, [servers.STORE_ADDRESS], 0.15, trouble.for_s
     )
 
@@ -243,42 +226,26 @@
             machine.executor.slow_factor = 1.0
 
 
-def _executor_addresses(scene) -> list[str]:
-    return [machine.address for machine in scene.fleet.machines.values()]
-
-
 async def _orders_late(scene, trouble) -> None:
-    await _spoil(
+    await scenes.spoil(
         scene.network.late_share,
-        _executor_addresses(scene),
+        scenes.executor_addresses(scene),
         0.05,
         trouble.for_s,
     )
 
 
 async def _answers_lost(scene, trouble) -> None:
-    await _spoil(
+    await scenes.spoil(
         scene.network.lost_share,
-        _executor_addresses(scene),
+        scenes.executor_addresses(scene),
         0.05,
         trouble.for_s,
     )
 
 
 async def _wave(scene, trouble) -> None:
-    fleet = scene.fleet
-    number = len(fleet.waves) + 1
-    names = sorted(fleet.machines)
-    machines = scene.rng.sample(names, len(names) // 2)
-    wave = {
-        'wave': number,
-        'machines': machines,
-        'duration_s': 20,
-        'max_count': 2,
-    }
-    fleet.waves[number] = wave
-    value = executors.json.dumps(wave).encode()
-    await stores.put(scene.store, f'op/wave/{number}', value)
+    await scenes.ask_wave(scene)
 
 
 async def _entry_late(scene, trouble) -> None:
@@ -296,7 +263,7 @@
 
 
 _Strike = collections.abc.Callable[
-    [Scene, Trouble], collections.abc.Awaitable[None]
+    [scenes.Scene, Trouble], collections.abc.Awaitable[None]
 ]
 
 _STRIKES: dict[Kind, _Strike] = {
@@ -323,4 +290,16 @@
     Kind.ANSWERS_LOST: _answers_lost,
     Kind.WAVE: _wave,
     Kind.ENTRY_LATE: _entry_late,
+    Kind.STORE_LAPSES: takeovers.store_lapses,
+    Kind.STORE_LAPSES_SILENT: takeovers.store_lapses_silent,
+    Kind.STORE_LAPSES_PARTED: takeovers.store_lapses_parted,
+    Kind.STORE_LAPSES_TWICE: takeovers.store_lapses_twice,
+    Kind.LEADER_SUSPENDED: takeovers.leader_suspended,
+    Kind.LEADER_SUSPENDED_IN_OUTAGE: takeovers.leader_suspended_in_outage,
+    Kind.LEADERS_STOPPED: takeovers.leaders_stopped,
+    Kind.LEASES_REVOKED: takeovers.leases_revoked,
+    Kind.LATE_ACROSS_TAKEOVER: takeovers.late_across_takeover,
+    Kind.ALL_KILLED_IN_TAKEOVER: takeovers.all_killed_in_takeover,
+    Kind.WAVE_AND_STOP: takeovers.wave_and_stop,
+    Kind.REACH_PARTED: takeovers.reach_parted,
 }
--- a/emulator/virtual.py
+++ b/emulator/virtual.py
@@ -19,17 +19,53 @@
 
 _KERNELS: list[curio.Kernel] = []
 
+_SUSPENDED_UNTIL_S: dict[str, float] = {}
+"""Processes that do nothing at all until a time."""
+
+MOMENT_S = 1e-9
+"""Times that are closer than this are the same."""
+
 
 class Stalled(Exception):
     """Nothing will ever happen again."""
 
 
 class Task(curio.task.Task):
-    """A task that knows which emulated process it belongs to."""
+    """A task that knows which emulated process it belongs to.
+
+    :ivar acting: the process whose code it runs at present: a call is
+        handled by the task that makes it
+    :ivar held: what it gets once its process isn't suspended any more: the
+        result that it waited for, then cancels and timeouts
+    """
 
     def __init__(self, coro: typing.Any, parent: typing.Any = None) -> None:
         super().__init__(coro, parent)
         self.process = getattr(parent, 'process', WORLD)
+        self.acting = getattr(parent, 'acting', WORLD)
+        self.held: list[typing.Any] = []
+
+    def send(self, value: typing.Any) -> typing.Any:
+        """Go on, unless the process is suspended: then ask for a sleep."""
+        left_s = _suspended_s(self.acting)
+        if not self.held:
+            if left_s <= 0.0:
+                return super().send(value)
+            self.held.append(value)
+        elif isinstance(value, BaseException):
+            self.held.append(value)
+        if left_s > 0.0:
+            return 'trap_sleep', left_s
+        first, *later = self.held
+        self.held = []
+        if later:
+            self.cancel_pending = later[-1]
+        return super().send(first)
+
+
+def _suspended_s(name: str) -> float:
+    left_s = _SUSPENDED_UNTIL_S.get(name, 0.0) - clock.now_s()
+    return left_s if left_s > MOMENT_S else 0.0
 
 
 class _Selector(selectors.BaseSelector):
@@ -73,6 +109,7 @@
         return kernel.run(main)
     finally:
         _KERNELS.pop()
+        _SUSPENDED_UNTIL_S.clear()
         kernel.run(shutdown=True)
         time.monotonic, time.time, clock.now_s, clock.wall_ms = kept
 
@@ -83,6 +120,7 @@
     """Start a coroutine as an emulated process."""
     task = await curio.spawn(main, *args, daemon=True)
     task.process = name
+    task.acting = name
     return task
 
 
@@ -95,6 +133,7 @@
 
 async def kill_process(name: str) -> None:
     """Cancel all tasks of an emulated process, without a last word."""
+    _SUSPENDED_UNTIL_S.pop(name, None)
     for task in list(_KERNELS[-1]._tasks.values()):
         if getattr(task, 'process', '') == name:
             await task.cancel(blocking=False)
@@ -105,6 +144,28 @@
     return (await curio.current_task()).process
 
 
+def suspend_process(name: str, for_s: float) -> None:
+    """Let a process do nothing for a while; its clock goes on.
+
+    What others have sent to it meanwhile, and its own timers, it finds when
+    it goes on.
+    """
+    _SUSPENDED_UNTIL_S[name] = clock.now_s() + for_s
+
+
+async def until_awake(name: str) -> None:
+    """Wait while a process is suspended."""
+    while (left_s := _suspended_s(name)) > 0.0:
+        await curio.sleep(left_s)
+
+
+async def act_for(name: str) -> str:
+    """Note whose code the running task runs from now on; gives the last."""
+    task = await curio.current_task()
+    before, task.acting = task.acting, name
+    return before
+
+
 async def forever() -> None:
     """Wait until cancelled or timed out."""
     while True:
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from emulator import scenes
 from emulator import troubles
 from soak import processes
 from soak import proxy as proxies
@@ -66,7 +67,7 @@
     :ivar worker_links: by machine
     """
 
-    scene: troubles.Scene
+    scene: scenes.Scene
     servers: list[processes.Process]
     store_links: dict[str, proxies.Proxy]
     machine_links: dict[str, proxies.Proxy]
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,8 +14,8 @@
 from emulator import executors
 from emulator import fleet as fleets
 from emulator import network as networks
+from emulator import scenes
 from emulator import store as stores
-from emulator import troubles
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood.platform import transport
@@ -87,7 +87,7 @@
         for number in range(plan.server_count)
     ]
     field = strikes.Field(
-        troubles.Scene(network, store, fleet, [], random.Random(plan.seed)),
+        scenes.Scene(network, store, fleet, [], random.Random(plan.seed)),
         servers,
         {},
         {},
