--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -150,7 +150,10 @@
 
 
 def _asked(evidence):
-    """Nothing runs that was refused, or long after it was cancelled."""
+    """Nothing runs that was refused, or long after it was cancelled.
+
+    The bound in time isn't for orders that were carried out late.
+    """
     sent = set()
     answers = collections.defaultdict(list)
     cancelled = {}
@@ -168,7 +171,9 @@
             if sight.job not in sent:
                 yield f'UNASKED at {sight.at_s:.2f}: {sight.task}'
             at_s = cancelled.get(sight.job)
-            if at_s is not None and sight.at_s > at_s + CANCEL_S:
+            if sight.how == 'late' or at_s is None:
+                continue
+            if sight.at_s > at_s + CANCEL_S:
                 yield f'UNASKED at {sight.at_s:.2f}: {sight.task}'
     for job in started:
         if set(answers[job]) <= {'429', '503'}:
@@ -176,12 +181,17 @@
 
 
 def _drained(evidence):
-    """Nothing starts on an executor some time after its notice."""
+    """Nothing starts on an executor some time after its notice.
+
+    Orders that were carried out late don't count.
+    """
     notice = {}
     for sight in evidence.sights:
         if sight.kind is Kind.DRAINING:
             notice.setdefault(sight.place, sight.at_s)
         elif sight.kind is Kind.STARTED and sight.place in notice:
+            if sight.how == 'late':
+                continue
             if sight.at_s > notice[sight.place] + DRAIN_S:
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
 
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -11,6 +11,8 @@
     """What was seen."""
 
     STARTED = 'started'
+    """A run began; ``how`` is ``late`` if its order was carried out late."""
+
     ENDED = 'ended'
     NOTED = 'noted'
     """An end was acknowledged to its executor."""
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -7,6 +7,7 @@
 import curio
 
 from emulator import evidence as evidences
+from emulator import network as networks
 from emulator import store as stores
 from emulator import virtual
 from oleanderwood import clock
@@ -128,7 +129,8 @@
             return _answer(executor, 409, reason='fence')
         executor.fence = asked.get('fence', 0)
         if target == '/run-start':
-            return _start(world, executor, source, asked)
+            how = 'late' if networks.LATE_HEADER in headers else ''
+            return _start(world, executor, source, asked, how)
         if target == '/run-stop':
             return _stop(world, executor, asked)
         if target == '/pace':
@@ -150,7 +152,7 @@
         executor.deadline_ms = max(executor.deadline_ms, until)
 
 
-def _start(world, executor, source, asked):
+def _start(world, executor, source, asked, how):
     name, attempt = asked['task'], asked['attempt']
     known = executor.running.get(name)
     if known is not None and known.attempt == attempt:
@@ -175,6 +177,7 @@
         task=name,
         attempt=attempt,
         place=executor.name,
+        how=how,
         by=source,
     )
     return _answer(executor, 200)
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -20,6 +20,9 @@
 """Time after which a call with the fate ``LATE`` is carried out: after a
 takeover, before the leases of the earlier leader have ended."""
 
+LATE_HEADER = 'emulator-late'
+"""Marks a call that is carried out late, for the evidence."""
+
 FROZEN_S = 2.5
 """Time for which a caller stands still: longer than its lease."""
 
@@ -208,5 +211,6 @@
 
 
 async def _later(after_s, handler, arguments) -> None:
+    *rest, headers = arguments
     await curio.sleep(after_s)
-    await handler(*arguments)
+    await handler(*rest, {**headers, LATE_HEADER: '1'})
