--- a/emulator/takeovers.py
+++ b/emulator/takeovers.py
@@ -118,6 +118,12 @@
         await scenes.stop(scene, scenes.leader(scene), 3.0)
 
 
+async def _end_lease(scene: scenes.Scene, process: servers.Process) -> None:
+    """End the lease of a server, if it has one, before its time."""
+    if process.state is not None and process.state.lease:
+        await stores.end_lease(scene.store, process.state.lease)
+
+
 async def leases_revoked(scene, trouble) -> None:
     """Let the store refuse the leader and another, and end their leases."""
     struck = scenes.leader(scene)
@@ -125,8 +131,7 @@
     rows = [struck, scene.rng.choice(others)]
     for process in rows:
         scene.store.refused.add(process.name)
-        if process.state is not None:
-            await stores.end_lease(scene.store, process.state.lease)
+        await _end_lease(scene, process)
     await curio.sleep(trouble.for_s)
     for process in rows:
         scene.store.refused.discard(process.name)
@@ -143,8 +148,7 @@
     """Kill all while another server has just taken over."""
     former = scenes.leader(scene)
     await curio.spawn(scenes.kill, scene, former, 6.0, daemon=True)
-    if former.state is not None and former.state.lease:
-        await stores.end_lease(scene.store, former.state.lease)
+    await _end_lease(scene, former)
     await _next_leader(scene, former)
     await _soon(scene)
     await scenes.kill_all(scene, min(2.0, trouble.for_s))
