--- a/emulator/day.py
+++ b/emulator/day.py
@@ -13,6 +13,7 @@
 from emulator import executors
 from emulator import fleet as fleets
 from emulator import network as networks
+from emulator import pressing
 from emulator import scenes
 from emulator import servers
 from emulator import store as stores
@@ -38,6 +39,11 @@
 
     :ivar jobs_per_s: of all queues together, in the mean
     :ivar turn_s: time of one queue's turn; 0: both ask alike
+    :ivar away_s: the most by which a server's way to the store or to a
+        machine takes longer
+    :ivar jitter_s: the most by which any way takes longer
+    :ivar press_gap_s: time between two small jobs while a leader changes or
+        the store comes back; 0: none
     """
 
     seed: int
@@ -52,6 +58,9 @@
     troubles: tuple[troubles_.Trouble, ...] = ()
     lead_s: float = LEAD_S
     finish_s: float = FINISH_S
+    press_gap_s: float = 0.0
+    away_s: float = 0.0
+    jitter_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -60,6 +69,8 @@
 
     :ivar unfinished: accepted jobs that weren't shown as ended in time
     :ivar waits_s: time from handing in until shown as ended, by job
+    :ivar changes_s: when another server led, from the first job on; only
+        where callers press
     """
 
     breaches: list[str]
@@ -70,6 +81,7 @@
     starts: int
     store_calls: int
     evidence: evidences.Evidence
+    changes_s: list[float] = dataclasses.field(default_factory=list)
 
 
 def play(
@@ -88,7 +100,9 @@
 
 async def _play(plan, fates, watched) -> Result:
     rng = random.Random(plan.seed)
-    network = networks.Network(random.Random(plan.seed + 1), fates=fates)
+    network = networks.Network(
+        random.Random(plan.seed + 1), fates=fates, jitter_s=plan.jitter_s
+    )
     store = stores.Store()
     evidence = evidences.Evidence()
     world = executors.World(evidence, store, rng)
@@ -106,6 +120,7 @@
         await curio.spawn(stores.run_leases, store, daemon=True)
         await stores.put(store, 'op/config', configuration(plan.pools))
         await build_fleet(fleet, plan)
+        _draw_ways(scene, plan)
         for process in processes:
             await servers.start(network, process)
         callers = callers_.Callers(
@@ -119,9 +134,49 @@
                 trouble, at_s=plan.lead_s + trouble.at_s
             )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
+        changes_s = await _press(scene, callers, plan)
         await hand_in_jobs(callers, plan, rng)
         await curio.sleep(plan.finish_s)
-    return judge(callers, fleet, store)
+    result = judge(callers, fleet, store)
+    result.changes_s = changes_s
+    return result
+
+
+def _draw_ways(scene: scenes.Scene, plan: Plan) -> None:
+    """Let servers be at different distances, if they are."""
+    if not plan.away_s:
+        return
+    rng = random.Random(plan.seed + 5)
+    addresses = [servers.STORE_ADDRESS, *scenes.executor_addresses(scene)]
+    for process in scene.processes:
+        for address in addresses:
+            way = (process.name, address)
+            scene.network.away_s[way] = rng.uniform(0.0, plan.away_s)
+
+
+async def _press(
+    scene: scenes.Scene, callers: callers_.Callers, plan: Plan
+) -> list[float]:
+    """Let callers press, if they do; gives when leaders change."""
+    changes_s: list[float] = []
+    if not plan.press_gap_s:
+        return changes_s
+    rng = random.Random(plan.seed + 4)
+
+    async def hand_in(spec: dict) -> None:
+        pool = rng.choice(plan.pools)
+        await _hand_in(callers, pool, rng, spec, None)
+
+    await curio.spawn(
+        pressing.press_always,
+        scene,
+        plan.press_gap_s,
+        rng,
+        hand_in,
+        changes_s,
+        daemon=True,
+    )
+    return changes_s
 
 
 async def _strike_processes(
