--- a/emulator/day.py
+++ b/emulator/day.py
@@ -16,6 +16,8 @@
 from emulator import features as features_
 from emulator import fleet as fleets
 from emulator import network as networks
+from emulator import pressing
+from emulator import scenes
 from emulator import servers
 from emulator import store as stores
 from emulator import troubles as troubles_
@@ -41,6 +43,11 @@
     :ivar jobs_per_s: of all queues together, in the mean
     :ivar turn_s: time of one queue's turn; 0: both ask alike
     :ivar features: what its jobs ask for beyond plain tasks
+    :ivar away_s: the most by which a server's way to the store or to a
+        machine takes longer
+    :ivar jitter_s: the most by which any way takes longer
+    :ivar press_gap_s: time between two small jobs while a leader changes or
+        the store comes back; 0: none
     """
 
     seed: int
@@ -56,6 +63,9 @@
     lead_s: float = LEAD_S
     finish_s: float = FINISH_S
     features: tuple[features_.Feature, ...] = ()
+    press_gap_s: float = 0.0
+    away_s: float = 0.0
+    jitter_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -65,6 +75,8 @@
     :ivar unfinished: accepted jobs that weren't shown as ended in time
     :ivar waits_s: time from handing in until shown as ended, by job
     :ivar met: starts that met each feature
+    :ivar changes_s: when another server led, from the first job on; only
+        where callers press
     """
 
     breaches: list[str]
@@ -77,25 +89,28 @@
     evidence: evidences.Evidence
     jobs: dict[str, dict]
     met: collections.Counter
+    changes_s: list[float] = dataclasses.field(default_factory=list)
 
 
 def play(
     plan: Plan,
     fates: dict[int, networks.Fate] | None = None,
-    watched: list[int] | None = None,
+    watched: dict[int, float] | None = None,
 ) -> Result:
     """Play a day in virtual time.
 
     :param fates: of single calls, by their number
-    :param watched: gets the numbers of the servers' calls from the first
-        job on
+    :param watched: gets the times of the servers' calls from the first job
+        on, by their number
     """
     return virtual.run(lambda: _play(plan, fates or {}, watched))
 
 
 async def _play(plan, fates, watched) -> Result:
     rng = random.Random(plan.seed)
-    network = networks.Network(random.Random(plan.seed + 1), fates=fates)
+    network = networks.Network(
+        random.Random(plan.seed + 1), fates=fates, jitter_s=plan.jitter_s
+    )
     store = stores.Store()
     evidence = evidences.Evidence()
     world = executors.World(evidence, store, rng)
@@ -106,7 +121,7 @@
     ]
     network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
     network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
-    scene = troubles_.Scene(
+    scene = scenes.Scene(
         network, store, fleet, processes, random.Random(plan.seed + 2)
     )
     with networks.installed(network):
@@ -115,6 +130,7 @@
             store, 'op/config', configuration(plan.pools, plan.features)
         )
         await build_fleet(fleet, plan)
+        _draw_ways(scene, plan)
         for process in processes:
             await servers.start(network, process)
         callers = callers_.Callers(
@@ -128,13 +144,53 @@
                 trouble, at_s=plan.lead_s + trouble.at_s
             )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
+        changes_s = await _press(scene, callers, plan)
         await hand_in_jobs(callers, plan, rng)
         await curio.sleep(plan.finish_s)
     troubled = [
         (plan.lead_s + row.at_s, plan.lead_s + row.at_s + 2 * row.for_s)
         for row in plan.troubles
     ]
-    return judge(callers, fleet, store, troubled)
+    result = judge(callers, fleet, store, troubled)
+    result.changes_s = changes_s
+    return result
+
+
+def _draw_ways(scene: scenes.Scene, plan: Plan) -> None:
+    """Let servers be at different distances, if they are."""
+    if not plan.away_s:
+        return
+    rng = random.Random(plan.seed + 5)
+    addresses = [servers.STORE_ADDRESS, *scenes.executor_addresses(scene)]
+    for process in scene.processes:
+        for address in addresses:
+            way = (process.name, address)
+            scene.network.away_s[way] = rng.uniform(0.0, plan.away_s)
+
+
+async def _press(
+    scene: scenes.Scene, callers: callers_.Callers, plan: Plan
+) -> list[float]:
+    """Let callers press, if they do; gives when leaders change."""
+    changes_s: list[float] = []
+    if not plan.press_gap_s:
+        return changes_s
+    rng = random.Random(plan.seed + 4)
+
+    async def hand_in(spec: dict) -> None:
+        pool = rng.choice(plan.pools)
+        await _hand_in(callers, pool, rng, spec, None)
+
+    await curio.spawn(
+        pressing.press_always,
+        scene,
+        plan.press_gap_s,
+        rng,
+        hand_in,
+        changes_s,
+        daemon=True,
+    )
+    return changes_s
 
 
 async def _strike_processes(
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -65,8 +65,14 @@
     return checker.check(evidence, JOBS, 2, {1: 1}, 2.0, troubled)
 
 
-def _start(at_s, place, task=TASK, attempt=1, saved=''):
-    fields = {'task': task, 'attempt': attempt, 'place': place, 'saved': saved}
+def _start(at_s, place, task=TASK, attempt=1, saved='', how=''):
+    fields = {
+        'task': task,
+        'attempt': attempt,
+        'place': place,
+        'saved': saved,
+        'how': how,
+    }
     return at_s, Kind.STARTED, fields
 
 
@@ -94,6 +100,14 @@
 
 BREACHES = {
     'two runs at once': ('TWICE', [_start(1, 'w1'), _start(2, 'w2')]),
+    'two runs at once by a late order': (
+        'TWICE',
+        [_start(1, 'w1'), _start(2, 'w2', how='late')],
+    ),
+    'a late order of a job that nobody sent': (
+        'UNASKED',
+        [_start(1, 'w1', task='c' * 16 + '.0.0.0', how='late')],
+    ),
     'a run after a noted end': (
         'TWICE',
         [
@@ -263,6 +277,14 @@
     assert any(line.startswith('REFUSED') for line in found)
 
 
+def test_bounds_in_time_are_not_for_orders_that_were_carried_out_late():
+    assert not _check(
+        (1.0, Kind.CANCELLED, {'job': JOB, 'how': '200'}),
+        (1.0, Kind.DRAINING, {'place': 'w1'}),
+        _start(9, 'w1', how='late'),
+    )
+
+
 def test_sound_evidence_has_no_breach():
     assert not _check(
         _start(1, 'w1'),
