Keep other writers' text out of keys, labels, long lines and faults

Cause: the key of a pool's roster holds the pool's name. A name that is too long has a digest in its key now; readers take the name from the rows. The emulated store refuses keys over 200 bytes and values over 1 MB.

Looked at, and mended: - answers at a worker's address, which anybody may give: what can't be read ended the term with a fault (all eight kinds tried). It is a call that failed now; a refusal with an unknown reason leaves the start in doubt. - a caller's method as a label of a metric: any word made a new series. - bodies of callers and of operators nested thousands deep: the connection was cut by a RecursionError; they get 400. - a line's size: whatever a name or reason holds, a line of more than 16 KB is cut to its first texts and numbers. The log writes to a pipe. - a wave's number becomes part of two keys: it has a bound. - a queue's name in the call that asks the leader how many wait: sent as it was, so that one with a space or not in ASCII gave no answer; it is quoted. - lengths of names in entries are in bytes now and smaller, as the rows of a pool's workers go into one value.

Looked at, and found sound: ids of jobs (16 digits of fixed letters) in keys; the policy's and the history's keys (constants); ids of workers (checked at the boundary, sent as a header); zones, labels and racks (compared only); names of machines (in values and bodies only, from the platform's list); hosts and prefixes of queues (compared only); statuses of answers as labels (three digits); reasons and outcomes as labels (named kinds only).

Looked at, and left: the platform's own answers (store, list of machines, advice) still end a term if they can't be read; a checkpoint or an apply's author of some hundred KB could make a value that is too long.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -15,6 +15,10 @@
 """Items a page holds; smaller than the platform's 500, so that short runs
 read several pages."""
 
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 1 << 20
+"""What is longer is refused."""
+
 ANSWER_S = 0.004
 """Time that an answer takes."""
 
@@ -166,7 +170,16 @@
             await virtual.forever()
 
 
+def _too_long(asked) -> bool:
+    keys = [row['key'] for row in asked['precondition'] + asked['writes']]
+    longest = max((len(key.encode()) for key in keys), default=0)
+    values = (len(row['value']) * 3 // 4 for row in asked['writes'])
+    return longest > MAX_KEY_BYTES or max(values, default=0) > MAX_VALUE_BYTES
+
+
 async def _transaction(store, source, asked):
+    if _too_long(asked):
+        return transport.Answer(400, b'')
     wrong = [
         row
         for row in asked['precondition']
--- a/oleanderwood/event_log.py
+++ b/oleanderwood/event_log.py
@@ -18,6 +18,12 @@
 MAX_LINES_PER_S = 2000
 """Lines written in one second; a busy day's decisions take a few hundred."""
 
+MAX_LINE_BYTES = 16 << 10
+"""Longest line; a fault with its traceback takes 6 KB at most."""
+
+MAX_CUT_TEXT = 200
+"""Characters that are left of each text in a line that would be longer."""
+
 
 class _State:
     """What the log remembers between two lines."""
@@ -70,11 +76,23 @@
         row['node'] = _State.node
     if _State.dropped:
         row['dropped'] = _State.dropped
-    row.update(fields)
-    line = msgspec.json.encode(row, enc_hook=str) + b'\n'
+    line = msgspec.json.encode({**row, **fields}, enc_hook=str) + b'\n'
+    if len(line) > MAX_LINE_BYTES:
+        line = msgspec.json.encode({**row, **_cut(fields)}) + b'\n'
     _write(line)
 
 
+def _cut(fields: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Give what is left of a line that is too long, as much as it matters."""
+    left: dict[str, typing.Any] = {'cut': True}
+    for name, value in fields.items():
+        if isinstance(value, str):
+            left[name] = value[:MAX_CUT_TEXT]
+        elif isinstance(value, int | float):
+            left[name] = value
+    return left
+
+
 def _drop() -> None:
     _State.dropped += 1
     server_metrics.LOG_DROPPED.inc()
--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -1,6 +1,7 @@
 """What callers ask for: a job's state, and how many of a queue wait."""
 
 import dataclasses
+import urllib.parse
 
 import msgspec
 
@@ -147,7 +148,7 @@
     leader = asking.server.leader
     if leader is not None and not leader.deposed:
         return tell_pending(leader, queue).pending
-    told = await _ask(asking, PENDING_PATH + queue)
+    told = await _ask(asking, PENDING_PATH + urllib.parse.quote(queue, ''))
     if told is None:
         raise errors.CallFailed(
             verdicts.Verdict.NOT_RUN, 'the leader does not answer'
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -30,6 +30,9 @@
 
 JOB_ID = re.compile('[0-9a-f]{16}')
 
+METHODS = frozenset(('GET', 'POST', 'DELETE', 'PUT', 'HEAD', 'PATCH'))
+"""Methods that metrics tell apart; callers may send any word."""
+
 JSON = (b'content-type', b'application/json')
 
 
@@ -48,8 +51,9 @@
     async def handle(request: http.Request) -> http.Response:
         began_s = clock.now_s()
         response = await answer(request)
+        kind = request.method if request.method in METHODS else 'other'
         server_metrics.CALLER_SECONDS.labels(
-            request.method, str(response.status)
+            kind, str(response.status)
         ).observe(clock.now_s() - began_s)
         return response
 
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -1,5 +1,7 @@
 """Writing progress to the store; ends are acknowledged only after it."""
 
+import hashlib
+
 import curio
 import msgspec
 
@@ -20,6 +22,10 @@
 ROSTER_PREFIX = 'ow/workers/'
 """The workers of a pool that an earlier leader may have given tasks."""
 
+DIGEST_MARK = '~'
+"""Begins what stands in a roster's key for a name that is too long for one;
+the workers' rows hold the name itself."""
+
 GATHER_S = 0.03
 """Time in which ends are gathered for one write. It delays callers' sight
 of a completed job by as much; each write has a price."""
@@ -157,13 +163,27 @@
             if worker.entry.service == service and not worker.gone
         ]
         members.update(row.worker for row in rows)
-        writes[ROSTER_PREFIX + service] = msgspec.json.encode(rows)
+        writes[roster_key(service)] = msgspec.json.encode(rows)
     await guarded.write(leader, writes)
     leader.roster_dirty -= services
     leader.rostered |= members
     await leader.due.set()
 
 
+def roster_key(service: ids.ServiceId) -> str:
+    """Give the key of a pool's roster; names of any length have one.
+
+    A key that the store refuses would hold up all progress, which is
+    written after the rosters.
+    """
+    key = ROSTER_PREFIX + service
+    short = len(key.encode()) <= stores.MAX_KEY_BYTES
+    if short and not service.startswith(DIGEST_MARK):
+        return key
+    digest = hashlib.sha256(service.encode()).hexdigest()
+    return ROSTER_PREFIX + DIGEST_MARK + digest
+
+
 def decode_roster(value: bytes) -> list[reports.Entry]:
     """Decode the workers of one pool's roster."""
     return msgspec.json.decode(value, type=list[reports.Entry])
--- a/oleanderwood/operators/api.py
+++ b/oleanderwood/operators/api.py
@@ -59,7 +59,7 @@
         if error.verdict is verdicts.Verdict.NOT_RUN:
             kind = Kind.NOT_RUN
         return _refusal(messages.ErrorReply(kind, error.reason, error.verdict))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return _refusal(messages.ErrorReply(Kind.BAD_REQUEST, str(error)))
     return daemon.json_response(200, answer)
 
--- a/oleanderwood/platform/callers.py
+++ b/oleanderwood/platform/callers.py
@@ -55,7 +55,7 @@
     """
     try:
         wire = msgspec.json.decode(body, type=_WireJob)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.BadMessage(400, str(error)) from error
     if not wire.phases or any(phase.count < 1 for phase in wire.phases):
         raise errors.BadMessage(400, 'a job needs steps with tasks')
--- a/oleanderwood/platform/entries.py
+++ b/oleanderwood/platform/entries.py
@@ -17,15 +17,14 @@
 MAX_ENTRY_BYTES = 64 << 10
 """Longest entry that is read; real ones have 300 bytes."""
 
-MAX_NAME = 200
-"""Longest name of a zone, version, machine or label, in characters: that of a
-key in the store, in bytes."""
+MAX_NAME = 100
+"""Longest name of a zone, version, machine or label, in bytes; real ones have
+ten. The workers of a pool have to fit one value of the store together."""
 
 MAX_SERVICE = 1000
-"""Longest name of a service, in characters. The platform gives no bound; a
-pool's workers have to fit one value of the store together."""
+"""Longest name of a service, in bytes; the platform gives no bound."""
 
-MAX_LABELS = 16
+MAX_LABELS = 8
 """Labels of one executor, which has two: its kind and its rack."""
 
 MAX_AMOUNT = 10**9
@@ -124,10 +123,10 @@
     names = (wire.zone, wire.version, wire.machine, *wire.labels)
     if len(wire.labels) > MAX_LABELS:
         reason = f'{len(wire.labels)} labels'
-    elif len(wire.service) > MAX_SERVICE:
-        reason = f'a service of {len(wire.service)} characters'
-    elif any(len(name) > MAX_NAME for name in names):
-        reason = f'a name of over {MAX_NAME} characters'
+    elif len(wire.service.encode()) > MAX_SERVICE:
+        reason = f'a service of over {MAX_SERVICE} bytes'
+    elif any(len(name.encode()) > MAX_NAME for name in names):
+        reason = f'a name of over {MAX_NAME} bytes'
     else:
         return
     raise entries.BadEntry(entries.Fault.TOO_LONG, reason)
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import typing
 
 import msgspec
 
@@ -9,8 +10,11 @@
 from oleanderwood.jobs import model
 from oleanderwood.platform import transport
 from oleanderwood.pools import reports
+from oleanderwood import verdict as verdicts
 from oleanderwood.web import connections
 
+T = typing.TypeVar('T')
+
 PREFIX = 'servers/'
 """Prefix of the executors' entries in the store."""
 
@@ -81,11 +85,29 @@
     reason: str = ''
 
 
+class _WireRun(msgspec.Struct, array_like=True):
+    # The fifth is the latency of a task that serves, and the processor time
+    # in use of any other.
+    task: str
+    attempt: int
+    saved: str | None
+    percent: float
+    latency_or_cpu: float = 0
+
+
+class _WireEnd(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    attempt: int
+    how: str
+    saved: str | None
+
+
 class _WireReport(msgspec.Struct):
     clock_ms: float = 0
     reason: str = ''
-    running: list[list] = []
-    finished: list[list] = []
+    running: list[_WireRun] = []
+    finished: list[_WireEnd] = []
 
 
 _ENDS = {
@@ -125,13 +147,41 @@
     if answer.status in (429, 503):
         return Refusal.UNHEALTHY
     if answer.status == 409:
-        reason = msgspec.json.decode(answer.body, type=_WireAnswer).reason
-        return Refusal(reason)
+        return _refusal(answer)
     if answer.status == 400:
         return Refusal.INVALID
     raise transport.refused(answer, 'start')
 
 
+def _refusal(answer: transport.Answer) -> Refusal:
+    """Decode why an executor refused a start.
+
+    :raises errors.CallFailed: whoever answered isn't understood
+    """
+    reason = _decoded(answer, _WireAnswer).reason
+    try:
+        return Refusal(reason)
+    except ValueError as error:
+        raise _not_understood(error) from error
+
+
+def _decoded(answer: transport.Answer, kind: type[T]) -> T:
+    """Decode an answer; another than an executor may have given it.
+
+    :raises errors.CallFailed: it can't be read
+    """
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise _not_understood(error) from error
+
+
+def _not_understood(error: Exception) -> errors.CallFailed:
+    return errors.CallFailed(
+        verdicts.Verdict.MAY_HAVE_RUN, f'answer not understood: {error}'[:200]
+    )
+
+
 async def stop(
     calls: Executors, at: reports.Entry, task: str, attempt: int, term: int
 ) -> None:
@@ -189,23 +239,30 @@
 
 
 def _report(answer: transport.Answer) -> reports.Report:
-    wire = msgspec.json.decode(answer.body, type=_WireReport)
+    wire = _decoded(answer, _WireReport)
     running = [
         reports.Running(
-            task=row[0],
-            attempt=row[1],
-            checkpoint=row[2] or '',
-            percent=float(row[3]),
-            # The fifth is the latency of a task that serves, and the
-            # processor time in use of any other.
-            latency_or_cpu=float(row[4]) if len(row) > 4 else 0.0,
+            task=row.task,
+            attempt=row.attempt,
+            checkpoint=row.saved or '',
+            percent=row.percent,
+            latency_or_cpu=row.latency_or_cpu,
         )
         for row in wire.running
     ]
-    ended = [
-        reports.Ended(row[0], row[1], row[2], _ENDS[row[3]], row[4] or '')
-        for row in wire.finished
-    ]
+    try:
+        ended = [
+            reports.Ended(
+                row.number,
+                row.task,
+                row.attempt,
+                _ENDS[row.how],
+                row.saved or '',
+            )
+            for row in wire.finished
+        ]
+    except KeyError as error:
+        raise _not_understood(error) from error
     return reports.Report(wire.clock_ms, running, ended)
 
 
@@ -215,8 +272,7 @@
     if answer.status == 421:
         raise Replaced(what)
     if answer.status == 409:
-        reason = msgspec.json.decode(answer.body, type=_WireAnswer).reason
-        if reason == Refusal.FENCED.value:
+        if _decoded(answer, _WireAnswer).reason == Refusal.FENCED.value:
             raise Fenced(what)
     raise transport.refused(answer, what)
 
--- a/oleanderwood/platform/operator.py
+++ b/oleanderwood/platform/operator.py
@@ -1,5 +1,7 @@
 """What the platform's operator writes: configuration and waves."""
 
+import typing
+
 import msgspec
 
 from oleanderwood import ids
@@ -72,8 +74,12 @@
     )
 
 
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A number that becomes part of a key, which has a greatest length."""
+
+
 class _WireWave(msgspec.Struct):
-    wave: int
+    wave: _Number
     machines: list[str] = []
     duration_s: float = 0
     max_count: int = 1
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -22,6 +22,10 @@
 """Entries that one transaction takes: conditions, writes and removals."""
 
 
+MAX_KEY_BYTES = 200
+"""Longest key that the platform's store takes, in UTF-8."""
+
+
 class Item(msgspec.Struct, frozen=True):
     """One value of the store; a removed one has no value.
 
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import traceback
+import urllib.parse
 import uuid
 
 import curio
@@ -258,7 +259,7 @@
     if path.startswith(askings.STATE_PATH):
         job = ids.JobId(path.removeprefix(askings.STATE_PATH))
         return _json(askings.tell_state(leader, job))
-    queue = path.removeprefix(askings.PENDING_PATH)
+    queue = urllib.parse.unquote(path.removeprefix(askings.PENDING_PATH))
     return _json(askings.tell_pending(leader, queue))
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -40,6 +40,7 @@
         b'{"spec":"x","phases":[{"count":99999999999999999999999}]}'
     ),
     'no text at all': b'',
+    'lists within lists': b'{"x":' + b'[' * 9_000 + b']' * 9_000 + b'}',
 }
 
 
