--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -14,8 +14,28 @@
 }
 """Seeds that once broke a rule or left jobs unfinished, and why."""
 
+PARTED = (troubles.Kind.STORE_LAPSES_PARTED,)
+
+STARTED_BY_TWO = {
+    804: troubles.TAKEOVER_KINDS,
+    899: troubles.TAKEOVER_KINDS,
+    4000: PARTED,
+    4002: PARTED,
+    4035: PARTED,
+    4051: PARTED,
+}
+"""Seeds of takeovers that broke TWICE, and the kinds that they draw from.
+
+A job was accepted after the next leader had read the store. The former one,
+confirmed before and not yet aware of the next, took it in and started its
+first attempt; so did the next, to which it was a job that nobody can have
+started. In 804 leases ended unnoticed, in the others they ran out while the
+store was away.
+"""
+
 DRAWN = range(500, 512)
 DRAWN_OF_ALL = range(700, 712)
+DRAWN_TAKEOVERS = range(805, 817)
 TROUBLES_A_DAY = 4
 
 
@@ -48,6 +68,11 @@
     _check(_drawn(seed))
 
 
+@pytest.mark.parametrize('seed', sorted(STARTED_BY_TWO))
+def test_job_accepted_between_two_leaders_has_one_run(seed):
+    _check(utils_days.takeover_day(seed, STARTED_BY_TWO[seed]))
+
+
 def test_job_that_can_not_be_done_holds_up_no_other():
     # Seed 729 with five troubles: its failures made both workers of a pool
     # suspect, and nothing was started there any more.
@@ -65,6 +90,11 @@
     _check(_drawn(seed, tuple(troubles.Kind)))
 
 
+@pytest.mark.parametrize('seed', DRAWN_TAKEOVERS)
+def test_day_of_takeovers(seed):
+    _check(utils_days.takeover_day(seed))
+
+
 @pytest.mark.parametrize('kind', list(troubles.Kind), ids=lambda k: k.value)
 def test_each_kind_of_trouble_twice(kind):
     rows = (
