--- a/emulator/day.py
+++ b/emulator/day.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from emulator import advice
 from emulator import callers as callers_
 from emulator import checker
 from emulator import evidence as evidences
@@ -65,6 +66,7 @@
     :ivar unfinished: accepted jobs that weren't shown as ended in time
     :ivar waits_s: time from handing in until shown as ended, by job
     :ivar met: starts that met each feature
+    :ivar refused: starts that executors rejected, by reason
     """
 
     breaches: list[str]
@@ -77,6 +79,7 @@
     evidence: evidences.Evidence
     jobs: dict[str, dict]
     met: collections.Counter
+    refused: collections.Counter
 
 
 def play(
@@ -106,6 +109,13 @@
     ]
     network.handlers[servers.STORE_ADDRESS] = stores.make_handler(store)
     network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(fleet)
+    if features_.Feature.ADVICE in plan.features:
+        world.advising = advice.Service()
+        network.handlers[servers.ADVICE_ADDRESS] = advice.make_handler(
+            world.advising
+        )
+        for process in processes:
+            process.advised = True
     scene = troubles_.Scene(
         network, store, fleet, processes, random.Random(plan.seed + 2)
     )
@@ -134,7 +144,7 @@
         (plan.lead_s + row.at_s, plan.lead_s + row.at_s + 2 * row.for_s)
         for row in plan.troubles
     ]
-    return judge(callers, fleet, store, troubled)
+    return judge(callers, fleet, store, troubled, plan.features)
 
 
 async def _strike_processes(
@@ -155,6 +165,7 @@
     fleet: fleets.Fleet,
     store: stores.Store,
     troubled: collections.abc.Collection[tuple[float, float]] | None = None,
+    features: features_.Features = (),
 ) -> Result:
     """Judge what was seen.
 
@@ -190,7 +201,8 @@
         store_calls=store.calls,
         evidence=evidence,
         jobs=world.jobs,
-        met=features_.met(evidence, world.jobs),
+        met=features_.met(evidence, world.jobs, features),
+        refused=world.refused,
     )
 
 
@@ -213,6 +225,9 @@
         }
         for pool in pools
     ]
+    if features_.Feature.ADVICE in features:
+        for route in routes:
+            route['advice'] = advice.FIELDS
     names = [*pools, fleets.STANDBY]
     services = [
         {
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -1,11 +1,13 @@
 """Executors: tasks under leases, fences, ends until they are acknowledged."""
 
+import collections
 import dataclasses
 import json
 import random
 
 import curio
 
+from emulator import advice
 from emulator import checkpoints
 from emulator import evidence as evidences
 from emulator import gangs
@@ -99,6 +101,8 @@
     :ivar jobs: what callers handed in, by id; the executors learn from it
         how long tasks really take
     :ivar gang_runs: runs of gangs, on all executors
+    :ivar advising: what gives the tickets that starts need; None: none do
+    :ivar refused: starts that were rejected, by reason
     """
 
     evidence: evidences.Evidence
@@ -106,6 +110,10 @@
     rng: random.Random
     jobs: dict[str, dict] = dataclasses.field(default_factory=dict)
     gang_runs: gangs.Gangs = dataclasses.field(default_factory=dict)
+    advising: advice.Service | None = None
+    refused: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 def clock_ms(executor: Executor) -> float:
@@ -184,7 +192,14 @@
     _extend(executor, asked)
     job, _occurrence, step, _index = name.split('.')
     spec = world.jobs[job]['phases'][int(step)]
+    ticket = asked.get('ticket', '')
+    if world.advising is not None and not advice.is_valid(
+        world.advising, ticket, name, executor.name
+    ):
+        world.refused['ticket'] += 1
+        return _answer(executor, 409, reason='ticket')
     if executor.guards and not _fits(executor, spec):
+        world.refused['room'] += 1
         return _answer(executor, 409, reason='room')
     checkpoint = asked.get('checkpoint', '')
     run = _run(world, executor, name, attempt, spec)
--- a/emulator/features.py
+++ b/emulator/features.py
@@ -24,6 +24,8 @@
 
     COPIES = 'copies'
     CHECKPOINTS = 'checkpoints'
+    ADVICE = 'advice'
+    """Starts need tickets of the advice service."""
 
 
 KINDS = ('a', 'b')
@@ -43,6 +45,11 @@
         if feature in features and feature in _ADORN:
             if rng.random() < SHARE:
                 _ADORN[feature](rng, spec)
+    for step in spec['phases']:
+        if step.get('gang') and step.get('max_per_server'):
+            # One that has room on two machines, so that it can be done.
+            least = -(-step['count'] // 2)
+            step['max_per_server'] = max(step['max_per_server'], least)
     return spec
 
 
@@ -110,7 +117,7 @@
 
 
 def met(
-    evidence: evidences.Evidence, jobs: dict[str, dict]
+    evidence: evidences.Evidence, jobs: dict[str, dict], features: Features
 ) -> collections.Counter:
     """Count the starts that met each feature."""
     count: collections.Counter = collections.Counter()
@@ -123,6 +130,7 @@
         step = spec['phases'][int(sight.task.split('.')[2])]
         for feature, field in _FIELDS.items():
             count[feature] += bool(step.get(field))
+        count[Feature.ADVICE] += Feature.ADVICE in features
         count[Feature.REPEATS] += bool(spec.get('repeat_count'))
         place = evidence.places.get(sight.place)
         count[Feature.UNGUARDED] += place is not None and not place.guards
--- a/emulator/servers.py
+++ b/emulator/servers.py
@@ -17,6 +17,7 @@
 
 STORE_ADDRESS = ids.Address('10.9.0.1:1')
 MACHINES_ADDRESS = ids.Address('10.9.0.2:1')
+ADVICE_ADDRESS = ids.Address('10.9.0.3:1')
 
 
 @dataclasses.dataclass(eq=False)
@@ -24,6 +25,7 @@
     """One server machine.
 
     :ivar state: of its present life; None while it is down
+    :ivar advised: it knows of the advice service
     """
 
     name: str
@@ -31,6 +33,7 @@
     callers: str
     state: states.Server | None = None
     lives: int = 0
+    advised: bool = False
 
 
 def settings_of(process: Process) -> boot.Settings:
@@ -45,6 +48,7 @@
         inner_port=1,
         store_address=STORE_ADDRESS,
         machines_address=MACHINES_ADDRESS,
+        advice_address=ADVICE_ADDRESS if process.advised else None,
     )
 
 
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -40,9 +40,16 @@
     known = states.known_queues(leader)
     wall_ms = clock.wall_ms()
     now_s = clock.now_s()
+    present = {
+        name
+        for name, worker in leader.workers.items()
+        if not worker.entry.draining
+    }
     for group in leader.ledger.open_groups:
         queue = placing.queue_of(group.entry, known)
-        if not queue.needs_advice or now_s < group.advised_until_s:
+        if not queue.needs_advice:
+            continue
+        if not placing.lacks_advice(group, present, now_s):
             continue
         if ledgers.is_ready(group, wall_ms):
             return group
@@ -62,6 +69,8 @@
     step = group.tasks[0].name.rpartition('.')[0]
     asked_s = clock.now_s()
     group.advised_until_s = asked_s + AGAIN_S
+    # What expires is of no use until the answer is there.
+    group.tickets = None
     if not workers:
         return
     try:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 from oleanderwood import ids
@@ -371,6 +372,21 @@
     return group.tickets is None or now_s >= group.advised_until_s
 
 
+def lacks_advice(
+    group: ledgers.Group,
+    present: collections.abc.Container[ids.VmId],
+    now_s: float,
+) -> bool:
+    """Say whether advice on a step has to be asked for, or anew.
+
+    :param present: workers that may be given tasks at some time
+    """
+    if now_s >= group.advised_until_s:
+        return True
+    tickets = group.tickets
+    return bool(tickets) and not any(name in present for name in tickets)
+
+
 def queue_of(
     entry: ledgers.Entry, known: dict[str, queues.Queue]
 ) -> queues.Queue:
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -60,3 +60,11 @@
 @pytest.mark.parametrize('row', FOUND, ids=lambda row: row.why)
 def test_day_that_failed_once(row):
     _check(_plan(row.seed, row.features, row.troubles, row.jobs_per_s))
+
+
+def test_no_start_carries_a_ticket_that_has_expired():
+    # Tickets that were about to expire were still used while the question
+    # for new ones waited its turn: 20 starts were rejected beside 459.
+    result = _check(_plan(8, (Feature.ADVICE,), jobs_per_s=8.0))
+    assert result.met[Feature.ADVICE] > 300
+    assert not result.refused['ticket']
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -110,3 +110,17 @@
     group.advised_until_s = 0.5
     assert not placing.by_service(ledger, queues, lengths.Lengths(), 0.0, 1.0)
     assert group.waiting and not ledgers.final(group.entry)
+
+
+def test_advice_is_asked_for_anew_when_none_of_the_good_workers_is_left():
+    # Tickets last for seconds. A step whose only good worker was gone waited
+    # for its tickets to expire.
+    _ledger, _queues, group = _advised_world()
+    assert placing.lacks_advice(group, {'w1'}, 1.0)
+    group.tickets = {'w1': 'ticket'}
+    group.advised_until_s = 5.0
+    assert not placing.lacks_advice(group, {'w1', 'w2'}, 1.0)
+    assert placing.lacks_advice(group, {'w2'}, 1.0)
+    assert placing.lacks_advice(group, {'w1'}, 5.0)
+    group.tickets = {}
+    assert not placing.lacks_advice(group, {'w2'}, 1.0)
