--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -117,6 +117,15 @@
             _start(3, 'w1', attempt=2),
         ],
     ),
+    'a run after an end that is noted later': (
+        'TWICE',
+        [
+            _start(1, 'w1'),
+            _end(2, 'w1'),
+            _start(3, 'w2', attempt=2),
+            _noted(4, 'w1'),
+        ],
+    ),
     'a step before its turn': (
         'ORDER',
         [_start(1, 'w1', task=f'{JOB}.0.1.0')],
