Give no lease in a look of a leader that may not act

Cause: the look that follows an unanswered start, or a stop, didn't ask whether the leader may act; one that was suspended beyond its lease and woke renewed a worker for a whole lease, longer than the next leader waits. The loop of renewals asks before each look, as before.

--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -98,10 +98,15 @@
 async def look(
     leader: states.Leader, worker: workers_.Worker, longest_wait_ms: int
 ) -> bool:
-    """Renew once; says whether the worker answered."""
+    """Renew once; says whether the worker answered.
+
+    A leader that may not act any more, as it was suspended, only asks: the
+    next one waits no longer than for leases given before it was elected.
+    """
     sent_s = clock.now_s()
     lease_end_ms = None
-    if worker.fenced and worker.silent_since_s is None and worker.runs:
+    answers = worker.fenced and worker.silent_since_s is None
+    if answers and worker.runs and states.may_act(leader):
         lease_end_ms = new_lease_end_ms(leader, worker, sent_s)
         workers_.note_lease(worker, lease_end_ms)
     order = reports.Renewal(
