Hold a lease only with the server's row under it

Cause: the lease was noted before the row was written. After a refused write the server only renewed it, could be elected by it, and was asked by no leader that didn't reach the store.

--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -49,8 +49,13 @@
 
 
 async def _take(server: states.Server) -> None:
+    """Take a lease, and write the row under it.
+
+    Without its row a server could be elected and be asked by nobody, so it
+    has no lease before the row is there; one whose row was refused runs out.
+    """
     sent_s = clock.now_s()
-    server.lease = await stores.grant(server.store, lease_s(server))
+    lease = await stores.grant(server.store, lease_s(server))
     note_contact(server, sent_s)
     settings = server.settings
     row = roles_.Server(
@@ -65,8 +70,9 @@
         server.store,
         {},
         {key: msgspec.json.encode(row)},
-        leases={key: server.lease},
+        leases={key: lease},
     )
+    server.lease = lease
     server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
     event_log.emit('lease', 'taken', lease=server.lease)
     await server.roles_changed.set()
