Take a cancel in doubt for a cause in the emulator's checker

Trace: the caller's first cancel got no answer in 3 s and was carried out by the store late, the next tries were refused; the caller gave up, and the job was rightly shown as cancelled. A cancel of which each try was refused as not done is still none, and one in doubt forbids no start.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -18,6 +18,9 @@
 HOST = 'callers.example'
 TIMEOUT_S = 3.0
 TRIES = 4
+IN_DOUBT = (0, 504)
+"""Statuses after which a call may have been done; 0: no answer."""
+
 ASK_S = 0.7
 """Time between two questions for a job's state."""
 
@@ -117,6 +120,8 @@
             callers.cancelled.add(job)
             _note(callers, evidences.Kind.CANCELLED, job, str(status))
             return
+        if status in IN_DOUBT:
+            _note(callers, evidences.Kind.CANCEL_IN_DOUBT, job, str(status))
         await curio.sleep(0.5)
 
 
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -134,7 +134,7 @@
                 failed[whole].add((place, sight.attempt))
         elif sight.kind is Kind.HANDED_IN and sight.how == '200':
             accepted.add(sight.job)
-        elif sight.kind is Kind.CANCELLED:
+        elif sight.kind in (Kind.CANCELLED, Kind.CANCEL_IN_DOUBT):
             cancelled.add(sight.job)
         elif sight.kind is Kind.SHOWN:
             yield from _shown_once(
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -27,6 +27,9 @@
     """A job's state as a caller was told."""
 
     CANCELLED = 'cancelled'
+    CANCEL_IN_DOUBT = 'cancel-in-doubt'
+    """A cancel that was sent and may have been done: no answer, or 504."""
+
     ORDERED = 'ordered'
     """A machine was ordered; ``attempt`` is the term."""
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -277,6 +277,15 @@
     assert any(line.startswith(rule) for line in found), found
 
 
+def test_cancel_in_doubt_is_a_cause_and_one_that_was_refused_is_none():
+    shown = _shown(2, 'cancelled')
+    doubt = (1.0, Kind.CANCEL_IN_DOUBT, {'job': JOB, 'how': '0'})
+    assert not _check(doubt, shown)
+    assert _check(shown)
+    # It isn't held against what runs on: it may not have been done.
+    assert not _check(doubt, _start(9, 'w1'))
+
+
 def test_refused_job_that_runs_is_found():
     evidence = evidences.Evidence()
     for kind, how in ((Kind.HANDED_IN, 'sent'), (Kind.HANDED_IN, '503')):
