Hold tasks back by where leaders may have started them

- The pool that a job names is the one that its front end knew.
A leader that had not heard of the newest configuration started the task in the queue's former pool, and the next one waited for workers of the named pool only.
Now a leader starts a job's tasks in another pool than the job names only once its progress says so, which costs one write and only where a queue's pool was changed.
The next leader waits for just these pools.
This takes the place of waiting for all pools, and covers a queue that was given another pool and then its own back.
- A roster that can't be read passed for an empty one.
Its workers are met by their entries, and what may run somewhere now waits until all leases of earlier leaders have ended.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -116,6 +116,9 @@
     :ivar kept_state: what lies in the store
     :ivar inherited: an earlier leader may have started tasks of it
     :ivar cause: why it has failed
+    :ivar more_pools: pools in which its tasks may be started beside the one
+        that its queue had when it was handed in
+    :ivar more_pools_kept: those that lie in the store
     :ivar dirty: something about it must be written
     :ivar expected_s: how long a task of each step is expected to take, as
         known at ``expected_version``
@@ -130,6 +133,10 @@
     state: model.State = model.State.QUEUED
     kept_state: model.State = model.State.QUEUED
     cause: str = ''
+    more_pools: set[ids.ServiceId] = dataclasses.field(default_factory=set)
+    more_pools_kept: set[ids.ServiceId] = dataclasses.field(
+        default_factory=set
+    )
     dirty: bool = False
     ended_s: float = 0.0
     expected_s: tuple[float, ...] = ()
@@ -174,6 +181,25 @@
     return entry
 
 
+def may_start_in(ledger: Ledger, entry: Entry, pool: ids.ServiceId) -> bool:
+    """Say whether a job's tasks may be started in a pool now.
+
+    In another one than the job names they may be once that has been written,
+    so that a later leader knows where they may run.
+    """
+    if pool in kept_pools(entry):
+        return True
+    if pool not in entry.more_pools:
+        entry.more_pools.add(pool)
+        _touch(ledger, entry)
+    return False
+
+
+def kept_pools(entry: Entry) -> set[ids.ServiceId]:
+    """Give the pools in which tasks of a job may have been started."""
+    return {entry.job.queue.service, *entry.more_pools_kept}
+
+
 def final(entry: Entry) -> bool:
     """Say whether the job has reached its last state."""
     return entry.state in model.FINAL
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -34,10 +34,15 @@
 
 
 class Progress(msgspec.Struct, frozen=True):
-    """Progress of one job."""
+    """Progress of one job.
+
+    :ivar more_pools: in which its tasks may have been started, beside the one
+        that its queue had when it was handed in
+    """
 
     state: model.State
     groups: list[GroupProgress] = []
+    more_pools: list[ids.ServiceId] = []
 
 
 def job_key(job: ids.JobId) -> str:
@@ -62,7 +67,7 @@
         row = _group_progress(group)
         if row.done != '0' or row.failed:
             rows.append(row)
-    return Progress(entry.state, rows)
+    return Progress(entry.state, rows, sorted(entry.more_pools))
 
 
 def _group_progress(group: ledgers.Group) -> GroupProgress:
@@ -97,6 +102,8 @@
     elif not ledgers.final(entry):
         entry.state = progress.state
     entry.kept_state = progress.state
+    entry.more_pools.update(progress.more_pools)
+    entry.more_pools_kept.update(progress.more_pools)
     if entry.kept_state is entry.state:
         entry.dirty = False
         ledger.dirty.pop(entry.job.job, None)
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -115,11 +115,11 @@
     leader: states.Leader, entries: list[ledgers.Entry]
 ) -> None:
     writes = {}
-    states_written = {}
+    written = {}
     for entry in entries:
         leader.ledger.dirty.pop(entry.job.job, None)
         progress = record.progress_of(entry)
-        states_written[entry.job.job] = progress.state
+        written[entry.job.job] = progress
         key = record.progress_key(entry.job.job)
         writes[key] = msgspec.json.encode(progress)
     try:
@@ -129,7 +129,10 @@
             leader.ledger.dirty[entry.job.job] = entry
         raise
     for entry in entries:
-        state = states_written[entry.job.job]
+        if entry.more_pools != entry.more_pools_kept:
+            await leader.due.set()
+        entry.more_pools_kept.update(written[entry.job.job].more_pools)
+        state = written[entry.job.job].state
         if state is not entry.kept_state:
             entry.kept_state = state
             if ledgers.final(entry):
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -73,23 +73,21 @@
 
 
 def _held_back(
-    group: ledgers.Group,
-    service: ids.ServiceId,
+    leader: states.Leader,
+    entry: ledgers.Entry,
     blocked: set[ids.ServiceId],
+    now_s: float,
 ) -> bool:
-    """Say whether a worker that we can't ask may run a group's tasks.
+    """Say whether a worker that we can't ask may run tasks of a job.
 
-    If the operator has given the queue another pool since the job was handed
-    in, that worker may be in any pool.
-
-    :param service: the pool that the queue has now
+    The operator may have given its queue another pool since; so it is the
+    pools that count in which leaders may have started its tasks.
     """
-    entry = group.entry
     if not entry.inherited:
         return False
-    if service != entry.job.queue.service:
-        return bool(blocked)
-    return service in blocked
+    if now_s <= leader.rosters_unread_until_s:
+        return True
+    return not blocked.isdisjoint(ledgers.kept_pools(entry))
 
 
 async def place(leader: states.Leader) -> None:
@@ -107,11 +105,16 @@
     quotas = quotas_.make(leader.policy.policy, leader.workers.values())
     for service, groups in ready.items():
         groups = [
-            row for row in groups if not _held_back(row, service, blocked)
+            row
+            for row in groups
+            if not _held_back(leader, row.entry, blocked, now_s)
+            and ledgers.may_start_in(leader.ledger, row.entry, service)
         ]
         pool = pools.get(service, [])
         decided = placing.decide(groups, pool, now_s, STARTS_A_PASS, quotas)
         await _order(leader, decided, now_s)
+    if leader.ledger.dirty:
+        await leader.unkept.set()
 
 
 async def _order(
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -156,6 +156,8 @@
 
     :ivar revision: of the leader's key, the condition of all its writes
     :ivar deposed: why it must stop; '' while it leads
+    :ivar rosters_unread_until_s: by when the leases have ended of workers that
+        a roster names which can't be read
     :ivar unreadable: jobs whose progress in the store can't be read
     :ivar confirmed_until_s: by when servers that don't reach the store
         either have to confirm again that none leads
@@ -193,6 +195,7 @@
     policy_revision: int = 0
     deposed: str = ''
     confirmed_until_s: float = 0.0
+    rosters_unread_until_s: float = -1e9
     unreadable: set[ids.JobId] = dataclasses.field(default_factory=set)
     cancelled_unknown: set[ids.JobId] = dataclasses.field(default_factory=set)
     entries: entries_.Book = dataclasses.field(default_factory=entries_.Book)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -207,24 +207,29 @@
     now_s = clock.now_s()
     lease_s = states.task_lease_s(leader.server.settings)
     longest_s = lease_s / workers_.SLOW_CLOCK_RATE
+    leases_end_s = now_s + longest_s + schedule.UNKNOWN_LEASE_SLACK_S
     for item in rosters.items:
-        for entry in _roster(item):
+        try:
+            entries_ = _roster(item)
+        except msgspec.MsgspecError as error:
+            # The workers are met by their entries; which of them were used
+            # isn't known, so what may run somewhere waits for all leases.
+            event_log.emit('worker', 'malformed', key=item.key, why=str(error))
+            leader.rosters_unread_until_s = leases_end_s
+            continue
+        for entry in entries_:
             worker = await intake.meet(leader, entry, listed=False)
-            worker.lease_end_s = (
-                now_s + longest_s + schedule.UNKNOWN_LEASE_SLACK_S
-            )
+            worker.lease_end_s = leases_end_s
 
 
 def _roster(item: stores.Item) -> list[reports.Entry]:
-    """Decode a roster; without it, workers are met by their entries.
+    """Decode a roster.
 
     A worker that can't be called was never given anything.
+
+    :raises msgspec.MsgspecError: it can't be read
     """
-    try:
-        rows = keeping.decode_roster(item.value)
-    except msgspec.MsgspecError as error:
-        event_log.emit('worker', 'malformed', key=item.key, why=str(error))
-        return []
+    rows = keeping.decode_roster(item.value)
     return [row for row in rows if entries.is_callable(row)]
 
 
