Count servers whose rows went a short while ago; confirm with nobody never

Cause: the servers that a leader without the store asks are those whose rows lie there now. Rows go with leases, so after the store had turned the others away a leader that was cut off asked nobody, and half of nobody answered: it went on until the end. Servers count for 10 s after their rows went, and at least one has to answer. A lone server therefore does nothing new while the store is away.

--- a/oleanderwood/leading/confirming.py
+++ b/oleanderwood/leading/confirming.py
@@ -66,9 +66,13 @@
 
 
 async def _confirmed(leader: states.Leader) -> bool:
-    """Ask all; at least half must answer, and none reach the store."""
+    """Ask all; at least half must answer, and none reach the store.
+
+    One that nobody answers can't tell whether another leads. That a server's
+    row went proves only that it didn't reach the store then.
+    """
     server = leader.server
-    others = roles_.peers(server.roles, server.process)
+    others = roles_.peers_lately(server.roles, server.process, clock.now_s())
     answers = await ask_all(leader, [row.address for row in others])
     known = [answer for answer in answers if answer is not None]
     for answer in known:
@@ -78,7 +82,7 @@
         if answer.contact_age_s < CONTACT_S:
             event_log.emit('leader', 'not-confirmed', why='the store lives')
             return False
-    enough = 2 * len(known) >= len(others)
+    enough = bool(known) and 2 * len(known) >= len(others)
     if not enough:
         event_log.emit(
             'leader',
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -17,6 +17,11 @@
 
 SERVER_PREFIX = 'ow/roles/server/'
 
+REMEMBERED_S = 10.0
+"""Time for which a server counts whose row went. A row goes 1.5 s after its
+server last reached the store; the server may reach it again, and lead, while
+we don't. Longer than the store was seen to turn some servers away (5 s)."""
+
 
 class Leader(msgspec.Struct, frozen=True):
     """Who leads under a term, or led last.
@@ -44,6 +49,14 @@
     data_centre: ids.DataCentre = ids.DataCentre('')
 
 
+@dataclasses.dataclass(frozen=True)
+class Gone:
+    """A server whose row went, and when."""
+
+    server: Server
+    at_s: float
+
+
 @dataclasses.dataclass
 class Roles:
     """What a server knows of all this.
@@ -51,6 +64,7 @@
     :ivar leader_revision: of the leader's key; it is the condition under
         which a leader writes
     :ivar alive_revision: 0 if nobody holds the lease
+    :ivar gone: servers whose rows went, by key
     """
 
     leader: Leader | None = None
@@ -58,6 +72,7 @@
     alive_revision: int = 0
     alive_process: str = ''
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
+    gone: dict[str, Gone] = dataclasses.field(default_factory=dict)
     known: bool = False
 
 
@@ -74,6 +89,7 @@
     elif key.startswith(SERVER_PREFIX):
         server = msgspec.json.decode(value, type=Server)
         roles.servers[key] = server
+        roles.gone.pop(key, None)
 
 
 def learn(roles: Roles, items: collections.abc.Iterable[stores.Item]) -> None:
@@ -83,20 +99,31 @@
             take(roles, item.key, item.value, item.revision)
 
 
-def drop(roles: Roles, key: str, revision: int) -> None:
+def drop(roles: Roles, key: str, revision: int, now_s: float) -> None:
     """Note that a key was removed at a revision of the store."""
     if key == ALIVE_KEY and revision > roles.alive_revision:
         roles.alive_revision = 0
         roles.alive_process = ''
     elif key.startswith(SERVER_PREFIX):
-        roles.servers.pop(key, None)
+        _note_gone(roles, key, now_s)
+
 
+def _note_gone(roles: Roles, key: str, now_s: float) -> None:
+    server = roles.servers.pop(key, None)
+    if server is None:
+        return
+    for other, row in list(roles.gone.items()):
+        if now_s - row.at_s > REMEMBERED_S:
+            del roles.gone[other]
+    roles.gone[key] = Gone(server, now_s)
 
-def clear(roles: Roles) -> None:
+
+def clear(roles: Roles, now_s: float) -> None:
     """Forget what a whole reading of the store is about to tell anew."""
     roles.alive_revision = 0
     roles.alive_process = ''
-    roles.servers.clear()
+    for key in list(roles.servers):
+        _note_gone(roles, key, now_s)
 
 
 def place_in_line(roles: Roles, name: str) -> int:
@@ -121,3 +148,13 @@
         for server in roles.servers.values()
         if server.process != process
     ]
+
+
+def peers_lately(roles: Roles, process: str, now_s: float) -> list[Server]:
+    """Give the other servers, those too whose rows went a short while ago."""
+    lately = [
+        row.server
+        for row in roles.gone.values()
+        if now_s - row.at_s <= REMEMBERED_S and row.server.process != process
+    ]
+    return peers(roles, process) + lately
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -312,10 +312,10 @@
 
     async def take(items: list[stores.Item], whole: bool) -> None:
         if whole:
-            roles_.clear(roles)
+            roles_.clear(roles, clock.now_s())
         for item in items:
             if item.removed:
-                roles_.drop(roles, item.key, item.revision)
+                roles_.drop(roles, item.key, item.revision, clock.now_s())
                 continue
             try:
                 roles_.take(roles, item.key, item.value, item.revision)
