Take a worker's report for whole only if it lists all its ends

Cause: a worker lists 500 ends at a time, the oldest first. A run whose end comes after those stood neither among what runs nor among the ends, and was taken for absent: stopped, settled, started anew; a new leader took a first report for whole as well. Now absence proves something only in a whole report, and what earlier leaders may have started waits until a worker has given one.

--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -59,19 +59,28 @@
 def unresolved(leader: states.Leader) -> set[ids.ServiceId]:
     """Give the pools with a worker that may run what we don't know of.
 
-    It was in use under an earlier term, hasn't answered under this one, and
-    a lease of that time may not have ended. What an earlier leader may have
-    started, by the term under which it was accepted, isn't started again in
-    such a pool.
+    It was in use under an earlier term, hasn't told under this one of all
+    that runs and has ended there, and a lease of that time may not have
+    ended. What an earlier leader may have started, by the term under which
+    it was accepted, isn't started again in such a pool.
     """
     now_s = clock.now_s()
     return {
         worker.entry.service
         for worker in leader.workers.values()
-        if not worker.fenced and now_s <= worker.lease_end_s
+        if not worker.heard and _may_hold(worker, now_s)
     }
 
 
+def _may_hold(worker: workers_.Worker, now_s: float) -> bool:
+    """Say whether a worker may have a run or an end that we don't know.
+
+    One that answers keeps its ends until they are acknowledged.
+    """
+    answers = worker.fenced and worker.silent_since_s is None
+    return answers or now_s <= worker.lease_end_s
+
+
 def _held_back(
     leader: states.Leader,
     entry: ledgers.Entry,
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -23,6 +23,10 @@
 machine of ours that is slowed down five times as long."""
 
 
+MOST_ENDS = 500
+"""Ends that an executor lists at once, the oldest first."""
+
+
 class Refusal(enum.Enum):
     """Why an executor didn't start a task. In all cases nothing ran."""
 
@@ -265,7 +269,8 @@
         ]
     except KeyError as error:
         raise _not_understood(error) from error
-    return reports.Report(wire.clock_ms, running, ended)
+    whole = len(ended) < MOST_ENDS
+    return reports.Report(wire.clock_ms, running, ended, whole)
 
 
 def _checked(answer: transport.Answer, what: str) -> transport.Answer:
--- a/oleanderwood/pools/reports.py
+++ b/oleanderwood/pools/reports.py
@@ -73,11 +73,14 @@
     """A worker's answer to a renewal.
 
     :ivar own_clock_ms: the worker's own steady clock
+    :ivar whole: it lists all ends that aren't acknowledged; of a run that it
+        lacks otherwise, the end may not have been listed yet
     """
 
     own_clock_ms: float
     running: list[Running]
     ended: list[Ended]
+    whole: bool = True
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -43,6 +43,7 @@
     :ivar rostered: the roster in the store surely names it where it is
     :ivar fenced: it has answered under this term, so that orders of an
         earlier one are refused there
+    :ivar heard: it has told under this term of all that runs and has ended
     :ivar silent_since_s: since when calls to it fail; None: it answers
     :ivar gone: proven: nothing runs there any more, and nothing will
     :ivar own_clock_ms, clock_at_s: its clock, and when it was read
@@ -64,6 +65,7 @@
     listed: bool = True
     rostered: bool = False
     fenced: bool = False
+    heard: bool = False
     silent_since_s: float | None = None
     gone: bool = False
     own_clock_ms: float = 0.0
@@ -134,6 +136,7 @@
 def note_answer(worker: Worker, report: reports.Report, now_s: float) -> None:
     """Note that the worker answered under this term."""
     worker.fenced = True
+    worker.heard = worker.heard or report.whole
     worker.silent_since_s = None
     worker.own_clock_ms = report.own_clock_ms
     worker.clock_at_s = now_s
@@ -165,7 +168,7 @@
         run = task.run
         if run is None or run.worker != worker.entry.worker:
             del worker.runs[name]
-        elif (name, run.attempt) not in listed:
+        elif report.whole and (name, run.attempt) not in listed:
             _take_absence(ledger, worker, task, sent_s, now_s, outcome)
     _note_foreign(ledger, worker, report)
     return outcome
