--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -50,6 +50,8 @@
     """No two runs of a task at once, and none after an acknowledged end."""
     open_runs = collections.defaultdict(dict)
     noted = {}
+    done = {}
+    to_be_noted = _noted_ends(evidence)
     for sight in evidence.sights:
         if sight.kind is Kind.STARTED:
             if _step(jobs, sight.task).get('speculative'):
@@ -70,9 +72,16 @@
                     f'TWICE at {sight.at_s:.2f}: {sight.task} was done at '
                     f'{noted[whole]:.2f}'
                 )
+            elif whole in done:
+                yield (
+                    f'TWICE at {sight.at_s:.2f}: {sight.task} was done at '
+                    f'{done[whole]:.2f}, as is noted later'
+                )
             open_runs[sight.task][sight.place] = sight
         elif sight.kind is Kind.ENDED:
             open_runs[sight.task].pop(sight.place, None)
+            if _run(sight) in to_be_noted:
+                done.setdefault(_unit(jobs, sight.task), sight.at_s)
         elif sight.kind is Kind.DIED:
             for places in open_runs.values():
                 places.pop(sight.place, None)
@@ -80,6 +89,29 @@
             noted.setdefault(_unit(jobs, sight.task), sight.at_s)
 
 
+def _noted_ends(evidence):
+    """Give the runs whose ends as done are taken note of at some time.
+
+    One whose executor's lease ran out before it was doesn't count.
+    """
+    ended_s = {}
+    lapsed_s = {}
+    noted = set()
+    for sight in evidence.sights:
+        if sight.kind is Kind.LAPSED:
+            lapsed_s[sight.place] = sight.at_s
+        elif sight.kind is Kind.ENDED and sight.how == 'done':
+            ended_s[_run(sight)] = sight.at_s
+        elif sight.kind is Kind.NOTED and _run(sight) in ended_s:
+            if lapsed_s.get(sight.place, -1.0) < ended_s[_run(sight)]:
+                noted.add(_run(sight))
+    return noted
+
+
+def _run(sight):
+    return sight.place, sight.task, sight.attempt
+
+
 _step = feature_rules.step_of
 _unit = feature_rules.unit
 
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -17,6 +17,9 @@
     NOTED = 'noted'
     """An end was acknowledged to its executor."""
 
+    LAPSED = 'lapsed'
+    """An executor's lease ran out."""
+
     DIED = 'died'
     """An executor's life is over; ``how`` is ``order`` if by our order."""
 
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -87,6 +87,7 @@
     draining: bool = False
     fence: int = 0
     deadline_ms: float = 0.0
+    lapsed: bool = True
     number: int = 0
     running: dict[str, Running] = dataclasses.field(default_factory=dict)
     over: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -329,6 +330,14 @@
         await curio.sleep(TICK_S)
         now_s = clock.now_s()
         lapsed = clock_ms(executor) > executor.deadline_ms
+        if lapsed and not executor.lapsed:
+            evidences.note(
+                world.evidence,
+                now_s,
+                evidences.Kind.LAPSED,
+                place=executor.name,
+            )
+        executor.lapsed = lapsed
         for run in list(executor.running.values()):
             if executor.running.get(run.task) is not run:
                 # It ended with the rest of its gang.
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -277,6 +277,16 @@
     assert any(line.startswith(rule) for line in found), found
 
 
+def test_end_that_is_noted_after_its_lease_ran_out_does_not_count():
+    lapsed = (2.5, Kind.LAPSED, {'place': 'w1'})
+    rows = [_start(1, 'w1'), _end(2, 'w1'), lapsed, _start(3, 'w2')]
+    assert not _check(*rows, _noted(4, 'w1'))
+    # A lease that ran out before the run ended makes no difference.
+    earlier = (1.5, Kind.LAPSED, {'place': 'w1'})
+    rows = [_start(1, 'w1'), earlier, _end(2, 'w1'), _start(3, 'w2')]
+    assert _check(*rows, _noted(4, 'w1'))
+
+
 def test_cancel_in_doubt_is_a_cause_and_one_that_was_refused_is_none():
     shown = _shown(2, 'cancelled')
     doubt = (1.0, Kind.CANCEL_IN_DOUBT, {'job': JOB, 'how': '0'})
