Show a row that is written late under a lease that ends

Cause: the row is written without a condition, so a write whose connection broke may be carried out after the row was written again, under the first lease; the row goes with that lease. Nobody looks whether the row is there.

--- a/tests/test_server_rows.py
+++ b/tests/test_server_rows.py
@@ -16,8 +16,11 @@
 
 from emulator import day
 from emulator import servers as servers_
+from emulator import virtual
+from oleanderwood import errors
 from oleanderwood.leading import roles as roles_
 from oleanderwood.platform import transport
+from oleanderwood import verdict as verdicts
 from tests import utils_servers as servers
 
 CONFIGURATION = day.configuration(('drafts',))
@@ -44,3 +47,39 @@
 
     names = servers.run(main, CONFIGURATION)
     assert ROW in names
+
+
+def test_row_that_is_written_late_under_an_ended_lease_is_written_again():
+    """The connection breaks; the write is carried out a moment later.
+
+    The server has written its row under another lease meanwhile. The late
+    write puts it under the first one again, and it goes with that.
+    """
+
+    async def main(world):
+        hear = world.network.handlers[servers_.STORE_ADDRESS]
+        broken = []
+
+        async def later(*call):
+            await curio.sleep(0.5)
+            await hear(*call)
+
+        async def break_once(source, method, target, body, headers):
+            call = (source, method, target, body, headers)
+            if ROW.encode() in body and not broken:
+                broken.append(target)
+                await virtual.spawn_in_world(later, *call)
+                raise errors.CallFailed(
+                    verdicts.Verdict.MAY_HAVE_RUN, 'the connection broke'
+                )
+            return await hear(*call)
+
+        world.network.handlers[servers_.STORE_ADDRESS] = break_once
+        first = await servers.start(world, 's1')
+        second = await servers.start(world, 's2')
+        await curio.sleep(5.0)
+        assert broken and second.state.lease
+        return sorted(first.state.roles.servers)
+
+    names = servers.run(main, CONFIGURATION)
+    assert ROW in names
