Write a server's row again if the store has lost it

Cause: a write of the row without an answer may be carried out late, under a lease that ends unused, over the row that was written again; it goes with that lease, and nobody looked.

--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -30,6 +30,8 @@
                 await _take(server)
             else:
                 await _renew(server)
+                if not _has_row(server):
+                    await _write_row(server, server.lease)
         except stores.LeaseEnded:
             event_log.emit('lease', 'ended', lease=server.lease)
             server.lease = 0
@@ -57,6 +59,30 @@
     sent_s = clock.now_s()
     lease = await stores.grant(server.store, lease_s(server))
     note_contact(server, sent_s)
+    await _write_row(server, lease)
+    server.lease = lease
+    server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
+    event_log.emit('lease', 'taken', lease=server.lease)
+    await server.roles_changed.set()
+
+
+def _has_row(server: states.Server) -> bool:
+    """Say whether the store has the server's row, as far as it has told us.
+
+    A write of it without an answer may be carried out late, under a lease
+    that has ended or ends unused, and the row goes with that.
+    """
+    if not server.roles.known:
+        return True
+    row = server.roles.servers.get(_row_key(server))
+    return row is not None and row.process == server.process
+
+
+def _row_key(server: states.Server) -> str:
+    return roles_.SERVER_PREFIX + server.settings.name
+
+
+async def _write_row(server: states.Server, lease: int) -> None:
     settings = server.settings
     row = roles_.Server(
         settings.name,
@@ -65,17 +91,13 @@
         boot.cores(settings),
         settings.data_centre,
     )
-    key = roles_.SERVER_PREFIX + settings.name
+    key = _row_key(server)
     await stores.write(
         server.store,
         {},
         {key: msgspec.json.encode(row)},
         leases={key: lease},
     )
-    server.lease = lease
-    server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
-    event_log.emit('lease', 'taken', lease=server.lease)
-    await server.roles_changed.set()
 
 
 async def _renew(server: states.Server) -> None:
