--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -16,10 +16,11 @@
 
 KEY = 'ow/machine-orders'
 
-SKEW_MS = 500.0
-"""How far the times of day of two servers may differ."""
+SENT_MS = 500.0
+"""Time within which an order is sent once it was announced; it takes a few
+milliseconds unless the store is slow."""
 
-KEPT_MS = 10_000.0
+KEPT_S = 10.0
 """Announcements older than this are dropped; a pause takes 3 s."""
 
 
@@ -35,27 +36,36 @@
 class Announced(msgspec.Struct, frozen=True):
     """Orders that were about to be sent, and what was before the first.
 
-    :ivar wall_ms: times of day, by machine
+    :ivar wall_ms: times of day, by machine; only leaders of an earlier release
+        go by them, as the times of two servers may differ by seconds
     :ivar first_sizes: machines that each pool had
     :ivar pool_cores: their cores, by pool
+    :ivar ages_ms: how old each announcement was as this was written, by the
+        steady clock of who wrote it
     """
 
     wall_ms: dict[str, float] = {}
     first_sizes: dict[ids.ServiceId, int] = {}
     pool_cores: dict[str, float] = {}
+    ages_ms: dict[str, float] = {}
 
 
 async def announce(leader: states.Leader, machines: list[str]) -> bool:
     """Announce orders; False if they must not be sent."""
-    wall_ms = clock.wall_ms()
+    now_s = clock.now_s()
     known = {
-        name: at_ms
-        for name, at_ms in leader.fleet.announced.items()
-        if wall_ms - at_ms < KEPT_MS
+        name: at_s
+        for name, at_s in leader.fleet.announced.items()
+        if now_s - at_s < KEPT_S
     }
-    known.update(dict.fromkeys(machines, wall_ms))
+    known.update(dict.fromkeys(machines, now_s))
+    ages_ms = {name: (now_s - at_s) * 1000 for name, at_s in known.items()}
+    wall_ms = clock.wall_ms()
     announced = Announced(
-        known, leader.fleet.first_sizes, leader.fleet.turns.pool_cores
+        {name: wall_ms - age_ms for name, age_ms in ages_ms.items()},
+        leader.fleet.first_sizes,
+        leader.fleet.turns.pool_cores,
+        ages_ms,
     )
     values = {KEY: msgspec.json.encode(announced)}
     if not await guarded.try_write(leader, values, 'fleet', 'not-announced'):
@@ -77,20 +87,21 @@
 
 
 def restore(leader: states.Leader, value: bytes) -> None:
-    """Take over an earlier leader's announcements."""
-    pause_ms = leader.server.settings.machine_turn_ms
-    wall_ms = clock.wall_ms()
+    """Take over an earlier leader's announcements.
+
+    Each is at least as old as it was when it was written. How long ago that
+    was isn't known, so the pause is counted from now less that age.
+    """
+    pause_s = (leader.server.settings.machine_turn_ms + SENT_MS) / 1000
     now_s = clock.now_s()
     kept = msgspec.json.decode(value, type=Announced)
-    leader.fleet.announced = dict(kept.wall_ms)
     leader.fleet.first_sizes = dict(kept.first_sizes)
     leader.fleet.turns.pool_cores = dict(kept.pool_cores)
-    for name, at_ms in kept.wall_ms.items():
-        left_ms = at_ms + pause_ms + SKEW_MS - wall_ms
-        # A clock that jumped must not hold a machine for long.
-        left_ms = min(left_ms, pause_ms + SKEW_MS)
-        if left_ms > 0:
-            leader.fleet.turn_after_s[name] = now_s + left_ms / 1000
+    for name in kept.wall_ms:
+        at_s = now_s - kept.ages_ms.get(name, 0.0) / 1000
+        leader.fleet.announced[name] = at_s
+        if at_s + pause_s > now_s:
+            leader.fleet.turn_after_s[name] = at_s + pause_s
 
 
 def restore_or_wait(leader: states.Leader, value: bytes) -> None:
@@ -102,7 +113,7 @@
         restore(leader, value)
     except msgspec.MsgspecError as error:
         event_log.emit('fleet', 'announcements-malformed', why=str(error))
-        pause_s = (leader.server.settings.machine_turn_ms + SKEW_MS) / 1000
+        pause_s = (leader.server.settings.machine_turn_ms + SENT_MS) / 1000
         leader.fleet.none_before_s = clock.now_s() + pause_s
 
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -119,7 +119,7 @@
     :ivar needs: machines that each pool needs now
     :ivar shortage_told_s: when a lack of machines was last logged
     :ivar moves_refused: until when a machine isn't asked to move again
-    :ivar announced: times of day of announced orders, by machine
+    :ivar announced: when an order was announced, by machine
     :ivar turn_after_s: from when a machine may be ordered that an earlier
         leader has ordered
     :ivar none_before_s: the same for all others
