Let no former life of a worker take the orders of the next

Cause: the loop that sends a worker's orders looks its queue up by the id when it begins. A worker whose entry named another place and the first one again, all in one answer of the watch, was met, given up and met anew before its loops began: the sender of the former life got the queue of the new one, took an order from it, saw that its worker was gone and ended. The task of that order stayed ordered for good, and its job never ended.

Now the loop ends at once if its worker isn't the one known by the id.

--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -21,7 +21,11 @@
 
 async def send_orders(leader: states.Leader, worker: workers_.Worker) -> None:
     """Send the orders for a worker one after another, until it is gone."""
-    orders = leader.orders[worker.entry.worker]
+    name = worker.entry.worker
+    if leader.workers.get(name) is not worker:
+        # It was gone before this began; another may be met by its id.
+        return
+    orders = leader.orders[name]
     while True:
         order = await orders.get()
         if order is None or worker.gone or leader.deposed:
--- a/tests/test_spoiled_entries.py
+++ b/tests/test_spoiled_entries.py
@@ -13,6 +13,7 @@
 from emulator import day
 from emulator import executors
 from emulator import store as stores
+from oleanderwood.leading import state as states
 from tests import utils_entries as build
 from tests import utils_leading as leading
 from tests import utils_servers
@@ -200,3 +201,34 @@
     utils_servers.run(main, day.configuration())
     lines = [row for _p, event, row in events if event == 'contradicted']
     assert len(lines) == 1 and lines[0]['known']
+
+
+def test_orders_reach_a_worker_that_was_met_three_times_at_once():
+    # Its entry named another place, and the first again, before the leader
+    # heard of any: each was met and given up before its loops began. The
+    # sender of a former life then took the orders of the last one, and
+    # dropped them: a task that was placed there was never started.
+    asked = []
+
+    async def note(source, method, target, body, headers):
+        asked.append((target, body))
+        return await leading.idle(source, method, target, body, headers)
+
+    async def main(world):
+        leader = await leading.lead(world)
+        world.network.handlers[leading.ADDRESS] = note
+        world.store.down = 'busy'
+        for address in (leading.ADDRESS, ELSEWHERE, leading.ADDRESS):
+            await stores.put(world.store, KEY, build.encode(addr=address))
+        await curio.sleep(0.3)
+        world.store.down = ''
+        await curio.sleep(1.0)
+        assert leader.workers['i-1'].fenced
+        for attempt in (1, 2, 3):
+            order = states.StopOrder('a.0.0.0', attempt)
+            await leader.orders['i-1'].put(order)
+        await curio.sleep(1.0)
+        stops = [body for target, body in asked if target == '/run-stop']
+        assert len(stops) == 3
+
+    utils_servers.run(main, day.configuration())
