--- a/emulator/day.py
+++ b/emulator/day.py
@@ -18,6 +18,7 @@
 from emulator import fleet as fleets
 from emulator import network as networks
 from emulator import servers
+from emulator import sharing
 from emulator import store as stores
 from emulator import troubles as troubles_
 from emulator import virtual
@@ -283,7 +284,11 @@
     """Let callers hand in a day's jobs."""
     if plan.lasting:
         for pool in plan.pools:
-            await _hand_in(callers, pool, rng, _lasting_spec(), None)
+            spec = _lasting_spec()
+            if features_.Feature.LEFTOVERS in plan.features:
+                spec['phases'][0]['target_ms'] = sharing.TARGET_MS
+                spec['phases'][0]['image'] = 'web'
+            await _hand_in(callers, pool, rng, spec, None)
     elapsed_s = 0.0
     while elapsed_s < plan.length_s:
         gap_s = rng.expovariate(plan.jobs_per_s)
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -33,6 +33,12 @@
     SAVED = 'saved'
     """A run saved its progress; ``saved`` is the value."""
 
+    HARMED = 'harmed'
+    """Tasks that fill begin to bring a serving task over its target."""
+
+    EASED = 'eased'
+    """They don't any more."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sight:
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -11,6 +11,7 @@
 from emulator import checkpoints
 from emulator import evidence as evidences
 from emulator import gangs
+from emulator import sharing
 from emulator import store as stores
 from emulator import virtual
 from oleanderwood import clock
@@ -54,6 +55,9 @@
     stopped_s: float | None = None
     saved: str = ''
     gang: gangs.Gang | None = None
+    pace: float = 1.0
+    paces: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    harmed: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -66,6 +70,7 @@
     :ivar slow_factor: how many times slower than others it works
     :ivar kind: of its machine
     :ivar guards: it rejects what doesn't fit
+    :ivar tails_ms: response times of its serving tasks, each tick
     """
 
     name: str
@@ -91,6 +96,7 @@
     over: dict[str, int] = dataclasses.field(default_factory=dict)
     ended: list[list] = dataclasses.field(default_factory=list)
     noted: int = 0
+    tails_ms: list[float] = dataclasses.field(default_factory=list)
     changed: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
@@ -161,7 +167,7 @@
         if target == '/run-stop':
             return _stop(world, executor, asked)
         if target == '/pace':
-            return _answer(executor, 200)
+            return _pace(executor, asked)
         return await _hold(world, executor, asked)
 
     return handle
@@ -226,10 +232,12 @@
 
 def _fits(executor, spec) -> bool:
     runs = executor.running.values()
-    cpu = sum(run.spec['cpu'] for run in runs)
+    cpu = sum(run.spec['cpu'] for run in runs if not sharing.fills(run))
+    if not spec.get('fills'):
+        cpu += spec['cpu']
     memory_mb = sum(run.spec['mem_mb'] for run in runs)
     return (
-        cpu + spec['cpu'] <= executor.cores * 1000
+        cpu <= executor.cores * 1000
         and memory_mb + spec['mem_mb'] <= executor.memory_mb
     )
 
@@ -256,6 +264,14 @@
     return _answer(executor, 200)
 
 
+def _pace(executor, asked):
+    run = executor.running.get(asked['task'])
+    if run is None or run.attempt != asked['attempt']:
+        return _answer(executor, 409, reason='old')
+    sharing.order_pace(run, asked['percent'])
+    return _answer(executor, 200)
+
+
 async def _hold(world, executor, asked):
     _extend(executor, asked)
     _note(world, executor, asked.get('last_seen', 0))
@@ -271,7 +287,9 @@
             run.attempt,
             run.saved,
             _percent(run, now_s),
-            run.spec['cpu'],
+            sharing.told_ms(executor)
+            if sharing.serves(run)
+            else run.spec['cpu'],
         ]
         for run in executor.running.values()
     ]
@@ -326,6 +344,7 @@
         await curio.sleep(TICK_S)
         now_s = clock.now_s()
         lapsed = clock_ms(executor) > executor.deadline_ms
+        _measure(world, executor, now_s)
         for run in list(executor.running.values()):
             if executor.running.get(run.task) is not run:
                 # It ended with the rest of its gang.
@@ -339,6 +358,27 @@
                 await _finish(world, executor, run, how)
 
 
+def _measure(world, executor, now_s) -> None:
+    """Measure how tasks that serve fare beside those that fill."""
+    serving = [run for run in executor.running.values() if sharing.serves(run)]
+    if not serving:
+        return
+    executor.tails_ms.append(sharing.tail_ms(executor))
+    for run in serving:
+        harmed = sharing.is_harmed(executor, run)
+        if harmed != run.harmed:
+            run.harmed = harmed
+            kind = evidences.Kind.HARMED if harmed else evidences.Kind.EASED
+            evidences.note(
+                world.evidence,
+                now_s,
+                kind,
+                task=run.task,
+                attempt=run.attempt,
+                place=executor.name,
+            )
+
+
 def _speed(executor, run) -> float:
     """Give the share of full speed at which a run works."""
     factor = executor.slow_factor
@@ -350,6 +390,9 @@
             return 0.0
         if gangs.is_remote(run.gang, run):
             factor *= REMOTE_FACTOR
+    if sharing.fills(run):
+        share = sharing.leftover(executor)
+        return share * sharing.pace(run, clock.now_s()) / factor
     return 1 / factor
 
 
--- a/emulator/feature_rules.py
+++ b/emulator/feature_rules.py
@@ -10,6 +10,9 @@
 EARLY_S = 0.25
 """How much before its time a task may start."""
 
+HARM_S = 4.0
+"""Time on end for which tasks that fill may bring another over its target."""
+
 CONTACT_S = 3.0
 """Time after a trouble until things count as calm again."""
 
@@ -42,6 +45,7 @@
         *_timely(evidence, jobs),
         *_alone(evidence, jobs, troubled),
         *_saved(evidence, jobs),
+        *_harmed(evidence, troubled),
     ]
 
 
@@ -51,6 +55,13 @@
     )
 
 
+def _is_calm_all_along(begin_s: float, end_s: float, troubled: Spans) -> bool:
+    return all(
+        first_s > end_s or last_s + CONTACT_S < begin_s
+        for first_s, last_s in troubled
+    )
+
+
 def _running(evidence):
     """Give each start with the tasks that run on its executor before it."""
     there = collections.defaultdict(set)
@@ -145,3 +156,33 @@
         first = carried.setdefault((whose, sight.attempt), sight.saved)
         if whose != sight.task and first != sight.saved:
             yield f'UNASKED at {sight.at_s:.2f}: {sight.task} unlike its gang'
+
+
+def _harmed(evidence, troubled):
+    """While all is calm, no serving task is over its target for long."""
+    since = {}
+    for sight in evidence.sights:
+        over = []
+        if sight.kind is Kind.HARMED:
+            since.setdefault((sight.place, sight.task), sight.at_s)
+        elif sight.kind in (Kind.EASED, Kind.ENDED):
+            over = [(sight.place, sight.task)]
+        elif sight.kind is Kind.DIED:
+            over = [row for row in since if row[0] == sight.place]
+        yield from _harms(since, over, sight.at_s, troubled)
+    if evidence.sights:
+        end_s = evidence.sights[-1].at_s
+        yield from _harms(since, list(since), end_s, troubled)
+
+
+def _harms(since, over, at_s, troubled):
+    for row in over:
+        begun_s = since.pop(row, None)
+        if begun_s is None or at_s - begun_s < HARM_S:
+            continue
+        if _is_calm_all_along(begun_s, at_s, troubled):
+            place, task = row
+            yield (
+                f'HARM at {at_s:.2f}: {task} on {place} for '
+                f'{at_s - begun_s:.2f} s'
+            )
--- a/emulator/features.py
+++ b/emulator/features.py
@@ -27,6 +27,9 @@
     ADVICE = 'advice'
     """Starts need tickets of the advice service."""
 
+    LEFTOVERS = 'leftovers'
+    """Tasks that take what others leave, beside some that serve."""
+
 
 KINDS = ('a', 'b')
 """Kinds of machines on days that ask for labels."""
@@ -94,6 +97,12 @@
         step['checkpointing'] = True
 
 
+def _fills(rng, spec) -> None:
+    for step in spec['phases']:
+        step['fills'] = True
+        step['image'] = 'grind'
+
+
 _ADORN = {
     Feature.GANGS: _gang,
     Feature.UNGUARDED: _large,
@@ -103,6 +112,7 @@
     Feature.SPREAD: _spread,
     Feature.COPIES: _copies,
     Feature.CHECKPOINTS: _checkpoints,
+    Feature.LEFTOVERS: _fills,
 }
 
 _FIELDS = {
@@ -112,6 +122,7 @@
     Feature.SPREAD: 'max_per_server',
     Feature.COPIES: 'speculative',
     Feature.CHECKPOINTS: 'checkpointing',
+    Feature.LEFTOVERS: 'fills',
 }
 """The field of a step that asks for a feature."""
 
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -47,6 +47,7 @@
 
     :ivar phase_since_s: when the phase began
     :ivar checkpoint: saved work that it goes on from
+    :ivar pace_percent: None: an earlier leader gave it one, or none
     :ivar stop_answered_s: when its worker took the order to stop it
     :ivar at_work_since_s: since when a long-running task works
     """
@@ -62,7 +63,7 @@
     percent: float = 0.0
     moved_on_s: float = 0.0
     latency_or_cpu: float = 0.0
-    pace_percent: int = 100
+    pace_percent: int | None = 100
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -243,6 +244,7 @@
     task.last_attempt = max(task.last_attempt, attempt)
     task.run = Run(worker, attempt, RunPhase.RUNNING, now_s, now_s)
     task.run.moved_on_s = now_s
+    task.run.pace_percent = None
     _not_waiting(ledger, task)
     entry = task.group.entry
     if entry.state is model.State.QUEUED:
--- a/oleanderwood/pools/pacing.py
+++ b/oleanderwood/pools/pacing.py
@@ -18,13 +18,15 @@
 """Part of the target at which the others stop working altogether."""
 
 RELEASE_AT = 0.55
-"""Part of the target below which the pace is raised."""
+"""Part of the target below which the pace is raised in whole steps."""
 
 RAISE_PERCENT = 20
 """Step by which the pace is raised; from nothing to all in five renewals."""
 
 LEAST_PERCENT = 10
-"""Paces below this are nothing: they harm and don't get on."""
+"""Paces below this are nothing: they harm and don't get on. What stands still
+is let on at this pace below ``HOLD_BACK_AT``: its share in the latency is
+none, so that nothing else would ever raise it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,14 +40,15 @@
 def decide(worker: workers_.Worker) -> list[Pace]:
     """Give new paces for the tasks of a worker that use leftovers."""
     strain = _strain(worker)
-    if strain is None:
-        return []
     paces = []
     for task in worker.runs.values():
         run = task.run
         if run is None or not task.group.step.uses_leftover:
             continue
-        percent = _next(run.pace_percent, strain)
+        percent = 100
+        if strain is not None:
+            known = run.pace_percent
+            percent = _next(100 if known is None else known, strain)
         if percent != run.pace_percent:
             paces.append(Pace(task, percent))
     return paces
@@ -69,4 +72,4 @@
         return half if half >= LEAST_PERCENT else 0
     if strain <= RELEASE_AT:
         return min(100, percent + RAISE_PERCENT)
-    return percent
+    return max(percent, LEAST_PERCENT)
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -44,7 +44,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Room:
-    """What is free on a worker while starts are decided."""
+    """What is free on a worker while starts are decided.
+
+    :ivar filling: processor time that tasks which use leftovers ask for
+    """
 
     worker: workers_.Worker
     cpu_millicores: int
@@ -55,6 +58,7 @@
     batch: int
     lasting: int
     serving: bool = False
+    filling: int = 0
     mates: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -87,6 +91,7 @@
         )
         for task in worker.runs.values():
             room.mates[task.group] += 1
+            room.filling += _filling(task.group)
         for group in worker.foreign:
             room.mates[group] += 1
         found.append(room)
@@ -169,10 +174,24 @@
         lasts and room.mates[group] >= LASTING_TOGETHER,
         step.uses_leftover and room.serving,
         lasts and not room.lasting,
+        _missing(room, group),
         room.cpu_millicores,
     )
 
 
+def _missing(room: Room, group: ledgers.Group) -> int:
+    """Give what tasks that use leftovers would lack with one more of them."""
+    if not group.step.uses_leftover:
+        return 0
+    asked = room.filling + _filling(group)
+    return max(0, asked - room.cpu_millicores)
+
+
+def _filling(group: ledgers.Group) -> int:
+    step = group.step
+    return step.needs.cpu_millicores if step.uses_leftover else 0
+
+
 def fits(room: Room, group: ledgers.Group) -> bool:
     """Say whether one more task of a group may start on a worker."""
     step = group.step
@@ -200,6 +219,7 @@
     room.memory_mb -= needs.memory_mb
     room.gpus -= needs.gpus
     room.mates[group] += 1
+    room.filling += _filling(group)
     room.batch += not group.step.long_running
     room.lasting += group.step.long_running
 
@@ -211,6 +231,7 @@
     room.memory_mb += needs.memory_mb
     room.gpus += needs.gpus
     room.mates[group] -= 1
+    room.filling -= _filling(group)
     room.batch -= not group.step.long_running
     room.lasting -= group.step.long_running
 
--- a/oleanderwood/pools/stalls.py
+++ b/oleanderwood/pools/stalls.py
@@ -32,7 +32,7 @@
 
 
 def _is_stalled(task: ledgers.Task, run: ledgers.Run, now_s: float) -> bool:
-    if run.pace_percent < 100 or run.moved_on_s == 0:
+    if run.pace_percent != 100 or run.moved_on_s == 0:
         return False
     still_s = now_s - run.moved_on_s
     if task.group.step.long_running:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -73,6 +73,10 @@
     return at_s, Kind.NOTED, fields
 
 
+def _harmed(at_s, kind=Kind.HARMED):
+    return at_s, kind, {'task': LASTING[0], 'place': 'w1'}
+
+
 def _saved(at_s, saved, task=TASK):
     return at_s, Kind.SAVED, {'task': task, 'saved': saved}
 
@@ -226,6 +230,14 @@
             _start(16.0, 'w1', task='f' * 16 + '.1.1.0'),
         ],
     ),
+    'a serving task over its target for long': (
+        'HARM',
+        [_harmed(1.0), _harmed(5.1, Kind.EASED)],
+    ),
+    'a serving task over its target to the end': (
+        'HARM',
+        [_harmed(1.0), _start(5.1, 'w1')],
+    ),
     'completed without its last repetition': (
         'MIXED',
         [
@@ -276,6 +288,22 @@
     assert not _check(cancelled, *rows)
 
 
+def test_short_harm_and_harm_beside_a_trouble_is_no_breach():
+    assert not _check(
+        _harmed(1.0),
+        _harmed(4.0, Kind.EASED),
+        _harmed(4.5),
+        _harmed(8.0, Kind.EASED),
+        _harmed(9.0),
+        (10.0, Kind.DIED, {'place': 'w1', 'how': 'crash'}),
+        _start(20.0, 'w3'),
+    )
+    rows = [_harmed(11.0), _harmed(16.0, Kind.EASED)]
+    assert _check(*rows)
+    assert not _check(*rows, troubled=[(1.0, 8.5)])
+    assert not _check(*rows, troubled=[(15.5, 30.0)])
+
+
 def test_sound_evidence_of_what_few_ask_for_has_no_breach():
     assert not _check(
         _start(1, 'w1', task=GANG[0]),
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -23,7 +23,7 @@
 
 
 FOUND = (
-    Found(5, (Feature.GANGS,), 'members failures were counted apart'),
+    Found(5, (Feature.GANGS,), 'failures of the members were counted apart'),
     Found(
         22,
         (Feature.GANGS, Feature.CHECKPOINTS),
@@ -37,6 +37,12 @@
         troubles=5,
         jobs_per_s=6.0,
     ),
+    Found(
+        7,
+        (Feature.LEFTOVERS,),
+        'all that uses leftovers went to one worker and stood still',
+        troubles=4,
+    ),
 )
 
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -124,3 +124,53 @@
     assert placing.lacks_advice(group, {'w1'}, 5.0)
     group.tickets = {}
     assert not placing.lacks_advice(group, {'w2'}, 1.0)
+
+
+def _using(percent):
+    """Build a worker with a task that uses leftovers, beside none."""
+    ledger = build.ledger_with(build.job(build.step(uses_leftover=True)))
+    worker = build.worker()
+    run = build.start(ledger, build.task(ledger), worker)
+    run.pace_percent = percent
+    return ledger, worker, run
+
+
+def test_pace_is_given_back_once_nothing_serves_there():
+    # A serving task was cancelled or went elsewhere, and what had been held
+    # back for it stood still for good: 0 percent of its speed, and never
+    # taken for stalled.
+    _ledger, worker, _run = _using(0)
+    assert _paces(worker) == [100]
+
+
+def test_pace_that_an_earlier_leader_gave_is_given_anew():
+    # A later leader can't know the pace of what it adopts. It took it for
+    # 100 percent, and so never raised what stood at 0.
+    ledger, worker, _run = _using(0)
+    task = build.task(ledger)
+    ledgers.over(ledger, task, 2.0)
+    run = ledgers.adopt(ledger, task, 'w1', 1, 3.0)
+    assert _paces(worker) == [100]
+    run.pace_percent = 100
+    assert _paces(worker) == []
+
+
+def test_nothing_stands_still_for_good_beside_a_moderate_latency():
+    # Between the two bounds a pace of nothing was neither raised nor told
+    # from a good one; the latency was that of the serving task alone.
+    assert _paces(_beside(70.0, percent=0)) == [pacing.LEAST_PERCENT]
+    assert _paces(_beside(82.0, percent=0)) == []
+
+
+def test_leftover_tasks_go_where_something_is_left():
+    # All went to the fullest worker, where they got a tenth of what they
+    # asked for, while others idled.
+    step = build.step(4, cpu=4000, uses_leftover=True)
+    ledger = build.ledger_with(build.job(step))
+    ready = placing.by_service(
+        ledger, {'q': build.queue()}, lengths.Lengths(), 0.0, 1.0
+    )
+    pool = [build.worker('w1'), build.worker('w2')]
+    decided = placing.decide(ready[build.POOL], pool, 1.0, 10)
+    names = [row.worker.entry.worker for row in decided]
+    assert sorted(names) == ['w1', 'w1', 'w2', 'w2']
