--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -21,6 +21,9 @@
 ASK_S = 0.7
 """Time between two questions for a job's state."""
 
+LATER = '-later'
+"""What the paths of jobs that may wait have beyond their pool's name."""
+
 TIMES = ('repeat_count', 'start_time_ms', 'interval_ms')
 """Fields of a job that runs at times of its own."""
 
@@ -83,7 +86,8 @@
     cancel_after_s: float | None = None,
 ) -> None:
     """Hand a job in and follow it to its end."""
-    callers.world.jobs[job] = {**spec, 'service': prefix.strip('/')}
+    service = prefix.strip('/').removesuffix(LATER)
+    callers.world.jobs[job] = {**spec, 'service': service}
     sent = {
         **{key: spec[key] for key in TIMES if key in spec},
         'spec': job,
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -226,6 +226,16 @@
         }
         for pool in pools
     ]
+    if features_.Feature.PRIORITIES in features:
+        routes += [
+            {
+                **route,
+                'name': route['name'] + callers_.LATER,
+                'prefix': prefix(route['service'], later=True),
+                'priority': 1,
+            }
+            for route in routes
+        ]
     if features_.Feature.ADVICE in features:
         for route in routes:
             route['advice'] = advice.FIELDS
@@ -242,9 +252,12 @@
     return json.dumps(value).encode()
 
 
-def prefix(pool: str) -> str:
-    """Give what the paths of a pool's jobs begin with."""
-    return f'/{pool}/'
+def prefix(pool: str, later: bool = False) -> str:
+    """Give what the paths of a pool's jobs begin with.
+
+    :param later: those of jobs that may wait
+    """
+    return f'/{pool}{callers_.LATER if later else ""}/'
 
 
 def _machine_address(number: int) -> str:
@@ -308,7 +321,7 @@
     await curio.spawn(
         callers_.hand_in,
         callers,
-        prefix(pool),
+        prefix(pool, spec.get('later', False)),
         job,
         spec,
         cancel_s,
--- a/emulator/features.py
+++ b/emulator/features.py
@@ -27,6 +27,9 @@
     ADVICE = 'advice'
     """Starts need tickets of the advice service."""
 
+    PRIORITIES = 'priorities'
+    """Each pool has a second queue whose jobs may wait."""
+
     LEFTOVERS = 'leftovers'
     """Tasks that take what others leave, beside some that serve."""
 
@@ -97,10 +100,16 @@
         step['checkpointing'] = True
 
 
+def _later(rng, spec) -> None:
+    spec['later'] = True
+
+
 def _fills(rng, spec) -> None:
     for step in spec['phases']:
         step['fills'] = True
         step['image'] = 'grind'
+        # Long enough to harm others, if nothing is done about it.
+        step['estimate_ms'] *= 4
 
 
 _ADORN = {
@@ -113,6 +122,7 @@
     Feature.COPIES: _copies,
     Feature.CHECKPOINTS: _checkpoints,
     Feature.LEFTOVERS: _fills,
+    Feature.PRIORITIES: _later,
 }
 
 _FIELDS = {
@@ -142,6 +152,7 @@
         for feature, field in _FIELDS.items():
             count[feature] += bool(step.get(field))
         count[Feature.ADVICE] += Feature.ADVICE in features
+        count[Feature.PRIORITIES] += bool(spec.get('later'))
         count[Feature.REPEATS] += bool(spec.get('repeat_count'))
         place = evidence.places.get(sight.place)
         count[Feature.UNGUARDED] += place is not None and not place.guards
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -6,7 +6,7 @@
 
 from emulator import day
 from emulator import features
-from emulator import troubles
+from tests import utils_features as build
 
 Feature = features.Feature
 
@@ -46,31 +46,65 @@
 )
 
 
-def _check(plan: day.Plan) -> day.Result:
-    result = day.play(plan)
-    assert not result.breaches, result.breaches[:5]
-    assert not result.unfinished, result.unfinished
+def _check(*drawn) -> day.Result:
+    result = day.play(build.plan(*drawn))
+    assert not build.broken(result), build.broken(result)[:5]
     return result
 
 
-def _plan(seed, wanted, count=0, jobs_per_s=2.0) -> day.Plan:
-    drawn = troubles.draw(seed, 12.0, count, tuple(troubles.Kind))
-    return day.Plan(
-        seed,
-        features=tuple(wanted),
-        troubles=tuple(drawn),
-        jobs_per_s=jobs_per_s,
-    )
-
-
 @pytest.mark.parametrize('row', FOUND, ids=lambda row: row.why)
 def test_day_that_failed_once(row):
-    _check(_plan(row.seed, row.features, row.troubles, row.jobs_per_s))
+    _check(row.seed, row.features, row.troubles, row.jobs_per_s)
 
 
 def test_no_start_carries_a_ticket_that_has_expired():
     # Tickets that were about to expire were still used while the question
     # for new ones waited its turn: 20 starts were rejected beside 459.
-    result = _check(_plan(8, (Feature.ADVICE,), jobs_per_s=8.0))
+    result = _check(8, (Feature.ADVICE,), 0, 8.0)
     assert result.met[Feature.ADVICE] > 300
     assert not result.refused['ticket']
+
+
+CALM = 900
+TROUBLED = range(901, 903)
+TROUBLES_A_DAY = 4
+MIXED = range(910, 914)
+
+LEAST_STARTS = 5
+"""Starts that have to meet a feature for a day to tell anything."""
+
+
+@pytest.mark.parametrize('feature', Feature, ids=lambda row: row.value)
+def test_calm_day_meets_the_feature(feature):
+    result = _check(CALM, (feature,))
+    assert result.met[feature] >= LEAST_STARTS
+    assert not result.refused
+
+
+@pytest.mark.parametrize('seed', TROUBLED)
+@pytest.mark.parametrize('feature', Feature, ids=lambda row: row.value)
+def test_day_with_troubles_meets_the_feature(feature, seed):
+    result = _check(seed, (feature,), TROUBLES_A_DAY)
+    assert result.met[feature] >= LEAST_STARTS
+
+
+@pytest.mark.parametrize('seed', MIXED)
+def test_day_with_troubles_that_asks_for_much_at_once(seed):
+    wanted = (
+        Feature.GANGS,
+        Feature.UNGUARDED,
+        Feature.REPEATS,
+        Feature.RACKS,
+        Feature.CHECKPOINTS,
+        Feature.PRIORITIES,
+    )
+    _check(seed, wanted, TROUBLES_A_DAY)
+
+
+def test_most_tasks_start_beside_their_data():
+    assert build.near_share(_check(3, (Feature.RACKS,))) > 0.75
+
+
+def test_urgent_jobs_go_first_where_there_is_too_much_to_do():
+    result = _check(3, (Feature.PRIORITIES,), 0, 14.0)
+    assert build.later_factor(result) > 1.3
