--- a/emulator/features.py
+++ b/emulator/features.py
@@ -45,6 +45,11 @@
 Features = collections.abc.Collection[Feature]
 
 
+def draw(seed: int, count: int) -> tuple[Feature, ...]:
+    """Draw what a day asks for."""
+    return tuple(random.Random(seed).sample(list(Feature), count))
+
+
 def adorn(rng: random.Random, features: Features, spec: dict) -> dict:
     """Let a drawn job ask for some of a day's features."""
     for feature in Feature:
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -7,6 +7,7 @@
 import cyclopts
 
 from emulator import day
+from emulator import features
 from emulator import troubles
 from oleanderwood import clock
 from oleanderwood import event_log
@@ -36,12 +37,14 @@
     length_s: float = 12.0,
     jobs_per_s: float = 2.0,
     turn_s: float = 0.0,
+    feature_count: int = 2,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
 
     :param trouble_count: troubles a day
     :param turn_s: time of one queue's turn; 0: both queues ask alike
+    :param feature_count: things beyond plain tasks that a day asks for
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -52,6 +55,9 @@
 
     event_log.emit = emit
     broken = 0
+    met: dict[features.Feature, list[int]] = {
+        feature: [] for feature in features.Feature
+    }
     print('  seed   jobs  starts  calls  p50 s  p90 s  last s  verdict')
     for seed in range(first_seed, first_seed + seeds):
         lines.clear()
@@ -64,10 +70,16 @@
             jobs_per_s=jobs_per_s,
             turn_s=turn_s,
             troubles=tuple(drawn),
+            features=features.draw(seed, feature_count),
         )
         began_s = time.perf_counter()
         result = day.play(plan)
+        for feature, starts in result.met.items():
+            if starts:
+                met[feature].append(starts)
         broken += _show(Figures(seed, result, time.perf_counter() - began_s))
+    for feature, rows in met.items():
+        print(f'{feature.value:>12}: {len(rows)} days, {sum(rows)} starts')
     if log:
         with open(log, 'w') as file:
             file.write('\n'.join(lines) + '\n')
