--- a/emulator/day.py
+++ b/emulator/day.py
@@ -20,6 +20,7 @@
 from emulator import pressing
 from emulator import scenes
 from emulator import servers
+from emulator import sharing
 from emulator import store as stores
 from emulator import troubles as troubles_
 from emulator import virtual
@@ -281,6 +282,16 @@
         }
         for pool in pools
     ]
+    if features_.Feature.PRIORITIES in features:
+        routes += [
+            {
+                **route,
+                'name': route['name'] + callers_.LATER,
+                'prefix': prefix(route['service'], later=True),
+                'priority': 1,
+            }
+            for route in routes
+        ]
     if features_.Feature.ADVICE in features:
         for route in routes:
             route['advice'] = advice.FIELDS
@@ -297,9 +308,12 @@
     return json.dumps(value).encode()
 
 
-def prefix(pool: str) -> str:
-    """Give what the paths of a pool's jobs begin with."""
-    return f'/{pool}/'
+def prefix(pool: str, later: bool = False) -> str:
+    """Give what the paths of a pool's jobs begin with.
+
+    :param later: those of jobs that may wait
+    """
+    return f'/{pool}{callers_.LATER if later else ""}/'
 
 
 def _machine_address(number: int) -> str:
@@ -339,7 +353,11 @@
     """Let callers hand in a day's jobs."""
     if plan.lasting:
         for pool in plan.pools:
-            await _hand_in(callers, pool, rng, _lasting_spec(), None)
+            spec = _lasting_spec()
+            if features_.Feature.LEFTOVERS in plan.features:
+                spec['phases'][0]['target_ms'] = sharing.TARGET_MS
+                spec['phases'][0]['image'] = 'web'
+            await _hand_in(callers, pool, rng, spec, None)
     elapsed_s = 0.0
     while elapsed_s < plan.length_s:
         gap_s = rng.expovariate(plan.jobs_per_s)
@@ -359,7 +377,7 @@
     await curio.spawn(
         callers_.hand_in,
         callers,
-        prefix(pool),
+        prefix(pool, spec.get('later', False)),
         job,
         spec,
         cancel_s,
--- a/emulator/features.py
+++ b/emulator/features.py
@@ -27,6 +27,12 @@
     ADVICE = 'advice'
     """Starts need tickets of the advice service."""
 
+    PRIORITIES = 'priorities'
+    """Each pool has a second queue whose jobs may wait."""
+
+    LEFTOVERS = 'leftovers'
+    """Tasks that take what others leave, beside some that serve."""
+
 
 KINDS = ('a', 'b')
 """Kinds of machines on days that ask for labels."""
@@ -39,6 +45,11 @@
 Features = collections.abc.Collection[Feature]
 
 
+def draw(seed: int, count: int) -> tuple[Feature, ...]:
+    """Draw what a day asks for."""
+    return tuple(random.Random(seed).sample(list(Feature), count))
+
+
 def adorn(rng: random.Random, features: Features, spec: dict) -> dict:
     """Let a drawn job ask for some of a day's features."""
     for feature in Feature:
@@ -94,6 +105,18 @@
         step['checkpointing'] = True
 
 
+def _later(rng, spec) -> None:
+    spec['later'] = True
+
+
+def _fills(rng, spec) -> None:
+    for step in spec['phases']:
+        step['fills'] = True
+        step['image'] = 'grind'
+        # Long enough to harm others, if nothing is done about it.
+        step['estimate_ms'] *= 4
+
+
 _ADORN = {
     Feature.GANGS: _gang,
     Feature.UNGUARDED: _large,
@@ -103,6 +126,8 @@
     Feature.SPREAD: _spread,
     Feature.COPIES: _copies,
     Feature.CHECKPOINTS: _checkpoints,
+    Feature.LEFTOVERS: _fills,
+    Feature.PRIORITIES: _later,
 }
 
 _FIELDS = {
@@ -112,6 +137,7 @@
     Feature.SPREAD: 'max_per_server',
     Feature.COPIES: 'speculative',
     Feature.CHECKPOINTS: 'checkpointing',
+    Feature.LEFTOVERS: 'fills',
 }
 """The field of a step that asks for a feature."""
 
@@ -131,6 +157,7 @@
         for feature, field in _FIELDS.items():
             count[feature] += bool(step.get(field))
         count[Feature.ADVICE] += Feature.ADVICE in features
+        count[Feature.PRIORITIES] += bool(spec.get('later'))
         count[Feature.REPEATS] += bool(spec.get('repeat_count'))
         place = evidence.places.get(sight.place)
         count[Feature.UNGUARDED] += place is not None and not place.guards
