Log no traceback of each write that fails while the store is away

Cause: the library logs a traceback of each task that raises, also where the group it belongs to is joined and asked; each failed write of progress put one into the log. Calls side by side are one function now that hands failures back and raises the first; one that fails no longer ends the others, so what they write is written.

--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -1,5 +1,6 @@
 """Writing progress to the store; ends are acknowledged only after it."""
 
+import functools
 import hashlib
 
 import curio
@@ -103,12 +104,10 @@
     )
     size = guarded.KEYS_A_WRITE
     rows = dirty[: size * WRITES_AT_ONCE]
-    async with curio.TaskGroup() as group:
-        tasks = [
-            await group.spawn(_keep_jobs, leader, rows[start : start + size])
-            for start in range(0, len(rows), size)
-        ]
-    parallel.raise_first(tasks)
+    await parallel.run(
+        functools.partial(_keep_jobs, leader, rows[start : start + size])
+        for start in range(0, len(rows), size)
+    )
 
 
 async def _keep_jobs(
--- a/oleanderwood/leading/parallel.py
+++ b/oleanderwood/leading/parallel.py
@@ -1,20 +1,43 @@
 """Calls that are made side by side."""
 
 import collections.abc
+import dataclasses
+import typing
 
 import curio
 
 from oleanderwood import errors
 
+Call = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]
+]
 
-def raise_first(tasks: collections.abc.Iterable[curio.Task]) -> None:
-    """Raise what ended one of a group's tasks, if anything did.
 
-    A task that was cancelled for another's failure tells nothing of it.
+@dataclasses.dataclass(frozen=True)
+class _Failure:
+    """Why a call failed. A task that raised it would fill the log."""
 
-    :param tasks: those of a group that was joined
+    error: errors.OleanderError
+
+
+async def run(calls: collections.abc.Iterable[Call]) -> list[typing.Any]:
+    """Make calls at the same time; gives their results in order.
+
+    One that fails doesn't end the others.
+
+    :raises errors.OleanderError: of the first that failed, once all are over
     """
-    failures = [task.exception for task in tasks if task.exception]
-    told = [row for row in failures if isinstance(row, errors.OleanderError)]
-    for failure in [*told, *failures]:
-        raise failure
+    async with curio.TaskGroup() as group:
+        tasks = [await group.spawn(_try, call) for call in calls]
+    results = [task.result for task in tasks]
+    for result in results:
+        if isinstance(result, _Failure):
+            raise result.error
+    return results
+
+
+async def _try(call: Call) -> typing.Any:
+    try:
+        return await call()
+    except errors.OleanderError as error:
+        return _Failure(error)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import traceback
 
 import curio
@@ -146,19 +147,18 @@
 
     :raises errors.CallFailed: the store didn't answer
     """
-    async with curio.TaskGroup() as group:
-        tasks = [
-            await group.spawn(stores.read_range, store, prefix)
-            for prefix in (
-                keeping.ROSTER_PREFIX,
-                record.INTAKE_PREFIX,
-                record.PROGRESS_PREFIX,
-                fleet_loop.WAVES_PREFIX,
-            )
-        ]
-        tasks.append(await group.spawn(stores.read, store, machine_turns.KEY))
-    parallel.raise_first(tasks)
-    return Legacy(*[task.result for task in tasks])
+    ranges = (
+        keeping.ROSTER_PREFIX,
+        record.INTAKE_PREFIX,
+        record.PROGRESS_PREFIX,
+        fleet_loop.WAVES_PREFIX,
+    )
+    calls = [
+        functools.partial(stores.read_range, store, prefix)
+        for prefix in ranges
+    ]
+    calls.append(functools.partial(stores.read, store, machine_turns.KEY))
+    return Legacy(*await parallel.run(calls))
 
 
 async def _inherit(leader: states.Leader) -> int:
