Give up no worker by one reading without its machine; count orders under way

- One reading of the list of machines that lacked a machine was proof that its worker was gone.
The list comes in pages, and a machine may pass unseen while another goes.
- A new leader counted as down for a wave only what the list showed down or an earlier leader had written as begun; that one's order may be under way.
What was announced as maintenance counts until the pause after it is over.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -85,6 +85,7 @@
         settings.maintenance_s,
         now_s,
         _bounds(leader),
+        machine_turns.perhaps_down(leader),
     )
     progress.closed = decision.close
     if decision.waits != progress.waits:
@@ -106,7 +107,9 @@
     order = [
         name for name in decision.order if machine_turns.is_ours(leader, name)
     ][: machine_turns.allowance(leader)]
-    if order and not await machine_turns.announce(leader, order):
+    if order and not await machine_turns.announce(
+        leader, order, maintenance=True
+    ):
         return
     leader.fleet.orders_left -= len(order)
     for name in order:
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -42,16 +42,23 @@
     :ivar pool_cores: their cores, by pool
     :ivar ages_ms: how old each announcement was as this was written, by the
         steady clock of who wrote it
+    :ivar maintained: which orders were for maintenance
     """
 
     wall_ms: dict[str, float] = {}
     first_sizes: dict[ids.ServiceId, int] = {}
     pool_cores: dict[str, float] = {}
     ages_ms: dict[str, float] = {}
+    maintained: list[str] = []
 
 
-async def announce(leader: states.Leader, machines: list[str]) -> bool:
-    """Announce orders; False if they must not be sent."""
+async def announce(
+    leader: states.Leader, machines: list[str], maintenance: bool = False
+) -> bool:
+    """Announce orders; False if they must not be sent.
+
+    :param maintenance: they take the machines down for it
+    """
     now_s = clock.now_s()
     known = {
         name: at_s
@@ -59,6 +66,10 @@
         if now_s - at_s < KEPT_S
     }
     known.update(dict.fromkeys(machines, now_s))
+    maintained = leader.fleet.maintained - set(machines)
+    if maintenance:
+        maintained |= set(machines)
+    maintained &= set(known)
     ages_ms = {name: (now_s - at_s) * 1000 for name, at_s in known.items()}
     wall_ms = clock.wall_ms()
     announced = Announced(
@@ -66,11 +77,13 @@
         leader.fleet.first_sizes,
         leader.fleet.turns.pool_cores,
         ages_ms,
+        sorted(maintained),
     )
     values = {KEY: msgspec.json.encode(announced)}
     if not await guarded.try_write(leader, values, 'fleet', 'not-announced'):
         return False
     leader.fleet.announced = known
+    leader.fleet.maintained = maintained
     return True
 
 
@@ -95,6 +108,7 @@
     pause_s = (leader.server.settings.machine_turn_ms + SENT_MS) / 1000
     now_s = clock.now_s()
     kept = msgspec.json.decode(value, type=Announced)
+    leader.fleet.maintained = set(kept.maintained)
     leader.fleet.first_sizes = dict(kept.first_sizes)
     leader.fleet.turns.pool_cores = dict(kept.pool_cores)
     for name in kept.wall_ms:
@@ -123,3 +137,14 @@
         machine, leader.fleet.none_before_s
     )
     return clock.now_s() >= after_s
+
+
+def perhaps_down(leader: states.Leader) -> set[str]:
+    """Give the machines that an earlier leader may just take down.
+
+    Its order may be under way, so that the list shows them up; they count
+    for how many may be down at once until the pause after it is over.
+    """
+    return {
+        name for name in leader.fleet.maintained if not is_ours(leader, name)
+    }
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -47,26 +47,42 @@
         return
     leader.fleet.machines_read_s = sent_s
     leader.fleet.machines = {machine.machine: machine for machine in machines}
+    await _lose_unlisted(leader, sent_s)
+    for progress in leader.fleet.waves.values():
+        wave_plan.note_returns(
+            progress,
+            leader.fleet.machines,
+            sent_s,
+            leader.server.settings.maintenance_s,
+        )
+
+
+async def _lose_unlisted(leader: states.Leader, sent_s: float) -> None:
+    """Give up the workers that the list proves to be gone.
+
+    A machine that it shows with another worker, or not up, is proof. The list
+    comes in pages, between which a machine may pass unseen, so one that isn't
+    there at all has to be missing twice.
+    """
+    machines = leader.fleet.machines
     living = {
         machine.worker
-        for machine in machines
+        for machine in machines.values()
         if machine.state is fleet.State.UP
     }
+    missing = set()
     for worker in list(leader.workers.values()):
+        name = worker.entry.worker
         silent = worker.silent_since_s
-        if worker.met_s > sent_s - LIST_LAG_S:
+        if worker.met_s > sent_s - LIST_LAG_S or name in living:
             continue
         if silent is not None and silent > sent_s:
             continue
-        if worker.entry.worker not in living:
+        missing.add(name)
+        listed = worker.entry.machine in machines
+        if listed or name in leader.fleet.missing:
             await worker_loop.lost(leader, worker, 'its machine is down')
-    for progress in leader.fleet.waves.values():
-        wave_plan.note_returns(
-            progress,
-            leader.fleet.machines,
-            sent_s,
-            leader.server.settings.maintenance_s,
-        )
+    leader.fleet.missing = missing
 
 
 async def balance(leader: states.Leader) -> None:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -113,6 +113,7 @@
 
     :ivar machines: by name, as last listed
     :ivar machines_read_s: when that list was asked for
+    :ivar missing: workers that the last list lacked
     :ivar waves: by number
     :ivar kept_waves: what an earlier leader wrote of them
     :ivar first_sizes: machines that each pool had before its first turn
@@ -120,6 +121,7 @@
     :ivar shortage_told_s: when a lack of machines was last logged
     :ivar moves_refused: until when a machine isn't asked to move again
     :ivar announced: when an order was announced, by machine
+    :ivar maintained: which of them may be down for maintenance by it
     :ivar turn_after_s: from when a machine may be ordered that an earlier
         leader has ordered
     :ivar none_before_s: the same for all others
@@ -130,6 +132,7 @@
         default_factory=dict
     )
     machines_read_s: float = -1e9
+    missing: set[ids.VmId] = dataclasses.field(default_factory=set)
     waves: dict[int, wave_plan.Progress] = dataclasses.field(
         default_factory=dict
     )
@@ -144,6 +147,7 @@
     shortage_told_s: float = -1e9
     moves_refused: dict[str, float] = dataclasses.field(default_factory=dict)
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
+    maintained: set[str] = dataclasses.field(default_factory=set)
     turn_after_s: dict[str, float] = dataclasses.field(default_factory=dict)
     none_before_s: float = 0.0
     orders_left: float = 0.0
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/upkeeps/wave_plan.py
@@ -123,10 +123,12 @@
     maintenance_s: float,
     now_s: float,
     bounds: Bounds = Bounds(),
+    perhaps_down: collections.abc.Set[str] = frozenset(),
 ) -> Decision:
     """Decide what goes down now, and what is closed to new tasks.
 
     :param workers: by machine
+    :param perhaps_down: machines that an earlier leader may have ordered down
     """
     wave = progress.wave
     left = [
@@ -138,7 +140,8 @@
     if not left:
         decision.completed = not progress.down
         return decision
-    slots = wave.most_at_once - len(_down(progress, machines))
+    down = _down(progress, machines) | perhaps_down.intersection(left)
+    slots = wave.most_at_once - len(down)
     ready = [
         name
         for name in left
--- a/tests/test_machine_turns.py
+++ b/tests/test_machine_turns.py
@@ -76,3 +76,15 @@
     assert leader.fleet.announced == {'m1': 100.0}
     assert leader.fleet.turn_after_s == {'m1': 103.5}
     assert leader.fleet.first_sizes == {}
+
+
+def test_later_leader_learns_what_may_be_down_for_maintenance(leader):
+    kept = machine_turns.Announced(
+        {'m1': 0.0, 'm2': 0.0, 'm3': 0.0},
+        ages_ms={'m1': 0.0, 'm2': 0.0, 'm3': 9000.0},
+        maintained=['m1', 'm3'],
+    )
+    machine_turns.restore(leader, msgspec.json.encode(kept))
+    assert machine_turns.perhaps_down(leader) == {'m1'}
+    leader.now.s += 4.0
+    assert not machine_turns.perhaps_down(leader)
--- a/tests/test_wave_plan.py
+++ b/tests/test_wave_plan.py
@@ -52,6 +52,20 @@
     assert len(decision.order) == 1
 
 
+def test_one_that_an_earlier_leader_may_just_take_down_counts():
+    """Its order may be under way while the list still shows it up."""
+    progress = _progress('a', 'b', 'c', most=2)
+    decision = wave_plan.decide(
+        progress,
+        _machines('a', 'b', 'c', 'd'),
+        {},
+        MAINTENANCE_S,
+        10.0,
+        perhaps_down={'a', 'd'},
+    )
+    assert len(decision.order) == 1
+
+
 def test_one_ordered_by_an_earlier_leader_counts():
     progress = _progress('a', 'b', most=1)
     machines = _machines('b')
