--- a/emulator/features.py
+++ b/emulator/features.py
@@ -42,6 +42,10 @@
 SHARE = 0.5
 """Part of the jobs that ask for a feature of the day."""
 
+LEFTOVERS_FINISH_S = 80.0
+"""Time after the last job in which all have to end that use leftovers; they
+are paced down, and take several times longer."""
+
 Features = collections.abc.Collection[Feature]
 
 
@@ -50,6 +54,11 @@
     return tuple(random.Random(seed).sample(list(Feature), count))
 
 
+def finish_s(features: Features, usual_s: float) -> float:
+    """Give the time after the last job in which all have to end."""
+    return LEFTOVERS_FINISH_S if Feature.LEFTOVERS in features else usual_s
+
+
 def adorn(rng: random.Random, features: Features, spec: dict) -> dict:
     """Let a drawn job ask for some of a day's features."""
     for feature in Feature:
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -64,13 +64,15 @@
         drawn = troubles.draw(
             seed, length_s, trouble_count, tuple(troubles.Kind)
         )
+        wanted = features.draw(seed, feature_count)
         plan = day.Plan(
             seed,
             length_s=length_s,
             jobs_per_s=jobs_per_s,
             turn_s=turn_s,
             troubles=tuple(drawn),
-            features=features.draw(seed, feature_count),
+            features=wanted,
+            finish_s=features.finish_s(wanted, day.FINISH_S),
         )
         began_s = time.perf_counter()
         result = day.play(plan)
