Bring machines to a pool whose step fits on none that it has

A pool is sized by cores. Once it had sent its machines to standby, a gang or a job for a kind of machine that was gone, or that the platform's advice allows elsewhere only, found enough cores and no worker that it could use, and waited for good.

Such a step is now told from one that waits for room: it fits on none of the pool's workers even if all that ends had ended. While that is so, and a machine elsewhere could run it, the pool needs one machine more than it has; one on its way is waited for. Plain steps aren't looked at, so that other deployments pay nothing. Which machine comes isn't chosen by kind.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -13,6 +13,7 @@
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import lacking
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood import server_metrics
@@ -264,6 +265,8 @@
             group.entry, queue, leader.lengths, now_s
         ):
             continue
+        if lacking.is_particular(group) and _lacks_kind(leader, group, view):
+            view.lacks_kind = True
         if group.step.long_running:
             _add_cores(view, group, len(group.waiting))
         elif not group.step.uses_leftover:
@@ -272,6 +275,18 @@
             _note_priority(view, group, known)
 
 
+def _lacks_kind(
+    leader: states.Leader, group: ledgers.Group, view: pool_plan.PoolView
+) -> bool:
+    """Say whether a step needs other machines than those of its pool."""
+    pool = [row.worker for row in view.members if row.worker is not None]
+    return lacking.fits_nowhere(group, pool) and any(
+        machine.pool != view.service
+        and lacking.could_help(group.step, machine.labels, machine.capacity)
+        for machine in leader.fleet.machines.values()
+    )
+
+
 def _note_priority(
     view: pool_plan.PoolView,
     group: ledgers.Group,
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -258,7 +258,7 @@
         )
     ]
     for choice in [*choices, free]:
-        placed = _place_all(group, members, choice)
+        placed = place_all(group, members, choice)
         for row in placed:
             quotas_.take(quotas, row.task.group)
         if placed:
@@ -266,9 +266,10 @@
     return []
 
 
-def _place_all(
+def place_all(
     group: ledgers.Group, members: list[ledgers.Task], free: list[Room]
 ) -> list[Placement]:
+    """Place all of some tasks, or none; their room is taken."""
     taken: list[Room] = []
     placed: list[Placement] = []
     for task in members:
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/upkeeps/pool_plan.py
@@ -96,6 +96,8 @@
     :ivar min_up: machines that it keeps by an operator's promise
     :ivar priority: the first of the priorities of its work, but for tasks
         that last
+    :ivar lacks_kind: a step fits on none of its machines, even idle ones,
+        and another machine might do
     """
 
     service: ids.ServiceId
@@ -106,6 +108,7 @@
     min_up: int = 0
     waiting: list[backlog.Waiting] = dataclasses.field(default_factory=list)
     priority: float = math.inf
+    lacks_kind: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,6 +165,9 @@
     now = math.ceil(cores / each)
     if line is not None and turns_.is_young(line, now_s):
         now = max(now, _young_machines(pool, turns))
+    coming = any(member.worker is None for member in pool.members)
+    if pool.lacks_kind and not coming:
+        now = max(now, len(pool.members) + 1)
     soon = 0
     turn = turns_.next_turn(turns, pool.service, now_s)
     if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -37,6 +37,11 @@
         troubles=5,
         jobs_per_s=6.0,
     ),
+    Found(
+        17,
+        (Feature.GANGS, Feature.LABELS),
+        'a pool had given away the machines of the kind that was asked for',
+    ),
     Found(
         7,
         (Feature.LEFTOVERS,),
--- /dev/null
+++ b/tests/test_lacking.py
@@ -0,0 +1,79 @@
+"""Tests of steps that fit on none of their pool's workers."""
+
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.pools import lacking
+from oleanderwood.upkeeps import pool_plan
+from oleanderwood.upkeeps import turns as turns_
+from tests import utils_jobs as build
+
+
+def _group(step):
+    ledger = build.ledger_with(build.job(step))
+    return ledger.entries[build.JOB].groups[0, 0]
+
+
+def test_gang_that_is_larger_than_its_pool_fits_nowhere():
+    group = _group(build.step(3, cpu=5000, gang=True))
+    pool = [build.worker('w1'), build.worker('w2')]
+    assert lacking.fits_nowhere(group, pool)
+    assert not lacking.fits_nowhere(group, [*pool, build.worker('w3')])
+
+
+def test_what_will_end_takes_no_room():
+    group = _group(build.step(2, cpu=5000, gang=True))
+    pool = [build.worker('w1'), build.worker('w2')]
+    busy = build.ledger_with(build.job(build.step(cpu=8000), name='1' * 16))
+    build.start(busy, build.task(busy, name='1' * 16), pool[0])
+    assert not lacking.fits_nowhere(group, pool)
+
+
+def test_what_lasts_does():
+    group = _group(build.step(2, cpu=5000, gang=True))
+    pool = [build.worker('w1'), build.worker('w2')]
+    step = build.step(cpu=4000, long_running=True)
+    lasting = build.ledger_with(build.job(step, name='1' * 16))
+    build.start(lasting, build.task(lasting, name='1' * 16), pool[0])
+    assert lacking.fits_nowhere(group, pool)
+
+
+def test_step_without_a_worker_of_its_kind_fits_nowhere():
+    group = _group(build.step(label='b'))
+    assert lacking.is_particular(group)
+    assert lacking.fits_nowhere(group, [build.worker('w1')])
+    fitting = build.worker('w2', labels=('b', 'r1'))
+    assert not lacking.fits_nowhere(group, [build.worker('w1'), fitting])
+
+
+def test_step_that_advice_allows_nowhere_fits_nowhere():
+    group = _group(build.step())
+    assert not lacking.is_particular(group)
+    group.tickets = {}
+    assert lacking.is_particular(group)
+    assert lacking.fits_nowhere(group, [build.worker('w1')])
+    group.tickets = {'w1': 'ticket'}
+    assert not lacking.fits_nowhere(group, [build.worker('w1')])
+
+
+def test_only_a_machine_that_fits_could_help():
+    step = build.step(cpu=5000, label='b')
+    large = model.Resources(8000, 64000)
+    assert lacking.could_help(step, ('b', 'r1'), large)
+    assert not lacking.could_help(step, ('a', 'r1'), large)
+    assert not lacking.could_help(step, ('b', 'r1'), model.Resources(4000, 9))
+
+
+def _decide(*members):
+    view = pool_plan.PoolView(build.POOL, list(members), lacks_kind=True)
+    off = ids.ServiceId('off')
+    standby = {off: [pool_plan.Member('m9', 8.0, None)]}
+    return pool_plan.decide([view], standby, turns_.Turns(), 1.5, 5.0).moves
+
+
+def test_pool_gets_one_machine_more_while_a_step_fits_nowhere():
+    # A gang or a job for another kind of machine waited for good once its
+    # pool had sent the machines to standby: by cores, it lacked none.
+    here = pool_plan.Member('m1', 8.0, build.worker('w1'))
+    assert [move.machine for move in _decide(here)] == ['m9']
+    coming = pool_plan.Member('m2', 8.0, None)
+    assert not _decide(here, coming)
