Cut servers apart by one builder; build no set where none is needed

The two tests of a leader that is cut off had the same cuts. Each pass made a set for each waiting step, twice; now only where a former pool is looked for. Behaviour is unchanged.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -188,7 +188,7 @@
     In another one than the job names they may be once that has been written,
     so that a later leader knows where they may run.
     """
-    if pool in kept_pools(entry):
+    if pool == entry.job.queue.service or pool in entry.more_pools_kept:
         return True
     if pool not in entry.more_pools:
         entry.more_pools.add(pool)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -96,7 +96,7 @@
         return False
     if now_s <= leader.rosters_unread_until_s:
         return True
-    return not blocked.isdisjoint(ledgers.kept_pools(entry))
+    return bool(blocked) and not blocked.isdisjoint(ledgers.kept_pools(entry))
 
 
 async def place(leader: states.Leader) -> None:
--- a/tests/test_cut_off_half.py
+++ b/tests/test_cut_off_half.py
@@ -14,28 +14,11 @@
 
 import curio
 
-from emulator import servers
 from tests import utils_takeover as build
 
 LONG = build.step(1, 16000, 22_000)
 
 
-def _cut(scene, left, right, address):
-    """Leave one worker to the servers of one side, all else to the other."""
-    network = scene.network
-    for process in left:
-        network.cuts.add((process.name, servers.STORE_ADDRESS))
-        network.cuts.add((process.name, servers.MACHINES_ADDRESS))
-        for machine in scene.fleet.machines.values():
-            if machine.address != address:
-                network.cuts.add((process.name, machine.address))
-        for other in right:
-            network.cuts.add((process.name, other.address))
-            network.cuts.add((other.name, process.address))
-    for other in right:
-        network.cuts.add((other.name, address))
-
-
 def test_leader_on_the_larger_side_of_a_cut_gives_up_its_term():
     begun = []
 
@@ -51,7 +34,7 @@
         await build.hand_in(scene, former, LONG)
         await curio.sleep(1.0)
         second, third = [row for row in scene.processes if row is not former]
-        _cut(scene, [former, second], [third], begun[0])
+        build.cut_apart(scene, [former, second], [third], begun[0])
 
     result = build.play(story)
     assert begun
--- a/tests/test_lonely_leader.py
+++ b/tests/test_lonely_leader.py
@@ -14,7 +14,6 @@
 
 import curio
 
-from emulator import servers
 from tests import utils_takeover as build
 
 REFUSED_S = 2.5
@@ -23,21 +22,6 @@
 LONG = build.step(1, 16000, 22_000)
 
 
-def _cut_off(scene, former, address):
-    """Leave the former leader one worker, and that worker to it alone."""
-    network = scene.network
-    network.cuts.add((former.name, servers.STORE_ADDRESS))
-    network.cuts.add((former.name, servers.MACHINES_ADDRESS))
-    for machine in scene.fleet.machines.values():
-        if machine.address != address:
-            network.cuts.add((former.name, machine.address))
-    for process in scene.processes:
-        if process is not former:
-            network.cuts.add((process.name, address))
-            network.cuts.add((process.name, former.address))
-            network.cuts.add((former.name, process.address))
-
-
 def test_leader_that_nobody_answers_gives_up_its_term():
     begun = []
 
@@ -56,7 +40,8 @@
         scene.store.refused |= others
         await curio.sleep(REFUSED_S)
         assert build.leader(scene) is former
-        _cut_off(scene, former, begun[0])
+        rest = [row for row in scene.processes if row is not former]
+        build.cut_apart(scene, [former], rest, begun[0])
         scene.store.refused -= others
 
     result = build.play(story)
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -201,3 +201,24 @@
 async def kill(scene: Scene, process: servers.Process) -> None:
     """End a server's life without a last word."""
     await servers.kill(scene.network, process)
+
+
+def cut_apart(
+    scene: Scene,
+    left: list[servers.Process],
+    right: list[servers.Process],
+    address: str,
+) -> None:
+    """Leave one worker to some servers, and all else to the others."""
+    network = scene.network
+    for process in left:
+        network.cuts.add((process.name, servers.STORE_ADDRESS))
+        network.cuts.add((process.name, servers.MACHINES_ADDRESS))
+        for machine in scene.fleet.machines.values():
+            if machine.address != address:
+                network.cuts.add((process.name, machine.address))
+        for other in right:
+            network.cuts.add((process.name, other.address))
+            network.cuts.add((other.name, process.address))
+    for other in right:
+        network.cuts.add((other.name, address))
