--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -18,6 +18,10 @@
 DRAIN_S = 2.0
 """Time after which nothing starts on an executor that leaves."""
 
+HEARD_S = 3.0
+"""Time after which servers have heard of a change in the store, once nothing
+keeps them from it; the platform's bound for being in touch."""
+
 
 def check(
     evidence: evidences.Evidence,
@@ -34,6 +38,7 @@
         *_shown(evidence, jobs, max_attempts),
         *_asked(evidence),
         *_drained(evidence),
+        *_spoiled(evidence),
         *_maintained(evidence, most_down, maintenance_s),
         *_away(evidence, jobs),
         *_turns(evidence),
@@ -186,6 +191,25 @@
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
 
 
+def _spoiled(evidence):
+    """Nothing starts on an executor some time after its entry was spoiled."""
+    since = {}
+    deaf = 0
+    hears_s = 0.0
+    for sight in evidence.sights:
+        if sight.kind is Kind.DEAF:
+            deaf += 1 if sight.how == 'begin' else -1
+            hears_s = sight.at_s
+        elif sight.kind is Kind.SPOILED:
+            since[sight.place] = sight.at_s
+        elif sight.kind is Kind.MENDED:
+            since.pop(sight.place, None)
+        elif sight.kind is Kind.STARTED and sight.place in since:
+            heard_s = max(since[sight.place], hears_s) + HEARD_S
+            if not deaf and sight.at_s > heard_s:
+                yield f'SPOILED at {sight.at_s:.2f}: {sight.task}'
+
+
 def _maintained(evidence, most_down, maintenance_s):
     """Not more machines of a wave are down at once than may be."""
     begun = collections.defaultdict(list)
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -14,6 +14,7 @@
 from emulator import fleet as fleets
 from emulator import network as networks
 from emulator import servers
+from emulator import spoiling
 from emulator import store as stores
 from emulator import troubles as troubles_
 from emulator import virtual
@@ -37,6 +38,7 @@
 
     :ivar jobs_per_s: of all queues together, in the mean
     :ivar turn_s: time of one queue's turn; 0: both ask alike
+    :ivar entries: what another writer writes, by the time from the first job
     """
 
     seed: int
@@ -49,6 +51,7 @@
     lasting: bool = True
     pools: tuple[str, ...] = POOLS
     troubles: tuple[troubles_.Trouble, ...] = ()
+    entries: tuple[spoiling.Written, ...] = ()
     lead_s: float = LEAD_S
     finish_s: float = FINISH_S
 
@@ -118,6 +121,9 @@
                 trouble, at_s=plan.lead_s + trouble.at_s
             )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
+        await curio.spawn(
+            troubles_.spoil_entries, scene, plan.entries, daemon=True
+        )
         await hand_in_jobs(callers, plan, rng)
         await curio.sleep(plan.finish_s)
     return judge(callers, fleet, store)
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -30,6 +30,15 @@
 
     MAINTAINED = 'maintained'
     DRAINING = 'draining'
+    SPOILED = 'spoiled'
+    """An executor's entry was written over: it names nobody to use."""
+
+    MENDED = 'mended'
+    """An executor's entry is its own again."""
+
+    DEAF = 'deaf'
+    """Servers may not hear of changes in the store, from ``how`` ``begin``
+    to ``end``; such spans overlap."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -83,10 +83,11 @@
         if heard and not world.store.down:
             value = executors.entry(executor)
             if value != seen or key not in world.store.items:
+                _note(world, executor, evidences.Kind.MENDED)
                 await stores.put(world.store, key, value)
                 seen = value
                 if executor.draining:
-                    _note_notice(world, executor)
+                    _note(world, executor, evidences.Kind.DRAINING)
             silent_s = 0.0
         elif not heard:
             silent_s += 0.25
@@ -97,13 +98,8 @@
         await curio.sleep(0.25)
 
 
-def _note_notice(world, executor) -> None:
-    evidences.note(
-        world.evidence,
-        clock.now_s(),
-        evidences.Kind.DRAINING,
-        place=executor.name,
-    )
+def _note(world, executor, kind) -> None:
+    evidences.note(world.evidence, clock.now_s(), kind, place=executor.name)
 
 
 async def end_life(fleet: Fleet, machine: Machine, how: str) -> None:
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -7,10 +7,12 @@
 
 import curio
 
+from emulator import evidence as evidences
 from emulator import executors
 from emulator import fleet as fleets
 from emulator import network as networks
 from emulator import servers
+from emulator import spoiling
 from emulator import store as stores
 from oleanderwood import clock
 
@@ -41,6 +43,7 @@
     ANSWERS_LOST = 'answers-lost'
     WAVE = 'wave'
     ENTRY_LATE = 'entry-late'
+    ENTRY_SPOILED = 'entry-spoiled'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,16 +57,33 @@
 
 @dataclasses.dataclass
 class Scene:
-    """What troubles strike."""
+    """What troubles strike.
+
+    :ivar spoiled: executors whose entries are written over at the moment
+    """
 
     network: networks.Network
     store: stores.Store
     fleet: fleets.Fleet
     processes: list[servers.Process]
     rng: random.Random
-
-
-LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW)
+    spoiled: set[str] = dataclasses.field(default_factory=set)
+
+
+DEAFENING = (
+    Kind.LEADER_FROZEN,
+    Kind.LEADER_REFUSED,
+    Kind.LEADER_CUT,
+    Kind.SERVERS_CUT,
+    Kind.STORE_DOWN,
+    Kind.STORE_SILENT,
+    Kind.STORE_SLOW,
+    Kind.STORE_LOSES_ANSWERS,
+    Kind.STORE_LATE,
+)
+"""Kinds that keep servers from hearing of changes in the store."""
+
+LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW, Kind.ENTRY_SPOILED)
 """Kinds that were added since seeds were first kept."""
 
 FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
@@ -92,7 +112,18 @@
 async def strike(scene: Scene, trouble: Trouble) -> None:
     """Let a trouble come at its time, and pass."""
     await curio.sleep(max(0.0, trouble.at_s - clock.now_s()))
+    if trouble.kind not in DEAFENING:
+        await _STRIKES[trouble.kind](scene, trouble)
+        return
+    note_deaf(scene, 'begin')
     await _STRIKES[trouble.kind](scene, trouble)
+    note_deaf(scene, 'end')
+
+
+def note_deaf(scene: Scene, how: str) -> None:
+    """Note that servers may not hear of changes in the store, or do again."""
+    evidence = scene.fleet.world.evidence
+    evidences.note(evidence, clock.now_s(), evidences.Kind.DEAF, how=how)
 
 
 def _leader(scene: Scene) -> servers.Process:
@@ -295,6 +326,21 @@
         await stores.remove(scene.store, key)
 
 
+async def _entry_spoiled(scene, trouble) -> None:
+    await spoil_entries(scene, spoiling.draw(scene.rng, trouble.for_s))
+
+
+async def spoil_entries(
+    scene: Scene, rows: collections.abc.Iterable[spoiling.Written]
+) -> None:
+    """Let another writer write entries, each at its time from now."""
+    async with curio.TaskGroup() as group:
+        for row in rows:
+            await group.spawn(
+                spoiling.write, scene.fleet, scene.rng, scene.spoiled, row
+            )
+
+
 _Strike = collections.abc.Callable[
     [Scene, Trouble], collections.abc.Awaitable[None]
 ]
@@ -323,4 +369,5 @@
     Kind.ANSWERS_LOST: _answers_lost,
     Kind.WAVE: _wave,
     Kind.ENTRY_LATE: _entry_late,
+    Kind.ENTRY_SPOILED: _entry_spoiled,
 }
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -43,9 +43,18 @@
     troubles.Kind.ANSWERS_LOST,
     troubles.Kind.WAVE,
     troubles.Kind.ENTRY_LATE,
+    troubles.Kind.ENTRY_SPOILED,
 )
 """Troubles of the emulator that strike the platform alone."""
 
+FIRST_PLATFORM_KINDS = tuple(
+    kind for kind in PLATFORM_KINDS if kind not in troubles.LATER_KINDS
+)
+"""What kept seeds draw from, so that they go on meaning the same strikes."""
+
+DEAFENING = (Kind.PAUSED, Kind.STORE_LINK, Kind.STORE_LINKS)
+"""Strikes that keep servers from hearing of changes in the store."""
+
 SPOILED = tuple(mode for mode in proxies.Mode if mode is not proxies.Mode.PASS)
 
 
@@ -74,12 +83,17 @@
     rng: random.Random
 
 
-def draw(seed: int, length_s: float, per_s: float) -> list[Strike]:
+def draw(
+    seed: int,
+    length_s: float,
+    per_s: float,
+    platform_kinds: tuple[troubles.Kind, ...] = PLATFORM_KINDS,
+) -> list[Strike]:
     """Draw strikes; about half are of the platform."""
     rng = random.Random(seed)
     rows = []
     for _ in range(max(1, int(length_s * per_s))):
-        kinds = list(Kind) if rng.random() < 0.5 else PLATFORM_KINDS
+        kinds = list(Kind) if rng.random() < 0.5 else platform_kinds
         kind = rng.choice(kinds)
         at_s = rng.uniform(0.5, length_s)
         rows.append(Strike(kind, at_s, rng.uniform(0.5, 5.0)))
@@ -91,8 +105,13 @@
     if isinstance(row.kind, troubles.Kind):
         trouble = troubles.Trouble(row.kind, 0.0, row.for_s)
         await troubles.strike(field.scene, trouble)
-    else:
+        return
+    if row.kind not in DEAFENING:
         await _STRIKES[row.kind](field, row)
+        return
+    troubles.note_deaf(field.scene, 'begin')
+    await _STRIKES[row.kind](field, row)
+    troubles.note_deaf(field.scene, 'end')
 
 
 def _any(field: Field) -> processes.Process | None:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -98,6 +98,10 @@
         'DRAIN',
         [(1.0, Kind.DRAINING, {'place': 'w1'}), _start(9, 'w1')],
     ),
+    'a start on a worker whose entry is spoiled': (
+        'SPOILED',
+        [(1.0, Kind.SPOILED, {'place': 'w1'}), _start(9, 'w1')],
+    ),
     'too many machines down': (
         'LIMIT',
         [
@@ -151,6 +155,16 @@
         _start(6, 'w2', task=LASTING[0]),
         _start(6, 'w3', task=LASTING[1]),
         (9.0, Kind.DIED, {'place': 'w2', 'how': 'order'}),
+        (10.0, Kind.SPOILED, {'place': 'w4'}),
+        _start(11, 'w4', task=LASTING[0], attempt=2),
+        (12.0, Kind.MENDED, {'place': 'w4'}),
+        (13.0, Kind.SPOILED, {'place': 'w5'}),
+        (15.0, Kind.DEAF, {'how': 'begin'}),
+        (17.0, Kind.DEAF, {'how': 'end'}),
+        _end(17, 'w3', 'failed', task=LASTING[1]),
+        _start(17.5, 'w5', task=LASTING[1], attempt=2),
+        _end(18, 'w4', 'failed', task=LASTING[0], attempt=2),
+        _start(19, 'w4', task=LASTING[0], attempt=3),
         _ordered(9, 's1', 1),
         _ordered(20, 's2', 2),
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,7 +41,9 @@
 @pytest.mark.parametrize(('seed', 'length_s'), [(2, 6.0), *FOUND.items()])
 def test_drawn_strikes_break_no_rule(seed, length_s, tmp_path):
     plan = day.Plan(seed, length_s=length_s, server_count=3)
-    rows = strikes.draw(seed, length_s, run.STRIKES_PER_S)
+    rows = strikes.draw(
+        seed, length_s, run.STRIKES_PER_S, strikes.FIRST_PLATFORM_KINDS
+    )
     outcome = curio.run(run.soak, plan, tmp_path, rows)
     assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
 
