--- a/emulator/day.py
+++ b/emulator/day.py
@@ -21,6 +21,7 @@
 from emulator import scenes
 from emulator import servers
 from emulator import sharing
+from emulator import spoiling
 from emulator import store as stores
 from emulator import troubles as troubles_
 from emulator import virtual
@@ -50,6 +51,7 @@
     :ivar jitter_s: the most by which any way takes longer
     :ivar press_gap_s: time between two small jobs while a leader changes or
         the store comes back; 0: none
+    :ivar entries: what another writer writes, by the time from the first job
     """
 
     seed: int
@@ -62,6 +64,7 @@
     lasting: bool = True
     pools: tuple[str, ...] = POOLS
     troubles: tuple[troubles_.Trouble, ...] = ()
+    entries: tuple[spoiling.Written, ...] = ()
     lead_s: float = LEAD_S
     finish_s: float = FINISH_S
     features: tuple[features_.Feature, ...] = ()
@@ -156,6 +159,9 @@
             )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
         changes_s = await _press(scene, callers, plan)
+        await curio.spawn(
+            troubles_.spoil_entries, scene, plan.entries, daemon=True
+        )
         await hand_in_jobs(callers, plan, rng)
         await curio.sleep(plan.finish_s)
     troubled = [
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -47,6 +47,16 @@
     EASED = 'eased'
     """They don't any more."""
 
+    SPOILED = 'spoiled'
+    """An executor's entry was written over: it names nobody to use."""
+
+    MENDED = 'mended'
+    """An executor's entry is its own again."""
+
+    DEAF = 'deaf'
+    """Servers may not hear of changes in the store, from ``how`` ``begin``
+    to ``end``; such spans overlap."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sight:
--- a/emulator/scenes.py
+++ b/emulator/scenes.py
@@ -17,6 +17,7 @@
     """What troubles strike.
 
     :ivar back_s: when a store that is away will be back
+    :ivar spoiled: executors whose entries are written over at the moment
     """
 
     network: networks.Network
@@ -25,6 +26,7 @@
     processes: list[servers.Process]
     rng: random.Random
     back_s: float = math.inf
+    spoiled: set[str] = dataclasses.field(default_factory=set)
 
 
 def leader(scene: Scene) -> servers.Process:
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -7,10 +7,12 @@
 
 import curio
 
+from emulator import evidence as evidences
 from emulator import executors
 from emulator import fleet as fleets
 from emulator import scenes
 from emulator import servers
+from emulator import spoiling
 from emulator import store as stores
 from emulator import takeovers
 from oleanderwood import clock
@@ -54,6 +56,7 @@
     ALL_KILLED_IN_TAKEOVER = 'all-killed-in-takeover'
     WAVE_AND_STOP = 'wave-and-stop'
     REACH_PARTED = 'reach-parted'
+    ENTRY_SPOILED = 'entry-spoiled'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,8 +84,34 @@
 )
 """Kinds that force a change of leader, or strike one."""
 
+DEAFENING = (
+    Kind.LEADER_FROZEN,
+    Kind.LEADER_REFUSED,
+    Kind.LEADER_CUT,
+    Kind.SERVERS_CUT,
+    Kind.STORE_DOWN,
+    Kind.STORE_SILENT,
+    Kind.STORE_SLOW,
+    Kind.STORE_LOSES_ANSWERS,
+    Kind.STORE_LATE,
+    Kind.STORE_LAPSES,
+    Kind.STORE_LAPSES_SILENT,
+    Kind.STORE_LAPSES_PARTED,
+    Kind.STORE_LAPSES_TWICE,
+    Kind.LEADER_SUSPENDED,
+    Kind.LEADER_SUSPENDED_IN_OUTAGE,
+    Kind.LEASES_REVOKED,
+    Kind.LATE_ACROSS_TAKEOVER,
+    Kind.ALL_KILLED_IN_TAKEOVER,
+)
+"""Kinds that keep servers from hearing of changes in the store."""
 
-LATER_KINDS = (Kind.SERVERS_CUT, Kind.EXECUTORS_SLOW, *TAKEOVER_KINDS)
+LATER_KINDS = (
+    Kind.SERVERS_CUT,
+    Kind.EXECUTORS_SLOW,
+    *TAKEOVER_KINDS,
+    Kind.ENTRY_SPOILED,
+)
 """Kinds that were added since seeds were first kept."""
 
 FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
@@ -111,7 +140,18 @@
 async def strike(scene: scenes.Scene, trouble: Trouble) -> None:
     """Let a trouble come at its time, and pass."""
     await curio.sleep(max(0.0, trouble.at_s - clock.now_s()))
+    if trouble.kind not in DEAFENING:
+        await _STRIKES[trouble.kind](scene, trouble)
+        return
+    note_deaf(scene, 'begin')
     await _STRIKES[trouble.kind](scene, trouble)
+    note_deaf(scene, 'end')
+
+
+def note_deaf(scene: scenes.Scene, how: str) -> None:
+    """Note that servers may not hear of changes in the store, or do again."""
+    evidence = scene.fleet.world.evidence
+    evidences.note(evidence, clock.now_s(), evidences.Kind.DEAF, how=how)
 
 
 async def _leader_killed(scene, trouble) -> None:
@@ -262,6 +302,21 @@
         await stores.remove(scene.store, key)
 
 
+async def _entry_spoiled(scene, trouble) -> None:
+    await spoil_entries(scene, spoiling.draw(scene.rng, trouble.for_s))
+
+
+async def spoil_entries(
+    scene: scenes.Scene, rows: collections.abc.Iterable[spoiling.Written]
+) -> None:
+    """Let another writer write entries, each at its time from now."""
+    async with curio.TaskGroup() as group:
+        for row in rows:
+            await group.spawn(
+                spoiling.write, scene.fleet, scene.rng, scene.spoiled, row
+            )
+
+
 _Strike = collections.abc.Callable[
     [scenes.Scene, Trouble], collections.abc.Awaitable[None]
 ]
@@ -302,4 +357,5 @@
     Kind.ALL_KILLED_IN_TAKEOVER: takeovers.all_killed_in_takeover,
     Kind.WAVE_AND_STOP: takeovers.wave_and_stop,
     Kind.REACH_PARTED: takeovers.reach_parted,
+    Kind.ENTRY_SPOILED: _entry_spoiled,
 }
