--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -119,6 +119,8 @@
             if not _held_back(leader, row.entry, blocked, now_s)
             and ledgers.may_start_in(leader.ledger, row.entry, service)
         ]
+        for task in placing.parted(groups, now_s):
+            await worker_loop.stop_run(leader, task)
         pool = pools.get(service, [])
         decided = placing.decide(groups, pool, now_s, STARTS_A_PASS, quotas)
         await _order(leader, decided, now_s)
