--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -155,28 +155,18 @@
     if not services:
         return
     writes = {}
-    members = []
+    members: set[ids.VmId] = set()
     for service in services:
         rows = [
-            worker
+            worker.entry
             for worker in leader.workers.values()
             if worker.entry.service == service and not worker.gone
         ]
-        members += rows
-        writes[roster_key(service)] = msgspec.json.encode(
-            [worker.entry for worker in rows]
-        )
-    # Who is met while it is written makes the roster dirty again.
+        members.update(row.worker for row in rows)
+        writes[roster_key(service)] = msgspec.json.encode(rows)
+    await guarded.write(leader, writes)
     leader.roster_dirty -= services
-    try:
-        await guarded.write(leader, writes)
-    except BaseException:
-        leader.roster_dirty |= services
-        raise
-    for worker in members:
-        name = worker.entry.worker
-        if leader.workers.get(name) is worker:
-            leader.rostered.add(name)
+    leader.rostered |= members
     await leader.due.set()
 
 
