Part a leader from all others; plant defects around takeovers

The new kind puts the leader and half of the machines on one side and the store, the other servers and the other half on the other.

--- a/emulator/takeovers.py
+++ b/emulator/takeovers.py
@@ -168,6 +168,20 @@
     await scenes.cut(scene, pairs, max(SUSPENDED_S, trouble.for_s))
 
 
+async def leader_parted(scene, trouble) -> None:
+    """Part the leader and half of the machines from all others."""
+    pairs = _others_reach(scene)
+    former = scenes.leader(scene)
+    hidden = {address for _name, address in pairs}
+    rest = {servers.STORE_ADDRESS, *scenes.executor_addresses(scene)} - hidden
+    for process in scene.processes:
+        if process is not former:
+            rest |= {process.address}
+            pairs.add((process.name, former.address))
+    pairs |= {(former.name, address) for address in rest}
+    await scenes.cut(scene, pairs, max(SUSPENDED_S, trouble.for_s))
+
+
 def _others_reach(scene: scenes.Scene) -> set[tuple[str, str]]:
     """Give the ways of all but the leader to half of the machines."""
     former = scenes.leader(scene)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -57,6 +57,7 @@
     WAVE_AND_STOP = 'wave-and-stop'
     REACH_PARTED = 'reach-parted'
     ENTRY_SPOILED = 'entry-spoiled'
+    LEADER_PARTED = 'leader-parted'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,7 +83,8 @@
     Kind.WAVE_AND_STOP,
     Kind.REACH_PARTED,
 )
-"""Kinds that force a change of leader, or strike one."""
+"""Kinds that force a change of leader, or strike one; kept seeds draw from
+these too."""
 
 DEAFENING = (
     Kind.LEADER_FROZEN,
@@ -103,6 +105,7 @@
     Kind.LEASES_REVOKED,
     Kind.LATE_ACROSS_TAKEOVER,
     Kind.ALL_KILLED_IN_TAKEOVER,
+    Kind.LEADER_PARTED,
 )
 """Kinds that keep servers from hearing of changes in the store."""
 
@@ -111,6 +114,7 @@
     Kind.EXECUTORS_SLOW,
     *TAKEOVER_KINDS,
     Kind.ENTRY_SPOILED,
+    Kind.LEADER_PARTED,
 )
 """Kinds that were added since seeds were first kept."""
 
@@ -358,4 +362,5 @@
     Kind.WAVE_AND_STOP: takeovers.wave_and_stop,
     Kind.REACH_PARTED: takeovers.reach_parted,
     Kind.ENTRY_SPOILED: _entry_spoiled,
+    Kind.LEADER_PARTED: takeovers.leader_parted,
 }
--- /dev/null
+++ b/tests/test_takeover_defects.py
@@ -0,0 +1,103 @@
+"""Defects planted around changes of leader, which named days must show."""
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from emulator import day
+from emulator import troubles
+from oleanderwood.leading import confirming
+from oleanderwood.leading import intake
+from oleanderwood.leading import schedule
+from oleanderwood.leading import state as states
+from tests import utils_days
+
+Kind = troubles.Kind
+
+
+def _patch_term(patch, term_of):
+    """Let leaders take jobs as if accepted under another term."""
+    take = intake._take_job
+
+    def blind(leader, job, now_s, taking_over, revision=0):
+        term = term_of(leader, job, taking_over)
+        job = msgspec.structs.replace(job, term=term)
+        take(leader, job, now_s, taking_over, revision)
+
+    patch.setattr(intake, '_take_job', blind)
+
+
+def _terms_are_ignored(patch):
+    def term_of(leader, job, taking_over):
+        return 0 if taking_over else leader.term
+
+    _patch_term(patch, term_of)
+
+
+def _later_terms_are_taken_for_own(patch):
+    def term_of(leader, job, taking_over):
+        return min(job.term, leader.term)
+
+    _patch_term(patch, term_of)
+
+
+def _confirmed_for_longer(patch):
+    patch.setattr(confirming, 'CONFIRMED_S', 20.0)
+
+
+def _lease_is_ignored(patch):
+    patch.setattr(states, 'may_act', lambda leader: not leader.deposed)
+
+
+def _earlier_leases_are_not_waited_for(patch):
+    patch.setattr(schedule, '_may_hold', lambda worker, now_s: False)
+
+
+def _day(seed, *rows):
+    drawn = tuple(troubles.Trouble(*row) for row in rows)
+    plan = utils_days.takeover_day(seed)
+    return dataclasses.replace(plan, press_gap_s=0.1, troubles=drawn)
+
+
+PARTED = (Kind.STORE_LAPSES_PARTED,)
+CUT_OFF = (Kind.LEADER_PARTED, 1.0, 8.0)
+CUT_OFF_AFTER_OUTAGE = (
+    (Kind.STORE_LAPSES, 1.0, 3.0),
+    (Kind.LEADER_PARTED, 3.9, 8.0),
+)
+
+DEFECTS = {
+    'takes a job that came after its reading for one never started': (
+        _terms_are_ignored,
+        utils_days.takeover_day(4035, PARTED),
+    ),
+    'takes a job of a later term for its own': (
+        _later_terms_are_taken_for_own,
+        utils_days.takeover_day(4035, PARTED),
+    ),
+    'goes on under an old confirmation for longer': (
+        _confirmed_for_longer,
+        _day(1, *CUT_OFF_AFTER_OUTAGE),
+    ),
+    'goes on after the end of its lease': (
+        _lease_is_ignored,
+        _day(1, CUT_OFF),
+    ),
+    'does not wait for the leases of an earlier leader': (
+        _earlier_leases_are_not_waited_for,
+        _day(1, CUT_OFF),
+    ),
+}
+
+
+@pytest.mark.parametrize('name', DEFECTS)
+def test_planted_defect_is_found_and_the_day_is_clean_without(name):
+    plant, plan = DEFECTS[name]
+    with pytest.MonkeyPatch.context() as patch:
+        plant(patch)
+        found = day.play(plan).breaches
+    assert any(line.startswith('TWICE') for line in found)
+    result = day.play(plan)
+    assert not result.breaches
+    assert not result.unfinished
