Let a leader act by the lease under which its mark lies, by no other

Cause: a leader's right to act rested on the server's lease, whichever that was. One that was cut off, lost its lease and the mark under it and got a new lease as the cut healed, took itself for the leader again until it heard of the next one, some tens of milliseconds later, and started what it had given up, at workers that the next one had not reached. The lease of the mark is remembered now, and a leader whose mark lies under another than the server's own waits until it has put it under the new one, which the store refuses if another leads.

--- a/oleanderwood/leading/confirming.py
+++ b/oleanderwood/leading/confirming.py
@@ -52,7 +52,7 @@
     while True:
         await curio.sleep(CHECK_S / 2)
         now_s = clock.now_s()
-        if now_s + CHECK_S < leader.server.lease_until_s:
+        if now_s + CHECK_S < states.marked_until_s(leader):
             if confirmed:
                 event_log.emit('leader', 'lease-back')
                 confirmed = False
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -90,16 +90,17 @@
         roles_.LEADER_KEY: msgspec.json.encode(row),
         roles_.ALIVE_KEY: server.process.encode('ascii'),
     }
+    lease = server.lease
     try:
         revision = await stores.write(
             server.store,
             conditions,
             writes,
-            leases={roles_.ALIVE_KEY: server.lease},
+            leases={roles_.ALIVE_KEY: lease},
         )
     except stores.Conflict as conflict:
         return _after_conflict(server, conflict)
-    take_role(server, row, revision)
+    take_role(server, row, revision, lease)
     return term, revision
 
 
@@ -111,8 +112,7 @@
     found = {item.key: item for item in conflict.items}
     alive = found.get(roles_.ALIVE_KEY)
     if alive is None or alive.removed:
-        roles.alive_revision = 0
-        roles.alive_process = ''
+        roles_.mark(roles, '', 0, 0)
     roles_.learn(roles, conflict.items)
     leader = roles.leader
     if leader is None or leader.process != server.process:
@@ -126,11 +126,10 @@
 
 
 def take_role(
-    server: states.Server, row: roles_.Leader, revision: int
+    server: states.Server, row: roles_.Leader, revision: int, lease: int
 ) -> None:
     """Note that we lead."""
     roles = server.roles
     roles.leader = row
     roles.leader_revision = revision
-    roles.alive_revision = revision
-    roles.alive_process = server.process
+    roles_.mark(roles, server.process, revision, lease)
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -64,6 +64,7 @@
     :ivar leader_revision: of the leader's key; it is the condition under
         which a leader writes
     :ivar alive_revision: 0 if nobody holds the lease
+    :ivar alive_lease: the lease under which the mark lies
     :ivar gone: servers whose rows went, by key
     """
 
@@ -71,12 +72,15 @@
     leader_revision: int = 0
     alive_revision: int = 0
     alive_process: str = ''
+    alive_lease: int = 0
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     gone: dict[str, Gone] = dataclasses.field(default_factory=dict)
     known: bool = False
 
 
-def take(roles: Roles, key: str, value: bytes, revision: int) -> None:
+def take(
+    roles: Roles, key: str, value: bytes, revision: int, lease: int = 0
+) -> None:
     """Take over a value; an older one than the known is ignored."""
     if key == LEADER_KEY:
         if revision > roles.leader_revision:
@@ -84,8 +88,7 @@
             roles.leader_revision = revision
     elif key == ALIVE_KEY:
         if revision > roles.alive_revision:
-            roles.alive_revision = revision
-            roles.alive_process = value.decode('ascii')
+            mark(roles, value.decode('ascii'), revision, lease)
     elif key.startswith(SERVER_PREFIX):
         server = msgspec.json.decode(value, type=Server)
         roles.servers[key] = server
@@ -96,14 +99,20 @@
     """Take over what a refused write has shown of its conditions."""
     for item in items:
         if not item.removed:
-            take(roles, item.key, item.value, item.revision)
+            take(roles, item.key, item.value, item.revision, item.lease)
+
+
+def mark(roles: Roles, process: str, revision: int, lease: int) -> None:
+    """Note who leads by the mark, and under which lease it lies."""
+    roles.alive_process = process
+    roles.alive_revision = revision
+    roles.alive_lease = lease
 
 
 def drop(roles: Roles, key: str, revision: int, now_s: float) -> None:
     """Note that a key was removed at a revision of the store."""
     if key == ALIVE_KEY and revision > roles.alive_revision:
-        roles.alive_revision = 0
-        roles.alive_process = ''
+        mark(roles, '', 0, 0)
     elif key.startswith(SERVER_PREFIX):
         _note_gone(roles, key, now_s)
 
@@ -120,8 +129,7 @@
 
 def clear(roles: Roles, now_s: float) -> None:
     """Forget what a whole reading of the store is about to tell anew."""
-    roles.alive_revision = 0
-    roles.alive_process = ''
+    mark(roles, '', 0, 0)
     for key in list(roles.servers):
         _note_gone(roles, key, now_s)
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -1,6 +1,7 @@
 """What a server process and a leader remember."""
 
 import dataclasses
+import math
 import typing
 
 import curio
@@ -217,16 +218,30 @@
     """Say whether this process may still take itself for the leader."""
     now_s = clock.now_s()
     return not leader.deposed and (
-        now_s < leader.server.lease_until_s or now_s < leader.confirmed_until_s
+        now_s < marked_until_s(leader) or now_s < leader.confirmed_until_s
     )
 
 
 def holds_lease(leader: Leader) -> bool:
     """Say whether the leader's lease is surely in force.
 
-    Orders to machines need this: no other check guards them.
+    Orders to machines need it: no other check guards them.
     """
-    return not leader.deposed and clock.now_s() < leader.server.lease_until_s
+    return not leader.deposed and clock.now_s() < marked_until_s(leader)
+
+
+def marked_until_s(leader: Leader) -> float:
+    """Give by when the lease may end under which the mark of the leader lies.
+
+    A lease that the server has taken since says nothing of who leads: another
+    may have been elected while it had none.
+    """
+    server = leader.server
+    roles = server.roles
+    ours = roles.alive_process == server.process
+    if not server.lease or not ours or roles.alive_lease != server.lease:
+        return -math.inf
+    return server.lease_until_s
 
 
 async def depose(leader: Leader, why: str) -> None:
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -389,12 +389,13 @@
         roles_.ALIVE_KEY: 0,
     }
     writes = {roles_.ALIVE_KEY: server.process.encode('ascii')}
+    lease_ = server.lease
     try:
         revision = await stores.write(
             server.store,
             conditions,
             writes,
-            leases={roles_.ALIVE_KEY: server.lease},
+            leases={roles_.ALIVE_KEY: lease_},
         )
     except (errors.CallFailed, stores.LeaseEnded) as error:
         event_log.emit('leader', 'not-marked', why=str(error))
@@ -403,8 +404,7 @@
         roles_.learn(server.roles, conflict.items)
         event_log.emit('leader', 'not-marked', why=str(conflict))
         return
-    server.roles.alive_revision = revision
-    server.roles.alive_process = server.process
+    roles_.mark(server.roles, server.process, revision, lease_)
     event_log.emit('leader', 'marked-again', term=leader.term)
 
 
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -318,7 +318,9 @@
                 roles_.drop(roles, item.key, item.revision, clock.now_s())
                 continue
             try:
-                roles_.take(roles, item.key, item.value, item.revision)
+                roles_.take(
+                    roles, item.key, item.value, item.revision, item.lease
+                )
             except (msgspec.MsgspecError, UnicodeDecodeError) as error:
                 event_log.emit(
                     'roles', 'malformed', key=item.key, why=str(error)
