--- /dev/null
+++ b/tests/test_tickets_at_expiry.py
@@ -0,0 +1,64 @@
+"""A start that was decided by a ticket has to carry it.
+
+What users would see: starts refused for want of a ticket, each with its
+price, when advice is asked for anew. Order of events: a start is decided by
+a ticket that is valid for some tenths of a second more, and waits behind
+another order for its worker. The advice counts as expired, and is asked for
+anew; the start is sent without its ticket and refused. That refusal makes
+the new advice count as expired too.
+
+Cause: tickets are dropped as the question is sent, and a start takes its
+ticket only as it is sent itself. That tickets are taken for expired earlier
+than the platform does is of use just for what is under way.
+"""
+
+import curio
+
+from emulator import day
+from oleanderwood import clock
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import advising
+from oleanderwood.leading import ordering
+from oleanderwood.platform import advice
+from oleanderwood.platform import executors
+from tests import utils_jobs as build
+from tests import utils_leading
+from tests import utils_servers as servers
+
+CONFIGURATION = day.configuration(('drafts',))
+
+ANSWER_S = 0.3
+"""Time that the advice service takes."""
+
+
+def test_start_under_way_carries_the_ticket_by_which_it_was_decided(
+    monkeypatch,
+):
+    sent = []
+
+    async def start(calls, at, order):
+        sent.append(order.ticket)
+
+    async def ask(calls, step, workers):
+        await curio.sleep(ANSWER_S)
+        return advice.Advised({'w1': 'second'}, 2.0)
+
+    async def main(world):
+        leader = await utils_leading.lead(world)
+        ledgers.add(leader.ledger, build.job(build.step()), clock.now_s())
+        task = build.task(leader.ledger)
+        worker = build.worker(address=utils_leading.ADDRESS)
+        leader.workers['w1'] = worker
+        leader.orders['w1'] = curio.Queue()
+        task.group.tickets = {'w1': 'first'}
+        run = ledgers.begin(leader.ledger, task, 'w1', clock.now_s())
+        worker.runs[task.name] = task
+        asking = await curio.spawn(advising._ask, leader, None, task.group)
+        await curio.sleep(ANSWER_S / 3)
+        await ordering._send_start(leader, worker, task, run)
+        await asking.join()
+
+    monkeypatch.setattr(executors, 'start', start)
+    monkeypatch.setattr(advice, 'ask', ask)
+    servers.run(main, CONFIGURATION)
+    assert sent == ['first']
