Show that a gang beyond all machines draws them for good

A test that fails for a real fault; the product is unchanged. Whether another machine could help is asked for one task of the gang; all machines together may be too few. For tasks that last nothing ends it.

--- /dev/null
+++ b/tests/test_gang_beyond_fleet.py
@@ -0,0 +1,60 @@
+"""A step that no pool could ever hold must not draw all machines.
+
+What users would see: one job of long-running tasks that work only together,
+larger than all machines there are, takes one machine after another from
+standby and from other pools, and keeps them all for good; each is paid for.
+Order of events: the gang fits on none of its pool's workers, so the pool
+gets one machine more; it still doesn't fit, and so on. Jobs of other tasks
+end this once they are worthless; one that lasts never is.
+
+Cause: whether another machine could help is asked for a single task of the
+gang, also where all machines together are too few for the whole.
+"""
+
+import pytest
+
+from emulator import day
+from oleanderwood import clock
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.leading import pool_loop
+from oleanderwood.upkeeps import fleet
+from oleanderwood.upkeeps import pool_plan
+from tests import utils_jobs as build
+from tests import utils_leading
+from tests import utils_servers as servers
+
+CONFIGURATION = day.configuration(('drafts',))
+
+MACHINES = 4
+
+
+@pytest.mark.parametrize('tasks, lacks', [(MACHINES, True), (40, False)])
+def test_only_a_gang_that_all_machines_could_hold_brings_one_more(
+    tasks, lacks
+):
+    found = []
+
+    async def main(world):
+        leader = await utils_leading.lead(world)
+        step = build.step(tasks, cpu=5000, gang=True, lasting=True)
+        ledgers.add(leader.ledger, build.job(step), clock.now_s())
+        worker = build.worker('w0')
+        for number in range(MACHINES):
+            name = f'm{number}'
+            leader.fleet.machines[name] = fleet.Machine(
+                name,
+                build.POOL if number == 0 else 'off',
+                fleet.State.UP,
+                worker=f'w{number}',
+                labels=('a', 'r1'),
+                capacity=model.Resources(8000, 64000),
+            )
+        member = pool_plan.Member('m0', 8.0, worker)
+        view = pool_plan.PoolView(build.POOL, [member])
+        now_s = clock.now_s()
+        pool_loop._note_demand(leader, {build.POOL: view}, now_s)
+        found.append(view.lacks_kind)
+
+    servers.run(main, CONFIGURATION)
+    assert found == [lacks]
