Search each fault at each call around a forced change of leader

It now forces a change of leader by a trouble (8 kinds) while callers press, and spoils each call from 0.1 s before the next leader acts to 1 s after in each of seven ways.

--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -1,5 +1,7 @@
 """Faults at every call of a small day; CI plays a part of them."""
 
+import functools
+
 import pytest
 
 from emulator import network as networks
@@ -13,6 +15,10 @@
 SOME = list(search.single(NUMBERS))[::STRIDE]
 
 
+PAIRS = 16
+"""Days with a forced change of leader and a fault that are played here."""
+
+
 def _told(faults):
     return ','.join(f'{n}-{fate.value}' for n, fate in faults.items())
 
@@ -28,6 +34,25 @@
     assert not search.breaches(search.PLAN, faults)
 
 
+@functools.cache
+def _double():
+    return list(search.double())
+
+
+def test_on_each_day_of_two_another_server_leads_while_jobs_come():
+    plans = search.forced_plans()
+    numbers = [search.calls_around_change(plan) for plan in plans]
+    assert min(map(len, numbers)) > 40
+    assert len(_double()) == sum(map(len, numbers)) * len(networks.Fate)
+
+
+@pytest.mark.parametrize('index', range(PAIRS))
+def test_change_of_leader_and_a_fault_break_nothing(index):
+    # Spread evenly; ``python -m emulator.search --two`` plays them all.
+    plan, faults = _double()[index * len(_double()) // PAIRS]
+    assert not search.breaches(plan, faults)
+
+
 def test_search_finds_a_start_that_is_taken_for_not_run(monkeypatch):
     async def forget(leader, worker, task, run, error):
         if task.run is run:
