--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -47,7 +47,9 @@
 
     :ivar phase_since_s: when the phase began
     :ivar checkpoint: saved work that it goes on from
-    :ivar pace_percent: None: an earlier leader gave it one, or none
+    :ivar ticket: by which its start was decided, '' if none is needed
+    :ivar pace_percent: None: of a run that uses leftovers, to which an
+        earlier leader gave one, or none
     :ivar stop_answered_s: when its worker took the order to stop it
     :ivar at_work_since_s: since when a long-running task works
     """
@@ -58,6 +60,7 @@
     begun_s: float
     phase_since_s: float
     checkpoint: str = ''
+    ticket: str = ''
     stop_answered_s: float | None = None
     at_work_since_s: float | None = None
     percent: float = 0.0
@@ -182,18 +185,20 @@
     return entry
 
 
-def may_start_in(ledger: Ledger, entry: Entry, pool: ids.ServiceId) -> bool:
+def may_start_in(entry: Entry, pool: ids.ServiceId) -> bool:
     """Say whether a job's tasks may be started in a pool now.
 
     In another one than the job names they may be once that has been written,
     so that a later leader knows where they may run.
     """
-    if pool == entry.job.queue.service or pool in entry.more_pools_kept:
-        return True
+    return pool == entry.job.queue.service or pool in entry.more_pools_kept
+
+
+def open_pool(ledger: Ledger, entry: Entry, pool: ids.ServiceId) -> None:
+    """Let it be written that a job's tasks may be started in a pool."""
     if pool not in entry.more_pools:
         entry.more_pools.add(pool)
         _touch(ledger, entry)
-    return False
 
 
 def kept_pools(entry: Entry) -> set[ids.ServiceId]:
@@ -248,7 +253,13 @@
     attempt = attempt or next_attempt(ledger, task)
     task.last_attempt = attempt
     task.run = Run(
-        worker, attempt, RunPhase.ORDERED, now_s, now_s, task.checkpoint
+        worker,
+        attempt,
+        RunPhase.ORDERED,
+        now_s,
+        now_s,
+        task.checkpoint,
+        (task.group.tickets or {}).get(worker, ''),
     )
     _not_waiting(ledger, task)
     entry = task.group.entry
@@ -272,7 +283,8 @@
     task.last_attempt = max(task.last_attempt, attempt)
     task.run = Run(worker, attempt, RunPhase.RUNNING, now_s, now_s)
     task.run.moved_on_s = now_s
-    task.run.pace_percent = None
+    if task.group.step.uses_leftover:
+        task.run.pace_percent = None
     _not_waiting(ledger, task)
     entry = task.group.entry
     if entry.state is model.State.QUEUED:
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -1,5 +1,7 @@
 """The server's lease in the store, and its own row under it."""
 
+import dataclasses
+
 import curio
 import msgspec
 
@@ -22,12 +24,26 @@
 two machines differ in rate by far less over a lease."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """A lease that the store has given.
+
+    :ivar until_s: by when it may have ended
+    """
+
+    lease: int
+    until_s: float
+
+
 async def keep_always(server: states.Server) -> None:
     """Hold a lease and the server's row, until cancelled."""
+    granted: Granted | None = None
     while True:
         try:
             if not server.lease:
-                await _take(server)
+                if granted is None or clock.now_s() >= granted.until_s:
+                    granted = await _grant(server)
+                await _hold(server, granted)
             else:
                 await _renew(server)
                 if not _has_row(server):
@@ -36,6 +52,7 @@
             event_log.emit('lease', 'ended', lease=server.lease)
             server.lease = 0
             server.lease_until_s = 0.0
+            granted = None
             continue
         except (errors.CallFailed, stores.Conflict) as error:
             event_log.emit('lease', 'not-renewed', why=str(error))
@@ -50,18 +67,23 @@
     return max(states.LEASE_S, least_s)
 
 
-async def _take(server: states.Server) -> None:
-    """Take a lease, and write the row under it.
-
-    Without its row a server could be elected and be asked by nobody, so it
-    has no lease before the row is there; one whose row was refused runs out.
-    """
+async def _grant(server: states.Server) -> Granted:
     sent_s = clock.now_s()
     lease = await stores.grant(server.store, lease_s(server))
     note_contact(server, sent_s)
-    await _write_row(server, lease)
-    server.lease = lease
-    server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
+    return Granted(lease, sent_s + lease_s(server) - MARGIN_S)
+
+
+async def _hold(server: states.Server, granted: Granted) -> None:
+    """Write the row under a lease, and hold the lease.
+
+    Without its row a server could be elected and be asked by nobody, so it
+    has no lease before the row is there. A row that is refused is written
+    again under the same lease.
+    """
+    await _write_row(server, granted.lease)
+    server.lease = granted.lease
+    server.lease_until_s = granted.until_s
     event_log.emit('lease', 'taken', lease=server.lease)
     await server.roles_changed.set()
 
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -67,7 +67,7 @@
         lease_end_ms,
         leader.term,
         run.checkpoint,
-        (task.group.tickets or {}).get(worker.entry.worker, ''),
+        run.ticket,
     )
     try:
         refusal = await executors.start(leader.calls, worker.entry, order)
--- a/oleanderwood/leading/parallel.py
+++ b/oleanderwood/leading/parallel.py
@@ -6,8 +6,6 @@
 
 import curio
 
-from oleanderwood import errors
-
 Call = collections.abc.Callable[
     [], collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]
 ]
@@ -15,9 +13,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Failure:
-    """Why a call failed. A task that raised it would fill the log."""
+    """Why a call failed.
+
+    A task that raised it would fill the log, and end the others of its group,
+    whose cancelling would be told in its place.
+    """
 
-    error: errors.OleanderError
+    error: Exception
 
 
 async def run(calls: collections.abc.Iterable[Call]) -> list[typing.Any]:
@@ -25,7 +27,7 @@
 
     One that fails doesn't end the others.
 
-    :raises errors.OleanderError: of the first that failed, once all are over
+    :raises Exception: of the first that failed, once all are over
     """
     async with curio.TaskGroup() as group:
         tasks = [await group.spawn(_try, call) for call in calls]
@@ -39,5 +41,5 @@
 async def _try(call: Call) -> typing.Any:
     try:
         return await call()
-    except errors.OleanderError as error:
+    except Exception as error:
         return _Failure(error)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -272,6 +272,7 @@
             _add_cores(view, task.group, 1)
             _note_priority(view, task.group, known)
     wall_ms = clock.wall_ms()
+    idle: dict[ids.ServiceId, list[placing.Room]] = {}
     for group in leader.ledger.open_groups:
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
@@ -281,8 +282,13 @@
             group.entry, queue, leader.lengths, now_s
         ):
             continue
-        if lacking.is_particular(group) and _lacks_kind(leader, group, view):
-            view.lacks_kind = True
+        if lacking.is_particular(group) and not view.lacks_kind:
+            if view.service not in idle:
+                idle[view.service] = lacking.idle_rooms(
+                    row.worker for row in view.members if row.worker
+                )
+            rooms = idle[view.service]
+            view.lacks_kind = _lacks_kind(leader, group, view, rooms)
         if group.step.lasting:
             _add_cores(view, group, len(group.waiting))
         elif not group.step.uses_leftover:
@@ -292,14 +298,28 @@
 
 
 def _lacks_kind(
-    leader: states.Leader, group: ledgers.Group, view: pool_plan.PoolView
+    leader: states.Leader,
+    group: ledgers.Group,
+    view: pool_plan.PoolView,
+    rooms: list[placing.Room],
 ) -> bool:
-    """Say whether a step needs other machines than those of its pool."""
-    pool = [row.worker for row in view.members if row.worker is not None]
-    return lacking.fits_nowhere(group, pool) and any(
-        machine.pool != view.service
-        and lacking.could_help(group.step, machine.labels, machine.capacity)
-        for machine in leader.fleet.machines.values()
+    """Say whether a step needs other machines than those of its pool.
+
+    :param rooms: of the pool's workers, were all idle
+    """
+    if not lacking.fits_nowhere(group, rooms):
+        return False
+    machines = leader.fleet.machines.values()
+    elsewhere = [row for row in machines if row.pool != view.service]
+    if not any(
+        lacking.could_hold(group.step, row.labels, row.capacity)
+        for row in elsewhere
+    ):
+        return False
+    # A gang that all machines together can't hold would draw them for good.
+    return not group.step.gang or len(group.tasks) <= sum(
+        lacking.could_hold(group.step, row.labels, row.capacity)
+        for row in machines
     )
 
 
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -117,15 +117,38 @@
             row
             for row in groups
             if not _held_back(leader, row.entry, blocked, now_s)
-            and ledgers.may_start_in(leader.ledger, row.entry, service)
         ]
         for task in placing.parted(groups, now_s):
             await worker_loop.stop_run(leader, task)
         pool = pools.get(service, [])
+        groups = await _startable(leader, groups, service, pool, quotas)
         decided = placing.decide(groups, pool, now_s, STARTS_A_PASS, quotas)
         await _order(leader, decided, now_s)
-    if leader.ledger.dirty:
-        await leader.unkept.set()
+
+
+async def _startable(
+    leader: states.Leader,
+    groups: list[ledgers.Group],
+    service: ids.ServiceId,
+    pool: list[workers_.Worker],
+    quotas: quotas_.Quotas,
+) -> list[ledgers.Group]:
+    """Give the groups whose jobs may be started in a pool by now.
+
+    Of the others, whose queue was given this pool since, only those are
+    written that there is room for: 200 that wait took 15 writes at once.
+    """
+    kept = [row for row in groups if ledgers.may_start_in(row.entry, service)]
+    if len(kept) == len(groups):
+        return groups
+    trial = placing.decide(
+        groups, pool, clock.now_s(), STARTS_A_PASS, quotas_.copy(quotas)
+    )
+    for entry in {row.task.group.entry for row in trial}:
+        if not ledgers.may_start_in(entry, service):
+            ledgers.open_pool(leader.ledger, entry, service)
+            await leader.unkept.set()
+    return kept
 
 
 async def _order(
--- a/oleanderwood/platform/advice.py
+++ b/oleanderwood/platform/advice.py
@@ -37,7 +37,7 @@
 
 
 class _WireAdvised(msgspec.Struct):
-    good: list[list[str]] = []
+    good: list[tuple[str, str]] = []
     valid_ms: float = 0
 
 
@@ -58,6 +58,6 @@
     )
     if answer.status != 200:
         raise transport.refused(answer, 'advice')
-    wire = msgspec.json.decode(answer.body, type=_WireAdvised)
+    wire = transport.decoded(answer, _WireAdvised)
     tickets = {ids.VmId(row[0]): row[1] for row in wire.good}
     return Advised(tickets, wire.valid_ms / 1000)
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import typing
 
 import msgspec
 
@@ -10,11 +9,8 @@
 from oleanderwood.jobs import model
 from oleanderwood.platform import transport
 from oleanderwood.pools import reports
-from oleanderwood import verdict as verdicts
 from oleanderwood.web import connections
 
-T = typing.TypeVar('T')
-
 PREFIX = 'servers/'
 """Prefix of the executors' entries in the store."""
 
@@ -162,28 +158,11 @@
 
     :raises errors.CallFailed: whoever answered isn't understood
     """
-    reason = _decoded(answer, _WireAnswer).reason
+    reason = transport.decoded(answer, _WireAnswer).reason
     try:
         return Refusal(reason)
     except ValueError as error:
-        raise _not_understood(error) from error
-
-
-def _decoded(answer: transport.Answer, kind: type[T]) -> T:
-    """Decode an answer; another than an executor may have given it.
-
-    :raises errors.CallFailed: it can't be read
-    """
-    try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise _not_understood(error) from error
-
-
-def _not_understood(error: Exception) -> errors.CallFailed:
-    return errors.CallFailed(
-        verdicts.Verdict.MAY_HAVE_RUN, f'answer not understood: {error}'[:200]
-    )
+        raise transport.not_understood(error) from error
 
 
 async def stop(
@@ -245,7 +224,7 @@
 
 
 def _report(answer: transport.Answer) -> reports.Report:
-    wire = _decoded(answer, _WireReport)
+    wire = transport.decoded(answer, _WireReport)
     running = [
         reports.Running(
             task=row.task,
@@ -268,7 +247,7 @@
             for row in wire.finished
         ]
     except KeyError as error:
-        raise _not_understood(error) from error
+        raise transport.not_understood(error) from error
     whole = len(ended) < MOST_ENDS
     return reports.Report(wire.clock_ms, running, ended, whole)
 
@@ -279,7 +258,10 @@
     if answer.status == 421:
         raise Replaced(what)
     if answer.status == 409:
-        if _decoded(answer, _WireAnswer).reason == Refusal.FENCED.value:
+        if (
+            transport.decoded(answer, _WireAnswer).reason
+            == Refusal.FENCED.value
+        ):
             raise Fenced(what)
     raise transport.refused(answer, what)
 
--- a/oleanderwood/platform/machines.py
+++ b/oleanderwood/platform/machines.py
@@ -77,8 +77,11 @@
         )
         if answer.status != 200:
             raise transport.refused(answer, 'machines')
-        page = msgspec.json.decode(answer.body, type=_WireList)
-        machines += [_machine(wire) for wire in page.machines]
+        page = transport.decoded(answer, _WireList)
+        try:
+            machines += [_machine(wire) for wire in page.machines]
+        except ValueError as error:
+            raise transport.not_understood(error) from error
         token = page.next_token
         if token is None:
             return machines
@@ -134,7 +137,7 @@
     if answer.status == 200:
         return Outcome.DONE
     if answer.status == 409:
-        reason = msgspec.json.decode(answer.body, type=_WireReason).reason
+        reason = transport.decoded(answer, _WireReason).reason
         return Outcome(reason)
     if answer.status == 400:
         return Outcome.INVALID
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -112,7 +112,10 @@
 
 
 def _item(wire: _WireItem) -> Item:
-    value = base64.b64decode(wire.value) if wire.value else b''
+    try:
+        value = base64.b64decode(wire.value) if wire.value else b''
+    except ValueError as error:
+        raise transport.not_understood(error) from error
     gone = wire.removed or wire.value is None
     return Item(wire.key, value, wire.revision, wire.created, wire.lease, gone)
 
@@ -268,4 +271,4 @@
 
 
 def _decode(answer, kind):
-    return msgspec.json.decode(answer.body, type=kind)
+    return transport.decoded(answer, kind)
--- a/oleanderwood/platform/transport.py
+++ b/oleanderwood/platform/transport.py
@@ -1,8 +1,10 @@
 """HTTP calls to the platform over kept connections, each with a verdict."""
 
 import dataclasses
+import typing
 
 import curio
+import msgspec
 
 from oleanderwood import clock
 from oleanderwood import errors
@@ -22,6 +24,11 @@
 MAX_ANSWER_BYTES = 8 << 20
 """Largest answer read; a page of the store holds about 1 MB."""
 
+MAX_REASON = 200
+"""Characters that are told of why an answer can't be used."""
+
+T = typing.TypeVar('T')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -97,6 +104,26 @@
     return Answer(head.status, whole)
 
 
+def decoded(answer: Answer, kind: type[T]) -> T:
+    """Decode an answer.
+
+    :raises errors.CallFailed: it can't be read; another than the one meant
+        may have given it
+    """
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise not_understood(error) from error
+
+
+def not_understood(error: Exception) -> errors.CallFailed:
+    """Make the error of an answer whose content can't be used."""
+    reason = f'answer not understood: {error}'
+    return errors.CallFailed(
+        verdicts.Verdict.MAY_HAVE_RUN, reason[:MAX_REASON]
+    )
+
+
 def refused(answer: Answer, what: str) -> errors.CallFailed:
     """Make the error of an answer that the call's contract doesn't name.
 
--- a/oleanderwood/pools/lacking.py
+++ b/oleanderwood/pools/lacking.py
@@ -21,30 +21,41 @@
     return step.gang or bool(step.label) or group.tickets is not None
 
 
-def fits_nowhere(
-    group: ledgers.Group, pool: collections.abc.Iterable[workers_.Worker]
-) -> bool:
+def idle_rooms(
+    pool: collections.abc.Iterable[workers_.Worker],
+) -> list[placing.Room]:
+    """Give the room of a pool's workers, were all idle."""
+    return [_idle(worker) for worker in pool if not worker.entry.draining]
+
+
+def fits_nowhere(group: ledgers.Group, rooms: list[placing.Room]) -> bool:
     """Say whether a step could start on no worker of a pool, were all idle."""
-    rooms = [_idle(worker) for worker in pool if not worker.entry.draining]
     if group.step.gang:
         members = [task for task in group.tasks if not task.done]
-        return not placing.place_all(group, members, rooms)
+        return not placing.could_place_all(group, members, rooms)
     return not any(placing.fits(room, group) for room in rooms)
 
 
-def could_help(
+def could_hold(
     step: model.Step,
     labels: collections.abc.Collection[str],
     capacity: model.Resources,
-) -> bool:
-    """Say whether a machine could run a task of a step."""
-    needs = step.needs
-    return (
-        (not step.label or step.label in labels)
-        and needs.cpu_millicores <= capacity.cpu_millicores
-        and needs.memory_mb <= capacity.memory_mb
-        and needs.gpus <= capacity.gpus
-    )
+) -> int:
+    """Give how many tasks of a step a machine could hold, were it idle."""
+    if step.label and step.label not in labels:
+        return 0
+    most = [
+        has // asked
+        for has, asked in (
+            (capacity.cpu_millicores, step.needs.cpu_millicores),
+            (capacity.memory_mb, step.needs.memory_mb),
+            (capacity.gpus, step.needs.gpus),
+        )
+        if asked
+    ]
+    if step.max_per_worker:
+        most.append(step.max_per_worker)
+    return min(most, default=step.tasks)
 
 
 def _idle(worker: workers_.Worker) -> placing.Room:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -304,6 +304,17 @@
     return placed
 
 
+def could_place_all(
+    group: ledgers.Group, members: list[ledgers.Task], free: list[Room]
+) -> bool:
+    """Say whether all of some tasks could be placed; takes no room."""
+    placed = place_all(group, members, free)
+    by_worker = {id(room.worker): room for room in free}
+    for row in placed:
+        _give_back(by_worker[id(row.worker)], group)
+    return bool(placed)
+
+
 def objective_s(
     entry: ledgers.Entry, queue: queues.Queue, lengths: lengths_.Lengths
 ) -> float:
--- a/oleanderwood/pools/quotas.py
+++ b/oleanderwood/pools/quotas.py
@@ -43,6 +43,11 @@
     return quotas
 
 
+def copy(quotas: Quotas) -> Quotas:
+    """Give quotas to decide by for a trial."""
+    return Quotas(quotas.team_of, dict(quotas.left_millicores))
+
+
 def allows(quotas: Quotas, group: ledgers.Group, tasks: int = 1) -> bool:
     """Say whether some more tasks of a group may start together."""
     team = _team(quotas, group)
--- a/tests/test_lacking.py
+++ b/tests/test_lacking.py
@@ -13,11 +13,15 @@
     return ledger.entries[build.JOB].groups[0, 0]
 
 
+def _fits_nowhere(group, pool):
+    return lacking.fits_nowhere(group, lacking.idle_rooms(pool))
+
+
 def test_gang_that_is_larger_than_its_pool_fits_nowhere():
     group = _group(build.step(3, cpu=5000, gang=True))
     pool = [build.worker('w1'), build.worker('w2')]
-    assert lacking.fits_nowhere(group, pool)
-    assert not lacking.fits_nowhere(group, [*pool, build.worker('w3')])
+    assert _fits_nowhere(group, pool)
+    assert not _fits_nowhere(group, [*pool, build.worker('w3')])
 
 
 def test_what_will_end_takes_no_room():
@@ -25,7 +29,7 @@
     pool = [build.worker('w1'), build.worker('w2')]
     busy = build.ledger_with(build.job(build.step(cpu=8000), name='1' * 16))
     build.start(busy, build.task(busy, name='1' * 16), pool[0])
-    assert not lacking.fits_nowhere(group, pool)
+    assert not _fits_nowhere(group, pool)
 
 
 def test_what_lasts_does():
@@ -34,15 +38,15 @@
     step = build.step(cpu=4000, lasting=True)
     lasting = build.ledger_with(build.job(step, name='1' * 16))
     build.start(lasting, build.task(lasting, name='1' * 16), pool[0])
-    assert lacking.fits_nowhere(group, pool)
+    assert _fits_nowhere(group, pool)
 
 
 def test_step_without_a_worker_of_its_kind_fits_nowhere():
     group = _group(build.step(label='b'))
     assert lacking.is_particular(group)
-    assert lacking.fits_nowhere(group, [build.worker('w1')])
+    assert _fits_nowhere(group, [build.worker('w1')])
     fitting = build.worker('w2', labels=('b', 'r1'))
-    assert not lacking.fits_nowhere(group, [build.worker('w1'), fitting])
+    assert not _fits_nowhere(group, [build.worker('w1'), fitting])
 
 
 def test_step_that_advice_allows_nowhere_fits_nowhere():
@@ -50,17 +54,17 @@
     assert not lacking.is_particular(group)
     group.tickets = {}
     assert lacking.is_particular(group)
-    assert lacking.fits_nowhere(group, [build.worker('w1')])
+    assert _fits_nowhere(group, [build.worker('w1')])
     group.tickets = {'w1': 'ticket'}
-    assert not lacking.fits_nowhere(group, [build.worker('w1')])
+    assert not _fits_nowhere(group, [build.worker('w1')])
 
 
 def test_only_a_machine_that_fits_could_help():
     step = build.step(cpu=5000, label='b')
     large = model.Resources(8000, 64000)
-    assert lacking.could_help(step, ('b', 'r1'), large)
-    assert not lacking.could_help(step, ('a', 'r1'), large)
-    assert not lacking.could_help(step, ('b', 'r1'), model.Resources(4000, 9))
+    assert lacking.could_hold(step, ('b', 'r1'), large)
+    assert not lacking.could_hold(step, ('a', 'r1'), large)
+    assert not lacking.could_hold(step, ('b', 'r1'), model.Resources(4000, 9))
 
 
 def _decide(*members):
@@ -70,6 +74,21 @@
     return pool_plan.decide([view], standby, turns_.Turns(), 1.5, 5.0).moves
 
 
+def test_machine_holds_as_many_as_its_scarcest_resource_and_the_limit():
+    step = build.step(9, cpu=2000, mem=1000, max_per_worker=3)
+    large = model.Resources(8000, 64000)
+    assert lacking.could_hold(step, (), large) == 3
+    assert lacking.could_hold(step, (), model.Resources(8000, 2500)) == 2
+    assert lacking.could_hold(step, (), model.Resources(1000, 2500)) == 0
+
+
+def test_question_takes_no_room():
+    group = _group(build.step(2, cpu=5000, gang=True))
+    rooms = lacking.idle_rooms([build.worker('w1'), build.worker('w2')])
+    assert not lacking.fits_nowhere(group, rooms)
+    assert not lacking.fits_nowhere(group, rooms)
+
+
 def test_pool_gets_one_machine_more_while_a_step_fits_nowhere():
     # A gang or a job for another kind of machine waited for good once its
     # pool had sent the machines to standby: by cores, it lacked none.
