Refuse heads that others may read otherwise, and large ones clearly

Cause: h11 takes more than RFC 9112 allows: a transfer coding beside a length or in HTTP/1.0, bare LF, folded lines, and any version, so that the rest of an HTTP/2 preface was taken for a request. Targets were bounded only by the buffer (9,000 bytes went on to the handler, 100,000 were a 431), heads by up to twice their limit, and reasons repeated up to 200 kB of what was sent. An unknown transfer coding was a 501; callers now get a 400.

--- a/oleanderwood/web/http_accepted.py
+++ b/oleanderwood/web/http_accepted.py
@@ -13,6 +13,7 @@
 
 from oleanderwood import errors
 from oleanderwood.web import http
+from oleanderwood.web import http_head
 
 BODY_IDLE_S = 30.0
 """How long a body or an answer may make no headway."""
@@ -81,7 +82,7 @@
 ) -> Exception:
     if connection.protocol.trailing_data[1]:
         return ConnectionResetError('request body was cut')
-    return errors.BadMessage(error.error_status_hint, str(error))
+    return http_head.fault(error, b'\n')
 
 
 async def _body_data(connection: Connection) -> bytes:
--- a/oleanderwood/web/http_server.py
+++ b/oleanderwood/web/http_server.py
@@ -15,6 +15,7 @@
 from oleanderwood import ids
 from oleanderwood.web import http
 from oleanderwood.web import http_accepted
+from oleanderwood.web import http_head
 from oleanderwood.web import http_watch
 
 LOG = logging.getLogger('http-server')
@@ -166,7 +167,7 @@
     while True:
         try:
             request = await _head(server, connection)
-        except h11.RemoteProtocolError as error:
+        except errors.BadMessage as error:
             await _refuse(server, connection, error)
             return
         if request is None:
@@ -181,13 +182,20 @@
 async def _head(
     server: Server, connection: http_accepted.Connection
 ) -> http.Request | None:
-    """Read a request's head; None when the connection ended."""
+    """Read a request's head; None when the connection ended.
+
+    :raises errors.BadMessage: it is malformed, or too large
+    """
     protocol = connection.protocol
     now_s = time.monotonic()
     started = bool(protocol.trailing_data[0])
     connection.read_limit_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
     while True:
-        event = protocol.next_event()
+        raw = protocol.trailing_data[0]
+        try:
+            event = protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise http_head.fault(error, raw) from error
         if event is not h11.NEED_DATA:
             break
         data = await connection.sock.recv(http.READ_BYTES)
@@ -197,6 +205,7 @@
         protocol.receive_data(data)
     if not isinstance(event, h11.Request):
         return None
+    http_head.check(raw[: len(raw) - len(protocol.trailing_data[0])], event)
     connection.busy = True
     connection.read_limit_s = math.inf
     connection.waited_s = 0.0
@@ -310,12 +319,11 @@
 async def _refuse(
     server: Server,
     connection: http_accepted.Connection,
-    error: h11.RemoteProtocolError,
+    error: errors.BadMessage,
 ) -> None:
     if connection.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    body = f'{error}\n'.encode()
-    headers = server.refusal_headers
-    response = http.Response(error.error_status_hint, headers, body)
+    body = error.reason.encode() + b'\n'
+    response = http.Response(error.status, server.refusal_headers, body)
     await http_accepted.write(connection, response, True)
     await http_accepted.linger(connection)
