Cut a caller that takes no bytes of a refusal

Cause: the watch ended only the input of a connection without a request in hand. A refusal of a faulty head is written at such a time; its writer went on waiting, its limits were cleared, and the connection stayed for good.

--- a/oleanderwood/web/http_watch.py
+++ b/oleanderwood/web/http_watch.py
@@ -38,7 +38,11 @@
 
 
 async def end_overdue(server: typing.Any, now_s: float) -> None:
-    """End the connections whose peer made no headway in time."""
+    """End the connections whose peer made no headway in time.
+
+    One whose peer takes no bytes is cut, also while no request is in hand:
+    the end of its input would not end a refusal that is being written.
+    """
     overdue = [
         connection
         for connection in server.connections
@@ -46,9 +50,10 @@
         or connection.write_limit_s <= now_s
     ]
     for connection in overdue:
+        stuck = connection.write_limit_s <= now_s
         connection.read_limit_s = math.inf
         connection.write_limit_s = math.inf
-        if connection.busy:
+        if connection.busy or stuck:
             await _cancel(connection)
         else:
             await end_input(connection)
