Tell targets and methods of callers apart clearly

Cause: each target was read as a URL, so that one beginning with two slashes lost its first part, and a malformed host in it was a fault of the handler (500). A whole URL was looked up under the header's host, which it goes before (RFC 9112, 3.2.2). Methods were judged after the path: an unknown one got 404 beside a job's path, and 405 named no methods that are allowed.

--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import re
-import urllib.parse
 
 import curio
 
@@ -12,6 +11,7 @@
 from oleanderwood.frontend import asking as askings
 from oleanderwood.frontend import intake as intakes
 from oleanderwood.frontend import relaying
+from oleanderwood.frontend import targets
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
@@ -33,6 +33,10 @@
 METHODS = frozenset(('GET', 'POST', 'DELETE', 'PUT', 'HEAD', 'PATCH'))
 """Methods that metrics tell apart; callers may send any word."""
 
+ALLOWED = ('GET', 'POST', 'DELETE')
+
+ALLOW = (b'allow', ', '.join(ALLOWED).encode())
+
 JSON = (b'content-type', b'application/json')
 
 
@@ -62,8 +66,11 @@
         configuration = frontend.server.configuration
         if configuration is None:
             return _refusal(503, 'no configuration yet')
-        path = urllib.parse.urlsplit(request.target).path
-        host = request.header('host') or ''
+        if request.method not in ALLOWED:
+            return http.Response(405, [ALLOW], b'not allowed\n')
+        host, path = targets.split(
+            request.target, request.header('host') or ''
+        )
         found = queues.find(configuration, host, path)
         if found is None:
             return http.Response(404, [], b'no such queue\n')
@@ -77,9 +84,7 @@
             return await _hand_in(frontend, queue, job, body)
         if request.method == 'GET':
             return await _state(frontend, job)
-        if request.method == 'DELETE':
-            return await _cancel(frontend, job)
-        return http.Response(405, [], b'not allowed\n')
+        return await _cancel(frontend, job)
 
     return handle
 
