Let callers that ask take the place of connections that wait

Cause: a server with as many connections as it may have took the next one only when one of them ended, after 75 s, or 10 s within a head. Callers that open so many and send nothing, or a byte now and then, kept all others out.

Now the connections that have waited longest end once another one waits. One is spared for its first 2 s, as a good caller needs time to send its head; requests in hand are never ended for another.

--- a/oleanderwood/web/http_accepted.py
+++ b/oleanderwood/web/http_accepted.py
@@ -34,6 +34,8 @@
     """One accepted connection.
 
     :ivar busy: set from a request's head to the end of its answer
+    :ivar waits_since_s: monotonic time since when it waits for a request's
+        head; infinite while it doesn't, or once it was ended
     :ivar read_limit_s: monotonic time by which the peer must send
     :ivar write_limit_s: monotonic time by which the peer must take bytes
     :ivar waited_s: seconds spent in waiting for the request's body
@@ -46,6 +48,7 @@
     protocol: h11.Connection
     task: curio.Task | None = None
     busy: bool = False
+    waits_since_s: float = math.inf
     read_limit_s: float = math.inf
     write_limit_s: float = math.inf
     waited_s: float = 0.0
--- a/oleanderwood/web/http_server.py
+++ b/oleanderwood/web/http_server.py
@@ -124,7 +124,8 @@
 async def _accept(server: Server) -> None:
     while True:
         while len(server.connections) >= server.max_connections:
-            await curio.sleep(http_watch.TICK_S)
+            await http_watch.make_room(server)
+            await curio.sleep(_POLL_S)
         try:
             sock, peer = await server.sock.accept()
         except OSError as error:
@@ -188,6 +189,7 @@
     """
     protocol = connection.protocol
     now_s = time.monotonic()
+    connection.waits_since_s = now_s
     started = bool(protocol.trailing_data[0])
     connection.read_limit_s = now_s + (HEAD_S if started else KEEP_ALIVE_S)
     while True:
@@ -207,6 +209,7 @@
         return None
     http_head.check(raw[: len(raw) - len(protocol.trailing_data[0])], event)
     connection.busy = True
+    connection.waits_since_s = math.inf
     connection.read_limit_s = math.inf
     connection.waited_s = 0.0
     connection.body_bytes = 0
--- a/oleanderwood/web/http_watch.py
+++ b/oleanderwood/web/http_watch.py
@@ -20,6 +20,14 @@
 
 TICK_S = 0.25
 
+ROOM_PARTS = 64
+"""Part of a full server's connections that are ended at once: some dozens, so
+that many idle callers can't hold the others up, and most of them stay."""
+
+SPARED_S = 2.0
+"""How long a connection may wait for a request before another takes its
+place; a caller that has just come needs some time to send one."""
+
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -37,6 +45,20 @@
         await connection.sock.shutdown(socket.SHUT_RD)
 
 
+async def make_room(server: typing.Any) -> None:
+    """End those that have waited longest, if a new connection waits."""
+    poll = select.poll()
+    poll.register(server.sock.fileno(), select.POLLIN)
+    if not poll.poll(0):
+        return
+    since_s = time.monotonic() - SPARED_S
+    waiting = [c for c in server.connections if c.waits_since_s <= since_s]
+    waiting.sort(key=lambda connection: connection.waits_since_s)
+    for connection in waiting[: server.max_connections // ROOM_PARTS + 1]:
+        connection.waits_since_s = math.inf
+        await end_input(connection)
+
+
 async def end_overdue(server: typing.Any, now_s: float) -> None:
     """End the connections whose peer made no headway in time.
 
