--- a/tests/test_many_idle.py
+++ b/tests/test_many_idle.py
@@ -14,6 +14,9 @@
 
 BOUND = 20
 
+BODY = b'host: a\r\ncontent-length: 99\r\n\r\n'
+"""The rest of a head; its body is never whole."""
+
 
 @pytest.fixture(autouse=True)
 def no_time_is_spared(monkeypatch):
@@ -69,3 +72,19 @@
             return await build.read_until(busy, b'done;')
 
     build.with_server(use, wait, max_connections=2)
+
+
+@pytest.mark.parametrize('sent', [b'GET / HT', b'POST / HTTP/1.1\r\n' + BODY])
+def test_good_callers_are_served_beside_many_that_send_slowly(sent):
+    async def use(server):
+        socks = [await build.connect(server) for _ in range(200)]
+        for sock in socks:
+            await sock.sendall(sent)
+        for _ in range(5):
+            assert await build.is_served(server)
+            for sock in socks:
+                await sock.sendall(b'x')
+        for sock in socks:
+            await sock.close()
+
+    build.with_server(use)
