Leave callers half of a server's descriptors

Cause: callers could hold 4,096 connections whatever the process may have; a deployment gives 4,100 descriptors, 200 of them for files. Once callers hold the rest, a server reaches neither the store nor workers.

Now the settings say how many descriptors there are, and callers get half. The other half is for files, the store, workers and other servers.

Ruled out: asking the kernel for the limit; the settings state it. test_boot: the new test failed before, passes now.

--- a/oleanderwood/boot.py
+++ b/oleanderwood/boot.py
@@ -22,6 +22,7 @@
     :ivar admin_token: what an apply must bring; '' refuses all applies
     :ivar cpu_share: part of a core that the process gets
     :ivar cpu_speed: how many times as fast as one such core that is
+    :ivar descriptors: files and sockets that the process may hold open
     :ivar stop_time_s: from the signal to stop until the process is killed
     :ivar max_task_lease_ms: longest lease that a worker gives its tasks
     :ivar machine_turn_ms: time between the orders of two leaders for one
@@ -56,6 +57,7 @@
     admin_token: str = ''
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
+    descriptors: int = 4096
 
 
 class BadSettings(errors.OleanderError):
@@ -117,6 +119,15 @@
     return settings.cpu_share * settings.cpu_speed
 
 
+def caller_connections(settings: Settings) -> int:
+    """Give how many connections callers may hold open.
+
+    Half of the descriptors: the others are for files, the store, workers and
+    the other servers, without which nobody is served.
+    """
+    return max(1, settings.descriptors // 2)
+
+
 def inner_address(settings: Settings) -> ids.Address:
     """Give the address on which the other servers reach this one."""
     return ids.Address(f'{settings.ip}:{settings.inner_port}')
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -108,7 +108,9 @@
     settings = server.settings
     frontend = make_frontend(server)
     callers = http_server.listen(
-        settings.callers_listen, handlers.make_handler(frontend)
+        settings.callers_listen,
+        handlers.make_handler(frontend),
+        boot.caller_connections(settings),
     )
     ready = http_server.listen(settings.ready_listen, _ready(server))
     inner = http_server.listen(
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -1,12 +1,15 @@
 """Tests of the settings file of a server."""
 
 import json
+import math
 import pathlib
 import re
 
+import curio
 import pytest
 
 from oleanderwood import boot
+from oleanderwood import server
 
 GOOD = {
     'name': 's1',
@@ -47,3 +50,24 @@
     text = (root / 'deploy' / 'settings.json.template').read_text()
     names = re.findall(r'^ "(\w+)":', text, re.MULTILINE)
     assert sorted(names) == sorted(boot.Settings.__struct_fields__)
+
+
+def test_callers_leave_half_of_the_descriptors_to_others(monkeypatch):
+    """A server that callers held full could reach neither store nor workers:
+    it took 4,096 connections of callers where it had 3,900 for all.
+    """
+    bounds = []
+
+    def listen(address, handler, max_connections=math.inf):
+        bounds.append(max_connections)
+        raise OSError('only the bound is of interest')
+
+    monkeypatch.setattr(server.http_server, 'listen', listen)
+    settings = boot.check({**GOOD, 'descriptors': 4100})
+
+    async def main():
+        with pytest.raises(OSError):
+            await server._run(server.make_server(settings), '')
+
+    curio.run(main)
+    assert bounds == [2050]
