--- a/oleanderwood/web/http_accepted.py
+++ b/oleanderwood/web/http_accepted.py
@@ -13,6 +13,7 @@
 
 from oleanderwood import errors
 from oleanderwood.web import http
+from oleanderwood.web import http_head
 
 BODY_IDLE_S = 30.0
 """How long a body or an answer may make no headway."""
@@ -33,6 +34,8 @@
     """One accepted connection.
 
     :ivar busy: set from a request's head to the end of its answer
+    :ivar waits_since_s: monotonic time since when it waits for a request's
+        head; infinite while it doesn't, or once it was ended
     :ivar read_limit_s: monotonic time by which the peer must send
     :ivar write_limit_s: monotonic time by which the peer must take bytes
     :ivar waited_s: seconds spent in waiting for the request's body
@@ -45,6 +48,7 @@
     protocol: h11.Connection
     task: curio.Task | None = None
     busy: bool = False
+    waits_since_s: float = math.inf
     read_limit_s: float = math.inf
     write_limit_s: float = math.inf
     waited_s: float = 0.0
@@ -81,7 +85,7 @@
 ) -> Exception:
     if connection.protocol.trailing_data[1]:
         return ConnectionResetError('request body was cut')
-    return errors.BadMessage(error.error_status_hint, str(error))
+    return http_head.fault(error, b'\n')
 
 
 async def _body_data(connection: Connection) -> bytes:
