--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -79,6 +79,9 @@
             continue
         if silent is not None and silent > sent_s:
             continue
+        if leader.reported_s.get(name, 0.0) > sent_s:
+            # It answered a call sent after the list was asked for.
+            continue
         missing.add(name)
         listed = worker.entry.machine in machines
         if listed or name in leader.fleet.missing:
