--- a/tests/test_cut_off_half.py
+++ b/tests/test_cut_off_half.py
@@ -7,9 +7,7 @@
 server takes over beside them and waits for the last lease that the worker can
 hold; the former leader renews that lease on and on.
 
-Cause: a server that doesn't answer is taken for one that can't lead. The page
-on the incident names this as left, and as two things at once (a store that
-serves few, those few out of the former leader's reach); it is a single cut.
+Cause: a server that doesn't answer is taken for one that can't lead.
 """
 
 import curio
@@ -24,13 +22,7 @@
 
     async def story(scene):
         former = build.leader(scene)
-
-        async def note(address):
-            begun.append(address)
-
-        for name, machine in scene.fleet.machines.items():
-            address = machine.address
-            build.on_start(scene, name, lambda address=address: note(address))
+        build.note_starts(scene, begun)
         await build.hand_in(scene, former, LONG)
         await curio.sleep(1.0)
         second, third = [row for row in scene.processes if row is not former]
--- a/tests/test_lonely_leader.py
+++ b/tests/test_lonely_leader.py
@@ -27,13 +27,7 @@
 
     async def story(scene):
         former = build.leader(scene)
-
-        async def note(address):
-            begun.append(address)
-
-        for name, machine in scene.fleet.machines.items():
-            address = machine.address
-            build.on_start(scene, name, lambda address=address: note(address))
+        build.note_starts(scene, begun)
         await build.hand_in(scene, former, LONG)
         await curio.sleep(1.0)
         others = {row.name for row in scene.processes if row is not former}
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -1,6 +1,7 @@
 """A takeover in virtual time while the former leader still acts."""
 
 import dataclasses
+import functools
 import json
 import random
 
@@ -177,6 +178,16 @@
     scene.network.handlers[address] = handle
 
 
+def note_starts(scene: Scene, begun: list[str]) -> None:
+    """Note the address of each worker that begins a task, as it does."""
+
+    async def note(address: str) -> None:
+        begun.append(address)
+
+    for name, machine in scene.fleet.machines.items():
+        on_start(scene, name, functools.partial(note, machine.address))
+
+
 def cut_off_runs(scene: Scene, former: servers.Process) -> None:
     """Let only one server reach the workers that run something."""
     for machine in scene.fleet.machines.values():
