Leave a list of machines as old as it is when it can't be read

Cause: a failed reading noted the present time, so that moves and waves went on by a list of any age. Now only the pause between readings goes by when it was asked for.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -52,7 +52,7 @@
         await curio.sleep(PASS_S)
         if not states.may_act(leader):
             continue
-        if clock.now_s() - leader.fleet.machines_read_s >= READ_S:
+        if clock.now_s() - leader.fleet.machines_asked_s >= READ_S:
             await pool_loop.read(leader)
         for progress in list(leader.fleet.waves.values()):
             if not progress.completed:
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -47,11 +47,12 @@
 async def read(leader: states.Leader) -> None:
     """Read the list; workers that it shows as ended are gone."""
     sent_s = clock.now_s()
+    leader.fleet.machines_asked_s = sent_s
     try:
         machines = await machine_calls.read_all(leader.machine_calls)
     except errors.CallFailed as error:
+        # The list grows old, and nothing is decided from an old one.
         event_log.emit('fleet', 'not-read', why=error.reason)
-        leader.fleet.machines_read_s = clock.now_s()
         return
     leader.fleet.machines_read_s = sent_s
     leader.fleet.machines = {machine.machine: machine for machine in machines}
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -145,6 +145,7 @@
 
     :ivar machines: by name, as last listed
     :ivar machines_read_s: when that list was asked for
+    :ivar machines_asked_s: when a list was asked for last, read or not
     :ivar missing: workers that the last list lacked
     :ivar waves: by number
     :ivar kept_waves: what an earlier leader wrote of them
@@ -164,6 +165,7 @@
         default_factory=dict
     )
     machines_read_s: float = -1e9
+    machines_asked_s: float = -1e9
     missing: set[ids.VmId] = dataclasses.field(default_factory=set)
     waves: dict[int, wave_plan.Progress] = dataclasses.field(
         default_factory=dict
