--- /dev/null
+++ b/oleanderwood/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Which pool each machine serves: demand, moves, draining."""
--- a/oleanderwood/upkeeps/pool_plan.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -9,12 +9,12 @@
 import dataclasses
 import math
 
+from oleanderwood.capacity import backlog
+from oleanderwood.capacity import demand
+from oleanderwood.capacity import draining
 from oleanderwood import ids
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import backlog
-from oleanderwood.upkeeps import emptying
-from oleanderwood.upkeeps import turns as turns_
 
 FILL = 0.9
 """Part of a machine's cores that tasks of mixed sizes fill."""
@@ -143,12 +143,12 @@
 
     moves: list[Move]
     needs: dict[ids.ServiceId, Need]
-    emptied: list[emptying.Emptied] = dataclasses.field(default_factory=list)
+    emptied: list[draining.Emptied] = dataclasses.field(default_factory=list)
 
 
 def _need(
     pool: PoolView,
-    turns: turns_.Turns,
+    turns: demand.Turns,
     cores_each: float,
     move_s: float,
     now_s: float,
@@ -156,20 +156,20 @@
     line = turns.lines.get(pool.service)
     cores = pool.busy_cores
     if line is not None:
-        arriving = pool.held_cores + turns_.soon_cores(line, now_s)
+        arriving = pool.held_cores + demand.soon_cores(line, now_s)
         cores = max(cores, arriving)
     cores += backlog.cores(pool.waiting)
     each = cores_each * FILL
     if not each:
         return Need(0, 0)
     now = math.ceil(cores / each)
-    if line is not None and turns_.is_young(line, now_s):
+    if line is not None and demand.is_young(line, now_s):
         now = max(now, _young_machines(pool, turns))
     coming = any(member.worker is None for member in pool.members)
     if pool.lacks_kind and not coming:
         now = max(now, len(pool.members) + 1)
     soon = 0
-    turn = turns_.next_turn(turns, pool.service, now_s)
+    turn = demand.next_turn(turns, pool.service, now_s)
     if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
         if _turn_is_to_come(turns, pool.service):
             soon = _young_machines(pool, turns)
@@ -179,28 +179,28 @@
     return Need(now, max(now, soon))
 
 
-def _young_machines(pool: PoolView, turns: turns_.Turns) -> int:
+def _young_machines(pool: PoolView, turns: demand.Turns) -> int:
     """Give what a turn is taken to need that can't be measured yet.
 
     Once others were measured, it is taken for as large as they were.
     """
     part = YOUNG_TURN_PART
-    seen = turns_.largest_part(turns)
+    seen = demand.largest_part(turns)
     if seen is not None:
         part = min(part, max(1.0, HEIGHT_FACTOR * seen))
     return math.ceil(part * pool.first_size)
 
 
-def _near(turn: turns_.Foreseen, now_s: float, ahead_s: float) -> bool:
+def _near(turn: demand.Foreseen, now_s: float, ahead_s: float) -> bool:
     """Say whether a foreseen turn is about to begin, or should have."""
     begins_s = turn.earliest_s - ahead_s
-    return begins_s <= now_s <= turn.latest_s + turns_.WINDOW_S
+    return begins_s <= now_s <= turn.latest_s + demand.WINDOW_S
 
 
 def decide(
     pools: collections.abc.Sequence[PoolView],
     standby: dict[ids.ServiceId, list[Member]],
-    turns: turns_.Turns,
+    turns: demand.Turns,
     move_s: float,
     now_s: float,
     weights: policies.Weights = policies.Weights(),
@@ -255,7 +255,7 @@
 
 def _resting(
     pools: collections.abc.Sequence[PoolView],
-    turns: turns_.Turns,
+    turns: demand.Turns,
     free: '_Free',
     left: dict[ids.ServiceId, int],
     near: set[ids.ServiceId],
@@ -293,7 +293,7 @@
     free: '_Free',
     left: dict[ids.ServiceId, int],
     now_s: float,
-) -> list[emptying.Emptied]:
+) -> list[draining.Emptied]:
     """Choose busy machines for pools that found too few idle ones.
 
     :param left: members of each pool after the moves that were decided
@@ -313,8 +313,8 @@
         if pool.priority > first:
             kept = math.ceil(PREEMPTED_PART * kept)
         spare = left[pool.service] - max(pool.min_up, kept)
-        surplus.append(emptying.Surplus(pool.service, pool.members, spare))
-    return emptying.decide(surplus, sum(lacking.values()), now_s)
+        surplus.append(draining.Surplus(pool.service, pool.members, spare))
+    return draining.decide(surplus, sum(lacking.values()), now_s)
 
 
 @dataclasses.dataclass
@@ -332,9 +332,9 @@
 
 
 def _turn_is_near(
-    turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
+    turns: demand.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
-    turn = turns_.next_turn(turns, service, now_s)
+    turn = demand.next_turn(turns, service, now_s)
     return turn is not None and _near(turn, now_s, near_s)
 
 
@@ -349,7 +349,7 @@
 def _sources(
     pools: collections.abc.Sequence[PoolView],
     wanted: dict[ids.ServiceId, Need],
-    turns: turns_.Turns,
+    turns: demand.Turns,
     near_s: float,
     now_s: float,
 ) -> list[tuple[ids.ServiceId, Member]]:
@@ -369,7 +369,7 @@
     return rows
 
 
-def _turn_is_to_come(turns: turns_.Turns, service: ids.ServiceId) -> bool:
+def _turn_is_to_come(turns: demand.Turns, service: ids.ServiceId) -> bool:
     """Say whether a pool that takes turns hasn't had its first."""
     line = turns.lines.get(service)
     seen = line is not None and bool(line.starts_s)
@@ -377,7 +377,7 @@
 
 
 def _awaits_first(
-    turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
+    turns: demand.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
     """Say whether a pool's first turn may begin before a machine can come.
 
@@ -388,7 +388,7 @@
         return False
     if turns.last_start_s is None:
         return True
-    turn = turns_.next_turn(turns, service, now_s)
+    turn = demand.next_turn(turns, service, now_s)
     if turn is not None:
         return _near(turn, now_s, near_s)
     return not turns.lines[turns.last_pool].in_turn
@@ -447,7 +447,7 @@
 
 
 def _idle_in_turn(
-    turns: turns_.Turns, service: ids.ServiceId, member: Member, now_s: float
+    turns: demand.Turns, service: ids.ServiceId, member: Member, now_s: float
 ) -> bool:
     """Say whether a pool in its turn doesn't need an idle machine."""
     line = turns.lines.get(service)
@@ -457,14 +457,14 @@
 
 
 def _may_rest(
-    turns: turns_.Turns, service: ids.ServiceId, near_s: float, now_s: float
+    turns: demand.Turns, service: ids.ServiceId, near_s: float, now_s: float
 ) -> bool:
     """Say whether a pool's idle machines aren't needed for some time."""
     if _turn_is_to_come(turns, service):
         # What is kept for it is no surplus; while another pool has its turn
         # the rest may go.
         return turns.last_start_s is not None
-    begin_s = turns_.earliest_turn_s(turns, service, now_s)
+    begin_s = demand.earliest_turn_s(turns, service, now_s)
     line = turns.lines.get(service)
     if begin_s is None or line is None or line.in_turn:
         return False
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -13,14 +13,14 @@
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.maintenance import disruption_budget
+from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
 from oleanderwood.policy import hours
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
-from oleanderwood.upkeeps import availability
-from oleanderwood.upkeeps import wave_plan
 
 PASS_S = 0.1
 """Time between two passes over waves."""
@@ -69,7 +69,7 @@
     return found
 
 
-async def _drive(leader: states.Leader, progress: wave_plan.Progress) -> None:
+async def _drive(leader: states.Leader, progress: rolling.Progress) -> None:
     now_s = clock.now_s()
     settings = leader.server.settings
     if (
@@ -78,7 +78,7 @@
     ):
         return
     by_machine = _by_machine(leader)
-    decision = wave_plan.decide(
+    decision = rolling.decide(
         progress,
         leader.fleet.machines,
         by_machine,
@@ -122,7 +122,7 @@
     await _write_status(leader, progress, decision.completed)
 
 
-def _bounds(leader: states.Leader) -> wave_plan.Bounds:
+def _bounds(leader: states.Leader) -> rolling.Bounds:
     """Give what operators allow of maintenance now."""
     policy = leader.policy.policy
     wall_s = clock.wall_ms() / 1000
@@ -130,7 +130,7 @@
         hours.left_s(hours.read(text), wall_s) > 0
         for text in policy.maintenance.not_between
     )
-    return wave_plan.Bounds(
+    return rolling.Bounds(
         policies.min_up(policy),
         {service: need.now for service, need in leader.fleet.needs.items()},
         policy.maintenance.hold,
@@ -140,21 +140,21 @@
 
 async def _maintain(
     leader: states.Leader,
-    progress: wave_plan.Progress,
+    progress: rolling.Progress,
     name: str,
     worker: workers_.Worker | None,
 ) -> None:
     if not states.holds_lease(leader):
         return
     now_s = clock.now_s()
-    if worker is not None and not availability.may_end_all(worker, now_s):
+    if worker is not None and not disruption_budget.may_end_all(worker, now_s):
         # An order of this pass has taken the allowance.
         return
     wave = progress.wave.wave
-    ordered = wave_plan.Ordered(leader.fleet.machines[name].worker, now_s)
+    ordered = rolling.Ordered(leader.fleet.machines[name].worker, now_s)
     progress.down[name] = ordered
     if worker is not None:
-        availability.note_order(worker, now_s)
+        disruption_budget.note_order(worker, now_s)
     try:
         outcome = await machine_calls.maintain(
             leader.machine_calls, name, wave, leader.term
@@ -187,7 +187,7 @@
 
 
 async def _write_status(
-    leader: states.Leader, progress: wave_plan.Progress, completed: bool
+    leader: states.Leader, progress: rolling.Progress, completed: bool
 ) -> None:
     word = 'completed' if completed else 'running'
     if progress.status_written == word:
@@ -204,7 +204,7 @@
 
 
 async def _write_begun(
-    leader: states.Leader, progress: wave_plan.Progress
+    leader: states.Leader, progress: rolling.Progress
 ) -> None:
     """Tell a later leader what has begun, and since when the wave is known.
 
@@ -217,7 +217,7 @@
     await guarded.try_write(leader, values, 'wave', 'begun-not-written')
 
 
-def restore(progress: wave_plan.Progress, value: bytes) -> None:
+def restore(progress: rolling.Progress, value: bytes) -> None:
     """Bring a wave to what an earlier leader wrote of it."""
     kept = msgspec.json.decode(value, type=Kept)
     progress.begun.update(kept.begun)
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -14,6 +14,7 @@
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.maintenance import rolling
 from oleanderwood.platform import entries
 from oleanderwood.platform import executors
 from oleanderwood.platform import operator
@@ -23,7 +24,6 @@
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
-from oleanderwood.upkeeps import wave_plan
 
 NAMED_CHECK_S = 0.1
 """Time between two looks at which services the configuration names."""
@@ -350,7 +350,7 @@
     if known is not None:
         known.wave = wave
         return
-    progress = wave_plan.Progress(wave, clock.now_s())
+    progress = rolling.Progress(wave, clock.now_s())
     leader.fleet.waves[wave.wave] = progress
     kept = leader.fleet.kept_waves.get(str(wave.wave))
     if kept is not None:
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -4,6 +4,10 @@
 
 import curio
 
+from oleanderwood.capacity import backlog
+from oleanderwood.capacity import demand
+from oleanderwood.capacity import draining
+from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -13,18 +17,14 @@
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.maintenance import fleet
+from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import lacking
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood import server_metrics
-from oleanderwood.upkeeps import backlog
-from oleanderwood.upkeeps import emptying
-from oleanderwood.upkeeps import fleet
-from oleanderwood.upkeeps import pool_plan
-from oleanderwood.upkeeps import turns as turns_
-from oleanderwood.upkeeps import wave_plan
 
 LIST_LAG_S = 1.0
 """A worker's entry may come this much before the list shows it."""
@@ -58,7 +58,7 @@
     leader.fleet.machines = {machine.machine: machine for machine in machines}
     await _lose_unlisted(leader, sent_s)
     for progress in leader.fleet.waves.values():
-        wave_plan.note_returns(
+        rolling.note_returns(
             progress,
             leader.fleet.machines,
             sent_s,
@@ -109,9 +109,9 @@
         queue.service for queue in configuration.queues
     )
     for pool in configuration.services:
-        turns_.update(leader.fleet.turns, pool, now_s)
+        demand.update(leader.fleet.turns, pool, now_s)
     views, standby = _views(leader, now_s)
-    decision = pool_plan.decide(
+    decision = rebalancing.decide(
         views,
         standby,
         leader.fleet.turns,
@@ -134,7 +134,7 @@
 
 
 async def _empty(
-    leader: states.Leader, emptied: list[emptying.Emptied]
+    leader: states.Leader, emptied: list[draining.Emptied]
 ) -> None:
     """Close the machines that are to be emptied, and open all others."""
     wanted = {row.machine: row for row in emptied}
@@ -155,8 +155,8 @@
 
 def _log_shortage(
     leader: states.Leader,
-    views: list[pool_plan.PoolView],
-    wanted: dict[ids.ServiceId, pool_plan.Need],
+    views: list[rebalancing.PoolView],
+    wanted: dict[ids.ServiceId, rebalancing.Need],
     now_s: float,
 ) -> None:
     """Say once a second which pools have fewer machines than they need."""
@@ -183,15 +183,15 @@
 def _views(
     leader: states.Leader, now_s: float
 ) -> tuple[
-    list[pool_plan.PoolView], dict[ids.ServiceId, list[pool_plan.Member]]
+    list[rebalancing.PoolView], dict[ids.ServiceId, list[rebalancing.Member]]
 ]:
     configuration = leader.server.configuration
     views = {
-        service: pool_plan.PoolView(service, [])
+        service: rebalancing.PoolView(service, [])
         for service in configuration.services
         if service not in configuration.standby
     }
-    standby: dict[ids.ServiceId, list[pool_plan.Member]] = {
+    standby: dict[ids.ServiceId, list[rebalancing.Member]] = {
         service: [] for service in configuration.standby
     }
     fixed = _fixed(leader, now_s)
@@ -213,7 +213,7 @@
 
 
 def _note_first_sizes(
-    leader: states.Leader, views: dict[ids.ServiceId, pool_plan.PoolView]
+    leader: states.Leader, views: dict[ids.ServiceId, rebalancing.PoolView]
 ) -> None:
     """Note how many machines the pools have, until the first order moves one.
 
@@ -255,11 +255,11 @@
 
 def _member(
     leader: states.Leader, machine: fleet.Machine, fixed: bool
-) -> pool_plan.Member:
+) -> rebalancing.Member:
     worker = None
     if machine.state is fleet.State.UP:
         worker = leader.workers.get(machine.worker)
-    return pool_plan.Member(
+    return rebalancing.Member(
         machine.machine,
         float(machine.capacity.cpu_millicores) / 1000,
         worker,
@@ -269,7 +269,7 @@
 
 def _note_demand(
     leader: states.Leader,
-    views: dict[ids.ServiceId, pool_plan.PoolView],
+    views: dict[ids.ServiceId, rebalancing.PoolView],
     now_s: float,
 ) -> None:
     known = states.known_queues(leader)
@@ -309,7 +309,7 @@
 def _lacks_kind(
     leader: states.Leader,
     group: ledgers.Group,
-    view: pool_plan.PoolView,
+    view: rebalancing.PoolView,
     rooms: list[placing.Room],
 ) -> bool:
     """Say whether a step needs other machines than those of its pool.
@@ -333,7 +333,7 @@
 
 
 def _note_priority(
-    view: pool_plan.PoolView,
+    view: rebalancing.PoolView,
     group: ledgers.Group,
     known: dict[str, queues.Queue],
 ) -> None:
@@ -356,7 +356,7 @@
 
 
 def _add_cores(
-    view: pool_plan.PoolView, group: ledgers.Group, tasks: int
+    view: rebalancing.PoolView, group: ledgers.Group, tasks: int
 ) -> None:
     if group.step.uses_leftover:
         return
@@ -366,7 +366,7 @@
         view.held_cores += cores
 
 
-async def _send(leader: states.Leader, moves: list[pool_plan.Move]) -> None:
+async def _send(leader: states.Leader, moves: list[rebalancing.Move]) -> None:
     """Send announced moves, some at a time; late ones are decided anew."""
     left = collections.deque(moves)
     late_s = clock.now_s() + machine_turns.SENT_MS / 1000
@@ -382,7 +382,7 @@
         event_log.emit('fleet', 'moves-late', count=len(left))
 
 
-async def _move(leader: states.Leader, move: pool_plan.Move) -> None:
+async def _move(leader: states.Leader, move: rebalancing.Move) -> None:
     if not states.holds_lease(leader):
         return
     machine = leader.fleet.machines[move.machine]
@@ -412,7 +412,7 @@
             outcome=outcome.value,
         )
     if outcome is not machine_calls.Outcome.DONE:
-        pause_s = wave_plan.CYCLE_SLACK_S
+        pause_s = rolling.CYCLE_SLACK_S
         if outcome is machine_calls.Outcome.INVALID:
             pause_s = INVALID_S
         leader.fleet.moves_refused[move.machine] = clock.now_s() + pause_s
@@ -434,7 +434,7 @@
         known = states.known_queues(leader)
         queue = placing.queue_of(entry, known)
         factor = lengths.factor(leader.lengths, queue.name)
-        turns_.note(
+        demand.note(
             leader.fleet.turns,
             queue.service,
             at_s,
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -8,12 +8,16 @@
 import curio
 
 from oleanderwood import boot
+from oleanderwood.capacity import demand
+from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import yielding
+from oleanderwood.maintenance import fleet as fleet_
+from oleanderwood.maintenance import rolling
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
@@ -22,10 +26,6 @@
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import slowness
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import fleet as fleet_
-from oleanderwood.upkeeps import pool_plan
-from oleanderwood.upkeeps import turns as turns_
-from oleanderwood.upkeeps import wave_plan
 from oleanderwood.web import connections
 
 LEASE_S = 1.5
@@ -167,15 +167,15 @@
     machines_read_s: float = -1e9
     machines_asked_s: float = -1e9
     missing: set[ids.VmId] = dataclasses.field(default_factory=set)
-    waves: dict[int, wave_plan.Progress] = dataclasses.field(
+    waves: dict[int, rolling.Progress] = dataclasses.field(
         default_factory=dict
     )
     kept_waves: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    turns: turns_.Turns = dataclasses.field(default_factory=turns_.Turns)
+    turns: demand.Turns = dataclasses.field(default_factory=demand.Turns)
     first_sizes: dict[ids.ServiceId, int] = dataclasses.field(
         default_factory=dict
     )
-    needs: dict[ids.ServiceId, pool_plan.Need] = dataclasses.field(
+    needs: dict[ids.ServiceId, rebalancing.Need] = dataclasses.field(
         default_factory=dict
     )
     shortage_told_s: float = -1e9
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from oleanderwood import boot
+from oleanderwood.capacity import demand
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -41,7 +42,6 @@
 from oleanderwood.platform import store as stores
 from oleanderwood.pools import reports
 from oleanderwood import server_metrics
-from oleanderwood.upkeeps import turns
 
 WATCH_S = 1.0
 """Longest wait of a watch; a silent connection is found after it and the
@@ -259,7 +259,7 @@
     for entry in entries:
         age_s = max(0.0, (wall_ms - entry.job.handed_in_ms) / 1000)
         entry.arrived_s = now_s - age_s
-        if age_s < turns.MEAN_S:
+        if age_s < demand.MEAN_S:
             pool_loop.note_arrival(leader, entry, now_s - age_s)
 
 
--- /dev/null
+++ b/oleanderwood/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance of machines: waves, and what they may interrupt."""
--- a/oleanderwood/upkeeps/wave_plan.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -10,9 +10,9 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.maintenance import disruption_budget
+from oleanderwood.maintenance import fleet
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import availability
-from oleanderwood.upkeeps import fleet
 
 CYCLE_SLACK_S = 0.7
 """Time between a machine's return and the next one's order, beside the
@@ -176,7 +176,7 @@
         if len(decision.close) < wave.most_at_once + CLOSED_AHEAD:
             if worker is None or hurry:
                 decision.close.add(name)
-            elif availability.may_end_all(worker, now_s):
+            elif disruption_budget.may_end_all(worker, now_s):
                 decision.close.add(name)
         if decision.relocate is None and worker is not None:
             decision.relocate = _crowded(worker, now_s)
@@ -221,7 +221,7 @@
     if not worker.fenced or worker.silent_since_s is not None:
         # What it runs isn't known, or not any more.
         return 'its worker does not answer'
-    if not availability.may_end_all(worker, now_s):
+    if not disruption_budget.may_end_all(worker, now_s):
         return 'its long-running tasks are needed'
     if _batch(worker) and not hurry:
         return 'it has work'
@@ -239,7 +239,7 @@
             here.setdefault(task.group, []).append(task)
     for group, tasks in here.items():
         allowed = max(1, group.step.most_away)
-        if len(tasks) > allowed and availability.spares(group, now_s) > 0:
+        if len(tasks) > allowed and disruption_budget.spares(group, now_s) > 0:
             return tasks[0]
     return None
 
@@ -263,7 +263,7 @@
         for task in worker.runs.values()
         if not task.group.step.lasting
     )
-    may_go = availability.may_end_all(worker, now_s)
+    may_go = disruption_budget.may_end_all(worker, now_s)
     return (not may_go, _lasting(worker), batch)
 
 
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -6,11 +6,11 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
+from oleanderwood.maintenance import fleet
 from oleanderwood.operators import messages
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import placing
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import fleet
 
 
 def status(leader: states.Leader) -> messages.StatusReply:
--- a/oleanderwood/platform/machines.py
+++ b/oleanderwood/platform/machines.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from oleanderwood import ids
+from oleanderwood.maintenance import fleet
 from oleanderwood.platform import executors
 from oleanderwood.platform import transport
-from oleanderwood.upkeeps import fleet
 from oleanderwood.web import connections
 
 TIMEOUT_S = 2.0
--- a/oleanderwood/platform/operator.py
+++ b/oleanderwood/platform/operator.py
@@ -6,7 +6,7 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import queues
-from oleanderwood.upkeeps import fleet
+from oleanderwood.maintenance import fleet
 
 CONFIGURATION_KEY = 'op/config'
 WAVES_PREFIX = 'op/wave/'
--- a/oleanderwood/upkeeps/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Machines: maintenance waves, and moves between pools."""
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from oleanderwood.upkeeps import backlog
+from oleanderwood.capacity import backlog
 
 
 def test_work_with_time_to_spare_needs_fewer_cores():
--- a/tests/test_emptying.py
+++ b/tests/test_draining.py
@@ -1,8 +1,8 @@
 """Tests of which busy machines are emptied for another pool."""
 
+from oleanderwood.capacity import draining
+from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
-from oleanderwood.upkeeps import emptying
-from oleanderwood.upkeeps import pool_plan
 from tests import utils_jobs as build
 
 NOW_S = 10.0
@@ -20,12 +20,12 @@
         ledger = build.ledger_with(build.job(build.step(**fields), name=job))
         task = build.task(ledger, name=job)
         build.start(ledger, task, worker, NOW_S - 0.2)
-    return pool_plan.Member(name, 8.0, worker, fixed)
+    return rebalancing.Member(name, 8.0, worker, fixed)
 
 
 def _decide(members, count=9, wanted=9):
-    surplus = emptying.Surplus(SERVICE, members, count)
-    return emptying.decide([surplus], wanted, NOW_S)
+    surplus = draining.Surplus(SERVICE, members, count)
+    return draining.decide([surplus], wanted, NOW_S)
 
 
 def _names(members, **numbers):
@@ -91,17 +91,17 @@
 
 
 def test_pool_in_need_gets_machines_that_a_past_turn_holds():
-    past = pool_plan.PoolView(
+    past = rebalancing.PoolView(
         ids.ServiceId('past'),
         [_member(f'p{i}', {**SAVED, 'cpu': 500}) for i in range(6)],
         busy_cores=3.0,
     )
-    lacking = pool_plan.PoolView(
+    lacking = rebalancing.PoolView(
         ids.ServiceId('now'), [_member('n1', LONG)], busy_cores=20.0
     )
     standby = {ids.ServiceId('off'): []}
-    decision = pool_plan.decide(
-        [past, lacking], standby, pool_plan.turns_.Turns(), 1.5, NOW_S
+    decision = rebalancing.decide(
+        [past, lacking], standby, rebalancing.demand.Turns(), 1.5, NOW_S
     )
     # Twenty cores take three machines of eight; one is there.
     assert len(decision.emptied) == 2
@@ -109,22 +109,22 @@
 
 
 def _preempting(first_priority):
-    past = pool_plan.PoolView(
+    past = rebalancing.PoolView(
         ids.ServiceId('past'),
         [_member(f'p{i}', {**SAVED, 'cpu': 7000}) for i in range(10)],
         busy_cores=70.0,
         priority=1,
     )
-    lacking = pool_plan.PoolView(
+    lacking = rebalancing.PoolView(
         ids.ServiceId('now'),
         [_member('n1', LONG)],
         busy_cores=40.0,
         priority=first_priority,
     )
-    decision = pool_plan.decide(
+    decision = rebalancing.decide(
         [past, lacking],
         {ids.ServiceId('off'): []},
-        pool_plan.turns_.Turns(),
+        rebalancing.demand.Turns(),
         1.5,
         NOW_S,
     )
--- a/tests/test_emulated_defects.py
+++ b/tests/test_emulated_defects.py
@@ -9,9 +9,9 @@
 from oleanderwood.leading import ordering
 from oleanderwood.leading import schedule
 from oleanderwood.leading import worker_loop
+from oleanderwood.maintenance import disruption_budget
 from oleanderwood.platform import store as stores
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import availability
 
 SEEDS = range(600, 640)
 """Days that are played if the one that showed a defect no longer does."""
@@ -77,7 +77,7 @@
 
 
 def _any_may_go(patch):
-    patch.setattr(availability, 'may_end_all', lambda worker, now_s: True)
+    patch.setattr(disruption_budget, 'may_end_all', lambda worker, now_s: True)
 
 
 def _steps_wait_for_nothing(patch):
--- a/tests/test_first_sizes.py
+++ b/tests/test_first_sizes.py
@@ -7,14 +7,14 @@
 
 import pytest
 
+from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import ids
 from oleanderwood.jobs import queues
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
-from oleanderwood.upkeeps import fleet
-from oleanderwood.upkeeps import pool_plan
-from oleanderwood.upkeeps import wave_plan
+from oleanderwood.maintenance import fleet
+from oleanderwood.maintenance import rolling
 
 POOLS = (ids.ServiceId('a'), ids.ServiceId('b'))
 
@@ -31,9 +31,12 @@
 
 def _views(**counts):
     return {
-        ids.ServiceId(pool): pool_plan.PoolView(
+        ids.ServiceId(pool): rebalancing.PoolView(
             ids.ServiceId(pool),
-            [pool_plan.Member(f'{pool}{i}', 64.0, None) for i in range(count)],
+            [
+                rebalancing.Member(f'{pool}{i}', 64.0, None)
+                for i in range(count)
+            ],
         )
         for pool, count in counts.items()
     }
@@ -56,8 +59,8 @@
 
 def test_only_machines_that_go_down_next_must_not_move(leader):
     wave = fleet.Wave(1, ('m1', 'm2', 'm3', 'm4'), 28.0, 1)
-    progress = wave_plan.Progress(wave, 90.0, closed={'m2'})
+    progress = rolling.Progress(wave, 90.0, closed={'m2'})
     progress.begun.add('m1')
-    progress.down['m1'] = wave_plan.Ordered('w', 99.0)
+    progress.down['m1'] = rolling.Ordered('w', 99.0)
     leader.fleet.waves[1] = progress
     assert pool_loop._fixed(leader, 100.0) == {'m1', 'm2'}
--- a/tests/test_gang_beyond_fleet.py
+++ b/tests/test_gang_beyond_fleet.py
@@ -14,12 +14,12 @@
 import pytest
 
 from emulator import day
+from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.leading import pool_loop
-from oleanderwood.upkeeps import fleet
-from oleanderwood.upkeeps import pool_plan
+from oleanderwood.maintenance import fleet
 from tests import utils_jobs as build
 from tests import utils_leading
 from tests import utils_servers as servers
@@ -50,8 +50,8 @@
                 labels=('a', 'r1'),
                 capacity=model.Resources(8000, 64000),
             )
-        member = pool_plan.Member('m0', 8.0, worker)
-        view = pool_plan.PoolView(build.POOL, [member])
+        member = rebalancing.Member('m0', 8.0, worker)
+        view = rebalancing.PoolView(build.POOL, [member])
         now_s = clock.now_s()
         pool_loop._note_demand(leader, {build.POOL: view}, now_s)
         found.append(view.lacks_kind)
--- a/tests/test_lacking.py
+++ b/tests/test_lacking.py
@@ -1,10 +1,10 @@
 """Tests of steps that fit on none of their pool's workers."""
 
+from oleanderwood.capacity import demand
+from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.pools import lacking
-from oleanderwood.upkeeps import pool_plan
-from oleanderwood.upkeeps import turns as turns_
 from tests import utils_jobs as build
 
 
@@ -68,10 +68,10 @@
 
 
 def _decide(*members):
-    view = pool_plan.PoolView(build.POOL, list(members), lacks_kind=True)
+    view = rebalancing.PoolView(build.POOL, list(members), lacks_kind=True)
     off = ids.ServiceId('off')
-    standby = {off: [pool_plan.Member('m9', 8.0, None)]}
-    return pool_plan.decide([view], standby, turns_.Turns(), 1.5, 5.0).moves
+    standby = {off: [rebalancing.Member('m9', 8.0, None)]}
+    return rebalancing.decide([view], standby, demand.Turns(), 1.5, 5.0).moves
 
 
 def test_machine_holds_as_many_as_its_scarcest_resource_and_the_limit():
@@ -92,7 +92,7 @@
 def test_pool_gets_one_machine_more_while_a_step_fits_nowhere():
     # A gang or a job for another kind of machine waited for good once its
     # pool had sent the machines to standby: by cores, it lacked none.
-    here = pool_plan.Member('m1', 8.0, build.worker('w1'))
+    here = rebalancing.Member('m1', 8.0, build.worker('w1'))
     assert [move.machine for move in _decide(here)] == ['m9']
-    coming = pool_plan.Member('m2', 8.0, None)
+    coming = rebalancing.Member('m2', 8.0, None)
     assert not _decide(here, coming)
--- a/tests/test_lacking_cost.py
+++ b/tests/test_lacking_cost.py
@@ -12,11 +12,11 @@
 """
 
 from emulator import day
+from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import pool_loop
 from oleanderwood.pools import lacking
-from oleanderwood.upkeeps import pool_plan
 from tests import utils_jobs as build
 from tests import utils_leading
 from tests import utils_servers as servers
@@ -44,10 +44,10 @@
             job = build.job(build.step(label='b'), name=f'{number:016x}')
             ledgers.add(leader.ledger, job, clock.now_s())
         members = [
-            pool_plan.Member(f'm{i}', 8.0, build.worker(f'w{i}'))
+            rebalancing.Member(f'm{i}', 8.0, build.worker(f'w{i}'))
             for i in range(WORKERS)
         ]
-        view = pool_plan.PoolView(build.POOL, members)
+        view = rebalancing.PoolView(build.POOL, members)
         now_s = clock.now_s()
         pool_loop._note_demand(leader, {build.POOL: view}, now_s)
         assert len(view.waiting) == STEPS
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -89,10 +89,11 @@
 LAYERS = {
     'jobs': (),
     'pools': ('jobs',),
-    'upkeeps': ('jobs', 'pools'),
-    'platform': ('jobs', 'pools', 'upkeeps'),
-    'leading': ('jobs', 'pools', 'upkeeps', 'platform'),
-    'frontend': ('jobs', 'pools', 'upkeeps', 'platform', 'leading'),
+    'maintenance': ('jobs', 'pools'),
+    'capacity': ('jobs', 'pools'),
+    'platform': ('jobs', 'pools', 'maintenance'),
+    'leading': ('jobs', 'pools', 'capacity', 'maintenance', 'platform'),
+    'frontend': ('jobs', 'pools', 'platform', 'leading'),
 }
 """What each subpackage may import of the others."""
 
--- a/tests/test_pool_plan.py
+++ b/tests/test_rebalancing.py
@@ -1,10 +1,10 @@
 """Tests of foreseen turns and of machines that change their pool."""
 
 from emulator import day
+from oleanderwood.capacity import demand
+from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
 from oleanderwood.policy import model as policies
-from oleanderwood.upkeeps import pool_plan
-from oleanderwood.upkeeps import turns as turns_
 from tests import utils_jobs as build
 
 TURN_S = 4.0
@@ -19,62 +19,62 @@
     for number in range(count):
         at_s = from_s + number / per_s
         pool = POOLS[int(at_s / TURN_S) % len(POOLS)]
-        turns_.note(turns, pool, at_s, core_s)
+        demand.note(turns, pool, at_s, core_s)
 
 
 def test_turn_is_noticed_within_its_first_second():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 5.0)
     assert turns.lines['b'].in_turn
     assert turns.lines['b'].starts_s[0] <= 5.0
 
 
 def test_turn_ends_when_nothing_arrives():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 4.0)
-    turns_.update(turns, 'a', 6.0)
+    demand.update(turns, 'a', 6.0)
     assert not turns.lines['a'].in_turn
 
 
 def test_turn_is_foreseen_by_when_it_began_and_not_was_noticed():
-    turns = turns_.Turns(pools=frozenset(POOLS), pool_cores={'b': 400.0})
+    turns = demand.Turns(pools=frozenset(POOLS), pool_cores={'b': 400.0})
     for number in range(40):
-        turns_.note(turns, 'a', number * 0.2, 20.0)
+        demand.note(turns, 'a', number * 0.2, 20.0)
     # Large jobs, first one and then two a second.
     for at_s in (8.0, 9.0, 9.6, 10.1, 10.4, 10.6):
-        turns_.note(turns, 'b', at_s, 60.0)
+        demand.note(turns, 'b', at_s, 60.0)
     assert turns.lines['b'].starts_s == [8.0]
     assert turns.gaps_s == [8.0]
 
 
 def test_next_turn_is_foreseen_after_one_cycle():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     now_s = 11.0
     _play(turns, now_s)
-    first = turns_.next_turn(turns, 'a', now_s)
-    second = turns_.next_turn(turns, 'b', now_s)
+    first = demand.next_turn(turns, 'a', now_s)
+    second = demand.next_turn(turns, 'b', now_s)
     assert abs(first.earliest_s - 12.0) < 1.0
     assert abs(second.earliest_s - 16.0) < 1.5
 
 
 def test_nothing_is_foreseen_before_a_cycle_is_seen():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     now_s = 3.0
     _play(turns, now_s)
-    assert turns_.next_turn(turns, 'a', now_s) is None
+    assert demand.next_turn(turns, 'a', now_s) is None
 
 
 def test_single_arrivals_are_no_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     for number in range(10):
-        turns_.note(turns, 'a', number * 3.0, 20.0)
+        demand.note(turns, 'a', number * 3.0, 20.0)
     assert not turns.lines['a'].in_turn
 
 
 def test_present_rate_gives_the_cores_it_keeps_busy():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 3.0)
-    cores = turns_.present_cores(turns.lines['a'], 2.9)
+    cores = demand.present_cores(turns.lines['a'], 2.9)
     assert 80.0 <= cores <= 120.0
 
 
@@ -84,22 +84,22 @@
     if busy:
         ledger = build.ledger_with(build.job())
         build.start(ledger, build.task(ledger), worker)
-    return pool_plan.Member(name, 8.0, worker, fixed)
+    return rebalancing.Member(name, 8.0, worker, fixed)
 
 
 def _resting(*names):
-    return {OFF: [pool_plan.Member(name, 8.0, None) for name in names]}
+    return {OFF: [rebalancing.Member(name, 8.0, None) for name in names]}
 
 
 def _pool(service, members, busy_cores=0.0, held_cores=0.0):
-    return pool_plan.PoolView(
+    return rebalancing.PoolView(
         ids.ServiceId(service), members, busy_cores, held_cores
     )
 
 
 def _decide(pools, standby=None, turns=None, now_s=10.0):
-    return pool_plan.decide(
-        pools, standby or {}, turns or turns_.Turns(), MOVE_S, now_s
+    return rebalancing.decide(
+        pools, standby or {}, turns or demand.Turns(), MOVE_S, now_s
     ).moves
 
 
@@ -142,11 +142,11 @@
 
 
 def test_idle_machines_rest_only_when_their_turn_is_far():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     now_s = 18.0
     _play(turns, now_s)
     for pool in POOLS:
-        turns_.update(turns, pool, 16.8)
+        demand.update(turns, pool, 16.8)
     pools = [
         _pool(
             name,
@@ -160,7 +160,7 @@
 
 
 def test_machines_come_ahead_of_a_foreseen_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 10.9)
     pools = [_pool('a', [_member('m1')])]
     moves = _decide(pools, _resting('s1', 's2', 's3'), turns, now_s=10.9)
@@ -168,11 +168,11 @@
 
 
 def test_lull_within_a_turn_begins_no_other():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     for at_s in (0.0, 0.2, 0.4, 0.6, 3.0, 3.2, 3.4, 6.4, 6.6, 6.8):
-        turns_.note(turns, 'a', at_s, 20.0)
+        demand.note(turns, 'a', at_s, 20.0)
     assert len(turns.lines['a'].starts_s) == 1
-    assert turns_.next_turn(turns, 'a', 7.0) is None
+    assert demand.next_turn(turns, 'a', 7.0) is None
 
 
 def _lending(turns, now_s):
@@ -186,31 +186,31 @@
 
 
 def test_pool_lends_machines_while_another_has_its_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 2.0)
     assert _lending(turns, 2.0) == 5
 
 
 def test_pool_keeps_its_machines_when_its_first_turn_may_begin():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 2.0)
-    turns_.update(turns, 'a', 4.0)
+    demand.update(turns, 'a', 4.0)
     # The turn of a is over, and another follows; which one isn't known.
     assert _lending(turns, 4.0) == 0
 
 
 def test_pool_keeps_its_machines_once_turns_are_as_old_as_others_became():
-    turns = turns_.Turns(pools=frozenset((*POOLS, 'd')))
+    turns = demand.Turns(pools=frozenset((*POOLS, 'd')))
     for pool, start_s in (('c', 0.0), ('d', 8.0)):
         for number in range(30):
-            turns_.note(turns, pool, start_s + number * 0.2, 20.0)
+            demand.note(turns, pool, start_s + number * 0.2, 20.0)
     began_s = turns.lines['d'].starts_s[0]
     assert _lending(turns, began_s + 4.0) == 5
     assert _lending(turns, began_s + 7.0) == 0
 
 
 def test_present_need_goes_before_a_foreseen_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     now_s = 23.0
     _play(turns, now_s)
     waiting = _pool('a', [_member(f'n{i}', now_s=now_s) for i in range(4)])
@@ -227,15 +227,15 @@
 
 
 def test_weights_say_how_long_an_idle_machine_waits_for_its_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     now_s = 18.0
     _play(turns, now_s)
     for pool in POOLS:
-        turns_.update(turns, pool, 16.8)
+        demand.update(turns, pool, 16.8)
     members = [_member(f'a{i}', now_s=now_s, idle_s=3.0) for i in range(4)]
 
     def resting(**weights):
-        decision = pool_plan.decide(
+        decision = rebalancing.decide(
             [_pool('a', members)],
             {OFF: []},
             turns,
@@ -251,9 +251,9 @@
 
 
 def test_first_turn_brings_machines_before_it_can_be_measured():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     for at_s in (0.0, 0.2, 0.3):
-        turns_.note(turns, 'a', at_s, 20.0)
+        demand.note(turns, 'a', at_s, 20.0)
     assert turns.lines['a'].in_turn
     pool = _pool('a', [_member(f'm{i}') for i in range(6)], busy_cores=20.0)
     pool.first_size = 6
@@ -264,9 +264,9 @@
 
 
 def test_turn_that_can_be_measured_goes_by_its_measure():
-    turns = turns_.Turns(pools=frozenset('a'))
+    turns = demand.Turns(pools=frozenset('a'))
     for number in range(30):
-        turns_.note(turns, 'a', number * 0.2, 4.0)
+        demand.note(turns, 'a', number * 0.2, 4.0)
     pool = _pool('a', [_member(f'm{i}') for i in range(6)], busy_cores=20.0)
     pool.first_size = 6
     assert turns.lines['a'].in_turn
@@ -274,17 +274,17 @@
 
 
 def test_one_huge_job_does_not_count_as_a_rate():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 3.0)
-    before = turns_.soon_cores(turns.lines['a'], 3.0)
-    turns_.note(turns, 'a', 3.0, 400.0)
-    after = turns_.soon_cores(turns.lines['a'], 3.0)
+    before = demand.soon_cores(turns.lines['a'], 3.0)
+    demand.note(turns, 'a', 3.0, 400.0)
+    after = demand.soon_cores(turns.lines['a'], 3.0)
     # Sizes of jobs differ by several times; 400 of 300 core seconds came.
     assert after < 2.5 * before
 
 
 def test_machine_that_a_turn_did_not_need_for_a_while_rests():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 3.5)
     now_s = 3.5
     busy = [_member(f'b{i}', busy=True) for i in range(14)]
@@ -302,12 +302,12 @@
 
 
 def test_turn_that_did_not_come_keeps_no_machine():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 11.9)
     for pool in POOLS:
-        turns_.update(turns, pool, 14.0)
-    assert turns_.next_turn(turns, 'a', 12.5) is not None
-    assert turns_.next_turn(turns, 'a', 18.0) is None
+        demand.update(turns, pool, 14.0)
+    assert demand.next_turn(turns, 'a', 12.5) is not None
+    assert demand.next_turn(turns, 'a', 18.0) is None
     members = [_member(f'a{i}', now_s=18.0) for i in range(3)]
     moves = _decide([_pool('a', members)], {OFF: []}, turns, now_s=18.0)
     assert [move.why for move in moves] == ['idle', 'idle']
@@ -331,10 +331,10 @@
     """Give how many of eight idle machines rest of a pool that began with six
     and had no turn yet.
     """
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, min(now_s, 3.0))
     if ended_s is not None:
-        turns_.update(turns, 'a', ended_s)
+        demand.update(turns, 'a', ended_s)
     pool = _pool('b', [_member(f'n{i}', now_s=now_s) for i in range(8)])
     pool.first_size = 6
     return len(_decide([pool], {OFF: []}, turns, now_s=now_s))
@@ -350,14 +350,14 @@
 
 
 def test_first_turn_is_taken_for_as_large_as_others_were():
-    turns = turns_.Turns(
+    turns = demand.Turns(
         pools=frozenset(POOLS), pool_cores={'a': 100.0, 'b': 48.0}
     )
     _play(turns, 4.0)
     for at_s in (4.0, 4.1, 4.2, 4.3):
-        turns_.note(turns, 'b', at_s, 20.0)
+        demand.note(turns, 'b', at_s, 20.0)
     # A turn of 80 to 100 cores on a pool of 100; b has six machines of eight.
-    seen = turns_.largest_part(turns)
+    seen = demand.largest_part(turns)
     assert 0.7 < seen < 1.2
     pool = _pool('b', [_member(f'm{i}') for i in range(6)], busy_cores=9.0)
     pool.first_size = 6
@@ -367,20 +367,20 @@
 
 
 def test_chance_arrivals_of_small_jobs_are_no_turn():
-    turns = turns_.Turns(pools=frozenset(POOLS), pool_cores={'a': 400.0})
+    turns = demand.Turns(pools=frozenset(POOLS), pool_cores={'a': 400.0})
     for at_s in (2.0, 3.0, 4.0, 4.6):
-        turns_.note(turns, 'a', at_s, 20.0)
+        demand.note(turns, 'a', at_s, 20.0)
     # 1.7 jobs a second of 20 core-seconds keep a twelfth of the pool busy.
     assert not turns.lines['a'].in_turn
     for number in range(12):
-        turns_.note(turns, 'a', 16.0 + number * 0.1, 20.0)
+        demand.note(turns, 'a', 16.0 + number * 0.1, 20.0)
     assert turns.lines['a'].in_turn
 
 
 def test_machines_for_a_first_turn_come_when_it_may_begin():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 2.0)
-    turns_.update(turns, 'a', 4.0)
+    demand.update(turns, 'a', 4.0)
     pools = []
     for name in ('b', 'c'):
         members = [_member(f'{name}{i}', now_s=4.0) for i in range(3)]
@@ -393,14 +393,14 @@
 
 
 def test_uneven_turns_are_awaited_from_the_shortest_to_the_longest():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     starts = {'a': 0.0, 'b': 8.0, 'c': 20.0}
     for pool, start_s in starts.items():
         for number in range(10):
-            turns_.note(turns, pool, start_s + number * 0.2, 20.0)
+            demand.note(turns, pool, start_s + number * 0.2, 20.0)
     for pool in POOLS:
-        turns_.update(turns, pool, 25.0)
-    found = turns_.next_turn(turns, 'a', 25.0)
+        demand.update(turns, pool, 25.0)
+    found = demand.next_turn(turns, 'a', 25.0)
     assert abs(found.earliest_s - 28.0) < 1.0
     assert abs(found.latest_s - 32.0) < 1.0
     members = [_member(f'a{i}', now_s=31.0) for i in range(2)]
@@ -409,9 +409,9 @@
 
 
 def test_all_machines_that_a_turn_lacks_move_in_one_pass():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     for at_s in (0.0, 0.2, 0.3):
-        turns_.note(turns, 'a', at_s, 20.0)
+        demand.note(turns, 'a', at_s, 20.0)
     pool = _pool('a', [_member(f'm{i}') for i in range(40)])
     pool.first_size = 40
     rest = _resting(*(f's{i}' for i in range(50)))
@@ -419,7 +419,7 @@
 
 
 def test_young_turn_is_taken_at_its_height_until_it_has_reached_it():
-    turns = turns_.Turns(pools=frozenset(POOLS))
+    turns = demand.Turns(pools=frozenset(POOLS))
     _play(turns, 3.0, per_s=3.0, core_s=4.0)
     pool = _pool('a', [_member(f'm{i}') for i in range(6)], busy_cores=20.0)
     pool.first_size = 6
@@ -428,20 +428,20 @@
 
 
 def test_rate_of_a_large_fleet_follows_its_rise_within_a_second():
-    turns = turns_.Turns(pools=frozenset('a'))
+    turns = demand.Turns(pools=frozenset('a'))
     for number in range(160):
-        turns_.note(turns, 'a', number * 0.025, 10.0)
-    steady = turns_.soon_cores(turns.lines['a'], 4.0)
+        demand.note(turns, 'a', number * 0.025, 10.0)
+    steady = demand.soon_cores(turns.lines['a'], 4.0)
     for number in range(90):
-        turns_.note(turns, 'a', 4.0 + number * 0.0083, 10.0)
-    risen = turns_.soon_cores(turns.lines['a'], 4.75)
+        demand.note(turns, 'a', 4.0 + number * 0.0083, 10.0)
+    risen = demand.soon_cores(turns.lines['a'], 4.75)
     # The rate is three times as high; machines take 1.5 s to come.
     assert risen > 2.5 * steady
 
 
 def test_machines_on_their_way_keep_no_promise():
     lacking = _pool('a', [_member('m1', busy=True)], busy_cores=90.0)
-    coming = [pool_plan.Member(f'c{i}', 8.0, None) for i in range(3)]
+    coming = [rebalancing.Member(f'c{i}', 8.0, None) for i in range(3)]
     other = _pool('b', [*coming, *(_member(f'n{i}') for i in range(4))])
     other.min_up = 4
     assert not _decide([lacking, other])
--- a/tests/test_wave_plan.py
+++ b/tests/test_rolling.py
@@ -1,9 +1,9 @@
 """Tests of which machine of a wave goes down next."""
 
+from oleanderwood.maintenance import disruption_budget
+from oleanderwood.maintenance import fleet
+from oleanderwood.maintenance import rolling
 from oleanderwood.pools import workers as workers_
-from oleanderwood.upkeeps import availability
-from oleanderwood.upkeeps import fleet
-from oleanderwood.upkeeps import wave_plan
 from tests import utils_jobs as build
 
 MAINTENANCE_S = 2.0
@@ -18,11 +18,11 @@
 
 def _progress(*names, most=2, time_s=60.0):
     wave = fleet.Wave(1, names, time_s, most)
-    return wave_plan.Progress(wave, 0.0)
+    return rolling.Progress(wave, 0.0)
 
 
 def _decide(progress, machines, workers=(), now_s=10.0):
-    return wave_plan.decide(
+    return rolling.decide(
         progress, machines, dict(workers), MAINTENANCE_S, now_s
     )
 
@@ -46,7 +46,7 @@
 
 def test_those_that_are_down_count():
     progress = _progress('a', 'b', 'c', most=2)
-    progress.down['a'] = wave_plan.Ordered('w-a', 9.0, True)
+    progress.down['a'] = rolling.Ordered('w-a', 9.0, True)
     progress.begun.add('a')
     decision = _decide(progress, _machines('a', 'b', 'c'))
     assert len(decision.order) == 1
@@ -55,7 +55,7 @@
 def test_one_that_an_earlier_leader_may_just_take_down_counts():
     """Its order may be under way while the list still shows it up."""
     progress = _progress('a', 'b', 'c', most=2)
-    decision = wave_plan.decide(
+    decision = rolling.decide(
         progress,
         _machines('a', 'b', 'c', 'd'),
         {},
@@ -97,9 +97,9 @@
 def test_serving_tasks_stay_within_their_allowance():
     first, second = build.worker('w1'), build.worker('w2')
     _serving(first, second, tasks=2, most_away=1)
-    assert availability.may_end_all(first, 10.0)
-    availability.note_order(first, 10.0)
-    assert not availability.may_end_all(second, 10.0)
+    assert disruption_budget.may_end_all(first, 10.0)
+    disruption_budget.note_order(first, 10.0)
+    assert not disruption_budget.may_end_all(second, 10.0)
 
 
 def test_orders_of_one_pass_share_the_allowance():
@@ -110,8 +110,8 @@
     decision = _decide(progress, _machines('a', 'b'), workers)
     done = []
     for name in decision.order:
-        if availability.may_end_all(workers[name], 10.0):
-            availability.note_order(workers[name], 10.0)
+        if disruption_budget.may_end_all(workers[name], 10.0):
+            disruption_budget.note_order(workers[name], 10.0)
             done.append(name)
     assert len(done) == 1
 
@@ -121,8 +121,8 @@
     ledger = _serving(worker, tasks=1)
     run = build.task(ledger).run
     run.at_work_since_s = 9.9
-    assert not availability.at_work(build.task(ledger), 10.0)
-    assert availability.at_work(build.task(ledger), 10.5)
+    assert not disruption_budget.at_work(build.task(ledger), 10.0)
+    assert disruption_budget.at_work(build.task(ledger), 10.5)
 
 
 def test_crowded_machine_has_a_task_relocated():
@@ -139,9 +139,9 @@
 def test_wave_is_completed_when_all_are_back():
     progress = _progress('a')
     progress.begun.add('a')
-    progress.down['a'] = wave_plan.Ordered('w-a', 9.0, True)
+    progress.down['a'] = rolling.Ordered('w-a', 9.0, True)
     assert not _decide(progress, _machines('a')).completed
-    wave_plan.note_returns(progress, _returned('a'), 11.2, MAINTENANCE_S)
+    rolling.note_returns(progress, _returned('a'), 11.2, MAINTENANCE_S)
     assert _decide(progress, _machines('a')).completed
 
 
@@ -153,18 +153,18 @@
 
 def test_machine_that_is_off_returns_by_time():
     progress = _progress('a')
-    progress.down['a'] = wave_plan.Ordered('', 9.0, True)
+    progress.down['a'] = rolling.Ordered('', 9.0, True)
     machines = {'a': fleet.Machine('a', build.POOL, fleet.State.UP)}
-    wave_plan.note_returns(progress, machines, 10.0, MAINTENANCE_S)
+    rolling.note_returns(progress, machines, 10.0, MAINTENANCE_S)
     assert progress.down
-    wave_plan.note_returns(progress, machines, 12.0, MAINTENANCE_S)
+    rolling.note_returns(progress, machines, 12.0, MAINTENANCE_S)
     assert not progress.down
 
 
 def test_order_without_an_answer_stays_counted():
     progress = _progress('a')
-    progress.down['a'] = wave_plan.Ordered('w-a', 9.0)
-    wave_plan.note_returns(progress, _returned('a'), 20.0, MAINTENANCE_S)
+    progress.down['a'] = rolling.Ordered('w-a', 9.0)
+    rolling.note_returns(progress, _returned('a'), 20.0, MAINTENANCE_S)
     assert progress.down
 
 
@@ -173,7 +173,7 @@
     ledger = _serving(worker, tasks=2, most_away=1)
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = 9.95
-    assert not availability.may_end_all(worker, 10.0)
+    assert not disruption_budget.may_end_all(worker, 10.0)
 
 
 def test_tasks_that_started_up_at_the_last_report_count_as_working():
@@ -181,7 +181,7 @@
     ledger = _serving(worker, tasks=2, most_away=1)
     for index in range(2):
         build.task(ledger, 0, index).run.at_work_since_s = None
-    assert not availability.may_end_all(worker, 10.0)
+    assert not disruption_budget.may_end_all(worker, 10.0)
 
 
 def test_machine_whose_worker_has_not_answered_stays_up():
@@ -198,13 +198,13 @@
 
 
 def _bound(progress, machines, workers=(), now_s=10.0, **fields):
-    return wave_plan.decide(
+    return rolling.decide(
         progress,
         machines,
         dict(workers),
         MAINTENANCE_S,
         now_s,
-        wave_plan.Bounds(**fields),
+        rolling.Bounds(**fields),
     )
 
 
@@ -215,7 +215,7 @@
     decision = _bound(progress, machines, min_up=kept)
     assert decision.order == ['a']
     assert decision.waits['b'] == 'its pool has no machine to spare'
-    progress.down['c'] = wave_plan.Ordered('w-c', 9.0, True)
+    progress.down['c'] = rolling.Ordered('w-c', 9.0, True)
     assert not _bound(progress, machines, min_up=kept).order
 
 
