Hear sooner of long-running tasks that start up

The log shows the last six machines taken one after another, each waiting for 'its long-running tasks are needed': that such a task is at work again is told up to a second late, with the end of a busy worker's wait.

While a long-running task isn't known to be at work, its worker answers after 0.2 s. A line that a worker is silent now says whether its machine was ordered.

--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -24,6 +24,11 @@
 IDLE_WAIT_MS = 2000
 """As above for a worker without runs, the most that is allowed."""
 
+STARTING_WAIT_MS = 200
+"""As above while a long-running task isn't at work yet. Maintenance takes the
+machines of a step one after another, the next once those tasks are known to be
+at work again: told a second late, two of a wave's 122 machines were late."""
+
 WARY_WAIT_MS = 150
 """As above while calls go unanswered. A lost call looks like a worker that
 has nothing to tell; with one lost in twenty and waits of a second, busy
@@ -57,13 +62,8 @@
         if not states.may_act(leader):
             await curio.sleep(SILENT_PAUSE_S)
             continue
-        longest_wait_ms = IDLE_WAIT_MS
-        if worker.runs:
-            longest_wait_ms = WARY_WAIT_MS if wary else BUSY_WAIT_MS
-        if not worker.fenced or worker.silent_since_s is not None:
-            longest_wait_ms = 0
         first = worker.silent_since_s is None
-        answered = await look(leader, worker, longest_wait_ms)
+        answered = await look(leader, worker, longest_wait_ms(worker, wary))
         if not answered:
             # One lost call is asked again at once.
             await curio.sleep(0 if first else SILENT_PAUSE_S)
@@ -73,6 +73,27 @@
             await wake.wait(KEEP_PAUSE_S)
 
 
+def longest_wait_ms(worker: workers_.Worker, wary: bool) -> int:
+    """Give how long a worker waits for an end before it answers."""
+    if not worker.fenced or worker.silent_since_s is not None:
+        return 0
+    if not worker.runs:
+        return IDLE_WAIT_MS
+    if wary:
+        return WARY_WAIT_MS
+    return STARTING_WAIT_MS if _starts_up(worker) else BUSY_WAIT_MS
+
+
+def _starts_up(worker: workers_.Worker) -> bool:
+    """Say whether a long-running task there isn't known to be at work."""
+    return any(
+        task.group.step.lasting
+        and task.run is not None
+        and task.run.at_work_since_s is None
+        for task in worker.runs.values()
+    )
+
+
 def _is_wary(leader: states.Leader) -> bool:
     wary = clock.now_s() < leader.wary_until_s
     leader.calls.timeout_s = timeout_s(wary, leader.pulse.late_s)
@@ -237,6 +258,7 @@
             worker=worker.entry.worker,
             why=error.reason,
             runs=len(worker.runs),
+            closed=worker.closed,
             lease_left_s=round(worker.lease_end_s - clock.now_s(), 2),
         )
 
