Plant two defects where their mechanisms lie now

Two plants went past the code: one called a function by its earlier form, one patched the sum of what runs, which placing doesn't ask for any more. They now take away the same things where they lie.

--- a/tests/test_emulated_feature_defects.py
+++ b/tests/test_emulated_feature_defects.py
@@ -11,7 +11,6 @@
 from oleanderwood.jobs import model
 from oleanderwood.pools import pacing
 from oleanderwood.pools import placing
-from oleanderwood.pools import workers as workers_
 from tests import utils_features as build
 
 Feature = build.Feature
@@ -46,7 +45,8 @@
 
 def _gangs_start_bit_by_bit(patch):
     def place(group, free, now_s, quotas):
-        return placing._place_tasks(group, free, now_s, 1, quotas)
+        unmet = placing.Unmet()
+        return placing._place_tasks(group, free, now_s, 1, quotas, unmet)
 
     patch.setattr(placing, '_place_gang', place)
 
@@ -65,7 +65,17 @@
 
 
 def _all_have_room(patch):
-    patch.setattr(workers_, 'used', lambda worker: model.Resources())
+    def rooms(pool, now_s):
+        found = real(pool, now_s)
+        for room in found:
+            capacity = room.worker.entry.capacity
+            room.cpu_millicores = capacity.cpu_millicores
+            room.memory_mb = capacity.memory_mb
+            room.gpus = capacity.gpus
+        return found
+
+    real = placing.rooms
+    patch.setattr(placing, 'rooms', rooms)
 
 
 def _all_is_due(patch):
--- a/tests/test_takeover_defects.py
+++ b/tests/test_takeover_defects.py
@@ -8,6 +8,7 @@
 from emulator import day
 from emulator import troubles
 from oleanderwood.leading import confirming
+from oleanderwood.leading import former
 from oleanderwood.leading import intake
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
@@ -42,6 +43,26 @@
     _patch_term(patch, term_of)
 
 
+def _former_leaders_are_unasked(patch):
+    """Let the next leader reach no earlier one, which then acts for longer.
+
+    That is a condition, no defect: the days have to be clean with it.
+    """
+
+    async def ask(leader, row):
+        return None
+
+    patch.setattr(former, '_ask', ask)
+
+
+def _and_unasked(plant):
+    def both(patch):
+        _former_leaders_are_unasked(patch)
+        plant(patch)
+
+    return both
+
+
 def _confirmed_for_longer(patch):
     patch.setattr(confirming, 'CONFIRMED_S', 20.0)
 
@@ -75,11 +96,11 @@
 
 DEFECTS = {
     'takes a job that came after its reading for one never started': (
-        _terms_are_ignored,
+        _and_unasked(_terms_are_ignored),
         ACCEPTED_BETWEEN,
     ),
     'takes a job of a later term for its own': (
-        _later_terms_are_taken_for_own,
+        _and_unasked(_later_terms_are_taken_for_own),
         ACCEPTED_BETWEEN,
     ),
     'goes on under an old confirmation for longer': (
@@ -104,9 +125,19 @@
         plant(patch)
         assert any(_runs_twice(plan) for plan in plans)
     for plan in plans:
-        result = day.play(plan)
-        assert not result.breaches
-        assert not result.unfinished
+        _play_clean(plan)
+
+
+@pytest.mark.parametrize('plan', ACCEPTED_BETWEEN, ids=lambda plan: plan.seed)
+def test_days_are_clean_though_no_former_leader_is_asked(monkeypatch, plan):
+    _former_leaders_are_unasked(monkeypatch)
+    _play_clean(plan)
+
+
+def _play_clean(plan):
+    result = day.play(plan)
+    assert not result.breaches
+    assert not result.unfinished
 
 
 def _runs_twice(plan):
