Let no server begin a term after it was asked by a later one

Found by reading: a server that was elected and still reads the store answers a later leader that it doesn't lead, and could begin when that leader had already counted it as ended. It now remembers the term that asked, and gives up. The test fails without it (it led term 2).

--- a/oleanderwood/leading/confirming.py
+++ b/oleanderwood/leading/confirming.py
@@ -58,13 +58,15 @@
 async def contact(server: states.Server, target: str) -> Contact:
     """Give what this server answers to the question.
 
-    A leader ends its term if a later leader asks.
+    A later leader that asks tells its term: a leader ends its own, and one
+    that is still taking over doesn't begin.
     """
     asker_term = target.removeprefix(PATH).removeprefix('/')
+    if asker_term.isdecimal():
+        server.asked_by_term = max(server.asked_by_term, int(asker_term))
     leading = server.leader
-    if leading is not None and asker_term.isdecimal():
-        if int(asker_term) > leading.term:
-            await states.depose(leading, 'a later leader asks')
+    if leading is not None and server.asked_by_term > leading.term:
+        await states.depose(leading, 'a later leader asks')
     acts = leading is not None and not leading.deposed
     leader = server.roles.leader
     now_s = clock.now_s()
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -121,6 +121,7 @@
     :ivar contact_s: when the last call was sent that the store answered
     :ivar began_s: when the process began
     :ivar led_term: the last term that this process has led, or leads
+    :ivar asked_by_term: the last term whose leader has asked whether it leads
     """
 
     settings: boot.Settings
@@ -134,6 +135,7 @@
     contact_s: float = -1e9
     began_s: float = dataclasses.field(default_factory=clock.now_s)
     led_term: int = 0
+    asked_by_term: int = 0
     leader: 'Leader | None' = None
     stopping: bool = False
     roles_changed: Wake = dataclasses.field(default_factory=Wake)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -74,6 +74,11 @@
         event_log.emit('leader', 'gave-up', term=term, why=str(error))
         await _resign(leader)
         return
+    if server.asked_by_term > term:
+        # That leader was told that we don't lead, and waits for nothing.
+        event_log.emit('leader', 'gave-up', term=term, why='a later one asked')
+        await _resign(leader)
+        return
     server.leader = leader
     event_log.emit(
         'leader',
--- a/tests/test_former_ended.py
+++ b/tests/test_former_ended.py
@@ -13,6 +13,7 @@
 from oleanderwood.leading import confirming
 from oleanderwood.leading import former
 from oleanderwood.leading import roles
+from tests import utils_leading
 from tests import utils_takeover as build
 
 TAKEOVER_S = 3.0
@@ -160,3 +161,26 @@
 
     build.play(story)
     assert acted == [False, True]
+
+
+def test_server_that_was_asked_while_it_took_over_does_not_begin(monkeypatch):
+    """It has answered that it doesn't lead, and nobody waits for it."""
+    events = utils_leading.record_events(monkeypatch)
+
+    async def story(scene):
+        earlier = build.leader(scene)
+        last = next(row for row in scene.processes if row is not earlier)
+        answer = await confirming.contact(last.state, f'{confirming.PATH}/4')
+        assert answer.leading_term == 0
+        for process in scene.processes:
+            if process is not last:
+                await build.kill(scene, process)
+        await curio.sleep(TAKEOVER_S)
+
+    build.play(story)
+    gave_up = [
+        fields['term']
+        for part, event, fields in events
+        if (part, event) == ('leader', 'gave-up')
+    ]
+    assert gave_up == [2, 3]
