Read what is large as long as it keeps arriving

Cause: at the small size of the large deployment servers have links of some 2 Mbit/s. Ruled out: a store that is down, lost answers (elections are written in 0.03 s meanwhile).

A page of a range may take 20 s while each piece comes within 1.5 s, and jobs are read once, not once more to follow them, which cost the next leader its lease.

--- a/emulator/network.py
+++ b/emulator/network.py
@@ -98,7 +98,15 @@
     kept = transport.call
 
     async def call(
-        _kept, address, method, target, body=b'', headers=None, *, timeout_s
+        _kept,
+        address,
+        method,
+        target,
+        body=b'',
+        headers=None,
+        *,
+        timeout_s,
+        whole_s=0.0,
     ):
         return await _call(
             network, address, method, target, body, headers, timeout_s
--- a/oleanderwood/leading/following.py
+++ b/oleanderwood/leading/following.py
@@ -25,6 +25,7 @@
     wait_s: float,
     take: Take,
     contact: Contact,
+    revision: int | None = None,
 ) -> None:
     """Pass on what lies below a prefix, and its changes, until cancelled.
 
@@ -33,8 +34,9 @@
     :param take: gets changes, removals too; or, if its second argument is
         True, all items: at first and whenever changes were missed
     :param contact: gets the time at which an answered call was sent
+    :param revision: of the store as all below the prefix was read; None if it
+        wasn't yet
     """
-    revision = None
     lost_s = None
     while True:
         sent_s = clock.now_s()
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -91,7 +91,7 @@
         read_at=read_at,
     )
     async with curio.TaskGroup(wait=any) as group:
-        for part in _parts(leader):
+        for part in _parts(leader, read_at):
             await group.spawn(part)
         await group.spawn(leader.ended.wait, 1e9)
     server.leader = None
@@ -110,10 +110,13 @@
     return ''.join(traceback.format_exception(error))[-3000:]
 
 
-def _parts(leader: states.Leader) -> list:
-    """Give what runs at the same time while a term lasts."""
+def _parts(leader: states.Leader, read_at: int) -> list:
+    """Give what runs at the same time while a term lasts.
+
+    :param read_at: revision of the store as jobs were read
+    """
     parts = [
-        _follow_intake(leader),
+        _follow_intake(leader, read_at),
         _follow_workers(leader),
         intake.take_named_always(leader),
         _follow_waves(leader),
@@ -276,7 +279,13 @@
     return note
 
 
-async def _follow_intake(leader: states.Leader) -> None:
+async def _follow_intake(leader: states.Leader, revision: int) -> None:
+    """Follow jobs and cancels from the reading of the takeover on.
+
+    Read whole once more, they took a link of 2 Mbit/s for a second and a half,
+    in which the leader's lease couldn't be renewed.
+    """
+
     async def take(items: list[stores.Item], whole: bool) -> None:
         for item in items:
             intake.take_intake(leader, item, taking_over=False)
@@ -288,6 +297,7 @@
         WATCH_S,
         take,
         _contact(leader),
+        revision,
     )
 
 
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -15,6 +15,11 @@
 """Longest wait for an answer; a calm store takes 4 ms, a slow one 60 times
 as long."""
 
+PAGE_S = 20.0
+"""Longest time for a page of a range, about 1 MB, that keeps arriving. A
+server with a link of 2 Mbit/s takes 2.4 s for 290 jobs; one that gave up after
+1.5 s was followed by the next that did, and nobody led any more."""
+
 WATCH_SLACK_S = 1.0
 """How much longer than asked a watch may take before it counts as cut."""
 
@@ -148,7 +153,7 @@
         if after:
             query['after'] = after
         target = f'/kv-range?{urllib.parse.urlencode(query)}'
-        answer = await _call(store, 'GET', target)
+        answer = await _call(store, 'GET', target, whole_s=PAGE_S)
         page = _decoded(answer, _WireRange, 'range')
         revision = revision or page.current_rev
         items += [_item(wire) for wire in page.items]
@@ -258,9 +263,16 @@
     target: str,
     body: bytes = b'',
     timeout_s: float = CALL_TIMEOUT_S,
+    whole_s: float = 0.0,
 ) -> transport.Answer:
     return await transport.call(
-        store.kept, store.address, method, target, body, timeout_s=timeout_s
+        store.kept,
+        store.address,
+        method,
+        target,
+        body,
+        timeout_s=timeout_s,
+        whole_s=whole_s,
     )
 
 
--- a/oleanderwood/platform/transport.py
+++ b/oleanderwood/platform/transport.py
@@ -1,5 +1,6 @@
 """HTTP calls to the platform over kept connections, each with a verdict."""
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -47,9 +48,12 @@
     headers: http.Headers | None = None,
     *,
     timeout_s: float,
+    whole_s: float = 0.0,
 ) -> Answer:
     """Make one call within ``timeout_s``.
 
+    :param whole_s: longest time for an answer that keeps arriving, if that
+        may be longer; each of its pieces then comes within ``timeout_s``
     :raises errors.CallFailed: no whole answer; its verdict says whether
         the call may have run
     """
@@ -57,7 +61,7 @@
     outcome = 'cut'
     try:
         answer = await _call(
-            kept, address, method, target, body, headers, timeout_s
+            kept, address, method, target, body, headers, timeout_s, whole_s
         )
         outcome = str(answer.status)
         return answer
@@ -70,7 +74,7 @@
 
 
 async def _call(
-    kept, address, method, target, body, headers, timeout_s
+    kept, address, method, target, body, headers, timeout_s, whole_s
 ) -> Answer:
     sent = list(headers or [])
     if http.find(sent, 'host') is None:
@@ -79,15 +83,23 @@
         sent.append((b'content-type', b'application/json'))
     connection = None
     try:
-        async with curio.timeout_after(timeout_s):
+        async with curio.timeout_after(max(timeout_s, whole_s)):
             connection = await connections.take(
                 kept, address, MAX_CONNECTIONS, timeout_s, KEEP_S
             )
-            head = await http_client.exchange(
+            exchange = http_client.exchange(
                 connection, method, target, sent, body
             )
-            whole = await http.read_all(head.body, MAX_ANSWER_BYTES)
-    except curio.TaskTimeout as error:
+            if whole_s:
+                head = await _in_time(timeout_s, exchange)
+                pieces = http.Body(
+                    lambda: _in_time(timeout_s, head.body.read())
+                )
+            else:
+                head = await exchange
+                pieces = head.body
+            whole = await http.read_all(pieces, MAX_ANSWER_BYTES)
+    except (curio.TaskTimeout, _Stalled) as error:
         if connection is None:
             raise errors.CallFailed(
                 verdicts.Verdict.NOT_RUN, f'connect to {address}: timeout'
@@ -105,6 +117,22 @@
     return Answer(head.status, whole)
 
 
+class _Stalled(Exception):
+    """A part of an answer didn't come within its time."""
+
+
+async def _in_time(timeout_s: float, part: collections.abc.Awaitable[T]) -> T:
+    """Wait for a part of an answer.
+
+    :raises _Stalled: it takes longer than ``timeout_s``
+    """
+    try:
+        async with curio.timeout_after(timeout_s):
+            return await part
+    except curio.TaskTimeout as error:
+        raise _Stalled from error
+
+
 def decoded(answer: Answer, kind: type[T]) -> T:
     """Decode an answer.
 
