--- a/emulator/network.py
+++ b/emulator/network.py
@@ -46,6 +46,19 @@
     """Its caller stands still once it was carried out."""
 
 
+class Harm(enum.Enum):
+    """What becomes of the calls on a way that is cut, but not silent."""
+
+    REFUSED = 'refused'
+    """Each connection is refused, as where no process listens."""
+
+    RESET = 'reset'
+    """Each connection is reset, half of them once the call has arrived."""
+
+    MUTE = 'mute'
+    """Calls arrive and are carried out; answers are swallowed."""
+
+
 Handler = collections.abc.Callable[
     [str, str, str, bytes, dict[str, str]],
     collections.abc.Awaitable[transport.Answer],
@@ -59,6 +72,7 @@
 
     :ivar homes: the processes that answer at addresses
     :ivar cuts: pairs of a process and an address that don't hear each other
+    :ivar harms: the same for cuts that aren't silent
     :ivar dead: processes whose calls go nowhere
     :ivar frozen_until_s: processes that stand still until a time
     :ivar away_s: by how much a process's ways to an address take longer than
@@ -78,6 +92,9 @@
     handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
     homes: dict[str, str] = dataclasses.field(default_factory=dict)
     cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    harms: dict[tuple[str, str], Harm] = dataclasses.field(
+        default_factory=dict
+    )
     dead: set[str] = dataclasses.field(default_factory=set)
     frozen_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     away_s: dict[tuple[str, str], float] = dataclasses.field(
@@ -131,10 +148,13 @@
         async with curio.timeout_after(timeout_s):
             await _pass(network, source, address)
             handler = network.handlers.get(address)
-            if handler is None:
+            harm = network.harms.get((source, address))
+            if handler is None or harm is Harm.REFUSED:
                 raise errors.NobodyListens(
                     verdicts.Verdict.NOT_RUN, f'connect to {address}: refused'
                 )
+            if harm is Harm.RESET and network.rng.random() < 0.5:
+                raise _reset(address)
             reached = True
             named = {
                 key.decode().lower(): value.decode()
@@ -156,6 +176,11 @@
                 await virtual.act_for(before)
                 await virtual.until_awake(before)
             await _pass(network, source, address)
+            harm = network.harms.get((source, address))
+            if harm is Harm.MUTE:
+                await virtual.forever()
+            if harm is not None:
+                raise _reset(address)
             return answer
     except curio.TaskTimeout as error:
         if not reached:
@@ -168,6 +193,12 @@
         ) from error
 
 
+def _reset(address: str) -> errors.CallFailed:
+    return errors.CallFailed(
+        verdicts.Verdict.MAY_HAVE_RUN, f'{address}: connection reset'
+    )
+
+
 async def _pass(network: Network, source: str, address: str) -> None:
     """Go one way; never arrives if the way is cut."""
     late_s = network.away_s.get((source, address), 0.0)
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -224,20 +224,38 @@
     left: list[servers.Process],
     right: list[servers.Process],
     address: str,
+    harm: networks.Harm | None = None,
 ) -> None:
-    """Leave one worker to some servers, and all else to the others."""
-    network = scene.network
+    """Leave one worker to some servers, and all else to the others.
+
+    :param harm: how calls across the cut fail; None: in silence
+    """
+    pairs = ways_across(scene, left, right, address)
+    if harm is None:
+        scene.network.cuts |= pairs
+        return
+    scene.network.cuts -= pairs
+    scene.network.harms.update(dict.fromkeys(pairs, harm))
+
+
+def ways_across(
+    scene: Scene,
+    left: list[servers.Process],
+    right: list[servers.Process],
+    address: str,
+) -> set[tuple[str, str]]:
+    """Give the ways that such a cut harms."""
+    pairs = {(other.name, address) for other in right}
     for process in left:
-        network.cuts.add((process.name, servers.STORE_ADDRESS))
-        network.cuts.add((process.name, servers.MACHINES_ADDRESS))
+        pairs.add((process.name, servers.STORE_ADDRESS))
+        pairs.add((process.name, servers.MACHINES_ADDRESS))
         for machine in scene.fleet.machines.values():
             if machine.address != address:
-                network.cuts.add((process.name, machine.address))
+                pairs.add((process.name, machine.address))
         for other in right:
-            network.cuts.add((process.name, other.address))
-            network.cuts.add((other.name, process.address))
-    for other in right:
-        network.cuts.add((other.name, address))
+            pairs.add((process.name, other.address))
+            pairs.add((other.name, process.address))
+    return pairs
 
 
 def may_act(process: servers.Process) -> bool:
