--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -38,6 +38,7 @@
     jobs_per_s: float = 2.0,
     turn_s: float = 0.0,
     feature_count: int = 2,
+    cut_count: int = 0,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -45,6 +46,8 @@
     :param trouble_count: troubles a day
     :param turn_s: time of one queue's turn; 0: both queues ask alike
     :param feature_count: things beyond plain tasks that a day asks for
+    :param cut_count: further troubles: cuts that refuse, reset, swallow
+        answers or change while they last
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -62,7 +65,10 @@
     for seed in range(first_seed, first_seed + seeds):
         lines.clear()
         drawn = troubles.draw(
-            seed, length_s, trouble_count, tuple(troubles.Kind)
+            seed, length_s, trouble_count, troubles.LAB_KINDS
+        )
+        drawn += troubles.draw(
+            seed, length_s, cut_count, troubles.CUT_KINDS
         )
         wanted = features.draw(seed, feature_count)
         plan = day.Plan(
--- a/emulator/scenes.py
+++ b/emulator/scenes.py
@@ -99,6 +99,31 @@
     scene.network.cuts -= pairs
 
 
+async def cut_loudly(
+    scene: Scene,
+    pairs: set[tuple[str, str]],
+    harms: list[networks.Harm | None],
+    for_s: float,
+) -> None:
+    """Cut processes off addresses, in one way after the other.
+
+    :param harms: how calls fail, for equal parts of the time; None: silently
+    """
+    for harm in harms:
+        if harm is None:
+            await cut(scene, pairs, for_s / len(harms))
+            continue
+        scene.network.harms.update(dict.fromkeys(pairs, harm))
+        await curio.sleep(for_s / len(harms))
+        for pair in pairs:
+            scene.network.harms.pop(pair, None)
+
+
+def draw_harms(scene: Scene) -> list[networks.Harm | None]:
+    """Draw how the calls across a cut fail, one to three ways."""
+    return scene.rng.choices([None, *networks.Harm], k=scene.rng.randint(1, 3))
+
+
 def executor_addresses(scene: Scene) -> list[str]:
     """Give the addresses of all machines."""
     return [machine.address for machine in scene.fleet.machines.values()]
--- a/emulator/takeovers.py
+++ b/emulator/takeovers.py
@@ -168,6 +168,71 @@
     await scenes.cut(scene, pairs, max(SUSPENDED_S, trouble.for_s))
 
 
+PARTED_FACTOR = 3.0
+"""How much longer the cuts below last than other troubles: a former leader
+acts for 12 s without the store."""
+
+ONE_WAY_SHARE = 0.3
+"""Part of these cuts in which one side still reaches the other."""
+
+
+async def sides_parted(scene, trouble) -> None:
+    """Part leader, half of the others and some machines from store and rest.
+
+    Calls across fail in drawn ways, which change while the cut lasts.
+    """
+    former = scenes.leader(scene)
+    others = [row for row in scene.processes if row is not former]
+    near = [former, *scene.rng.sample(others, (len(others) + 1) // 2)]
+    far = [row for row in others if row not in near]
+    addresses = scenes.executor_addresses(scene)
+    kept = set(scene.rng.sample(addresses, len(addresses) // 2))
+    pairs = {(row.name, address) for row in far for address in kept}
+    lost = {*addresses, servers.STORE_ADDRESS, servers.MACHINES_ADDRESS}
+    pairs |= {(row.name, address) for row in near for address in lost - kept}
+    out = {(row.name, other.address) for row in near for other in far}
+    back = {(row.name, other.address) for row in far for other in near}
+    if scene.rng.random() < ONE_WAY_SHARE:
+        pairs |= scene.rng.choice((out, back))
+    else:
+        pairs |= out | back
+    for_s = PARTED_FACTOR * trouble.for_s
+    harms = scenes.draw_harms(scene)
+    await scenes.cut_loudly(scene, pairs, harms, for_s)
+
+
+async def ways_spoiled(scene, trouble) -> None:
+    """Let calls on a part of all ways fail in drawn ways."""
+    addresses = [
+        servers.STORE_ADDRESS,
+        servers.MACHINES_ADDRESS,
+        *scenes.executor_addresses(scene),
+        *(process.address for process in scene.processes),
+    ]
+    share = scene.rng.choice((0.1, 0.3))
+    pairs = {
+        (process.name, address)
+        for process in scene.processes
+        for address in addresses
+        if address != process.address and scene.rng.random() < share
+    }
+    harms = scenes.draw_harms(scene)
+    await scenes.cut_loudly(scene, pairs, harms, trouble.for_s)
+
+
+async def leader_cut_loudly(scene, trouble) -> None:
+    """Cut the leader off the store and the other servers, not the machines."""
+    former = scenes.leader(scene)
+    others = [row for row in scene.processes if row is not former]
+    pairs = {(former.name, servers.STORE_ADDRESS)}
+    if scene.rng.random() < 0.5:
+        pairs |= {(row.name, former.address) for row in others}
+    if scene.rng.random() < 0.5:
+        pairs |= {(former.name, row.address) for row in others}
+    harms = scenes.draw_harms(scene)
+    await scenes.cut_loudly(scene, pairs, harms, trouble.for_s)
+
+
 async def leader_parted(scene, trouble) -> None:
     """Part the leader and half of the machines from all others."""
     pairs = _others_reach(scene)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -58,6 +58,9 @@
     REACH_PARTED = 'reach-parted'
     ENTRY_SPOILED = 'entry-spoiled'
     LEADER_PARTED = 'leader-parted'
+    SIDES_PARTED = 'sides-parted'
+    WAYS_SPOILED = 'ways-spoiled'
+    LEADER_CUT_LOUDLY = 'leader-cut-loudly'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,6 +89,13 @@
 """Kinds that force a change of leader, or strike one; kept seeds draw from
 these too."""
 
+CUT_KINDS = (
+    Kind.SIDES_PARTED,
+    Kind.WAYS_SPOILED,
+    Kind.LEADER_CUT_LOUDLY,
+)
+"""Cuts that refuse, reset, swallow answers or change while they last."""
+
 DEAFENING = (
     Kind.LEADER_FROZEN,
     Kind.LEADER_REFUSED,
@@ -106,6 +116,7 @@
     Kind.LATE_ACROSS_TAKEOVER,
     Kind.ALL_KILLED_IN_TAKEOVER,
     Kind.LEADER_PARTED,
+    *CUT_KINDS,
 )
 """Kinds that keep servers from hearing of changes in the store."""
 
@@ -115,12 +126,16 @@
     *TAKEOVER_KINDS,
     Kind.ENTRY_SPOILED,
     Kind.LEADER_PARTED,
+    *CUT_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
 FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
 """What kept seeds draw from, so that they go on meaning the same days."""
 
+LAB_KINDS = tuple(kind for kind in Kind if kind not in CUT_KINDS)
+"""The same for days of the lab; others are asked for by a count of theirs."""
+
 
 def draw(
     seed: int,
@@ -363,4 +378,7 @@
     Kind.REACH_PARTED: takeovers.reach_parted,
     Kind.ENTRY_SPOILED: _entry_spoiled,
     Kind.LEADER_PARTED: takeovers.leader_parted,
+    Kind.SIDES_PARTED: takeovers.sides_parted,
+    Kind.WAYS_SPOILED: takeovers.ways_spoiled,
+    Kind.LEADER_CUT_LOUDLY: takeovers.leader_cut_loudly,
 }
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -87,7 +87,7 @@
 
 @pytest.mark.parametrize('seed', DRAWN_OF_ALL)
 def test_day_drawn_from_all_kinds(seed):
-    _check(_drawn(seed, tuple(troubles.Kind)))
+    _check(_drawn(seed, troubles.LAB_KINDS))
 
 
 @pytest.mark.parametrize('seed', DRAWN_TAKEOVERS)
--- a/tests/utils_features.py
+++ b/tests/utils_features.py
@@ -16,7 +16,7 @@
     jobs_per_s: float = 2.0,
 ) -> day.Plan:
     """Draw a day with some troubles."""
-    drawn = troubles.draw(seed, 12.0, count, tuple(troubles.Kind))
+    drawn = troubles.draw(seed, 12.0, count, troubles.LAB_KINDS)
     return day.Plan(
         seed,
         features=wanted,
