Judge by leases, addresses and machines only with the mark in force

Cause: a leader that other servers confirm, without the store, took the end of a lease that it had given for the end of a run, while its successor had renewed that lease. The same by another executor at the address and by the list of machines. Ruled out: a wait of the successor that is too short, slow clocks.

Why it holds: with the mark in force nobody else has led, so nobody renewed or noted anything. Without it, only workers' own words count, and they are given only where no later term was seen.

Cost: tasks of a worker that dies while the store is away wait for its return.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -28,6 +28,9 @@
 NAMED_CHECK_S = 0.1
 """Time between two looks at which services the configuration names."""
 
+MOVED = 'listed at another place'
+"""Why a worker is gone whose entry names another address than before."""
+
 JOB_DECODER = msgspec.json.Decoder(model.Job)
 
 
@@ -229,15 +232,15 @@
     name = entry.worker
     known = leader.workers.get(name)
     if known is not None and not entries_.same_place(entry, known.entry):
-        if workers_.may_run(known, clock.now_s()):
+        # If nobody has answered where it was said to be, it is met anew.
+        may_run = workers_.may_run(known, clock.now_s())
+        if may_run or not await worker_loop.lost(leader, known, MOVED):
             error = entries_.BadEntry(
                 entries_.Fault.CONTRADICTS,
                 f'{entry.service!r} at {entry.address} on {entry.machine!r}',
             )
             _refuse(leader, name, 'contradicted', error)
             return
-        # Nobody has answered where it was said to be.
-        await worker_loop.lost(leader, known, 'listed at another place')
         known = None
     if known is None:
         await _take_new(leader, entry)
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -85,7 +85,7 @@
     worker_loop.note_unanswered(leader, error)
     _log_start(leader, worker, task, run, error.verdict.value, error.reason)
     if error.verdict is verdicts.Verdict.NOT_RUN:
-        worker_loop.note_silence(worker, error)
+        worker_loop.note_silence(worker, error.reason)
         if task.run is run:
             await _not_started(leader, worker, task, 'not sent')
         return
@@ -108,6 +108,9 @@
     fenced = refusal is executors.Refusal.FENCED
     if fenced or refusal is executors.Refusal.REPLACED:
         await worker_loop.note_refused(leader, worker, fenced)
+        if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+            # The worker counts on until our mark is in force again.
+            ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
         return
     if refusal is executors.Refusal.NO_TICKET:
         task.group.advised_until_s = 0.0
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -48,7 +48,13 @@
 
 
 async def check_leases(leader: states.Leader) -> None:
-    """Give up the runs of silent workers whose leases have ended."""
+    """Give up the runs of silent workers whose leases have ended.
+
+    Only while nobody else can have led and renewed them: a former leader that
+    is confirmed without the store started runs again that its successor held.
+    """
+    if not states.holds_lease(leader):
+        return
     now_s = clock.now_s()
     for worker in list(leader.workers.values()):
         if worker.fenced and worker.silent_since_s is None:
@@ -75,21 +81,25 @@
     ended. What an earlier leader may have started, by the term under which
     it was accepted, isn't started again in such a pool.
     """
-    now_s = clock.now_s()
     return {
         worker.entry.service
         for worker in leader.workers.values()
-        if not worker.heard and _may_hold(worker, now_s)
+        if not worker.heard and _may_hold(leader, worker)
     }
 
 
-def _may_hold(worker: workers_.Worker, now_s: float) -> bool:
+def _may_hold(leader: states.Leader, worker: workers_.Worker) -> bool:
     """Say whether a worker may have a run or an end that we don't know.
 
-    One that answers keeps its ends until they are acknowledged.
+    One that answers keeps its ends until they are acknowledged. Without our
+    mark in the store, a later leader may have renewed its lease.
     """
     answers = worker.fenced and worker.silent_since_s is None
-    return answers or now_s <= worker.lease_end_s
+    return (
+        answers
+        or clock.now_s() <= worker.lease_end_s
+        or not states.holds_lease(leader)
+    )
 
 
 def _held_back(
@@ -105,7 +115,8 @@
     """
     if not entry.inherited:
         return False
-    if now_s <= leader.rosters_unread_until_s:
+    until_s = leader.rosters_unread_until_s
+    if now_s <= until_s or (until_s > 0 and not states.holds_lease(leader)):
         return True
     return bool(blocked) and not blocked.isdisjoint(ledgers.kept_pools(entry))
 
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -47,6 +47,9 @@
 timers are: an answer that has arrived is read only when its turn comes, and
 its timeout must not be handled first."""
 
+REPLACED = 'replaced at its address'
+"""Why a worker is gone whose address another one answers at."""
+
 SILENT_PAUSE_S = 0.2
 """Pause between calls to a worker that doesn't answer."""
 
@@ -145,7 +148,7 @@
         return False
     except errors.CallFailed as error:
         note_unanswered(leader, error)
-        note_silence(worker, error)
+        note_silence(worker, error.reason)
         return False
     await _take(leader, worker, report, sent_s)
     return True
@@ -249,14 +252,14 @@
                 await stop_run(leader, task)
 
 
-def note_silence(worker: workers_.Worker, error: errors.CallFailed) -> None:
+def note_silence(worker: workers_.Worker, why: str) -> None:
     if worker.silent_since_s is None:
         worker.silent_since_s = clock.now_s()
         event_log.emit(
             'worker',
             'silent',
             worker=worker.entry.worker,
-            why=error.reason,
+            why=why,
             runs=len(worker.runs),
             closed=worker.closed,
             lease_left_s=round(worker.lease_end_s - clock.now_s(), 2),
@@ -273,16 +276,23 @@
     """
     if fenced:
         await states.depose(leader, 'a worker has seen a higher term')
-    else:
-        await lost(leader, worker, 'replaced at its address')
+    elif not await lost(leader, worker, REPLACED):
+        note_silence(worker, REPLACED)
 
 
 async def lost(
     leader: states.Leader, worker: workers_.Worker, why: str
-) -> None:
-    """Note that a worker is gone, and with it all its runs."""
+) -> bool:
+    """Note that a worker is gone, and with it all its runs.
+
+    Not without our mark in the store, and then it gives False: a later leader
+    may have noted an end there, and its task would be started once more. The
+    call that told so is made again.
+    """
     if worker.gone:
-        return
+        return True
+    if not states.holds_lease(leader):
+        return False
     worker.gone = True
     now_s = clock.now_s()
     tasks = workers_.lost(leader.ledger, worker, now_s)
@@ -301,6 +311,7 @@
     await leader.orders[name].put(None)
     await leader.unkept.set()
     await leader.due.set(worker.entry.service)
+    return True
 
 
 async def stop_run(leader: states.Leader, task: ledgers.Task) -> None:
