Start no task that was given up unheard while another may lead

Cause: the run had ended unheard and its lease had run out; its leader gave it up with its mark in force, which is right, and still had no room for the task as the cut came. The next leader then read and noted the end, and the former one, confirmed by the servers on its side, started the task there.

Why it holds: in force, the mark says that nobody else has read that end; the check lies right before the order goes out. The new test failed before.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -76,6 +76,7 @@
     :ivar over_attempt: all runs up to this one are over
     :ivar failed_attempts: runs that ended as failed
     :ivar away_since_s: since when a long-running task hasn't worked
+    :ivar given_up: a run of it counts as over without its worker's word
     """
 
     name: ids.TaskId
@@ -90,6 +91,7 @@
     checkpoint: str = ''
     not_before_s: float = 0.0
     away_since_s: float = 0.0
+    given_up: bool = False
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -53,7 +53,7 @@
     if (
         ledgers.final(entry)
         or task.done
-        or not states.may_act(leader)
+        or not _may_start(leader, task)
         or not workers_.accepts(worker, now_s)
     ):
         await _not_started(leader, worker, task, 'not sent')
@@ -81,6 +81,17 @@
     await _start_answered(leader, worker, task, run, refusal)
 
 
+def _may_start(leader: states.Leader, task: ledgers.Task) -> bool:
+    """Say whether a leader may start a task now.
+
+    While a later one may lead, that one may have read the end of a run which
+    we gave up unheard.
+    """
+    if task.given_up and not states.holds_lease(leader):
+        return False
+    return states.may_act(leader)
+
+
 async def _start_unanswered(leader, worker, task, run, error) -> None:
     worker_loop.note_unanswered(leader, error)
     _log_start(leader, worker, task, run, error.verdict.value, error.reason)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -63,6 +63,8 @@
             continue
         if worker.runs:
             tasks = workers_.lost(leader.ledger, worker, now_s)
+            for task in tasks:
+                task.given_up = True
             event_log.emit(
                 'worker',
                 'lease-over',
--- a/tests/test_lease_renewed_by_another.py
+++ b/tests/test_lease_renewed_by_another.py
@@ -86,3 +86,35 @@
     result = build.play(story)
     assert begun
     assert not result.breaches
+
+
+def test_task_that_was_given_up_before_the_cut():
+    """No worker is reached for 8 s; then the cut, and the idle one answers.
+
+    The run ended while nobody reached its worker, and its lease ran out there.
+    The former leader had given it up while its mark was in force, and has found
+    no worker for it since. By the platform's rules a lease that ran out lets
+    the task run again, but its end is there to be read: callers would get its
+    work twice.
+    """
+    begun = []
+
+    async def story(scene):
+        await _begin(scene, begun, build.step(1, 16000, 1_500))
+        former = build.leader(scene)
+        network = scene.network
+        machines = [row.address for row in scene.fleet.machines.values()]
+        names = [process.name for process in scene.processes]
+        network.cuts |= {(name, row) for name in names for row in machines}
+        await curio.sleep(8.0)
+        network.cuts.clear()
+        _part(scene, begun, None)
+        idle = {row for row in machines if (names[-1], row) in network.cuts}
+        late = {(former.name, row) for row in idle}
+        network.cuts |= late
+        await curio.sleep(3.0)
+        network.cuts -= late
+
+    result = build.play(story)
+    assert begun
+    assert not result.breaches
