--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -206,7 +206,7 @@
 
 
 async def _keep_some_rosters(leader: states.Leader) -> None:
-    services = set(list(leader.roster_dirty)[: guarded.KEYS_A_WRITE])
+    services = sorted(leader.roster_dirty)[: guarded.KEYS_A_WRITE]
     writes = {}
     members: list[workers_.Worker] = []
     for service in services:
@@ -220,11 +220,11 @@
             [row.entry for row in rows]
         )
     # What is met or lost during the write is to be written after it.
-    leader.roster_dirty -= services
+    leader.roster_dirty.difference_update(services)
     try:
         await guarded.write(leader, writes)
     except BaseException:
-        leader.roster_dirty |= services
+        leader.roster_dirty.update(services)
         raise
     for worker in members:
         worker.rostered = True
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -205,7 +205,7 @@
         elif machine.state is fleet.State.UP and service in standby:
             standby[service].append(member)
     _note_demand(leader, views, now_s)
-    for service in leader.fleet.crowded.intersection(views):
+    for service in sorted(leader.fleet.crowded.intersection(views)):
         views[service].lacks_kind = True
     leader.fleet.crowded.clear()
     promised = policies.min_up(leader.policy.policy)
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -310,7 +310,10 @@
         return []
     if any(task.not_before_s > now_s for task in members):
         return []
-    racks = {room.rack for room in free} if group.step.one_rack else set()
+    # As the workers come: of a set, the order differs from process to process.
+    racks = dict.fromkeys(room.rack for room in free)
+    if not group.step.one_rack:
+        racks = {}
     choices = [
         [room for room in free if room.rack == rack]
         for rack in sorted(
