--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -201,17 +201,29 @@
 async def cancel(store: stores.Store, job: ids.JobId) -> bool:
     """Mark a job as cancelled; False if there is no such job.
 
-    :raises errors.CallFailed: the mark may not be there
+    :raises errors.CallFailed: with the verdict of all tries together: that
+        the last one did nothing says nothing of a mark written before it
     """
+    in_doubt = False
     for attempt in range(ATTEMPTS):
         try:
             if await stores.read(store, record.job_key(job)) is None:
                 return False
-            mark = {record.cancel_key(job): b'%d' % clock.wall_ms()}
-            await stores.write(store, {}, mark)
+            await _mark_cancelled(store, job)
             return True
-        except errors.CallFailed:
-            if attempt == ATTEMPTS - 1:
+        except errors.CallFailed as error:
+            in_doubt |= error.verdict is verdicts.Verdict.MAY_HAVE_RUN
+            if attempt < ATTEMPTS - 1:
+                await curio.sleep(0.05)
+            elif in_doubt:
+                raise errors.CallFailed(
+                    verdicts.Verdict.MAY_HAVE_RUN, error.reason
+                ) from error
+            else:
                 raise
-            await curio.sleep(0.05)
     return False
+
+
+async def _mark_cancelled(store: stores.Store, job: ids.JobId) -> None:
+    mark = {record.cancel_key(job): b'%d' % clock.wall_ms()}
+    await stores.write(store, {}, mark)
