Bring a machine for jobs that are worth nothing any more

Cause: hopeless jobs were left out of all demand, also of the count of steps that fit on no machine of their pool.

Why it holds: such a step brings one machine more at a time until it fits, as others do; so does anything that waits in a pool without machines. They still bring none beyond that, so what is worth something goes first.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -290,17 +290,20 @@
             continue
         queue = placing.queue_of(group.entry, known)
         view = views.get(queue.service)
-        if view is None or placing.hopeless(
-            group.entry, queue, leader.lengths, now_s
-        ):
+        if view is None:
             continue
-        if lacking.is_particular(group) and not view.lacks_kind:
+        if not view.members or (
+            lacking.is_particular(group) and not view.lacks_kind
+        ):
             if view.service not in idle:
                 idle[view.service] = lacking.idle_rooms(
                     row.worker for row in view.members if row.worker
                 )
             rooms = idle[view.service]
             view.lacks_kind = _lacks_kind(leader, group, view, rooms)
+        if placing.hopeless(group.entry, queue, leader.lengths, now_s):
+            # Its pool gets a machine on which it can run, but none more.
+            continue
         if group.step.lasting:
             _add_cores(view, group, len(group.waiting))
             if not view.lacks_kind and not group.step.uses_leftover:
