Take no gang member for stalled that waits for the others

Ruled out: advice (given each time), room, a faulty worker.

Why it holds: a member counts as stalled only when no member of its gang got on.

--- a/oleanderwood/pools/stalls.py
+++ b/oleanderwood/pools/stalls.py
@@ -34,8 +34,20 @@
 def _is_stalled(task: ledgers.Task, run: ledgers.Run, now_s: float) -> bool:
     if run.pace_percent != 100 or run.moved_on_s == 0:
         return False
-    still_s = now_s - run.moved_on_s
+    still_s = now_s - _moved_on_s(task, run)
     if task.group.step.lasting:
         return run.at_work_since_s is None and still_s > STARTUP_S
     guess_s = task.group.step.guess_ms / 1000
     return still_s > max(STALLED_S, LONG_FACTOR * guess_s)
+
+
+def _moved_on_s(task: ledgers.Task, run: ledgers.Run) -> float:
+    """Give when a run got on last; of a gang, when any of its members did.
+
+    A gang ends as a whole: a member that is done with its part waits for those
+    that are slower, and its end would break theirs.
+    """
+    if not task.group.step.gang:
+        return run.moved_on_s
+    runs = [member.run for member in task.group.tasks if member.run]
+    return max(row.moved_on_s for row in runs)
