Let runs that stand still beside others go on elsewhere

Cause: runs that use leftovers are paced by the serving tasks beside them, and bring no machines; a pool that had given its machines away kept two with serving tasks, and the runs stood at a pace of 0 to 20%.

Now the headway of such runs is measured over 5 s. One that would end sooner elsewhere leaves for a worker where nothing serves, three times at most, and while there is none its pool asks for a machine; a step with a label for one with that label. Why it holds: what stands still is in its pool's demand for as long as it does.

`explain` and `causes` name runs that are held back.

--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -67,9 +67,7 @@
         drawn = troubles.draw(
             seed, length_s, trouble_count, troubles.LAB_KINDS
         )
-        drawn += troubles.draw(
-            seed, length_s, cut_count, troubles.CUT_KINDS
-        )
+        drawn += troubles.draw(seed, length_s, cut_count, troubles.CUT_KINDS)
         wanted = features.draw(seed, feature_count)
         plan = day.Plan(
             seed,
--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -77,12 +77,14 @@
 
     :ivar worker: None while it is on its way, or off
     :ivar fixed: it must not move now
+    :ivar labels: of the machine
     """
 
     machine: str
     cores: float
     worker: workers_.Worker | None
     fixed: bool = False
+    labels: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -98,6 +100,8 @@
         that last
     :ivar lacks_kind: a step fits on none of its machines, even idle ones, or
         one that lasts on none as they are, and another machine might do
+    :ivar lacks_labels: labels of steps for which the same holds; only a
+        machine with the label might do
     """
 
     service: ids.ServiceId
@@ -109,6 +113,7 @@
     waiting: list[backlog.Waiting] = dataclasses.field(default_factory=list)
     priority: float = math.inf
     lacks_kind: bool = False
+    lacks_labels: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,9 +170,10 @@
     now = math.ceil(cores / each)
     if line is not None and demand.is_young(line, now_s):
         now = max(now, _young_machines(pool, turns))
-    coming = any(member.worker is None for member in pool.members)
-    if pool.lacks_kind and not coming:
-        now = max(now, len(pool.members) + 1)
+    if pool.lacks_kind:
+        # One comes at a time, and those that are there stay meanwhile: sent
+        # away as idle, they came back by turns, 26 times in a day of 90 s.
+        now = max(now, len(pool.members) + (not _is_coming(pool.members)))
     soon = 0
     turn = demand.next_turn(turns, pool.service, now_s)
     if turn is not None and _near(turn, now_s, move_s + AHEAD_S):
@@ -179,6 +185,10 @@
     return Need(now, max(now, soon))
 
 
+def _is_coming(members: collections.abc.Iterable[Member]) -> bool:
+    return any(member.worker is None for member in members)
+
+
 def _young_machines(pool: PoolView, turns: demand.Turns) -> int:
     """Give what a turn is taken to need that can't be measured yet.
 
@@ -231,7 +241,8 @@
         for pool in pools
         if _turn_is_near(turns, pool.service, near_s, now_s)
     }
-    moves = _to_lacking(
+    moves = _to_unlabelled(pools, free)
+    moves += _to_lacking(
         pools, {name: need.now for name, need in wanted.items()}, free, set()
     )
     moves += _to_lacking(
@@ -362,7 +373,12 @@
         # Machines on their way count as coming, but keep no promise yet.
         up = sum(member.worker is not None for member in pool.members)
         surplus = min(len(pool.members) - kept, up - pool.min_up)
-        idle = [member for member in pool.members if _movable(member, now_s)]
+        idle = [
+            member
+            for member in pool.members
+            if _movable(member, now_s)
+            and pool.lacks_labels.isdisjoint(member.labels)
+        ]
         idle.sort(key=lambda member: member.worker.idle_since_s)
         rows += [(pool.service, member) for member in idle[: max(0, surplus)]]
     rows.sort(key=lambda row: row[1].worker.idle_since_s)
@@ -404,6 +420,44 @@
     return workers_.accepts(worker, now_s) and idle_s >= IDLE_S
 
 
+def _to_unlabelled(
+    pools: collections.abc.Sequence[PoolView], free: _Free
+) -> list[Move]:
+    """Move a machine to each pool that lacks a label, one at a time.
+
+    Any machine in its place would stay without use: two pools that each held
+    the kind of the other waited for good.
+    """
+    moves = []
+    for pool in pools:
+        for label in sorted(pool.lacks_labels):
+            having = [row for row in pool.members if label in row.labels]
+            if _is_coming(having):
+                continue
+            taken = _take_labelled(free, pool.service, label)
+            if taken is not None:
+                source, member = taken
+                moves.append(
+                    Move(member.machine, source, pool.service, 'labelled')
+                )
+                free.coming[pool.service] = (
+                    free.coming.get(pool.service, 0) + 1
+                )
+    return moves
+
+
+def _take_labelled(
+    free: _Free, target: ids.ServiceId, label: str
+) -> tuple[ids.ServiceId, Member] | None:
+    """Take a machine with a label, from standby if there is one."""
+    for rows in (free.resting, free.idle):
+        for row in rows:
+            if row[0] != target and label in row[1].labels:
+                rows.remove(row)
+                return row
+    return None
+
+
 def _to_lacking(
     pools: collections.abc.Sequence[PoolView],
     wanted: dict[ids.ServiceId, int],
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -52,6 +52,10 @@
         earlier leader gave one, or none
     :ivar stop_answered_s: when its worker took the order to stop it
     :ivar at_work_since_s: since when a long-running task works
+    :ivar looked_at_s: when its headway was looked at last, and
+        ``looked_percent`` how far it was
+    :ivar held_left_s: how much longer it takes if others hold it back; None
+        if none do
     """
 
     worker: ids.VmId
@@ -67,6 +71,9 @@
     moved_on_s: float = 0.0
     latency_or_cpu: float = 0.0
     pace_percent: int | None = 100
+    looked_at_s: float | None = None
+    looked_percent: float = 0.0
+    held_left_s: float | None = None
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -76,6 +83,8 @@
     :ivar over_attempt: all runs up to this one are over
     :ivar failed_attempts: runs that ended as failed
     :ivar away_since_s: since when a long-running task hasn't worked
+    :ivar relocated: runs that were stopped to go on elsewhere, as others held
+        them back
     :ivar given_up: a run of it counts as over without its worker's word
     """
 
@@ -92,6 +101,7 @@
     not_before_s: float = 0.0
     away_since_s: float = 0.0
     given_up: bool = False
+    relocated: int = 0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -6,6 +6,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import relocating
 from oleanderwood.leading import state as states
 from oleanderwood.platform import advice
 from oleanderwood.pools import placing
@@ -45,7 +46,8 @@
         for name, worker in leader.workers.items()
         if not worker.entry.draining
     }
-    for group in leader.ledger.open_groups:
+    held = relocating.held_groups(leader, now_s)
+    for group in [*leader.ledger.open_groups, *held]:
         queue = placing.queue_of(group.entry, known)
         if not queue.needs_advice:
             continue
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -13,8 +13,10 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
 from oleanderwood.leading import machine_turns
+from oleanderwood.leading import relocating
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import fleet
@@ -267,6 +269,7 @@
         float(machine.capacity.cpu_millicores) / 1000,
         worker,
         fixed,
+        tuple(machine.labels),
     )
 
 
@@ -283,6 +286,10 @@
         for task in worker.runs.values():
             _add_cores(view, task.group, 1)
             _note_priority(view, task.group, known)
+    for service, groups in relocating.held_in(leader, now_s).items():
+        if service in views:
+            for group in groups:
+                _note_lack(views[service], group.step)
     wall_ms = clock.wall_ms()
     idle: dict[ids.ServiceId, list[placing.Room]] = {}
     for group in leader.ledger.open_groups:
@@ -292,15 +299,14 @@
         view = views.get(queue.service)
         if view is None:
             continue
-        if not view.members or (
-            lacking.is_particular(group) and not view.lacks_kind
-        ):
+        if _may_lack(view, group):
             if view.service not in idle:
                 idle[view.service] = lacking.idle_rooms(
                     row.worker for row in view.members if row.worker
                 )
             rooms = idle[view.service]
-            view.lacks_kind = _lacks_kind(leader, group, view, rooms)
+            if _lacks_kind(leader, group, view, rooms):
+                _note_lack(view, group.step)
         if placing.hopeless(group.entry, queue, leader.lengths, now_s):
             # Its pool gets a machine on which it can run, but none more.
             continue
@@ -315,6 +321,22 @@
             _note_priority(view, group, known)
 
 
+def _may_lack(view: rebalancing.PoolView, group: ledgers.Group) -> bool:
+    """Say whether a step has to be held against its pool's machines."""
+    if group.step.label:
+        return group.step.label not in view.lacks_labels
+    if view.lacks_kind:
+        return False
+    return not view.members or lacking.is_particular(group)
+
+
+def _note_lack(view: rebalancing.PoolView, step: model.Step) -> None:
+    if step.label:
+        view.lacks_labels.add(step.label)
+    else:
+        view.lacks_kind = True
+
+
 def _lacks_kind(
     leader: states.Leader,
     group: ledgers.Group,
--- /dev/null
+++ b/oleanderwood/leading/relocating.py
@@ -0,0 +1,136 @@
+"""Runs that are held back by others, and where they go instead."""
+
+from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
+from oleanderwood.pools import held_back
+from oleanderwood.pools import lengths
+from oleanderwood.pools import placing
+from oleanderwood.pools import workers as workers_
+
+COUNTS_S = 2.5
+"""How long a step counts as held back: longer than the time between two
+reports of a worker, 1 s, and an answer that is late."""
+
+
+SETTLE_S = 1.5
+"""Time until runs that left are seen where they went: a stop takes 0.2 to
+0.4 s, a report comes each second. Without it 57 left for one machine that had
+room for eight."""
+
+MOST_LEFT_S = 1e6
+"""What is told of a run that makes no headway at all."""
+
+
+def to_leave(
+    leader: states.Leader, worker: workers_.Worker, now_s: float
+) -> list[ledgers.Task]:
+    """Give the runs of a worker that leave it for a better one.
+
+    Those that find none make their pool ask for another machine.
+    """
+
+    def length_of(task: ledgers.Task) -> float:
+        entry = task.group.entry
+        return lengths.of_job(leader.lengths, entry)[task.group.number]
+
+    rows = held_back.measure(worker, length_of, now_s)
+    if not rows:
+        return []
+    leaving = _choose(leader, worker, rows, now_s)
+    left = {task.name for task in leaving}
+    for row in rows:
+        group = row.task.group
+        if row.task.name in left:
+            _log(worker, row, 'relocated')
+        elif group not in leader.held_back:
+            _log(worker, row, 'held-back')
+            leader.held_back[group] = now_s + COUNTS_S
+        else:
+            leader.held_back[group] = now_s + COUNTS_S
+    return leaving
+
+
+def _choose(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    rows: list[held_back.HeldBack],
+    now_s: float,
+) -> list[ledgers.Task]:
+    """Choose the runs that leave now, and note that they do."""
+    pool = worker.entry.service
+    if now_s < leader.relocated_s.get(pool, 0.0) + SETTLE_S:
+        return []
+    advised = [row for row in rows if _is_advised(leader, row.task, now_s)]
+    leaving = held_back.to_leave(advised, _others(leader, worker), now_s)
+    for task in leaving:
+        task.relocated += 1
+        leader.relocated_s[pool] = now_s
+    return leaving
+
+
+def _is_advised(
+    leader: states.Leader, task: ledgers.Task, now_s: float
+) -> bool:
+    """Say whether it is known which workers may run a task.
+
+    While advice is asked for, nothing is known: each of 10 runs of one task
+    was stopped for a worker that wasn't good, and began again where it had
+    been.
+    """
+    group = task.group
+    known = states.known_queues(leader)
+    if not placing.queue_of(group.entry, known).needs_advice:
+        return True
+    return group.tickets is not None and now_s < group.advised_until_s
+
+
+def _log(worker: workers_.Worker, row: held_back.HeldBack, event: str) -> None:
+    run = row.task.run
+    event_log.emit(
+        'run',
+        event,
+        task=row.task.name,
+        attempt=run.attempt,
+        worker=worker.entry.worker,
+        percent=round(run.percent, 1),
+        pace=run.pace_percent,
+        left_s=round(min(row.left_s, MOST_LEFT_S), 1),
+    )
+
+
+def _others(
+    leader: states.Leader, worker: workers_.Worker
+) -> list[workers_.Worker]:
+    return [
+        row
+        for row in leader.workers.values()
+        if row.entry.service == worker.entry.service
+        and row.rostered
+        and row is not worker
+    ]
+
+
+def held_groups(leader: states.Leader, now_s: float) -> list[ledgers.Group]:
+    """Give the steps whose runs wait for another machine; forget the rest."""
+    for group, until_s in list(leader.held_back.items()):
+        if until_s < now_s or not group.left or ledgers.final(group.entry):
+            del leader.held_back[group]
+    return list(leader.held_back)
+
+
+def held_in(
+    leader: states.Leader, now_s: float
+) -> dict[ids.ServiceId, list[ledgers.Group]]:
+    """Give the same by the pools in which they run."""
+    found: dict[ids.ServiceId, list[ledgers.Group]] = {}
+    for group in held_groups(leader, now_s):
+        pools = {
+            leader.workers[task.run.worker].entry.service: None
+            for task in group.tasks
+            if task.run is not None and task.run.worker in leader.workers
+        }
+        for service in pools:
+            found.setdefault(service, []).append(group)
+    return found
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -224,6 +224,9 @@
     :ivar writes_under_way: writes of progress that aren't answered yet
     :ivar write_failed: the last such write failed, and that was logged
     :ivar seen_ends: ends that wait for writes, the first first
+    :ivar held_back: steps with runs that would end sooner on another machine
+        than their pool has, and until when that counts
+    :ivar relocated_s: when runs last left a worker for another, by pool
     :ivar confirmed_until_s: by when servers that don't reach the store
         either have to confirm again that none leads
     """
@@ -255,6 +258,12 @@
     paces: dict[ids.VmId, slowness.Pace] = dataclasses.field(
         default_factory=dict
     )
+    held_back: dict[ledgers.Group, float] = dataclasses.field(
+        default_factory=dict
+    )
+    relocated_s: dict[ids.ServiceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     written: dict[str, int] = dataclasses.field(default_factory=dict)
     policy: policies.Kept = policies.NONE
     policy_revision: int = 0
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -7,6 +7,7 @@
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import former
+from oleanderwood.leading import relocating
 from oleanderwood.leading import slow_workers
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
@@ -221,7 +222,8 @@
         )
     for task in stalls.stalled(worker, now_s):
         await _give_up_stalled(leader, worker, task)
-    for task in slow_workers.to_leave(leader, worker, now_s):
+    leaving = slow_workers.to_leave(leader, worker, now_s)
+    for task in leaving + relocating.to_leave(leader, worker, now_s):
         task.failed_on = name
         await stop_run(leader, task)
     if outcome.changed:
--- a/oleanderwood/operators/causes.py
+++ b/oleanderwood/operators/causes.py
@@ -31,6 +31,7 @@
     ORDER = 'others of its pool went first'
     LOST_RUNS = 'runs were lost, stopped or failed'
     SLOW = 'its runs were slower than others of their step'
+    HELD_BACK = 'its runs were held back beside others on their worker'
     KEPT_LATE = 'its end was written late'
 
 
@@ -49,6 +50,7 @@
     began_s: float
     ended_s: float | None = None
     done: bool = False
+    held_back: bool = False
 
 
 @dataclasses.dataclass
@@ -180,6 +182,8 @@
         run = runs[key] = Run(row['time_s'])
         job = _job(jobs, name)
         job.steps.setdefault(number, Step()).runs.append(run)
+    elif key in runs and row['event'] in explain.HELD_BACK:
+        runs[key].held_back = True
     elif key in runs and row['event'] in ('done', 'failed', 'stopped'):
         run = runs[key]
         run.ended_s = row['time_s']
@@ -246,15 +250,21 @@
     """Add what a step's last task waited for; gives when the step ended."""
     done = [run for run in step.runs if run.done]
     lost_s = [run.began_s for run in step.runs if not run.done]
+    held_back = any(run.held_back for run in step.runs)
+    lost = Cause.HELD_BACK if held_back else Cause.LOST_RUNS
+    slow = Cause.HELD_BACK if held_back else Cause.SLOW
     last = max(done, key=lambda run: run.ended_s, default=None)
     if last is None:
         latest_s = max(lost_s)
-        times[Cause.LOST_RUNS] += latest_s - ready_s
+        times[lost] += latest_s - ready_s
+        if held_back:
+            # It stands still there; nothing is told of it any more.
+            times[lost] = float('inf')
         return latest_s
     begun_s = min([last.began_s, *lost_s])
-    times[Cause.LOST_RUNS] += last.began_s - begun_s
+    times[lost] += last.began_s - begun_s
     times[_why_waiting(job, ready_s, lacks)] += max(0.0, begun_s - ready_s)
-    times[Cause.SLOW] += max(0.0, _length_s(last) - _usual_s(step))
+    times[slow] += max(0.0, _length_s(last) - _usual_s(step))
     return last.ended_s
 
 
--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -21,6 +21,7 @@
     TASK_FAILED = 'a task failed as often as it may'
     CANCELLED = 'its caller cancelled it'
     WAITED = 'it waited for room'
+    HELD_BACK = 'its runs were held back beside others on their worker'
     LOST_RUNS = 'runs were lost with their workers'
     UNKNOWN = 'the logs hold nothing of it'
 
@@ -30,6 +31,10 @@
 takes some milliseconds when there is room."""
 
 
+HELD_BACK = ('held-back', 'relocated')
+"""Events of a run that gets next to no processor time where it is."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Story:
     """What the logs tell of a job.
@@ -127,6 +132,8 @@
                 return Cause.CANCELLED
     if any(row['event'] in ('gone', 'lease-over') for row in around):
         return Cause.LOST_RUNS
+    if any(row['event'] in HELD_BACK for row in touching):
+        return Cause.HELD_BACK
     starts = [row['time_s'] for row in touching if row['event'] == 'start']
     waited_s = min(starts, default=float('inf')) - touching[0]['time_s']
     return Cause.WAITED if waited_s > WAITED_S else Cause.NONE
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -310,17 +310,12 @@
         return []
     if any(task.not_before_s > now_s for task in members):
         return []
-    # As the workers come: of a set, the order differs from process to process.
-    racks = dict.fromkeys(room.rack for room in free)
-    if not group.step.one_rack:
-        racks = {}
-    choices = [
-        [room for room in free if room.rack == rack]
-        for rack in sorted(
-            racks, key=lambda name: name != group.step.near_rack
-        )
-    ]
-    for choice in [*choices, free]:
+    quiet = free
+    if group.step.uses_leftover:
+        # Beside tasks that serve, a gang that uses leftovers is held back.
+        quiet = [room for room in free if not room.serving]
+    choices = [*racks_for(group, quiet), *racks_for(group, free), quiet, free]
+    for choice in choices:
         placed = place_all(group, members, choice)
         for row in placed:
             quotas_.take(quotas, row.task.group)
@@ -329,6 +324,19 @@
     return []
 
 
+def racks_for(group: ledgers.Group, free: list[Room]) -> list[list[Room]]:
+    """Give the room of each rack for a gang that stays in one, best first."""
+    if not group.step.one_rack:
+        return []
+    # As the workers come: of a set, the order differs from process to process.
+    racks = dict.fromkeys(room.rack for room in free)
+    near = group.step.near_rack
+    return [
+        [room for room in free if room.rack == rack]
+        for rack in sorted(racks, key=lambda name: name != near)
+    ]
+
+
 def parted(
     groups: collections.abc.Iterable[ledgers.Group], now_s: float
 ) -> list[ledgers.Task]:
--- a/tests/test_cancel_in_doubt.py
+++ b/tests/test_cancel_in_doubt.py
@@ -1,15 +1,16 @@
 """A cancel that was written, whose answer was lost, before the store refuses.
 
 What callers see: 503, "not run", for a cancel, and then their job shown as
-cancelled. Order of events: the server writes the mark of the cancel and gets no
-answer; it tries again, and the store refuses all calls by now.
+cancelled. Order of events: the server writes the mark of the cancel and gets
+no answer; it tries again, and the store refuses all calls by now.
 
 Cause: the second try's verdict, that nothing was done, was given for the whole
 call. A refusal proves nothing of an earlier try.
 
-Log (lab seed 31068 with `--feature-count 4 --trouble-count 7`): `job cancelled`
-at 12.583; `caller store-failed why=read: status 503`, then `not-cancelled
-after_ms=1720`, answered with 503; at 17.01 the job is shown as cancelled.
+Log (lab seed 31068 with `--feature-count 4 --trouble-count 7`): `job
+cancelled` at 12.583; `caller store-failed why=read: status 503`, then
+`not-cancelled after_ms=1720`, answered with 503; at 17.01 the job is shown as
+cancelled.
 """
 
 import json
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -72,6 +72,15 @@
     assert finding.cause is Cause.LOST_RUNS
 
 
+def test_run_that_is_held_back_is_the_cause_of_what_it_lost():
+    held = _row(9.0, 'run', 'held-back', task='j.0.0.0', attempt=1)
+    stopped = _run('0.0', 1.0, 9.5, 'stopped')
+    rows = [_taken(1.0), held, *stopped]
+    assert _find(*rows).cause is Cause.HELD_BACK
+    rows += [*_run('0.0', 9.6, 10.6, attempt=2), _ended(10.6)]
+    assert _find(*rows).cause is Cause.HELD_BACK
+
+
 def test_run_that_took_longer_than_its_like_is_slow():
     finding = _find(
         _taken(1.0),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -91,3 +91,14 @@
         ]
     )
     assert len(explain.explain(rows, 'a').lines) == 1
+
+
+def test_job_whose_runs_are_held_back_tells_so():
+    rows = explain.read(
+        [
+            '{"time_s":1.0,"part":"job","event":"taken","job":"a"}',
+            '{"time_s":1.1,"part":"run","event":"start","task":"a.0.0.0"}',
+            '{"time_s":9.0,"part":"run","event":"held-back","task":"a.0.0.0"}',
+        ]
+    )
+    assert explain.explain(rows, 'a').cause is explain.Cause.HELD_BACK
--- a/tests/test_lease_renewed_by_another.py
+++ b/tests/test_lease_renewed_by_another.py
@@ -8,9 +8,9 @@
 former leader doesn't reach it; 5 s after its own last renewal it takes the
 lease, and so the run, for over, and starts the task on the idle worker.
 
-Cause: that the last lease that we gave has ended proves that a run is over only
-while nobody else can have renewed it, which is while our own mark in the store
-is in force. The same holds for what follows from another executor at its
+Cause: that the last lease that we gave has ended proves that a run is over
+only while nobody else can have renewed it, which is while our own mark in the
+store is in force. The same holds for what follows from another executor at its
 address, or from the list of machines: the next leader may know an end there
 that we don't.
 
@@ -92,10 +92,10 @@
     """No worker is reached for 8 s; then the cut, and the idle one answers.
 
     The run ended while nobody reached its worker, and its lease ran out there.
-    The former leader had given it up while its mark was in force, and has found
-    no worker for it since. By the platform's rules a lease that ran out lets
-    the task run again, but its end is there to be read: callers would get its
-    work twice.
+    The former leader had given it up while its mark was in force, and has
+    found no worker for it since. By the platform's rules a lease that ran out
+    lets the task run again, but its end is there to be read: callers would get
+    its work twice.
     """
     begun = []
 
--- a/tests/test_slow_gang_member.py
+++ b/tests/test_slow_gang_member.py
@@ -1,9 +1,9 @@
 """A gang's member that is done with its part and waits for the others.
 
 What callers see: a job that never ends. Order of events: the members of a gang
-run at different speeds; the fastest stands at 99% until the others have come so
-far. After 3 s it is taken for stalled and stopped, which breaks the whole gang;
-all begin anew, and so on.
+run at different speeds; the fastest stands at 99% until the others have come
+so far. After 3 s it is taken for stalled and stopped, which breaks the whole
+gang; all begin anew, and so on.
 
 Log (lab seed 41143 with `--feature-count 4 --trouble-count 7`): `run stalled
 task=620c14cc42e8b77f.0.0.5 percent=99.0`, then `broken` for the five others,
--- a/tests/utils_same_day.py
+++ b/tests/utils_same_day.py
@@ -1,6 +1,6 @@
 """Plays days and prints a digest of each one's log; run as a program.
 
-    python -m tests.utils_same_day 15 2 10
+python -m tests.utils_same_day 15 2 10
 """
 
 import hashlib
