Judge soaks by whether servers could hear of leaving workers

Trace: the worker began to leave 1 s after links to the store were struck, 3 s after a silent store; the watch of the leader was lost from before the notice until after the last of the eight starts. By the platform's rule a machine is in touch once the store and its ways were without disruption for 3 s, so the case is allowed.

The checker now knows: soaks note such spans already.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -1,6 +1,7 @@
 """The rules, checked from what was seen outside the product."""
 
 import collections
+import math
 
 from emulator import evidence as evidences
 from emulator import feature_rules
@@ -31,10 +32,13 @@
     most_down: dict[int, int],
     maintenance_s: float,
     troubled: feature_rules.Spans = (),
+    in_touch: bool = False,
 ) -> list[str]:
     """Give all breaches, as sentences.
 
     :param troubled: spans with a trouble
+    :param in_touch: judge starts on executors that leave as the platform's
+        rule does: only where servers could hear of it for a while
     """
     return [
         *_twice(evidence, jobs),
@@ -42,7 +46,7 @@
         *_attempts(evidence, max_attempts, jobs),
         *_shown(evidence, jobs, max_attempts),
         *_asked(evidence),
-        *_drained(evidence),
+        *_drained(evidence, in_touch),
         *_spoiled(evidence),
         *_maintained(evidence, most_down, maintenance_s),
         *_away(evidence, jobs),
@@ -231,18 +235,26 @@
             yield f'REFUSED: {job} runs, but each try was refused'
 
 
-def _drained(evidence):
+def _drained(evidence, in_touch):
     """Nothing starts on an executor some time after its notice.
 
     Orders that were carried out late don't count.
     """
     notice = {}
+    deaf = 0
+    hears_s = -math.inf
     for sight in evidence.sights:
-        if sight.kind is Kind.DRAINING:
+        if sight.kind is Kind.DEAF:
+            deaf += 1 if sight.how == 'begin' else -1
+            hears_s = sight.at_s
+        elif sight.kind is Kind.DRAINING:
             notice.setdefault(sight.place, sight.at_s)
         elif sight.kind is Kind.STARTED and sight.place in notice:
             if sight.how == 'late':
                 continue
+            heard = not deaf and sight.at_s - hears_s >= HEARD_S
+            if in_touch and not heard:
+                continue
             if sight.at_s > notice[sight.place] + DRAIN_S:
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
 
