Tell an executor's lives apart that start again under its id

Callers would see: tasks that run twice and done work that is done again. An id was taken for one life: the next life's first ends were below those known, `last_seen` let it forget ends that nobody had read, leases went by two clocks, and orders under way arrived where no stop was known.

A worker is now named by id and birth, so all that is remembered is remembered of one life. Which life is later is told by calls: one that was sent after the other's last answer. Tried first: any call of a look may acknowledge ends (lost the first ends of a life that nobody had heard of); kept out by acknowledging only in calls that follow an answer. What the life before never listed goes on as a run of the next until that has refused it; nothing is concluded without the mark in the store. The state changes in one go with the report, so nothing is placed between.

Soaks don't restart executors under their id yet.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(VENV)/bin/ruff format .
 
 lab: $(VENV)/.installed
-	$(RUN) -m emulator.lab --seeds 20 --first-seed $(SEED)
+	$(RUN) -m emulator.lab --seeds 20 --first-seed $(SEED) \
+		--cut-count 1 --restart-count 1
 
 demo: $(VENV)/.installed
 	$(RUN) -m emulator.demo
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -51,6 +51,7 @@
     :ivar jitter_s: the most by which any way takes longer
     :ivar press_gap_s: time between two small jobs while a leader changes or
         the store comes back; 0: none
+    :ivar tells_births: executors tell when they were born
     :ivar entries: what another writer writes, by the time from the first job
     """
 
@@ -71,6 +72,7 @@
     press_gap_s: float = 0.0
     away_s: float = 0.0
     jitter_s: float = 0.0
+    tells_births: bool = False
 
 
 @dataclasses.dataclass
@@ -336,6 +338,7 @@
 ) -> None:
     """Start the machines of a day, and what runs on them."""
     fleet.guarded = features_.Feature.UNGUARDED not in plan.features
+    fleet.tells_births = plan.tells_births
     kinds = ('a',)
     if features_.Feature.LABELS in plan.features:
         kinds = features_.KINDS
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -65,6 +65,10 @@
 class Executor:
     """One life of a machine's executor.
 
+    :ivar name: of this life alone, for the evidence
+    :ivar ident: the id by which it is called; lives may share one
+    :ivar resets: connections that wait for it are reset as it dies
+    :ivar born: its birth as it tells it; None if it doesn't
     :ivar clock_s: how far its clock is ahead; :ivar rate: how fast it is
     :ivar dark: it runs, but nobody hears it
     :ivar grey: part of its runs that fail
@@ -88,6 +92,9 @@
     grey: float = 0.0
     slow_factor: float = 1.0
     kind: str = 'a'
+    ident: str = ''
+    born: int | None = None
+    resets: bool = False
     guards: bool = True
     draining: bool = False
     fence: int = 0
@@ -129,10 +136,21 @@
     return (executor.clock_s + clock.now_s() * executor.rate) * 1000
 
 
+def _told(executor: Executor) -> dict:
+    """Give when it was born, if it tells."""
+    return {} if executor.born is None else {'born': executor.born}
+
+
+def key(executor: Executor) -> str:
+    """Give the key of the executor's entry in the store."""
+    return f'servers/{executor.ident}'
+
+
 def entry(executor: Executor) -> bytes:
     """Give the executor's entry in the store."""
     return json.dumps(
         {
+            **_told(executor),
             'service': executor.service,
             'addr': executor.address,
             'zone': 'zone-a',
@@ -158,7 +176,7 @@
     async def handle(source, method, target, body, headers):
         if not executor.up or executor.dark:
             await virtual.forever()
-        if headers.get('expect-instance') != executor.name:
+        if headers.get('expect-instance') != executor.ident:
             return transport.Answer(421, b'')
         asked = json.loads(body)
         if asked.get('fence', 0) < executor.fence:
@@ -203,7 +221,7 @@
     spec = world.jobs[job]['phases'][int(step)]
     ticket = asked.get('ticket', '')
     if world.advising is not None and not advice.is_valid(
-        world.advising, ticket, name, executor.name
+        world.advising, ticket, name, executor.ident
     ):
         world.refused['ticket'] += 1
         return _answer(executor, 409, reason='ticket')
@@ -282,6 +300,8 @@
     if not executor.ended and asked.get('wait_ms'):
         async with curio.ignore_after(asked['wait_ms'] / 1000):
             await executor.changed.wait()
+        if not executor.up and executor.resets:
+            raise networks.Reset
         if not executor.up or executor.dark:
             await virtual.forever()
     now_s = clock.now_s()
@@ -297,7 +317,13 @@
         ]
         for run in executor.running.values()
     ]
-    return _answer(executor, 200, running=rows, finished=executor.ended[:500])
+    return _answer(
+        executor,
+        200,
+        **_told(executor),
+        running=rows,
+        finished=executor.ended[:500],
+    )
 
 
 def _percent(run, now_s) -> float:
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -17,6 +17,10 @@
 MAINTENANCE_S = 2.0
 STANDBY = 'standby-pool'
 
+LATE_ENTRY_S = 0.3
+"""Time after which an entry of an earlier life is written once more, and
+until the present one's is its own again."""
+
 
 @dataclasses.dataclass(eq=False)
 class Machine:
@@ -25,6 +29,7 @@
     :ivar kind: told as a label
     :ivar executor: None while it is off, down or on its way
     :ivar waves: waves whose maintenance it has had
+    :ivar ident: the id of its executor, which may outlive a life
     """
 
     name: str
@@ -36,12 +41,15 @@
     waves: set[int] = dataclasses.field(default_factory=set)
     lives: int = 0
     kind: str = 'a'
+    ident: str = ''
 
 
 @dataclasses.dataclass
 class Fleet:
     """All machines.
 
+    :ivar tells_births: executors tell when they were born
+
     :ivar guarded: executors reject what doesn't fit
     """
 
@@ -52,12 +60,20 @@
     cores: int = 16
     memory_mb: int = 65536
     guarded: bool = True
+    tells_births: bool = False
+
 
+async def begin_life(
+    fleet: Fleet, machine: Machine, same_id: bool = False
+) -> None:
+    """Start a machine's executor, unless it is on standby.
 
-async def begin_life(fleet: Fleet, machine: Machine) -> None:
-    """Start a machine's executor, unless it is on standby."""
+    :param same_id: under the id that it had before
+    """
     machine.state = 'up'
     machine.lives += 1
+    if not same_id:
+        machine.ident = f'i-{machine.name}-{machine.lives}'
     if machine.pool == STANDBY:
         return
     rng = fleet.world.rng
@@ -72,8 +88,14 @@
         rng.uniform(0.0, 1000.0),
         rng.uniform(0.98, 1.0),
         kind=machine.kind,
+        ident=machine.ident,
         guards=fleet.guarded,
     )
+    if fleet.tells_births:
+        executor.born = round(clock.wall_ms())
+    if same_id:
+        # Its clock starts anew, with whatever it was told before long past.
+        executor.clock_s = -clock.now_s() * executor.rate
     machine.executor = executor
     fleet.world.evidence.places[executor.name] = evidences.Place(
         machine.pool,
@@ -85,12 +107,12 @@
     handler = executors.make_handler(fleet.world, executor)
     fleet.network.handlers[machine.address] = handler
     await virtual.spawn_in_world(executors.live, fleet.world, executor)
-    await virtual.spawn_in_world(_register, fleet.world, executor)
+    await virtual.spawn_in_world(_register, fleet.world, machine, executor)
 
 
-async def _register(world, executor) -> None:
+async def _register(world, machine, executor) -> None:
     """Keep the entry in the store while the executor lives and is heard."""
-    key = f'servers/{executor.name}'
+    key = executors.key(executor)
     seen = None
     silent_s = 0.0
     while True:
@@ -104,6 +126,13 @@
                 if executor.draining:
                     _note(world, executor, evidences.Kind.DRAINING)
             silent_s = 0.0
+        elif (
+            not executor.up
+            and machine.ident == executor.ident != ''
+            and (machine.executor is not None)
+        ):
+            # The entry is that of the next life by now.
+            return
         elif not heard:
             silent_s += 0.25
             if silent_s >= 3 * executors.HEARTBEAT_S:
@@ -133,6 +162,43 @@
         await begin_life(fleet, machine)
 
 
+async def restart(
+    fleet: Fleet,
+    machine: Machine,
+    for_s: float,
+    late_entry: bool = False,
+    resets: bool = False,
+) -> None:
+    """Let a machine's executor start again under its id.
+
+    The machine stays up: the list of machines shows nothing of it.
+
+    :param late_entry: the entry of the life before is written once more
+    :param resets: calls that wait for it are cut; otherwise nothing is heard
+    """
+    former = machine.executor
+    if former is None or machine.state != 'up':
+        return
+    former.resets = resets
+    await end_life(fleet, machine, 'crash')
+    await former.changed.set()
+    await curio.sleep(for_s)
+    if machine.state != 'up' or machine.executor is not None:
+        return
+    await begin_life(fleet, machine, same_id=True)
+    if late_entry:
+        await curio.sleep(LATE_ENTRY_S)
+        await _put_entry(fleet, former)
+        await curio.sleep(LATE_ENTRY_S)
+        if machine.executor is not None:
+            await _put_entry(fleet, machine.executor)
+
+
+async def _put_entry(fleet: Fleet, executor: executors.Executor) -> None:
+    key = executors.key(executor)
+    await stores.put(fleet.world.store, key, executors.entry(executor))
+
+
 async def hide(machine: Machine, for_s: float) -> None:
     """Cut a machine's executor off; what runs there goes on."""
     executor = machine.executor
@@ -153,7 +219,7 @@
     if machine.executor is executor:
         await end_life(fleet, machine, 'left')
         machine.state = 'down'
-        await stores.remove(fleet.world.store, f'servers/{executor.name}')
+        await stores.remove(fleet.world.store, executors.key(executor))
         await curio.sleep(3.0)
         await begin_life(fleet, machine)
 
@@ -197,6 +263,13 @@
     return handle
 
 
+def _shown_id(machine):
+    """Give the id that the list shows; it stays while an executor restarts."""
+    if machine.state != 'up' or machine.pool == STANDBY:
+        return ''
+    return machine.ident
+
+
 def _list(fleet):
     rows = [
         {
@@ -210,7 +283,7 @@
                 'mem_mb': fleet.memory_mb,
                 'gpu': 0,
             },
-            'id': machine.executor.name if machine.executor else '',
+            'id': _shown_id(machine),
         }
         for machine in fleet.machines.values()
     ]
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -39,6 +39,7 @@
     turn_s: float = 0.0,
     feature_count: int = 2,
     cut_count: int = 0,
+    restart_count: int = 0,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -48,6 +49,8 @@
     :param feature_count: things beyond plain tasks that a day asks for
     :param cut_count: further troubles: cuts that refuse, reset, swallow
         answers or change while they last
+    :param restart_count: further troubles: executors that start again under
+        their id; they tell when they were born then
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -68,6 +71,9 @@
             seed, length_s, trouble_count, troubles.LAB_KINDS
         )
         drawn += troubles.draw(seed, length_s, cut_count, troubles.CUT_KINDS)
+        drawn += troubles.draw(
+            seed, length_s, restart_count, troubles.RESTART_KINDS
+        )
         wanted = features.draw(seed, feature_count)
         plan = day.Plan(
             seed,
@@ -77,6 +83,7 @@
             troubles=tuple(drawn),
             features=wanted,
             finish_s=features.finish_s(wanted, day.FINISH_S),
+            tells_births=restart_count > 0,
         )
         began_s = time.perf_counter()
         result = day.play(plan)
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -46,6 +46,10 @@
     """Its caller stands still once it was carried out."""
 
 
+class Reset(Exception):
+    """The connection of a call is reset by whoever should have answered."""
+
+
 class Harm(enum.Enum):
     """What becomes of the calls on a way that is cut, but not silent."""
 
@@ -171,7 +175,9 @@
                         network, address, handler, arguments
                     )
                 else:
-                    answer = await _suffer(network, fate, handler, arguments)
+                    answer = await _suffer(
+                        network, fate, address, handler, arguments
+                    )
             finally:
                 await virtual.act_for(before)
                 await virtual.until_awake(before)
@@ -182,6 +188,8 @@
             if harm is not None:
                 raise _reset(address)
             return answer
+    except Reset as error:
+        raise _reset(address) from error
     except curio.TaskTimeout as error:
         if not reached:
             raise errors.CallFailed(
@@ -223,21 +231,30 @@
     lost = network.lost_share.get(address, 0.0)
     if drawn < late:
         late_s = network.rng.uniform(2.0, 12.0)
-        await virtual.spawn_in_world(_later, late_s, handler, arguments)
-        await virtual.forever()
+        await carry_out_later(network, late_s, address, arguments)
     answer = await handler(*arguments)
     if drawn < late + lost:
         await virtual.forever()
     return answer
 
 
-async def _suffer(network, fate, handler, arguments) -> transport.Answer:
+async def carry_out_later(network, after_s, address, arguments):
+    """Let a call be carried out some time later, without an answer."""
+    await virtual.spawn_in_world(_later, network, after_s, address, arguments)
+    await virtual.forever()
+
+
+async def _suffer(
+    network, fate, address, handler, arguments
+) -> transport.Answer:
     """Let a call have its fate."""
     source = arguments[0]
     if fate is Fate.REFUSED:
         return transport.Answer(503, b'')
     if fate is Fate.LATE:
-        await virtual.spawn_in_world(_later, LATE_S, handler, arguments)
+        await virtual.spawn_in_world(
+            _later, network, LATE_S, address, arguments
+        )
     elif fate is Fate.KILLED_BEFORE:
         await network.struck.put(source)
     elif fate is not Fate.REQUEST_LOST:
@@ -251,7 +268,10 @@
     await virtual.forever()
 
 
-async def _later(after_s, handler, arguments) -> None:
+async def _later(network, after_s, address, arguments) -> None:
+    """Carry a call out late, by whoever is at the address then."""
     *rest, headers = arguments
     await curio.sleep(after_s)
-    await handler(*rest, {**headers, LATE_HEADER: '1'})
+    handler = network.handlers.get(address)
+    if handler is not None:
+        await handler(*rest, {**headers, LATE_HEADER: '1'})
--- a/emulator/spoiling.py
+++ b/emulator/spoiling.py
@@ -162,7 +162,7 @@
 
 
 async def _write_over(fleet, executor, row, value) -> None:
-    key = f'servers/{executor.name}'
+    key = executors.key(executor)
     await _put(fleet, key, value)
     if row.unusable:
         _note(fleet, executor, evidences.Kind.SPOILED)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -10,6 +10,7 @@
 from emulator import evidence as evidences
 from emulator import executors
 from emulator import fleet as fleets
+from emulator import restarts
 from emulator import scenes
 from emulator import servers
 from emulator import spoiling
@@ -61,6 +62,13 @@
     SIDES_PARTED = 'sides-parted'
     WAYS_SPOILED = 'ways-spoiled'
     LEADER_CUT_LOUDLY = 'leader-cut-loudly'
+    EXECUTOR_RESTARTED = 'executor-restarted'
+    EXECUTOR_RESTARTED_TWICE = 'executor-restarted-twice'
+    EXECUTORS_RESTARTED = 'executors-restarted'
+    RESTARTED_IN_TAKEOVER = 'restarted-in-takeover'
+    RESTARTED_IN_CUT = 'restarted-in-cut'
+    RESTARTED_LATE_ORDERS = 'restarted-late-orders'
+    RESTARTED_STORE_AWAY = 'restarted-store-away'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +97,17 @@
 """Kinds that force a change of leader, or strike one; kept seeds draw from
 these too."""
 
+RESTART_KINDS = (
+    Kind.EXECUTOR_RESTARTED,
+    Kind.EXECUTOR_RESTARTED_TWICE,
+    Kind.EXECUTORS_RESTARTED,
+    Kind.RESTARTED_IN_TAKEOVER,
+    Kind.RESTARTED_IN_CUT,
+    Kind.RESTARTED_LATE_ORDERS,
+    Kind.RESTARTED_STORE_AWAY,
+)
+"""Executors that start again under their id, alone and beside others."""
+
 CUT_KINDS = (
     Kind.SIDES_PARTED,
     Kind.WAYS_SPOILED,
@@ -117,6 +136,9 @@
     Kind.ALL_KILLED_IN_TAKEOVER,
     Kind.LEADER_PARTED,
     *CUT_KINDS,
+    Kind.RESTARTED_IN_TAKEOVER,
+    Kind.RESTARTED_IN_CUT,
+    Kind.RESTARTED_STORE_AWAY,
 )
 """Kinds that keep servers from hearing of changes in the store."""
 
@@ -127,13 +149,16 @@
     Kind.ENTRY_SPOILED,
     Kind.LEADER_PARTED,
     *CUT_KINDS,
+    *RESTART_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
 FIRST_KINDS = tuple(kind for kind in Kind if kind not in LATER_KINDS)
 """What kept seeds draw from, so that they go on meaning the same days."""
 
-LAB_KINDS = tuple(kind for kind in Kind if kind not in CUT_KINDS)
+LAB_KINDS = tuple(
+    kind for kind in Kind if kind not in (*CUT_KINDS, *RESTART_KINDS)
+)
 """The same for days of the lab; others are asked for by a count of theirs."""
 
 
@@ -313,9 +338,9 @@
         if machine.executor is None:
             continue
         earlier = dataclasses.replace(
-            machine.executor, name=f'i-{machine.name}-{machine.lives - 1}'
+            machine.executor, ident=f'i-{machine.name}-{machine.lives - 1}'
         )
-        key = f'servers/{earlier.name}'
+        key = executors.key(earlier)
         await stores.put(scene.store, key, executors.entry(earlier))
         await curio.sleep(trouble.for_s / 10)
         await stores.remove(scene.store, key)
@@ -381,4 +406,11 @@
     Kind.SIDES_PARTED: takeovers.sides_parted,
     Kind.WAYS_SPOILED: takeovers.ways_spoiled,
     Kind.LEADER_CUT_LOUDLY: takeovers.leader_cut_loudly,
+    Kind.EXECUTOR_RESTARTED: restarts.one,
+    Kind.EXECUTOR_RESTARTED_TWICE: restarts.twice,
+    Kind.EXECUTORS_RESTARTED: restarts.half,
+    Kind.RESTARTED_IN_TAKEOVER: restarts.in_takeover,
+    Kind.RESTARTED_IN_CUT: restarts.in_cut,
+    Kind.RESTARTED_LATE_ORDERS: restarts.with_late_orders,
+    Kind.RESTARTED_STORE_AWAY: restarts.while_store_is_away,
 }
--- a/oleanderwood/ids.py
+++ b/oleanderwood/ids.py
@@ -2,7 +2,10 @@
 
 import typing
 
+ExecutorId = typing.NewType('ExecutorId', str)
+"""An executor's id, which it may keep as it starts again."""
 VmId = typing.NewType('VmId', str)
+"""One life of an executor; see :mod:`oleanderwood.pools.lives`."""
 PoolId = typing.NewType('PoolId', str)
 ServiceId = typing.NewType('ServiceId', str)
 TeamId = typing.NewType('TeamId', str)
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -54,6 +54,8 @@
     :ivar at_work_since_s: since when a long-running task works
     :ivar looked_at_s: when its headway was looked at last, and
         ``looked_percent`` how far it was
+    :ivar sent: the order to start it may have left
+    :ivar seen: its worker has listed it, so that order was carried out
     :ivar held_left_s: how much longer it takes if others hold it back; None
         if none do
     """
@@ -74,6 +76,8 @@
     looked_at_s: float | None = None
     looked_percent: float = 0.0
     held_left_s: float | None = None
+    sent: bool = False
+    seen: bool = False
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -300,6 +304,7 @@
     task.last_attempt = max(task.last_attempt, attempt)
     task.run = Run(worker, attempt, RunPhase.RUNNING, now_s, now_s)
     task.run.moved_on_s = now_s
+    task.run.sent = task.run.seen = True
     if task.group.step.uses_leftover:
         task.run.pace_percent = None
     _not_waiting(ledger, task)
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -64,10 +64,10 @@
 
 def _by_machine(leader: states.Leader) -> dict[str, workers_.Worker]:
     found = {}
-    for worker in leader.workers.values():
-        machine = leader.fleet.machines.get(worker.entry.machine)
-        if machine is not None and machine.worker == worker.entry.worker:
-            found[worker.entry.machine] = worker
+    for name, machine in leader.fleet.machines.items():
+        worker = states.worker_of(leader, machine.worker)
+        if worker is not None and worker.entry.machine == name:
+            found[name] = worker
     return found
 
 
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -11,6 +11,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
 from oleanderwood.leading import fleet_loop
+from oleanderwood.leading import meeting
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -21,6 +22,7 @@
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import reading
 from oleanderwood.pools import entries as entries_
+from oleanderwood.pools import lives
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
@@ -183,7 +185,7 @@
 
 async def take_worker(leader: states.Leader, item: stores.Item) -> None:
     """Take over a worker's entry in the store, or its removal."""
-    name = ids.VmId(item.key.removeprefix(executors.PREFIX))
+    name = ids.ExecutorId(item.key.removeprefix(executors.PREFIX))
     if item.removed:
         entries_.forget(leader.entries, name)
         _unlist(leader, name)
@@ -197,17 +199,24 @@
     await _take_entry(leader, entry)
 
 
-def _unlist(leader: states.Leader, name: ids.VmId) -> None:
-    """Note that a worker has no entry, or none that can be used."""
-    known = leader.workers.get(name)
-    if known is not None and known.listed:
-        known.listed = False
-        event_log.emit('worker', 'unlisted', worker=name)
+def _unlist(
+    leader: states.Leader,
+    name: ids.ExecutorId,
+    but: workers_.Worker | None = None,
+) -> None:
+    """Note that an executor has no entry, or none that can be used.
+
+    :param but: the life whose entry it has
+    """
+    for known in states.lives_of(leader, name):
+        if known.listed and known is not but:
+            known.listed = False
+            event_log.emit('worker', 'unlisted', worker=known.entry.worker)
 
 
 def _refuse(
     leader: states.Leader,
-    name: ids.VmId,
+    name: ids.ExecutorId,
     event: str,
     error: entries_.BadEntry,
 ) -> None:
@@ -223,14 +232,17 @@
             worker=name[: entries_.MAX_REASON],
             fault=error.fault.value,
             why=error.reason,
-            known=name in leader.workers,
+            known=name in leader.lives,
         )
     _unlist(leader, name)
 
 
 async def _take_entry(leader: states.Leader, entry: reports.Entry) -> None:
-    name = entry.worker
-    known = leader.workers.get(name)
+    name = lives.executor(entry.worker)
+    known = leader.workers.get(entry.worker)
+    _unlist(leader, name, known)
+    if known is not None and known.provisional:
+        _give_place(leader, known, entry)
     if known is not None and not entries_.same_place(entry, known.entry):
         # If nobody has answered where it was said to be, it is met anew.
         may_run = workers_.may_run(known, clock.now_s())
@@ -247,16 +259,32 @@
         return
     entries_.forget(leader.entries, name)
     if entry.draining and not known.entry.draining:
-        event_log.emit('worker', 'draining', worker=name)
+        event_log.emit('worker', 'draining', worker=entry.worker)
         known.entry = entry
         await leave_draining(leader, known)
     known.entry = entry
     if not known.listed:
         known.listed = True
-        event_log.emit('worker', 'listed-again', worker=name)
+        event_log.emit('worker', 'listed-again', worker=entry.worker)
     await leader.due.set()
 
 
+def _give_place(
+    leader: states.Leader, worker: workers_.Worker, entry: reports.Entry
+) -> None:
+    """Let a life that was met by its answer belong where its entry says.
+
+    It may be of another pool, kind and rack than its executor's life before;
+    only the address is known, as it has answered there.
+    """
+    if entry.address != worker.entry.address:
+        return
+    leader.roster_dirty |= {worker.entry.service, entry.service}
+    worker.entry = entry
+    worker.rostered = False
+    worker.provisional = False
+
+
 async def _take_new(leader: states.Leader, entry: reports.Entry) -> None:
     """Meet a worker, unless no configuration names its service so far."""
     if not _names(leader.server.configuration, entry.service):
@@ -264,12 +292,12 @@
         error = entries_.BadEntry(
             entries_.Fault.SERVICE, f'service {entry.service!r}'
         )
-        _refuse(leader, entry.worker, 'not-named', error)
+        _refuse(leader, lives.executor(entry.worker), 'not-named', error)
         return
-    entries_.forget(leader.entries, entry.worker)
+    entries_.forget(leader.entries, lives.executor(entry.worker))
     # It may be an earlier life of a known worker's machine, written
     # late: entries are no proof of who lives. Calls are.
-    await meet(leader, entry, listed=True)
+    await meeting.meet(leader, entry, listed=True)
 
 
 def _names(
@@ -287,7 +315,8 @@
             services = configuration.services
             for entry in list(leader.entries.waiting.values()):
                 # Another may have come while one was taken.
-                current = leader.entries.waiting.get(entry.worker) is entry
+                name = lives.executor(entry.worker)
+                current = leader.entries.waiting.get(name) is entry
                 if current and _names(configuration, entry.service):
                     await _take_entry(leader, entry)
         await curio.sleep(NAMED_CHECK_S)
@@ -299,7 +328,7 @@
     """Note which workers a whole reading of the entries lacks."""
     listed = {item.key.removeprefix(executors.PREFIX) for item in items}
     entries_.keep_only(leader.entries, listed)
-    for name in leader.workers:
+    for name in list(leader.lives):
         if name not in listed:
             _unlist(leader, name)
 
@@ -313,33 +342,6 @@
             await worker_loop.stop_run(leader, task)
 
 
-async def meet(
-    leader: states.Leader, entry: reports.Entry, listed: bool
-) -> workers_.Worker:
-    """Begin to renew a worker that wasn't known."""
-    now_s = clock.now_s()
-    worker = workers_.Worker(
-        entry, listed=listed, idle_since_s=now_s, met_s=now_s
-    )
-    leader.workers[entry.worker] = worker
-    leader.ends_kept[entry.worker] = states.Wake()
-    leader.orders[entry.worker] = states.curio.Queue()
-    leader.roster_dirty.add(entry.service)
-    event_log.emit(
-        'worker',
-        'met',
-        worker=entry.worker,
-        service=entry.service,
-        address=entry.address,
-        machine=entry.machine,
-        draining=entry.draining,
-        listed=listed,
-    )
-    await leader.fresh_workers.put(worker)
-    await leader.unrostered.set()
-    return worker
-
-
 def take_wave(leader: states.Leader, item: stores.Item) -> None:
     """Take over a wave that the operator asks for."""
     if item.removed:
--- /dev/null
+++ b/oleanderwood/leading/meeting.py
@@ -0,0 +1,51 @@
+"""Meeting workers: what a leader needs to ask and to order one."""
+
+import curio
+
+from oleanderwood import clock
+from oleanderwood import event_log
+from oleanderwood.leading import state as states
+from oleanderwood.pools import lives
+from oleanderwood.pools import reports
+from oleanderwood.pools import workers as workers_
+
+
+async def meet(
+    leader: states.Leader,
+    entry: reports.Entry,
+    listed: bool,
+    provisional: bool = False,
+) -> workers_.Worker:
+    """Begin to renew a worker that wasn't known.
+
+    :param provisional: its own entry wasn't read yet
+    """
+    now_s = clock.now_s()
+    worker = workers_.Worker(
+        entry,
+        listed=listed,
+        idle_since_s=now_s,
+        met_s=now_s,
+        provisional=provisional,
+    )
+    name = entry.worker
+    leader.workers[name] = worker
+    known = leader.lives.setdefault(lives.executor(name), {})
+    known[name] = None
+    leader.ends_kept[name] = states.Wake()
+    leader.orders[name] = curio.Queue()
+    leader.roster_dirty.add(entry.service)
+    event_log.emit(
+        'worker',
+        'met',
+        worker=name,
+        service=entry.service,
+        address=entry.address,
+        machine=entry.machine,
+        draining=entry.draining,
+        listed=listed,
+        lives=len(known),
+    )
+    await leader.fresh_workers.put(worker)
+    await leader.unrostered.set()
+    return worker
--- a/oleanderwood/leading/ordering.py
+++ b/oleanderwood/leading/ordering.py
@@ -69,6 +69,7 @@
         run.checkpoint,
         run.ticket,
     )
+    run.sent = True
     try:
         refusal = await executors.start(leader.calls, worker.entry, order)
     except errors.CallFailed as error:
@@ -102,6 +103,7 @@
         return
     if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
         ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+    worker.doubtful[workers_.RunName(task.name, run.attempt)] = None
     await worker_loop.look(leader, worker, 0)
 
 
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -25,6 +25,7 @@
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import lacking
 from oleanderwood.pools import lengths
+from oleanderwood.pools import lives
 from oleanderwood.pools import placing
 from oleanderwood import server_metrics
 
@@ -85,7 +86,8 @@
     for worker in list(leader.workers.values()):
         name = worker.entry.worker
         silent = worker.silent_since_s
-        if worker.met_s > sent_s - LIST_LAG_S or name in living:
+        executor = lives.executor(name)
+        if worker.met_s > sent_s - LIST_LAG_S or executor in living:
             continue
         if silent is not None and silent > sent_s:
             continue
@@ -263,7 +265,7 @@
 ) -> rebalancing.Member:
     worker = None
     if machine.state is fleet.State.UP:
-        worker = leader.workers.get(machine.worker)
+        worker = states.worker_of(leader, machine.worker)
     return rebalancing.Member(
         machine.machine,
         float(machine.capacity.cpu_millicores) / 1000,
@@ -417,7 +419,7 @@
     if not states.holds_lease(leader):
         return
     machine = leader.fleet.machines[move.machine]
-    worker = leader.workers.get(machine.worker)
+    worker = states.worker_of(leader, machine.worker)
     if worker is not None:
         if worker.runs:
             return
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -224,6 +224,10 @@
     :ivar writes_under_way: writes of progress that aren't answered yet
     :ivar write_failed: the last such write failed, and that was logged
     :ivar seen_ends: ends that wait for writes, the first first
+    :ivar workers: each is one life of an executor
+    :ivar lives: those of an executor that aren't known to be over, the one
+        that was met last comes last
+    :ivar ended_lives: lives found to be over, of which nobody was told yet
     :ivar held_back: steps with runs that would end sooner on another machine
         than their pool has, and until when that counts
     :ivar relocated_s: when runs last left a worker for another, by pool
@@ -243,6 +247,12 @@
     workers: dict[ids.VmId, workers_.Worker] = dataclasses.field(
         default_factory=dict
     )
+    lives: dict[ids.ExecutorId, dict[ids.VmId, None]] = dataclasses.field(
+        default_factory=dict
+    )
+    ended_lives: list[workers_.Worker] = dataclasses.field(
+        default_factory=list
+    )
     orders: dict[ids.VmId, curio.Queue] = dataclasses.field(
         default_factory=dict
     )
@@ -289,6 +299,27 @@
     fresh_workers: curio.Queue = dataclasses.field(default_factory=curio.Queue)
 
 
+def lives_of(
+    leader: Leader, executor: ids.ExecutorId
+) -> list[workers_.Worker]:
+    """Give the lives of an executor that aren't known to be over."""
+    return [
+        leader.workers[name]
+        for name in leader.lives.get(executor, ())
+        if name in leader.workers
+    ]
+
+
+def worker_of(
+    leader: Leader, executor: ids.ExecutorId
+) -> workers_.Worker | None:
+    """Give the life of an executor that answered last, else the last met."""
+    known = lives_of(leader, executor)
+    return max(
+        known, key=lambda row: (row.clock_at_s, row.met_s), default=None
+    )
+
+
 def may_act(leader: Leader) -> bool:
     """Say whether this process may still take itself for the leader."""
     now_s = clock.now_s()
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -26,6 +26,7 @@
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_turns
+from oleanderwood.leading import meeting
 from oleanderwood.leading import ordering
 from oleanderwood.leading import parallel
 from oleanderwood.leading import pool_loop
@@ -226,7 +227,7 @@
             leader.rosters_unread_until_s = leases_end_s
             continue
         for entry in entries_:
-            worker = await intake.meet(leader, entry, listed=False)
+            worker = await meeting.meet(leader, entry, listed=False)
             worker.lease_end_s = leases_end_s
 
 
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -1,13 +1,16 @@
 """Renewals of one worker, and what its reports tell."""
 
 import curio
+import msgspec
 
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import former
+from oleanderwood.leading import meeting
 from oleanderwood.leading import relocating
+from oleanderwood.leading import restarts
 from oleanderwood.leading import slow_workers
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
@@ -51,6 +54,9 @@
 REPLACED = 'replaced at its address'
 """Why a worker is gone whose address another one answers at."""
 
+RESTARTED = 'another life of its executor answers'
+"""Why a worker counts as silent whose executor has started again."""
+
 SILENT_PAUSE_S = 0.2
 """Pause between calls to a worker that doesn't answer."""
 
@@ -67,7 +73,8 @@
             await curio.sleep(SILENT_PAUSE_S)
             continue
         first = worker.silent_since_s is None
-        answered = await look(leader, worker, longest_wait_ms(worker, wary))
+        wait_ms = longest_wait_ms(worker, wary)
+        answered = await look(leader, worker, wait_ms, acknowledge=True)
         if not answered:
             # One lost call is asked again at once.
             await curio.sleep(0 if first else SILENT_PAUSE_S)
@@ -126,21 +133,31 @@
 
 
 async def look(
-    leader: states.Leader, worker: workers_.Worker, longest_wait_ms: int
+    leader: states.Leader,
+    worker: workers_.Worker,
+    longest_wait_ms: int,
+    acknowledge: bool = False,
 ) -> bool:
     """Renew once; says whether the worker answered.
 
     A leader that may not act any more, as it was suspended, only asks: the
     next one waits no longer than for leases given before it was elected.
+
+    :param acknowledge: let it forget ends that are kept. Only in a call that
+        follows an answer at once: another life of its executor, which nobody
+        has heard of yet, would forget its own first ends unread
     """
+    if worker.gone:
+        return False
     sent_s = clock.now_s()
     lease_end_ms = None
     answers = worker.fenced and worker.silent_since_s is None
     if answers and worker.runs and states.may_act(leader):
         lease_end_ms = new_lease_end_ms(leader, worker, sent_s)
         workers_.note_lease(worker, lease_end_ms)
+    acknowledged = worker.kept_end if answers and acknowledge else 0
     order = reports.Renewal(
-        leader.term, worker.kept_end, lease_end_ms, longest_wait_ms
+        leader.term, acknowledged, lease_end_ms, longest_wait_ms
     )
     try:
         report = await executors.renew(leader.calls, worker.entry, order)
@@ -151,8 +168,37 @@
         note_unanswered(leader, error)
         note_silence(worker, error.reason)
         return False
-    await _take(leader, worker, report, sent_s)
-    return True
+    if report.worker in ('', worker.entry.worker):
+        await take(leader, worker, report, sent_s)
+        return True
+    await _take_of_another(leader, worker, report, sent_s)
+    return False
+
+
+async def _take_of_another(
+    leader: states.Leader,
+    meant: workers_.Worker,
+    report: reports.Report,
+    sent_s: float,
+) -> None:
+    """Take a report that another life gave than the one that was called.
+
+    That life is met by it: its own entry in the store may come seconds later,
+    and until then it gets no tasks.
+    """
+    if meant.gone or not restarts.is_before(meant, sent_s):
+        return
+    if not states.holds_lease(leader):
+        # As in ``lost``: a later leader may have noted an end there.
+        note_silence(meant, RESTARTED)
+        return
+    worker = leader.workers.get(report.worker)
+    if worker is None:
+        entry = msgspec.structs.replace(meant.entry, worker=report.worker)
+        worker = await meeting.meet(
+            leader, entry, listed=False, provisional=True
+        )
+    await take(leader, worker, report, sent_s)
 
 
 def new_lease_end_ms(
@@ -162,21 +208,26 @@
     return workers_.clock_now_ms(worker, now_s) + lease_s * 1000
 
 
-async def _take(
+async def take(
     leader: states.Leader,
     worker: workers_.Worker,
     report: reports.Report,
     sent_s: float,
 ) -> None:
+    """Take a worker's report, unless it answers an older call."""
     name = worker.entry.worker
     if worker.gone or sent_s < leader.reported_s.get(name, 0.0):
         return
     leader.reported_s[name] = sent_s
     now_s = clock.now_s()
+    # From here to the end of take_report nothing else may run: a task of an
+    # earlier life could start elsewhere that runs here.
+    refused = restarts.succeed(leader, worker, report, sent_s)
     if not worker.fenced:
         longest_s = former.longest_lease_s(leader)
         worker.lease_end_s = min(worker.lease_end_s, now_s + longest_s)
-    if not worker.fenced or worker.silent_since_s is not None:
+    answers_again = not worker.fenced or worker.silent_since_s is not None
+    if answers_again:
         event_log.emit(
             'worker',
             'answers',
@@ -186,7 +237,6 @@
             running=len(report.running),
             ended=len(report.ended),
         )
-        await leader.due.set(worker.entry.service)
     workers_.note_answer(worker, report, now_s)
     known = states.known_queues(leader)
 
@@ -196,6 +246,9 @@
     outcome = workers_.take_report(
         leader.ledger, worker, report, sent_s, now_s, most_attempts
     )
+    if answers_again:
+        await leader.due.set(worker.entry.service)
+    await restarts.settle(leader)
     for note in outcome.notes:
         server_metrics.ENDS.labels(note.event).inc()
         event_log.emit(
@@ -208,7 +261,7 @@
             term=leader.term,
         )
     slow_workers.note_lengths(leader, worker, outcome.lengths, now_s)
-    for stop in outcome.stops:
+    for stop in [*refused, *outcome.stops]:
         order = states.StopOrder(stop.task, stop.attempt)
         await leader.orders[name].put(order)
     for task in outcome.elsewhere:
@@ -298,19 +351,16 @@
     worker.gone = True
     now_s = clock.now_s()
     tasks = workers_.lost(leader.ledger, worker, now_s)
-    name = worker.entry.worker
     event_log.emit(
         'worker',
         'gone',
-        worker=name,
+        worker=worker.entry.worker,
         why=why,
         tasks=[task.name for task in tasks],
     )
-    leader.workers.pop(name, None)
-    leader.paces.pop(name, None)
-    leader.roster_dirty.add(worker.entry.service)
+    restarts.forget(leader, worker)
+    await leader.orders[worker.entry.worker].put(None)
     await leader.unrostered.set()
-    await leader.orders[name].put(None)
     await leader.unkept.set()
     await leader.due.set(worker.entry.service)
     return True
--- a/oleanderwood/maintenance/fleet.py
+++ b/oleanderwood/maintenance/fleet.py
@@ -29,7 +29,7 @@
     data_centre: ids.DataCentre = ids.DataCentre('')
     labels: tuple[str, ...] = ()
     capacity: model.Resources = model.Resources()
-    worker: ids.VmId = ids.VmId('')
+    worker: ids.ExecutorId = ids.ExecutorId('')
 
 
 class Wave(msgspec.Struct, frozen=True):
--- a/oleanderwood/platform/advice.py
+++ b/oleanderwood/platform/advice.py
@@ -6,6 +6,7 @@
 
 from oleanderwood import ids
 from oleanderwood.platform import transport
+from oleanderwood.pools import lives
 from oleanderwood.web import connections
 
 MOST_WORKERS = 100
@@ -47,7 +48,8 @@
     :param step: the name of its tasks without their index
     :raises errors.CallFailed: no answer, or too many questions wait
     """
-    body = {'step': step, 'workers': workers[:MOST_WORKERS]}
+    asked = {lives.executor(name): name for name in workers[:MOST_WORKERS]}
+    body = {'step': step, 'workers': list(asked)}
     answer = await transport.call(
         calls.kept,
         calls.address,
@@ -59,5 +61,9 @@
     if answer.status != 200:
         raise transport.refused(answer, 'advice')
     wire = transport.decoded(answer, _WireAdvised)
-    tickets = {ids.VmId(row[0]): row[1] for row in wire.good}
+    tickets = {
+        asked[ids.ExecutorId(name)]: ticket
+        for name, ticket in wire.good
+        if name in asked
+    }
     return Advised(tickets, wire.valid_ms / 1000)
--- a/oleanderwood/platform/entries.py
+++ b/oleanderwood/platform/entries.py
@@ -12,6 +12,7 @@
 from oleanderwood.jobs import model
 from oleanderwood.platform import executors
 from oleanderwood.pools import entries
+from oleanderwood.pools import lives
 from oleanderwood.pools import reports
 
 MAX_ENTRY_BYTES = 64 << 10
@@ -63,6 +64,7 @@
     labels: list[str]
     machine: str = ''
     remaining_ms: float | None = None
+    born: _Amount | msgspec.UnsetType = msgspec.UNSET
 
 
 _DECODER = msgspec.json.Decoder(_WireEntry)
@@ -88,8 +90,9 @@
     except (ValueError, RecursionError) as error:
         raise entries.BadEntry(entries.Fault.MALFORMED, str(error)) from error
     _check(wire)
+    born = None if wire.born is msgspec.UNSET else wire.born
     return reports.Entry(
-        worker=ids.VmId(name),
+        worker=lives.life(ids.ExecutorId(name), born),
         service=ids.ServiceId(wire.service),
         address=ids.Address(wire.addr),
         data_centre=ids.DataCentre(wire.zone),
@@ -146,4 +149,5 @@
 
 def is_callable(entry: reports.Entry) -> bool:
     """Say whether orders can be addressed to an entry's worker at all."""
-    return bool(_ID.fullmatch(entry.worker)) and can_be_called(entry.address)
+    name = lives.executor(entry.worker)
+    return bool(_ID.fullmatch(name)) and can_be_called(entry.address)
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -6,8 +6,10 @@
 import msgspec
 
 from oleanderwood import errors
+from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.platform import transport
+from oleanderwood.pools import lives
 from oleanderwood.pools import reports
 from oleanderwood.web import connections
 
@@ -105,6 +107,7 @@
 
 class _WireReport(msgspec.Struct):
     clock_ms: float = 0
+    born: int | msgspec.UnsetType = msgspec.UNSET
     reason: str = ''
     running: list[_WireRun] = []
     finished: list[_WireEnd] = []
@@ -220,11 +223,18 @@
     answer = await _call(
         calls, at, '/hold', body, order.longest_wait_ms / 1000
     )
-    return _report(_checked(answer, 'renewal'))
+    return _report(_checked(answer, 'renewal'), at.worker)
 
 
-def _report(answer: transport.Answer) -> reports.Report:
+def _report(answer: transport.Answer, meant: ids.VmId) -> reports.Report:
+    """Decode a report.
+
+    :param meant: the life that was called; another may have answered
+    """
     wire = transport.decoded(answer, _WireReport)
+    worker = meant
+    if wire.born is not msgspec.UNSET:
+        worker = lives.life(lives.executor(meant), wire.born)
     running = [
         reports.Running(
             task=row.task,
@@ -249,7 +259,7 @@
     except KeyError as error:
         raise transport.not_understood(error) from error
     whole = len(ended) < MOST_ENDS
-    return reports.Report(wire.clock_ms, running, ended, whole)
+    return reports.Report(wire.clock_ms, running, ended, whole, worker)
 
 
 def _checked(answer: transport.Answer, what: str) -> transport.Answer:
@@ -279,6 +289,6 @@
         'POST',
         target,
         msgspec.json.encode(body),
-        [(b'expect-instance', at.worker.encode('ascii'))],
+        [(b'expect-instance', lives.executor(at.worker).encode('ascii'))],
         timeout_s=calls.timeout_s + wait_s,
     )
--- a/oleanderwood/platform/machines.py
+++ b/oleanderwood/platform/machines.py
@@ -95,7 +95,7 @@
         data_centre=ids.DataCentre(wire.zone),
         labels=tuple(wire.labels),
         capacity=executors.decode_capacity(wire.capacity),
-        worker=ids.VmId(wire.id or ''),
+        worker=ids.ExecutorId(wire.id or ''),
     )
 
 
--- a/oleanderwood/pools/entries.py
+++ b/oleanderwood/pools/entries.py
@@ -9,6 +9,7 @@
 
 from oleanderwood import errors
 from oleanderwood import ids
+from oleanderwood.pools import lives
 from oleanderwood.pools import reports
 
 MAX_REASON = 200
@@ -59,17 +60,19 @@
 class Book:
     """What a leader remembers of entries that it doesn't use.
 
-    :ivar refused: the last reason, by worker
+    :ivar refused: the last reason, by executor
     :ivar waiting: sound entries whose service isn't named yet
     """
 
-    refused: dict[ids.VmId, str] = dataclasses.field(default_factory=dict)
-    waiting: dict[ids.VmId, reports.Entry] = dataclasses.field(
+    refused: dict[ids.ExecutorId, str] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting: dict[ids.ExecutorId, reports.Entry] = dataclasses.field(
         default_factory=dict
     )
 
 
-def note_refusal(book: Book, name: ids.VmId, reason: str) -> bool:
+def note_refusal(book: Book, name: ids.ExecutorId, reason: str) -> bool:
     """Note a refusal; says whether it is to be logged.
 
     An entry that is written again and again is logged when its reason
@@ -83,7 +86,7 @@
     return True
 
 
-def forget(book: Book, name: ids.VmId) -> None:
+def forget(book: Book, name: ids.ExecutorId) -> None:
     """Forget an entry that is gone, or good again."""
     book.refused.pop(name, None)
     book.waiting.pop(name, None)
@@ -91,14 +94,15 @@
 
 def wait(book: Book, entry: reports.Entry) -> None:
     """Keep an entry until its service is named."""
-    book.waiting.pop(entry.worker, None)
-    book.waiting[entry.worker] = entry
+    name = lives.executor(entry.worker)
+    book.waiting.pop(name, None)
+    book.waiting[name] = entry
     if len(book.waiting) > MOST_WAITING:
         del book.waiting[next(iter(book.waiting))]
 
 
 def keep_only(
-    book: Book, listed: collections.abc.Collection[ids.VmId]
+    book: Book, listed: collections.abc.Collection[ids.ExecutorId]
 ) -> None:
     """Forget all entries but those that a whole reading has."""
     for name in {*book.refused, *book.waiting} - set(listed):
--- a/oleanderwood/pools/reports.py
+++ b/oleanderwood/pools/reports.py
@@ -11,7 +11,8 @@
 class Entry(msgspec.Struct, frozen=True):
     """A worker's own entry in the store.
 
-    :ivar worker: one life of a machine's executor
+    :ivar worker: one life of a machine's executor, see
+        :mod:`oleanderwood.pools.lives`
     :ivar labels: its kind, then its rack
     """
 
@@ -75,12 +76,14 @@
     :ivar own_clock_ms: the worker's own steady clock
     :ivar whole: it lists all ends that aren't acknowledged; of a run that it
         lacks otherwise, the end may not have been listed yet
+    :ivar worker: the life that answered; '' for the one that was called
     """
 
     own_clock_ms: float
     running: list[Running]
     ended: list[Ended]
     whole: bool = True
+    worker: ids.VmId = ids.VmId('')
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -59,6 +59,10 @@
     :ivar foreign: steps of runs that it lists and that aren't ours; they take
         room until they have been stopped
     :ivar crowded: it lists a run of which nothing is known
+    :ivar doubtful: runs whose order got no answer and that it hasn't listed;
+        they may begin late, in this life or the executor's next
+    :ivar provisional: it was met by its answer, where its executor's earlier
+        life had been; where it belongs, its own entry tells
     """
 
     entry: reports.Entry
@@ -87,6 +91,8 @@
     strays: dict[RunName, float] = dataclasses.field(default_factory=dict)
     foreign: list[ledgers.Group] = dataclasses.field(default_factory=list)
     crowded: bool = False
+    doubtful: dict[RunName, None] = dataclasses.field(default_factory=dict)
+    provisional: bool = False
     idle_since_s: float = 0.0
     met_s: float = 0.0
 
@@ -156,6 +162,8 @@
     :param most_attempts: how often a job's task may fail
     """
     outcome = Outcome()
+    for row in [*report.ended, *report.running]:
+        worker.doubtful.pop(RunName(row.task, row.attempt), None)
     for row in report.ended:
         if row.number > worker.seen_end:
             worker.seen_end = row.number
@@ -266,6 +274,7 @@
         return
     if is_current(worker, task, row.attempt):
         run = task.run
+        run.seen = True
         if run.phase in (
             ledgers.RunPhase.ORDERED,
             ledgers.RunPhase.DOUBTFUL,
@@ -337,6 +346,46 @@
     outcome.notes.append(Note('absent', task.name, run.attempt))
 
 
+def succeed(
+    ledger: ledgers.Ledger,
+    former: Worker,
+    worker: Worker,
+    report: reports.Report,
+    now_s: float,
+) -> list[RunName]:
+    """Let a later life of an executor answer for what an earlier one ran.
+
+    All that ran in the earlier life is over. An order that was under way may
+    yet be carried out, by the later life: it knows nothing of stops before.
+    So what was never listed goes on as a run of the later life, until that
+    lists it or has taken the order to stop it.
+
+    :param report: of the later life
+    :return: runs that the later life is to refuse
+    """
+    rows = [*report.running, *report.ended]
+    listed = {RunName(row.task, row.attempt) for row in rows}
+    refused = dict(former.doubtful)
+    for task in list(former.runs.values()):
+        run = task.run
+        if run is None or run.worker != former.entry.worker:
+            continue
+        name = RunName(task.name, run.attempt)
+        surely_over = run.seen or not run.sent
+        if surely_over and name not in listed:
+            end_run(ledger, former, task, now_s)
+            continue
+        run.worker = worker.entry.worker
+        worker.runs[task.name] = task
+        if run.phase is ledgers.RunPhase.STOPPING:
+            # The earlier life took that order, if any did.
+            run.stop_answered_s = None
+            refused[name] = None
+    former.runs.clear()
+    worker.doubtful.update(refused)
+    return [name for name in refused if name not in listed]
+
+
 def lost(
     ledger: ledgers.Ledger, worker: Worker, now_s: float
 ) -> list[ledgers.Task]:
--- /dev/null
+++ b/tests/test_restart_defects.py
@@ -0,0 +1,135 @@
+"""What an earlier life leaves behind, kept one at a time, is found.
+
+Each is remembered of one life of an executor; kept across a restart, it lets
+tasks run twice or ends be lost. Days with the same restarts are clean without.
+"""
+
+import functools
+
+import pytest
+
+from oleanderwood.leading import restarts
+from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
+from oleanderwood.pools import lives
+from oleanderwood.pools import workers
+from tests import utils_restarts
+
+
+def _ids_are_lives(patch):
+    patch.setattr(lives, 'life', lambda executor, born: executor)
+
+
+def _ends_are_kept(patch):
+    real = restarts._end
+
+    def end(leader, former, worker, report):
+        worker.seen_end = max(worker.seen_end, former.seen_end)
+        worker.kept_end = max(worker.kept_end, former.kept_end)
+        return real(leader, former, worker, report)
+
+    patch.setattr(restarts, '_end', end)
+
+
+def _clock_is_kept(patch):
+    real = workers.note_answer
+    first = {}
+
+    def note(worker, report, now_s):
+        real(worker, report, now_s)
+        name = lives.executor(worker.entry.worker)
+        clock_ms, at_s = first.setdefault(name, (report.own_clock_ms, now_s))
+        worker.own_clock_ms = clock_ms + (now_s - at_s) * 1000
+
+    patch.setattr(workers, 'note_answer', note)
+
+
+def _all_is_over(patch):
+    def succeed(ledger, former, worker, report, now_s):
+        workers.lost(ledger, former, now_s)
+        return []
+
+    patch.setattr(workers, 'succeed', succeed)
+
+
+def _stops_are_kept(patch):
+    real = workers.succeed
+
+    def succeed(*args):
+        real(*args)
+        return []
+
+    patch.setattr(workers, 'succeed', succeed)
+
+
+def _each_look_acknowledges(patch):
+    real = worker_loop.look
+
+    async def look(leader, worker, longest_wait_ms, acknowledge=False):
+        kept, worker.silent_since_s = worker.silent_since_s, None
+        try:
+            return await real(leader, worker, longest_wait_ms, True)
+        finally:
+            if worker.silent_since_s is None and kept is not None:
+                worker.silent_since_s = worker.gone and kept or None
+
+    patch.setattr(worker_loop, 'look', look)
+
+
+def _former_lives_go_on(patch):
+    patch.setattr(restarts, 'succeed', lambda *args: [])
+
+
+def _mark_is_ignored(patch):
+    patch.setattr(states, 'holds_lease', states.may_act)
+
+
+DEFECTS = {
+    'takes an id for one life': (
+        _ids_are_lives,
+        utils_restarts.ends_of_the_next_life,
+    ),
+    'keeps the numbers of ends': (
+        _ends_are_kept,
+        utils_restarts.ends_of_the_next_life,
+    ),
+    'keeps the clock': (
+        _clock_is_kept,
+        utils_restarts.hidden_after_the_restart,
+    ),
+    'takes orders under way for over': (
+        _all_is_over,
+        functools.partial(utils_restarts.late_order, 0.3),
+    ),
+    'takes earlier stops for known': (
+        _stops_are_kept,
+        functools.partial(utils_restarts.late_order, 3.0),
+    ),
+    'acknowledges to whoever answers': (
+        _each_look_acknowledges,
+        utils_restarts.ends_that_nobody_has_heard_of,
+    ),
+    'waits for the leases of a life that is over': (
+        _former_lives_go_on,
+        functools.partial(utils_restarts.roster_of_the_earlier_life, 0.0),
+    ),
+    'concludes without its mark in the store': (
+        _mark_is_ignored,
+        utils_restarts.former_leader_beside_the_next_life,
+    ),
+}
+
+
+def _is_broken(result):
+    """Say whether a rule was, or a task done more than once."""
+    return bool(result.breaches or utils_restarts.done_twice(result))
+
+
+@pytest.mark.parametrize('name', DEFECTS)
+def test_planted_defect_is_found_and_the_day_is_clean_without(name):
+    plant, story = DEFECTS[name]
+    with pytest.MonkeyPatch.context() as patch:
+        plant(patch)
+        result = story()
+        assert _is_broken(result) or result.unfinished
+    assert not _is_broken(story())
