Judge all starts on leaving workers by whether servers were in touch

Trace: the leader's watch of workers was lost from 9.5 s on in a silent store, the worker gave notice as the store was back for a moment, at 12 s, it was away again from 12.4 s, and the four starts came at 14.2 to 14.8 s. By the platform's rule nobody was in touch then.

The planted defect that gives leaving workers tasks is found as before; forged evidence shows both sides of the bound.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -32,13 +32,10 @@
     most_down: dict[int, int],
     maintenance_s: float,
     troubled: feature_rules.Spans = (),
-    in_touch: bool = False,
 ) -> list[str]:
     """Give all breaches, as sentences.
 
     :param troubled: spans with a trouble
-    :param in_touch: judge starts on executors that leave as the platform's
-        rule does: only where servers could hear of it for a while
     """
     return [
         *_twice(evidence, jobs),
@@ -46,7 +43,7 @@
         *_attempts(evidence, max_attempts, jobs),
         *_shown(evidence, jobs, max_attempts),
         *_asked(evidence),
-        *_drained(evidence, in_touch),
+        *_drained(evidence),
         *_spoiled(evidence),
         *_maintained(evidence, most_down, maintenance_s),
         *_away(evidence, jobs),
@@ -235,10 +232,12 @@
             yield f'REFUSED: {job} runs, but each try was refused'
 
 
-def _drained(evidence, in_touch):
+def _drained(evidence):
     """Nothing starts on an executor some time after its notice.
 
-    Orders that were carried out late don't count.
+    Orders that were carried out late don't count, nor those of servers that
+    weren't in touch: by the platform's rule, until some time after whatever
+    kept them from hearing of changes in the store.
     """
     notice = {}
     deaf = 0
@@ -252,8 +251,7 @@
         elif sight.kind is Kind.STARTED and sight.place in notice:
             if sight.how == 'late':
                 continue
-            heard = not deaf and sight.at_s - hears_s >= HEARD_S
-            if in_touch and not heard:
+            if deaf or sight.at_s - hears_s < HEARD_S:
                 continue
             if sight.at_s > notice[sight.place] + DRAIN_S:
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -231,12 +231,10 @@
     store: stores.Store,
     troubled: collections.abc.Collection[tuple[float, float]] | None = None,
     features: features_.Features = (),
-    in_touch: bool = False,
 ) -> Result:
     """Judge what was seen.
 
     :param troubled: spans with a trouble; None: all the time
-    :param in_touch: see :func:`checker.check`
     """
     world = callers.world
     evidence = world.evidence
@@ -255,7 +253,6 @@
         {number: wave['max_count'] for number, wave in fleet.waves.items()},
         fleets.MAINTENANCE_S,
         [(-math.inf, math.inf)] if troubled is None else troubled,
-        in_touch,
     )
     return Result(
         breaches=breaches,
--- a/soak/run.py
+++ b/soak/run.py
@@ -65,7 +65,7 @@
             process.busy = True
             await processes.kill(process)
     store = world.field.scene.store
-    result = day.judge(world.callers, world.fleet, store, in_touch=True)
+    result = day.judge(world.callers, world.fleet, store)
     return Outcome(plan.seed, result, world.cuts, folder)
 
 
