Ask the store again where an answer stays away

Cause: a lost answer used up all the time that there was: a renewal what was left of the lease, a candidate 1.5 s, one of five readings the whole takeover. Ruled out: slow takeovers (0.04 to 0.18 s where they succeed), a store that refuses.

Now a renewal is made by another call after 0.15 s without an answer, a candidate waits 0.5 s, a new lease is asked for again after 0.4 s, each reading of a takeover is tried again by itself. Why it holds: all of these may be done twice.

--- a/emulator/network.py
+++ b/emulator/network.py
@@ -128,9 +128,11 @@
         *,
         timeout_s,
         whole_s=0.0,
+        head_s=0.0,
     ):
+        within_s = head_s or timeout_s
         return await _call(
-            network, address, method, target, body, headers, timeout_s
+            network, address, method, target, body, headers, within_s
         )
 
     transport.call = call
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -19,6 +19,11 @@
 LONGEST_WAIT_S = 0.5
 """The roles are looked at at least this often."""
 
+ANSWER_S = 0.5
+"""Longest wait for an answer of the store to a candidate: twice what a slow
+store takes. A write that was carried out without an answer is found by the
+next one's conditions."""
+
 PAUSE_S = 0.1
 """Pause after a failed attempt."""
 
@@ -97,6 +102,7 @@
             conditions,
             writes,
             leases={roles_.ALIVE_KEY: lease},
+            timeout_s=ANSWER_S,
         )
     except stores.Conflict as conflict:
         return _after_conflict(server, conflict)
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -19,6 +19,22 @@
 RETRY_S = 0.1
 """Pause after a failed renewal."""
 
+AGAIN_S = 0.15
+"""Time without an answer after which the lease is renewed by another call. One
+lost answer took up all the time that was left: with half of them lost for four
+seconds, a leader of 97 servers lost its lease four times in 13 s, and 302 of
+1,166 jobs waited for somebody to lead. Calm answers take 4 ms, slow ones 0.24
+s; a renewal costs a tenth of a read."""
+
+GRANT_S = 0.4
+"""Longest wait for a new lease. Where answers are lost after leases ran out,
+the servers that get one first lead, whatever their size; a lease that nobody
+knows of ends by itself."""
+
+LEAST_LEFT_S = 0.6
+"""Least time for a renewal, also of a lease that seems to have ended: four
+calls."""
+
 MARGIN_S = 0.1
 """How much earlier than the store we take the lease for ended; clocks of
 two machines differ in rate by far less over a lease."""
@@ -69,7 +85,7 @@
 
 async def _grant(server: states.Server) -> Granted:
     sent_s = clock.now_s()
-    lease = await stores.grant(server.store, lease_s(server))
+    lease = await stores.grant(server.store, lease_s(server), GRANT_S)
     note_contact(server, sent_s)
     return Granted(lease, sent_s + lease_s(server) - MARGIN_S)
 
@@ -124,14 +140,66 @@
 
 
 async def _renew(server: states.Server) -> None:
-    sent_s = clock.now_s()
-    left_s = max(0.2, server.lease_until_s - sent_s)
+    """Renew the lease, by another call each time that none is answered.
+
+    :raises stores.LeaseEnded: it doesn't exist any more
+    :raises errors.CallFailed: no call was answered in the time that is left
+    """
+    left_s = max(LEAST_LEFT_S, server.lease_until_s - clock.now_s())
     timeout_s = min(stores.CALL_TIMEOUT_S, left_s)
-    await stores.renew(server.store, server.lease, timeout_s)
+    count = max(1, int(timeout_s / AGAIN_S))
+    answers: curio.Queue = curio.Queue()
+    calls = [
+        await curio.spawn(
+            _call, server, number * AGAIN_S, timeout_s, answers, daemon=True
+        )
+        for number in range(count)
+    ]
+    try:
+        sent_s = await _first_answer(answers, count)
+    finally:
+        for call in calls:
+            await call.cancel()
     note_contact(server, sent_s)
     server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
 
 
+async def _call(
+    server: states.Server,
+    after_s: float,
+    until_s: float,
+    answers: curio.Queue,
+) -> None:
+    """Make one call after a while; puts when it was sent, or its error."""
+    await curio.sleep(after_s)
+    sent_s = clock.now_s()
+    try:
+        await stores.renew(server.store, server.lease, until_s - after_s)
+    except (errors.CallFailed, stores.LeaseEnded) as error:
+        await answers.put(error)
+    else:
+        await answers.put(sent_s)
+
+
+async def _first_answer(answers: curio.Queue, count: int) -> float:
+    """Give when the call was sent that is answered first.
+
+    :raises errors.CallFailed: none of them is
+    """
+    error = None
+    for _ in range(count):
+        answer = await answers.get()
+        if isinstance(answer, stores.LeaseEnded):
+            raise answer
+        if not isinstance(answer, errors.CallFailed):
+            return answer
+        error = answer
+        if not isinstance(error, errors.Unanswered):
+            # Refused or not sent: the caller waits before it tries again.
+            raise error
+    raise error
+
+
 def note_contact(server: states.Server, sent_s: float) -> None:
     """Note that the store answered a call sent at some time."""
     server.contact_s = max(server.contact_s, sent_s)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import traceback
+import typing
 
 import curio
 import msgspec
@@ -51,6 +52,15 @@
 ROLE_CHECK_S = 0.05
 """Time between two looks at who leads."""
 
+READ_HEAD_S = 0.4
+"""Longest time until an answer to a reading of the takeover begins; a slow
+store takes 0.24 s."""
+
+READ_TRIES = 6
+"""Times that each of the five readings is tried. With half of the store's
+answers lost and one try each, one takeover in 32 succeeded: of two servers
+none led for the 15 s that this was played, on 40 emulated days of 40."""
+
 HAND_OVER_S = 0.6
 """Longest time for the last writes of a leader that stops."""
 
@@ -165,11 +175,27 @@
         fleet_loop.WAVES_PREFIX,
     )
     calls = [
-        functools.partial(stores.read_range, store, prefix)
+        functools.partial(stores.read_range, store, prefix, READ_HEAD_S)
         for prefix in ranges
     ]
-    calls.append(functools.partial(stores.read, store, machine_turns.KEY))
-    return Legacy(*await parallel.run(calls))
+    calls.append(
+        functools.partial(stores.read, store, machine_turns.KEY, READ_HEAD_S)
+    )
+    again = [functools.partial(_until_answered, call) for call in calls]
+    return Legacy(*await parallel.run(again))
+
+
+async def _until_answered(call: parallel.Call) -> typing.Any:
+    """Make a call that only reads, again while it gets no answer.
+
+    :raises errors.CallFailed: the store refused, or never answered
+    """
+    for _ in range(READ_TRIES - 1):
+        try:
+            return await call()
+        except errors.Unanswered:
+            continue
+    return await call()
 
 
 async def _inherit(leader: states.Leader) -> int:
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -125,24 +125,30 @@
     return Item(wire.key, value, wire.revision, wire.created, wire.lease, gone)
 
 
-async def read(store: Store, key: str) -> Item | None:
+async def read(
+    store: Store, key: str, timeout_s: float = CALL_TIMEOUT_S
+) -> Item | None:
     """Read one item; None if there is none.
 
     :raises errors.CallFailed: the store didn't answer
     """
     query = urllib.parse.urlencode({'key': key})
-    answer = await _call(store, 'GET', f'/kv-key?{query}')
+    answer = await _call(store, 'GET', f'/kv-key?{query}', timeout_s=timeout_s)
     if answer.status == 404:
         return None
     return _item(_decoded(answer, _WireItem, 'read'))
 
 
-async def read_range(store: Store, prefix: str) -> Items:
+async def read_range(
+    store: Store, prefix: str, head_s: float = CALL_TIMEOUT_S
+) -> Items:
     """Read all items below a prefix, page after page.
 
     The revision is that of the first page: a watch from there misses
     nothing.
 
+    :param head_s: longest time until a page begins to arrive
+
     :raises errors.CallFailed: the store didn't answer
     """
     items: list[Item] = []
@@ -153,7 +159,9 @@
         if after:
             query['after'] = after
         target = f'/kv-range?{urllib.parse.urlencode(query)}'
-        answer = await _call(store, 'GET', target, whole_s=PAGE_S)
+        answer = await _call(
+            store, 'GET', target, whole_s=PAGE_S, head_s=head_s
+        )
         page = _decoded(answer, _WireRange, 'range')
         revision = revision or page.current_rev
         items += [_item(wire) for wire in page.items]
@@ -225,13 +233,15 @@
     return _decoded(answer, _WireWritten, 'write').revision
 
 
-async def grant(store: Store, ttl_s: float) -> int:
+async def grant(
+    store: Store, ttl_s: float, timeout_s: float = CALL_TIMEOUT_S
+) -> int:
     """Take a new lease; gives its number.
 
     :raises errors.CallFailed: with the verdict
     """
     body = msgspec.json.encode({'ttl_ms': int(ttl_s * 1000)})
-    answer = await _call(store, 'POST', '/kv-lease', body)
+    answer = await _call(store, 'POST', '/kv-lease', body, timeout_s)
     return _decoded(answer, _WireLease, 'lease').lease
 
 
@@ -264,6 +274,7 @@
     body: bytes = b'',
     timeout_s: float = CALL_TIMEOUT_S,
     whole_s: float = 0.0,
+    head_s: float = 0.0,
 ) -> transport.Answer:
     return await transport.call(
         store.kept,
@@ -273,6 +284,7 @@
         body,
         timeout_s=timeout_s,
         whole_s=whole_s,
+        head_s=head_s,
     )
 
 
--- a/oleanderwood/platform/transport.py
+++ b/oleanderwood/platform/transport.py
@@ -49,11 +49,13 @@
     *,
     timeout_s: float,
     whole_s: float = 0.0,
+    head_s: float = 0.0,
 ) -> Answer:
     """Make one call within ``timeout_s``.
 
     :param whole_s: longest time for an answer that keeps arriving, if that
         may be longer; each of its pieces then comes within ``timeout_s``
+    :param head_s: longest time until such an answer begins, if that is less
     :raises errors.CallFailed: no whole answer; its verdict says whether
         the call may have run
     """
@@ -61,7 +63,15 @@
     outcome = 'cut'
     try:
         answer = await _call(
-            kept, address, method, target, body, headers, timeout_s, whole_s
+            kept,
+            address,
+            method,
+            target,
+            body,
+            headers,
+            timeout_s,
+            whole_s,
+            head_s or timeout_s,
         )
         outcome = str(answer.status)
         return answer
@@ -74,7 +84,7 @@
 
 
 async def _call(
-    kept, address, method, target, body, headers, timeout_s, whole_s
+    kept, address, method, target, body, headers, timeout_s, whole_s, head_s
 ) -> Answer:
     sent = list(headers or [])
     if http.find(sent, 'host') is None:
@@ -91,7 +101,7 @@
                 connection, method, target, sent, body
             )
             if whole_s:
-                head = await _in_time(timeout_s, exchange)
+                head = await _in_time(head_s, exchange)
                 pieces = http.Body(
                     lambda: _in_time(timeout_s, head.body.read())
                 )
--- a/tests/test_emulated_days.py
+++ b/tests/test_emulated_days.py
@@ -101,7 +101,9 @@
         troubles.Trouble(kind, 2.0, 3.0),
         troubles.Trouble(kind, 7.0, 3.0),
     )
-    _check(day.Plan(41, troubles=rows))
+    # An id is used again only by executors that tell when they were born.
+    tells = kind in troubles.RESTART_KINDS
+    _check(day.Plan(41, troubles=rows, tells_births=tells))
 
 
 def test_jobs_are_in_time_while_one_order_in_twenty_gets_no_answer():
