Let a leader that stops try more than once to remove its mark

Cause: the write that removes the mark was tried once; it was lost, and the server, which serves on until its callers have gone, renewed the lease under which its mark lies. `hands-over` at 12.517, `not-resigned` at 13.718, nothing until `took-over` at 17.904.

Why it holds: the write's condition is that nobody has led since, so it may be done twice.

--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -52,6 +52,12 @@
 ROLE_CHECK_S = 0.05
 """Time between two looks at who leads."""
 
+RESIGN_S = 0.4
+RESIGN_TRIES = 6
+"""Longest wait for an answer as a leader removes its mark, and times that it
+tries. A server that stops keeps its lease while callers are there: with one
+try and a lost write nobody led for 4.9 s."""
+
 READ_HEAD_S = 0.4
 """Longest time until an answer to a reading of the takeover begins; a slow
 store takes 0.24 s."""
@@ -470,13 +476,19 @@
     writes = {}
     if roles.ended_term == leader.term - 1:
         writes[roles_.ENDED_KEY] = b'%d' % leader.term
-    try:
-        await stores.write(
-            server.store,
-            {roles_.LEADER_KEY: leader.revision},
-            writes,
-            (roles_.ALIVE_KEY,),
-            timeout_s=HAND_OVER_S,
-        )
-    except (errors.CallFailed, stores.Conflict) as error:
-        event_log.emit('leader', 'not-resigned', why=str(error))
+    for _ in range(RESIGN_TRIES):
+        try:
+            await stores.write(
+                server.store,
+                {roles_.LEADER_KEY: leader.revision},
+                writes,
+                (roles_.ALIVE_KEY,),
+                timeout_s=RESIGN_S,
+            )
+        except errors.Unanswered as error:
+            # Done twice it changes nothing, and fails once another leads.
+            event_log.emit('leader', 'not-resigned', why=str(error))
+            continue
+        except (errors.CallFailed, stores.Conflict) as error:
+            event_log.emit('leader', 'not-resigned', why=str(error))
+        return
