Start further renewals only as they are needed

Now each further call begins as the one before stays unanswered, and calls go on for the whole time that is left, also after some have ended.

--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -12,6 +12,7 @@
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
+from oleanderwood import verdict as verdicts
 
 RENEW_S = states.LEASE_S / 3
 """Time between two renewals: two may be lost before the lease ends."""
@@ -22,9 +23,9 @@
 AGAIN_S = 0.15
 """Time without an answer after which the lease is renewed by another call. One
 lost answer took up all the time that was left: with half of them lost for four
-seconds, a leader of 97 servers lost its lease four times in 13 s, and 302 of
-1,166 jobs waited for somebody to lead. Calm answers take 4 ms, slow ones 0.24
-s; a renewal costs a tenth of a read."""
+seconds nobody led for 11.4% of the time, with this for 0.4% (20 emulated
+days). Calm answers take 4 ms, slow ones 0.24 s; a renewal costs a tenth of a
+read."""
 
 GRANT_S = 0.4
 """Longest wait for a new lease. Where answers are lost after leases ran out,
@@ -143,20 +144,14 @@
     """Renew the lease, by another call each time that none is answered.
 
     :raises stores.LeaseEnded: it doesn't exist any more
-    :raises errors.CallFailed: no call was answered in the time that is left
+    :raises errors.CallFailed: the store refused, or answered no call in the
+        time that is left
     """
     left_s = max(LEAST_LEFT_S, server.lease_until_s - clock.now_s())
     timeout_s = min(stores.CALL_TIMEOUT_S, left_s)
-    count = max(1, int(timeout_s / AGAIN_S))
-    answers: curio.Queue = curio.Queue()
-    calls = [
-        await curio.spawn(
-            _call, server, number * AGAIN_S, timeout_s, answers, daemon=True
-        )
-        for number in range(count)
-    ]
+    calls: list[curio.Task] = []
     try:
-        sent_s = await _first_answer(answers, count)
+        sent_s = await _until_answered(server, timeout_s, calls)
     finally:
         for call in calls:
             await call.cancel()
@@ -164,42 +159,42 @@
     server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
 
 
+async def _until_answered(
+    server: states.Server, timeout_s: float, calls: list[curio.Task]
+) -> float:
+    """Give when the call was sent that is answered first.
+
+    :param calls: gets the tasks that make the calls
+    """
+    answers: curio.Queue = curio.Queue()
+    until_s = clock.now_s() + timeout_s
+    while (left_s := until_s - clock.now_s()) > 0:
+        call = await curio.spawn(_call, server, left_s, answers, daemon=True)
+        calls.append(call)
+        answer = await curio.ignore_after(AGAIN_S, answers.get())
+        if isinstance(answer, float):
+            return answer
+        if answer is not None and not isinstance(answer, errors.Unanswered):
+            raise answer
+    raise errors.Unanswered(
+        verdicts.Verdict.MAY_HAVE_RUN,
+        f'no answer to {len(calls)} renewals in {timeout_s:.2f} s',
+    )
+
+
 async def _call(
-    server: states.Server,
-    after_s: float,
-    until_s: float,
-    answers: curio.Queue,
+    server: states.Server, timeout_s: float, answers: curio.Queue
 ) -> None:
-    """Make one call after a while; puts when it was sent, or its error."""
-    await curio.sleep(after_s)
+    """Make one call; puts when it was sent, or its error."""
     sent_s = clock.now_s()
     try:
-        await stores.renew(server.store, server.lease, until_s - after_s)
+        await stores.renew(server.store, server.lease, timeout_s)
     except (errors.CallFailed, stores.LeaseEnded) as error:
         await answers.put(error)
     else:
         await answers.put(sent_s)
 
 
-async def _first_answer(answers: curio.Queue, count: int) -> float:
-    """Give when the call was sent that is answered first.
-
-    :raises errors.CallFailed: none of them is
-    """
-    error = None
-    for _ in range(count):
-        answer = await answers.get()
-        if isinstance(answer, stores.LeaseEnded):
-            raise answer
-        if not isinstance(answer, errors.CallFailed):
-            return answer
-        error = answer
-        if not isinstance(error, errors.Unanswered):
-            # Refused or not sent: the caller waits before it tries again.
-            raise error
-    raise error
-
-
 def note_contact(server: states.Server, sent_s: float) -> None:
     """Note that the store answered a call sent at some time."""
     server.contact_s = max(server.contact_s, sent_s)
