--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -19,6 +19,7 @@
 from oleanderwood.jobs import record
 from oleanderwood.leading import advising
 from oleanderwood.leading import confirming
+from oleanderwood.leading import dispatch
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import following
 from oleanderwood.leading import former
@@ -28,7 +29,6 @@
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import meeting
-from oleanderwood.leading import ordering
 from oleanderwood.leading import parallel
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import roles as roles_
@@ -374,7 +374,7 @@
     async with curio.TaskGroup(wait=None) as loops:
         while True:
             worker = await leader.fresh_workers.get()
-            for loop in (worker_loop.renew_always, ordering.send_orders):
+            for loop in (worker_loop.renew_always, dispatch.send_orders):
                 await loops.spawn(_until_fault, leader, loop(leader, worker))
 
 
--- a/tests/test_emulated_defects.py
+++ b/tests/test_emulated_defects.py
@@ -5,8 +5,8 @@
 from emulator import day
 from emulator import troubles
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import dispatch
 from oleanderwood.leading import guarded
-from oleanderwood.leading import ordering
 from oleanderwood.leading import schedule
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import disruption_budget
@@ -50,9 +50,9 @@
 def _unanswered_start_did_not_run(patch):
     async def forget(leader, worker, task, run, error):
         if task.run is run:
-            await ordering._not_started(leader, worker, task, 'lost')
+            await dispatch._not_started(leader, worker, task, 'lost')
 
-    patch.setattr(ordering, '_start_unanswered', forget)
+    patch.setattr(dispatch, '_start_unanswered', forget)
 
 
 def _takeover_blocks_nothing(patch):
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -6,7 +6,7 @@
 
 from emulator import network as networks
 from emulator import search
-from oleanderwood.leading import ordering
+from oleanderwood.leading import dispatch
 
 STRIDE = 17
 """Every so many-th fault; ``python -m emulator.search`` plays them all."""
@@ -56,9 +56,9 @@
 def test_search_finds_a_start_that_is_taken_for_not_run(monkeypatch):
     async def forget(leader, worker, task, run, error):
         if task.run is run:
-            await ordering._not_started(leader, worker, task, 'lost')
+            await dispatch._not_started(leader, worker, task, 'lost')
 
-    monkeypatch.setattr(ordering, '_start_unanswered', forget)
+    monkeypatch.setattr(dispatch, '_start_unanswered', forget)
     fates = (networks.Fate.ANSWER_LOST, networks.Fate.LATE)
     assert any(
         search.breaches(search.PLAN, {number: fate})
--- a/tests/test_tickets_at_expiry.py
+++ b/tests/test_tickets_at_expiry.py
@@ -18,7 +18,7 @@
 from oleanderwood import clock
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import advising
-from oleanderwood.leading import ordering
+from oleanderwood.leading import dispatch
 from oleanderwood.platform import advice
 from oleanderwood.platform import executors
 from tests import utils_jobs as build
@@ -55,7 +55,7 @@
         worker.runs[task.name] = task
         asking = await curio.spawn(advising._ask, leader, None, task.group)
         await curio.sleep(ANSWER_S / 3)
-        await ordering._send_start(leader, worker, task, run)
+        await dispatch._send_start(leader, worker, task, run)
         await asking.join()
 
     monkeypatch.setattr(executors, 'start', start)
