--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -21,7 +21,6 @@
 from oleanderwood.leading import confirming
 from oleanderwood.leading import dispatch
 from oleanderwood.leading import fleet_loop
-from oleanderwood.leading import following
 from oleanderwood.leading import former
 from oleanderwood.leading import guarded
 from oleanderwood.leading import intake
@@ -34,6 +33,7 @@
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
+from oleanderwood.leading import watcher
 from oleanderwood.leading import worker_loop
 from oleanderwood.leading import yielding
 from oleanderwood.platform import advice
@@ -305,7 +305,7 @@
             pool_loop.note_arrival(leader, entry, now_s - age_s)
 
 
-def _contact(leader: states.Leader) -> following.Contact:
+def _contact(leader: states.Leader) -> watcher.Contact:
     def note(sent_s: float) -> None:
         lease.note_contact(leader.server, sent_s)
 
@@ -324,7 +324,7 @@
             intake.take_intake(leader, item, taking_over=False)
         await intake.after_intake(leader)
 
-    await following.follow(
+    await watcher.follow(
         leader.server.store,
         record.INTAKE_PREFIX,
         WATCH_S,
@@ -341,7 +341,7 @@
         if whole:
             await intake.unlist_others(leader, items)
 
-    await following.follow(
+    await watcher.follow(
         leader.server.store,
         executors.PREFIX,
         WATCH_S,
@@ -355,7 +355,7 @@
         for item in items:
             intake.take_wave(leader, item)
 
-    await following.follow(
+    await watcher.follow(
         leader.server.store,
         operator.WAVES_PREFIX,
         WATCH_S,
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -24,12 +24,12 @@
 from oleanderwood.jobs import model
 from oleanderwood.leading import confirming
 from oleanderwood.leading import election
-from oleanderwood.leading import following
 from oleanderwood.leading import intake as leading_intake
 from oleanderwood.leading import lease
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.leading import term
+from oleanderwood.leading import watcher
 from oleanderwood.operators import api
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
@@ -274,7 +274,7 @@
         for item in items:
             await _take_configuration(server, item)
 
-    await following.follow(
+    await watcher.follow(
         server.store,
         operator.CONFIGURATION_KEY,
         term.WATCH_S,
@@ -330,7 +330,7 @@
         roles.known = True
         await server.roles_changed.set()
 
-    await following.follow(
+    await watcher.follow(
         server.store,
         roles_.PREFIX,
         term.WATCH_S,
