--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -9,7 +9,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.leading import guarded
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
@@ -220,7 +220,7 @@
         return
     key = f'{operator.WAVE_STATUS_PREFIX}{progress.wave.wave}'
     value = operator.encode_wave_status(completed)
-    if not await guarded.try_write(
+    if not await fenced_writes.try_write(
         leader, {key: value}, 'wave', 'status-not-written'
     ):
         return
@@ -240,7 +240,7 @@
     age_s = clock.now_s() - progress.seen_s
     kept = Kept(sorted(progress.begun), clock.wall_ms() - age_s * 1000)
     values = {key: msgspec.json.encode(kept)}
-    await guarded.try_write(leader, values, 'wave', 'begun-not-written')
+    await fenced_writes.try_write(leader, values, 'wave', 'begun-not-written')
 
 
 def restore(progress: rolling.Progress, value: bytes) -> None:
--- a/oleanderwood/leading/former.py
+++ b/oleanderwood/leading/former.py
@@ -12,7 +12,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import confirming
-from oleanderwood.leading import guarded
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import transport
@@ -118,6 +118,8 @@
     """Write that all earlier leaders have ended, for the next one."""
     term = leader.term - 1
     values = {roles_.ENDED_KEY: b'%d' % term}
-    if await guarded.try_write(leader, values, 'leader', 'ended-not-written'):
+    if await fenced_writes.try_write(
+        leader, values, 'leader', 'ended-not-written'
+    ):
         roles_.note_ended(leader.server.roles, term)
         event_log.emit('leader', 'former-ended', term=term)
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -13,7 +13,7 @@
 from oleanderwood.jobs import model
 from oleanderwood.jobs import persistence
 from oleanderwood.jobs import record
-from oleanderwood.leading import guarded
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
@@ -84,7 +84,9 @@
         await curio.sleep(GATHER_S)
         _note_seen_ends(leader)
         while leader.writes_under_way < WRITES_AT_ONCE:
-            entries = persistence.take_up(leader.ledger, guarded.KEYS_A_WRITE)
+            entries = persistence.take_up(
+                leader.ledger, fenced_writes.KEYS_A_WRITE
+            )
             if not entries:
                 break
             leader.writes_under_way += 1
@@ -163,7 +165,7 @@
         for job, progress in written.items()
     }
     try:
-        await guarded.write(leader, writes)
+        await fenced_writes.write(leader, writes)
     except BaseException:
         persistence.note_failed(leader.ledger, entries)
         raise
@@ -206,7 +208,7 @@
 
 
 async def _keep_some_rosters(leader: states.Leader) -> None:
-    services = sorted(leader.roster_dirty)[: guarded.KEYS_A_WRITE]
+    services = sorted(leader.roster_dirty)[: fenced_writes.KEYS_A_WRITE]
     writes = {}
     members: list[workers_.Worker] = []
     for service in services:
@@ -222,7 +224,7 @@
     # What is met or lost during the write is to be written after it.
     leader.roster_dirty.difference_update(services)
     try:
-        await guarded.write(leader, writes)
+        await fenced_writes.write(leader, writes)
     except BaseException:
         leader.roster_dirty.update(services)
         raise
--- a/oleanderwood/leading/machine_turns.py
+++ b/oleanderwood/leading/machine_turns.py
@@ -11,7 +11,7 @@
 from oleanderwood import clock
 from oleanderwood import event_log
 from oleanderwood import ids
-from oleanderwood.leading import guarded
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import state as states
 
 KEY = 'ow/machine-orders'
@@ -80,7 +80,9 @@
         sorted(maintained),
     )
     values = {KEY: msgspec.json.encode(announced)}
-    if not await guarded.try_write(leader, values, 'fleet', 'not-announced'):
+    if not await fenced_writes.try_write(
+        leader, values, 'fleet', 'not-announced'
+    ):
         return False
     leader.fleet.announced = known
     leader.fleet.maintained = maintained
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -20,9 +20,9 @@
 from oleanderwood.leading import advising
 from oleanderwood.leading import confirming
 from oleanderwood.leading import dispatch
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import former
-from oleanderwood.leading import guarded
 from oleanderwood.leading import intake
 from oleanderwood.leading import keeping
 from oleanderwood.leading import lease
@@ -212,10 +212,10 @@
     legacy = await _read_legacy(leader.server.store)
     orders, waves = legacy.orders, legacy.waves
     if orders is not None:
-        guarded.note_read(leader, orders)
+        fenced_writes.note_read(leader, orders)
         machine_turns.restore_or_wait(leader, orders.value)
     for item in [*legacy.rosters.items, *legacy.kept.items, *waves.items]:
-        guarded.note_read(leader, item)
+        fenced_writes.note_read(leader, item)
     for item in waves.items:
         number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
         leader.fleet.kept_waves[number] = item.value
--- a/tests/test_emulated_defects.py
+++ b/tests/test_emulated_defects.py
@@ -6,7 +6,7 @@
 from emulator import troubles
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import dispatch
-from oleanderwood.leading import guarded
+from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import schedule
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import disruption_budget
@@ -34,7 +34,7 @@
 
 
 def _unguarded_writes(patch):
-    patch.setattr(guarded, 'write', _unguarded)
+    patch.setattr(fenced_writes, 'write', _unguarded)
 
 
 def _silence_is_death(patch):
