--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -15,8 +15,8 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
+from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import roles as roles_
-from oleanderwood.leading import yielding
 from oleanderwood.maintenance import fleet as fleet_
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import executors
@@ -263,7 +263,9 @@
         default_factory=lengths_.Lengths
     )
     wary_until_s: float = 0.0
-    pulse: yielding.Pulse = dataclasses.field(default_factory=yielding.Pulse)
+    pulse: leadership_transfer.Pulse = dataclasses.field(
+        default_factory=leadership_transfer.Pulse
+    )
     fleet: Fleet = dataclasses.field(default_factory=Fleet)
     paces: dict[ids.VmId, slowness.Pace] = dataclasses.field(
         default_factory=dict
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -25,6 +25,7 @@
 from oleanderwood.leading import former
 from oleanderwood.leading import intake
 from oleanderwood.leading import keeping
+from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import meeting
@@ -35,7 +36,6 @@
 from oleanderwood.leading import state as states
 from oleanderwood.leading import watcher
 from oleanderwood.leading import worker_loop
-from oleanderwood.leading import yielding
 from oleanderwood.platform import advice
 from oleanderwood.platform import entries
 from oleanderwood.platform import executors
@@ -400,7 +400,7 @@
         await curio.sleep(ROLE_CHECK_S)
         now_s = clock.now_s()
         late_s = now_s - asleep_s - ROLE_CHECK_S
-        yielding.measure(leader.pulse, late_s, now_s)
+        leadership_transfer.measure(leader.pulse, late_s, now_s)
         roles = server.roles
         if roles.leader_revision > leader.revision:
             await states.depose(leader, 'another server leads')
@@ -420,7 +420,7 @@
     if not states.holds_lease(leader):
         return ''
     others = roles_.peers(server.roles, server.process)
-    return yielding.reason(
+    return leadership_transfer.reason(
         leader.pulse,
         boot.cores(server.settings),
         [row.cores for row in others],
--- a/tests/test_wary.py
+++ b/tests/test_wary.py
@@ -15,8 +15,8 @@
 
 from oleanderwood import clock
 from oleanderwood import errors
+from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import worker_loop
-from oleanderwood.leading import yielding
 from oleanderwood.platform import transport
 from oleanderwood import verdict as verdicts
 from oleanderwood.web import connections
@@ -25,7 +25,7 @@
 def _leader():
     return types.SimpleNamespace(
         wary_until_s=0.0,
-        pulse=yielding.Pulse(),
+        pulse=leadership_transfer.Pulse(),
         calls=types.SimpleNamespace(timeout_s=0.0),
     )
 
--- a/tests/test_yielding.py
+++ b/tests/test_yielding.py
@@ -5,44 +5,44 @@
 from emulator import day
 from emulator import servers
 from emulator import troubles
+from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import worker_loop
-from oleanderwood.leading import yielding
 
 
 def _overloaded(now_s=10.0):
-    pulse = yielding.Pulse()
+    pulse = leadership_transfer.Pulse()
     for number in range(60):
-        yielding.measure(pulse, 0.5, now_s - 3.0 + number * 0.05)
+        leadership_transfer.measure(pulse, 0.5, now_s - 3.0 + number * 0.05)
     return pulse
 
 
 def test_small_leader_yields_to_a_larger_server():
-    calm = yielding.Pulse()
-    assert yielding.reason(calm, 0.5, [0.5, 2.0], 5.0, 10.0)
-    assert not yielding.reason(calm, 0.5, [0.5, 0.6], 5.0, 10.0)
+    calm = leadership_transfer.Pulse()
+    assert leadership_transfer.reason(calm, 0.5, [0.5, 2.0], 5.0, 10.0)
+    assert not leadership_transfer.reason(calm, 0.5, [0.5, 0.6], 5.0, 10.0)
 
 
 def test_young_leader_and_lone_leader_go_on():
-    calm = yielding.Pulse()
-    assert not yielding.reason(calm, 0.5, [2.0], 0.5, 10.0)
-    assert not yielding.reason(_overloaded(), 0.5, [], 5.0, 10.0)
+    calm = leadership_transfer.Pulse()
+    assert not leadership_transfer.reason(calm, 0.5, [2.0], 0.5, 10.0)
+    assert not leadership_transfer.reason(_overloaded(), 0.5, [], 5.0, 10.0)
 
 
 def test_overloaded_leader_yields_to_its_like_only_after_a_while():
     pulse = _overloaded()
-    assert yielding.reason(pulse, 1.0, [1.0], 5.0, 10.0)
-    assert not yielding.reason(pulse, 2.0, [1.0], 5.0, 10.0)
-    fresh = yielding.Pulse()
-    yielding.measure(fresh, 9.0, 10.0)
-    assert not yielding.reason(fresh, 1.0, [1.0], 5.0, 10.5)
+    assert leadership_transfer.reason(pulse, 1.0, [1.0], 5.0, 10.0)
+    assert not leadership_transfer.reason(pulse, 2.0, [1.0], 5.0, 10.0)
+    fresh = leadership_transfer.Pulse()
+    leadership_transfer.measure(fresh, 9.0, 10.0)
+    assert not leadership_transfer.reason(fresh, 1.0, [1.0], 5.0, 10.5)
 
 
 def test_single_late_timers_are_no_overload():
-    pulse = yielding.Pulse()
+    pulse = leadership_transfer.Pulse()
     for number in range(100):
         late_s = 0.3 if number % 10 == 0 else 0.01
-        yielding.measure(pulse, late_s, number * 0.05)
+        leadership_transfer.measure(pulse, late_s, number * 0.05)
     assert pulse.since_s is None
 
 
