--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -9,8 +9,8 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
+from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import intake as intakes
-from oleanderwood.frontend import relaying
 from oleanderwood.frontend import targets
 from oleanderwood import ids
 from oleanderwood.jobs import model
@@ -144,12 +144,12 @@
     Gives whether it lies there now, and why not.
     """
     verdict = verdicts.Verdict.NOT_RUN
-    if not relaying.store_lost(frontend.server):
+    if not forwarding.store_lost(frontend.server):
         handed = await intakes.hand_in(frontend.intake, job)
         if handed.verdict is verdicts.Verdict.RAN:
             return handed.verdict, handed.reason
         verdict = handed.verdict
-    relayed = await relaying.hand_in(frontend.asking, job)
+    relayed = await forwarding.hand_in(frontend.asking, job)
     if relayed.verdict is not verdicts.Verdict.NOT_RUN:
         verdict = relayed.verdict
     return verdict, relayed.reason
@@ -196,13 +196,13 @@
     :raises errors.CallFailed: neither this server nor another could do it
     """
     verdict = verdicts.Verdict.NOT_RUN
-    if not relaying.store_lost(frontend.server):
+    if not forwarding.store_lost(frontend.server):
         try:
             return await intakes.cancel(frontend.server.store, job)
         except errors.CallFailed as error:
             _log('store-failed', job, clock.now_s(), why=error.reason)
             verdict = error.verdict
-    relayed = await relaying.cancel(frontend.asking, job)
+    relayed = await forwarding.cancel(frontend.asking, job)
     if relayed.verdict is verdicts.Verdict.RAN:
         return relayed.there
     if relayed.verdict is not verdicts.Verdict.NOT_RUN:
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -17,9 +17,9 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
+from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import handler as handlers
 from oleanderwood.frontend import intake as intakes
-from oleanderwood.frontend import relaying
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.leading import confirming
@@ -88,7 +88,7 @@
         await askings.tell_jobs(asking, jobs)
 
     def lost() -> bool:
-        return relaying.store_lost(server)
+        return forwarding.store_lost(server)
 
     intake = intakes.Intake(server.store, server.roles, written, lost)
     return handlers.Frontend(server, intake, asking)
@@ -188,7 +188,7 @@
             return http.Response(503, [], b'stopping\n')
         if server.configuration is None:
             return http.Response(503, [], b'no configuration yet\n')
-        if relaying.store_lost(server):
+        if forwarding.store_lost(server):
             return http.Response(503, [], b'the store is lost\n')
         return http.Response(200, [], b'ready\n')
 
@@ -213,14 +213,14 @@
             return await api.handle(server, request)
         if path.startswith(confirming.PATH):
             return _json(await confirming.contact(server, path))
-        if path == relaying.JOB_PATH:
+        if path == forwarding.JOB_PATH:
             body = await http.read_all(request.body, MAX_TOLD_BYTES)
             return _json(
-                await relaying.take_job(server, frontend.intake, body)
+                await forwarding.take_job(server, frontend.intake, body)
             )
-        if path.startswith(relaying.CANCEL_PATH):
-            job = ids.JobId(path.removeprefix(relaying.CANCEL_PATH))
-            return _json(await relaying.take_cancel(server, job))
+        if path.startswith(forwarding.CANCEL_PATH):
+            job = ids.JobId(path.removeprefix(forwarding.CANCEL_PATH))
+            return _json(await forwarding.take_cancel(server, job))
         if path == askings.JOBS_PATH:
             return await _told_jobs(server, request)
         if path.startswith(askings.CANCELLED_PATH):
