--- a/tests/test_emulated_defects.py
+++ b/tests/test_emulated_defects.py
@@ -104,7 +104,7 @@
 
 DEFECTS = {
     'acknowledges ends before they are written': (_acknowledge_at_once, 600),
-    'writes older progress over newer': (_unguarded_writes, 729),
+    'writes older progress over newer': (_unguarded_writes, 665),
     'takes a silent worker for dead': (_silence_is_death, 602),
     'takes an unanswered start for not run': (
         _unanswered_start_did_not_run,
