Ask in one place whether a step has advice

Whether a step waits for advice was written a second time for relocations; both ask placement now, and the planted defect goes by its new name. One branch noted the same on both sides. A worker without runs that use leftovers isn't measured for them at each report.

--- a/oleanderwood/leading/relocating.py
+++ b/oleanderwood/leading/relocating.py
@@ -44,11 +44,10 @@
         group = row.task.group
         if row.task.name in left:
             _log(worker, row, 'relocated')
-        elif group not in leader.held_back:
+            continue
+        if group not in leader.held_back:
             _log(worker, row, 'held-back')
-            leader.held_back[group] = now_s + COUNTS_S
-        else:
-            leader.held_back[group] = now_s + COUNTS_S
+        leader.held_back[group] = now_s + COUNTS_S
     return leaving
 
 
@@ -62,7 +61,14 @@
     pool = worker.entry.service
     if now_s < leader.relocated_s.get(pool, 0.0) + SETTLE_S:
         return []
-    advised = [row for row in rows if _is_advised(leader, row.task, now_s)]
+    # Each of 10 runs of one task was stopped for a worker that wasn't good, as
+    # advice was asked for, and began again where it had been.
+    known = states.known_queues(leader)
+    advised = [
+        row
+        for row in rows
+        if not placing.is_unadvised(row.task.group, known, now_s)
+    ]
     leaving = held_back.to_leave(advised, _others(leader, worker), now_s)
     for task in leaving:
         task.relocated += 1
@@ -70,22 +76,6 @@
     return leaving
 
 
-def _is_advised(
-    leader: states.Leader, task: ledgers.Task, now_s: float
-) -> bool:
-    """Say whether it is known which workers may run a task.
-
-    While advice is asked for, nothing is known: each of 10 runs of one task
-    was stopped for a worker that wasn't good, and began again where it had
-    been.
-    """
-    group = task.group
-    known = states.known_queues(leader)
-    if not placing.queue_of(group.entry, known).needs_advice:
-        return True
-    return group.tickets is not None and now_s < group.advised_until_s
-
-
 def _log(worker: workers_.Worker, row: held_back.HeldBack, event: str) -> None:
     run = row.task.run
     event_log.emit(
--- a/oleanderwood/pools/held_back.py
+++ b/oleanderwood/pools/held_back.py
@@ -52,11 +52,10 @@
     worker: workers_.Worker, length_of: LengthOf, now_s: float
 ) -> list[HeldBack]:
     """Measure the headway of a worker's runs; gives those held back."""
-    tight = _is_tight(worker)
+    tasks = [task for task in worker.runs.values() if _counts(task)]
+    tight = bool(tasks) and _is_tight(worker)
     found = []
-    for task in worker.runs.values():
-        if not _counts(task):
-            continue
+    for task in tasks:
         run = task.run
         if not tight or run.looked_at_s is None:
             run.held_left_s = None
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -478,7 +478,7 @@
                 continue
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
-        if _unadvised(group, known, now_s):
+        if is_unadvised(group, known, now_s):
             continue
         queue = queue_of(group.entry, known)
         key = rank(group, queue, lengths, now_s)
@@ -491,10 +491,13 @@
     }
 
 
-def _unadvised(
+def is_unadvised(
     group: ledgers.Group, known: dict[str, queues.Queue], now_s: float
 ) -> bool:
-    """Say whether a step has to wait for advice."""
+    """Say whether a step has to wait for advice.
+
+    While it is asked for, nothing is known of who may run the step.
+    """
     if not queue_of(group.entry, known).needs_advice:
         return False
     return group.tickets is None or now_s >= group.advised_until_s
--- a/tests/test_emulated_feature_defects.py
+++ b/tests/test_emulated_feature_defects.py
@@ -92,7 +92,7 @@
 
 
 def _nobody_needs_advice(patch):
-    patch.setattr(placing, '_unadvised', lambda group, known, now_s: False)
+    patch.setattr(placing, 'is_unadvised', lambda group, known, now_s: False)
 
 
 def _nothing_is_paced(patch):
