List two more calls that an executor's next life carries out late

The lab delivers late calls to whoever is at the address; a call can name an id alone, so nothing that a server sends tells the lives apart.

--- a/tests/test_order_in_the_next_life.py
+++ b/tests/test_order_in_the_next_life.py
@@ -15,6 +15,16 @@
 --restart-count 3`): `start task=0562df4d4e3a83cf.1.0.0 attempt=1 outcome=left
 term=1` at 6.594; attempt 1001 done at 7.317 under term 2; the next life is
 born at 17.566, attempt 1 begins at 18.04, and term 3 `took-over` at 18.834.
+
+The same holds for a renewal that is carried out late: it acknowledges ends by
+number, and the next life forgets its own first ends, which nobody has read. So
+done work is done again. Log and sights of seed 74110: a renewal that server s0
+sent to the life before, with `last_seen` 3, is carried out at 20.47 by the
+life born at 10.805; its third end, `510e58adc67bd9fd.0.0.1` done at 13.10, is
+forgotten then; the leader gives the run up at 26.162 (`lease-over`) and starts
+the task at 26.81. Seeds 74301 (last_seen 15 at 13.38) and 74324 (3 at 12.33)
+are alike. On seed 74140 a start of term 1 without an answer is carried out at
+15.83 by a life that the leader of term 2 first reaches at 18.618.
 """
 
 import pytest
@@ -25,3 +35,13 @@
 @pytest.mark.parametrize('seed', [61291])
 def test_order_of_an_earlier_term_does_not_run_in_the_next_life(seed):
     assert not utils_restarts.lab_day(seed).breaches
+
+
+@pytest.mark.parametrize('seed', [74140])
+def test_order_does_not_run_in_a_next_life_behind_a_cut(seed):
+    assert not utils_restarts.day_with_a_cut(seed).breaches
+
+
+@pytest.mark.parametrize('seed', [74110])
+def test_late_renewal_forgets_no_ends_of_the_next_life(seed):
+    assert not utils_restarts.day_with_a_cut(seed).breaches
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -245,13 +245,14 @@
     return play(story)
 
 
-def drawn_day(seed, wanted=()):
-    """Play a day with two drawn troubles and three restarts.
+def drawn_day(seed, wanted=(), cuts=0, restart_count=3):
+    """Play a day with two drawn troubles, cuts, and restarts.
 
     :param wanted: features that its jobs ask for
     """
     drawn = troubles.draw(seed, 12.0, 2, troubles.LAB_KINDS)
-    drawn += troubles.draw(seed, 12.0, 3, troubles.RESTART_KINDS)
+    drawn += troubles.draw(seed, 12.0, cuts, troubles.CUT_KINDS)
+    drawn += troubles.draw(seed, 12.0, restart_count, troubles.RESTART_KINDS)
     plan = day.Plan(
         seed,
         troubles=tuple(drawn),
@@ -265,3 +266,8 @@
 def lab_day(seed):
     """Play such a day as the lab does, with its two features."""
     return drawn_day(seed, features.draw(seed, 2))
+
+
+def day_with_a_cut(seed):
+    """Play such a day with a cut and two restarts."""
+    return drawn_day(seed, features.draw(seed, 2), 1, 2)
