Tell what a worker that is gone took along

The log named the tasks that were lost with a worker; it couldn't tell a task that crashes its workers from one that was beside it. Now 'worker gone', 'restarted' and 'lease-over' give of each run its age at the first sign that the worker was gone, and how many runs of its task were lost so before.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -89,6 +89,7 @@
     :ivar away_since_s: since when a long-running task hasn't worked
     :ivar relocated: runs that were stopped to go on elsewhere, as others held
         them back
+    :ivar losses: runs of it that a worker may have taken along as it went
     :ivar given_up: a run of it counts as over without its worker's word
     """
 
@@ -105,6 +106,7 @@
     not_before_s: float = 0.0
     away_since_s: float = 0.0
     given_up: bool = False
+    losses: int = 0
     relocated: int = 0
 
 
--- a/oleanderwood/leading/restarts.py
+++ b/oleanderwood/leading/restarts.py
@@ -50,6 +50,7 @@
 ) -> list[workers_.RunName]:
     former.gone = True
     runs = len(former.runs)
+    losses = workers_.note_losses(former, clock.now_s())
     refused = workers_.succeed(
         leader.ledger, former, worker, report, clock.now_s()
     )
@@ -61,12 +62,28 @@
         runs=runs,
         moved=len(worker.runs),
         refused=len(refused),
+        **told(losses),
     )
     forget(leader, former)
     leader.ended_lives.append(former)
     return refused
 
 
+def told(losses: list[workers_.Loss]) -> dict[str, dict[str, list[int]]]:
+    """Give what the log tells of runs that a worker took along.
+
+    By task: how old the run was in milliseconds, and how many runs of the
+    task were lost so. The two tell a task that crashes its workers from those
+    that were beside it.
+    """
+    return {
+        'lost': {
+            row.task.name: [round(row.age_s * 1000), row.losses]
+            for row in losses
+        }
+    }
+
+
 def forget(leader: states.Leader, worker: workers_.Worker) -> None:
     """Forget a life that is over."""
     name = worker.entry.worker
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -8,6 +8,7 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import restarts
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.pools import placing
@@ -62,6 +63,7 @@
         if now_s <= worker.lease_end_s:
             continue
         if worker.runs:
+            losses = workers_.note_losses(worker, now_s)
             tasks = workers_.lost(leader.ledger, worker, now_s)
             for task in tasks:
                 task.given_up = True
@@ -70,6 +72,7 @@
                 'lease-over',
                 worker=worker.entry.worker,
                 tasks=[task.name for task in tasks],
+                **restarts.told(losses),
             )
         if not worker.listed:
             await worker_loop.lost(leader, worker, 'silent and unlisted')
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -350,6 +350,7 @@
         return False
     worker.gone = True
     now_s = clock.now_s()
+    losses = workers_.note_losses(worker, now_s)
     tasks = workers_.lost(leader.ledger, worker, now_s)
     event_log.emit(
         'worker',
@@ -357,6 +358,7 @@
         worker=worker.entry.worker,
         why=why,
         tasks=[task.name for task in tasks],
+        **restarts.told(losses),
     )
     restarts.forget(leader, worker)
     await leader.orders[worker.entry.worker].put(None)
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -107,6 +107,19 @@
     why: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A run that a worker may have taken along as it went.
+
+    :ivar age_s: time from its order to the first sign that the worker is gone
+    :ivar losses: runs of its task that were lost so, this one among them
+    """
+
+    task: ledgers.Task
+    age_s: float
+    losses: int
+
+
 @dataclasses.dataclass
 class Outcome:
     """What a report makes necessary.
@@ -388,6 +401,20 @@
     return [name for name in refused if name not in listed]
 
 
+def note_losses(worker: Worker, now_s: float) -> list[Loss]:
+    """Note which runs a worker takes along that is found to be gone."""
+    gone_s = now_s if worker.silent_since_s is None else worker.silent_since_s
+    losses = []
+    for task in worker.runs.values():
+        run = task.run
+        if run is None or run.worker != worker.entry.worker or not run.sent:
+            continue
+        task.losses += 1
+        age_s = max(0.0, gone_s - run.begun_s)
+        losses.append(Loss(task, age_s, task.losses))
+    return losses
+
+
 def lost(
     ledger: ledgers.Ledger, worker: Worker, now_s: float
 ) -> list[ledgers.Task]:
--- /dev/null
+++ b/tests/test_losses_in_the_log.py
@@ -0,0 +1,17 @@
+"""What a worker that is gone took along is told, with ages and counts."""
+
+from oleanderwood.leading import restarts
+from oleanderwood.pools import workers as workers_
+from tests import utils_jobs as build
+
+
+def test_losses_tell_how_old_runs_were_and_how_often_a_task_was_lost():
+    ledger = build.ledger_with(build.job(build.step(3)))
+    young, old, unsent = (build.task(ledger, index=i) for i in range(3))
+    young.losses = 2
+    worker = build.worker()
+    for task, begun_s in ((young, 4.99), (old, 1.0), (unsent, 1.0)):
+        build.start(ledger, task, worker, begun_s).sent = task is not unsent
+    worker.silent_since_s = 5.0
+    told = restarts.told(workers_.note_losses(worker, 5.4))
+    assert told == {'lost': {young.name: [10, 3], old.name: [4000, 1]}}
