Bring tasks that crash their workers about, and let the checker judge them

The emulator's tasks may crash the executor that starts them (at once or later, one task of a step or all, with a share of their starts), with connections reset or in silence; it is back after 2 s, under another id or the same. The checker, which shares nothing with the product, judges by the users' words: not more than two starts after three crashes, and a job is 'failed' with cause once one task of it has crashed two executors.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from emulator import crashing
 from emulator import evidence as evidences
 from emulator import executors
 from emulator import network as networks
@@ -27,6 +28,9 @@
 LATER = '-later'
 """What the paths of jobs that may wait have beyond their pool's name."""
 
+UNTOLD = ('poison', crashing.FIELD)
+"""What the executors alone know of a step."""
+
 TIMES = ('repeat_count', 'start_time_ms', 'interval_ms')
 """Fields of a job that runs at times of its own."""
 
@@ -95,7 +99,7 @@
         **{key: spec[key] for key in TIMES if key in spec},
         'spec': job,
         'phases': [
-            {key: value for key, value in step.items() if key != 'poison'}
+            {key: value for key, value in step.items() if key not in UNTOLD}
             for step in spec['phases']
         ],
     }
--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -17,6 +17,15 @@
 TURN_S = 3.0
 """Pause between two leaders' orders for one machine."""
 
+CRASHES = 3
+"""Executors that a task may crash before its starts are counted, and"""
+
+STARTS_AFTER_CRASHES = 2
+"""how many of them may follow."""
+
+CRASHES_TO_GIVE_UP = 2
+"""Executors that a task has to crash before it may be given up."""
+
 DRAIN_S = 2.0
 """Time after which nothing starts on an executor that leaves."""
 
@@ -41,6 +50,7 @@
         *_twice(evidence, jobs),
         *_order(evidence, jobs),
         *_attempts(evidence, max_attempts, jobs),
+        *_crashes(evidence),
         *_shown(evidence, jobs, max_attempts),
         *_asked(evidence),
         *_drained(evidence),
@@ -156,14 +166,36 @@
             yield f'BUDGET at {sight.at_s:.2f}: {sight.task}'
 
 
+def _crashes(evidence):
+    """No task that crashes executors is started without end.
+
+    Orders that were carried out late don't count.
+    """
+    crashed = collections.Counter()
+    after = collections.Counter()
+    for sight in evidence.sights:
+        if sight.kind is Kind.CRASHED:
+            crashed[sight.task] += 1
+        elif sight.kind is Kind.STARTED and sight.how != 'late':
+            after[sight.task] += crashed[sight.task] >= CRASHES
+            if after[sight.task] > STARTS_AFTER_CRASHES:
+                yield (
+                    f'BUDGET at {sight.at_s:.2f}: {sight.task} has crashed '
+                    f'{crashed[sight.task]} executors'
+                )
+
+
 def _shown(evidence, jobs, max_attempts):
     """What callers are told is true, and an accepted job stays known."""
     done = set()
     failed = collections.defaultdict(set)
+    crashed = collections.Counter()
     accepted = set()
     cancelled = set()
     for sight in evidence.sights:
-        if sight.kind is Kind.ENDED:
+        if sight.kind is Kind.CRASHED:
+            crashed[sight.task] += 1
+        elif sight.kind is Kind.ENDED:
             if sight.how == 'done':
                 done.add(sight.task)
             elif sight.how == 'failed':
@@ -176,11 +208,20 @@
             cancelled.add(sight.job)
         elif sight.kind is Kind.SHOWN:
             yield from _shown_once(
-                sight, jobs, done, failed, accepted, cancelled, max_attempts
+                sight,
+                jobs,
+                done,
+                failed,
+                crashed,
+                accepted,
+                cancelled,
+                max_attempts,
             )
 
 
-def _shown_once(sight, jobs, done, failed, accepted, cancelled, max_attempts):
+def _shown_once(
+    sight, jobs, done, failed, crashed, accepted, cancelled, max_attempts
+):
     job = sight.job
     names = {
         f'{job}.{occurrence}.{number}.{index}'
@@ -192,7 +233,9 @@
     if sight.how == 'completed' and names - done:
         yield f'MIXED {where} is shown as completed'
     if sight.how == 'failed' and not any(
-        len(failed[_unit(jobs, name)]) >= max_attempts for name in names
+        len(failed[_unit(jobs, name)]) >= max_attempts
+        or crashed[name] >= CRASHES_TO_GIVE_UP
+        for name in names
     ):
         yield f'LOST {where} is shown as failed without cause'
     if sight.how == 'cancelled' and job not in cancelled:
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -146,6 +146,7 @@
             store, 'op/config', configuration(plan.pools, plan.features)
         )
         await build_fleet(fleet, plan)
+        fleets.let_tasks_crash(fleet, random.Random(plan.seed + 6))
         _draw_ways(scene, plan)
         for process in processes:
             await servers.start(network, process)
--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -23,6 +23,9 @@
     DIED = 'died'
     """An executor's life is over; ``how`` is ``order`` if by our order."""
 
+    CRASHED = 'crashed'
+    """A task crashes the executor that has started it."""
+
     HANDED_IN = 'handed-in'
     """A try to hand a job in; ``how`` is ``sent`` or the status."""
 
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -1,6 +1,7 @@
 """Executors: tasks under leases, fences, ends until they are acknowledged."""
 
 import collections
+import collections.abc
 import dataclasses
 import json
 import random
@@ -9,6 +10,7 @@
 
 from emulator import advice
 from emulator import checkpoints
+from emulator import crashing
 from emulator import evidence as evidences
 from emulator import gangs
 from emulator import network as networks
@@ -118,6 +120,7 @@
     :ivar gang_runs: runs of gangs, on all executors
     :ivar advising: what gives the tickets that starts need; None: none do
     :ivar refused: starts that were rejected, by reason
+    :ivar crash: lets a task crash an executor; None: no task can
     """
 
     evidence: evidences.Evidence
@@ -129,6 +132,10 @@
     refused: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    crash: (
+        collections.abc.Callable[[Executor], collections.abc.Awaitable[None]]
+        | None
+    ) = None
 
 
 def clock_ms(executor: Executor) -> float:
@@ -184,7 +191,10 @@
         executor.fence = asked.get('fence', 0)
         if target == '/run-start':
             how = 'late' if networks.LATE_HEADER in headers else ''
-            return _start(world, executor, source, asked, how)
+            answer = _start(world, executor, source, asked, how)
+            if answer.status == 200:
+                await crashing.arm(world, executor, asked['task'])
+            return answer
         if target == '/run-stop':
             return _stop(world, executor, asked)
         if target == '/pace':
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import json
+import random
 
 import curio
 
+from emulator import crashing
 from emulator import evidence as evidences
 from emulator import executors
 from emulator import network as networks
@@ -17,6 +19,12 @@
 MAINTENANCE_S = 2.0
 STANDBY = 'standby-pool'
 
+RESETS_SHARE = 0.8
+"""Part of the crashes by a task that reset connections."""
+
+SAME_ID_SHARE = 0.5
+"""Part of them after which an executor that tells its birth keeps its id."""
+
 LATE_ENTRY_S = 0.3
 """Time after which an entry of an earlier life is written once more, and
 until the present one's is its own again."""
@@ -153,15 +161,44 @@
         machine.executor = None
 
 
-async def crash(fleet: Fleet, machine: Machine, for_s: float) -> None:
-    """Crash a machine for a while."""
+async def crash(
+    fleet: Fleet, machine: Machine, for_s: float, resets: bool = False
+) -> None:
+    """Crash a machine for a while.
+
+    :param resets: its connections are reset, and further ones refused;
+        otherwise nothing is heard of it
+    """
+    executor = machine.executor
     await end_life(fleet, machine, 'crash')
     machine.state = 'down'
+    if executor is not None and resets:
+        executor.resets = True
+        fleet.network.handlers.pop(machine.address, None)
+        await executor.changed.set()
     await curio.sleep(for_s)
     if machine.state == 'down':
         await begin_life(fleet, machine)
 
 
+def let_tasks_crash(fleet: Fleet, rng: random.Random) -> None:
+    """Let tasks crash the executors that start them.
+
+    They come back after a while, under another id or, where they tell their
+    births, at times under the same.
+    """
+
+    async def crash_of(executor: executors.Executor) -> None:
+        machine = fleet.machines[executor.machine]
+        resets = rng.random() < RESETS_SHARE
+        if fleet.tells_births and rng.random() < SAME_ID_SHARE:
+            await restart(fleet, machine, crashing.AWAY_S, resets=resets)
+        else:
+            await crash(fleet, machine, crashing.AWAY_S, resets)
+
+    fleet.world.crash = crash_of
+
+
 async def restart(
     fleet: Fleet,
     machine: Machine,
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -427,3 +427,30 @@
         _end(8, 'w3', 'stopped', LARGE + '1'),
         _start(9, 'w1', task=LARGE + '1', attempt=2),
     )
+
+
+def _crashes(count):
+    """Let a task crash as many workers, each as it starts there."""
+    rows = []
+    for number in range(count):
+        place = f'x{number}'
+        rows += [
+            _start(number + 1, place, attempt=number + 1),
+            (number + 1.1, Kind.CRASHED, {'task': TASK, 'place': place}),
+            (number + 1.1, Kind.DIED, {'place': place, 'how': 'crash'}),
+        ]
+    return rows
+
+
+def test_third_start_after_three_crashes_is_found():
+    assert not _check(*_crashes(5))
+    assert _check(*_crashes(6)) == [
+        f'BUDGET at 6.00: {TASK} has crashed 5 executors'
+    ]
+    late = _start(9, 'w1', attempt=9, how='late')
+    assert not _check(*_crashes(5), late)
+
+
+def test_job_may_be_failed_once_a_task_of_it_has_crashed_two_workers():
+    assert _check(*_crashes(1), _shown(9, 'failed'))
+    assert not _check(*_crashes(2), _shown(9, 'failed'))
--- /dev/null
+++ b/tests/utils_crashes.py
@@ -0,0 +1,42 @@
+"""Tasks that crash their workers, in virtual time."""
+
+import curio
+
+from emulator import crashing
+from emulator import day
+from emulator import evidence as evidences
+from tests import utils_takeover as build
+
+SETTLE_S = 8.0
+"""Time for some crashes, and the first starts after them."""
+
+
+def crashing_step(how: dict, count: int = 4, **fields) -> dict:
+    """Build a step with tasks that crash their workers."""
+    return {**build.step(count, 2000, 400), crashing.FIELD: how, **fields}
+
+
+def play(steps: list[dict], plan: day.Plan = build.PLAN) -> day.Result:
+    """Hand in a job for each step, in a calm system."""
+
+    async def story(scene):
+        for step in steps:
+            await build.hand_in(scene, build.leader(scene), step)
+        await curio.sleep(SETTLE_S)
+
+    return build.play(story, plan)
+
+
+def shown(result: day.Result) -> set[str]:
+    """Give the last states that callers were shown."""
+    last = {
+        sight.job: sight.how
+        for sight in result.evidence.sights
+        if sight.kind is evidences.Kind.SHOWN
+    }
+    return set(last.values())
+
+
+def count(result: day.Result, kind: evidences.Kind) -> int:
+    """Count what was seen of a kind."""
+    return sum(sight.kind is kind for sight in result.evidence.sights)
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -80,6 +80,7 @@
         await curio.spawn(stores.run_leases, store, daemon=True)
         await stores.put(store, 'op/config', day.configuration(plan.pools))
         await day.build_fleet(fleet, plan)
+        fleets.let_tasks_crash(fleet, random.Random(4))
         for process in processes:
             await servers.start(network, process)
         await curio.sleep(CALM_S)
