--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -24,7 +24,7 @@
 """how many of them may follow."""
 
 CRASHES_TO_GIVE_UP = 2
-"""Executors that a task has to crash before it may be given up."""
+"""Executors that have to crash under a task before it may be given up."""
 
 DRAIN_S = 2.0
 """Time after which nothing starts on an executor that leaves."""
@@ -169,14 +169,15 @@
 def _crashes(evidence):
     """No task that crashes executors is started without end.
 
-    Orders that were carried out late don't count.
+    By the platform's rule, orders that were carried out late don't count, nor
+    those of servers that weren't in touch.
     """
     crashed = collections.Counter()
     after = collections.Counter()
-    for sight in evidence.sights:
+    for sight, in_touch in _with_touch(evidence):
         if sight.kind is Kind.CRASHED:
             crashed[sight.task] += 1
-        elif sight.kind is Kind.STARTED and sight.how != 'late':
+        elif sight.kind is Kind.STARTED and in_touch and sight.how != 'late':
             after[sight.task] += crashed[sight.task] >= CRASHES
             if after[sight.task] > STARTS_AFTER_CRASHES:
                 yield (
@@ -189,13 +190,11 @@
     """What callers are told is true, and an accepted job stays known."""
     done = set()
     failed = collections.defaultdict(set)
-    crashed = collections.Counter()
+    crashed = _crashed_under(evidence)
     accepted = set()
     cancelled = set()
     for sight in evidence.sights:
-        if sight.kind is Kind.CRASHED:
-            crashed[sight.task] += 1
-        elif sight.kind is Kind.ENDED:
+        if sight.kind is Kind.ENDED:
             if sight.how == 'done':
                 done.add(sight.task)
             elif sight.how == 'failed':
@@ -219,6 +218,32 @@
             )
 
 
+def _crashed_under(evidence):
+    """Give when executors crashed under the tasks of jobs that crash some.
+
+    A task that was there as well, of a job that crashes none, is no cause.
+    """
+    there = collections.defaultdict(set)
+    crashed = collections.defaultdict(list)
+    guilty = set()
+    for sight in evidence.sights:
+        if sight.kind is Kind.STARTED:
+            there[sight.place].add(sight.task)
+        elif sight.kind is Kind.ENDED:
+            there[sight.place].discard(sight.task)
+        elif sight.kind is Kind.DIED:
+            there.pop(sight.place, None)
+        elif sight.kind is Kind.CRASHED:
+            guilty.add(sight.job)
+            for task in there[sight.place]:
+                crashed[task].append(sight.at_s)
+    return {
+        task: times
+        for task, times in crashed.items()
+        if task.partition('.')[0] in guilty
+    }
+
+
 def _shown_once(
     sight, jobs, done, failed, crashed, accepted, cancelled, max_attempts
 ):
@@ -234,7 +259,8 @@
         yield f'MIXED {where} is shown as completed'
     if sight.how == 'failed' and not any(
         len(failed[_unit(jobs, name)]) >= max_attempts
-        or crashed[name] >= CRASHES_TO_GIVE_UP
+        or sum(at_s <= sight.at_s for at_s in crashed.get(name, ()))
+        >= CRASHES_TO_GIVE_UP
         for name in names
     ):
         yield f'LOST {where} is shown as failed without cause'
@@ -275,6 +301,17 @@
             yield f'REFUSED: {job} runs, but each try was refused'
 
 
+def _with_touch(evidence):
+    """Give each sight, and whether nothing keeps servers from the store."""
+    deaf = 0
+    hears_s = -math.inf
+    for sight in evidence.sights:
+        if sight.kind is Kind.DEAF:
+            deaf += 1 if sight.how == 'begin' else -1
+            hears_s = sight.at_s
+        yield sight, not deaf and sight.at_s - hears_s >= HEARD_S
+
+
 def _drained(evidence):
     """Nothing starts on an executor some time after its notice.
 
@@ -283,18 +320,11 @@
     kept them from hearing of changes in the store.
     """
     notice = {}
-    deaf = 0
-    hears_s = -math.inf
-    for sight in evidence.sights:
-        if sight.kind is Kind.DEAF:
-            deaf += 1 if sight.how == 'begin' else -1
-            hears_s = sight.at_s
-        elif sight.kind is Kind.DRAINING:
+    for sight, in_touch in _with_touch(evidence):
+        if sight.kind is Kind.DRAINING:
             notice.setdefault(sight.place, sight.at_s)
         elif sight.kind is Kind.STARTED and sight.place in notice:
-            if sight.how == 'late':
-                continue
-            if deaf or sight.at_s - hears_s < HEARD_S:
+            if sight.how == 'late' or not in_touch:
                 continue
             if sight.at_s > notice[sight.place] + DRAIN_S:
                 yield f'DRAIN at {sight.at_s:.2f}: {sight.task}'
--- a/emulator/crashing.py
+++ b/emulator/crashing.py
@@ -1,5 +1,7 @@
 """Tasks that crash the executor which starts them."""
 
+import collections
+import dataclasses
 import random
 
 import curio
@@ -66,3 +68,63 @@
         place=executor.name,
     )
     await world.crash(executor)
+
+
+@dataclasses.dataclass(frozen=True)
+class Figures:
+    """What tasks that crash executors cost on a day.
+
+    :ivar jobs: with tasks that have crashed some
+    :ivar crashes: executors that they crashed
+    :ivar started_again: starts, beyond the first of each task, of jobs that
+        crash nothing
+    :ivar wronged: jobs that crash nothing, and were failed by crashes
+    """
+
+    jobs: int
+    crashes: int
+    started_again: int
+    wronged: int
+
+
+def figures(
+    evidence: evidences.Evidence, most_attempts: int, jobs: dict[str, dict]
+) -> Figures:
+    """Count what tasks that crash executors cost."""
+    crashed = [
+        sight.job
+        for sight in evidence.sights
+        if sight.kind is evidences.Kind.CRASHED
+    ]
+    starts = collections.Counter(
+        sight.task
+        for sight in evidence.sights
+        if sight.kind is evidences.Kind.STARTED
+    )
+    failed = collections.Counter(
+        sight.task
+        for sight in evidence.sights
+        if sight.kind is evidences.Kind.ENDED and sight.how == 'failed'
+    )
+    spent = {
+        task.partition('.')[0]
+        for task, count in failed.items()
+        if count >= most_attempts
+    }
+    shown = {
+        sight.job
+        for sight in evidence.sights
+        if sight.kind is evidences.Kind.SHOWN and sight.how == 'failed'
+    }
+    innocent = set(jobs) - set(crashed)
+    again = sum(
+        count - 1
+        for task, count in starts.items()
+        if task.partition('.')[0] in innocent
+    )
+    wronged = {
+        job
+        for job in innocent & shown - spent
+        if not any(step.get('gang') for step in jobs[job]['phases'])
+    }
+    return Figures(len(set(crashed)), len(crashed), again, len(wronged))
--- a/emulator/features.py
+++ b/emulator/features.py
@@ -5,6 +5,7 @@
 import enum
 import random
 
+from emulator import crashing
 from emulator import evidence as evidences
 from oleanderwood import clock
 
@@ -33,6 +34,9 @@
     LEFTOVERS = 'leftovers'
     """Tasks that take what others leave, beside some that serve."""
 
+    CRASHES = 'crashes'
+    """Some tasks crash the executors that start them."""
+
 
 KINDS = ('a', 'b')
 """Kinds of machines on days that ask for labels."""
@@ -42,6 +46,9 @@
 SHARE = 0.5
 """Part of the jobs that ask for a feature of the day."""
 
+CRASHING_SHARE = 0.1
+"""Part of the jobs with a task that crashes executors."""
+
 LEFTOVERS_FINISH_S = 80.0
 """Time after the last job in which all have to end that use leftovers; they
 are paced down, and take several times longer."""
@@ -49,9 +56,16 @@
 Features = collections.abc.Collection[Feature]
 
 
+LATER = (Feature.CRASHES,)
+"""Features that were added since seeds were first kept; days ask for them by
+name."""
+
+DRAWN = tuple(feature for feature in Feature if feature not in LATER)
+
+
 def draw(seed: int, count: int) -> tuple[Feature, ...]:
     """Draw what a day asks for."""
-    return tuple(random.Random(seed).sample(list(Feature), count))
+    return tuple(random.Random(seed).sample(list(DRAWN), count))
 
 
 def finish_s(features: Features, usual_s: float) -> float:
@@ -126,6 +140,12 @@
         step['estimate_ms'] *= 4
 
 
+def _crashes(rng, spec) -> None:
+    if rng.random() < CRASHING_SHARE / SHARE:
+        step = rng.choice(spec['phases'])
+        step[crashing.FIELD] = crashing.draw(rng, step['count'])
+
+
 _ADORN = {
     Feature.GANGS: _gang,
     Feature.UNGUARDED: _large,
@@ -137,6 +157,7 @@
     Feature.CHECKPOINTS: _checkpoints,
     Feature.LEFTOVERS: _fills,
     Feature.PRIORITIES: _later,
+    Feature.CRASHES: _crashes,
 }
 
 _FIELDS = {
@@ -147,6 +168,7 @@
     Feature.COPIES: 'speculative',
     Feature.CHECKPOINTS: 'checkpointing',
     Feature.LEFTOVERS: 'fills',
+    Feature.CRASHES: crashing.FIELD,
 }
 """The field of a step that asks for a feature."""
 
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -6,6 +6,7 @@
 
 import cyclopts
 
+from emulator import crashing
 from emulator import day
 from emulator import features
 from emulator import troubles
@@ -40,6 +41,7 @@
     feature_count: int = 2,
     cut_count: int = 0,
     restart_count: int = 0,
+    crashes: bool = False,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -51,6 +53,7 @@
         answers or change while they last
     :param restart_count: further troubles: executors that start again under
         their id; they tell when they were born then
+    :param crashes: some tasks crash the executors that start them
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -64,6 +67,7 @@
     met: dict[features.Feature, list[int]] = {
         feature: [] for feature in features.Feature
     }
+    costs: list[crashing.Figures] = []
     print('  seed   jobs  starts  calls  p50 s  p90 s  last s  verdict')
     for seed in range(first_seed, first_seed + seeds):
         lines.clear()
@@ -75,6 +79,8 @@
             seed, length_s, restart_count, troubles.RESTART_KINDS
         )
         wanted = features.draw(seed, feature_count)
+        if crashes:
+            wanted += (features.Feature.CRASHES,)
         plan = day.Plan(
             seed,
             length_s=length_s,
@@ -90,9 +96,14 @@
         for feature, starts in result.met.items():
             if starts:
                 met[feature].append(starts)
+        costs.append(
+            crashing.figures(result.evidence, day.MAX_ATTEMPTS, result.jobs)
+        )
         broken += _show(Figures(seed, result, time.perf_counter() - began_s))
     for feature, rows in met.items():
         print(f'{feature.value:>12}: {len(rows)} days, {sum(rows)} starts')
+    if crashes:
+        _show_costs(costs)
     if log:
         with open(log, 'w') as file:
             file.write('\n'.join(lines) + '\n')
@@ -100,6 +111,16 @@
     return 1 if broken else 0
 
 
+def _show_costs(costs: list[crashing.Figures]) -> None:
+    jobs = sum(row.jobs for row in costs)
+    crashes = sum(row.crashes for row in costs)
+    print(
+        f'{crashes} executors crashed by {jobs} jobs; '
+        f'{sum(row.started_again for row in costs)} starts again and '
+        f'{sum(row.wronged for row in costs)} failed of other jobs'
+    )
+
+
 def _show(figures: Figures) -> bool:
     result = figures.result
     waits = result.waits_s or [0.0]
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -10,6 +10,7 @@
 
 from oleanderwood import errors
 from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import model
 from oleanderwood.pools import reports
 
@@ -54,8 +55,11 @@
     :ivar at_work_since_s: since when a long-running task works
     :ivar looked_at_s: when its headway was looked at last, and
         ``looked_percent`` how far it was
-    :ivar sent: the order to start it may have left
+    :ivar sent: the order to start it may have left, at ``sent_s``; None if
+        that isn't known
     :ivar seen: its worker has listed it, so that order was carried out
+    :ivar proven: it has gone on for so long that it isn't suspected to crash
+        its worker
     :ivar held_left_s: how much longer it takes if others hold it back; None
         if none do
     """
@@ -77,7 +81,9 @@
     looked_percent: float = 0.0
     held_left_s: float | None = None
     sent: bool = False
+    sent_s: float | None = None
     seen: bool = False
+    proven: bool = False
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -89,6 +95,7 @@
     :ivar away_since_s: since when a long-running task hasn't worked
     :ivar relocated: runs that were stopped to go on elsewhere, as others held
         them back
+    :ivar crashes: workers that went while a run of it was there, by attempt
     :ivar losses: runs of it that a worker may have taken along as it went
     :ivar given_up: a run of it counts as over without its worker's word
     """
@@ -106,6 +113,9 @@
     not_before_s: float = 0.0
     away_since_s: float = 0.0
     given_up: bool = False
+    crashes: dict[int, crashes_.Crash] = dataclasses.field(
+        default_factory=dict
+    )
     losses: int = 0
     relocated: int = 0
 
@@ -117,6 +127,7 @@
     :ivar tickets: workers that may run it, if its queue needs advice, with
         what a start must carry; None before they are known
     :ivar advised_until_s: until when the tickets are good
+    :ivar suspects: tasks that are suspected of crashing workers, by index
     """
 
     entry: 'Entry'
@@ -128,6 +139,7 @@
     left: int = 0
     tickets: dict[ids.VmId, str] | None = None
     advised_until_s: float = 0.0
+    suspects: dict[int, Task] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -141,6 +153,8 @@
     :ivar more_pools: pools in which its tasks may be started beside the one
         that its queue had when it was handed in
     :ivar more_pools_kept: those that lie in the store
+    :ivar crashes_noted: changes of what is known of crashes under its
+        suspected tasks, of which ``crashes_kept`` lie in the store
     :ivar unwritten_since: number of the first change that must be written
     :ivar expected_s: how long a task of each step is expected to take, as
         known at ``expected_version``
@@ -159,6 +173,8 @@
     more_pools_kept: set[ids.ServiceId] = dataclasses.field(
         default_factory=set
     )
+    crashes_noted: int = 0
+    crashes_kept: int = 0
     unwritten_since: int = 0
     ended_s: float = 0.0
     expected_s: tuple[float, ...] = ()
@@ -221,7 +237,7 @@
     """Let it be written that a job's tasks may be started in a pool."""
     if pool not in entry.more_pools:
         entry.more_pools.add(pool)
-        _touch(ledger, entry)
+        touch(ledger, entry)
 
 
 def kept_pools(entry: Entry) -> set[ids.ServiceId]:
@@ -358,7 +374,7 @@
     group = task.group
     _not_waiting(ledger, task)
     group.left -= 1
-    _touch(ledger, group.entry)
+    touch(ledger, group.entry)
     _settle(ledger, group.entry, now_s)
     return True
 
@@ -377,7 +393,7 @@
     task.failed_attempts.add(attempt)
     task.failed_on = worker
     entry = task.group.entry
-    _touch(ledger, entry)
+    touch(ledger, entry)
     if task.group.step.lasting or task.done or final(entry):
         return True
     failures = _failures(task)
@@ -406,7 +422,7 @@
     for group in entry.groups.values():
         group.waiting.clear()
         ledger.open_groups.pop(group, None)
-    _touch(ledger, entry)
+    touch(ledger, entry)
 
 
 def shown_state(entry: Entry) -> model.State:
@@ -445,7 +461,8 @@
         end(ledger, entry, model.State.COMPLETED, now_s)
 
 
-def _touch(ledger: Ledger, entry: Entry) -> None:
+def touch(ledger: Ledger, entry: Entry) -> None:
+    """Note that a job has to be written."""
     ledger.changes += 1
     if entry.job.job not in ledger.dirty:
         entry.unwritten_since = ledger.changes
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 
@@ -24,6 +26,7 @@
     :ivar done: indices of tasks, as bits of a number in hexadecimal
     :ivar failed: attempts that failed, by index of the task
     :ivar checkpoints: the last ones that are known, by index
+    :ivar crashes: workers that went under tasks, by index
     """
 
     occurrence: int
@@ -31,6 +34,7 @@
     done: str = '0'
     failed: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
+    crashes: dict[int, list[crashes_.Crash]] = {}
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -65,7 +69,7 @@
     rows = []
     for group in entry.groups.values():
         row = _group_progress(group)
-        if row.done != '0' or row.failed:
+        if row.done != '0' or row.failed or row.crashes:
             rows.append(row)
     return Progress(entry.state, rows, sorted(entry.more_pools))
 
@@ -74,6 +78,7 @@
     done = 0
     failed = {}
     checkpoints = {}
+    crashes = {}
     for task in group.tasks:
         if task.done:
             done |= 1 << task.index
@@ -81,8 +86,15 @@
             checkpoints[task.index] = task.checkpoint
         if task.failed_attempts and not task.done:
             failed[task.index] = sorted(task.failed_attempts)
+        if task.crashes and not task.done:
+            crashes[task.index] = isolation.to_keep(task)
     return GroupProgress(
-        group.occurrence, group.number, f'{done:x}', failed, checkpoints
+        group.occurrence,
+        group.number,
+        f'{done:x}',
+        failed,
+        checkpoints,
+        crashes,
     )
 
 
@@ -120,6 +132,9 @@
             ledgers.mark_done(ledger, task, now_s)
         task.failed_attempts.update(row.failed.get(task.index, ()))
         task.checkpoint = row.checkpoints.get(task.index, '')
+        for crash in row.crashes.get(task.index, ()):
+            task.crashes[crash.attempt] = crash
+            isolation.set_suspected(task)
         task.last_attempt = max(
-            task.failed_attempts, default=task.last_attempt
+            [*task.failed_attempts, *task.crashes], default=task.last_attempt
         )
--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -5,6 +5,7 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -70,7 +71,7 @@
         run.checkpoint,
         run.ticket,
     )
-    run.sent = True
+    run.sent, run.sent_s = True, now_s
     try:
         refusal = await executors.start(leader.calls, worker.entry, order)
     except errors.CallFailed as error:
@@ -120,6 +121,9 @@
             run.moved_on_s = now_s
             if ledgers.final(task.group.entry) or task.done:
                 await worker_loop.stop_run(leader, task)
+        if isolation.is_on_probation(task):
+            wait_s = isolation.probation_s(task)
+            await curio.spawn(_look_later, leader, worker, wait_s, daemon=True)
         return
     _log_start(leader, worker, task, run, 'refused', refusal.value)
     fenced = refusal is executors.Refusal.FENCED
@@ -137,6 +141,21 @@
         await _not_started(leader, worker, task, refusal.value)
 
 
+async def _look_later(
+    leader: states.Leader, worker: workers_.Worker, after_s: float
+) -> None:
+    """Ask a worker once a probation there should be over.
+
+    An idle one says nothing for two seconds otherwise, while others wait.
+    """
+    await curio.sleep(after_s)
+    try:
+        await worker_loop.look(leader, worker, 0)
+    except Exception as error:
+        event_log.emit('leader', 'fault', why=repr(error))
+        await states.depose(leader, f'a fault: {error!r}')
+
+
 async def _not_started(leader, worker, task, why) -> None:
     """Let a task wait again whose start has surely not run."""
     task.not_before_s = clock.now_s() + REFUSED_PAUSE_S
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -9,6 +9,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import persistence
@@ -159,6 +160,7 @@
     :raises stores.Conflict: another server leads
     :raises errors.CallFailed: they may be written or not
     """
+    crashes = {entry.job.job: entry.crashes_noted for entry in entries}
     written = {entry.job.job: record.progress_of(entry) for entry in entries}
     writes = {
         record.progress_key(job): msgspec.json.encode(progress)
@@ -171,8 +173,10 @@
         raise
     persistence.note_written(leader.ledger, entries)
     for entry in entries:
-        if entry.more_pools != entry.more_pools_kept:
+        held = not isolation.is_kept(entry)
+        if held or entry.more_pools != entry.more_pools_kept:
             await leader.due.set()
+        entry.crashes_kept = crashes[entry.job.job]
         entry.more_pools_kept.update(written[entry.job.job].more_pools)
         state = written[entry.job.job].state
         if state is not entry.kept_state:
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -43,6 +43,9 @@
 the platform's interface gets: a turn of demand asks for a hundred at once, and
 one that waits for a connection would be sent long after it was announced."""
 
+ORDERED = (fleet.State.MOVING, fleet.State.MAINTAINED)
+"""States of machines that follow an order; other ends are crashes."""
+
 FRESH_S = 1.0
 """Older readings of the list aren't decided from."""
 
@@ -97,7 +100,11 @@
         missing.add(name)
         listed = worker.entry.machine in machines
         if listed or name in leader.fleet.missing:
-            await worker_loop.lost(leader, worker, 'its machine is down')
+            machine = machines.get(worker.entry.machine)
+            planned = machine is not None and machine.state in ORDERED
+            await worker_loop.lost(
+                leader, worker, 'its machine is down', planned
+            )
     leader.fleet.missing = missing
 
 
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -63,7 +63,7 @@
         if now_s <= worker.lease_end_s:
             continue
         if worker.runs:
-            losses = workers_.note_losses(worker, now_s)
+            losses = restarts.note_crash(leader, worker)
             tasks = workers_.lost(leader.ledger, worker, now_s)
             for task in tasks:
                 task.given_up = True
@@ -74,6 +74,8 @@
                 tasks=[task.name for task in tasks],
                 **restarts.told(losses),
             )
+            await leader.unkept.set()
+            await worker_loop.stop_ended_jobs(leader)
         if not worker.listed:
             await worker_loop.lost(leader, worker, 'silent and unlisted')
 
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -20,6 +20,7 @@
 from oleanderwood.pools import stalls
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
+from oleanderwood import verdict as verdicts
 
 BUSY_WAIT_MS = 1000
 """How long a worker with runs waits for an end before it answers; also the
@@ -57,6 +58,9 @@
 RESTARTED = 'another life of its executor answers'
 """Why a worker counts as silent whose executor has started again."""
 
+AT_ONCE_S = 0.005
+"""Time within which a connection is found closed that was so before."""
+
 SILENT_PAUSE_S = 0.2
 """Pause between calls to a worker that doesn't answer."""
 
@@ -166,7 +170,7 @@
         return False
     except errors.CallFailed as error:
         note_unanswered(leader, error)
-        note_silence(worker, error.reason)
+        note_silence(worker, error.reason, _silent_after_s(error, sent_s))
         return False
     if report.worker in ('', worker.entry.worker):
         await take(leader, worker, report, sent_s)
@@ -307,9 +311,31 @@
                 await stop_run(leader, task)
 
 
-def note_silence(worker: workers_.Worker, why: str) -> None:
+def _silent_after_s(error: errors.CallFailed, sent_s: float) -> float | None:
+    """Say from when on a worker may have been silent by a call's failure.
+
+    A connection that is closed while its answer is waited for tells it to the
+    moment; one that can't be opened, or isn't answered, doesn't.
+    """
+    sent = error.verdict is not verdicts.Verdict.NOT_RUN
+    if not sent or isinstance(error, errors.Unanswered):
+        return None
+    now_s = clock.now_s()
+    return now_s if now_s - sent_s > AT_ONCE_S else None
+
+
+def note_silence(
+    worker: workers_.Worker, why: str, after_s: float | None = None
+) -> None:
+    """Note that a worker doesn't answer.
+
+    :param after_s: from when on it may have been so; None: its last answer
+    """
     if worker.silent_since_s is None:
         worker.silent_since_s = clock.now_s()
+        worker.silent_after_s = worker.clock_at_s
+        if after_s is not None:
+            worker.silent_after_s = after_s
         event_log.emit(
             'worker',
             'silent',
@@ -336,13 +362,18 @@
 
 
 async def lost(
-    leader: states.Leader, worker: workers_.Worker, why: str
+    leader: states.Leader,
+    worker: workers_.Worker,
+    why: str,
+    planned: bool = False,
 ) -> bool:
     """Note that a worker is gone, and with it all its runs.
 
     Not without our mark in the store, and then it gives False: a later leader
     may have noted an end there, and its task would be started once more. The
     call that told so is made again.
+
+    :param planned: by an order, so that no task is to blame
     """
     if worker.gone:
         return True
@@ -350,7 +381,7 @@
         return False
     worker.gone = True
     now_s = clock.now_s()
-    losses = workers_.note_losses(worker, now_s)
+    losses = restarts.note_crash(leader, worker, planned)
     tasks = workers_.lost(leader.ledger, worker, now_s)
     event_log.emit(
         'worker',
@@ -364,6 +395,7 @@
     await leader.orders[worker.entry.worker].put(None)
     await leader.unrostered.set()
     await leader.unkept.set()
+    await stop_ended_jobs(leader)
     await leader.due.set(worker.entry.service)
     return True
 
--- a/oleanderwood/operators/causes.py
+++ b/oleanderwood/operators/causes.py
@@ -29,6 +29,7 @@
     NO_LEADER = 'no leader took it'
     MACHINES = 'its pool lacked machines'
     ORDER = 'others of its pool went first'
+    ISOLATED = 'tasks were started apart, as workers had crashed under them'
     LOST_RUNS = 'runs were lost, stopped or failed'
     SLOW = 'its runs were slower than others of their step'
     HELD_BACK = 'its runs were held back beside others on their worker'
@@ -66,6 +67,7 @@
 
     :ivar handed_in_s: when a server first answered its caller
     :ivar taken_s: when a leader first knew of it
+    :ivar suspected: a worker has crashed under a task of it
     :ivar ended_s: when it reached a last state, None if it didn't
     """
 
@@ -81,6 +83,7 @@
     ended_s: float | None = None
     state: str = ''
     lasts: bool = False
+    suspected: bool = False
     steps: dict[int, Step] = dataclasses.field(default_factory=dict)
 
 
@@ -148,6 +151,8 @@
         for pool, machines in row['pools'].items():
             if machines['has'] < machines['needs']:
                 lacks[pool].append(row['time_s'])
+    elif kind == ('run', explain.SUSPECTED):
+        _job(jobs, row['task'].partition('.')[0]).suspected = True
     elif row['part'] == 'run' and 'task' in row:
         _take_run(row, jobs, runs)
 
@@ -251,7 +256,8 @@
     done = [run for run in step.runs if run.done]
     lost_s = [run.began_s for run in step.runs if not run.done]
     held_back = any(run.held_back for run in step.runs)
-    lost = Cause.HELD_BACK if held_back else Cause.LOST_RUNS
+    lost = Cause.ISOLATED if job.suspected else Cause.LOST_RUNS
+    lost = Cause.HELD_BACK if held_back else lost
     slow = Cause.HELD_BACK if held_back else Cause.SLOW
     last = max(done, key=lambda run: run.ended_s, default=None)
     if last is None:
--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -18,10 +18,12 @@
     NONE = 'no failure is told'
     REFUSED = 'it was refused and has not run'
     IN_DOUBT = 'the store did not answer whether it was accepted'
+    CRASHED_WORKERS = 'a task crashed the workers that started it'
     TASK_FAILED = 'a task failed as often as it may'
     CANCELLED = 'its caller cancelled it'
     WAITED = 'it waited for room'
     HELD_BACK = 'its runs were held back beside others on their worker'
+    ISOLATED = 'tasks were started apart, as workers had crashed under them'
     LOST_RUNS = 'runs were lost with their workers'
     UNKNOWN = 'the logs hold nothing of it'
 
@@ -31,6 +33,9 @@
 takes some milliseconds when there is room."""
 
 
+SUSPECTED = 'suspected'
+"""Event of a task under which a worker has crashed."""
+
 HELD_BACK = ('held-back', 'relocated')
 """Events of a run that gets next to no processor time where it is."""
 
@@ -127,9 +132,11 @@
     for row in touching:
         if row['part'] == 'job' and row['event'] == 'ended':
             if row.get('state') == 'failed':
-                return Cause.TASK_FAILED
+                return _why_failed(touching)
             if row.get('state') == 'cancelled':
                 return Cause.CANCELLED
+    if any(row['event'] == SUSPECTED for row in touching):
+        return Cause.ISOLATED
     if any(row['event'] in ('gone', 'lease-over') for row in around):
         return Cause.LOST_RUNS
     if any(row['event'] in HELD_BACK for row in touching):
@@ -137,3 +144,9 @@
     starts = [row['time_s'] for row in touching if row['event'] == 'start']
     waited_s = min(starts, default=float('inf')) - touching[0]['time_s']
     return Cause.WAITED if waited_s > WAITED_S else Cause.NONE
+
+
+def _why_failed(touching: list[Row]) -> Cause:
+    if any(row.get('given_up') for row in touching):
+        return Cause.CRASHED_WORKERS
+    return Cause.TASK_FAILED
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -8,6 +8,8 @@
 import dataclasses
 
 from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
@@ -33,6 +35,10 @@
 in time, and as many of the largest tenth."""
 
 
+SET_APART_PART = 2
+"""Not more than one in so many workers of a pool is kept for tasks that are
+suspected of crashing theirs, one at least."""
+
 PARTED_S = 0.4
 """Time after which the rest of a gang is stopped that lacks a member. What
 was whole breaks by itself, and is told of within this time."""
@@ -52,6 +58,8 @@
 
     :ivar filling: processor time that tasks which use leftovers ask for
     :ivar mates: tasks there, by their step
+    :ivar apart: kept for a task that is suspected of crashing its worker
+    :ivar unsettled_s: time until nothing else there could crash it
     """
 
     worker: workers_.Worker
@@ -64,6 +72,8 @@
     lasting: int = 0
     serving: bool = False
     filling: int = 0
+    apart: bool = False
+    unsettled_s: float = 0.0
     mates: dict[ledgers.Group, int] = dataclasses.field(default_factory=dict)
 
 
@@ -87,6 +97,11 @@
             room.serving = (
                 room.serving or task.group.step.latency_target_ms > 0
             )
+            room.apart |= isolation.is_on_probation(task)
+            age_s = now_s - task.run.begun_s
+            if not task.run.proven:
+                left_s = crashes_.SETTLED_S - age_s
+                room.unsettled_s = max(room.unsettled_s, left_s)
         for group in worker.foreign:
             _occupy(room, group)
         found.append(room)
@@ -180,7 +195,7 @@
     unmet: Unmet,
 ) -> list[Placement]:
     placed: list[Placement] = []
-    for task in list(group.waiting.values()):
+    for task in isolation.startable(group):
         if len(placed) >= most or not quotas_.allows(quotas, group):
             break
         if task.not_before_s > now_s:
@@ -189,12 +204,43 @@
         if best is None:
             _note_unmet(unmet, group)
             break
+        if task.index in group.suspects and not _set_apart(best, free):
+            break
         _take(best, group)
+        best.unsettled_s = crashes_.SETTLED_S
         quotas_.take(quotas, group)
         placed.append(Placement(task, best.worker))
     return placed
 
 
+def _set_apart(room: Room, free: list[Room]) -> bool:
+    """Keep a worker for a suspected task; says whether that may start now.
+
+    Until all that runs there has settled nothing else is started there.
+    """
+    kept = sum(other.apart for other in free)
+    if kept >= max(1, len(free) // SET_APART_PART):
+        return False
+    room.apart = True
+    return room.unsettled_s <= 0.0
+
+
+def _settled(
+    group: ledgers.Group, placed: list[Placement], free: list[Room]
+) -> list[Placement]:
+    """Keep the workers of a suspected gang; gives none until they settle."""
+    used = {id(row.worker) for row in placed}
+    rooms_ = [room for room in free if id(room.worker) in used]
+    for room in rooms_:
+        room.apart = True
+    if all(room.unsettled_s <= 0.0 for room in rooms_):
+        return placed
+    by_worker = {id(room.worker): room for room in rooms_}
+    for row in placed:
+        _give_back(by_worker[id(row.worker)], group)
+    return []
+
+
 def _best(
     group: ledgers.Group, task: ledgers.Task, free: list[Room]
 ) -> Room | None:
@@ -210,6 +256,9 @@
     All are packed, so that whole workers stay free, which may move. Tasks
     that last go where others last, but not all to one worker.
     """
+    if group.suspects:
+        # A crash must have one explanation, and take little along.
+        return (room.suspect, room.unsettled_s, room.lasting, room.batch)
     step = group.step
     near = not step.near_rack or room.rack == step.near_rack
     lasts = step.lasting
@@ -241,6 +290,8 @@
 
 def fits(room: Room, group: ledgers.Group) -> bool:
     """Say whether one more task of a group may start on a worker."""
+    if room.apart:
+        return False
     step = group.step
     needs = step.needs
     if not step.uses_leftover and needs.cpu_millicores > room.cpu_millicores:
@@ -306,6 +357,8 @@
     members = [task for task in group.tasks if not task.done]
     if any(task.run is not None for task in members):
         return []
+    if group.suspects and not isolation.is_kept(group.entry):
+        return []
     if not quotas_.allows(quotas, group, len(members)):
         return []
     if any(task.not_before_s > now_s for task in members):
@@ -317,6 +370,8 @@
     choices = [*racks_for(group, quiet), *racks_for(group, free), quiet, free]
     for choice in choices:
         placed = place_all(group, members, choice)
+        if placed and group.suspects:
+            placed = _settled(group, placed, free)
         for row in placed:
             quotas_.take(quotas, row.task.group)
         if placed:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -10,6 +10,7 @@
 import typing
 
 from oleanderwood import ids
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.pools import reports
@@ -21,6 +22,9 @@
 """Time after which a stop is ordered again while its run is still listed;
 a stop takes 0.2 s."""
 
+SERVES_S = 1.0
+"""Time at work after which a long-running task counts as sound."""
+
 FAILURES_IN_A_ROW = 3
 FAILED_JOBS = 2
 """Failed runs of different tasks, and of different jobs, with no good one
@@ -45,6 +49,7 @@
         earlier one are refused there
     :ivar heard: it has told under this term of all that runs and has ended
     :ivar silent_since_s: since when calls to it fail; None: it answers
+    :ivar silent_after_s: from when on it may have been so
     :ivar gone: proven: nothing runs there any more, and nothing will
     :ivar own_clock_ms, clock_at_s: its clock, and when it was read
     :ivar lease_end_s: by when any lease that it may hold has ended
@@ -71,6 +76,7 @@
     fenced: bool = False
     heard: bool = False
     silent_since_s: float | None = None
+    silent_after_s: float = 0.0
     gone: bool = False
     own_clock_ms: float = 0.0
     clock_at_s: float = 0.0
@@ -111,12 +117,15 @@
 class Loss:
     """A run that a worker may have taken along as it went.
 
-    :ivar age_s: time from its order to the first sign that the worker is gone
+    :ivar age_s: time from its order to the first sign that the worker is gone;
+        None if it isn't known when that was sent
+    :ivar doubt_s: by how much it may have been younger
     :ivar losses: runs of its task that were lost so, this one among them
     """
 
     task: ledgers.Task
-    age_s: float
+    age_s: float | None
+    doubt_s: float
     losses: int
 
 
@@ -184,7 +193,7 @@
     listed = set()
     for row in report.running:
         listed.add((row.task, row.attempt))
-        _take_running(ledger, worker, row, now_s, outcome)
+        _take_running(ledger, worker, row, sent_s, now_s, outcome)
     for name, task in list(worker.runs.items()):
         run = task.run
         if run is None or run.worker != worker.entry.worker:
@@ -216,6 +225,8 @@
             Note('stray-end', row.task, row.attempt, 'its job is not known')
         )
         return
+    # It is listed, so its worker didn't go.
+    isolation.clear(task, row.attempt)
     current = is_current(worker, task, row.attempt)
     expected = current and task.run.phase is not ledgers.RunPhase.STOPPING
     if row.how is reports.How.DONE:
@@ -279,15 +290,19 @@
     ledgers.over(ledger, task, now_s, checkpoint)
 
 
-def _take_running(ledger, worker, row, now_s, outcome) -> None:
+def _take_running(ledger, worker, row, sent_s, now_s, outcome) -> None:
     task = ledgers.find(ledger, row.task)
     why = _why_unwanted(task)
     if why:
         _stop_stray(worker, row, now_s, outcome, why)
         return
+    isolation.clear(task, row.attempt)
     if is_current(worker, task, row.attempt):
         run = task.run
         run.seen = True
+        if isolation.note_going_on(task, sent_s - run.begun_s):
+            outcome.changed = True
+            outcome.notes.append(Note('trusted', row.task, row.attempt))
         if run.phase in (
             ledgers.RunPhase.ORDERED,
             ledgers.RunPhase.DOUBTFUL,
@@ -295,6 +310,8 @@
             ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
             run.moved_on_s = now_s
         ledgers.apply_report(task, row, now_s)
+        if serves(task, now_s):
+            isolation.clear(task)
         if (
             run.phase is ledgers.RunPhase.STOPPING
             and now_s - run.phase_since_s > STOP_REPEAT_S
@@ -318,6 +335,17 @@
     outcome.notes.append(Note('adopted', row.task, row.attempt))
 
 
+def serves(task: ledgers.Task, now_s: float) -> bool:
+    """Say whether a task that lasts works, so that no crash is its doing.
+
+    Its worker will crash some day, and so may the next ones in a long life.
+    """
+    if not task.group.step.lasting:
+        return False
+    since_s = task.run.at_work_since_s
+    return since_s is not None and now_s - since_s >= SERVES_S
+
+
 def _why_unwanted(task: ledgers.Task | None) -> str:
     """Say why no run of a task is wanted; '' if one is."""
     if task is None:
@@ -403,15 +431,20 @@
 
 def note_losses(worker: Worker, now_s: float) -> list[Loss]:
     """Note which runs a worker takes along that is found to be gone."""
-    gone_s = now_s if worker.silent_since_s is None else worker.silent_since_s
+    gone_s, after_s = now_s, worker.clock_at_s
+    if worker.silent_since_s is not None:
+        gone_s, after_s = worker.silent_since_s, worker.silent_after_s
     losses = []
     for task in worker.runs.values():
         run = task.run
         if run is None or run.worker != worker.entry.worker or not run.sent:
             continue
         task.losses += 1
-        age_s = max(0.0, gone_s - run.begun_s)
-        losses.append(Loss(task, age_s, task.losses))
+        age_s = None
+        if run.sent_s is not None:
+            age_s = max(0.0, gone_s - run.sent_s)
+        doubt_s = min(gone_s - after_s, age_s or 0.0)
+        losses.append(Loss(task, age_s, doubt_s, task.losses))
     return losses
 
 
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -40,6 +40,14 @@
     registry=REGISTRY,
 )
 
+SUSPICIONS = prometheus_client.Counter(
+    'oleander_server_suspicions_total',
+    'Tasks that a crash of their worker was put down to, by what became of '
+    'their job.',
+    ('state',),
+    registry=REGISTRY,
+)
+
 TERMS = prometheus_client.Counter(
     'oleander_server_terms_total',
     'Terms that this server began to lead.',
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
-MOST_KNOWN_RED = 4
+MOST_KNOWN_RED = 3
 
 FORM = re.compile(
     r'(?P<test>tests/test_\w+\.py::test_\w+(\[[^\]]+\])?), [^`]+, '
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -62,6 +62,17 @@
     assert finding.outcome is Outcome.LATE and finding.wait_s == 3.0
 
 
+def test_task_that_was_started_apart_is_told_so():
+    finding = _find(
+        _taken(1.0),
+        *_run('0.0', 1.0, 1.5, 'stopped'),
+        _row(1.6, 'run', 'suspected', task='j.0.0.0', given_up=False),
+        *_run('0.0', 4.0, 5.0, attempt=2),
+        _ended(5.0),
+    )
+    assert finding.cause is Cause.ISOLATED
+
+
 def test_run_that_was_lost_is_the_cause_of_its_repetition():
     finding = _find(
         _taken(1.0),
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -449,8 +449,18 @@
     ]
     late = _start(9, 'w1', attempt=9, how='late')
     assert not _check(*_crashes(5), late)
+    rows = _crashes(6)
+    deaf = [(5.5, Kind.DEAF, {'how': how}) for how in ('begin', 'end')]
+    assert not _check(*rows[:15], *deaf, *rows[15:])
+    assert _check(*rows, *deaf, _start(9, 'w1', attempt=9))
 
 
 def test_job_may_be_failed_once_a_task_of_it_has_crashed_two_workers():
     assert _check(*_crashes(1), _shown(9, 'failed'))
     assert not _check(*_crashes(2), _shown(9, 'failed'))
+    # Not before that, and not for a task that was merely there.
+    assert _check(*_crashes(1), _shown(1.5, 'failed'), *_crashes(2)[3:])
+    beside = f'{LARGE}0'
+    rows = [_start(number + 0.5, f'x{number}', beside) for number in (0, 1)]
+    rows = sorted([*rows, *_crashes(2)], key=lambda row: row[0])
+    assert _check(*rows, _shown(9, 'failed', 'e' * 16))
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,280 @@
+"""Which tasks a worker's crash is put down to, and what becomes of them."""
+
+import pytest
+
+from oleanderwood.jobs import crashes as crashes_
+from oleanderwood.jobs import isolation
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import record
+from oleanderwood.pools import blame
+from oleanderwood.pools import placing
+from oleanderwood.pools import workers as workers_
+from tests import utils_jobs as build
+
+Crash = crashes_.Crash
+AT_ONCE = 10
+LATER = 400
+
+
+def _crash(attempt, age_ms, isolated=False, doubt_ms=0):
+    return Crash(attempt, age_ms, doubt_ms, isolated)
+
+
+GUILTY = {
+    'twice at once, the second isolated': [
+        _crash(1, AT_ONCE),
+        _crash(2, AT_ONCE, True),
+    ],
+    'three times at the same age': [
+        _crash(1, LATER),
+        _crash(2, LATER + 20),
+        _crash(3, LATER - 10, True),
+    ],
+    'in silence, twice isolated': [
+        _crash(1, 900, doubt_ms=900),
+        _crash(2, 1700, doubt_ms=1700),
+        _crash(3, 800, True, doubt_ms=800),
+        _crash(4, 1500, True, doubt_ms=1500),
+    ],
+    'one crash unheard of': [
+        Crash(crashes_.UNHEARD),
+        _crash(2, 900, doubt_ms=900),
+        _crash(3, 800, True, doubt_ms=800),
+        _crash(4, 1500, True, doubt_ms=1500),
+    ],
+}
+
+NOT_GUILTY = {
+    'one crash': [_crash(1, AT_ONCE, True)],
+    'twice at once beside others': [_crash(1, AT_ONCE), _crash(2, AT_ONCE)],
+    'at once, then late where nothing else was': [
+        _crash(1, AT_ONCE),
+        _crash(2, LATER, True),
+    ],
+    'beside others all the time': [
+        _crash(1, 900),
+        _crash(2, LATER),
+        _crash(3, 200),
+        _crash(4, 1500),
+    ],
+    'three unlike ones, the last isolated': [
+        _crash(1, 900),
+        _crash(2, LATER),
+        _crash(3, 100, True),
+    ],
+    'only heard of as unheard of': [Crash(crashes_.UNHEARD)],
+}
+
+
+@pytest.mark.parametrize('name', GUILTY)
+def test_task_is_given_up(name):
+    assert crashes_.is_guilty(GUILTY[name])
+    assert not crashes_.is_guilty(GUILTY[name][:-1])
+
+
+@pytest.mark.parametrize('name', NOT_GUILTY)
+def test_task_is_not_given_up(name):
+    assert not crashes_.is_guilty(NOT_GUILTY[name])
+
+
+def test_no_task_is_started_a_third_time_after_three_crashes():
+    """Whatever speaks for it, if it is isolated from then on."""
+    beside = [_crash(attempt, -1) for attempt in (1, 2, 3)]
+    isolated = [_crash(attempt, -1, True) for attempt in (4, 5)]
+    assert crashes_.is_guilty([*beside, *isolated])
+
+
+def _losing(count, ages_s, gone_s=10.0):
+    """Give a ledger, its tasks, and a worker that goes under them."""
+    ledger = build.ledger_with(build.job(build.step(count)))
+    tasks = [build.task(ledger, index=index) for index in range(count)]
+    worker = build.worker()
+    for task, age_s in zip(tasks, ages_s, strict=True):
+        run = build.start(ledger, task, worker, gone_s - age_s)
+        run.sent, run.sent_s = True, gone_s - age_s
+    worker.silent_since_s = worker.silent_after_s = gone_s
+    return ledger, tasks, worker
+
+
+def _go(ledger, worker, common=False, now_s=10.2):
+    losses = workers_.note_losses(worker, now_s)
+    suspected = blame.put_down(ledger, losses, common, now_s)
+    workers_.lost(ledger, worker, now_s)
+    return suspected
+
+
+def test_what_was_started_at_the_last_moment_is_suspected_alone():
+    ledger, tasks, worker = _losing(3, (0.01, 0.5, 2.0))
+    assert _go(ledger, worker) == [tasks[0]]
+    assert [len(task.crashes) for task in tasks] == [1, 1, 1]
+
+
+def test_nothing_is_suspected_where_workers_go_together():
+    ledger, tasks, worker = _losing(2, (0.01, 0.5))
+    others = [build.worker(f'w{number}') for number in (2, 3)]
+    for other in others:
+        other.silent_since_s = 9.98
+    assert blame.is_common(worker, [worker, *others])
+    assert not blame.is_common(worker, [worker, others[0]])
+    assert not _go(ledger, worker, common=True)
+
+
+def test_run_on_probation_is_blamed_alone_beside_settled_ones():
+    ledger, tasks, worker = _losing(3, (0.02, 1.5, 3.0))
+    isolation.note(ledger, tasks[0], _crash(1, AT_ONCE), 1.0)
+    tasks[0].run.attempt = 2
+    assert _go(ledger, worker) == [tasks[0]]
+    assert tasks[0].crashes[2].isolated
+    assert not tasks[1].crashes and not tasks[2].crashes
+    assert tasks[0].group.entry.state is model.State.FAILED
+    assert tasks[0].name in tasks[0].group.entry.cause
+
+
+def test_run_on_probation_shares_the_blame_with_a_young_one():
+    ledger, tasks, worker = _losing(2, (0.02, 0.5))
+    isolation.note(ledger, tasks[0], _crash(1, AT_ONCE), 1.0)
+    tasks[0].run.attempt = 2
+    _go(ledger, worker)
+    assert not tasks[0].crashes[2].isolated
+    assert tasks[1].crashes
+    assert not ledgers.final(tasks[0].group.entry)
+
+
+def test_long_running_task_at_work_is_never_blamed():
+    step = build.step(lasting=True)
+    ledger = build.ledger_with(build.job(step))
+    task, worker = build.task(ledger), build.worker()
+    for crash in range(20):
+        run = build.start(ledger, task, worker, 10.0 * crash)
+        run.sent, run.sent_s = True, 10.0 * crash
+        run.at_work_since_s = 10.0 * crash + 1.0
+        worker.silent_since_s = worker.silent_after_s = 10.0 * crash + 5.0
+        _go(ledger, worker, now_s=10.0 * crash + 5.0)
+    assert not task.crashes
+
+
+def test_run_that_is_heard_of_again_clears_its_task():
+    """What looked like a crash was a cut."""
+    ledger, tasks, worker = _losing(1, (0.01,))
+    attempt = tasks[0].run.attempt
+    assert _go(ledger, worker) == tasks
+    report = build.report(ended=[(1, tasks[0].name, attempt, _LAPSED)])
+    build.take(ledger, worker, report, 20.0, 20.0)
+    assert not tasks[0].crashes and not tasks[0].group.suspects
+
+
+_LAPSED = workers_.reports.How.LAPSED
+
+
+def _suspected(count, suspects):
+    """Give a ledger with a step, some of whose tasks are suspected."""
+    ledger = build.ledger_with(build.job(build.step(count)))
+    tasks = [build.task(ledger, index=index) for index in range(count)]
+    for index in suspects:
+        isolation.note(ledger, tasks[index], _crash(1, AT_ONCE), 1.0)
+    entry = tasks[0].group.entry
+    entry.crashes_kept = entry.crashes_noted
+    return ledger, tasks, entry
+
+
+def test_suspected_task_waits_until_its_crash_is_kept():
+    _ledger, tasks, entry = _suspected(1, [0])
+    assert isolation.startable(tasks[0].group) == tasks
+    entry.crashes_noted += 1
+    assert not isolation.startable(tasks[0].group)
+
+
+def test_one_of_a_step_is_tried_first_then_two_then_the_rest():
+    ledger, tasks, _entry = _suspected(5, [1, 2, 3])
+    group, worker = tasks[0].group, build.worker()
+    assert isolation.startable(group) == [tasks[1]]
+    build.start(ledger, tasks[1], worker)
+    assert not isolation.startable(group)
+    assert isolation.note_going_on(tasks[1], crashes_.LEAST_PROBATION_S)
+    assert isolation.startable(group) == [tasks[2], tasks[3]]
+    for task in tasks[2:4]:
+        build.start(ledger, task, worker)
+        assert not isolation.note_going_on(task, 0.1)
+        task.run.proven = True
+    assert isolation.startable(group) == [tasks[0], tasks[4]]
+
+
+def _place(tasks, pool, now_s=10.0):
+    group = tasks[0].group
+    decided = placing.decide([group], pool, now_s, 100)
+    return [(row.task, row.worker.entry.worker) for row in decided]
+
+
+def test_suspected_task_starts_where_nothing_is_young():
+    ledger, tasks, _entry = _suspected(1, [0])
+    other = build.job(build.step(2), name='b' * 16)
+    ledgers.add(ledger, other, 0.0)
+    settled, young = (build.worker(name) for name in ('w1', 'w2'))
+    first, second = (
+        build.task(ledger, index=index, name='b' * 16) for index in (0, 1)
+    )
+    build.start(ledger, first, settled, 5.0)
+    build.start(ledger, second, young, 9.9)
+    assert _place(tasks, [young, settled]) == [(tasks[0], 'w1')]
+    # Where all have something young, one is kept free until that settles.
+    assert not _place(tasks, [young])
+    third = build.job(build.step(1), name='c' * 16)
+    ledgers.add(ledger, third, 0.0)
+    group = build.task(ledger, name='c' * 16).group
+    assert not placing.decide([tasks[0].group, group], [young], 10.0, 9)
+    assert _place(tasks, [young], 11.0) == [(tasks[0], 'w2')]
+
+
+def test_nothing_starts_beside_a_run_on_probation():
+    ledger, tasks, _entry = _suspected(1, [0])
+    worker = build.worker()
+    run = build.start(ledger, tasks[0], worker, 9.0)
+    ledgers.add(ledger, build.job(build.step(1), name='b' * 16), 0.0)
+    other = [build.task(ledger, name='b' * 16)]
+    assert not _place(other, [worker])
+    run.proven = True
+    assert _place(other, [worker]) == [(other[0], 'w1')]
+
+
+def test_crashes_outlive_the_leader_and_the_next_start_counts_ahead():
+    ledger, tasks, entry = _suspected(2, [0])
+    tasks[1].crashes[1] = _crash(1, LATER)
+    progress = record.progress_of(entry)
+    later = build.ledger_with(entry.job, term=2, inherited=True)
+    found = later.entries[entry.job.job]
+    record.restore(later, found, progress, 20.0)
+    task = build.task(later)
+    assert set(task.crashes) == {crashes_.UNHEARD, 1}
+    assert task.index in task.group.suspects
+    assert ledgers.next_attempt(later, task) == 1001
+    # The run is heard of: nothing was lost with the leader.
+    report = build.report(running=[(task.name, 2)])
+    build.take(later, build.worker(), report, 20.0, 20.0)
+    assert set(task.crashes) == {1}
+
+
+def test_progress_of_an_earlier_version_is_read_and_ours_by_it():
+    step = '[0,0,"1",{},{}]'
+    old = f'{{"state":"running","groups":[{step}],"more_pools":[]}}'
+    read = record.msgspec.json.decode(old.encode(), type=record.Progress)
+    assert read.groups[0].crashes == {}
+
+    class Earlier(record.msgspec.Struct, array_like=True):
+        occurrence: int
+        step: int
+        done: str = '0'
+
+    new = record.GroupProgress(0, 1, '3', crashes={0: [_crash(1, AT_ONCE)]})
+    encoded = record.msgspec.json.encode(new)
+    earlier = record.msgspec.json.decode(encoded, type=Earlier)
+    assert earlier.done == '3'
+
+
+def test_crashes_under_the_members_of_a_gang_count_together():
+    ledger = build.ledger_with(build.job(build.step(2, gang=True)))
+    tasks = [build.task(ledger, index=index) for index in (0, 1)]
+    isolation.note(ledger, tasks[0], _crash(1, AT_ONCE), 1.0)
+    assert set(tasks[0].group.suspects) == {0, 1}
+    isolation.note(ledger, tasks[1], _crash(2, AT_ONCE, True), 2.0)
+    assert tasks[0].group.entry.state is model.State.FAILED
--- a/tests/test_emulated_feature_defects.py
+++ b/tests/test_emulated_feature_defects.py
@@ -26,6 +26,7 @@
 
     step: model.Step
     tickets: dict | None
+    suspects: dict = dataclasses.field(default_factory=dict)
 
 
 def _without(**limits):
--- a/tests/test_emulated_features.py
+++ b/tests/test_emulated_features.py
@@ -72,6 +72,9 @@
 
 CALM = 900
 TROUBLED = 901
+TROUBLED_BY_FEATURE = {Feature.CRASHES: 902}
+"""Few jobs ask for some; of these one on such a day."""
+
 TROUBLES_A_DAY = 4
 MIXED = range(910, 913)
 
@@ -88,7 +91,8 @@
 
 @pytest.mark.parametrize('feature', Feature, ids=lambda row: row.value)
 def test_day_with_troubles_meets_the_feature(feature):
-    result = _check(TROUBLED, (feature,), TROUBLES_A_DAY)
+    seed = TROUBLED_BY_FEATURE.get(feature, TROUBLED)
+    result = _check(seed, (feature,), TROUBLES_A_DAY)
     assert result.met[feature] >= LEAST_STARTS
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -3,6 +3,7 @@
 import json
 
 from emulator import day
+from emulator import features
 from emulator import troubles
 from oleanderwood import clock
 from oleanderwood import event_log
@@ -102,3 +103,23 @@
         ]
     )
     assert explain.explain(rows, 'a').cause is explain.Cause.HELD_BACK
+
+
+def test_job_that_crashes_workers_is_told_with_each_of_them(monkeypatch):
+    plan = day.Plan(1, features=(features.Feature.CRASHES,))
+    rows, result = _played(monkeypatch, plan)
+    failed = [
+        row['job']
+        for row in rows
+        if row['event'] == 'ended' and 'crashed' in row.get('why', '')
+    ]
+    assert failed and not result.breaches
+    story = explain.explain(rows, failed[0])
+    assert story.cause is explain.Cause.CRASHED_WORKERS
+    crashed = [
+        line
+        for line in story.lines
+        if 'run suspected' in line and failed[0] in line
+    ]
+    assert len(crashed) >= 2 and all('worker=i-' in line for line in crashed)
+    assert 'given_up=True' in crashed[-1]
--- a/tests/test_losses_in_the_log.py
+++ b/tests/test_losses_in_the_log.py
@@ -11,7 +11,8 @@
     young.losses = 2
     worker = build.worker()
     for task, begun_s in ((young, 4.99), (old, 1.0), (unsent, 1.0)):
-        build.start(ledger, task, worker, begun_s).sent = task is not unsent
+        run = build.start(ledger, task, worker, begun_s)
+        run.sent, run.sent_s = task is not unsent, begun_s
     worker.silent_since_s = 5.0
     told = restarts.told(workers_.note_losses(worker, 5.4))
     assert told == {'lost': {young.name: [10, 3], old.name: [4000, 1]}}
