--- a/tests/utils_crashes.py
+++ b/tests/utils_crashes.py
@@ -40,3 +40,9 @@
 def count(result: day.Result, kind: evidences.Kind) -> int:
     """Count what was seen of a kind."""
     return sum(sight.kind is kind for sight in result.evidence.sights)
+
+
+def crashes(scene: build.Scene) -> int:
+    """Count the workers that tasks have crashed so far."""
+    sights = scene.callers.world.evidence.sights
+    return sum(sight.kind is evidences.Kind.CRASHED for sight in sights)
