Fill no worker by a room that was heard of long ago

Rooms may shrink and grow while workers run: the emulator brings it about, the checker judges it (a room that has shrunk counts 4.5 s later), and the lab draws it (--resize-count).

What users would see: LIMIT.

The rule holds for all servers, in touch or not, so an outage is no excuse.

Why it holds: in pools whose workers don't guard themselves nothing is started while entries were last heard of longer ago than contact_ms (new setting, from the platform's bounds) less 0.5 s for the way, nor for one beat and as much after the store was away. Shrunk at t, told by t + 1.5 s or not at all; so what is not known of shrank after the last hearing less a beat, and counts after the start. Pools whose workers refuse what doesn't fit go on as before; all pools of today's deployments are such.

--- a/emulator/evidence.py
+++ b/emulator/evidence.py
@@ -80,11 +80,21 @@
     saved: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """What an executor has from a time on."""
+
+    at_s: float
+    cpu: int
+    memory_mb: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """One life of an executor, as it was built.
 
     :ivar guards: it rejects what doesn't fit
+    :ivar sizes: those that it got since
     """
 
     service: str
@@ -92,6 +102,7 @@
     cpu: int
     memory_mb: int
     guards: bool = True
+    sizes: list[Size] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -77,6 +77,7 @@
     :ivar slow_factor: how many times slower than others it works
     :ivar kind: of its machine
     :ivar guards: it rejects what doesn't fit
+    :ivar told: the size that its entry tells, which is written once a beat
     :ivar tails_ms: response times of its serving tasks, each tick
     """
 
@@ -98,6 +99,7 @@
     born: int | None = None
     resets: bool = False
     guards: bool = True
+    told: tuple[int, int] | None = None
     draining: bool = False
     fence: int = 0
     deadline_ms: float = 0.0
@@ -155,6 +157,7 @@
 
 def entry(executor: Executor) -> bytes:
     """Give the executor's entry in the store."""
+    cores, memory_mb = executor.told or (executor.cores, executor.memory_mb)
     return json.dumps(
         {
             **_told(executor),
@@ -166,8 +169,8 @@
             'state': 'draining' if executor.draining else 'ready',
             'cold_left_ms': 0,
             'capacity': {
-                'cpu': executor.cores * 1000,
-                'mem_mb': executor.memory_mb,
+                'cpu': cores * 1000,
+                'mem_mb': memory_mb,
                 'gpu': 0,
             },
             'labels': [executor.kind, executor.rack],
--- a/emulator/feature_rules.py
+++ b/emulator/feature_rules.py
@@ -16,6 +16,9 @@
 CONTACT_S = 3.0
 """Time after a trouble until things count as calm again."""
 
+SHRUNK_S = 4.5
+"""Time after which a room that has shrunk counts: that, and one beat."""
+
 WALL_S = 1_700_000_000.0
 """Time of day at which a day begins, since 1970."""
 
@@ -110,13 +113,33 @@
             step.get('cpu', 0) for step in steps if not step.get('fills')
         )
         memory_mb = sum(step.get('mem_mb', 0) for step in steps)
-        if cpu > place.cpu or memory_mb > place.memory_mb:
+        most_cpu, most_memory_mb = _most(place, sight.at_s)
+        if cpu > most_cpu or memory_mb > most_memory_mb:
             yield (
                 f'LIMIT at {sight.at_s:.2f}: {sight.task} brings '
                 f'{sight.place} to {cpu} and {memory_mb} MB'
             )
 
 
+def _most(place: evidences.Place, at_s: float) -> tuple[int, int]:
+    """Give the room of an executor that counts at a time.
+
+    One that has shrunk counts some time later.
+    """
+    first = evidences.Size(0.0, place.cpu, place.memory_mb)
+    sizes = [size for size in (first, *place.sizes) if size.at_s <= at_s]
+    later = [size.at_s for size in sizes[1:]] + [at_s]
+    counting = [
+        size
+        for size, until_s in zip(sizes, later, strict=True)
+        if until_s > at_s - SHRUNK_S or size is sizes[-1]
+    ]
+    return (
+        max(size.cpu for size in counting),
+        max(size.memory_mb for size in counting),
+    )
+
+
 def _timely(evidence, jobs):
     """No task of a repetition starts long before its time."""
     for sight in evidence.sights:
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -236,6 +236,30 @@
     await stores.put(fleet.world.store, key, executors.entry(executor))
 
 
+async def resize(
+    fleet: Fleet, machine: Machine, share: float, told_after_s: float
+) -> None:
+    """Let a machine's executor have another size; what runs there goes on.
+
+    :param share: of what the machine has
+    :param told_after_s: until its entry tells so, at its next beat
+    """
+    executor = machine.executor
+    if executor is None:
+        return
+    executor.told = (executor.cores, executor.memory_mb)
+    executor.cores = round(fleet.cores * share)
+    executor.memory_mb = round(fleet.memory_mb * share)
+    place = fleet.world.evidence.places[executor.name]
+    place.sizes.append(
+        evidences.Size(
+            clock.now_s(), executor.cores * 1000, executor.memory_mb
+        )
+    )
+    await curio.sleep(told_after_s)
+    executor.told = None
+
+
 async def hide(machine: Machine, for_s: float) -> None:
     """Cut a machine's executor off; what runs there goes on."""
     executor = machine.executor
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -42,6 +42,7 @@
     cut_count: int = 0,
     restart_count: int = 0,
     crashes: bool = False,
+    resize_count: int = 0,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -54,6 +55,7 @@
     :param restart_count: further troubles: executors that start again under
         their id; they tell when they were born then
     :param crashes: some tasks crash the executors that start them
+    :param resize_count: further troubles: rooms that shrink and grow
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -78,6 +80,9 @@
         drawn += troubles.draw(
             seed, length_s, restart_count, troubles.RESTART_KINDS
         )
+        drawn += troubles.draw(
+            seed, length_s, resize_count, troubles.RESIZE_KINDS
+        )
         wanted = features.draw(seed, feature_count)
         if crashes:
             wanted += (features.Feature.CRASHES,)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -69,6 +69,7 @@
     RESTARTED_IN_CUT = 'restarted-in-cut'
     RESTARTED_LATE_ORDERS = 'restarted-late-orders'
     RESTARTED_STORE_AWAY = 'restarted-store-away'
+    ROOMS_RESIZED = 'rooms-resized'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,6 +116,12 @@
 )
 """Cuts that refuse, reset, swallow answers or change while they last."""
 
+RESIZE_KINDS = (Kind.ROOMS_RESIZED,)
+"""Executors whose room shrinks and grows while they run."""
+
+SHARES = (0.0, 0.25, 0.5, 0.75, 1.5)
+"""What is left of such a room, or becomes of it."""
+
 DEAFENING = (
     Kind.LEADER_FROZEN,
     Kind.LEADER_REFUSED,
@@ -150,6 +157,7 @@
     Kind.LEADER_PARTED,
     *CUT_KINDS,
     *RESTART_KINDS,
+    *RESIZE_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
@@ -157,7 +165,9 @@
 """What kept seeds draw from, so that they go on meaning the same days."""
 
 LAB_KINDS = tuple(
-    kind for kind in Kind if kind not in (*CUT_KINDS, *RESTART_KINDS)
+    kind
+    for kind in Kind
+    if kind not in (*CUT_KINDS, *RESTART_KINDS, *RESIZE_KINDS)
 )
 """The same for days of the lab; others are asked for by a count of theirs."""
 
@@ -310,6 +320,25 @@
             machine.executor.slow_factor = 1.0
 
 
+async def _rooms_resized(scene, trouble) -> None:
+    """Let rooms shrink or grow several times, and be as before at last."""
+
+    async def resize(machine: fleets.Machine) -> None:
+        for _ in range(scene.rng.randint(1, 3)):
+            await _resize_once(scene, machine, scene.rng.choice(SHARES))
+            await curio.sleep(scene.rng.uniform(0.0, trouble.for_s))
+        await _resize_once(scene, machine, 1.0)
+
+    async with curio.TaskGroup() as group:
+        for _ in range(scene.rng.randint(1, 4)):
+            await group.spawn(resize, _machine(scene))
+
+
+async def _resize_once(scene, machine, share) -> None:
+    beat_s = scene.rng.uniform(0.0, executors.HEARTBEAT_S)
+    await fleets.resize(scene.fleet, machine, share, beat_s)
+
+
 async def _orders_late(scene, trouble) -> None:
     await scenes.spoil(
         scene.network.late_share,
@@ -413,4 +442,5 @@
     Kind.RESTARTED_IN_CUT: restarts.in_cut,
     Kind.RESTARTED_LATE_ORDERS: restarts.with_late_orders,
     Kind.RESTARTED_STORE_AWAY: restarts.while_store_is_away,
+    Kind.ROOMS_RESIZED: _rooms_resized,
 }
--- a/oleanderwood/boot.py
+++ b/oleanderwood/boot.py
@@ -25,6 +25,8 @@
     :ivar descriptors: files and sockets that the process may hold open
     :ivar stop_time_s: from the signal to stop until the process is killed
     :ivar max_task_lease_ms: longest lease that a worker gives its tasks
+    :ivar contact_ms: how long a change in the store may stay unheard, by the
+        platform's rules
     :ivar machine_turn_ms: time between the orders of two leaders for one
         machine
     :ivar job_retention_s: how long callers may ask for an ended job
@@ -47,6 +49,7 @@
     heartbeat_ms: float = 1500.0
     stop_time_s: float = 6.0
     max_task_lease_ms: float = 6000.0
+    contact_ms: float = 3000.0
     task_stop_ms: float = 200.0
     machine_turn_ms: float = 3000.0
     maintenance_s: float = 2.0
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -40,6 +40,10 @@
 """How much earlier than the store we take the lease for ended; clocks of
 two machines differ in rate by far less over a lease."""
 
+GAP_S = 1.5
+"""Time without an answer after which the store counts as back; renewals and
+watches answer each second."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Granted:
@@ -197,4 +201,6 @@
 
 def note_contact(server: states.Server, sent_s: float) -> None:
     """Note that the store answered a call sent at some time."""
+    if sent_s - server.contact_s > GAP_S:
+        server.back_s = clock.now_s()
     server.contact_s = max(server.contact_s, sent_s)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -26,6 +26,9 @@
 LONGEST_WAIT_S = 0.2
 """A pass is made at least this often: due times and pauses end unnoticed."""
 
+ON_THE_WAY_S = 0.5
+"""Time from a decision until its order has arrived."""
+
 STARTS_A_PASS = 200
 """Starts decided at once for a pool."""
 
@@ -145,6 +148,8 @@
     for worker in leader.workers.values():
         if worker.rostered and worker.entry.service in ready:
             pools.setdefault(worker.entry.service, []).append(worker)
+    if _entries_are_old(leader, now_s):
+        ready = _guarded_only(leader, ready)
     quotas = quotas_.make(leader.policy.policy, leader.workers.values())
     for service, groups in ready.items():
         groups = [
@@ -160,6 +165,32 @@
         await _order(leader, decided, now_s)
 
 
+def _entries_are_old(leader: states.Leader, now_s: float) -> bool:
+    """Say whether rooms may have shrunk for so long that it counts.
+
+    An entry is written once a heartbeat, and a room that has shrunk counts a
+    contact later; so what was heard has to be as young as that. While the
+    store was away none was written.
+    """
+    settings = leader.server.settings
+    age_s = now_s - leader.entries_heard_s
+    back_s = now_s - leader.server.back_s
+    return (
+        age_s > settings.contact_ms / 1000 - ON_THE_WAY_S
+        or back_s < settings.heartbeat_ms / 1000 + ON_THE_WAY_S
+    )
+
+
+def _guarded_only(
+    leader: states.Leader,
+    ready: dict[ids.ServiceId, list[ledgers.Group]],
+) -> dict[ids.ServiceId, list[ledgers.Group]]:
+    """Give what waits in pools whose workers refuse what doesn't fit."""
+    configuration = leader.server.configuration
+    guarded = configuration.guarded if configuration else frozenset()
+    return {name: rows for name, rows in ready.items() if name in guarded}
+
+
 async def _startable(
     leader: states.Leader,
     groups: list[ledgers.Group],
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -124,6 +124,7 @@
     :ivar process: one life of this server
     :ivar lease_until_s: by when the server's lease may have ended
     :ivar contact_s: when the last call was sent that the store answered
+    :ivar back_s: since when the store answers again, after a gap
     :ivar began_s: when the process began
     :ivar led_term: the last term that this process has led, or leads
     :ivar asked_by_term: the last term whose leader has asked whether it leads
@@ -138,6 +139,7 @@
     lease: int = 0
     lease_until_s: float = 0.0
     contact_s: float = -1e9
+    back_s: float = -1e9
     began_s: float = dataclasses.field(default_factory=_now_s)
     led_term: int = 0
     asked_by_term: int = 0
@@ -224,6 +226,8 @@
     :ivar writes_under_way: writes of progress that aren't answered yet
     :ivar write_failed: the last such write failed, and that was logged
     :ivar seen_ends: ends that wait for writes, the first first
+    :ivar entries_heard_s: when the call was sent that last told of all changes
+        of workers' entries
     :ivar workers: each is one life of an executor
     :ivar lives: those of an executor that aren't known to be over, the one
         that was met last comes last
@@ -244,6 +248,7 @@
         default_factory=executors.Executors
     )
     machine_calls: machines_.Machines | None = None
+    entries_heard_s: float = -math.inf
     workers: dict[ids.VmId, workers_.Worker] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -341,12 +341,12 @@
         if whole:
             await intake.unlist_others(leader, items)
 
+    def note(sent_s: float) -> None:
+        leader.entries_heard_s = sent_s
+        lease.note_contact(leader.server, sent_s)
+
     await watcher.follow(
-        leader.server.store,
-        executors.PREFIX,
-        WATCH_S,
-        take,
-        _contact(leader),
+        leader.server.store, executors.PREFIX, WATCH_S, take, note
     )
 
 
