Remember for a heartbeat that a worker had no room

What callers saw: where a worker's room shrinks, its entry tells so at its next beat; until then the fullest worker by its entry was asked again each 0.15 s, for each task, and refused.

Now the least needs that were refused are remembered for 1.5 s, or until the entry tells of another room: what asks for as much goes elsewhere, smaller tasks still come, and orders that were decided together aren't sent any more.

A change of a room is logged (worker resized).

--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -32,6 +32,15 @@
     gpus: int = 0
 
 
+def asks_as_much(needs: Resources, least: Resources) -> bool:
+    """Say whether needs are at least as large as others in each resource."""
+    return (
+        needs.cpu_millicores >= least.cpu_millicores
+        and needs.memory_mb >= least.memory_mb
+        and needs.gpus >= least.gpus
+    )
+
+
 class Step(msgspec.Struct, frozen=True, rename=stored.STEP):
     """Equal tasks of a job.
 
--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -7,6 +7,7 @@
 from oleanderwood import event_log
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import executors
@@ -57,6 +58,7 @@
         or task.done
         or not _may_start(leader, task)
         or not workers_.accepts(worker, now_s)
+        or _is_refused(worker, task, now_s)
     ):
         await _not_started(leader, worker, task, 'not sent')
         return
@@ -84,6 +86,18 @@
     await _start_answered(leader, worker, task, run, refusal)
 
 
+def _is_refused(
+    worker: workers_.Worker, task: ledgers.Task, now_s: float
+) -> bool:
+    """Say whether a worker has just had no room for as much.
+
+    Several orders were decided together by the room that it told of.
+    """
+    least = workers_.refused(worker, now_s)
+    needs = task.group.step.needs
+    return least is not None and model.asks_as_much(needs, least)
+
+
 def _may_start(leader: states.Leader, task: ledgers.Task) -> bool:
     """Say whether a leader may start a task now.
 
@@ -135,6 +149,9 @@
         return
     if refusal is executors.Refusal.NO_TICKET:
         task.group.advised_until_s = 0.0
+    if refusal is executors.Refusal.NO_ROOM:
+        needs = task.group.step.needs
+        workers_.note_no_room(worker, needs, clock.now_s())
     if refusal is executors.Refusal.UNHEALTHY:
         worker.unhealthy_until_s = clock.now_s() + UNHEALTHY_S
     if task.run is run:
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -262,6 +262,16 @@
         event_log.emit('worker', 'draining', worker=entry.worker)
         known.entry = entry
         await leave_draining(leader, known)
+    if entry.capacity != known.entry.capacity:
+        event_log.emit(
+            'worker',
+            'resized',
+            worker=entry.worker,
+            cpu_millicores=entry.capacity.cpu_millicores,
+            memory_mb=entry.capacity.memory_mb,
+            gpus=entry.capacity.gpus,
+        )
+        known.refused = None
     known.entry = entry
     if not known.listed:
         known.listed = True
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -58,6 +58,7 @@
 
     :ivar filling: processor time that tasks which use leftovers ask for
     :ivar mates: tasks there, by their step
+    :ivar refused: the least needs that there was lately no room for
     :ivar apart: kept for a task that is suspected of crashing its worker
     :ivar unsettled_s: time until nothing else there could crash it
     """
@@ -72,6 +73,7 @@
     lasting: int = 0
     serving: bool = False
     filling: int = 0
+    refused: model.Resources | None = None
     apart: bool = False
     unsettled_s: float = 0.0
     mates: dict[ledgers.Group, int] = dataclasses.field(default_factory=dict)
@@ -92,6 +94,7 @@
             reports.rack(worker.entry),
             workers_.suspect(worker),
         )
+        room.refused = workers_.refused(worker, now_s)
         for task in worker.runs.values():
             _take(room, task.group)
             room.serving = (
@@ -175,15 +178,7 @@
     rows = unmet.lasting
     if not step.lasting:
         rows = rows + unmet.passing
-    return any(_needs_as_much(step.needs, row) for row in rows)
-
-
-def _needs_as_much(needs: model.Resources, least: model.Resources) -> bool:
-    return (
-        needs.cpu_millicores >= least.cpu_millicores
-        and needs.memory_mb >= least.memory_mb
-        and needs.gpus >= least.gpus
-    )
+    return any(model.asks_as_much(step.needs, row) for row in rows)
 
 
 def _place_tasks(
@@ -298,6 +293,8 @@
         return False
     if needs.memory_mb > room.memory_mb or needs.gpus > room.gpus:
         return False
+    if room.refused is not None and model.asks_as_much(needs, room.refused):
+        return False
     if group.tickets is not None:
         if room.worker.entry.worker not in group.tickets:
             return False
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -22,6 +22,10 @@
 """Time after which a stop is ordered again while its run is still listed;
 a stop takes 0.2 s."""
 
+REFUSED_S = 1.5
+"""Time for which a refusal for want of room is remembered: a heartbeat, within
+which the worker's entry tells of its room."""
+
 SERVES_S = 1.0
 """Time at work after which a long-running task counts as sound."""
 
@@ -58,6 +62,8 @@
     :ivar due: its machine is due for maintenance
     :ivar closed: no new tasks, its machine is about to go down or move
     :ivar emptying: no new tasks, another pool wants its machine
+    :ivar refused: the least needs that it lately had no room for, until
+        ``refused_until_s``
     :ivar failures: failed runs since the last good one
     :ivar stalled: runs that made no headway, since the last good one
     :ivar slow: it is several times slower than its pool
@@ -87,6 +93,8 @@
     closed: bool = False
     emptying: bool = False
     unhealthy_until_s: float = 0.0
+    refused: model.Resources | None = None
+    refused_until_s: float = 0.0
     failures: int = 0
     failed_tasks: set[str] = dataclasses.field(default_factory=set)
     stalled: int = 0
@@ -461,6 +469,20 @@
     return tasks
 
 
+def note_no_room(worker: Worker, needs: model.Resources, now_s: float) -> None:
+    """Note that a worker had no room for what should have fitted.
+
+    Its room has shrunk, and its entry doesn't tell so yet.
+    """
+    worker.refused = needs
+    worker.refused_until_s = now_s + REFUSED_S
+
+
+def refused(worker: Worker, now_s: float) -> model.Resources | None:
+    """Give the least needs that a worker lately had no room for, if any."""
+    return worker.refused if now_s < worker.refused_until_s else None
+
+
 def used(worker: Worker) -> model.Resources:
     """Give what the runs on a worker take, as far as it counts."""
     cpu = memory = gpus = 0
--- a/tests/test_shrunk_rooms.py
+++ b/tests/test_shrunk_rooms.py
@@ -7,7 +7,8 @@
 tasks by the room that it heard of last.
 
 Cause: what was heard of a worker had no age. And as the store comes back, its
-entries are as old as its outage was long: workers write them at their beat. Evidence: on 2 of 60 emulated
+entries are as old as its outage was long: workers write them at their beat.
+Evidence: on 2 of 60 emulated
 days with eight such troubles and four others a start brought a worker over its
 room, each time without the store, more than 4.5 s after the change; on 30 calm
 days none did.
@@ -18,6 +19,11 @@
 from emulator import day
 from emulator import features
 from emulator import troubles
+from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.pools import placing
+from oleanderwood.pools import workers as workers_
+from tests import utils_jobs as build
 
 RESIZES = 8
 
@@ -38,6 +44,28 @@
     assert not result.breaches and not result.unfinished
 
 
+def _placed(ledger, worker, now_s, name=build.JOB):
+    group = build.task(ledger, name=name).group
+    return placing.decide([group], [worker], now_s, 9)
+
+
+def test_worker_that_had_no_room_is_not_asked_again_at_once():
+    """Its entry tells of its room within a heartbeat.
+
+    Each refusal was forgotten: the fullest worker by its entry was asked again
+    each 0.15 s, for each task.
+    """
+    ledger = build.ledger_with(build.job(build.step(cpu=2000)))
+    small = build.job(build.step(cpu=1000), name='b' * 16)
+    ledgers.add(ledger, small, 0.0)
+    worker = build.worker()
+    assert _placed(ledger, worker, 9.0)
+    workers_.note_no_room(worker, model.Resources(2000, 100), 9.0)
+    assert not _placed(ledger, worker, 9.1)
+    assert _placed(ledger, worker, 9.1, 'b' * 16)
+    assert _placed(ledger, worker, 9.0 + workers_.REFUSED_S)
+
+
 def test_rooms_are_followed_both_ways():
     result = _day(3, 0, (features.Feature.UNGUARDED,))
     assert not result.breaches and not result.unfinished
