Bring machines for what rooms lack that have shrunk

What callers saw: a pool counted its machines by what the list of machines says they have. Where workers' rooms had shrunk, even to nothing, their pool had all the machines that it needed by number, and its tasks waited for rooms.

Now what the workers of a pool lack is added to what its waiting work asks for. A unit test fails before (two machines of eight cores, one with nothing left, ten cores waiting: two needed in place of three).

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -78,6 +78,7 @@
     :ivar worker: None while it is on its way, or off
     :ivar fixed: it must not move now
     :ivar labels: of the machine
+    :ivar shrunk_cores: of its cores, those that its worker lacks at present
     """
 
     machine: str
@@ -85,6 +86,7 @@
     worker: workers_.Worker | None
     fixed: bool = False
     labels: tuple[str, ...] = ()
+    shrunk_cores: float = 0.0
 
 
 @dataclasses.dataclass
@@ -164,6 +166,9 @@
         arriving = pool.held_cores + demand.soon_cores(line, now_s)
         cores = max(cores, arriving)
     cores += backlog.cores(pool.waiting)
+    if pool.waiting:
+        # What a machine lacks is made up for by others, where work waits.
+        cores += sum(member.shrunk_cores for member in pool.members)
     each = cores_each * FILL
     if not each:
         return Need(0, 0)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -273,12 +273,17 @@
     worker = None
     if machine.state is fleet.State.UP:
         worker = states.worker_of(leader, machine.worker)
+    cpu = machine.capacity.cpu_millicores
+    shrunk = 0
+    if worker is not None and worker.listed and not worker.provisional:
+        shrunk = max(0, cpu - worker.entry.capacity.cpu_millicores)
     return rebalancing.Member(
         machine.machine,
-        float(machine.capacity.cpu_millicores) / 1000,
+        float(cpu) / 1000,
         worker,
         fixed,
         tuple(machine.labels),
+        float(shrunk) / 1000,
     )
 
 
--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -1,6 +1,7 @@
 """Tests of foreseen turns and of machines that change their pool."""
 
 from emulator import day
+from oleanderwood.capacity import backlog
 from oleanderwood.capacity import demand
 from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
@@ -445,3 +446,24 @@
     other = _pool('b', [*coming, *(_member(f'n{i}') for i in range(4))])
     other.min_up = 4
     assert not _decide([lacking, other])
+
+
+def _needed(shrunk_cores, waiting_cores):
+    """Give the machines that a pool of two needs, of eight cores each."""
+    members = [
+        rebalancing.Member(f'm{number}', 8.0, None, shrunk_cores=cores)
+        for number, cores in enumerate(shrunk_cores)
+    ]
+    rows = [backlog.Waiting(waiting_cores, 3.0, 0.0)] if waiting_cores else []
+    pool = rebalancing.PoolView(ids.ServiceId('a'), members, waiting=rows)
+    decision = rebalancing.decide([pool], {}, demand.Turns(), MOVE_S, 10.0)
+    return decision.needs['a'].now
+
+
+def test_machines_make_up_for_rooms_that_have_shrunk():
+    """A pool with idle machines by number waited for rooms that weren't."""
+    assert _needed((0.0, 0.0), 10.0) == 2
+    assert _needed((8.0, 0.0), 10.0) == 3
+    assert _needed((4.0, 4.0), 10.0) == 3
+    # Where nothing waits, nothing is missing.
+    assert _needed((8.0, 8.0), 0.0) == 0
