--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 import cyclopts
 
 from emulator import day
+from emulator import features
 from oleanderwood import clock
 from oleanderwood import event_log
 from soak import processes
@@ -26,6 +27,9 @@
 STRIKES_PER_S = 0.4
 """About one strike each 2.5 s, so that two or three overlap."""
 
+RESIZES_PER_S = 0.2
+"""Changes of rooms, beside them, where they are asked for."""
+
 APP = cyclopts.App(name='soak', help='Real servers under drawn faults.')
 
 
@@ -97,11 +101,13 @@
     seeds: int = 1,
     seconds: float = 20.0,
     servers: int = 3,
+    crashes: bool = False,
 ) -> int:
     """Soak some seeds, one after another.
 
     :param seconds: of traffic and strikes, for each seed
     :param servers: processes of the product
+    :param crashes: some tasks crash their executors, and rooms change
     """
     event_log.emit = _quiet
     logging.getLogger('curio.time').setLevel(logging.ERROR)
@@ -109,6 +115,10 @@
     for number in range(seed, seed + seeds):
         plan = day.Plan(number, length_s=seconds, server_count=servers)
         rows = strikes.draw(number, seconds, STRIKES_PER_S)
+        if crashes:
+            wanted = (features.Feature.CRASHES,)
+            plan = dataclasses.replace(plan, features=wanted)
+            rows += strikes.draw_resizes(number, seconds, RESIZES_PER_S)
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
         outcome = curio.run(soak, plan, folder, rows)
         _tell(outcome, rows)
--- a/soak/sockets.py
+++ b/soak/sockets.py
@@ -31,7 +31,12 @@
             for key, value in request.headers
         }
         arguments = (source, request.method, request.target, body, headers)
-        answer = await networks.carry_out(network, address, handler, arguments)
+        try:
+            answer = await networks.carry_out(
+                network, address, handler, arguments
+            )
+        except networks.Reset as error:
+            raise ConnectionResetError(address) from error
         return http.Response(answer.status, [], answer.body)
 
     server = http_server.listen(listen, handle)
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -101,6 +101,14 @@
     return sorted(rows, key=lambda row: row.at_s)
 
 
+def draw_resizes(seed: int, length_s: float, per_s: float) -> list[Strike]:
+    """Draw changes of executors' rooms."""
+    rows = troubles.draw(
+        seed, length_s, max(1, int(length_s * per_s)), troubles.RESIZE_KINDS
+    )
+    return [Strike(row.kind, row.at_s, row.for_s) for row in rows]
+
+
 async def strike(field: Field, row: Strike) -> None:
     """Let a strike come now, and pass."""
     if isinstance(row.kind, troubles.Kind):
--- a/soak/world.py
+++ b/soak/world.py
@@ -82,6 +82,7 @@
     await stores.put(store, 'op/config', day.configuration(plan.pools))
     addresses = _choose_addresses()
     await day.build_fleet(fleet, plan, lambda n: addresses.at(21, n))
+    fleets.let_tasks_crash(fleet, random.Random(plan.seed + 5))
     servers = [
         _process(folder, addresses, number + 1)
         for number in range(plan.server_count)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,8 @@
 import pytest
 
 from emulator import day
+from emulator import evidence as evidences
+from emulator import features
 from oleanderwood.operators import ctl
 from soak import processes
 from soak import run
@@ -154,3 +156,13 @@
     received = curio.run(_stop_in_hand, tmp_path)
     assert received.startswith(b'HTTP/1.1 504 ')
     assert b'retry-after' in received
+
+
+def test_tasks_crash_their_workers_and_rooms_change(tmp_path):
+    wanted = (features.Feature.CRASHES,)
+    plan = day.Plan(1003, length_s=6.0, jobs_per_s=4.0, features=wanted)
+    rows = strikes.draw_resizes(1003, 6.0, 0.5)
+    outcome = curio.run(run.soak, plan, tmp_path, rows)
+    assert not run.failed(outcome), outcome
+    kinds = [sight.kind for sight in outcome.result.evidence.sights]
+    assert evidences.Kind.CRASHED in kinds
