Remember for a while which workers went, so that those of one rack suspect nobody

Workers that go together are found to be gone one after another, and those that were found first weren't among the known ones any more: of a rack of four the last two looked like crashes of their own, and what had just been started there was suspected (by reading; the test with three workers fails before).

A look for the end of a probation isn't made once the term has ended.

--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -166,6 +166,8 @@
     An idle one says nothing for two seconds otherwise, while others wait.
     """
     await curio.sleep(after_s)
+    if leader.deposed:
+        return
     try:
         await worker_loop.look(leader, worker, 0)
     except Exception as error:
--- a/oleanderwood/leading/restarts.py
+++ b/oleanderwood/leading/restarts.py
@@ -11,6 +11,10 @@
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 
+LATELY_S = 10.0
+"""Time for which workers that are gone are remembered: those that went
+together are found to be gone one after another, the last as leases end."""
+
 
 def is_before(worker: workers_.Worker, sent_s: float) -> bool:
     """Say whether a life is earlier than one that answers a call.
@@ -58,7 +62,7 @@
     # One that is about to be ordered may crash before, as may one that drains.
     if planned or (worker.entry.draining and blame.is_settled(losses)):
         return losses
-    common = blame.is_common(worker, leader.workers.values())
+    common = _went_with_others(leader, worker, now_s)
     for task in blame.put_down(leader.ledger, losses, common, now_s):
         entry = task.group.entry
         server_metrics.SUSPICIONS.labels(entry.state.value).inc()
@@ -74,6 +78,26 @@
     return losses
 
 
+def _went_with_others(
+    leader: states.Leader, worker: workers_.Worker, now_s: float
+) -> bool:
+    """Say whether a worker went as others did, known to be gone or silent."""
+    gone_s = now_s if worker.silent_since_s is None else worker.silent_since_s
+    lately = {
+        name: at_s
+        for name, at_s in leader.lately_gone.items()
+        if at_s > now_s - LATELY_S
+    }
+    others = lately | {
+        other.entry.worker: other.silent_since_s
+        for other in leader.workers.values()
+        if other.silent_since_s is not None
+    }
+    others.pop(worker.entry.worker, None)
+    leader.lately_gone = lately | {worker.entry.worker: gone_s}
+    return blame.is_common(gone_s, others.values())
+
+
 def _end(
     leader: states.Leader,
     former: workers_.Worker,
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -232,6 +232,7 @@
     :ivar lives: those of an executor that aren't known to be over, the one
         that was met last comes last
     :ivar ended_lives: lives found to be over, of which nobody was told yet
+    :ivar lately_gone: when workers went that are known to be gone
     :ivar held_back: steps with runs that would end sooner on another machine
         than their pool has, and until when that counts
     :ivar relocated_s: when runs last left a worker for another, by pool
@@ -258,6 +259,9 @@
     ended_lives: list[workers_.Worker] = dataclasses.field(
         default_factory=list
     )
+    lately_gone: dict[ids.VmId, float] = dataclasses.field(
+        default_factory=dict
+    )
     orders: dict[ids.VmId, curio.Queue] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -14,21 +14,15 @@
 
 
 def is_common(
-    worker: workers_.Worker, others: collections.abc.Iterable[workers_.Worker]
+    gone_s: float, others_s: collections.abc.Iterable[float]
 ) -> bool:
     """Say whether a worker went together with others.
 
-    :param others: all known workers, this one may be among them
+    :param gone_s: when it went
+    :param others_s: when all others did that did lately
     """
-    gone_s = worker.silent_since_s
-    if gone_s is None:
-        return False
-    together = sum(
-        row.silent_since_s is not None
-        and abs(row.silent_since_s - gone_s) <= TOGETHER_S
-        for row in others
-    )
-    return together >= TOGETHER
+    together = sum(abs(at_s - gone_s) <= TOGETHER_S for at_s in others_s)
+    return together + 1 >= TOGETHER
 
 
 def put_down(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,7 +1,9 @@
 """Which tasks a worker's crash is put down to, and what becomes of them."""
 
+import curio
 import pytest
 
+from emulator import fleet as fleets
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
@@ -11,6 +13,8 @@
 from oleanderwood.pools import placing
 from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
+from tests import utils_leading
+from tests import utils_takeover as takeovers
 
 Crash = crashes_.Crash
 AT_ONCE = 10
@@ -112,11 +116,9 @@
 
 def test_nothing_is_suspected_where_workers_go_together():
     ledger, tasks, worker = _losing(2, (0.01, 0.5))
-    others = [build.worker(f'w{number}') for number in (2, 3)]
-    for other in others:
-        other.silent_since_s = 9.98
-    assert blame.is_common(worker, [worker, *others])
-    assert not blame.is_common(worker, [worker, others[0]])
+    gone_s = worker.silent_since_s
+    assert blame.is_common(gone_s, [gone_s - 0.05, gone_s + 0.02, 1.0])
+    assert not blame.is_common(gone_s, [gone_s - 0.05, 1.0])
     assert not _go(ledger, worker, common=True)
 
 
@@ -278,3 +280,23 @@
     assert set(tasks[0].group.suspects) == {0, 1}
     isolation.note(ledger, tasks[1], _crash(2, AT_ONCE, True), 2.0)
     assert tasks[0].group.entry.state is model.State.FAILED
+
+
+@pytest.mark.parametrize('others', [0, 2])
+def test_workers_that_go_at_once_suspect_nobody(others, monkeypatch):
+    """They are found to be gone one after another."""
+    events = utils_leading.record_events(monkeypatch)
+
+    async def story(scene):
+        step = takeovers.step(3, 16000, 3000)
+        await takeovers.hand_in(scene, takeovers.leader(scene), step)
+        await curio.sleep(0.03)
+        machines = list(scene.fleet.machines.values())[: others + 1]
+        for machine in machines:
+            await curio.spawn(
+                fleets.crash, scene.fleet, machine, 2.0, True, daemon=True
+            )
+
+    takeovers.play(story)
+    suspected = [event for event in events if event[1] == 'suspected']
+    assert bool(suspected) == (others == 0)
