--- a/oleanderwood/capacity/demand.py
+++ b/oleanderwood/capacity/demand.py
@@ -20,9 +20,7 @@
 SHORT_WINDOW_S = 0.6
 SURE_ARRIVALS = 25
 """Arrivals that tell a rate to a fifth; the window is as short as it may be
-to hold them. A large fleet has them within the shorter one, and its turns
-rise by half in the time that a machine takes to move. With 12, today's small
-fleets followed each chance."""
+to hold them."""
 
 RISE_MOST = 1.5
 """Most by which a rising rate is carried on over the time of a move."""
@@ -54,9 +52,8 @@
 """Arrivals in the window that a turn takes at least."""
 
 TURN_POOL_PART = 0.3
-"""Part of its pool's cores that a turn keeps busy at least; users say that it
-asks for more than the pool holds. Two small jobs that met by chance asked for
-a tenth; taken for the pool's turn, they let its machines go before it."""
+"""Part of its pool's cores that a turn keeps busy at least: two small jobs
+that meet by chance are none."""
 
 MIN_GAP_S = 2.0
 """Starts of two queues closer than this tell nothing of a turn's length."""
--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -39,24 +39,16 @@
 
 UNSEEN_PART = 0.5
 """Part of its first machines that a pool keeps beside another's turn until
-its own first may begin; the rest is brought back ahead of it. With all of
-them kept, a calm day with eight machines a pool paid for 1,257 instead of
-1,010 machine-seconds and served as many callers in time."""
+its own first may begin; the rest is brought back ahead of it."""
 
 YOUNG_TURN_PART = 2.0
 """What a pool's turn is taken to need until it can be measured, as a part of
-the machines that it had at first. Users say that a turn asks for more than
-the pool holds; those that were measured asked for 1.2 to 2 times that. Too
-few cost the callers of the turn's first seconds, too many some seconds of a
-machine: with 2 instead of 1.3, and whole pools kept for first turns, callers
-of 15 days with trouble were served by 0.926 instead of 0.911, in the worst
-seconds by 0.551 instead of 0.494."""
+the machines that it had at first. Too few cost the callers of its first
+seconds, too many some seconds of a machine."""
 
 PREEMPTED_PART = 0.6
 """Part of its need that a pool keeps while one whose work goes first lacks
-machines; tasks that lose nothing then make room. It keeps the operator's
-priorities across pools; on 15 days with trouble callers were served by 0.951
-instead of 0.948, in the worst seconds by 0.682 instead of 0.664."""
+machines; tasks that lose nothing then make room."""
 
 HEIGHT_FACTOR = 1.5
 """Height of a turn over its mean; arrivals of measured ones rose to 1.8 times
--- a/oleanderwood/leading/confirming.py
+++ b/oleanderwood/leading/confirming.py
@@ -26,10 +26,8 @@
 
 UNREACHED_S = 12.0
 """How long a leader acts at most since a renewal of its lease that the store
-has answered. The servers that confirm it may all be on its side of a cut, with
-the store and the next leader on the other, which can't ask it and waits this
-much longer where a worker is silent as well. Outages of the store that users
-reported lasted up to 9.5 s."""
+has answered: all that confirm it may be on its side of a cut. Outages that
+users reported are shorter."""
 
 CONTACT_S = 1.0
 """A server that was answered by the store within this time reaches it."""
--- a/oleanderwood/leading/fenced_writes.py
+++ b/oleanderwood/leading/fenced_writes.py
@@ -19,10 +19,8 @@
 the revision that an unanswered write has left."""
 
 FIRST_TIMEOUT_S = 0.5
-"""Time after which a write is tried once more; a store that is sixty times
-slower than usual answers in 0.24 s. All starts of a new leader wait for its
-first rosters: where answers got lost, a third of the takeovers waited 1.3 to
-1.8 s for that one answer."""
+"""Time after which a write is tried once more, twice what a slow store takes:
+all starts of a new leader wait for its first rosters."""
 
 
 async def write(leader: states.Leader, values: dict[str, bytes]) -> None:
--- a/oleanderwood/leading/former.py
+++ b/oleanderwood/leading/former.py
@@ -79,9 +79,7 @@
     It ends its term as it hears of a later one. Another process at its
     address began after its own life was over. Only such a word counts: a
     connection is also refused by a cut that doesn't swallow it, by a listener
-    that isn't there yet, and by whatever stands between. With a refusal taken
-    for the end, the next leader waited 6.6 s in place of 17.6 s for a worker
-    that the former one still renewed, and started its task a second time.
+    that isn't there yet, and by whatever stands between.
     """
     try:
         answer = await transport.call(
--- a/oleanderwood/leading/keeping.py
+++ b/oleanderwood/leading/keeping.py
@@ -34,9 +34,8 @@
 of a completed job by as much; each write has a price."""
 
 WRITES_AT_ONCE = 6
-"""Writes that are under way at the same time. While a store answered sixty
-times slower, in 0.24 s, one after another they took 60 jobs a second, and
-ends were written up to 1.4 s late."""
+"""Writes that are under way at the same time: one after another, ends wait
+for a slow store."""
 
 FAILED_PAUSE_S = 0.15
 """Pause after a failed write."""
@@ -48,9 +47,8 @@
 async def keep_rosters_always(leader: states.Leader) -> None:
     """Write rosters that have changed, until cancelled.
 
-    Jobs don't wait for them: where machines moved all the time and each write
-    took 0.35 s, rosters changed faster than they were written, and for 3 s no
-    end of a job was.
+    Jobs don't wait for them: where machines move all the time and the store is
+    slow, rosters change faster than they are written.
     """
     lost = False
     while True:
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -21,11 +21,8 @@
 """Pause after a failed renewal."""
 
 AGAIN_S = 0.15
-"""Time without an answer after which the lease is renewed by another call. One
-lost answer took up all the time that was left: with half of them lost for four
-seconds nobody led for 11.4% of the time, with this for 0.4% (20 emulated
-days). Calm answers take 4 ms, slow ones 0.24 s; a renewal costs a tenth of a
-read."""
+"""Time without an answer after which the lease is renewed by another call: one
+lost answer must not use up the time that is left."""
 
 GRANT_S = 0.4
 """Longest wait for a new lease. Where answers are lost after leases ran out,
--- a/oleanderwood/leading/relocating.py
+++ b/oleanderwood/leading/relocating.py
@@ -15,9 +15,8 @@
 
 
 SETTLE_S = 1.5
-"""Time until runs that left are seen where they went: a stop takes 0.2 to
-0.4 s, a report comes each second. Without it 57 left for one machine that had
-room for eight."""
+"""Time until runs that left are seen where they went; before that more would
+leave for the same room."""
 
 MOST_LEFT_S = 1e6
 """What is told of a run that makes no headway at all."""
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -21,9 +21,8 @@
 SERVER_PREFIX = 'ow/roles/server/'
 
 REMEMBERED_S = 10.0
-"""Time for which a server counts whose row went. A row goes 1.5 s after its
-server last reached the store; the server may reach it again, and lead, while
-we don't. Longer than the store was seen to turn some servers away (5 s)."""
+"""Time for which a server counts whose row went: it may reach the store again,
+and lead, while we don't."""
 
 
 class Leader(msgspec.Struct, frozen=True):
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -19,9 +19,8 @@
 """Least time between two passes: events come in bursts."""
 
 PASS_SHARE = 0.25
-"""Part of the leader's time that passes take at most. With 250 workers and
-150 steps that wait one takes 3 ms, and events come all the time; the rest is
-for the workers' answers, which are late otherwise."""
+"""Part of the leader's time that passes take at most; the rest is for the
+workers' answers, which are late otherwise."""
 
 LONGEST_WAIT_S = 0.2
 """A pass is made at least this often: due times and pauses end unnoticed."""
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -30,9 +30,8 @@
 from oleanderwood.web import connections
 
 LEASE_S = 1.5
-"""Time of a server's lease: a dead leader is followed after it. Below it a
-store that is 60 times slower than usual (0.25 s) couldn't be told from one
-that is gone."""
+"""Time of a server's lease: a dead leader is followed after it. Shorter, a
+slow store couldn't be told from one that is gone."""
 
 TASK_LEASE_S = 5.0
 """Time of a worker's lease on its tasks. It has to outlive a change of
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -55,17 +55,15 @@
 RESIGN_S = 0.4
 RESIGN_TRIES = 6
 """Longest wait for an answer as a leader removes its mark, and times that it
-tries. A server that stops keeps its lease while callers are there: with one
-try and a lost write nobody led for 4.9 s."""
+tries: a server that stops keeps its lease while callers are there."""
 
 READ_HEAD_S = 0.4
 """Longest time until an answer to a reading of the takeover begins; a slow
 store takes 0.24 s."""
 
 READ_TRIES = 6
-"""Times that each of the five readings is tried. With half of the store's
-answers lost and one try each, one takeover in 32 succeeded: of two servers
-none led for the 15 s that this was played, on 40 emulated days of 40."""
+"""Times that each of the five readings of a takeover is tried, of which one
+unanswered would end it."""
 
 HAND_OVER_S = 0.6
 """Longest time for the last writes of a leader that stops."""
@@ -169,8 +167,7 @@
 async def _read_legacy(store: stores.Store) -> Legacy:
     """Read all that lies in the store, side by side.
 
-    While a store answered sixty times slower, in 0.24 s, one read after
-    another took 1.9 s of 3.5 s without a leader.
+    One after another they would take half of a takeover in a slow store.
 
     :raises errors.CallFailed: the store didn't answer
     """
@@ -315,8 +312,8 @@
 async def _follow_intake(leader: states.Leader, revision: int) -> None:
     """Follow jobs and cancels from the reading of the takeover on.
 
-    Read whole once more, they took a link of 2 Mbit/s for a second and a half,
-    in which the leader's lease couldn't be renewed.
+    Read whole once more, they would take a slow link for so long that the
+    leader's lease can't be renewed.
     """
 
     async def take(items: list[stores.Item], whole: bool) -> None:
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -30,14 +30,12 @@
 """As above for a worker without runs, the most that is allowed."""
 
 STARTING_WAIT_MS = 200
-"""As above while a long-running task isn't at work yet. Maintenance takes the
-machines of a step one after another, the next once those tasks are known to be
-at work again: told a second late, two of a wave's 122 machines were late."""
+"""As above while a long-running task isn't at work yet: maintenance takes the
+next machine of its step once it is known to be."""
 
 WARY_WAIT_MS = 150
-"""As above while calls go unanswered. A lost call looks like a worker that
-has nothing to tell; with one lost in twenty and waits of a second, busy
-workers were out of reach for two thirds of the time."""
+"""As above while calls go unanswered: a lost call looks like a worker that has
+nothing to tell."""
 
 WARY_TIMEOUT_S = 0.3
 """Longest wait for an answer while calls go unanswered; calm ones take
@@ -127,9 +125,8 @@
 def note_unanswered(leader: states.Leader, error: errors.CallFailed) -> None:
     """Be wary after a call that was sent and got no answer.
 
-    One whose connection was closed is no such call: it is known at once. Each
-    machine that moves closes one, and a fleet of 276 moves 1,000 a day: its
-    leader was wary all the time, and asked each worker seven times a second.
+    One whose connection was closed is no such call: it is known at once, and
+    each machine that moves closes one.
     """
     if isinstance(error, errors.Unanswered):
         leader.wary_until_s = clock.now_s() + WARY_S
--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -23,7 +23,7 @@
 
 HURRY_FACTOR = 1.25
 """The rest of a wave is hurried once the time left is less than this many
-times what it takes; measured on days with two machines in five due."""
+times what it takes."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/oleanderwood/platform/store.py
+++ b/oleanderwood/platform/store.py
@@ -16,9 +16,8 @@
 as long."""
 
 PAGE_S = 20.0
-"""Longest time for a page of a range, about 1 MB, that keeps arriving. A
-server with a link of 2 Mbit/s takes 2.4 s for 290 jobs; one that gave up after
-1.5 s was followed by the next that did, and nobody led any more."""
+"""Longest time for a page of a range, about 1 MB, that keeps arriving: a slow
+link must not end the reading of a takeover."""
 
 WATCH_SLACK_S = 1.0
 """How much longer than asked a watch may take before it counts as cut."""
--- a/oleanderwood/pools/held_back.py
+++ b/oleanderwood/pools/held_back.py
@@ -3,7 +3,7 @@
 Load it answers: a pool has given its machines away, and on those that are left
 such runs are paced down beside tasks that serve, tasks that last have taken
 all processor time, or too many of them share it. Nothing there would free
-them: accepted jobs stood still until the end of 44 of 900 emulated days.
+them.
 """
 
 import collections.abc
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -29,10 +29,7 @@
 
 LATENESS_MARGIN = 1.25
 """A job counts as late once its next step would have to take this many times
-less than expected. Lengths of small jobs spread by a third about what is
-expected of them; begun at the edge, every second one ends late. In turns that
-asked for 1.7 times what a pool held it brought 60 instead of 56 of 100 jobs
-in time, and as many of the largest tenth."""
+less than expected: begun at the edge, every second one ends late."""
 
 
 SET_APART_PART = 2
@@ -144,10 +141,8 @@
 class Unmet:
     """What no worker of a pool has room for, while starts are decided.
 
-    Room only shrinks meanwhile, so what needs as much needs no second look. In
-    a turn that a pool of 276 machines can't hold 150 steps wait; with a look
-    at each worker for each of them, half of a leader's processor time went
-    into finding out that the pool is full.
+    Room only shrinks meanwhile, so what needs as much needs no second look: in
+    a turn that a large pool can't hold, most steps wait.
 
     :ivar lasting: needs of a task that lasts, for which all workers do
     :ivar passing: needs of other tasks
--- a/oleanderwood/pools/stalls.py
+++ b/oleanderwood/pools/stalls.py
@@ -8,9 +8,8 @@
 from oleanderwood.pools import workers as workers_
 
 STALLED_S = 3.0
-"""Time without any headway after which a run has stalled. Headway is told in
-percent, at least once a second; a task of a minute on a worker that is six
-times too slow still moves by a percent every 4 s, so it takes more."""
+"""Time without any headway after which a run has stalled; headway is told in
+percent, at least once a second."""
 
 LONG_FACTOR = 0.5
 """Part of the guessed time that a run may make no headway, if that is more:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -32,8 +32,8 @@
 FAILURES_IN_A_ROW = 3
 FAILED_JOBS = 2
 """Failed runs of different tasks, and of different jobs, with no good one
-between, after which a worker is tried with one task at a time. A sound one
-fails a few in 1,000, but all tasks of a job that can't be done."""
+between, after which a worker is tried with one task at a time: all tasks of a
+job that can't be done fail."""
 
 
 class RunName(typing.NamedTuple):
