Let an adopted run that stands still end no term

What callers saw: a leader's term ended by a fault 0.4 s after a takeover in which it had found a run at a standstill; the next leader finds it as well, and so on until the run gets on.

Why it holds: what hasn't got on since it was found tells nothing of its worker's pace; all other projections are of more than nothing.

In the emulator a call that is carried out late and reset crashed its task; now nobody waits for its answer.

--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Figures:
-    """What one day came to, for a line of the table."""
+    """What one day came to, for a line of the table.
+
+    :ivar faults: what ended leaders' terms that should never happen
+    """
 
     seed: int
     result: day.Result
     took_s: float
+    faults: tuple[str, ...]
 
 
 @APP.default
@@ -60,7 +64,11 @@
     """
     lines: list[str] = []
 
+    faults: list[str] = []
+
     def emit(part: str, event: str, **fields) -> None:
+        if event == 'fault':
+            faults.append(str(fields.get('why', '')))
         told = ' '.join(f'{key}={value}' for key, value in fields.items())
         lines.append(f'{clock.now_s():.3f} {part} {event} {told}')
 
@@ -73,6 +81,7 @@
     print('  seed   jobs  starts  calls  p50 s  p90 s  last s  verdict')
     for seed in range(first_seed, first_seed + seeds):
         lines.clear()
+        faults.clear()
         drawn = troubles.draw(
             seed, length_s, trouble_count, troubles.LAB_KINDS
         )
@@ -104,7 +113,8 @@
         costs.append(
             crashing.figures(result.evidence, day.MAX_ATTEMPTS, result.jobs)
         )
-        broken += _show(Figures(seed, result, time.perf_counter() - began_s))
+        took_s = time.perf_counter() - began_s
+        broken += _show(Figures(seed, result, took_s, tuple(faults)))
     for feature, rows in met.items():
         print(f'{feature.value:>12}: {len(rows)} days, {sum(rows)} starts')
     if crashes:
@@ -129,7 +139,7 @@
 def _show(figures: Figures) -> bool:
     result = figures.result
     waits = result.waits_s or [0.0]
-    bad = bool(result.breaches or result.unfinished)
+    bad = bool(result.breaches or result.unfinished or figures.faults)
     print(
         f'{figures.seed:6} {result.accepted:6} {result.starts:7}'
         f' {result.store_calls:6}'
@@ -140,6 +150,8 @@
         print(f'       {breach}')
     for job in result.unfinished[:5]:
         print(f'       not ended: {job}')
+    for fault in figures.faults[:5]:
+        print(f'       fault: {fault.strip().splitlines()[-1]}')
     return bad
 
 
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -275,5 +275,10 @@
     *rest, headers = arguments
     await curio.sleep(after_s)
     handler = network.handlers.get(address)
-    if handler is not None:
+    if handler is None:
+        return
+    try:
         await handler(*rest, {**headers, LATE_HEADER: '1'})
+    except Reset:
+        # Nobody waits for that answer.
+        return
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -108,6 +108,9 @@
         return None
     if run.percent <= 0:
         return now_s - run.begun_s
+    if run.moved_on_s <= run.begun_s:
+        # It was found so far by a new leader, and hasn't got on since.
+        return None
     return (run.moved_on_s - run.begun_s) / run.percent * 100
 
 
