--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -97,17 +97,23 @@
             room.serving = (
                 room.serving or task.group.step.latency_target_ms > 0
             )
-            room.apart |= isolation.is_on_probation(task)
-            age_s = now_s - task.run.begun_s
-            if not task.run.proven:
-                left_s = crashes_.SETTLED_S - age_s
-                room.unsettled_s = max(room.unsettled_s, left_s)
+            if task.group.suspects and isolation.is_on_probation(task):
+                room.apart = True
         for group in worker.foreign:
             _occupy(room, group)
         found.append(room)
     return found
 
 
+def _note_unsettled(free: list[Room], now_s: float) -> None:
+    """Note for how long something on each worker could yet crash it."""
+    for room in free:
+        for task in room.worker.runs.values():
+            if not task.run.proven:
+                left_s = crashes_.SETTLED_S - (now_s - task.run.begun_s)
+                room.unsettled_s = max(room.unsettled_s, left_s)
+
+
 def decide(
     groups: list[ledgers.Group],
     pool: list[workers_.Worker],
@@ -121,6 +127,8 @@
     :param quotas: what is left to teams; it is drawn on
     """
     free = rooms(pool, now_s)
+    if any(group.suspects for group in groups):
+        _note_unsettled(free, now_s)
     quotas = quotas or quotas_.Quotas()
     unmet = Unmet()
     decided: list[Placement] = []
--- /dev/null
+++ b/tests/test_restart_moments.py
@@ -0,0 +1,133 @@
+"""Executors that start again under their id in the middle of something.
+
+A gang whose members are apart, a drain, a stop that is under way, a run that
+is paced down, a task under which workers crash: nothing may run twice or be
+left open. At another address, the next life is met by its entry.
+"""
+
+import curio
+import pytest
+
+from emulator import crashing
+from emulator import fleet as fleets
+from emulator import sharing
+from tests import utils_restarts
+from tests import utils_takeover as build
+
+AWAY_S = (0.0, 0.3, 1.5)
+GANG = {**build.step(3, 16000, 1500), 'gang': True}
+
+
+def _check(result):
+    assert not result.breaches
+    assert not result.unfinished
+
+
+def _busy(scene):
+    """Give the machines whose executor runs something."""
+    return [
+        machine
+        for machine in scene.fleet.machines.values()
+        if machine.executor is not None and machine.executor.running
+    ]
+
+
+async def _restart(scene, machine, away_s):
+    await fleets.restart(scene.fleet, machine, away_s, resets=True)
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+def test_one_of_a_gangs_executors_starts_again(away_s):
+    async def story(scene):
+        await build.hand_in(scene, build.leader(scene), GANG)
+        await curio.sleep(0.5)
+        await _restart(scene, _busy(scene)[1], away_s)
+
+    result = utils_restarts.play(story)
+    _check(result)
+    assert len(result.waits_s) == 1
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+def test_executor_starts_again_while_it_drains(away_s):
+    async def story(scene):
+        await build.hand_in(scene, build.leader(scene), utils_restarts.LONG)
+        await curio.sleep(0.5)
+        (machine,) = _busy(scene)
+        await curio.spawn(fleets.drain, scene.fleet, machine, daemon=True)
+        await curio.sleep(1.0)
+        await _restart(scene, machine, away_s)
+
+    _check(utils_restarts.play(story))
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+@pytest.mark.parametrize('after_s', [0.0, 0.05, 0.15])
+def test_executor_starts_again_while_a_stop_is_under_way(away_s, after_s):
+    async def story(scene):
+        prefix = build.day.prefix('drafts')
+        await curio.spawn(
+            build.callers_.hand_in,
+            scene.callers,
+            prefix,
+            'a' * 16,
+            {'phases': [utils_restarts.LONG]},
+            1.0,
+            daemon=True,
+        )
+        while not scene.callers.cancelled:
+            await curio.sleep(0.01)
+        await curio.sleep(after_s)
+        for machine in _busy(scene):
+            await _restart(scene, machine, away_s)
+
+    result = utils_restarts.play(story)
+    _check(result)
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+def test_executor_starts_again_beside_a_pace(away_s):
+    serving = {
+        **build.step(3, 4000, 700),
+        'long_running': True,
+        'target_ms': sharing.TARGET_MS,
+        'image': 'web',
+    }
+    filling = {**build.step(6, 8000, 800), 'fills': True, 'image': 'grind'}
+
+    async def story(scene):
+        leader = build.leader(scene)
+        await build.hand_in(scene, leader, serving)
+        await curio.sleep(1.0)
+        await build.hand_in(scene, leader, filling)
+        await curio.sleep(1.0)
+        await _restart(scene, _busy(scene)[0], away_s)
+
+    _check(utils_restarts.play(story))
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+def test_executor_starts_again_under_a_task_that_crashes_others(away_s):
+    step = {**build.step(4, 2000, 400), crashing.FIELD: crashing.crash(0.3)}
+
+    async def story(scene):
+        await build.hand_in(scene, build.leader(scene), step)
+        await curio.sleep(0.1)
+        for machine in _busy(scene):
+            await _restart(scene, machine, away_s)
+
+    _check(utils_restarts.play(story))
+
+
+@pytest.mark.parametrize('away_s', AWAY_S)
+def test_executor_starts_again_at_another_address(away_s):
+    async def story(scene):
+        await build.hand_in(scene, build.leader(scene), utils_restarts.LONG)
+        await curio.sleep(0.5)
+        (machine,) = _busy(scene)
+        former = machine.address
+        machine.address = '10.1.9.9:1'
+        scene.network.handlers.pop(former)
+        await _restart(scene, machine, away_s)
+
+    _check(utils_restarts.play(story))
