Put what workers took along into a module of its own

leading.losses: the restarts of executors told of it, but it serves workers that are gone for any cause.

--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -6,6 +6,7 @@
 
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 
 
 def crashes_of(task: ledgers.Task) -> dict[int, crashes_.Crash]:
@@ -35,7 +36,7 @@
     found = crashes_of(task)
     if crashes_.is_guilty(found.values()):
         entry.cause = f'{task.name} crashed {len(found)} workers'
-        ledgers.end(ledger, entry, ledgers.model.State.FAILED, now_s)
+        ledgers.end(ledger, entry, model.State.FAILED, now_s)
 
 
 def set_suspected(task: ledgers.Task) -> None:
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -8,7 +8,7 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.leading import restarts
+from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.pools import placing
@@ -65,7 +65,7 @@
         if now_s <= worker.lease_end_s:
             continue
         if worker.runs:
-            losses = restarts.note_crash(leader, worker)
+            losses = losses_.note(leader, worker)
             tasks = workers_.lost(leader.ledger, worker, now_s)
             for task in tasks:
                 task.given_up = True
@@ -74,7 +74,7 @@
                 'lease-over',
                 worker=worker.entry.worker,
                 tasks=[task.name for task in tasks],
-                **restarts.told(losses),
+                **losses_.told(losses),
             )
             await leader.unkept.set()
             await worker_loop.stop_ended_jobs(leader)
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -8,6 +8,7 @@
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import former
+from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import meeting
 from oleanderwood.leading import relocating
 from oleanderwood.leading import restarts
@@ -378,7 +379,7 @@
         return False
     worker.gone = True
     now_s = clock.now_s()
-    losses = restarts.note_crash(leader, worker, planned)
+    losses = losses_.note(leader, worker, planned)
     tasks = workers_.lost(leader.ledger, worker, now_s)
     event_log.emit(
         'worker',
@@ -386,7 +387,7 @@
         worker=worker.entry.worker,
         why=why,
         tasks=[task.name for task in tasks],
-        **restarts.told(losses),
+        **losses_.told(losses),
     )
     restarts.forget(leader, worker)
     await leader.orders[worker.entry.worker].put(None)
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -74,5 +74,6 @@
     return row.age_s is not None and row.age_s >= crashes_.SETTLED_S
 
 
-def _unit(task: ledgers.Task):
+def _unit(task: ledgers.Task) -> ledgers.Group | str:
+    """Give what is to blame as one: a gang, or else a task."""
     return task.group if task.group.step.gang else task.name
