Hold only crashes of the same age against a task, and two under one task of a gang

Cause: two crashes at once were enough at any two ages up to 60 ms, ages counted as the same within 60 ms and 15%, and a gang's crashes counted together before two had come under any one task.

Now ages are the same within 20 ms and 5%, two crashes at once have to be alike as well, and a gang is given up once two have come under one of its tasks.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -20,17 +20,19 @@
 SHARP_MS = 60
 """Most doubt about a run's age that leaves it comparable to others."""
 
-ALIKE_FACTOR = 0.15
-"""How far two ages may lie apart, beside that doubt, to count as the same."""
+ALIKE_MS = 20
+ALIKE_FACTOR = 0.05
+"""How far two ages may lie apart that count as the same: so much, and such a
+part of them."""
 
 GUILTY_POINTS = 8
 """What speaks against a task until it is given up: two crashes that came at
-once, the second with no other explanation; three at the same age; two that
-can't be explained after two that can."""
+once and at the same age, the second with no other explanation; three at the
+same age; two that can't be explained after two that can."""
 
 BESIDE_POINTS = 1
 ISOLATED_POINTS = 3
-AT_ONCE_POINTS = 2
+AT_ONCE_POINTS = 1
 ALIKE_POINTS = 3
 """For each crash; for one with no other explanation; for one at once, and
 for one at the age of an earlier one, beside these."""
@@ -75,7 +77,7 @@
         points += ISOLATED_POINTS if row.isolated else BESIDE_POINTS
         if _came_at_once(row):
             points += AT_ONCE_POINTS
-        elif any(_are_alike(row, other) for other in rows[:number]):
+        if any(_are_alike(row, other) for other in rows[:number]):
             points += ALIKE_POINTS
     return len(rows) > 1 and points >= GUILTY_POINTS
 
@@ -87,7 +89,7 @@
 def _are_alike(crash: Crash, other: Crash) -> bool:
     if not (_is_sharp(crash) and _is_sharp(other)):
         return False
-    apart_ms = SHARP_MS + ALIKE_FACTOR * crash.age_ms
+    apart_ms = ALIKE_MS + ALIKE_FACTOR * crash.age_ms
     return abs(crash.age_ms - other.age_ms) <= apart_ms
 
 
--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -33,12 +33,26 @@
     set_suspected(task)
     entry.crashes_noted += 1
     ledgers.touch(ledger, entry)
-    found = crashes_of(task)
-    if crashes_.is_guilty(found.values()):
-        entry.cause = f'{task.name} crashed {len(found)} workers'
+    if is_guilty(task):
+        found = len(crashes_of(task))
+        entry.cause = f'{task.name} crashed {found} workers'
         ledgers.end(ledger, entry, model.State.FAILED, now_s)
 
 
+def is_guilty(task: ledgers.Task) -> bool:
+    """Say whether a task is given up.
+
+    Whatever speaks against its gang, two workers have to have gone under one
+    task of it, as far as is known.
+    """
+    members = task.group.tasks if task.group.step.gang else [task]
+    heard = max(
+        sum(attempt != crashes_.UNHEARD for attempt in member.crashes)
+        for member in members
+    )
+    return heard > 1 and crashes_.is_guilty(crashes_of(task).values())
+
+
 def set_suspected(task: ledgers.Task) -> None:
     """Set who is suspected by the crashes that are known."""
     suspects = task.group.suspects
