--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 SEED ?= 1
 SECONDS ?= 20
 SEEDS ?= 1
+# Processes that pass the tests; a machine of two cores bears as many.
+TESTERS ?= 4
 
 .PHONY: test lint format demo lab soak
 
@@ -13,7 +15,7 @@
 	touch $@
 
 test: $(VENV)/.installed
-	PYTHONHASHSEED=0 $(RUN) -m pytest -q
+	PYTHONHASHSEED=0 $(RUN) -m pytest -q -n $(TESTERS) --dist loadgroup
 
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,26 @@
 )
 """Test, cause, command with its seed, what was seen, issue."""
 
+REAL_TIME = frozenset(
+    (
+        'test_bad_heads',
+        'test_boot',
+        'test_connections',
+        'test_daemon',
+        'test_due',
+        'test_http',
+        'test_http_server',
+        'test_many_idle',
+        'test_overload',
+        'test_slow_links',
+        'test_slow_readers',
+        'test_soak',
+        'test_wary',
+    )
+)
+"""Modules on real sockets, signals or processes; one process passes them, so
+that they have no company but the emulated days."""
+
 hypothesis.settings.register_profile(
     'repeatable', derandomize=True, deadline=None, database=None
 )
@@ -45,6 +65,8 @@
         missing = set(red) - {item.nodeid for item in items}
         assert not missing, f'KNOWN-RED.txt names no test: {missing}'
     for item in items:
+        if item.path.stem in REAL_TIME:
+            item.add_marker(pytest.mark.xdist_group('real-time'))
         if item.nodeid in red:
             mark = pytest.mark.xfail(reason=red[item.nodeid], strict=True)
             item.add_marker(mark)
