--- a/oleanderwood/boot.py
+++ b/oleanderwood/boot.py
@@ -27,6 +27,8 @@
     :ivar max_task_lease_ms: longest lease that a worker gives its tasks
     :ivar contact_ms: how long a change in the store may stay unheard, by the
         platform's rules
+    :ivar key_revocation_ms: after this time no server may serve a key that
+        was taken away
     :ivar machine_turn_ms: time between the orders of two leaders for one
         machine
     :ivar job_retention_s: how long callers may ask for an ended job
@@ -57,6 +59,7 @@
     latency_harm_ms: float = 4000.0
     pace_delay_ms: float = 100.0
     job_retention_s: float = 120.0
+    key_revocation_ms: float = 5000.0
     admin_token: str = ''
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -32,10 +32,12 @@
     """The leader's answer.
 
     :ivar state: None if it doesn't know the job
+    :ivar tenant: whose job it is
     """
 
     state: model.State | None = None
     pending: int = 0
+    tenant: ids.TenantId = ids.TenantId('')
 
 
 @dataclasses.dataclass
@@ -51,7 +53,9 @@
 def tell_state(leader: states.Leader, job: ids.JobId) -> Told:
     """Answer for a job, as the leader."""
     entry = leader.ledger.entries.get(job)
-    return Told(ledgers.shown_state(entry) if entry else None)
+    if entry is None:
+        return Told()
+    return Told(ledgers.shown_state(entry), tenant=entry.job.tenant)
 
 
 def tell_pending(leader: states.Leader, queue: str) -> Told:
@@ -110,8 +114,8 @@
         event_log.emit('caller', 'leader-not-told', why=error.reason)
 
 
-async def state(asking: Asking, job: ids.JobId) -> model.State | None:
-    """Give a job's state; None if there is no such job.
+async def state(asking: Asking, job: ids.JobId) -> Told:
+    """Tell a job's state and whose it is; no state if there is no such job.
 
     :raises errors.CallFailed: neither the leader nor the store answers
     """
@@ -121,24 +125,25 @@
     else:
         told = await _ask(asking, STATE_PATH + job)
     if told is not None and told.state is not None:
-        return told.state
+        return told
     return await _kept_state(asking.server.store, job)
 
 
-async def _kept_state(
-    store: stores.Store, job: ids.JobId
-) -> model.State | None:
+async def _kept_state(store: stores.Store, job: ids.JobId) -> Told:
     kept = await stores.read(store, record.progress_key(job))
-    if kept is not None:
-        try:
-            return msgspec.json.decode(kept.value, type=record.Progress).state
-        except msgspec.MsgspecError as error:
-            raise errors.CallFailed(
-                verdicts.Verdict.NOT_RUN, f'what is kept is malformed: {error}'
-            ) from error
-    if await stores.read(store, record.job_key(job)) is None:
-        return None
-    return model.State.QUEUED
+    try:
+        if kept is not None:
+            progress = msgspec.json.decode(kept.value, type=record.Progress)
+            return Told(progress.state, tenant=progress.tenant)
+        kept = await stores.read(store, record.job_key(job))
+        if kept is None:
+            return Told()
+        owned = msgspec.json.decode(kept.value, type=model.Owned)
+    except msgspec.MsgspecError as error:
+        raise errors.CallFailed(
+            verdicts.Verdict.NOT_RUN, f'what is kept is malformed: {error}'
+        ) from error
+    return Told(model.State.QUEUED, tenant=owned.tenant)
 
 
 async def pending(asking: Asking, queue: str) -> int:
--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -1,4 +1,4 @@
-"""Asking another server to hand in or cancel a job.
+"""Asking another server to hand in or cancel a job, or to take a whole call.
 
 A server that doesn't reach the store may reach others that do. The store's
 conditions let a job be handed in by several servers: it stays one job.
@@ -21,6 +21,7 @@
 
 JOB_PATH = '/relay/job'
 CANCEL_PATH = '/relay/cancel/'
+CALL_PATH = '/relay/call'
 
 STORE_LOST_S = 1.2
 """Time without an answer of the store after which it counts as lost: the
@@ -39,11 +40,44 @@
     """What came of a relayed call.
 
     :ivar there: for a cancel, whether there is such a job
+    :ivar foreign: another tenant has a job of this id
     """
 
     verdict: verdicts.Verdict
     reason: str = ''
     there: bool = True
+    foreign: bool = False
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A caller's call that another server is to judge and answer.
+
+    :ivar key: the digest of the key that was shown
+    :ivar least_revision: of the configuration by which it may be judged: the
+        caller may have seen the effects of the one that this server has
+    """
+
+    method: str
+    host: str
+    path: str
+    key: ids.KeyDigest
+    body: bytes
+    least_revision: int
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """Another server's answer to such a call.
+
+    :ivar status: None if that server can't judge it either; nothing was done
+    """
+
+    status: int | None = None
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b''
+
+
+class InDoubt(errors.CallFailed):
+    """A passed-on call got no answer, and may have been carried out."""
 
 
 def store_lost(server: states.Server) -> bool:
@@ -56,9 +90,11 @@
     return await _ask(asking, JOB_PATH, msgspec.json.encode(job), job.job)
 
 
-async def cancel(asking: askings.Asking, job: ids.JobId) -> Relayed:
-    """Let another server cancel a job."""
-    return await _ask(asking, CANCEL_PATH + job, b'', job)
+async def cancel(
+    asking: askings.Asking, job: ids.JobId, tenant: ids.TenantId
+) -> Relayed:
+    """Let another server cancel a tenant's job."""
+    return await _ask(asking, CANCEL_PATH + job, tenant.encode(), job)
 
 
 async def _ask(
@@ -77,7 +113,7 @@
             verdict=relayed.verdict.value,
             why=relayed.reason,
         )
-        if relayed.verdict is verdicts.Verdict.RAN:
+        if relayed.verdict is verdicts.Verdict.RAN or relayed.foreign:
             return relayed
         in_doubt |= relayed.verdict is verdicts.Verdict.MAY_HAVE_RUN
     if in_doubt:
@@ -85,6 +121,40 @@
     return relayed
 
 
+async def pass_on(asking: askings.Asking, call: Call) -> Answered:
+    """Let a server answer a call whose configuration is surely the newest.
+
+    :raises InDoubt: one may have carried it out
+    """
+    body = msgspec.json.encode(call)
+    in_doubt = ''
+    for address in _peers(asking.server):
+        try:
+            answer = await transport.call(
+                asking.kept,
+                address,
+                'POST',
+                CALL_PATH,
+                body,
+                timeout_s=TIMEOUT_S,
+            )
+            if answer.status != 200:
+                raise transport.refused(answer, 'relay')
+            answered = msgspec.json.decode(answer.body, type=Answered)
+        except errors.CallFailed as error:
+            if error.verdict is not verdicts.Verdict.NOT_RUN:
+                in_doubt = error.reason
+            continue
+        except msgspec.MsgspecError as error:
+            in_doubt = str(error)
+            continue
+        if answered.status is not None:
+            return answered
+    if in_doubt:
+        raise InDoubt(verdicts.Verdict.MAY_HAVE_RUN, in_doubt)
+    return Answered()
+
+
 def _peers(server: states.Server) -> list[ids.Address]:
     """Give some other servers: the leader, then those of other data centres.
 
@@ -133,16 +203,18 @@
     if store_lost(server):
         return Relayed(verdicts.Verdict.NOT_RUN, 'the store is lost here too')
     handed = await intakes.hand_in(intake, job)
-    return Relayed(handed.verdict, handed.reason)
+    return Relayed(handed.verdict, handed.reason, foreign=handed.foreign)
 
 
-async def take_cancel(server: states.Server, job: ids.JobId) -> Relayed:
-    """Cancel a job for another server."""
+async def take_cancel(
+    server: states.Server, job: ids.JobId, tenant: ids.TenantId
+) -> Relayed:
+    """Cancel a tenant's job for another server."""
     if store_lost(server):
         return Relayed(verdicts.Verdict.NOT_RUN, 'the store is lost here too')
     try:
         async with curio.timeout_after(TIMEOUT_S):
-            there = await intakes.cancel(server.store, job)
+            there = await intakes.cancel(server.store, job, tenant)
     except errors.CallFailed as error:
         return Relayed(error.verdict, error.reason)
     except curio.TaskTimeout:
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -4,12 +4,15 @@
 import re
 
 import curio
+import msgspec
 
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
+from oleanderwood.frontend import denials as denials_
 from oleanderwood.frontend import forwarding
+from oleanderwood.frontend import freshness
 from oleanderwood.frontend import intake as intakes
 from oleanderwood.frontend import targets
 from oleanderwood import ids
@@ -17,7 +20,10 @@
 from oleanderwood.jobs import queues
 from oleanderwood.leading import state as states
 from oleanderwood.platform import callers
+from oleanderwood.pools import quotas
 from oleanderwood import server_metrics
+from oleanderwood.tenants import access
+from oleanderwood.tenants import credentials
 from oleanderwood import verdict as verdicts
 from oleanderwood.web import http
 
@@ -39,6 +45,22 @@
 
 JSON = (b'content-type', b'application/json')
 
+CHALLENGE = (b'www-authenticate', b'Token realm="jobs"')
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A request of a caller, read whole.
+
+    :ivar shown: the key, or why there is none that could be good
+    """
+
+    method: str
+    host: str
+    path: str
+    shown: ids.KeyDigest | credentials.Denial
+    body: bytes
+
 
 @dataclasses.dataclass
 class Frontend:
@@ -47,6 +69,9 @@
     server: states.Server
     intake: intakes.Intake
     asking: askings.Asking
+    denials: denials_.Denials = dataclasses.field(
+        default_factory=denials_.Denials
+    )
 
 
 def make_handler(frontend: Frontend) -> http.Handler:
@@ -63,32 +88,127 @@
 
     async def answer(request: http.Request) -> http.Response:
         body = await _read_body(request)
-        configuration = frontend.server.configuration
-        if configuration is None:
+        if frontend.server.configuration is None:
             return _refusal(503, 'no configuration yet')
         if request.method not in ALLOWED:
             return http.Response(405, [ALLOW], b'not allowed\n')
         host, path = targets.split(
             request.target, request.header('host') or ''
         )
-        found = queues.find(configuration, host, path)
-        if found is None:
-            return http.Response(404, [], b'no such queue\n')
-        queue, rest = found
-        if not rest and request.method == 'GET':
-            return await _pending(frontend, queue)
-        if not JOB_ID.fullmatch(rest):
-            return http.Response(404, [], b'not the id of a job\n')
-        job = ids.JobId(rest)
-        if request.method == 'POST':
-            return await _hand_in(frontend, queue, job, body)
-        if request.method == 'GET':
-            return await _state(frontend, job)
-        return await _cancel(frontend, job)
+        shown = credentials.parse(
+            http.find_all(request.headers, 'authorization')
+        )
+        call = Call(request.method, host, path, shown, body)
+        # The body may have come slowly: only now is the key judged.
+        if _needs_proof(frontend.server, call):
+            return await _pass_on(frontend, call)
+        return await _serve(frontend, call)
 
     return handle
 
 
+def _needs_proof(server: states.Server, call: Call) -> bool:
+    """Say whether a key can't be judged here for want of a recent reading."""
+    return (
+        server.configuration.tenants is not None
+        and not isinstance(call.shown, credentials.Denial)
+        and not freshness.is_proven(server)
+    )
+
+
+async def _pass_on(frontend: Frontend, call: Call) -> http.Response:
+    """Let a server judge a call that has read the configuration lately."""
+    passed = forwarding.Call(
+        call.method,
+        call.host,
+        call.path,
+        call.shown,
+        call.body,
+        frontend.server.configuration_revision,
+    )
+    began_s = clock.now_s()
+    try:
+        answered = await forwarding.pass_on(frontend.asking, passed)
+    except forwarding.InDoubt as error:
+        server_metrics.PASSED_ON.labels('in-doubt').inc()
+        _log('passed-on', _job_of(call), began_s, why=error.reason)
+        return in_doubt('another server was asked, and did not answer')
+    outcome = 'refused' if answered.status is None else 'answered'
+    server_metrics.PASSED_ON.labels(outcome).inc()
+    _log('passed-on', _job_of(call), began_s, status=answered.status)
+    if answered.status is None:
+        return _refusal(503, 'keys cannot be checked now')
+    return http.Response(
+        answered.status, list(answered.headers), answered.body
+    )
+
+
+async def take_call(frontend: Frontend, body: bytes) -> forwarding.Answered:
+    """Judge and answer another server's call; it goes no further.
+
+    :raises msgspec.MsgspecError: the body is no call
+    """
+    passed = msgspec.json.decode(body, type=forwarding.Call)
+    call = Call(
+        passed.method, passed.host, passed.path, passed.key, passed.body
+    )
+    server = frontend.server
+    if (
+        server.configuration is None
+        or server.configuration_revision < passed.least_revision
+        or forwarding.store_lost(server)
+        or _needs_proof(server, call)
+    ):
+        return forwarding.Answered()
+    try:
+        response = await _serve(frontend, call)
+    except errors.BadMessage as error:
+        return forwarding.Answered(
+            error.status, [], error.reason.encode() + b'\n'
+        )
+    return forwarding.Answered(
+        response.status, response.headers, response.body
+    )
+
+
+def _job_of(call: Call) -> str:
+    """Give the job that a call seems to name, for the log."""
+    name = call.path.rpartition('/')[2]
+    return name if JOB_ID.fullmatch(name) else ''
+
+
+async def _serve(frontend: Frontend, call: Call) -> http.Response:
+    """Answer a call by this server's configuration.
+
+    The key comes first: without a good one nobody learns which queues or
+    jobs there are.
+    """
+    configuration = frontend.server.configuration
+    found = queues.find(configuration, call.host, call.path)
+    caller = access.judge(
+        configuration.tenants,
+        found is not None and found[0].public,
+        call.shown,
+        frontend.server.revoked,
+    )
+    if isinstance(caller, access.Denied):
+        denials_.note(frontend.denials, caller, call.method, _job_of(call))
+        return http.Response(401, [CHALLENGE], b'a valid key is needed\n')
+    if found is None:
+        return http.Response(404, [], b'no such queue\n')
+    queue, rest = found
+    if not rest and call.method == 'GET':
+        return await _pending(frontend, queue)
+    if not JOB_ID.fullmatch(rest):
+        return http.Response(404, [], b'not the id of a job\n')
+    job = ids.JobId(rest)
+    if call.method == 'POST':
+        return await _hand_in(frontend, queue, job, caller, call.body)
+    if call.method == 'GET':
+        return await _state(frontend, job, caller)
+    return await _cancel(frontend, job, caller)
+
+
 async def _read_body(request: http.Request) -> bytes:
     try:
         return await http.read_all(request.body, MAX_BODY_BYTES)
@@ -115,30 +235,64 @@
 
 
 async def _hand_in(
-    frontend: Frontend, queue: queues.Queue, job: ids.JobId, body: bytes
+    frontend: Frontend,
+    queue: queues.Queue,
+    job: ids.JobId,
+    caller: access.Caller,
+    body: bytes,
 ) -> http.Response:
     began_s = clock.now_s()
     work = callers.decode_job(body)
-    record = model.Job(job, queue, work, clock.wall_ms())
-    verdict, reason = await _write(frontend, record)
+    tenant = access.NOBODY if queue.public else caller.tenant
+    if await _can_never_run(frontend, job, work, tenant):
+        _log('too-wide', job, began_s, tenant=tenant)
+        return http.Response(
+            429, [], b'a gang is wider than its tenant may run\n'
+        )
+    record = model.Job(job, queue, work, clock.wall_ms(), tenant=tenant)
+    written = await _write(frontend, record)
     _log(
         'handed-in',
         job,
         began_s,
         queue=queue.name,
-        verdict=verdict.value,
-        why=reason,
+        tenant=tenant,
+        verdict=written.verdict.value,
+        why=written.reason,
     )
-    if verdict is verdicts.Verdict.RAN:
+    if written.verdict is verdicts.Verdict.RAN:
         return _told(model.State.QUEUED)
-    if verdict is verdicts.Verdict.NOT_RUN:
-        return _refusal(503, f'not accepted: {reason}')
-    return in_doubt(reason)
+    if written.foreign:
+        return http.Response(403, [], b'this id is taken\n')
+    if written.verdict is verdicts.Verdict.NOT_RUN:
+        return _refusal(503, f'not accepted: {written.reason}')
+    return in_doubt(written.reason)
+
+
+async def _can_never_run(
+    frontend: Frontend,
+    job: ids.JobId,
+    work: model.Work,
+    tenant: ids.TenantId,
+) -> bool:
+    """Say whether a new job has a gang that is wider than its tenant may run.
+
+    One that was accepted before the limit was lowered stays accepted.
+    """
+    limit = frontend.server.limits.get(tenant)
+    if limit is None:
+        return False
+    if not any(quotas.exceeds(step, limit) for step in work.steps):
+        return False
+    try:
+        told = await askings.state(frontend.asking, job)
+    except errors.CallFailed as error:
+        _log('state-unknown', job, clock.now_s(), why=error.reason)
+        return False
+    return told.state is None
 
 
-async def _write(
-    frontend: Frontend, job: model.Job
-) -> tuple[verdicts.Verdict, str]:
+async def _write(frontend: Frontend, job: model.Job) -> forwarding.Relayed:
     """Write a job to the store, through another server if need be.
 
     Gives whether it lies there now, and why not.
@@ -146,36 +300,43 @@
     verdict = verdicts.Verdict.NOT_RUN
     if not forwarding.store_lost(frontend.server):
         handed = await intakes.hand_in(frontend.intake, job)
-        if handed.verdict is verdicts.Verdict.RAN:
-            return handed.verdict, handed.reason
+        if handed.verdict is verdicts.Verdict.RAN or handed.foreign:
+            return forwarding.Relayed(
+                handed.verdict, handed.reason, foreign=handed.foreign
+            )
         verdict = handed.verdict
     relayed = await forwarding.hand_in(frontend.asking, job)
-    if relayed.verdict is not verdicts.Verdict.NOT_RUN:
-        verdict = relayed.verdict
-    return verdict, relayed.reason
+    if relayed.verdict is verdicts.Verdict.NOT_RUN and not relayed.foreign:
+        return forwarding.Relayed(verdict, relayed.reason)
+    return relayed
 
 
 def _told(state: model.State) -> http.Response:
     return http.Response(200, [JSON], callers.encode_state(state))
 
 
-async def _state(frontend: Frontend, job: ids.JobId) -> http.Response:
+async def _state(
+    frontend: Frontend, job: ids.JobId, caller: access.Caller
+) -> http.Response:
     began_s = clock.now_s()
     try:
-        state = await askings.state(frontend.asking, job)
+        told = await askings.state(frontend.asking, job)
     except errors.CallFailed as error:
         _log('state-unknown', job, began_s, why=error.reason)
         return _refusal(503, 'the state cannot be read now')
-    if state is None:
-        _log('no-such-job', job, began_s)
+    # Of another tenant's job nobody learns that it exists.
+    if told.state is None or not access.may_touch(told.tenant, caller):
+        _log('no-such-job', job, began_s, tenant=caller.tenant)
         return http.Response(410, [], b'no such job\n')
-    return _told(state)
+    return _told(told.state)
 
 
-async def _cancel(frontend: Frontend, job: ids.JobId) -> http.Response:
+async def _cancel(
+    frontend: Frontend, job: ids.JobId, caller: access.Caller
+) -> http.Response:
     began_s = clock.now_s()
     try:
-        there = await _mark_cancelled(frontend, job)
+        there = await _mark_cancelled(frontend, job, caller.tenant)
     except errors.CallFailed as error:
         _log('not-cancelled', job, began_s, why=error.reason)
         status = 503
@@ -190,19 +351,21 @@
     return _told(model.State.CANCELLED)
 
 
-async def _mark_cancelled(frontend: Frontend, job: ids.JobId) -> bool:
-    """Mark a job as cancelled; False if there is no such job.
+async def _mark_cancelled(
+    frontend: Frontend, job: ids.JobId, tenant: ids.TenantId
+) -> bool:
+    """Mark a job as cancelled; False if the tenant has no such job.
 
     :raises errors.CallFailed: neither this server nor another could do it
     """
     verdict = verdicts.Verdict.NOT_RUN
     if not forwarding.store_lost(frontend.server):
         try:
-            return await intakes.cancel(frontend.server.store, job)
+            return await intakes.cancel(frontend.server.store, job, tenant)
         except errors.CallFailed as error:
             _log('store-failed', job, clock.now_s(), why=error.reason)
             verdict = error.verdict
-    relayed = await forwarding.cancel(frontend.asking, job)
+    relayed = await forwarding.cancel(frontend.asking, job, tenant)
     if relayed.verdict is verdicts.Verdict.RAN:
         return relayed.there
     if relayed.verdict is not verdicts.Verdict.NOT_RUN:
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -14,6 +14,7 @@
 from oleanderwood.jobs import record
 from oleanderwood.leading import roles as roles_
 from oleanderwood.platform import store as stores
+from oleanderwood.tenants import access
 from oleanderwood import verdict as verdicts
 
 MOST_A_WRITE = (stores.MAX_WRITES - 1) // 2
@@ -37,12 +38,14 @@
     """One job on its way to the store.
 
     :ivar verdict: RAN once it lies there
+    :ivar foreign: another tenant has a job of its id
     """
 
     job: model.Job
     verdict: verdicts.Verdict | None = None
     reason: str = ''
     known: bool = False
+    foreign: bool = False
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
@@ -149,15 +152,16 @@
         )
     except stores.Conflict as conflict:
         roles_.learn(intake.roles, conflict.items)
-        there = {item.key for item in conflict.items if not item.removed}
+        there = {
+            item.key: item.value for item in conflict.items if not item.removed
+        }
         left = []
         for key, rows in keys.items():
             if key not in there:
                 left += rows
                 continue
             for handed in rows:
-                handed.known = True
-                await _settle(handed, verdicts.Verdict.RAN, 'known')
+                await _settle_known(handed, there[key])
         return left
     except errors.CallFailed as error:
         return await _after_failure(batch, error)
@@ -190,6 +194,30 @@
     return left
 
 
+async def _settle_known(handed: Handed, value: bytes) -> None:
+    """Settle a job whose id the store holds, of this tenant or another."""
+    if is_of(value, handed.job.tenant):
+        handed.known = True
+        await _settle(handed, verdicts.Verdict.RAN, 'known')
+        return
+    handed.foreign = True
+    await _settle(
+        handed, verdicts.Verdict.NOT_RUN, 'another tenant has this id'
+    )
+
+
+def is_of(value: bytes, tenant: ids.TenantId) -> bool:
+    """Say whether a job as it lies in the store is a tenant's, or nobody's.
+
+    One that can't be read is nobody's to touch.
+    """
+    try:
+        owner = msgspec.json.decode(value, type=model.Owned).tenant
+    except msgspec.MsgspecError:
+        return False
+    return owner in (access.NOBODY, tenant)
+
+
 async def _settle(
     handed: Handed, verdict: verdicts.Verdict, reason: str
 ) -> None:
@@ -198,8 +226,10 @@
     await handed.done.set()
 
 
-async def cancel(store: stores.Store, job: ids.JobId) -> bool:
-    """Mark a job as cancelled; False if there is no such job.
+async def cancel(
+    store: stores.Store, job: ids.JobId, tenant: ids.TenantId
+) -> bool:
+    """Mark a job as cancelled; False if the tenant has no such job.
 
     :raises errors.CallFailed: with the verdict of all tries together: that
         the last one did nothing says nothing of a mark written before it
@@ -207,7 +237,8 @@
     in_doubt = False
     for attempt in range(ATTEMPTS):
         try:
-            if await stores.read(store, record.job_key(job)) is None:
+            kept = await stores.read(store, record.job_key(job))
+            if kept is None or not is_of(kept.value, tenant):
                 return False
             await _mark_cancelled(store, job)
             return True
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -99,6 +99,7 @@
         newest configuration says of it goes first
     :ivar handed_in_ms: when, since 1970, by the clock of the process that
         took it
+    :ivar tenant: whose key handed it in; '' if none was needed
     :ivar term: under which it was accepted; the store has checked it in the
         same write. No leader of an earlier term may start it. 0: not known
     """
@@ -108,6 +109,13 @@
     work: Work
     handed_in_ms: float = 0.0
     term: int = 0
+    tenant: ids.TenantId = ids.TenantId('')
+
+
+class Owned(msgspec.Struct, frozen=True):
+    """Whose a job is, read from its stored form alone."""
+
+    tenant: ids.TenantId = ids.TenantId('')
 
 
 def occurrences(job: Job) -> int:
--- a/oleanderwood/jobs/queues.py
+++ b/oleanderwood/jobs/queues.py
@@ -4,6 +4,7 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import stored
+from oleanderwood.tenants import model as tenants_
 
 
 class Queue(msgspec.Struct, frozen=True, rename=stored.QUEUE):
@@ -16,6 +17,7 @@
         ``stretch`` times its longest chain of steps
     :ivar priority: 0 comes first
     :ivar most_attempts: failures of a task after which its job has failed
+    :ivar public: callers need no key
     """
 
     name: str
@@ -27,6 +29,7 @@
     priority: int = 0
     most_attempts: int = 1
     needs_advice: bool = False
+    public: bool = True
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -34,6 +37,7 @@
 
     :ivar standby: pools whose machines are off and cost nothing
     :ivar guarded: pools whose workers refuse what doesn't fit
+    :ivar tenants: None: no caller needs a key
     """
 
     version: int
@@ -41,6 +45,7 @@
     services: tuple[ids.ServiceId, ...] = ()
     standby: frozenset[ids.ServiceId] = frozenset()
     guarded: frozenset[ids.ServiceId] = frozenset()
+    tenants: tenants_.Tenants | None = None
 
 
 def find(
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -42,11 +42,13 @@
 
     :ivar more_pools: in which its tasks may have been started, beside the one
         that its queue had when it was handed in
+    :ivar tenant: whose job it is
     """
 
     state: model.State
     groups: list[GroupProgress] = []
     more_pools: list[ids.ServiceId] = []
+    tenant: ids.TenantId = ids.TenantId('')
 
 
 def job_key(job: ids.JobId) -> str:
@@ -71,7 +73,9 @@
         row = _group_progress(group)
         if row.done != '0' or row.failed or row.crashes:
             rows.append(row)
-    return Progress(entry.state, rows, sorted(entry.more_pools))
+    return Progress(
+        entry.state, rows, sorted(entry.more_pools), entry.job.tenant
+    )
 
 
 def _group_progress(group: ledgers.Group) -> GroupProgress:
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -17,6 +17,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.leading import machine_turns
 from oleanderwood.leading import relocating
+from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import fleet
@@ -27,6 +28,7 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import lives
 from oleanderwood.pools import placing
+from oleanderwood.pools import quotas as quotas_
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -304,6 +306,7 @@
         if service in views:
             for group in groups:
                 _note_lack(views[service], group.step)
+    quotas = schedule.quotas_of(leader, schedule.unresolved(leader), now_s)
     wall_ms = clock.wall_ms()
     idle: dict[ids.ServiceId, list[placing.Room]] = {}
     for group in leader.ledger.open_groups:
@@ -313,6 +316,10 @@
         view = views.get(queue.service)
         if view is None:
             continue
+        allowed = quotas_.claim(quotas, group)
+        if not allowed:
+            # Machines wouldn't let it start: its team or tenant has no more.
+            continue
         if _may_lack(view, group):
             if view.service not in idle:
                 idle[view.service] = lacking.idle_rooms(
@@ -325,12 +332,12 @@
             # Its pool gets a machine on which it can run, but none more.
             continue
         if group.step.lasting:
-            _add_cores(view, group, len(group.waiting))
+            _add_cores(view, group, allowed)
             if not view.lacks_kind and not group.step.uses_leftover:
                 workers = [row.worker for row in view.members if row.worker]
                 view.lacks_kind = not placing.has_room(group, workers, now_s)
         elif not group.step.uses_leftover:
-            row = _waiting(group, queue, leader.lengths, now_s)
+            row = _waiting(group, allowed, queue, leader.lengths, now_s)
             view.waiting.append(row)
             _note_priority(view, group, known)
 
@@ -389,13 +396,17 @@
 
 def _waiting(
     group: ledgers.Group,
+    tasks: int,
     queue: queues.Queue,
     known: lengths.Lengths,
     now_s: float,
 ) -> backlog.Waiting:
-    """Say what waits of a step, and by when it has to end."""
+    """Say what waits of a step, and by when it has to end.
+
+    :param tasks: of those that wait, how many may run
+    """
     length_s = lengths.of_job(known, group.entry)[group.number]
-    cores = len(group.waiting) * group.step.needs.cpu_millicores / 1000
+    cores = tasks * group.step.needs.cpu_millicores / 1000
     left_s = placing.left_s(group, queue, known, now_s)
     return backlog.Waiting(cores, length_s, left_s)
 
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -3,11 +3,13 @@
 import math
 
 import curio
+import msgspec
 
 from oleanderwood import clock
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -28,6 +30,12 @@
 ON_THE_WAY_S = 0.5
 """Time from a decision until its order has arrived."""
 
+LIMIT_TOLD_S = 1.0
+"""Time between two log lines on work that waits for a tenant's limit."""
+
+MOST_JOBS_TOLD = 20
+"""Jobs that such a line names."""
+
 STARTS_A_PASS = 200
 """Starts decided at once for a pool."""
 
@@ -140,8 +148,14 @@
     now_s = clock.now_s()
     known = states.known_queues(leader)
     blocked = unresolved(leader)
+    quotas = quotas_of(leader, blocked, now_s)
     ready = placing.by_service(
-        leader.ledger, known, leader.lengths, clock.wall_ms(), now_s, only
+        leader.ledger,
+        known,
+        leader.lengths,
+        clock.wall_ms(),
+        now_s,
+        only,
     )
     pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
     for worker in leader.workers.values():
@@ -149,7 +163,6 @@
             pools.setdefault(worker.entry.service, []).append(worker)
     if _entries_are_old(leader, now_s):
         ready = _guarded_only(leader, ready)
-    quotas = quotas_.make(leader.policy.policy, leader.workers.values())
     for service, groups in ready.items():
         groups = [
             row
@@ -162,6 +175,86 @@
         groups = await _startable(leader, groups, service, pool, quotas)
         decided = placing.decide(groups, pool, now_s, STARTS_A_PASS, quotas)
         await _order(leader, decided, now_s)
+    _tell_limits(leader, ready, quotas, now_s)
+
+
+def _tell_limits(
+    leader: states.Leader,
+    ready: dict[ids.ServiceId, list[ledgers.Group]],
+    quotas: quotas_.Quotas,
+    now_s: float,
+) -> None:
+    """Say now and then whose jobs wait for their tenant's limit."""
+    if not quotas.limits:
+        return
+    held: dict[ids.TenantId, dict[ids.JobId, None]] = {}
+    for groups in ready.values():
+        for group in groups:
+            job = group.entry.job
+            if group.waiting and not quotas_.allows(quotas, group):
+                held.setdefault(job.tenant, {})[job.job] = None
+    for tenant, jobs in held.items():
+        told_s = leader.limits_told_s.get(tenant, -math.inf)
+        if now_s - told_s < LIMIT_TOLD_S or tenant not in quotas.limits:
+            continue
+        leader.limits_told_s[tenant] = now_s
+        event_log.emit(
+            'tenant',
+            'at-limit',
+            tenant=tenant,
+            jobs=list(jobs)[:MOST_JOBS_TOLD],
+            waiting=len(jobs),
+            running=msgspec.structs.asdict(_as_resources(quotas.used[tenant])),
+            limit=msgspec.structs.asdict(quotas.limits[tenant]),
+        )
+
+
+def _as_resources(used: quotas_.Used) -> model.Resources:
+    return model.Resources(used.cpu_millicores, used.memory_mb, used.gpus)
+
+
+def quotas_of(
+    leader: states.Leader, blocked: set[ids.ServiceId], now_s: float
+) -> quotas_.Quotas:
+    """Give what teams and tenants may still start.
+
+    :param blocked: pools with workers that may run what we don't know of
+    """
+    limits = leader.server.limits
+    unseen = quotas_.Unseen()
+    if limits and (blocked or leader.rosters_unread_until_s > 0):
+        unseen = quotas_.Unseen(
+            [
+                group
+                for group in leader.ledger.open_groups
+                if _held_back(leader, group.entry, blocked, now_s)
+            ],
+            _unheard_capacity(leader, now_s),
+        )
+    return quotas_.make(
+        leader.policy.policy, leader.workers.values(), limits, unseen
+    )
+
+
+def _unheard_capacity(
+    leader: states.Leader, now_s: float
+) -> model.Resources | None:
+    """Give what workers can hold that may run what we don't know of.
+
+    None if not all of them are known.
+    """
+    if now_s <= leader.rosters_unread_until_s:
+        return None
+    rows = [
+        worker.entry.capacity
+        for worker in leader.workers.values()
+        if not worker.heard and _may_hold(leader, worker)
+    ]
+    return model.Resources(
+        sum(row.cpu_millicores for row in rows),
+        sum(row.memory_mb for row in rows),
+        sum(row.gpus for row in rows),
+    )
 
 
 def _entries_are_old(leader: states.Leader, now_s: float) -> bool:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -27,6 +27,8 @@
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import slowness
 from oleanderwood.pools import workers as workers_
+from oleanderwood.tenants import access
+from oleanderwood.tenants import model as tenants_
 from oleanderwood.web import connections
 
 LEASE_S = 1.5
@@ -121,6 +123,10 @@
     """One server process.
 
     :ivar process: one life of this server
+    :ivar configuration_proven_s: when the last reading of the configuration
+        was sent that told all changes of it
+    :ivar configuration_readable: the newest one could be read
+    :ivar limits: of tenants, also of those that have gone
     :ivar lease_until_s: by when the server's lease may have ended
     :ivar contact_s: when the last call was sent that the store answered
     :ivar back_s: since when the store answers again, after a gap
@@ -135,6 +141,12 @@
     roles: roles_.Roles = dataclasses.field(default_factory=roles_.Roles)
     configuration: queues.Configuration | None = None
     configuration_revision: int = 0
+    configuration_proven_s: float = -1e9
+    configuration_readable: bool = False
+    limits: dict[ids.TenantId, tenants_.Limit] = dataclasses.field(
+        default_factory=dict
+    )
+    revoked: access.Revoked = dataclasses.field(default_factory=access.Revoked)
     lease: int = 0
     lease_until_s: float = 0.0
     contact_s: float = -1e9
@@ -232,6 +244,8 @@
         that was met last comes last
     :ivar ended_lives: lives found to be over, of which nobody was told yet
     :ivar lately_gone: when workers went that are known to be gone
+    :ivar arrivals_s: of jobs within what their tenants may count on, lately
+    :ivar limits_told_s: when a tenant's limit was last logged, by tenant
     :ivar held_back: steps with runs that would end sooner on another machine
         than their pool has, and until when that counts
     :ivar relocated_s: when runs last left a worker for another, by pool
@@ -261,6 +275,12 @@
     lately_gone: dict[ids.VmId, float] = dataclasses.field(
         default_factory=dict
     )
+    arrivals_s: dict[ids.TenantId, collections.deque[float]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    limits_told_s: dict[ids.TenantId, float] = dataclasses.field(
+        default_factory=dict
+    )
     orders: dict[ids.VmId, curio.Queue] = dataclasses.field(
         default_factory=dict
     )
@@ -372,6 +392,15 @@
     return min(TASK_LEASE_S, settings.max_task_lease_ms / 1000)
 
 
+def weights(leader: Leader) -> dict[ids.TenantId, float]:
+    """Give the weights of the tenants in the newest configuration."""
+    configuration = leader.server.configuration
+    if configuration is None or configuration.tenants is None:
+        return {}
+    rows = configuration.tenants.by_name.values()
+    return {tenant.name: tenant.weight for tenant in rows}
+
+
 def known_queues(leader: Leader) -> dict[str, queues.Queue]:
     """Give the queues of the newest configuration."""
     configuration = leader.server.configuration
@@ -388,6 +417,7 @@
         'stopping': server.stopping,
         'lease_left_s': round(server.lease_until_s - now_s, 2),
         'contact_age_s': round(now_s - server.contact_s, 2),
+        'configuration_age_s': round(now_s - server.configuration_proven_s, 2),
         'leader': roles.leader.holder if roles.leader else None,
         'term': roles.leader.term if roles.leader else 0,
         'servers': sorted(row.name for row in roles.servers.values()),
--- a/oleanderwood/platform/operator.py
+++ b/oleanderwood/platform/operator.py
@@ -1,5 +1,6 @@
 """What the platform's operator writes: configuration and waves."""
 
+import math
 import typing
 
 import msgspec
@@ -7,6 +8,8 @@
 from oleanderwood import ids
 from oleanderwood.jobs import queues
 from oleanderwood.maintenance import fleet
+from oleanderwood.tenants import credentials
+from oleanderwood.tenants import model as tenants_
 
 CONFIGURATION_KEY = 'op/config'
 WAVES_PREFIX = 'op/wave/'
@@ -29,6 +32,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _WireAdvice | None = None
+    public: bool | None = None
 
 
 class _WireService(msgspec.Struct):
@@ -37,10 +41,28 @@
     standby: bool = False
 
 
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+class _WireLimit(msgspec.Struct):
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount
+
+
+class _WireTenant(msgspec.Struct):
+    # Its ``priority`` is not read: what urgent jobs are is the queues' word.
+    name: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+    api_keys: list[str]
+    weight: float
+    max_count: _WireLimit
+
+
 class _WireConfig(msgspec.Struct):
     version: int
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
+    tenants: typing.Any = None
 
 
 def decode_configuration(value: bytes) -> queues.Configuration:
@@ -49,6 +71,10 @@
     :raises msgspec.MsgspecError: the value is malformed
     """
     wire = msgspec.json.decode(value, type=_WireConfig)
+    tenants = None if wire.tenants is None else _tenants(wire.tenants)
+    if tenants is None and any(row.public is False for row in wire.routes):
+        # Queues that ask for keys, of which there are none.
+        tenants = tenants_.Tenants()
     rows = [
         queues.Queue(
             name=route.name,
@@ -60,6 +86,7 @@
             priority=route.priority,
             most_attempts=route.max_attempts,
             needs_advice=route.advice is not None,
+            public=tenants is None if route.public is None else route.public,
         )
         for route in wire.routes
     ]
@@ -71,6 +98,42 @@
         tuple(ids.ServiceId(row.name) for row in wire.services),
         frozenset(ids.ServiceId(name) for name in standby),
         frozenset(ids.ServiceId(name) for name in guarded),
+        tenants,
+    )
+
+
+def _tenants(rows: typing.Any) -> tenants_.Tenants:
+    """Decode tenants one by one: a bad entry costs no other tenant anything.
+
+    What can't be read opens nothing.
+    """
+    if not isinstance(rows, list):
+        return tenants_.Tenants(faults=('the tenants are no list',))
+    good: list[tenants_.Row] = []
+    faults: list[str] = []
+    for index, row in enumerate(rows):
+        try:
+            good.append(_tenant(row))
+        except ValueError as error:
+            faults.append(f'entry {index}: {error}')
+    return tenants_.collect(good, faults)
+
+
+def _tenant(row: typing.Any) -> tenants_.Row:
+    wire = msgspec.convert(row, type=_WireTenant)
+    if not (math.isfinite(wire.weight) and wire.weight > 0):
+        raise ValueError('a weight that is not above 0')
+    limit = wire.max_count
+    keys = [key.encode() for key in wire.api_keys]
+    if not all(keys):
+        raise ValueError('an empty key')
+    return tenants_.Row(
+        tenants_.Tenant(
+            ids.TenantId(wire.name),
+            wire.weight,
+            tenants_.Limit(limit.cpu, limit.mem_mb, limit.gpu),
+        ),
+        tuple(credentials.digest(key) for key in keys),
     )
 
 
--- a/oleanderwood/pools/quotas.py
+++ b/oleanderwood/pools/quotas.py
@@ -1,7 +1,11 @@
-"""How much of the pools each team may take at once. Pure.
+"""How much teams and tenants may have running at once. Pure.
 
-Load it answers: one team's flood of jobs must not take the room that other
-teams' jobs need; a team that stays below its quota never notices.
+Load it answers: one team's or tenant's flood of jobs must not take the room
+that others' jobs need; who stays below its limit never notices.
+
+A team's quota is the operators' own division of their cores among queues; a
+tenant's limit is the platform's word on a customer. A task counts against
+both, and starts only where both leave room.
 """
 
 import collections.abc
@@ -9,13 +13,26 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import workers as workers_
+from oleanderwood.tenants import model as tenants_
+
+Limits = collections.abc.Mapping[ids.TenantId, tenants_.Limit]
+
+
+@dataclasses.dataclass(slots=True)
+class Used:
+    """What a tenant may have running at the moment."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
 
 
 @dataclasses.dataclass
 class Quotas:
-    """What is left to teams while starts are decided.
+    """What is left to teams and tenants while starts are decided.
 
     :ivar team_of: by queue; queues of no team have no quota
     """
@@ -24,43 +41,189 @@
     left_millicores: dict[ids.TeamId, float] = dataclasses.field(
         default_factory=dict
     )
+    limits: Limits = dataclasses.field(default_factory=dict)
+    used: dict[ids.TenantId, Used] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Unseen:
+    """What an earlier leader may have left running that wasn't heard of yet.
+
+    :ivar groups: steps whose waiting tasks may be running already
+    :ivar most: what all of that can take at most; None: not known
+    """
+
+    groups: collections.abc.Collection[ledgers.Group] = ()
+    most: model.Resources | None = None
 
 
 def make(
     policy: policies.Policy,
     workers: collections.abc.Iterable[workers_.Worker],
+    limits: Limits,
+    unseen: Unseen = Unseen(),
 ) -> Quotas:
-    """Give what is left of each team's quota beside what runs."""
+    """Give what is left of each quota and limit beside what may run."""
     quotas = Quotas()
-    if not policy.teams:
-        return quotas
     for team in policy.teams:
         quotas.left_millicores[team.name] = team.max_cores * 1000
         quotas.team_of.update(dict.fromkeys(team.queues, team.name))
+    quotas.limits = limits
+    quotas.used = {name: Used() for name in limits}
+    if not quotas.team_of and not limits:
+        return quotas
     for worker in workers:
         for task in worker.runs.values():
             take(quotas, task.group)
+        for group in worker.foreign:
+            take(quotas, group)
+    _take_unseen(quotas, unseen)
     return quotas
 
 
+def _take_unseen(quotas: Quotas, unseen: Unseen) -> None:
+    """Count what may run unheard of against its tenants' limits.
+
+    It lies on workers that haven't told of all yet, so it is no more than
+    these can hold.
+    """
+    asked: dict[ids.TenantId, Used] = {}
+    for group in unseen.groups:
+        used = quotas.used.get(group.entry.job.tenant)
+        if used is None:
+            continue
+        needs = group.step.needs
+        waiting = len(group.waiting)
+        row = asked.setdefault(group.entry.job.tenant, Used())
+        row.memory_mb += waiting * needs.memory_mb
+        row.gpus += waiting * needs.gpus
+        if group.step.uses_leftover:
+            # Its processor time is beyond any worker's capacity.
+            used.cpu_millicores += waiting * needs.cpu_millicores
+        else:
+            row.cpu_millicores += waiting * needs.cpu_millicores
+    for tenant, row in asked.items():
+        used = quotas.used[tenant]
+        most = unseen.most or model.Resources(
+            row.cpu_millicores, row.memory_mb, row.gpus
+        )
+        used.cpu_millicores += min(row.cpu_millicores, most.cpu_millicores)
+        used.memory_mb += min(row.memory_mb, most.memory_mb)
+        used.gpus += min(row.gpus, most.gpus)
+
+
 def copy(quotas: Quotas) -> Quotas:
     """Give quotas to decide by for a trial."""
-    return Quotas(quotas.team_of, dict(quotas.left_millicores))
+    return Quotas(
+        quotas.team_of,
+        dict(quotas.left_millicores),
+        quotas.limits,
+        {
+            name: dataclasses.replace(used)
+            for name, used in quotas.used.items()
+        },
+    )
 
 
 def allows(quotas: Quotas, group: ledgers.Group, tasks: int = 1) -> bool:
-    """Say whether some more tasks of a group may start together."""
+    """Say whether some more tasks of a group may start together.
+
+    A team's tasks stay within its quota. A tenant's start until its limit is
+    reached, so that the last may go beyond it: one that needs more than half
+    of the limit would wait behind a small one otherwise.
+    """
     team = _team(quotas, group)
-    needed = tasks * group.step.needs.cpu_millicores
-    return team is None or quotas.left_millicores[team] >= needed
+    needs = group.step.needs
+    if team is not None:
+        if quotas.left_millicores[team] < tasks * needs.cpu_millicores:
+            return False
+    tenant = group.entry.job.tenant
+    used = quotas.used.get(tenant)
+    if used is None:
+        return True
+    limit = quotas.limits[tenant]
+    before = tasks - 1
+    return (
+        _below(
+            limit.cpu_millicores,
+            used.cpu_millicores,
+            before,
+            needs.cpu_millicores,
+        )
+        and _below(limit.memory_mb, used.memory_mb, before, needs.memory_mb)
+        and _below(limit.gpus, used.gpus, before, needs.gpus)
+    )
+
+
+def _below(most: int, used: int, before: int, each: int) -> bool:
+    """Say whether a limit isn't reached before the last of some tasks."""
+    return not most or not each or used + before * each < most
+
+
+def at_limit(quotas: Quotas, tenant: ids.TenantId) -> bool:
+    """Say whether a tenant has reached its limit of some resource."""
+    used = quotas.used.get(tenant)
+    if used is None:
+        return False
+    limit = quotas.limits[tenant]
+    return any(
+        most and has >= most
+        for most, has in (
+            (limit.cpu_millicores, used.cpu_millicores),
+            (limit.memory_mb, used.memory_mb),
+            (limit.gpus, used.gpus),
+        )
+    )
 
 
 def take(quotas: Quotas, group: ledgers.Group) -> None:
     """Note a task that runs or starts."""
+    needs = group.step.needs
     team = _team(quotas, group)
     if team is not None:
-        needed = group.step.needs.cpu_millicores
-        quotas.left_millicores[team] -= needed
+        quotas.left_millicores[team] -= needs.cpu_millicores
+    used = quotas.used.get(group.entry.job.tenant)
+    if used is not None:
+        used.cpu_millicores += needs.cpu_millicores
+        used.memory_mb += needs.memory_mb
+        used.gpus += needs.gpus
+
+
+def claim(quotas: Quotas, group: ledgers.Group) -> int:
+    """Take what the waiting tasks of a group may start; gives how many.
+
+    What may not run yet asks for no machines.
+    """
+    waiting = len(group.waiting)
+    if not quotas.used and not quotas.team_of:
+        return waiting
+    if group.step.gang:
+        if not allows(quotas, group, waiting):
+            return 0
+        for _ in range(waiting):
+            take(quotas, group)
+        return waiting
+    claimed = 0
+    while claimed < waiting and allows(quotas, group):
+        take(quotas, group)
+        claimed += 1
+    return claimed
+
+
+def exceeds(step: model.Step, limit: tenants_.Limit) -> bool:
+    """Say whether a step can never run within a tenant's limit.
+
+    Only a gang can't: of others one task at a time always may.
+    """
+    if not step.gang:
+        return False
+    before = step.tasks - 1
+    rows = (
+        (limit.cpu_millicores, step.needs.cpu_millicores),
+        (limit.memory_mb, step.needs.memory_mb),
+        (limit.gpus, step.needs.gpus),
+    )
+    return any(most and before * each >= most for most, each in rows)
 
 
 def _team(quotas: Quotas, group: ledgers.Group) -> ids.TeamId | None:
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -18,10 +18,12 @@
 from oleanderwood import event_log
 from oleanderwood.frontend import asking as askings
 from oleanderwood.frontend import forwarding
+from oleanderwood.frontend import freshness
 from oleanderwood.frontend import handler as handlers
 from oleanderwood.frontend import intake as intakes
 from oleanderwood import ids
 from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
 from oleanderwood.leading import confirming
 from oleanderwood.leading import election
 from oleanderwood.leading import intake as leading_intake
@@ -34,6 +36,7 @@
 from oleanderwood.platform import operator
 from oleanderwood.platform import store as stores
 from oleanderwood import server_metrics
+from oleanderwood.tenants import access
 from oleanderwood.web import http
 from oleanderwood.web import http_server
 
@@ -213,6 +216,9 @@
             return await api.handle(server, request)
         if path.startswith(confirming.PATH):
             return _json(await confirming.contact(server, path))
+        if path == forwarding.CALL_PATH:
+            body = await http.read_all(request.body, MAX_TOLD_BYTES)
+            return _json(await handlers.take_call(frontend, body))
         if path == forwarding.JOB_PATH:
             body = await http.read_all(request.body, MAX_TOLD_BYTES)
             return _json(
@@ -220,7 +226,10 @@
             )
         if path.startswith(forwarding.CANCEL_PATH):
             job = ids.JobId(path.removeprefix(forwarding.CANCEL_PATH))
-            return _json(await forwarding.take_cancel(server, job))
+            tenant = ids.TenantId(
+                (await http.read_all(request.body, MAX_TOLD_BYTES)).decode()
+            )
+            return _json(await forwarding.take_cancel(server, job, tenant))
         if path == askings.JOBS_PATH:
             return await _told_jobs(server, request)
         if path.startswith(askings.CANCELLED_PATH):
@@ -274,12 +283,13 @@
         for item in items:
             await _take_configuration(server, item)
 
+    def note(sent_s: float) -> None:
+        lease.note_contact(server, sent_s)
+        if server.configuration_readable:
+            freshness.note_reading(server, sent_s)
+
     await watcher.follow(
-        server.store,
-        operator.CONFIGURATION_KEY,
-        term.WATCH_S,
-        take,
-        lambda sent_s: lease.note_contact(server, sent_s),
+        server.store, operator.CONFIGURATION_KEY, term.WATCH_S, take, note
     )
 
 
@@ -293,15 +303,32 @@
     try:
         configuration = operator.decode_configuration(item.value)
     except msgspec.MsgspecError as error:
+        # Which keys it takes away isn't known.
+        server.configuration_readable = False
         event_log.emit('configuration', 'malformed', why=str(error))
         return
+    server.configuration_readable = True
+    before = server.configuration
     server.configuration = configuration
     server.configuration_revision = item.revision
+    taken_keys = access.note_change(
+        server.revoked,
+        before.tenants if before is not None else None,
+        configuration.tenants,
+        configuration.version,
+    )
+    if configuration.tenants is not None:
+        for tenant in configuration.tenants.by_name.values():
+            server.limits[tenant.name] = tenant.limit
+        for fault in configuration.tenants.faults:
+            event_log.emit('configuration', 'bad-tenant', why=fault)
     event_log.emit(
         'configuration',
         'in-force',
         version=configuration.version,
         queues=len(configuration.queues),
+        tenants=_tenant_count(configuration),
+        keys_taken_away=taken_keys,
         revision=item.revision,
     )
     await server.roles_changed.set()
@@ -309,6 +336,11 @@
         await server.leader.due.set()
 
 
+def _tenant_count(configuration: queues.Configuration) -> int:
+    tenants = configuration.tenants
+    return len(tenants.by_name) if tenants is not None else 0
+
+
 async def _follow_roles(server: states.Server) -> None:
     roles = server.roles
 
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -18,6 +18,20 @@
     registry=REGISTRY,
 )
 
+DENIED = prometheus_client.Counter(
+    'oleander_server_denied_total',
+    'Calls refused for want of a good key, by what was wrong.',
+    ('why',),
+    registry=REGISTRY,
+)
+
+PASSED_ON = prometheus_client.Counter(
+    'oleander_server_passed_on_total',
+    'Calls with keys that another server was asked to judge, by outcome.',
+    ('outcome',),
+    registry=REGISTRY,
+)
+
 JOB_SECONDS = prometheus_client.Histogram(
     'oleander_server_job_seconds',
     'Time from taking a job in until its last state is kept.',
--- a/oleanderwood/web/http.py
+++ b/oleanderwood/web/http.py
@@ -100,6 +100,12 @@
     return None
 
 
+def find_all(headers: Headers, name: str) -> list[bytes]:
+    """Give all values of a header, in order."""
+    wanted = name.lower().encode('ascii')
+    return [value for key, value in headers if key.lower() == wanted]
+
+
 def split_address(address: ids.Address) -> tuple[str, int]:
     """Take an address apart into IP number and port."""
     host, _, port = address.rpartition(':')
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -65,6 +65,7 @@
     'next_token',
     'target_duration_ms',
     'admission_check',
+    'api_keys',
 }
 """Fields of the wire, as whole words: ours may contain one."""
 
@@ -87,13 +88,21 @@
 )
 
 LAYERS = {
-    'jobs': (),
-    'pools': ('jobs',),
-    'maintenance': ('jobs', 'pools'),
-    'capacity': ('jobs', 'pools'),
-    'platform': ('jobs', 'pools', 'maintenance'),
-    'leading': ('jobs', 'pools', 'capacity', 'maintenance', 'platform'),
-    'frontend': ('jobs', 'pools', 'platform', 'leading'),
+    'tenants': (),
+    'jobs': ('tenants',),
+    'pools': ('tenants', 'jobs'),
+    'maintenance': ('tenants', 'jobs', 'pools'),
+    'capacity': ('tenants', 'jobs', 'pools'),
+    'platform': ('tenants', 'jobs', 'pools', 'maintenance'),
+    'leading': (
+        'tenants',
+        'jobs',
+        'pools',
+        'capacity',
+        'maintenance',
+        'platform',
+    ),
+    'frontend': ('tenants', 'jobs', 'pools', 'platform', 'leading'),
 }
 """What each subpackage may import of the others."""
 
--- /dev/null
+++ b/tests/test_tenant_limits.py
@@ -0,0 +1,211 @@
+"""What tenants may have running, in all pools together.
+
+What users saw: a tenant had more running than its limit and a tenth more.
+Order of events: a tenant's queues ask for five times their mean at the same
+time, and the pools have room for all of it.
+Cause: limits of tenants were not read; quotas of teams knew processor time of
+whole queues only, and none of lasting tasks.
+Evidence: with no limit known, each test below starts all that there is room
+for.
+"""
+
+import msgspec
+import pytest
+
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.policy import model as policies
+from oleanderwood.pools import lengths
+from oleanderwood.pools import placing
+from oleanderwood.pools import quotas as quotas_
+from oleanderwood.tenants import model as tenants_
+from tests import utils_jobs as build
+
+FIRST, SECOND = ids.TenantId('first'), ids.TenantId('second')
+JOBS = [ids.JobId(str(number) * 16) for number in range(1, 6)]
+KNOWN = {'q': build.queue()}
+
+
+def _job(name, *steps, tenant=FIRST) -> model.Job:
+    job = build.job(*steps, name=name)
+    return msgspec.structs.replace(job, tenant=tenant)
+
+
+def _limit(cores=0, memory_mb=0, gpus=0):
+    return tenants_.Limit(cores * 1000, memory_mb, gpus)
+
+
+def _decide(ledger, pool, limits, workers=None, unseen=None, teams=()):
+    ready = placing.by_service(ledger, KNOWN, lengths.Lengths(), 0.0, 1.0)
+    quotas = quotas_.make(
+        policies.Policy(teams=teams),
+        workers or pool,
+        limits,
+        unseen or quotas_.Unseen(),
+    )
+    return placing.decide(ready.get(build.POOL, []), pool, 1.0, 100, quotas)
+
+
+def _counts(decided):
+    tenants = [row.task.group.entry.job.tenant for row in decided]
+    return {tenant: tenants.count(tenant) for tenant in (FIRST, SECOND)}
+
+
+@pytest.mark.parametrize(
+    'limit',
+    [_limit(3), _limit(memory_mb=300), _limit(gpus=3), _limit(9, 300, 99)],
+)
+def test_tenant_starts_no_more_than_its_limit_of_any_resource(limit):
+    needs = model.Resources(1000, 100, 1)
+    step = msgspec.structs.replace(build.step(8), needs=needs)
+    ledger = build.ledger_with(
+        _job(JOBS[0], step), _job(JOBS[1], step, tenant=SECOND)
+    )
+    capacity = model.Resources(64000, 64000, 64)
+    pool = [build.worker(capacity=capacity)]
+    decided = _decide(ledger, pool, {FIRST: limit, SECOND: _limit()})
+    assert _counts(decided) == {FIRST: 3, SECOND: 8}
+
+
+def test_last_task_may_go_over_the_limit_and_no_other():
+    """One that needs more than half of it would wait for good otherwise."""
+    ledger = build.ledger_with(_job(JOBS[0], build.step(4, cpu=2000)))
+    assert len(_decide(ledger, [build.worker()], {FIRST: _limit(3)})) == 2
+
+
+def test_task_larger_than_the_limit_runs_alone():
+    ledger = build.ledger_with(_job(JOBS[0], build.step(2, cpu=4000)))
+    assert len(_decide(ledger, [build.worker()], {FIRST: _limit(1)})) == 1
+
+
+KINDS = {
+    'plain': {},
+    'lasting': {'lasting': True},
+    'leftover': {'uses_leftover': True},
+    'copied': {'speculative': True},
+}
+
+
+@pytest.mark.parametrize('fields', KINDS.values(), ids=KINDS)
+@pytest.mark.parametrize('pool', [build.POOL, ids.ServiceId('another')])
+def test_whatever_a_tenant_has_running_anywhere_counts(fields, pool):
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(2, **fields)), _job(JOBS[1], build.step(6))
+    )
+    elsewhere = build.worker('w2', service=pool)
+    for index in range(2):
+        build.start(ledger, build.task(ledger, 0, index, JOBS[0]), elsewhere)
+    pools = [build.worker()]
+    decided = _decide(ledger, pools, {FIRST: _limit(3)}, [*pools, elsewhere])
+    assert len(decided) == 1
+
+
+STATES = {
+    'silent': lambda worker, run: setattr(worker, 'silent_since_s', 0.5),
+    'ordered': lambda worker, run: setattr(
+        run, 'phase', build.ledgers.RunPhase.ORDERED
+    ),
+    'doubtful': lambda worker, run: setattr(
+        run, 'phase', build.ledgers.RunPhase.DOUBTFUL
+    ),
+    'stopping': lambda worker, run: setattr(
+        run, 'phase', build.ledgers.RunPhase.STOPPING
+    ),
+}
+
+
+@pytest.mark.parametrize('strike', STATES.values(), ids=STATES)
+def test_run_that_may_go_on_counts(strike):
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(2)), _job(JOBS[1], build.step(6))
+    )
+    worker = build.worker('w2')
+    for index in range(2):
+        task = build.task(ledger, 0, index, JOBS[0])
+        strike(worker, build.start(ledger, task, worker))
+    pools = [build.worker()]
+    decided = _decide(ledger, pools, {FIRST: _limit(3)}, [*pools, worker])
+    assert len(decided) == 1
+
+
+def test_run_that_is_not_ours_counts_until_it_has_stopped():
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(2)), _job(JOBS[1], build.step(6))
+    )
+    worker = build.worker('w2')
+    group = build.task(ledger, 0, 0, JOBS[0]).group
+    worker.foreign = [group, group]
+    for task in list(group.waiting.values()):
+        task.not_before_s = 9.0
+    pools = [build.worker()]
+    decided = _decide(ledger, pools, {FIRST: _limit(3)}, [*pools, worker])
+    assert len(decided) == 1
+
+
+def test_what_an_earlier_leader_may_have_running_unheard_of_counts():
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(6)), _job(JOBS[1], build.step(6))
+    )
+    unheard = build.task(ledger, 0, 0, JOBS[0]).group
+    for task in list(unheard.waiting.values()):
+        task.not_before_s = 9.0
+    pools = [build.worker()]
+    for most, left in ((model.Resources(2000, 999), 2), (None, 0)):
+        unseen = quotas_.Unseen([unheard], most)
+        decided = _decide(ledger, pools, {FIRST: _limit(4)}, unseen=unseen)
+        assert len(decided) == left
+
+
+def test_limit_far_below_what_runs_starts_nothing_and_ends_nothing():
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(3)), _job(JOBS[1], build.step(6))
+    )
+    worker = build.worker()
+    for index in range(3):
+        build.start(ledger, build.task(ledger, 0, index, JOBS[0]), worker)
+    assert not _decide(ledger, [worker], {FIRST: _limit(1)})
+    assert len(worker.runs) == 3
+    assert len(_decide(ledger, [worker], {FIRST: _limit(5)})) == 2
+
+
+def test_gang_starts_whole_within_the_limit_or_not_at_all():
+    gang = build.step(3, cpu=2000, gang=True)
+    ledger = build.ledger_with(_job(JOBS[0], gang))
+    assert not _decide(ledger, [build.worker()], {FIRST: _limit(4)})
+    assert len(_decide(ledger, [build.worker()], {FIRST: _limit(5)})) == 3
+
+
+def test_gang_wider_than_its_tenant_may_run_is_told_apart():
+    gang = build.step(3, cpu=2000, gang=True)
+    assert quotas_.exceeds(gang, _limit(4))
+    assert not quotas_.exceeds(gang, _limit(5))
+    assert not quotas_.exceeds(gang, _limit())
+    assert not quotas_.exceeds(build.step(9, cpu=2000), _limit(1))
+
+
+def test_of_a_team_and_a_tenant_the_smaller_limit_wins():
+    teams = (policies.Team('t', ('q',), 2.0),)
+    for limit, starts in ((_limit(5), 2), (_limit(1), 1)):
+        ledger = build.ledger_with(_job(JOBS[0], build.step(6)))
+        decided = _decide(
+            ledger, [build.worker()], {FIRST: limit}, teams=teams
+        )
+        assert len(decided) == starts
+
+
+def test_what_may_not_run_asks_for_no_machines():
+    """The pool's demand is what its tenants may start, gangs whole."""
+    ledger = build.ledger_with(
+        _job(JOBS[0], build.step(6)),
+        _job(JOBS[1], build.step(3, gang=True)),
+        _job(JOBS[2], build.step(2), tenant=SECOND),
+    )
+    limits = {FIRST: _limit(4), SECOND: _limit()}
+    quotas = quotas_.make(policies.Policy(), [], limits)
+    groups = [build.task(ledger, 0, 0, job).group for job in JOBS[:3]]
+    assert [quotas_.claim(quotas, group) for group in groups] == [4, 0, 2]
+
+
+def test_without_limits_nothing_is_held_back():
+    ledger = build.ledger_with(_job(JOBS[0], build.step(6)))
+    assert len(_decide(ledger, [build.worker()], {})) == 6
