--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -11,6 +11,7 @@
 from emulator import executors
 from emulator import network as networks
 from emulator import servers
+from emulator import tenancy as tenancies
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood.platform import transport
@@ -41,6 +42,7 @@
 
     :ivar answered_s: time from handing in to the first accepted answer
     :ivar finished_s: time from handing in until shown as completed
+    :ivar tenancy: whose keys they show; None: they need none
     """
 
     network: networks.Network
@@ -53,30 +55,59 @@
     accepted: dict[str, float] = dataclasses.field(default_factory=dict)
     finished_s: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelled: set[str] = dataclasses.field(default_factory=set)
+    tenancy: tenancies.Tenancy | None = None
 
 
 async def _call(callers: Callers, method, path, body=b''):
-    """Call any server; gives the status and the body, 0 if no answer."""
+    """Call any server as the tenant whose job the path names."""
+    tenancy = callers.tenancy
+    if tenancy is None:
+        return await _call_with(callers, method, path, body, None)
+    job = path.rpartition('/')[2]
+    if job not in tenancy.owner:
+        tenancies.draw_owner(tenancy, job)
+    key = tenancies.key_of(tenancy, job)
+    return await _call_with(callers, method, path, body, key)
+
+
+async def _call_with(
+    callers: Callers, method, path, body, key: str | None, own: bool = True
+):
+    """Call any server; gives the status and the body, 0 if no answer.
+
+    :param key: that the call shows, if any
+    :param own: what the path names is of the key's tenant
+    """
     up = [row for row in callers.processes if row.state is not None]
     if not up:
         await curio.sleep(0.2)
         return 0, b''
     process = callers.rng.choice(up)
+    headers = [(b'host', HOST.encode())]
+    if key is not None:
+        headers.append((b'authorization', b'Token ' + key.encode()))
+    sent_s = clock.now_s()
+    status, answer = 0, b''
     try:
-        answer = await transport.call(
+        answer_ = await transport.call(
             callers.kept,
             process.callers,
             method,
             path,
             body,
-            [(b'host', HOST.encode())],
+            headers,
             timeout_s=TIMEOUT_S,
         )
-        return answer.status, answer.body
+        status, answer = answer_.status, answer_.body
     except errors.CallFailed:
-        return 0, b''
+        pass
     except errors.BadMessage as error:
-        return error.status, b''
+        status = error.status
+    if callers.tenancy is not None:
+        callers.tenancy.calls.append(
+            tenancies.Call(sent_s, key or '', method, status, own)
+        )
+    return status, answer
 
 
 def _note(callers: Callers, kind: evidences.Kind, job: str, how: str):
@@ -85,6 +116,18 @@
     )
 
 
+def _body(job: str, spec: dict) -> bytes:
+    sent = {
+        **{key: spec[key] for key in TIMES if key in spec},
+        'spec': job,
+        'phases': [
+            {key: value for key, value in step.items() if key not in UNTOLD}
+            for step in spec['phases']
+        ],
+    }
+    return json.dumps(sent).encode()
+
+
 async def hand_in(
     callers: Callers,
     prefix: str,
@@ -95,19 +138,11 @@
     """Hand a job in and follow it to its end."""
     service = prefix.strip('/').removesuffix(LATER)
     callers.world.jobs[job] = {**spec, 'service': service}
-    sent = {
-        **{key: spec[key] for key in TIMES if key in spec},
-        'spec': job,
-        'phases': [
-            {key: value for key, value in step.items() if key not in UNTOLD}
-            for step in spec['phases']
-        ],
-    }
-    body = json.dumps(sent).encode()
+    body = _body(job, spec)
     began_s = clock.now_s()
     for _try in range(TRIES):
         _note(callers, evidences.Kind.HANDED_IN, job, 'sent')
-        status, _body = await _call(callers, 'POST', prefix + job, body)
+        status, _answer = await _call(callers, 'POST', prefix + job, body)
         _note(callers, evidences.Kind.HANDED_IN, job, str(status))
         if status == 200:
             callers.accepted[job] = clock.now_s()
@@ -123,7 +158,7 @@
 
 async def _cancel(callers: Callers, prefix: str, job: str) -> None:
     for _try in range(TRIES):
-        status, _body = await _call(callers, 'DELETE', prefix + job)
+        status, _answer = await _call(callers, 'DELETE', prefix + job)
         if status in (200, 410):
             callers.cancelled.add(job)
             _note(callers, evidences.Kind.CANCELLED, job, str(status))
@@ -144,3 +179,54 @@
         if how in ('completed', 'failed', 'cancelled'):
             callers.finished_s[job] = clock.now_s() - began_s
             return
+
+
+async def disturb_always(callers: Callers, pools: tuple[str, ...]) -> None:
+    """Let strangers call with keys that aren't good, until cancelled."""
+    tenancy = callers.tenancy
+    while True:
+        await curio.sleep(tenancies.STRANGERS_S)
+        await curio.spawn(
+            _disturb, callers, tenancy.rng.choice(pools), daemon=True
+        )
+
+
+async def _disturb(callers: Callers, pool: str) -> None:
+    tenancy = callers.tenancy
+    rng = tenancy.rng
+    prefix = f'/{pool}/'
+    known = [job for job in callers.accepted if job in tenancy.owner]
+    job = rng.choice(known) if known else ''
+    shown, key = tenancies.strange_key(tenancy, job)
+    method = rng.choice(('GET', 'DELETE', 'POST', 'COUNT'))
+    if method == 'COUNT' or not job:
+        # A queue is all tenants'.
+        await _call_with(callers, 'GET', prefix, b'', key)
+        return
+    own = shown is tenancies.Shown.TAKEN_AWAY
+    if method == 'DELETE' and own:
+        # It may count for a while, and would cancel the job.
+        method = 'GET'
+    if method != 'POST':
+        await _call_with(callers, method, prefix + job, b'', key, own)
+        return
+    if shown is tenancies.Shown.OF_ANOTHER:
+        body = _body(job, callers.world.jobs[job])
+        await _call_with(callers, method, prefix + job, body, key, own)
+        return
+    await _hand_in_strange(callers, prefix, key)
+
+
+async def _hand_in_strange(callers: Callers, prefix: str, key) -> None:
+    """Hand a job in with a key that isn't good, or isn't any more."""
+    job = f'{callers.tenancy.rng.getrandbits(64):016x}'
+    step = {'count': 1, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 300}
+    spec = {'phases': [step]}
+    service = prefix.strip('/')
+    callers.world.jobs[job] = {**spec, 'service': service}
+    callers.tenancy.owner[job] = ''
+    _note(callers, evidences.Kind.HANDED_IN, job, 'sent')
+    status, _answer = await _call_with(
+        callers, 'POST', prefix + job, _body(job, spec), key
+    )
+    _note(callers, evidences.Kind.HANDED_IN, job, str(status))
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -23,6 +23,8 @@
 from emulator import sharing
 from emulator import spoiling
 from emulator import store as stores
+from emulator import tenancy as tenancies
+from emulator import tenant_rules
 from emulator import troubles as troubles_
 from emulator import virtual
 
@@ -51,6 +53,7 @@
     :ivar jitter_s: the most by which any way takes longer
     :ivar press_gap_s: time between two small jobs while a leader changes or
         the store comes back; 0: none
+    :ivar tenants: how many callers share the day; 0: callers need no keys
     :ivar tells_births: executors tell when they were born
     :ivar entries: what another writer writes, by the time from the first job
     """
@@ -73,6 +76,7 @@
     away_s: float = 0.0
     jitter_s: float = 0.0
     tells_births: bool = False
+    tenants: int = 0
 
 
 @dataclasses.dataclass
@@ -142,16 +146,28 @@
     )
     with networks.installed(network):
         await curio.spawn(stores.run_leases, store, daemon=True)
-        await stores.put(
-            store, 'op/config', configuration(plan.pools, plan.features)
-        )
+        value = configuration(plan.pools, plan.features)
+        if plan.tenants:
+            limit_cpu = tenancies.LIMIT_CPU
+            if features_.Feature.GANGS in plan.features:
+                limit_cpu = tenancies.GANGS_LIMIT_CPU
+            scene.tenancy = tenancies.make(
+                value, plan.seed, plan.tenants, limit_cpu
+            )
+            await tenancies.write(scene.tenancy, store)
+        else:
+            await stores.put(store, 'op/config', value)
         await build_fleet(fleet, plan)
         fleets.let_tasks_crash(fleet, random.Random(plan.seed + 6))
         _draw_ways(scene, plan)
         for process in processes:
             await servers.start(network, process)
         callers = callers_.Callers(
-            network, world, processes, random.Random(plan.seed + 3)
+            network,
+            world,
+            processes,
+            random.Random(plan.seed + 3),
+            tenancy=scene.tenancy,
         )
         await curio.spawn(_strike_processes, network, processes, daemon=True)
         await curio.sleep(plan.lead_s)
@@ -161,6 +177,10 @@
                 trouble, at_s=plan.lead_s + trouble.at_s
             )
             await curio.spawn(troubles_.strike, scene, late, daemon=True)
+        if plan.tenants:
+            await curio.spawn(
+                callers_.disturb_always, callers, plan.pools, daemon=True
+            )
         changes_s = await _press(scene, callers, plan)
         await curio.spawn(
             troubles_.spoil_entries, scene, plan.entries, daemon=True
@@ -255,6 +275,8 @@
         fleets.MAINTENANCE_S,
         [(-math.inf, math.inf)] if troubled is None else troubled,
     )
+    if callers.tenancy is not None:
+        breaches += tenant_rules.check(callers.tenancy, evidence, world.jobs)
     return Result(
         breaches=breaches,
         handed_in=len(world.jobs),
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -9,6 +9,7 @@
 from emulator import crashing
 from emulator import day
 from emulator import features
+from emulator import tenancy
 from emulator import troubles
 from oleanderwood import clock
 from oleanderwood import event_log
@@ -47,6 +48,8 @@
     restart_count: int = 0,
     crashes: bool = False,
     resize_count: int = 0,
+    tenants: int = 0,
+    change_count: int = 0,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -60,6 +63,10 @@
         their id; they tell when they were born then
     :param crashes: some tasks crash the executors that start them
     :param resize_count: further troubles: rooms that shrink and grow
+    :param tenants: callers with keys and limits of their own, beside
+        strangers with wrong ones
+    :param change_count: further troubles: keys that are taken away and
+        limits that fall
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -92,6 +99,9 @@
         drawn += troubles.draw(
             seed, length_s, resize_count, troubles.RESIZE_KINDS
         )
+        drawn += troubles.draw(
+            seed, length_s, change_count, troubles.TENANT_KINDS
+        )
         wanted = features.draw(seed, feature_count)
         if crashes:
             wanted += (features.Feature.CRASHES,)
@@ -102,8 +112,11 @@
             turn_s=turn_s,
             troubles=tuple(drawn),
             features=wanted,
-            finish_s=features.finish_s(wanted, day.FINISH_S),
+            finish_s=features.finish_s(
+                wanted, tenancy.FINISH_S if tenants else day.FINISH_S
+            ),
             tells_births=restart_count > 0,
+            tenants=tenants,
         )
         began_s = time.perf_counter()
         result = day.play(plan)
--- a/emulator/scenes.py
+++ b/emulator/scenes.py
@@ -10,6 +10,7 @@
 from emulator import network as networks
 from emulator import servers
 from emulator import store as stores
+from emulator import tenancy as tenancies
 
 
 @dataclasses.dataclass
@@ -17,6 +18,7 @@
     """What troubles strike.
 
     :ivar back_s: when a store that is away will be back
+    :ivar tenancy: the tenants of the day, if it has some
     :ivar spoiled: executors whose entries are written over at the moment
     """
 
@@ -27,6 +29,7 @@
     rng: random.Random
     back_s: float = math.inf
     spoiled: set[str] = dataclasses.field(default_factory=set)
+    tenancy: tenancies.Tenancy | None = None
 
 
 def leader(scene: Scene) -> servers.Process:
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -16,6 +16,7 @@
 from emulator import spoiling
 from emulator import store as stores
 from emulator import takeovers
+from emulator import tenant_troubles
 from oleanderwood import clock
 
 
@@ -70,6 +71,9 @@
     RESTARTED_LATE_ORDERS = 'restarted-late-orders'
     RESTARTED_STORE_AWAY = 'restarted-store-away'
     ROOMS_RESIZED = 'rooms-resized'
+    KEY_REVOKED = 'key-revoked'
+    KEYS_REVOKED = 'keys-revoked'
+    LIMITS_FALL = 'limits-fall'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,6 +123,9 @@
 RESIZE_KINDS = (Kind.ROOMS_RESIZED,)
 """Executors whose room shrinks and grows while they run."""
 
+TENANT_KINDS = (Kind.KEY_REVOKED, Kind.KEYS_REVOKED, Kind.LIMITS_FALL)
+"""What operators do to tenants; nothing on days without any."""
+
 SHARES = (0.0, 0.25, 0.5, 0.75, 1.5)
 """What is left of such a room, or becomes of it."""
 
@@ -158,6 +165,7 @@
     *CUT_KINDS,
     *RESTART_KINDS,
     *RESIZE_KINDS,
+    *TENANT_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
@@ -167,7 +175,7 @@
 LAB_KINDS = tuple(
     kind
     for kind in Kind
-    if kind not in (*CUT_KINDS, *RESTART_KINDS, *RESIZE_KINDS)
+    if kind not in (*CUT_KINDS, *RESTART_KINDS, *RESIZE_KINDS, *TENANT_KINDS)
 )
 """The same for days of the lab; others are asked for by a count of theirs."""
 
@@ -443,4 +451,7 @@
     Kind.RESTARTED_LATE_ORDERS: restarts.with_late_orders,
     Kind.RESTARTED_STORE_AWAY: restarts.while_store_is_away,
     Kind.ROOMS_RESIZED: _rooms_resized,
+    Kind.KEY_REVOKED: tenant_troubles.key_revoked,
+    Kind.KEYS_REVOKED: tenant_troubles.keys_revoked,
+    Kind.LIMITS_FALL: tenant_troubles.limits_fall,
 }
--- a/oleanderwood/pools/quotas.py
+++ b/oleanderwood/pools/quotas.py
@@ -18,16 +18,25 @@
 from oleanderwood.pools import workers as workers_
 from oleanderwood.tenants import model as tenants_
 
+STARTING = (ledgers.RunPhase.ORDERED, ledgers.RunPhase.DOUBTFUL)
+
+ALONE_PART = 0.5
+"""Part of its limit up to which a tenant may start a task that goes beyond."""
+
 Limits = collections.abc.Mapping[ids.TenantId, tenants_.Limit]
 
 
 @dataclasses.dataclass(slots=True)
 class Used:
-    """What a tenant may have running at the moment."""
+    """What a tenant may have running at the moment.
+
+    :ivar starting: tasks whose start may yet arrive at its worker
+    """
 
     cpu_millicores: int = 0
     memory_mb: int = 0
     gpus: int = 0
+    starting: int = 0
 
 
 @dataclasses.dataclass
@@ -74,9 +83,9 @@
         return quotas
     for worker in workers:
         for task in worker.runs.values():
-            take(quotas, task.group)
+            take(quotas, task.group, task.run.phase in STARTING)
         for group in worker.foreign:
-            take(quotas, group)
+            take(quotas, group, starting=False)
     _take_unseen(quotas, unseen)
     return quotas
 
@@ -94,6 +103,7 @@
             continue
         needs = group.step.needs
         waiting = len(group.waiting)
+        used.starting += waiting
         row = asked.setdefault(group.entry.job.tenant, Used())
         row.memory_mb += waiting * needs.memory_mb
         row.gpus += waiting * needs.gpus
@@ -128,9 +138,10 @@
 def allows(quotas: Quotas, group: ledgers.Group, tasks: int = 1) -> bool:
     """Say whether some more tasks of a group may start together.
 
-    A team's tasks stay within its quota. A tenant's start until its limit is
-    reached, so that the last may go beyond it: one that needs more than half
-    of the limit would wait behind a small one otherwise.
+    A task that needs more than the rest of its tenant's limit waits; but one
+    that needs more than half of the limit would wait for good beside small
+    ones, so with little running it may go beyond. Starts that are under way
+    arrive in any order, so nothing else may be starting then.
     """
     team = _team(quotas, group)
     needs = group.step.needs
@@ -142,22 +153,35 @@
     if used is None:
         return True
     limit = quotas.limits[tenant]
-    before = tasks - 1
+    if _within(used, needs, limit, tasks, 1.0):
+        return True
     return (
-        _below(
-            limit.cpu_millicores,
-            used.cpu_millicores,
-            before,
-            needs.cpu_millicores,
-        )
-        and _below(limit.memory_mb, used.memory_mb, before, needs.memory_mb)
-        and _below(limit.gpus, used.gpus, before, needs.gpus)
+        tasks == 1
+        and not used.starting
+        and _within(used, needs, limit, 0, ALONE_PART)
     )
 
 
-def _below(most: int, used: int, before: int, each: int) -> bool:
-    """Say whether a limit isn't reached before the last of some tasks."""
-    return not most or not each or used + before * each < most
+def _within(
+    used: Used,
+    needs: model.Resources,
+    limit: tenants_.Limit,
+    tasks: int,
+    part: float,
+) -> bool:
+    """Say whether what runs and some tasks more stay within part of a limit.
+
+    What a task doesn't need says nothing against it.
+    """
+    rows = (
+        (limit.cpu_millicores, used.cpu_millicores, needs.cpu_millicores),
+        (limit.memory_mb, used.memory_mb, needs.memory_mb),
+        (limit.gpus, used.gpus, needs.gpus),
+    )
+    return all(
+        not most or not each or has + tasks * each <= most * part
+        for most, has, each in rows
+    )
 
 
 def at_limit(quotas: Quotas, tenant: ids.TenantId) -> bool:
@@ -176,8 +200,8 @@
     )
 
 
-def take(quotas: Quotas, group: ledgers.Group) -> None:
-    """Note a task that runs or starts."""
+def take(quotas: Quotas, group: ledgers.Group, starting: bool = True) -> None:
+    """Note a task that runs, or starts."""
     needs = group.step.needs
     team = _team(quotas, group)
     if team is not None:
@@ -187,6 +211,7 @@
         used.cpu_millicores += needs.cpu_millicores
         used.memory_mb += needs.memory_mb
         used.gpus += needs.gpus
+        used.starting += starting
 
 
 def claim(quotas: Quotas, group: ledgers.Group) -> int:
@@ -217,13 +242,7 @@
     """
     if not step.gang:
         return False
-    before = step.tasks - 1
-    rows = (
-        (limit.cpu_millicores, step.needs.cpu_millicores),
-        (limit.memory_mb, step.needs.memory_mb),
-        (limit.gpus, step.needs.gpus),
-    )
-    return any(most and before * each >= most for most, each in rows)
+    return not _within(Used(), step.needs, limit, step.tasks, 1.0)
 
 
 def _team(quotas: Quotas, group: ledgers.Group) -> ids.TeamId | None:
