Let tenants, strangers and changing keys come in soaks

The real servers on loopback: callers with keys, strangers with none, wrong, revoked and other tenants' keys, operators who take keys away and let limits fall, beside the drawn strikes.

--- a/emulator/day.py
+++ b/emulator/day.py
@@ -146,17 +146,7 @@
     )
     with networks.installed(network):
         await curio.spawn(stores.run_leases, store, daemon=True)
-        value = configuration(plan.pools, plan.features)
-        if plan.tenants:
-            limit_cpu = tenancies.LIMIT_CPU
-            if features_.Feature.GANGS in plan.features:
-                limit_cpu = tenancies.GANGS_LIMIT_CPU
-            scene.tenancy = tenancies.make(
-                value, plan.seed, plan.tenants, limit_cpu
-            )
-            await tenancies.write(scene.tenancy, store)
-        else:
-            await stores.put(store, 'op/config', value)
+        scene.tenancy = await configure(plan, store)
         await build_fleet(fleet, plan)
         fleets.let_tasks_crash(fleet, random.Random(plan.seed + 6))
         _draw_ways(scene, plan)
@@ -196,6 +186,22 @@
     return result
 
 
+async def configure(
+    plan: Plan, store: stores.Store
+) -> tenancies.Tenancy | None:
+    """Let the operator write a day's configuration; gives its tenants."""
+    value = configuration(plan.pools, plan.features)
+    if not plan.tenants:
+        await stores.put(store, 'op/config', value)
+        return None
+    limit_cpu = tenancies.LIMIT_CPU
+    if features_.Feature.GANGS in plan.features:
+        limit_cpu = tenancies.GANGS_LIMIT_CPU
+    tenancy = tenancies.make(value, plan.seed, plan.tenants, limit_cpu)
+    await tenancies.write(tenancy, store)
+    return tenancy
+
+
 def _draw_ways(scene: scenes.Scene, plan: Plan) -> None:
     """Let servers be at different distances, if they are."""
     if not plan.away_s:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,8 +10,10 @@
 import curio
 import cyclopts
 
+from emulator import callers as callers_
 from emulator import day
 from emulator import features
+from emulator import troubles
 from oleanderwood import clock
 from oleanderwood import event_log
 from soak import processes
@@ -30,6 +32,9 @@
 RESIZES_PER_S = 0.2
 """Changes of rooms, beside them, where they are asked for."""
 
+CHANGES_PER_S = 0.2
+"""Changes of tenants, beside them, where there are some."""
+
 APP = cyclopts.App(name='soak', help='Real servers under drawn faults.')
 
 
@@ -56,15 +61,20 @@
 ) -> Outcome:
     """Run one deployment under some strikes."""
     world = await worlds.build(plan, folder)
+    disturbing: list[curio.Task] = []
     try:
         with worlds.calling(world):
             await curio.sleep(LEAD_S)
             for row in rows:
                 await curio.spawn(_later, world, row, daemon=True)
+            if plan.tenants:
+                disturbing += await _change_tenants(world)
             rng = random.Random(plan.seed + 4)
             await day.hand_in_jobs(world.callers, plan, rng)
             await _finish(world, rows)
     finally:
+        for task in disturbing:
+            await task.cancel()
         for process in world.field.servers:
             process.busy = True
             await processes.kill(process)
@@ -73,6 +83,28 @@
     return Outcome(plan.seed, result, world.cuts, folder)
 
 
+async def _change_tenants(world: worlds.World) -> list[curio.Task]:
+    """Let strangers call, and operators change tenants; gives the tasks."""
+    plan = world.plan
+    tasks = [
+        await curio.spawn(
+            callers_.disturb_always, world.callers, plan.pools, daemon=True
+        )
+    ]
+    count = round(plan.length_s * CHANGES_PER_S)
+    began_s = clock.now_s()
+    for trouble in troubles.draw(
+        plan.seed, plan.length_s, count, troubles.TENANT_KINDS
+    ):
+        late = dataclasses.replace(trouble, at_s=began_s + trouble.at_s)
+        tasks.append(
+            await curio.spawn(
+                troubles.strike, world.field.scene, late, daemon=True
+            )
+        )
+    return tasks
+
+
 async def _later(world: worlds.World, row: strikes.Strike) -> None:
     await curio.sleep(row.at_s)
     await strikes.strike(world.field, row)
@@ -102,18 +134,23 @@
     seconds: float = 20.0,
     servers: int = 3,
     crashes: bool = False,
+    tenants: int = 0,
 ) -> int:
     """Soak some seeds, one after another.
 
     :param seconds: of traffic and strikes, for each seed
     :param servers: processes of the product
+    :param tenants: callers with keys and limits, which change, beside
+        strangers with wrong keys
     :param crashes: some tasks crash their executors, and rooms change
     """
     event_log.emit = _quiet
     logging.getLogger('curio.time').setLevel(logging.ERROR)
     bad = []
     for number in range(seed, seed + seeds):
-        plan = day.Plan(number, length_s=seconds, server_count=servers)
+        plan = day.Plan(
+            number, length_s=seconds, server_count=servers, tenants=tenants
+        )
         rows = strikes.draw(number, seconds, STRIKES_PER_S)
         if crashes:
             wanted = (features.Feature.CRASHES,)
--- a/soak/world.py
+++ b/soak/world.py
@@ -79,7 +79,7 @@
     network.handlers['store'] = stores.make_handler(store)
     network.handlers['machines'] = fleets.make_handler(fleet)
     await curio.spawn(stores.run_leases, store, daemon=True)
-    await stores.put(store, 'op/config', day.configuration(plan.pools))
+    tenancy = await day.configure(plan, store)
     addresses = _choose_addresses()
     await day.build_fleet(fleet, plan, lambda n: addresses.at(21, n))
     fleets.let_tasks_crash(fleet, random.Random(plan.seed + 5))
@@ -88,7 +88,14 @@
         for number in range(plan.server_count)
     ]
     field = strikes.Field(
-        scenes.Scene(network, store, fleet, [], random.Random(plan.seed)),
+        scenes.Scene(
+            network,
+            store,
+            fleet,
+            [],
+            random.Random(plan.seed),
+            tenancy=tenancy,
+        ),
         servers,
         {},
         {},
@@ -97,7 +104,11 @@
     )
     await _connect(field, fleet, addresses)
     callers = callers_.Callers(
-        network, world, servers, random.Random(plan.seed + 3)
+        network,
+        world,
+        servers,
+        random.Random(plan.seed + 3),
+        tenancy=tenancy,
     )
     for process in servers:
         processes.write_settings(process)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -166,3 +166,12 @@
     assert not run.failed(outcome), outcome
     kinds = [sight.kind for sight in outcome.result.evidence.sights]
     assert evidences.Kind.CRASHED in kinds
+
+
+def test_tenants_keys_and_limits_hold_under_strikes(tmp_path):
+    seed, length_s = 12, 6.0
+    plan = day.Plan(seed, length_s=length_s, server_count=3, tenants=4)
+    rows = strikes.draw(seed, length_s, run.STRIKES_PER_S)
+    outcome = curio.run(run.soak, plan, tmp_path, rows)
+    assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
+    assert outcome.result.accepted
