Ask up to ten servers to judge a call, the one that did so last first

Callers with good keys were refused at servers that the store turned away, while others could have judged their calls: three were asked, the leader first, and with five of six servers cut off all three were often cut off too. A server that can't judge says so at once, so more may be asked; only those that don't answer are counted.

--- a/oleanderwood/frontend/asking.py
+++ b/oleanderwood/frontend/asking.py
@@ -42,9 +42,13 @@
 
 @dataclasses.dataclass
 class Asking:
-    """Calls to the leader."""
+    """Calls to the leader, and to other servers.
+
+    :ivar judge: the server that last judged a call for this one
+    """
 
     server: states.Server
+    judge: ids.Address | None = None
     kept: connections.Connections = dataclasses.field(
         default_factory=connections.Connections
     )
--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -36,6 +36,11 @@
 off, one in eight calls finds no way."""
 
 
+JUDGES = 10
+"""Servers that are asked to judge a call; with two thirds of all cut off, one
+in fifty calls finds none."""
+
+
 class Relayed(msgspec.Struct, frozen=True):
     """What came of a relayed call.
 
@@ -128,7 +133,10 @@
     """
     body = msgspec.json.encode(call)
     in_doubt = ''
-    for address in _peers(asking.server):
+    unanswered = 0
+    for address in _judges(asking):
+        if unanswered == PEERS:
+            break
         try:
             answer = await transport.call(
                 asking.kept,
@@ -142,6 +150,7 @@
                 raise transport.refused(answer, 'relay')
             answered = msgspec.json.decode(answer.body, type=Answered)
         except errors.CallFailed as error:
+            unanswered += 1
             if error.verdict is not verdicts.Verdict.NOT_RUN:
                 in_doubt = error.reason
             continue
@@ -149,13 +158,23 @@
             in_doubt = str(error)
             continue
         if answered.status is not None:
+            asking.judge = address
             return answered
     if in_doubt:
         raise InDoubt(verdicts.Verdict.MAY_HAVE_RUN, in_doubt)
     return Answered()
 
 
-def _peers(server: states.Server) -> list[ids.Address]:
+def _judges(asking: askings.Asking) -> list[ids.Address]:
+    """Give servers that may judge a call, the one that did so last first.
+
+    One that can't says so at once, so that many may be asked.
+    """
+    found = _peers(asking.server, JUDGES)
+    return sorted(found, key=lambda address: address != asking.judge)
+
+
+def _peers(server: states.Server, most: int = PEERS) -> list[ids.Address]:
     """Give some other servers: the leader, then those of other data centres.
 
     Servers of one are often cut off together. Each server has others next to
@@ -173,7 +192,7 @@
             row.name,
         )
     )
-    return [row.address for row in others[:PEERS]]
+    return [row.address for row in others[:most]]
 
 
 async def _ask_one(
