Give tenants room by their weight where a pool is full

By arrival, a small tenant's job waits behind all that a large one has sent.

Deficit by time was not tried. On deployments without tenants the order stays as it was.

What a tenant sends beyond its weight in jobs a second comes after what others are owed. What each has running is kept as runs begin and end: counted anew in each pass it took 7 of 20 ms with 290 tenants and 8,000 runs on 1,000 workers (process time, best of 30, beside other plays); now no more than without.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -155,6 +155,7 @@
     :ivar more_pools_kept: those that lie in the store
     :ivar crashes_noted: changes of what is known of crashes under its
         suspected tasks, of which ``crashes_kept`` lie in the store
+    :ivar beyond: its tenant had sent as much as it may count on
     :ivar unwritten_since: number of the first change that must be written
     :ivar expected_s: how long a task of each step is expected to take, as
         known at ``expected_version``
@@ -175,12 +176,22 @@
     )
     crashes_noted: int = 0
     crashes_kept: int = 0
+    beyond: bool = False
     unwritten_since: int = 0
     ended_s: float = 0.0
     expected_s: tuple[float, ...] = ()
     expected_version: int = -1
 
 
+@dataclasses.dataclass(slots=True)
+class Running:
+    """What the tasks of a tenant need that may be running."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+
 @dataclasses.dataclass(eq=False)
 class Ledger:
     """All jobs.
@@ -190,6 +201,8 @@
     :ivar under_way: jobs that are being written, with the number of the first
         change that goes with it
     :ivar changes: changes so far that must be written
+    :ivar running: by tenant; kept as runs begin and end, since a pass over all
+        runs takes milliseconds in a large fleet
     """
 
     term: int = 1
@@ -198,6 +211,9 @@
     dirty: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
     under_way: dict[ids.JobId, int] = dataclasses.field(default_factory=dict)
     changes: int = 0
+    running: dict[ids.TenantId, Running] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def add(ledger: Ledger, job: model.Job, now_s: float) -> Entry:
@@ -289,6 +305,7 @@
     """
     if task.run is not None or task.done or final(task.group.entry):
         raise errors.InvariantBreach(f'task {task.name} must not be started')
+    _count(ledger, task, 1)
     attempt = attempt or next_attempt(ledger, task)
     task.last_attempt = attempt
     task.run = Run(
@@ -307,6 +324,18 @@
     return task.run
 
 
+def _count(ledger: Ledger, task: Task, sign: int) -> None:
+    """Note that a run of a task began, or with -1 that it is over."""
+    tenant = task.group.entry.job.tenant
+    if not tenant:
+        return
+    needs = task.group.step.needs
+    running = ledger.running.setdefault(tenant, Running())
+    running.cpu_millicores += sign * needs.cpu_millicores
+    running.memory_mb += sign * needs.memory_mb
+    running.gpus += sign * needs.gpus
+
+
 def next_attempt(ledger: Ledger, task: Task) -> int:
     """Give the number of the task's next run."""
     base = 0
@@ -319,6 +348,8 @@
     ledger: Ledger, task: Task, worker: ids.VmId, attempt: int, now_s: float
 ) -> Run:
     """Note a run of an earlier leader that a worker reports."""
+    if task.run is None:
+        _count(ledger, task, 1)
     task.last_attempt = max(task.last_attempt, attempt)
     task.run = Run(worker, attempt, RunPhase.RUNNING, now_s, now_s)
     task.run.moved_on_s = now_s
@@ -345,6 +376,7 @@
     run = task.run
     if run is None:
         return
+    _count(ledger, task, -1)
     task.over_attempt = max(task.over_attempt, run.attempt)
     note_checkpoint(task, checkpoint)
     task.away_since_s = now_s
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -29,6 +29,7 @@
 from oleanderwood.pools import lives
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import shares
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -480,6 +481,7 @@
     leader: states.Leader, entry: ledgers.Entry, at_s: float
 ) -> None:
     """Note what a job that has arrived asks of its pool."""
+    _note_rate(leader, entry, at_s)
     work = entry.job.work
     core_ms = sum(
         step.tasks * step.needs.cpu_millicores * step.guess_ms
@@ -496,3 +498,15 @@
             at_s,
             core_ms * factor / 1e6,
         )
+
+
+def _note_rate(
+    leader: states.Leader, entry: ledgers.Entry, at_s: float
+) -> None:
+    """Note whether a tenant sends more jobs than it may count on."""
+    tenant = entry.job.tenant
+    weight = states.weights(leader).get(tenant)
+    if weight is None:
+        return
+    arrivals_s = leader.arrivals_s.setdefault(tenant, collections.deque())
+    entry.beyond = shares.is_beyond(arrivals_s, weight, at_s)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -15,6 +15,7 @@
 from oleanderwood.leading import worker_loop
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import shares
 from oleanderwood.pools import workers as workers_
 
 PASS_GAP_S = 0.01
@@ -156,6 +157,7 @@
         clock.wall_ms(),
         now_s,
         only,
+        _in_turn(leader, quotas),
     )
     pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
     for worker in leader.workers.values():
@@ -178,6 +180,20 @@
     _tell_limits(leader, ready, quotas, now_s)
 
 
+def _in_turn(leader: states.Leader, quotas: quotas_.Quotas) -> placing.InTurn:
+    """Make the order of groups of the same urgency, by tenants' shares."""
+    weights = states.weights(leader)
+    if not weights:
+        return list
+    rows = [worker.entry.capacity for worker in leader.workers.values()]
+    whole = model.Resources(
+        sum(row.cpu_millicores for row in rows),
+        sum(row.memory_mb for row in rows),
+        sum(row.gpus for row in rows),
+    )
+    return lambda groups: shares.in_turn(groups, quotas, weights, whole)
+
+
 def _tell_limits(
     leader: states.Leader,
     ready: dict[ids.ServiceId, list[ledgers.Group]],
@@ -232,7 +248,11 @@
             _unheard_capacity(leader, now_s),
         )
     return quotas_.make(
-        leader.policy.policy, leader.workers.values(), limits, unseen
+        leader.policy.policy,
+        leader.workers.values(),
+        leader.ledger,
+        limits,
+        unseen,
     )
 
 
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 
 from oleanderwood import ids
 from oleanderwood.jobs import crashes as crashes_
@@ -18,6 +19,8 @@
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 
+InTurn = collections.abc.Callable[[list[ledgers.Group]], list[ledgers.Group]]
+
 LASTING_TOGETHER = 3
 """Long-running tasks of one step that are put on one worker. More on one
 free whole machines for other pools; fewer make maintenance quicker, which
@@ -487,7 +490,8 @@
 
     Tasks that last go first: their work counts by the second. Then by
     priority; then jobs that can still be on time in order of arrival, then
-    those that can't, and those that are worthless by now last. A job that
+    those that can't, and last those that are worthless by now and what a
+    tenant sends beyond what it may count on. A job that
     would begin at the edge of its time would end late and make the next one
     late as well; in a turn that a pool can't hold, all would be.
     """
@@ -495,7 +499,7 @@
     if group.step.lasting:
         return (0, queue.priority, 0, entry.arrived_s, group.number)
     tier = 0
-    if hopeless(entry, queue, lengths, now_s):
+    if entry.beyond or hopeless(entry, queue, lengths, now_s):
         tier = 2
     elif _is_late(group, queue, lengths, now_s):
         tier = 1
@@ -521,10 +525,12 @@
     wall_ms: float,
     now_s: float,
     only: set[ids.ServiceId] | None = None,
+    in_turn: InTurn = list,
 ) -> dict[ids.ServiceId, list[ledgers.Group]]:
     """Give the groups whose turn has come, in order, by pool.
 
     :param only: the pools that are asked for; None: all of them
+    :param in_turn: orders groups of the same urgency by their tenants
     """
     ready: dict[ids.ServiceId, list] = {}
     for group in list(ledger.open_groups):
@@ -541,11 +547,21 @@
     for rows in ready.values():
         rows.sort(key=lambda row: row[0])
     return {
-        service: [group for _key, group in rows]
+        service: [
+            group
+            for _urgency, alike in itertools.groupby(rows, _urgency_of)
+            for group in in_turn([group for _key, group in alike])
+        ]
         for service, rows in ready.items()
     }
 
 
+def _urgency_of(row: tuple[tuple, ledgers.Group]) -> tuple:
+    """Give what of a rank comes before the time of arrival."""
+    key, _group = row
+    return key[:3]
+
+
 def is_unadvised(
     group: ledgers.Group, known: dict[str, queues.Queue], now_s: float
 ) -> bool:
--- a/oleanderwood/pools/quotas.py
+++ b/oleanderwood/pools/quotas.py
@@ -30,7 +30,8 @@
 class Used:
     """What a tenant may have running at the moment.
 
-    :ivar starting: tasks whose start may yet arrive at its worker
+    :ivar starting: tasks that were decided just now, or may be running unheard
+        of; others whose start may yet arrive are among the workers' runs
     """
 
     cpu_millicores: int = 0
@@ -52,6 +53,7 @@
     )
     limits: Limits = dataclasses.field(default_factory=dict)
     used: dict[ids.TenantId, Used] = dataclasses.field(default_factory=dict)
+    workers: collections.abc.Collection[workers_.Worker] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,26 +70,35 @@
 
 def make(
     policy: policies.Policy,
-    workers: collections.abc.Iterable[workers_.Worker],
+    workers: collections.abc.Collection[workers_.Worker],
+    ledger: ledgers.Ledger,
     limits: Limits,
     unseen: Unseen = Unseen(),
 ) -> Quotas:
     """Give what is left of each quota and limit beside what may run."""
-    quotas = Quotas()
+    quotas = Quotas(limits=limits, workers=workers)
+    if policy.teams:
+        _take_teams(quotas, policy)
+    if limits:
+        for name in limits:
+            running = ledger.running.get(name, ledgers.Running())
+            quotas.used[name] = Used(
+                running.cpu_millicores, running.memory_mb, running.gpus
+            )
+        for worker in workers:
+            for group in worker.foreign:
+                _use(quotas, group, starting=False)
+        _take_unseen(quotas, unseen)
+    return quotas
+
+
+def _take_teams(quotas: Quotas, policy: policies.Policy) -> None:
     for team in policy.teams:
         quotas.left_millicores[team.name] = team.max_cores * 1000
         quotas.team_of.update(dict.fromkeys(team.queues, team.name))
-    quotas.limits = limits
-    quotas.used = {name: Used() for name in limits}
-    if not quotas.team_of and not limits:
-        return quotas
-    for worker in workers:
+    for worker in quotas.workers:
         for task in worker.runs.values():
-            take(quotas, task.group, task.run.phase in STARTING)
-        for group in worker.foreign:
-            take(quotas, group, starting=False)
-    _take_unseen(quotas, unseen)
-    return quotas
+            _take_of_team(quotas, task.group)
 
 
 def _take_unseen(quotas: Quotas, unseen: Unseen) -> None:
@@ -132,6 +143,7 @@
             name: dataclasses.replace(used)
             for name, used in quotas.used.items()
         },
+        quotas.workers,
     )
 
 
@@ -157,8 +169,18 @@
         return True
     return (
         tasks == 1
-        and not used.starting
         and _within(used, needs, limit, 0, ALONE_PART)
+        and not _is_starting(quotas, tenant)
+    )
+
+
+def _is_starting(quotas: Quotas, tenant: ids.TenantId) -> bool:
+    """Say whether a start of a tenant's may yet arrive at its worker."""
+    return quotas.used[tenant].starting > 0 or any(
+        task.run.phase in STARTING
+        for worker in quotas.workers
+        for task in worker.runs.values()
+        if task.group.entry.job.tenant == tenant and task.run is not None
     )
 
 
@@ -200,14 +222,23 @@
     )
 
 
-def take(quotas: Quotas, group: ledgers.Group, starting: bool = True) -> None:
-    """Note a task that runs, or starts."""
-    needs = group.step.needs
+def take(quotas: Quotas, group: ledgers.Group) -> None:
+    """Note a task that starts."""
+    _take_of_team(quotas, group)
+    _use(quotas, group, starting=True)
+
+
+def _take_of_team(quotas: Quotas, group: ledgers.Group) -> None:
     team = _team(quotas, group)
     if team is not None:
+        needs = group.step.needs
         quotas.left_millicores[team] -= needs.cpu_millicores
+
+
+def _use(quotas: Quotas, group: ledgers.Group, starting: bool) -> None:
     used = quotas.used.get(group.entry.job.tenant)
     if used is not None:
+        needs = group.step.needs
         used.cpu_millicores += needs.cpu_millicores
         used.memory_mb += needs.memory_mb
         used.gpus += needs.gpus
