--- a/oleanderwood/operators/api.py
+++ b/oleanderwood/operators/api.py
@@ -139,6 +139,10 @@
     return view.status(_leader(server))
 
 
+async def _tenants(server, body, rest) -> messages.TenantsReply:
+    return view.tenants(_leader(server))
+
+
 async def _job(server, body, rest) -> messages.JobReply:
     reply = view.job(_leader(server), ids.JobId(rest))
     if reply is None:
@@ -177,6 +181,7 @@
 
 CALLS: dict[tuple[str, str], Call] = {
     ('GET', 'status'): _status,
+    ('GET', 'tenants'): _tenants,
     ('GET', 'jobs'): _job,
     ('GET', 'policy'): _policy,
     ('GET', 'history'): _history,
--- a/oleanderwood/operators/causes.py
+++ b/oleanderwood/operators/causes.py
@@ -25,6 +25,8 @@
     """What took most of the time that a late job had too much."""
 
     REFUSED = 'refused'
+    REVOKED = 'its key had been taken away'
+    TENANT_LIMIT = "it waited for its tenant's limit"
     IN_DOUBT = 'the store did not answer whether it was accepted'
     NO_LEADER = 'no leader took it'
     MACHINES = 'its pool lacked machines'
@@ -67,6 +69,8 @@
 
     :ivar handed_in_s: when a server first answered its caller
     :ivar taken_s: when a leader first knew of it
+    :ivar revoked: a call that handed it in showed a revoked key
+    :ivar limited_s: when it was told to wait for its tenant's limit
     :ivar suspected: a worker has crashed under a task of it
     :ivar ended_s: when it reached a last state, None if it didn't
     """
@@ -79,6 +83,8 @@
     handed_in_s: float | None = None
     accepted: bool = False
     in_doubt: bool = False
+    revoked: bool = False
+    limited_s: list[float] = dataclasses.field(default_factory=list)
     taken_s: float | None = None
     ended_s: float | None = None
     state: str = ''
@@ -140,6 +146,11 @@
     kind = row['part'], row['event']
     if kind == ('caller', 'handed-in'):
         _take_handed_in(_job(jobs, row['job']), row)
+    elif kind == ('caller', explain.DENIED):
+        _take_denied(jobs, row)
+    elif kind == ('tenant', explain.AT_LIMIT):
+        for name in row['jobs']:
+            _job(jobs, name).limited_s.append(row['time_s'])
     elif kind == ('job', 'taken'):
         _take_taken(_job(jobs, row['job']), row)
     elif kind == ('job', 'ended'):
@@ -169,6 +180,17 @@
     job.in_doubt |= row['verdict'] == 'may-have-run'
 
 
+def _take_denied(jobs: dict[str, Job], row: explain.Row) -> None:
+    """Take in a refused call; of strangers' calls nobody is owed anything."""
+    handed_in = row['method'] == 'POST' and row['job']
+    if not handed_in or row['why'] != explain.REVOKED_KEY:
+        return
+    job = _job(jobs, row['job'])
+    job.revoked = True
+    if job.handed_in_s is None:
+        job.handed_in_s = row['time_s']
+
+
 def _take_taken(job: Job, row: explain.Row) -> None:
     if job.taken_s is None:
         job.taken_s = row['time_s']
@@ -232,6 +254,8 @@
     if job.taken_s is None:
         if job.accepted:
             return Cause.NO_LEADER
+        if job.revoked:
+            return Cause.REVOKED
         return Cause.IN_DOUBT if job.in_doubt else Cause.REFUSED
     times: dict[Cause, float] = collections.defaultdict(float)
     times[Cause.NO_LEADER] = job.taken_s - came_s
@@ -279,7 +303,9 @@
 
 
 def _why_waiting(job: Job, from_s: float, lacks) -> Cause:
-    """Say whether a pool lacked machines when a step began to wait."""
+    """Say what a step began to wait for: its tenant's limit, or room."""
+    if any(abs(at_s - from_s) <= SHORT_NEAR_S for at_s in job.limited_s):
+        return Cause.TENANT_LIMIT
     short = any(abs(at_s - from_s) <= SHORT_NEAR_S for at_s in lacks[job.pool])
     return Cause.MACHINES if short else Cause.ORDER
 
--- a/oleanderwood/operators/ctl.py
+++ b/oleanderwood/operators/ctl.py
@@ -160,6 +160,13 @@
     return _answer(common, client.Call('GET', target, messages.JobReply))
 
 
+@APP.command
+def tenants(*, common: Common = Common()) -> int:
+    """Show what each tenant has running, its limit, and what waits."""
+    call = client.Call('GET', '/v1/tenants', messages.TenantsReply)
+    return _answer(common, call)
+
+
 @APP.command
 def policy(*, common: Common = Common()) -> int:
     """Show the file in force, and its number."""
--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -17,11 +17,14 @@
 
     NONE = 'no failure is told'
     REFUSED = 'it was refused and has not run'
+    DENIED = 'its caller showed no good key, and it has not run'
+    REVOKED = 'it was refused: its key had been taken away'
     IN_DOUBT = 'the store did not answer whether it was accepted'
     CRASHED_WORKERS = 'a task crashed the workers that started it'
     TASK_FAILED = 'a task failed as often as it may'
     CANCELLED = 'its caller cancelled it'
     WAITED = 'it waited for room'
+    TENANT_LIMIT = "it waited for its tenant's limit"
     HELD_BACK = 'its runs were held back beside others on their worker'
     ISOLATED = 'tasks were started apart, as workers had crashed under them'
     LOST_RUNS = 'runs were lost with their workers'
@@ -33,6 +36,15 @@
 takes some milliseconds when there is room."""
 
 
+DENIED = 'denied'
+"""Event of a call without a good key."""
+
+REVOKED_KEY = 'a revoked key'
+"""Why such a call was refused, if its key had been good before."""
+
+AT_LIMIT = 'at-limit'
+"""Event of a tenant whose jobs wait for its limit."""
+
 SUSPECTED = 'suspected'
 """Event of a task under which a worker has crashed."""
 
@@ -124,6 +136,14 @@
     if not touching:
         return Cause.UNKNOWN
     handed = [row for row in touching if row['event'] == 'handed-in']
+    denied = [
+        row
+        for row in touching
+        if row['event'] == DENIED and row['method'] == 'POST'
+    ]
+    if denied and not handed:
+        revoked = any(row['why'] == REVOKED_KEY for row in denied)
+        return Cause.REVOKED if revoked else Cause.DENIED
     verdicts = {row.get('verdict') for row in handed}
     if handed and 'ran' not in verdicts:
         if verdicts == {'not-run'}:
@@ -143,7 +163,10 @@
         return Cause.HELD_BACK
     starts = [row['time_s'] for row in touching if row['event'] == 'start']
     waited_s = min(starts, default=float('inf')) - touching[0]['time_s']
-    return Cause.WAITED if waited_s > WAITED_S else Cause.NONE
+    if waited_s <= WAITED_S:
+        return Cause.NONE
+    limited = any(row['event'] == AT_LIMIT for row in touching)
+    return Cause.TENANT_LIMIT if limited else Cause.WAITED
 
 
 def _why_failed(touching: list[Row]) -> Cause:
--- a/oleanderwood/operators/messages.py
+++ b/oleanderwood/operators/messages.py
@@ -153,6 +153,32 @@
     waves: tuple[WaveRow, ...] = ()
 
 
+class TenantRow(msgspec.Struct, frozen=True):
+    """One tenant now, in all pools together; a limit of 0 is none.
+
+    :ivar waiting_jobs: with a task whose turn has come and that doesn't run
+    :ivar beyond_jobs: of these, sent beyond its weight in jobs a second
+    """
+
+    tenant: ids.TenantId
+    weight: float
+    running_cores: float
+    limit_cores: float
+    running_memory_mb: int
+    limit_memory_mb: int
+    running_gpus: int
+    limit_gpus: int
+    at_limit: bool
+    waiting_jobs: int
+    beyond_jobs: int
+
+
+class TenantsReply(msgspec.Struct, frozen=True):
+    """All tenants, as the leader sees them, by name."""
+
+    tenants: tuple[TenantRow, ...] = ()
+
+
 class StepRow(msgspec.Struct, frozen=True):
     """One step of a job, in one of its repetitions."""
 
--- a/oleanderwood/operators/text.py
+++ b/oleanderwood/operators/text.py
@@ -32,6 +32,31 @@
     return '\n'.join(lines)
 
 
+@of.register
+def _tenants(reply: messages.TenantsReply) -> str:
+    head = ('tenant', 'weight', 'cores', 'memory MB', 'GPUs', 'waiting', '')
+    return _table(head, [_tenant(row) for row in reply.tenants])
+
+
+def _tenant(row: messages.TenantRow) -> tuple[str, ...]:
+    waiting = str(row.waiting_jobs)
+    if row.beyond_jobs:
+        waiting += f' ({row.beyond_jobs} beyond its weight)'
+    return (
+        row.tenant,
+        f'{row.weight:g}',
+        f'{row.running_cores:.1f} of {_limit(row.limit_cores)}',
+        f'{row.running_memory_mb} of {_limit(row.limit_memory_mb)}',
+        f'{row.running_gpus} of {_limit(row.limit_gpus)}',
+        waiting,
+        'at its limit' if row.at_limit else '',
+    )
+
+
+def _limit(most: float) -> str:
+    return f'{most:g}' if most else 'any'
+
+
 def _pool(row: messages.PoolRow) -> tuple[str, ...]:
     name = f'{row.pool} (standby)' if row.standby else row.pool
     return (
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -10,6 +10,7 @@
 from oleanderwood.operators import messages
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import placing
+from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import workers as workers_
 
 
@@ -83,6 +84,51 @@
     return waiting
 
 
+def tenants(leader: states.Leader) -> messages.TenantsReply:
+    """Tell what each tenant has running, and what it waits for."""
+    limits = leader.server.limits
+    weights = states.weights(leader)
+    quotas = quotas_.make(
+        leader.policy.policy, leader.workers.values(), leader.ledger, limits
+    )
+    waiting: dict[ids.TenantId, dict[ids.JobId, bool]] = {}
+    wall_ms = clock.wall_ms()
+    for group in leader.ledger.open_groups:
+        if group.waiting and ledgers.is_ready(group, wall_ms):
+            entry = group.entry
+            jobs = waiting.setdefault(entry.job.tenant, {})
+            jobs[entry.job.job] = entry.beyond
+    return messages.TenantsReply(
+        tuple(
+            _tenant(name, quotas, weights.get(name, 0.0), waiting)
+            for name in sorted(limits)
+        )
+    )
+
+
+def _tenant(
+    name: ids.TenantId,
+    quotas: quotas_.Quotas,
+    weight: float,
+    waiting: dict[ids.TenantId, dict[ids.JobId, bool]],
+) -> messages.TenantRow:
+    used, limit = quotas.used[name], quotas.limits[name]
+    jobs = waiting.get(name, {})
+    return messages.TenantRow(
+        name,
+        weight,
+        used.cpu_millicores / 1000,
+        limit.cpu_millicores / 1000,
+        used.memory_mb,
+        limit.memory_mb,
+        used.gpus,
+        limit.gpus,
+        quotas_.at_limit(quotas, name),
+        len(jobs),
+        sum(jobs.values()),
+    )
+
+
 def job(leader: states.Leader, name: ids.JobId) -> messages.JobReply | None:
     """Tell of one job; None if the leader doesn't know it."""
     entry = leader.ledger.entries.get(name)
--- a/tests/utils_tenants.py
+++ b/tests/utils_tenants.py
@@ -1,11 +1,15 @@
 """Builders of configurations with tenants, and of their callers."""
 
 import json
+import random
 
 import curio
 
 from emulator import callers as callers_
 from emulator import day
+from emulator import evidence as evidences
+from emulator import executors
+from emulator import fleet as fleets
 from emulator import servers
 from emulator import store as stores
 from oleanderwood.frontend import handler as handlers
@@ -98,6 +102,23 @@
     return rows
 
 
+async def machines(world) -> fleets.Fleet:
+    """Start the machines of a small day beside the servers."""
+    rng = random.Random(1)
+    evidence = evidences.Evidence()
+    executing = executors.World(evidence, world.store, rng)
+    executing.jobs = {
+        job: {**json.loads(body(8, cpu=1000, mem_mb=100)), 'service': 'drafts'}
+        for job in (JOB, OTHER_JOB)
+    }
+    fleet = fleets.Fleet(executing, world.network)
+    world.network.handlers[servers.MACHINES_ADDRESS] = fleets.make_handler(
+        fleet
+    )
+    await day.build_fleet(fleet, day.Plan(1, machines_a_pool=2))
+    return fleet
+
+
 async def configure(world, *tenants: dict, version: int, **fields) -> None:
     """Let the operator write a configuration."""
     value = configuration(*tenants, version=version, **fields)
