--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -24,12 +24,12 @@
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.policy import model as policies
-from oleanderwood.pools import lacking
 from oleanderwood.pools import lengths
 from oleanderwood.pools import lives
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
+from oleanderwood.pools import shortage
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -323,7 +323,7 @@
             continue
         if _may_lack(view, group):
             if view.service not in idle:
-                idle[view.service] = lacking.idle_rooms(
+                idle[view.service] = shortage.idle_rooms(
                     row.worker for row in view.members if row.worker
                 )
             rooms = idle[view.service]
@@ -349,7 +349,7 @@
         return group.step.label not in view.lacks_labels
     if view.lacks_kind:
         return False
-    return not view.members or lacking.is_particular(group)
+    return not view.members or shortage.is_particular(group)
 
 
 def _note_lack(view: rebalancing.PoolView, step: model.Step) -> None:
@@ -369,18 +369,18 @@
 
     :param rooms: of the pool's workers, were all idle
     """
-    if not lacking.fits_nowhere(group, rooms):
+    if not shortage.fits_nowhere(group, rooms):
         return False
     machines = leader.fleet.machines.values()
     elsewhere = [row for row in machines if row.pool != view.service]
     if not any(
-        lacking.could_hold(group.step, row.labels, row.capacity)
+        shortage.could_hold(group.step, row.labels, row.capacity)
         for row in elsewhere
     ):
         return False
     # A gang that all machines together can't hold would draw them for good.
     return not group.step.gang or len(group.tasks) <= sum(
-        lacking.could_hold(group.step, row.labels, row.capacity)
+        shortage.could_hold(group.step, row.labels, row.capacity)
         for row in machines
     )
 
--- a/tests/test_lacking.py
+++ b/tests/test_shortage.py
@@ -4,7 +4,7 @@
 from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
 from oleanderwood.jobs import model
-from oleanderwood.pools import lacking
+from oleanderwood.pools import shortage
 from tests import utils_jobs as build
 
 
@@ -14,7 +14,7 @@
 
 
 def _fits_nowhere(group, pool):
-    return lacking.fits_nowhere(group, lacking.idle_rooms(pool))
+    return shortage.fits_nowhere(group, shortage.idle_rooms(pool))
 
 
 def test_gang_that_is_larger_than_its_pool_fits_nowhere():
@@ -43,7 +43,7 @@
 
 def test_step_without_a_worker_of_its_kind_fits_nowhere():
     group = _group(build.step(label='b'))
-    assert lacking.is_particular(group)
+    assert shortage.is_particular(group)
     assert _fits_nowhere(group, [build.worker('w1')])
     fitting = build.worker('w2', labels=('b', 'r1'))
     assert not _fits_nowhere(group, [build.worker('w1'), fitting])
@@ -51,9 +51,9 @@
 
 def test_step_that_advice_allows_nowhere_fits_nowhere():
     group = _group(build.step())
-    assert not lacking.is_particular(group)
+    assert not shortage.is_particular(group)
     group.tickets = {}
-    assert lacking.is_particular(group)
+    assert shortage.is_particular(group)
     assert _fits_nowhere(group, [build.worker('w1')])
     group.tickets = {'w1': 'ticket'}
     assert not _fits_nowhere(group, [build.worker('w1')])
@@ -62,9 +62,9 @@
 def test_only_a_machine_that_fits_could_help():
     step = build.step(cpu=5000, label='b')
     large = model.Resources(8000, 64000)
-    assert lacking.could_hold(step, ('b', 'r1'), large)
-    assert not lacking.could_hold(step, ('a', 'r1'), large)
-    assert not lacking.could_hold(step, ('b', 'r1'), model.Resources(4000, 9))
+    assert shortage.could_hold(step, ('b', 'r1'), large)
+    assert not shortage.could_hold(step, ('a', 'r1'), large)
+    assert not shortage.could_hold(step, ('b', 'r1'), model.Resources(4000, 9))
 
 
 def _decide(*members):
@@ -77,16 +77,16 @@
 def test_machine_holds_as_many_as_its_scarcest_resource_and_the_limit():
     step = build.step(9, cpu=2000, mem=1000, max_per_worker=3)
     large = model.Resources(8000, 64000)
-    assert lacking.could_hold(step, (), large) == 3
-    assert lacking.could_hold(step, (), model.Resources(8000, 2500)) == 2
-    assert lacking.could_hold(step, (), model.Resources(1000, 2500)) == 0
+    assert shortage.could_hold(step, (), large) == 3
+    assert shortage.could_hold(step, (), model.Resources(8000, 2500)) == 2
+    assert shortage.could_hold(step, (), model.Resources(1000, 2500)) == 0
 
 
 def test_question_takes_no_room():
     group = _group(build.step(2, cpu=5000, gang=True))
-    rooms = lacking.idle_rooms([build.worker('w1'), build.worker('w2')])
-    assert not lacking.fits_nowhere(group, rooms)
-    assert not lacking.fits_nowhere(group, rooms)
+    rooms = shortage.idle_rooms([build.worker('w1'), build.worker('w2')])
+    assert not shortage.fits_nowhere(group, rooms)
+    assert not shortage.fits_nowhere(group, rooms)
 
 
 def test_pool_gets_one_machine_more_while_a_step_fits_nowhere():
--- a/tests/test_lacking_cost.py
+++ b/tests/test_shortage_cost.py
@@ -16,7 +16,7 @@
 from oleanderwood import clock
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import pool_loop
-from oleanderwood.pools import lacking
+from oleanderwood.pools import shortage
 from tests import utils_jobs as build
 from tests import utils_leading
 from tests import utils_servers as servers
@@ -32,7 +32,7 @@
 
 def test_rooms_are_built_once_a_pass_and_not_for_each_step(monkeypatch):
     built = []
-    real = lacking._idle
+    real = shortage._idle
 
     def idle(worker):
         built.append(worker)
@@ -52,6 +52,6 @@
         pool_loop._note_demand(leader, {build.POOL: view}, now_s)
         assert len(view.waiting) == STEPS
 
-    monkeypatch.setattr(lacking, '_idle', idle)
+    monkeypatch.setattr(shortage, '_idle', idle)
     servers.run(main, CONFIGURATION)
     assert 0 < len(built) <= MOST_ROOMS
