Ask for advice anew once a machine with the label came that a step lacks

Cause: the machine that was brought for its label wasn't among those that the advice had been asked about, and went again as idle before that ran out, each second anew. Ruled out: that no machine has the label, or that advice names none with it; asked about it, the advice is good.

The mend holds as a newcomer is asked about once, when none of the good workers has the label; another life of it is another newcomer.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -127,6 +127,7 @@
     :ivar tickets: workers that may run it, if its queue needs advice, with
         what a start must carry; None before they are known
     :ivar advised_until_s: until when the tickets are good
+    :ivar asked: workers that the advice was asked about
     :ivar suspects: tasks that are suspected of crashing workers, by index
     """
 
@@ -139,6 +140,7 @@
     left: int = 0
     tickets: dict[ids.VmId, str] | None = None
     advised_until_s: float = 0.0
+    asked: frozenset[ids.VmId] = frozenset()
     suspects: dict[int, Task] = dataclasses.field(default_factory=dict)
 
 
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -51,7 +51,10 @@
         queue = placing.queue_of(group.entry, known)
         if not queue.needs_advice:
             continue
-        if not placing.lacks_advice(group, present, now_s):
+        lacks = placing.lacks_advice(group, present, now_s)
+        if not lacks and not placing.has_fitting_newcomer(
+            group, leader.workers.values(), queue.service
+        ):
             continue
         if ledgers.is_ready(group, wall_ms):
             return group
@@ -71,6 +74,7 @@
     step = group.tasks[0].name.rpartition('.')[0]
     asked_s = clock.now_s()
     group.advised_until_s = asked_s + AGAIN_S
+    group.asked = frozenset(workers)
     # What expires is of no use until the answer is there.
     group.tickets = None
     if not workers:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -589,6 +589,31 @@
     return bool(tickets) and not any(name in present for name in tickets)
 
 
+def has_fitting_newcomer(
+    group: ledgers.Group,
+    workers: collections.abc.Iterable[workers_.Worker],
+    service: ids.ServiceId,
+) -> bool:
+    """Say whether a worker came with a label that none of the good ones has.
+
+    It is brought for this step, and goes again as it is idle long before the
+    advice runs out that doesn't know of it.
+    """
+    label = group.step.label
+    if not label or not group.tickets:
+        return False
+    there = [
+        worker.entry.worker
+        for worker in workers
+        if worker.entry.service == service
+        and label in worker.entry.labels
+        and not worker.entry.draining
+    ]
+    return not any(name in group.tickets for name in there) and any(
+        name not in group.asked for name in there
+    )
+
+
 def queue_of(
     entry: ledgers.Entry, known: dict[str, queues.Queue]
 ) -> queues.Queue:
