Judge a refused key by what holds until its answer, too

Trace: the call was sent at 12.23 to a server that was suspended from 8.69 on; its key was taken away at 12.61; the server woke at 14.56 and refused it, rightly by then. The checker looked at the time of sending alone. The check stays as strict for keys that are good until the answer.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -105,7 +105,9 @@
         status = error.status
     if callers.tenancy is not None:
         callers.tenancy.calls.append(
-            tenancies.Call(sent_s, key or '', method, status, own)
+            tenancies.Call(
+                sent_s, key or '', method, status, own, clock.now_s()
+            )
         )
     return status, answer
 
--- a/emulator/tenancy.py
+++ b/emulator/tenancy.py
@@ -64,6 +64,7 @@
     method: str
     status: int
     own: bool = True
+    answered_s: float = 0.0
 
 
 @dataclasses.dataclass
--- a/emulator/tenant_rules.py
+++ b/emulator/tenant_rules.py
@@ -81,7 +81,11 @@
 def _refused(
     tenancy: tenancies.Tenancy, deaf: Spans
 ) -> collections.abc.Iterator[str]:
-    """Servers in touch refuse no key that has been good for a while."""
+    """Servers in touch refuse no key that has been good for a while.
+
+    One that is taken away before the answer may be refused: a server that was
+    suspended answers seconds later, by what holds then.
+    """
     for call in tenancy.calls:
         if call.status not in REFUSED or not call.own:
             continue
@@ -91,7 +95,7 @@
         rows = [
             row
             for number, row in enumerate(tenancy.versions)
-            if row.at_s <= call.sent_s
+            if row.at_s <= max(call.sent_s, call.answered_s)
             and (
                 number + 1 == len(tenancy.versions)
                 or tenancy.versions[number + 1].at_s >= begin_s
--- a/tests/test_tenant_days.py
+++ b/tests/test_tenant_days.py
@@ -215,6 +215,16 @@
         assert len(found) == broken
 
 
+def test_checker_lets_a_key_be_refused_that_goes_before_the_answer():
+    """Lab 1014: sent at 12.23, key taken away at 12.61, answered at 14.56."""
+    tenancy = _tenancy((0.0, ['k'], {}), (12.61, [], {}))
+    for answered_s, broken in ((14.56, 0), (12.5, 1)):
+        call = tenancies.Call(12.23, 'k', 'GET', 401, True, answered_s)
+        tenancy.calls = [call]
+        found = tenant_rules.check(tenancy, evidences.Evidence(), {})
+        assert len(found) == broken
+
+
 def test_checker_counts_what_a_tenant_has_running():
     tenancy = _tenancy((0.0, [], {'t': 2000}))
     jobs = {'a': {'phases': [{'cpu': 1150}]}}
