Let who calls be a tenant, and ask in one place whose job may be touched

Of what judge() gave, one field was never read; the other is the tenant. That a job is a tenant's or nobody's stood in the intake and in access; may_touch() serves both. Tests give a name where they gave a Caller; they assert the same.

--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -129,7 +129,7 @@
     began_s = clock.now_s()
     try:
         answered = await forwarding.pass_on(frontend.asking, passed)
-    except forwarding.InDoubt as error:
+    except errors.CallFailed as error:
         server_metrics.PASSED_ON.labels('in-doubt').inc()
         _log('passed-on', _job_of(call), began_s, why=error.reason)
         return in_doubt('another server was asked, and did not answer')
@@ -185,14 +185,14 @@
     """
     configuration = frontend.server.configuration
     found = queues.find(configuration, call.host, call.path)
-    caller = access.judge(
+    tenant = access.judge(
         configuration.tenants,
         found is not None and found[0].public,
         call.shown,
         frontend.server.revoked,
     )
-    if isinstance(caller, access.Denied):
-        denials_.note(frontend.denials, caller, call.method, _job_of(call))
+    if isinstance(tenant, access.Denied):
+        denials_.note(frontend.denials, tenant, call.method, _job_of(call))
         return http.Response(401, [CHALLENGE], b'a valid key is needed\n')
     if found is None:
         return http.Response(404, [], b'no such queue\n')
@@ -203,10 +203,10 @@
         return http.Response(404, [], b'not the id of a job\n')
     job = ids.JobId(rest)
     if call.method == 'POST':
-        return await _hand_in(frontend, queue, job, caller, call.body)
+        return await _hand_in(frontend, queue, job, tenant, call.body)
     if call.method == 'GET':
-        return await _state(frontend, job, caller)
-    return await _cancel(frontend, job, caller)
+        return await _state(frontend, job, tenant)
+    return await _cancel(frontend, job, tenant)
 
 
 async def _read_body(request: http.Request) -> bytes:
@@ -238,12 +238,13 @@
     frontend: Frontend,
     queue: queues.Queue,
     job: ids.JobId,
-    caller: access.Caller,
+    tenant: ids.TenantId,
     body: bytes,
 ) -> http.Response:
     began_s = clock.now_s()
     work = callers.decode_job(body)
-    tenant = access.NOBODY if queue.public else caller.tenant
+    if queue.public:
+        tenant = access.NOBODY
     if await _can_never_run(frontend, job, work, tenant):
         _log('too-wide', job, began_s, tenant=tenant)
         return http.Response(
@@ -316,7 +317,7 @@
 
 
 async def _state(
-    frontend: Frontend, job: ids.JobId, caller: access.Caller
+    frontend: Frontend, job: ids.JobId, tenant: ids.TenantId
 ) -> http.Response:
     began_s = clock.now_s()
     try:
@@ -325,18 +326,18 @@
         _log('state-unknown', job, began_s, why=error.reason)
         return _refusal(503, 'the state cannot be read now')
     # Of another tenant's job nobody learns that it exists.
-    if told.state is None or not access.may_touch(told.tenant, caller):
-        _log('no-such-job', job, began_s, tenant=caller.tenant)
+    if told.state is None or not access.may_touch(told.tenant, tenant):
+        _log('no-such-job', job, began_s, tenant=tenant)
         return http.Response(410, [], b'no such job\n')
     return _told(told.state)
 
 
 async def _cancel(
-    frontend: Frontend, job: ids.JobId, caller: access.Caller
+    frontend: Frontend, job: ids.JobId, tenant: ids.TenantId
 ) -> http.Response:
     began_s = clock.now_s()
     try:
-        there = await _mark_cancelled(frontend, job, caller.tenant)
+        there = await _mark_cancelled(frontend, job, tenant)
     except errors.CallFailed as error:
         _log('not-cancelled', job, began_s, why=error.reason)
         status = 503
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -215,7 +215,7 @@
         owner = msgspec.json.decode(value, type=model.Owned).tenant
     except msgspec.MsgspecError:
         return False
-    return owner in (access.NOBODY, tenant)
+    return access.may_touch(owner, tenant)
 
 
 async def _settle(
--- a/oleanderwood/tenants/access.py
+++ b/oleanderwood/tenants/access.py
@@ -7,24 +7,12 @@
 from oleanderwood.tenants import model
 
 NOBODY = ids.TenantId('')
-"""Whom jobs belong to that were handed in without a key."""
+"""Who calls without a key, and whose the jobs are that it hands in."""
 
 MOST_REVOKED = 10_000
 """Keys remembered as revoked; a digest takes about 150 bytes."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Caller:
-    """Who calls.
-
-    :ivar keyed: a key was shown; it may have been revoked since the
-        configuration was read
-    """
-
-    tenant: ids.TenantId = NOBODY
-    keyed: bool = False
-
-
 @dataclasses.dataclass(frozen=True)
 class Denied:
     """Why a call is refused.
@@ -55,8 +43,8 @@
     public: bool,
     shown: ids.KeyDigest | credentials.Denial,
     revoked: Revoked,
-) -> Caller | Denied:
-    """Say who calls, or why the call isn't allowed.
+) -> ids.TenantId | Denied:
+    """Say which tenant calls, or why the call isn't allowed.
 
     A key that is shown has to be good, at public queues too: who shows a
     revoked one should hear of it.
@@ -65,26 +53,26 @@
     :param public: the call's queue takes calls without a key
     """
     if tenants is None:
-        return Caller()
+        return NOBODY
     if isinstance(shown, credentials.Denial):
         if public and shown is credentials.Denial.NO_KEY:
-            return Caller()
+            return NOBODY
         return Denied(shown)
     owner = tenants.by_key.get(shown)
     if owner is not None:
-        return Caller(owner, keyed=True)
+        return owner
     if shown in revoked.keys:
         tenant, version = revoked.keys[shown]
         return Denied(credentials.Denial.REVOKED, tenant, version)
     return Denied(credentials.Denial.UNKNOWN)
 
 
-def may_touch(owner: ids.TenantId, caller: Caller) -> bool:
-    """Say whether a caller may read, cancel or repeat a tenant's job.
+def may_touch(owner: ids.TenantId, tenant: ids.TenantId) -> bool:
+    """Say whether a calling tenant may read, cancel or repeat a tenant's job.
 
     Jobs of nobody's are open to all who may call their queue.
     """
-    return owner in (NOBODY, caller.tenant)
+    return owner in (NOBODY, tenant)
 
 
 def note_change(
--- a/tests/test_tenant_days.py
+++ b/tests/test_tenant_days.py
@@ -91,7 +91,7 @@
 def _keeps_revoked_keys(patch):
     def judge(tenants, public, shown, revoked):
         if shown in revoked.keys:
-            return access.Caller(revoked.keys[shown][0], True)
+            return revoked.keys[shown][0]
         return real(tenants, public, shown, revoked)
 
     real = access.judge
@@ -99,13 +99,11 @@
 
 
 def _lets_anybody_in(patch):
-    patch.setattr(
-        access, 'judge', lambda *arguments: access.Caller('t0', True)
-    )
+    patch.setattr(access, 'judge', lambda *arguments: 't0')
 
 
 def _touches_any_job(patch):
-    patch.setattr(access, 'may_touch', lambda owner, caller: True)
+    patch.setattr(access, 'may_touch', lambda owner, tenant: True)
 
 
 def _judges_by_any_configuration(patch):
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -145,7 +145,7 @@
         type=model.Job,
     )
     assert job.tenant == access.NOBODY
-    assert access.may_touch(job.tenant, access.Caller('first', True))
+    assert access.may_touch(job.tenant, 'first')
 
 
 def test_earlier_version_reads_a_job_with_a_tenant():
