Ask another server in one place, whatever is asked

A call that is passed on made its exchange beside that of jobs and cancels: the same call, check of the status and decoding. _exchange() serves both, and what is in doubt is the error that the project has, not one of its own. One thing differs: an answer that can't be read counts among the three that give none.

--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -4,6 +4,8 @@
 conditions let a job be handed in by several servers: it stays one job.
 """
 
+import typing
+
 import curio
 import msgspec
 
@@ -81,8 +83,7 @@
     body: bytes = b''
 
 
-class InDoubt(errors.CallFailed):
-    """A passed-on call got no answer, and may have been carried out."""
+Answer = typing.TypeVar('Answer', Relayed, Answered)
 
 
 def store_lost(server: states.Server) -> bool:
@@ -129,7 +130,7 @@
 async def pass_on(asking: askings.Asking, call: Call) -> Answered:
     """Let a server answer a call whose configuration is surely the newest.
 
-    :raises InDoubt: one may have carried it out
+    :raises errors.CallFailed: one may have carried it out
     """
     body = msgspec.json.encode(call)
     in_doubt = ''
@@ -138,30 +139,19 @@
         if unanswered == PEERS:
             break
         try:
-            answer = await transport.call(
-                asking.kept,
-                address,
-                'POST',
-                CALL_PATH,
-                body,
-                timeout_s=TIMEOUT_S,
+            answered = await _exchange(
+                asking, address, CALL_PATH, body, Answered
             )
-            if answer.status != 200:
-                raise transport.refused(answer, 'relay')
-            answered = msgspec.json.decode(answer.body, type=Answered)
         except errors.CallFailed as error:
             unanswered += 1
             if error.verdict is not verdicts.Verdict.NOT_RUN:
                 in_doubt = error.reason
             continue
-        except msgspec.MsgspecError as error:
-            in_doubt = str(error)
-            continue
         if answered.status is not None:
             asking.judge = address
             return answered
     if in_doubt:
-        raise InDoubt(verdicts.Verdict.MAY_HAVE_RUN, in_doubt)
+        raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, in_doubt)
     return Answered()
 
 
@@ -199,16 +189,33 @@
     asking: askings.Asking, address: ids.Address, target: str, body: bytes
 ) -> Relayed:
     try:
-        answer = await transport.call(
-            asking.kept, address, 'POST', target, body, timeout_s=TIMEOUT_S
-        )
-        if answer.status != 200:
-            raise transport.refused(answer, 'relay')
-        return msgspec.json.decode(answer.body, type=Relayed)
+        return await _exchange(asking, address, target, body, Relayed)
     except errors.CallFailed as error:
         return Relayed(error.verdict, error.reason)
+
+
+async def _exchange(
+    asking: askings.Asking,
+    address: ids.Address,
+    target: str,
+    body: bytes,
+    kind: type[Answer],
+) -> Answer:
+    """Ask one server; gives its answer.
+
+    :raises errors.CallFailed: it refused, didn't answer, or not to the point
+    """
+    answer = await transport.call(
+        asking.kept, address, 'POST', target, body, timeout_s=TIMEOUT_S
+    )
+    if answer.status != 200:
+        raise transport.refused(answer, 'relay')
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
     except msgspec.MsgspecError as error:
-        return Relayed(verdicts.Verdict.MAY_HAVE_RUN, str(error))
+        raise errors.CallFailed(
+            verdicts.Verdict.MAY_HAVE_RUN, str(error)
+        ) from error
 
 
 async def take_job(
