Sum resources in one place, and look one tenant's weight up

Two sums of what workers have stood in the leader's pass; model.total() serves both. At each arrival a table of all tenants' weights was made to read one.

--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -41,6 +41,16 @@
     )
 
 
+def total(rows: collections.abc.Iterable[Resources]) -> Resources:
+    """Give the sum of several."""
+    cpu = memory = gpus = 0
+    for row in rows:
+        cpu += row.cpu_millicores
+        memory += row.memory_mb
+        gpus += row.gpus
+    return Resources(cpu, memory, gpus)
+
+
 class Step(msgspec.Struct, frozen=True, rename=stored.STEP):
     """Equal tasks of a job.
 
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -504,9 +504,8 @@
     leader: states.Leader, entry: ledgers.Entry, at_s: float
 ) -> None:
     """Note whether a tenant sends more jobs than it may count on."""
-    tenant = entry.job.tenant
-    weight = states.weights(leader).get(tenant)
-    if weight is None:
+    tenant = states.known_tenants(leader).get(entry.job.tenant)
+    if tenant is None:
         return
-    arrivals_s = leader.arrivals_s.setdefault(tenant, collections.deque())
-    entry.beyond = shares.is_beyond(arrivals_s, weight, at_s)
+    arrivals_s = leader.arrivals_s.setdefault(tenant.name, collections.deque())
+    entry.beyond = shares.is_beyond(arrivals_s, tenant.weight, at_s)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -185,11 +185,8 @@
     weights = states.weights(leader)
     if not weights:
         return list
-    rows = [worker.entry.capacity for worker in leader.workers.values()]
-    whole = model.Resources(
-        sum(row.cpu_millicores for row in rows),
-        sum(row.memory_mb for row in rows),
-        sum(row.gpus for row in rows),
+    whole = model.total(
+        worker.entry.capacity for worker in leader.workers.values()
     )
     return lambda groups: shares.in_turn(groups, quotas, weights, whole)
 
@@ -265,15 +262,10 @@
     """
     if now_s <= leader.rosters_unread_until_s:
         return None
-    rows = [
+    return model.total(
         worker.entry.capacity
         for worker in leader.workers.values()
         if not worker.heard and _may_hold(leader, worker)
-    ]
-    return model.Resources(
-        sum(row.cpu_millicores for row in rows),
-        sum(row.memory_mb for row in rows),
-        sum(row.gpus for row in rows),
     )
 
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -392,12 +392,17 @@
     return min(TASK_LEASE_S, settings.max_task_lease_ms / 1000)
 
 
-def weights(leader: Leader) -> dict[ids.TenantId, float]:
-    """Give the weights of the tenants in the newest configuration."""
+def known_tenants(leader: Leader) -> dict[ids.TenantId, tenants_.Tenant]:
+    """Give the tenants of the newest configuration, by name."""
     configuration = leader.server.configuration
     if configuration is None or configuration.tenants is None:
         return {}
-    rows = configuration.tenants.by_name.values()
+    return configuration.tenants.by_name
+
+
+def weights(leader: Leader) -> dict[ids.TenantId, float]:
+    """Give the weights of the tenants in the newest configuration."""
+    rows = known_tenants(leader).values()
     return {tenant.name: tenant.weight for tenant in rows}
 
 
