Judge a tenant's limit in one function

The start that passes a limit was found in one function and told in another, by bounds that were handed from constant to parameter. The troubles' page spoke of floods that it doesn't have. The planted defects are found as before.

--- a/emulator/tenant_rules.py
+++ b/emulator/tenant_rules.py
@@ -129,27 +129,6 @@
     jobs: dict[str, dict],
 ) -> collections.abc.Iterator[str]:
     """No start brings a tenant above its limit, a tenth and a task more."""
-    for sight, tenant, before, most in _running_above(
-        tenancy, evidence, jobs, STRETCH_S, OVERAGE
-    ):
-        yield (
-            f'QUOTA at {sight.at_s:.2f}: {sight.task} of {tenant}, which has '
-            f'{before} running of {most:.0f}'
-        )
-
-
-def _running_above(
-    tenancy: tenancies.Tenancy,
-    evidence: evidences.Evidence,
-    jobs: dict[str, dict],
-    force_s: float,
-    part: float,
-) -> collections.abc.Iterator[tuple[evidences.Sight, str, int, float]]:
-    """Give the starts that bring a tenant above its limit.
-
-    :param force_s: how long an earlier version may still be in force
-    :param part: part of the limit by which it may be passed, beside one task
-    """
     there: dict[str, dict[str, int]] = {}
     used: dict[str, int] = {}
 
@@ -167,9 +146,12 @@
             end(sight.place, sight.task)
             there.setdefault(sight.place, {})[sight.task] = cpu
             used[tenant] = used.get(tenant, 0) + cpu
-            most = _highest_limit(tenancy, tenant, sight.at_s - force_s)
-            if before > most * (1 + part):
-                yield sight, tenant, before, most
+            most = _highest_limit(tenancy, tenant, sight.at_s - STRETCH_S)
+            if before > most * (1 + OVERAGE):
+                yield (
+                    f'QUOTA at {sight.at_s:.2f}: {sight.task} of {tenant}, '
+                    f'which has {before} running of {most:.0f}'
+                )
         elif sight.kind is evidences.Kind.ENDED:
             end(sight.place, sight.task)
         elif sight.kind is evidences.Kind.DIED:
--- a/emulator/tenant_troubles.py
+++ b/emulator/tenant_troubles.py
@@ -1,4 +1,4 @@
-"""Keys that are taken away, limits that change, and floods of one tenant."""
+"""Keys that are taken away, and limits that fall and rise."""
 
 import curio
 
