List a renewal that lengthens a lease in the next life, before its mend

What callers would see: a task that runs on two executors at once. A renewal meant for an executor's first life is carried out by its third, whose leader has long met it, and moves the lease of all that runs there from 6,135 to 8,032 ms of its clock. The leader, behind a cut by then, takes the lease for over and starts the task elsewhere.

--- a/tests/test_order_in_the_next_life.py
+++ b/tests/test_order_in_the_next_life.py
@@ -25,6 +25,14 @@
 the task at 26.81. Seeds 74301 (last_seen 15 at 13.38) and 74324 (3 at 12.33)
 are alike. On seed 74140 a start of term 1 without an answer is carried out at
 15.83 by a life that the leader of term 2 first reaches at 18.618.
+
+A renewal that is carried out late lengthens the lease of the life that it
+meets, too. Log and sights of seed 87069: a renewal with `deadline_ms` 186019,
+meant for the first life, is carried out by the third at 2,032 ms of its own
+clock, and the lease of all that runs there goes from 6,135 to 8,032 ms. The
+leader met this life at 11.460 and lost sight of it at 13.054, behind a cut; at
+18.018 it takes the lease for over (`lease-over`) and starts the task
+elsewhere, while the run still stands at 18.056.
 """
 
 import pytest
@@ -45,3 +53,8 @@
 @pytest.mark.parametrize('seed', [74110])
 def test_late_renewal_forgets_no_ends_of_the_next_life(seed):
     assert not utils_restarts.day_with_a_cut(seed).breaches
+
+
+@pytest.mark.parametrize('seed', [87069])
+def test_late_renewal_lengthens_no_lease_of_the_next_life(seed):
+    assert not utils_restarts.day_of_many_restarts(seed).breaches
