Refuse a leader's own calls that are carried out late, by rising fences

A call to an executor got no answer; its next life, which the leader had long met, carried it out seconds later: a renewal forgot ends that nobody had read, or lengthened the lease of all that ran there beyond what the leader reckoned with.

Cause: the fence was the term alone, so all calls of a term were alike, and Expect-Instance names an id that the lives share. Ruled out: a lease reckoned too short, an answer behind the cut, a call of another term.

Now the fence rises within the term: as a life is met, and as a call that orders something is left unanswered. Terms go in steps of 256, the numbers between are the fences, so a leader of an earlier release follows, and is followed, as before. An order that a later call overtakes is refused and sent again. It holds as an executor does nothing for a lower fence than it has seen: from the next answered call on, nothing sent before can be carried out.

--- a/oleanderwood/ids.py
+++ b/oleanderwood/ids.py
@@ -6,6 +6,8 @@
 """An executor's id, which it may keep as it starts again."""
 VmId = typing.NewType('VmId', str)
 """One life of an executor; see :mod:`oleanderwood.pools.lives`."""
+Fence = typing.NewType('Fence', int)
+"""See :mod:`oleanderwood.pools.fences`."""
 PoolId = typing.NewType('PoolId', str)
 ServiceId = typing.NewType('ServiceId', str)
 TeamId = typing.NewType('TeamId', str)
--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -64,12 +64,13 @@
         return
     lease_end_ms = worker_loop.new_lease_end_ms(leader, worker, now_s)
     workers_.note_lease(worker, lease_end_ms)
+    fence = states.fence_of(leader, worker)
     order = reports.Start(
         task.name,
         run.attempt,
         entry.job.work.text,
         lease_end_ms,
-        leader.term,
+        fence,
         run.checkpoint,
         run.ticket,
     )
@@ -83,7 +84,10 @@
         # The next leader's log shows the run; this line tells whose it is.
         _log_start(leader, worker, task, run, 'left', 'the term has ended')
         raise
-    await _start_answered(leader, worker, task, run, refusal)
+    if refusal is executors.Refusal.FENCED:
+        await _start_fenced(leader, worker, task, run, fence)
+    else:
+        await _start_answered(leader, worker, task, run, refusal)
 
 
 def _is_refused(
@@ -110,6 +114,7 @@
 
 
 async def _start_unanswered(leader, worker, task, run, error) -> None:
+    worker_loop.note_failed_order(leader, worker, error)
     worker_loop.note_unanswered(leader, error)
     _log_start(leader, worker, task, run, error.verdict.value, error.reason)
     if error.verdict is verdicts.Verdict.NOT_RUN:
@@ -117,8 +122,7 @@
         if task.run is run:
             await _not_started(leader, worker, task, 'not sent')
         return
-    if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
-        ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+    _doubt(task, run)
     # Its executor may have started again meanwhile.
     executor = lives.executor(worker.entry.worker)
     for life in states.lives_of(leader, executor):
@@ -140,12 +144,9 @@
             await curio.spawn(_look_later, leader, worker, wait_s, daemon=True)
         return
     _log_start(leader, worker, task, run, 'refused', refusal.value)
-    fenced = refusal is executors.Refusal.FENCED
-    if fenced or refusal is executors.Refusal.REPLACED:
-        await worker_loop.note_refused(leader, worker, fenced)
-        if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
-            # The worker counts on until our mark is in force again.
-            ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+    if refusal is executors.Refusal.REPLACED:
+        await worker_loop.note_replaced(leader, worker)
+        _doubt(task, run)
         return
     if refusal is executors.Refusal.NO_TICKET:
         task.group.advised_until_s = 0.0
@@ -158,6 +159,25 @@
         await _not_started(leader, worker, task, refusal.value)
 
 
+async def _start_fenced(leader, worker, task, run, fence) -> None:
+    """Send a start again that a later call of ours has overtaken."""
+    why = executors.Refusal.FENCED.value
+    _log_start(leader, worker, task, run, 'refused', why)
+    if await worker_loop.note_fenced(leader, worker, fence):
+        await _send_start(leader, worker, task, run)
+    else:
+        _doubt(task, run)
+
+
+def _doubt(task: ledgers.Task, run: ledgers.Run) -> None:
+    """Let a start be in doubt: its worker counts on, for now.
+
+    It is gone only once our mark is in force.
+    """
+    if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
+        ledgers.set_phase(run, ledgers.RunPhase.DOUBTFUL, clock.now_s())
+
+
 async def _look_later(
     leader: states.Leader, worker: workers_.Worker, after_s: float
 ) -> None:
@@ -193,19 +213,23 @@
         outcome=outcome,
         why=why,
         term=leader.term,
+        fence_number=states.fence_number(leader, worker),
     )
 
 
 async def _send_stop(leader, worker, task, attempt) -> None:
+    fence = states.fence_of(leader, worker)
     try:
-        await executors.stop(
-            leader.calls, worker.entry, task, attempt, leader.term
-        )
-    except (executors.Fenced, executors.Replaced) as error:
-        fenced = isinstance(error, executors.Fenced)
-        await worker_loop.note_refused(leader, worker, fenced)
+        await executors.stop(leader.calls, worker.entry, task, attempt, fence)
+    except executors.Fenced:
+        if await worker_loop.note_fenced(leader, worker, fence):
+            await _send_stop(leader, worker, task, attempt)
+        return
+    except executors.Replaced:
+        await worker_loop.note_replaced(leader, worker)
         return
     except errors.CallFailed as error:
+        worker_loop.note_failed_order(leader, worker, error)
         event_log.emit(
             'run',
             'stop',
@@ -236,6 +260,7 @@
     run = task.run
     if run is None or run.worker != worker.entry.worker:
         return
+    fence = states.fence_of(leader, worker)
     try:
         await executors.pace(
             leader.calls,
@@ -243,15 +268,20 @@
             task.name,
             run.attempt,
             percent,
-            leader.term,
+            fence,
         )
     except executors.Fenced:
-        await worker_loop.note_refused(leader, worker, fenced=True)
+        if await worker_loop.note_fenced(leader, worker, fence):
+            await _send_pace(leader, worker, task, percent)
         return
-    except (errors.CallFailed, executors.Replaced) as error:
+    except executors.Replaced as error:
         # The next renewal tells of another worker at the address.
         event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
         return
+    except errors.CallFailed as error:
+        worker_loop.note_failed_order(leader, worker, error)
+        event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
+        return
     run.pace_percent = percent
     event_log.emit(
         'run',
--- a/oleanderwood/leading/election.py
+++ b/oleanderwood/leading/election.py
@@ -11,6 +11,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.leading import term as terms
 from oleanderwood.platform import store as stores
+from oleanderwood.pools import fences
 
 TURN_S = 0.05
 """Head start of each server in line over the next: about ten times what a
@@ -82,10 +83,15 @@
     :raises errors.CallFailed: with the verdict
     """
     roles = server.roles
-    term = (roles.leader.term if roles.leader else 0) + 1
+    last = roles.leader.term if roles.leader else 0
+    term = fences.next_term(last)
     settings = server.settings
     row = roles_.Leader(
-        term, settings.name, server.process, boot.inner_address(settings)
+        term,
+        settings.name,
+        server.process,
+        boot.inner_address(settings),
+        follows=last,
     )
     conditions = {
         roles_.LEADER_KEY: roles.leader_revision,
--- a/oleanderwood/leading/former.py
+++ b/oleanderwood/leading/former.py
@@ -47,16 +47,16 @@
     return now_s + acts_s + longest_lease_s(leader)
 
 
-def _unsettled(leader: states.Leader) -> range:
+def _unsettled(leader: states.Leader) -> list[int]:
     """Give the earlier terms that aren't known to have ended."""
-    return range(leader.server.roles.ended_term + 1, leader.term)
+    return roles_.unsettled_terms(leader.server.roles, leader.term)
 
 
 async def settle_always(leader: states.Leader) -> None:
     """Ask earlier leaders until all have surely ended, and keep that."""
     ends_s: dict[int, float] = {}
     if terms := _unsettled(leader):
-        event_log.emit('leader', 'asks-former', terms=list(terms))
+        event_log.emit('leader', 'asks-former', terms=terms)
     while terms := _unsettled(leader):
         if clock.now_s() > leader.began_s + LONG_S:
             ends_s = dict.fromkeys(terms, leader.began_s + LONG_S)
--- a/oleanderwood/leading/meeting.py
+++ b/oleanderwood/leading/meeting.py
@@ -30,6 +30,8 @@
     )
     name = entry.worker
     leader.workers[name] = worker
+    # Orders that a life before left unanswered are refused by this one.
+    states.raise_fence(leader, worker)
     known = leader.lives.setdefault(lives.executor(name), {})
     known[name] = None
     leader.ends_kept[name] = states.Wake()
@@ -45,6 +47,8 @@
         draining=entry.draining,
         listed=listed,
         lives=len(known),
+        term=leader.term,
+        fence_number=states.fence_number(leader, worker),
     )
     await leader.fresh_workers.put(worker)
     await leader.unrostered.set()
--- a/oleanderwood/leading/restarts.py
+++ b/oleanderwood/leading/restarts.py
@@ -4,6 +4,7 @@
 from oleanderwood import event_log
 from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import state as states
+from oleanderwood.pools import fences
 from oleanderwood.pools import lives
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
@@ -81,6 +82,7 @@
     known.pop(name, None)
     if not known:
         leader.lives.pop(executor, None)
+        fences.forget(leader.fences, executor, clock.now_s())
     leader.roster_dirty.add(worker.entry.service)
 
 
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -30,12 +30,15 @@
 
     :ivar holder: name of the server; '' once it has handed over
     :ivar process: one life of that server
+    :ivar follows: the term before, 0 before the first; None from servers of an
+        earlier release, whose terms rise by one
     """
 
     term: int
     holder: str
     process: str
     address: ids.Address
+    follows: int | None = None
 
 
 class Server(msgspec.Struct, frozen=True):
@@ -111,6 +114,29 @@
     roles.leaders[leader.term] = leader
 
 
+def unsettled_terms(roles: Roles, term: int) -> list[int]:
+    """Give the terms before one that aren't known to have ended.
+
+    The latest comes first. One whose leader isn't known is the last: what it
+    follows isn't known either.
+    """
+    terms: list[int] = []
+    while True:
+        row = roles.leaders.get(term)
+        if row is None and terms:
+            return terms
+        term = _term_before(row, term)
+        if term <= roles.ended_term:
+            return terms
+        terms.append(term)
+
+
+def _term_before(row: Leader | None, term: int) -> int:
+    if row is None or row.follows is None:
+        return term - 1
+    return row.follows
+
+
 def note_ended(roles: Roles, term: int) -> None:
     """Note that all leaders up to a term have surely ended."""
     roles.ended_term = max(roles.ended_term, term)
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -24,7 +24,9 @@
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import entries as entries_
+from oleanderwood.pools import fences as fences_
 from oleanderwood.pools import lengths as lengths_
+from oleanderwood.pools import lives
 from oleanderwood.pools import slowness
 from oleanderwood.pools import workers as workers_
 from oleanderwood.tenants import access
@@ -228,6 +230,7 @@
     """The leader of one term.
 
     :ivar revision: of the leader's key, the condition of all its writes
+    :ivar fences: of its orders to workers
     :ivar deposed: why it must stop; '' while it leads
     :ivar rosters_unread_until_s: by when the leases have ended of workers that
         a roster names which can't be read
@@ -327,6 +330,11 @@
     unrostered: Wake = dataclasses.field(default_factory=Wake)
     ended: Wake = dataclasses.field(default_factory=Wake)
     fresh_workers: curio.Queue = dataclasses.field(default_factory=curio.Queue)
+    fences: fences_.Fences = dataclasses.field(init=False)
+    fences_used_up: bool = False
+
+    def __post_init__(self) -> None:
+        self.fences = fences_.Fences(self.term)
 
 
 def lives_of(
@@ -350,6 +358,34 @@
     )
 
 
+def fence_of(leader: Leader, worker: workers_.Worker) -> ids.Fence:
+    """Give the fence of the next order to a worker."""
+    executor = lives.executor(worker.entry.worker)
+    return fences_.current(leader.fences, executor)
+
+
+def fence_number(leader: Leader, worker: workers_.Worker) -> int:
+    """Give the number of that fence within its term, for the log."""
+    executor = lives.executor(worker.entry.worker)
+    return fences_.number(leader.fences, executor)
+
+
+def raise_fence(leader: Leader, worker: workers_.Worker) -> None:
+    """Let a worker's next order have a higher fence than all before."""
+    executor = lives.executor(worker.entry.worker)
+    fences_.raise_fence(leader.fences, executor)
+    if fences_.are_used_up(leader.fences, executor):
+        leader.fences_used_up = True
+
+
+def is_overtaken(
+    leader: Leader, worker: workers_.Worker, fence: ids.Fence
+) -> bool:
+    """Say whether a later call of ours to a worker had a higher fence."""
+    executor = lives.executor(worker.entry.worker)
+    return fences_.is_overtaken(leader.fences, executor, fence)
+
+
 def may_act(leader: Leader) -> bool:
     """Say whether this process may still take itself for the leader."""
     now_s = clock.now_s()
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -416,6 +416,8 @@
     server = leader.server
     if not states.holds_lease(leader):
         return ''
+    if leader.fences_used_up:
+        return 'its fences are used up'
     others = roles_.peers(server.roles, server.process)
     return leadership_transfer.reason(
         leader.pulse,
@@ -471,7 +473,7 @@
     if roles.leader_revision != leader.revision:
         return
     writes = {}
-    if roles.ended_term == leader.term - 1:
+    if not roles_.unsettled_terms(roles, leader.term):
         writes[roles_.ENDED_KEY] = b'%d' % leader.term
     for _ in range(RESIGN_TRIES):
         try:
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -6,6 +6,7 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import former
 from oleanderwood.leading import losses as losses_
@@ -123,6 +124,27 @@
     return calm_s + LATE_FACTOR * late_s
 
 
+def note_failed_order(
+    leader: states.Leader, worker: workers_.Worker, error: errors.CallFailed
+) -> None:
+    """Note that an order failed; it may be carried out seconds later.
+
+    The next answered call makes the worker refuse it, and so does the first
+    one that the next life of its executor answers.
+    """
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        return
+    states.raise_fence(leader, worker)
+    event_log.emit(
+        'worker',
+        'fence-raised',
+        worker=worker.entry.worker,
+        why=error.reason,
+        term=leader.term,
+        fence_number=states.fence_number(leader, worker),
+    )
+
+
 def note_unanswered(leader: states.Leader, error: errors.CallFailed) -> None:
     """Be wary after a call that was sent and got no answer.
 
@@ -158,15 +180,19 @@
         lease_end_ms = new_lease_end_ms(leader, worker, sent_s)
         workers_.note_lease(worker, lease_end_ms)
     acknowledged = worker.kept_end if answers and acknowledge else 0
-    order = reports.Renewal(
-        leader.term, acknowledged, lease_end_ms, longest_wait_ms
-    )
+    fence = states.fence_of(leader, worker)
+    order = reports.Renewal(fence, acknowledged, lease_end_ms, longest_wait_ms)
     try:
         report = await executors.renew(leader.calls, worker.entry, order)
-    except (executors.Fenced, executors.Replaced) as error:
-        await note_refused(leader, worker, isinstance(error, executors.Fenced))
+    except executors.Fenced:
+        await note_fenced(leader, worker, fence)
+        return False
+    except executors.Replaced:
+        await note_replaced(leader, worker)
         return False
     except errors.CallFailed as error:
+        if lease_end_ms is not None or acknowledged:
+            note_failed_order(leader, worker, error)
         note_unanswered(leader, error)
         note_silence(worker, error.reason, _silent_after_s(error, sent_s))
         return False
@@ -345,17 +371,25 @@
         )
 
 
-async def note_refused(
-    leader: states.Leader, worker: workers_.Worker, fenced: bool
-) -> None:
-    """Note that a worker takes no order of this leader any more.
+async def note_fenced(
+    leader: states.Leader, worker: workers_.Worker, fence: ids.Fence
+) -> bool:
+    """Note that a worker has refused an order for its fence.
 
-    :param fenced: it has seen a higher term; otherwise another worker stands
-        at its address
+    :return: whether the order may be sent again: a later call of ours came
+        first. Otherwise another server leads
     """
-    if fenced:
-        await states.depose(leader, 'a worker has seen a higher term')
-    elif not await lost(leader, worker, REPLACED):
+    if states.is_overtaken(leader, worker, fence):
+        return True
+    await states.depose(leader, 'a worker has seen a higher term')
+    return False
+
+
+async def note_replaced(
+    leader: states.Leader, worker: workers_.Worker
+) -> None:
+    """Note that another worker stands at a worker's address."""
+    if not await lost(leader, worker, REPLACED):
         note_silence(worker, REPLACED)
 
 
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -29,7 +29,7 @@
     """Why an executor didn't start a task. In all cases nothing ran."""
 
     FENCED = 'fence'
-    """It has seen a higher term."""
+    """It has seen a higher fence."""
 
     OUTDATED = 'old'
     """A run as high was stopped or has ended there."""
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass
 class Executors:
-    """Calls to executors, under one term.
+    """Calls to executors.
 
     :ivar timeout_s: longest wait for the answer to an order
     """
@@ -66,7 +66,7 @@
 
 
 class Fenced(errors.OleanderError):
-    """The executor has seen a higher term."""
+    """The executor has seen a higher fence; it did nothing."""
 
 
 class WireCapacity(msgspec.Struct):
@@ -136,7 +136,7 @@
         'attempt': order.attempt,
         'spec': order.text,
         'deadline_ms': int(order.lease_end_clock_ms),
-        'fence': order.term,
+        'fence': order.fence,
     }
     if order.checkpoint:
         body['checkpoint'] = order.checkpoint
@@ -169,15 +169,19 @@
 
 
 async def stop(
-    calls: Executors, at: reports.Entry, task: str, attempt: int, term: int
+    calls: Executors,
+    at: reports.Entry,
+    task: str,
+    attempt: int,
+    fence: ids.Fence,
 ) -> None:
     """Stop a run; one that isn't there yet will be refused there.
 
     :raises Replaced: the executor is gone
-    :raises Fenced: it has seen a higher term
+    :raises Fenced: it has seen a higher fence
     :raises errors.CallFailed: with the verdict
     """
-    body = {'task': task, 'attempt': attempt, 'fence': term}
+    body = {'task': task, 'attempt': attempt, 'fence': fence}
     _checked(await _call(calls, at, '/run-stop', body), 'stop')
 
 
@@ -187,19 +191,19 @@
     task: str,
     attempt: int,
     percent: int,
-    term: int,
+    fence: ids.Fence,
 ) -> None:
     """Let a run work at a share of its speed, in percent.
 
     :raises Replaced: the executor is gone
-    :raises Fenced: it has seen a higher term
+    :raises Fenced: it has seen a higher fence
     :raises errors.CallFailed: with the verdict
     """
     body = {
         'task': task,
         'attempt': attempt,
         'percent': percent,
-        'fence': term,
+        'fence': fence,
     }
     _checked(await _call(calls, at, '/pace', body), 'pace')
 
@@ -212,10 +216,10 @@
     ``last_seen`` on the wire acknowledges ends, for good.
 
     :raises Replaced: the executor is gone
-    :raises Fenced: it has seen a higher term
+    :raises Fenced: it has seen a higher fence
     :raises errors.CallFailed: with the verdict
     """
-    body: dict = {'fence': order.term, 'last_seen': order.acknowledged}
+    body: dict = {'fence': order.fence, 'last_seen': order.acknowledged}
     if order.lease_end_clock_ms is not None:
         body['deadline_ms'] = int(order.lease_end_clock_ms)
     if order.longest_wait_ms:
--- a/oleanderwood/pools/reports.py
+++ b/oleanderwood/pools/reports.py
@@ -93,7 +93,7 @@
     attempt: int
     text: str
     lease_end_clock_ms: float
-    term: int
+    fence: ids.Fence
     checkpoint: str = ''
     ticket: str = ''
 
@@ -106,7 +106,7 @@
     :ivar longest_wait_ms: how long the worker may wait for an end
     """
 
-    term: int
+    fence: ids.Fence
     acknowledged: int = 0
     lease_end_clock_ms: float | None = None
     longest_wait_ms: int = 0
