Acknowledge ends only to a worker that has just answered

Callers would see done tasks that run again: a leader that may not act for some seconds asks nobody; an executor starts again under its id meanwhile; the first renewal after the gap acknowledges the ends of the life before by their numbers, and the next life forgets its own, unread.

Cause: an acknowledgement has to follow an answer at once, and the loop took any last answer for that, however old.

It holds as the age of the last answer is asked for where the call is made, so gaps of any cause are covered, a suspended process too.

The planted defect "acknowledges to whoever answers" asks for no age now, too: else the new look hides it.

--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -68,6 +68,10 @@
 """Longest wait for ends to be written; a worker that lists ends which aren't
 acknowledged answers at once, and would be asked without pause."""
 
+JUST_ANSWERED_S = 2 * KEEP_PAUSE_S
+"""Time after a worker's answer in which the next call acknowledges ends. A
+leader that could not act, or was suspended, asks again first."""
+
 
 async def renew_always(leader: states.Leader, worker: workers_.Worker) -> None:
     """Renew a worker's lease and take its reports, until it is gone."""
@@ -88,6 +92,11 @@
             await wake.wait(KEEP_PAUSE_S)
 
 
+def _is_of(worker: workers_.Worker, report: reports.Report) -> bool:
+    """Say whether the life that was called has answered."""
+    return report.worker in ('', worker.entry.worker)
+
+
 def longest_wait_ms(worker: workers_.Worker, wary: bool) -> int:
     """Give how long a worker waits for an end before it answers."""
     if not worker.fenced or worker.silent_since_s is not None:
@@ -167,9 +176,9 @@
     A leader that may not act any more, as it was suspended, only asks: the
     next one waits no longer than for leases given before it was elected.
 
-    :param acknowledge: let it forget ends that are kept. Only in a call that
-        follows an answer at once: another life of its executor, which nobody
-        has heard of yet, would forget its own first ends unread
+    :param acknowledge: let it forget ends that are kept, if it has just
+        answered: another life of its executor, which nobody has heard of yet,
+        would forget its own first ends unread
     """
     if worker.gone:
         return False
@@ -179,7 +188,10 @@
     if answers and worker.runs and states.may_act(leader):
         lease_end_ms = new_lease_end_ms(leader, worker, sent_s)
         workers_.note_lease(worker, lease_end_ms)
-    acknowledged = worker.kept_end if answers and acknowledge else 0
+    just_answered = sent_s - worker.clock_at_s <= JUST_ANSWERED_S
+    acknowledged = 0
+    if answers and acknowledge and just_answered:
+        acknowledged = worker.kept_end
     fence = states.fence_of(leader, worker)
     order = reports.Renewal(fence, acknowledged, lease_end_ms, longest_wait_ms)
     try:
@@ -196,7 +208,7 @@
         note_unanswered(leader, error)
         note_silence(worker, error.reason, _silent_after_s(error, sent_s))
         return False
-    if report.worker in ('', worker.entry.worker):
+    if _is_of(worker, report):
         await take(leader, worker, report, sent_s)
         return True
     await _take_of_another(leader, worker, report, sent_s)
--- a/tests/test_restart_defects.py
+++ b/tests/test_restart_defects.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 
 import pytest
 
@@ -75,6 +76,7 @@
                 worker.silent_since_s = worker.gone and kept or None
 
     patch.setattr(worker_loop, 'look', look)
+    patch.setattr(worker_loop, 'JUST_ANSWERED_S', math.inf)
 
 
 def _former_lives_go_on(patch):
