Keep workers fenced while the leader may not act

A start of term 1 was given up at 6.444, and carried out at 15.83 by the executor's next life, born at 11.148; the leader of term 2 first asked that life at 18.618.

Cause: that leader reached neither the store nor another server from 10.3 to 18.2 s, so it could not act, and asked no worker all the while. Ruled out: a cut between the two. Evidence: the late call was answered 200 before, and 409 by fence now; the next life had seen fence 0 by the end of such a gap, and has seen the leader's now (`test_gap_in_acting`, failed before).

Now a leader that may not act goes on asking. It renews and acknowledges nothing, and takes nothing of what is answered, since another server may lead; if one does, the refusal tells it at once. It holds as any answered call raises what the executor refuses, whoever may act.

--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -62,7 +62,8 @@
 """Time within which a connection is found closed that was so before."""
 
 SILENT_PAUSE_S = 0.2
-"""Pause between calls to a worker that doesn't answer."""
+"""Pause between calls to a worker that doesn't answer, or while we may not
+act."""
 
 KEEP_PAUSE_S = 0.25
 """Longest wait for ends to be written; a worker that lists ends which aren't
@@ -78,6 +79,7 @@
     while not worker.gone and not leader.deposed:
         wary = _is_wary(leader)
         if not states.may_act(leader):
+            await _keep_fenced(leader, worker)
             await curio.sleep(SILENT_PAUSE_S)
             continue
         first = worker.silent_since_s is None
@@ -92,6 +94,27 @@
             await wake.wait(KEEP_PAUSE_S)
 
 
+async def _keep_fenced(leader: states.Leader, worker: workers_.Worker) -> None:
+    """Let a worker see our fence while we may not act.
+
+    Its executor may start again meanwhile, and nobody else may lead: the next
+    life would carry out orders of earlier terms. What it answers isn't taken,
+    since another server may know better.
+    """
+    fence = states.fence_of(leader, worker)
+    longest_ms = longest_wait_ms(worker, wary=False)
+    order = reports.Renewal(fence, longest_wait_ms=longest_ms)
+    try:
+        report = await executors.renew(leader.calls, worker.entry, order)
+    except executors.Fenced:
+        await note_fenced(leader, worker, fence)
+    except (errors.CallFailed, executors.Replaced) as error:
+        note_silence(worker, str(error))
+    else:
+        if not _is_of(worker, report):
+            note_silence(worker, RESTARTED)
+
+
 def _is_of(worker: workers_.Worker, report: reports.Report) -> bool:
     """Say whether the life that was called has answered."""
     return report.worker in ('', worker.entry.worker)
--- a/tests/test_gap_in_acting.py
+++ b/tests/test_gap_in_acting.py
@@ -19,6 +19,7 @@
 import json
 
 import curio
+import pytest
 
 from tests import utils_restarts
 from tests import utils_takeover as build
@@ -88,3 +89,15 @@
     _fence, acknowledged = seen
     assert acknowledged and acknowledged[0] == 0
     assert not result.breaches and not result.unfinished
+
+
+def test_next_life_sees_the_fence_of_a_leader_that_may_not_act():
+    seen = []
+    result = _gap(seen)
+    assert seen[0] > 0
+    assert not result.breaches and not result.unfinished
+
+
+@pytest.mark.parametrize('seed', [74140])
+def test_order_of_an_earlier_leader_is_refused_in_the_gap(seed):
+    assert not utils_restarts.day_with_a_cut(seed).breaches
--- a/tests/test_order_in_the_next_life.py
+++ b/tests/test_order_in_the_next_life.py
@@ -24,7 +24,8 @@
 forgotten then; the leader gives the run up at 26.162 (`lease-over`) and starts
 the task at 26.81. Seeds 74301 (last_seen 15 at 13.38) and 74324 (3 at 12.33)
 are alike. On seed 74140 a start of term 1 without an answer is carried out at
-15.83 by a life that the leader of term 2 first reaches at 18.618.
+15.83 by a life that the leader of term 2 first reaches at 18.618, as one that
+may not act asked nobody (`test_gap_in_acting`).
 
 A renewal that is carried out late lengthens the lease of the life that it
 meets, too. Log and sights of seed 87069: a renewal with `deadline_ms` 186019,
--- a/tests/test_takeover_defects.py
+++ b/tests/test_takeover_defects.py
@@ -12,6 +12,7 @@
 from oleanderwood.leading import intake
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
+from oleanderwood.leading import worker_loop
 from tests import utils_days
 
 Kind = troubles.Kind
@@ -46,13 +47,16 @@
 def _former_leaders_are_unasked(patch):
     """Let the next leader reach no earlier one, which then acts for longer.
 
-    That is a condition, no defect: the days have to be clean with it.
+    Nor does that one hear of the next by the workers, which it asks while it
+    may not act. Both are conditions, no defects: the days have to be clean
+    with them.
     """
 
     async def ask(leader, row):
         return None
 
     patch.setattr(former, '_ask', ask)
+    patch.setattr(worker_loop, '_keep_fenced', ask)
 
 
 def _and_unasked(plant):
