Ask the store anew as soon as it answers again

Cause: a watch that a silent store has taken is never answered, and its follower waited for the timeout, while the lease was renewed by calls of its own. Evidence: `lease taken` at 17.688, `store back prefix=ow/roles/` at 18.828.

The five cases of `test_store_back` failed before. It holds for all that is followed, as it is the follower that asks anew.

--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -11,6 +11,7 @@
 from oleanderwood import event_log
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
+from oleanderwood.leading import watcher
 from oleanderwood.platform import store as stores
 from oleanderwood import verdict as verdicts
 
@@ -88,7 +89,7 @@
 async def _grant(server: states.Server) -> Granted:
     sent_s = clock.now_s()
     lease = await stores.grant(server.store, lease_s(server), GRANT_S)
-    note_contact(server, sent_s)
+    await note_contact(server, sent_s)
     return Granted(lease, sent_s + lease_s(server) - MARGIN_S)
 
 
@@ -156,7 +157,7 @@
     finally:
         for call in calls:
             await call.cancel()
-    note_contact(server, sent_s)
+    await note_contact(server, sent_s)
     server.lease_until_s = sent_s + lease_s(server) - MARGIN_S
 
 
@@ -196,8 +197,20 @@
         await answers.put(sent_s)
 
 
-def note_contact(server: states.Server, sent_s: float) -> None:
+async def note_contact(server: states.Server, sent_s: float) -> None:
     """Note that the store answered a call sent at some time."""
-    if sent_s - server.contact_s > GAP_S:
-        server.back_s = clock.now_s()
+    is_back = sent_s - server.contact_s > GAP_S
     server.contact_s = max(server.contact_s, sent_s)
+    if is_back:
+        server.back_s = clock.now_s()
+        await server.store_back.set()
+        server.store_back.clear()
+
+
+def contact(server: states.Server) -> watcher.Contact:
+    """Give what followers of the store tell a server, and hear from it."""
+
+    async def note(sent_s: float) -> None:
+        await note_contact(server, sent_s)
+
+    return watcher.Contact(note, server.store_back)
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -132,6 +132,7 @@
     :ivar lease_until_s: by when the server's lease may have ended
     :ivar contact_s: when the last call was sent that the store answered
     :ivar back_s: since when the store answers again, after a gap
+    :ivar store_back: wakes, at that moment, those that wait for the store
     :ivar began_s: when the process began
     :ivar led_term: the last term that this process has led, or leads
     :ivar asked_by_term: the last term whose leader has asked whether it leads
@@ -153,6 +154,7 @@
     lease_until_s: float = 0.0
     contact_s: float = -1e9
     back_s: float = -1e9
+    store_back: curio.Event = dataclasses.field(default_factory=curio.Event)
     began_s: float = dataclasses.field(default_factory=_now_s)
     led_term: int = 0
     asked_by_term: int = 0
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -302,13 +302,6 @@
             pool_loop.note_arrival(leader, entry, now_s - age_s)
 
 
-def _contact(leader: states.Leader) -> watcher.Contact:
-    def note(sent_s: float) -> None:
-        lease.note_contact(leader.server, sent_s)
-
-    return note
-
-
 async def _follow_intake(leader: states.Leader, revision: int) -> None:
     """Follow jobs and cancels from the reading of the takeover on.
 
@@ -326,7 +319,7 @@
         record.INTAKE_PREFIX,
         WATCH_S,
         take,
-        _contact(leader),
+        lease.contact(leader.server),
         revision,
     )
 
@@ -338,12 +331,13 @@
         if whole:
             await intake.unlist_others(leader, items)
 
-    def note(sent_s: float) -> None:
+    async def note(sent_s: float) -> None:
         leader.entries_heard_s = sent_s
-        lease.note_contact(leader.server, sent_s)
+        await lease.note_contact(leader.server, sent_s)
 
+    contact = watcher.Contact(note, leader.server.store_back)
     await watcher.follow(
-        leader.server.store, executors.PREFIX, WATCH_S, take, note
+        leader.server.store, executors.PREFIX, WATCH_S, take, contact
     )
 
 
@@ -357,7 +351,7 @@
         operator.WAVES_PREFIX,
         WATCH_S,
         take,
-        _contact(leader),
+        lease.contact(leader.server),
     )
 
 
--- a/oleanderwood/leading/watcher.py
+++ b/oleanderwood/leading/watcher.py
@@ -1,6 +1,7 @@
 """Following a range of the store: read it whole, then watch it."""
 
 import collections.abc
+import dataclasses
 
 import curio
 
@@ -16,7 +17,18 @@
 Take = collections.abc.Callable[
     [list[stores.Item], bool], collections.abc.Awaitable[None]
 ]
-Contact = collections.abc.Callable[[float], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Contact:
+    """What a follower and the rest of the server tell each other of the store.
+
+    :ivar note: gets the time at which an answered call was sent
+    :ivar back: is set as the store answers again after a gap
+    """
+
+    note: collections.abc.Callable[[float], collections.abc.Awaitable[None]]
+    back: curio.Event
 
 
 async def follow(
@@ -33,7 +45,6 @@
         is found after it
     :param take: gets changes, removals too; or, if its second argument is
         True, all items: at first and whenever changes were missed
-    :param contact: gets the time at which an answered call was sent
     :param revision: of the store as all below the prefix was read; None if it
         wasn't yet
     """
@@ -42,12 +53,16 @@
         sent_s = clock.now_s()
         try:
             if revision is None:
-                found = await stores.read_range(store, prefix)
-                await take(found.items, True)
+                call = stores.read_range(store, prefix)
             else:
-                found = await stores.watch(store, prefix, revision, wait_s)
-                if found.items:
-                    await take(found.items, False)
+                call = stores.watch(store, prefix, revision, wait_s)
+            found = await _until_back(call, contact.back)
+            if found is None:
+                event_log.emit('store', 'asked-anew', prefix=prefix)
+                continue
+            whole = revision is None
+            if found.items or whole:
+                await take(found.items, whole)
             revision = max(revision or 0, found.revision)
         except stores.HistoryLost:
             event_log.emit('store', 'history-lost', prefix=prefix)
@@ -65,4 +80,35 @@
             after_s = round(clock.now_s() - lost_s, 2)
             event_log.emit('store', 'back', prefix=prefix, after_s=after_s)
             lost_s = None
-        contact(sent_s)
+        await contact.note(sent_s)
+
+
+async def _until_back(
+    call: collections.abc.Awaitable[stores.Items], back: curio.Event
+) -> stores.Items | None:
+    """Make a call to the store; None if the store came back meanwhile.
+
+    A call that a silent store has taken is never answered. Without this, who
+    leads would be heard of up to a watch's time after the store is back.
+
+    :raises stores.HistoryLost: read the range anew
+    :raises errors.CallFailed: the store didn't answer
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        asking = await group.spawn(_outcome, call)
+        waiting = await group.spawn(back.wait)
+    if group.completed is waiting and waiting.exception is None:
+        return None
+    if isinstance(asking.result, Exception):
+        raise asking.result
+    return asking.result
+
+
+async def _outcome(
+    call: collections.abc.Awaitable[stores.Items],
+) -> stores.Items | errors.CallFailed | stores.HistoryLost:
+    """Give an expected failure as a value: a task's exception is logged."""
+    try:
+        return await call
+    except (errors.CallFailed, stores.HistoryLost) as error:
+        return error
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -283,13 +283,17 @@
         for item in items:
             await _take_configuration(server, item)
 
-    def note(sent_s: float) -> None:
-        lease.note_contact(server, sent_s)
+    async def note(sent_s: float) -> None:
+        await lease.note_contact(server, sent_s)
         if server.configuration_readable:
             freshness.note_reading(server, sent_s)
 
     await watcher.follow(
-        server.store, operator.CONFIGURATION_KEY, term.WATCH_S, take, note
+        server.store,
+        operator.CONFIGURATION_KEY,
+        term.WATCH_S,
+        take,
+        watcher.Contact(note, server.store_back),
     )
 
 
@@ -367,7 +371,7 @@
         roles_.PREFIX,
         term.WATCH_S,
         take,
-        lambda sent_s: lease.note_contact(server, sent_s),
+        lease.contact(server),
     )
 
 
--- a/tests/test_order_in_the_next_life.py
+++ b/tests/test_order_in_the_next_life.py
@@ -7,9 +7,12 @@
 no server leads. That life has seen no term and no stop; its clock has started
 anew, so that the lease in the order isn't over there.
 
-Nothing that a server sends can close it: the life isn't known to anybody yet.
-An executor that kept its highest term, or dropped orders of its earlier life,
-would. Whether the platform's do isn't told on its pages.
+By then the store had been back for 0.36 s, and nobody led for want of an
+answer to a watch (`test_store_back`). Of the same kind are seed 91466 (a start
+given up at 6.390 is carried out at 9.17, while the leader, whose calls get
+late, asks the next life each 0.2 to 0.8 s) and 91469 (given up at 6.224, carried
+out at 13.65 by the life born at 9.696: the leader was suspended, then stopped,
+and the store away).
 
 Log (`python -m emulator.lab --seeds 1 --first-seed 61291 --trouble-count 2
 --restart-count 3`): `start task=0562df4d4e3a83cf.1.0.0 attempt=1 outcome=left
@@ -51,6 +54,11 @@
     assert not utils_restarts.lab_day(seed).breaches
 
 
+@pytest.mark.parametrize('seed', [91466, 91469])
+def test_order_is_refused_by_the_next_life_that_a_leader_is_late_to_ask(seed):
+    assert not utils_restarts.day_of_many_restarts(seed).breaches
+
+
 @pytest.mark.parametrize('seed', [74140])
 def test_order_does_not_run_in_a_next_life_behind_a_cut(seed):
     assert not utils_restarts.day_with_a_cut(seed).breaches
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -90,6 +90,8 @@
     async def main(world):
         first, second = await _two_servers(world)
         assert await _caller(world, second, 'POST') == 200
+        # The leader hears of it at about the time that the caller does.
+        await curio.sleep(0.01)
         entry = first.state.leader.ledger.entries[JOB]
         # The leader's watches hear nothing any more.
         _cut(world, first)
--- a/tests/test_restart_defects.py
+++ b/tests/test_restart_defects.py
@@ -111,7 +111,7 @@
 DEFECTS = {
     'gives all orders of a term one fence': (
         _fences_never_rise,
-        functools.partial(utils_restarts.day_with_a_cut, 74110),
+        utils_restarts.late_acknowledgement,
     ),
     'takes an id for one life': (
         _ids_are_lives,
--- a/tests/test_takeover_defects.py
+++ b/tests/test_takeover_defects.py
@@ -102,7 +102,8 @@
 the rest for 18 s, longer than it is waited for."""
 
 ACCEPTED_BETWEEN = tuple(
-    utils_days.takeover_day(seed, PARTED) for seed in (4000, 4041, 4065)
+    utils_days.takeover_day(seed, PARTED)
+    for seed in (4000, 4001, 4041, 4048, 4065, 4114)
 )
 """Days on which a job is accepted between two leaders; more than one, since
 a change of the product may part the moments of a single day."""
--- a/tests/test_tenant_days.py
+++ b/tests/test_tenant_days.py
@@ -74,8 +74,8 @@
 
 
 def _trusts_any_answer(patch):
-    def note(server, sent_s):
-        real(server, sent_s)
+    async def note(server, sent_s):
+        await real(server, sent_s)
         freshness.note_reading(server, sent_s)
 
     real = lease.note_contact
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -204,6 +204,44 @@
     return play(story)
 
 
+def late_acknowledgement():
+    """Let an acknowledgement to one life be carried out by the next.
+
+    By then it has ended tasks, and nobody reaches it for a while.
+    """
+
+    async def story(scene):
+        late: list[str] = []
+        machines = list(scene.fleet.machines.values())
+        for machine in machines:
+            if machine.executor is not None:
+                make_late(
+                    scene,
+                    machine.address,
+                    6.0,
+                    '/hold',
+                    lambda asked: asked['last_seen'] > 0,
+                    late,
+                )
+        await hand_in_brief(scene, 1)
+        while not late:
+            await curio.sleep(0.01)
+        await curio.sleep(1.5)
+        await restart(scene, late[0], 0.05)
+        await curio.sleep(1.0)
+        await build.hand_in(
+            scene, build.leader(scene), build.step(6, 8000, 1000)
+        )
+        await curio.sleep(0.3)
+        cuts = {(process.name, late[0]) for process in scene.processes}
+        scene.network.cuts |= cuts
+        await curio.sleep(3.5)
+        scene.network.cuts -= cuts
+        await curio.sleep(6.0)
+
+    return play(story)
+
+
 def roster_of_the_earlier_life(gap_s, led=None):
     """Let an executor start again while another server comes to lead.
 
