Let several servers ask executors that left an order unanswered

An order got no answer; its executor started again under its id; the order was carried out by the next life before the leader had asked that anything.

Ruled out: the fences, of which neither life had seen any.

Now the leader tells two other servers, and all three ask such an executor every 30 ms for 15 s, with a fence that is above the order's and not above the leader's, whoever leads by then. Only where executors tell their births: elsewhere a next life has an id of its own and refuses by that, so deployments without births pay nothing. 16 executors at most for each server.

What is left is a late call within some 30 ms of a life's start, more where calls get lost, and one of which nobody knows that it is out.

--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -8,6 +8,7 @@
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.leading import late_orders
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import executors
@@ -83,6 +84,8 @@
     except curio.CancelledError:
         # The next leader's log shows the run; this line tells whose it is.
         _log_start(leader, worker, task, run, 'left', 'the term has ended')
+        states.raise_fence(leader, worker)
+        await late_orders.note(leader, worker)
         raise
     if refusal is executors.Refusal.FENCED:
         await _start_fenced(leader, worker, task, run, fence)
@@ -114,7 +117,7 @@
 
 
 async def _start_unanswered(leader, worker, task, run, error) -> None:
-    worker_loop.note_failed_order(leader, worker, error)
+    await worker_loop.note_failed_order(leader, worker, error)
     worker_loop.note_unanswered(leader, error)
     _log_start(leader, worker, task, run, error.verdict.value, error.reason)
     if error.verdict is verdicts.Verdict.NOT_RUN:
@@ -229,7 +232,7 @@
         await worker_loop.note_replaced(leader, worker)
         return
     except errors.CallFailed as error:
-        worker_loop.note_failed_order(leader, worker, error)
+        await worker_loop.note_failed_order(leader, worker, error)
         event_log.emit(
             'run',
             'stop',
@@ -279,7 +282,7 @@
         event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
         return
     except errors.CallFailed as error:
-        worker_loop.note_failed_order(leader, worker, error)
+        await worker_loop.note_failed_order(leader, worker, error)
         event_log.emit('run', 'pace-failed', task=task.name, why=str(error))
         return
     run.pace_percent = percent
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -25,6 +25,7 @@
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import fences as fences_
+from oleanderwood.pools import late_orders
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import lives
 from oleanderwood.pools import slowness
@@ -135,6 +136,9 @@
     :ivar store_back: wakes, at that moment, those that wait for the store
     :ivar began_s: when the process began
     :ivar led_term: the last term that this process has led, or leads
+    :ivar unanswered: executors that it asks for the sake of late orders
+    :ivar unanswered_news: wakes who asks them; ``unanswered_untold`` wakes who
+        tells other servers of them
     :ivar asked_by_term: the last term whose leader has asked whether it leads
     """
 
@@ -160,6 +164,11 @@
     asked_by_term: int = 0
     leader: 'Leader | None' = None
     stopping: bool = False
+    unanswered: late_orders.Book = dataclasses.field(
+        default_factory=late_orders.Book
+    )
+    unanswered_news: Wake = dataclasses.field(default_factory=Wake)
+    unanswered_untold: Wake = dataclasses.field(default_factory=Wake)
     roles_changed: Wake = dataclasses.field(default_factory=Wake)
     lease_wanted: Wake = dataclasses.field(default_factory=Wake)
 
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -9,6 +9,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import former
+from oleanderwood.leading import late_orders
 from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import meeting
 from oleanderwood.leading import relocating
@@ -156,7 +157,7 @@
     return calm_s + LATE_FACTOR * late_s
 
 
-def note_failed_order(
+async def note_failed_order(
     leader: states.Leader, worker: workers_.Worker, error: errors.CallFailed
 ) -> None:
     """Note that an order failed; it may be carried out seconds later.
@@ -167,6 +168,7 @@
     if error.verdict is verdicts.Verdict.NOT_RUN:
         return
     states.raise_fence(leader, worker)
+    await late_orders.note(leader, worker)
     event_log.emit(
         'worker',
         'fence-raised',
@@ -227,7 +229,7 @@
         return False
     except errors.CallFailed as error:
         if lease_end_ms is not None or acknowledged:
-            note_failed_order(leader, worker, error)
+            await note_failed_order(leader, worker, error)
         note_unanswered(leader, error)
         note_silence(worker, error.reason, _silent_after_s(error, sent_s))
         return False
--- a/oleanderwood/pools/lives.py
+++ b/oleanderwood/pools/lives.py
@@ -25,6 +25,11 @@
     return ids.VmId(f'{executor}{_MARK}{born}')
 
 
+def tells_birth(life: ids.VmId) -> bool:
+    """Say whether a life's executor tells births, and so may keep its id."""
+    return _MARK in life
+
+
 def executor(life: ids.VmId) -> ids.ExecutorId:
     """Give the id of the executor whose life it is."""
     return ids.ExecutorId(life.partition(_MARK)[0])
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -27,6 +27,7 @@
 from oleanderwood.leading import confirming
 from oleanderwood.leading import election
 from oleanderwood.leading import intake as leading_intake
+from oleanderwood.leading import late_orders
 from oleanderwood.leading import lease
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
@@ -104,6 +105,8 @@
         _follow_configuration(server),
         _follow_roles(server),
         lease.keep_always(server),
+        late_orders.ask_always(server),
+        late_orders.tell_always(server),
     ]
 
 
@@ -214,6 +217,10 @@
         path = request.target
         if path.startswith(api.PREFIX):
             return await api.handle(server, request)
+        if path == late_orders.PATH:
+            body = await http.read_all(request.body, MAX_TOLD_BYTES)
+            await late_orders.take_told(server, body)
+            return http.Response(200, [], b'')
         if path.startswith(confirming.PATH):
             return _json(await confirming.contact(server, path))
         if path == forwarding.CALL_PATH:
--- /dev/null
+++ b/tests/test_late_orders.py
@@ -0,0 +1,128 @@
+"""Late orders are refused by next lives that no leader reaches.
+
+What callers saw: tasks that ran again though they were done (lab seeds 91466
+and 91469). Order of events: an order gets no answer; its executor starts again
+under its id; the leader is suspended, dead or waits for other calls, and
+nobody else can lead as the store is away; the order is carried out. Cause: the
+first call that reaches a next life decides, and only a leader made any, one
+after the other. Evidence: the answers to the late orders, 200 before.
+"""
+
+import curio
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from emulator import virtual
+from oleanderwood import ids
+from oleanderwood.pools import late_orders
+from tests import utils_restarts
+from tests import utils_takeover as build
+
+LATE_S = 8.0
+
+
+async def _kill(scene, leader) -> None:
+    await build.kill(scene, leader)
+
+
+async def _suspend(scene, leader) -> None:
+    virtual.suspend_process(leader.name, 2 * LATE_S)
+
+
+async def _cut_off(scene, leader) -> None:
+    for machine in scene.fleet.machines.values():
+        scene.network.cuts.add((leader.name, machine.address))
+
+
+@pytest.mark.parametrize('strike', [_kill, _suspend, _cut_off])
+def test_late_order_is_refused_by_a_life_that_no_leader_reaches(strike):
+    outcomes = []
+
+    async def story(scene):
+        late: list[str] = []
+        for machine in scene.fleet.machines.values():
+            if machine.executor is not None:
+                utils_restarts.make_late(
+                    scene, machine.address, LATE_S, late=late
+                )
+        leader = build.leader(scene)
+        await build.hand_in(scene, leader, build.step(1, 16000, 1000))
+        await curio.sleep(LATE_S - 2.0)
+        scene.store.down = 'silent'
+        await strike(scene, leader)
+        await curio.sleep(1.0)
+        await utils_restarts.restart(scene, late[0], 0.5)
+        outcomes.extend([utils_restarts.note_late(scene, late[0])])
+        await curio.sleep(3.0)
+        scene.store.down = ''
+        scene.network.cuts.clear()
+
+    result = utils_restarts.play(story)
+    assert outcomes == [['fence']]
+    assert not result.breaches and not result.unfinished
+
+
+def test_nobody_asks_executors_that_tell_no_birth():
+    books = []
+
+    async def story(scene):
+        for machine in scene.fleet.machines.values():
+            if machine.executor is not None:
+                utils_restarts.make_late(scene, machine.address, LATE_S)
+        await build.hand_in(
+            scene, build.leader(scene), build.step(1, 16000, 1000)
+        )
+        await curio.sleep(1.5)
+        books.extend(row.state.unanswered for row in scene.processes)
+
+    build.play(story)
+    assert books
+    assert not any(book.orders for book in books)
+
+
+def _order(number, fence=1, for_s=late_orders.LATE_S):
+    name = ids.ExecutorId(f'i-{number}')
+    address = ids.Address(f'10.0.0.{number}:1')
+    return late_orders.LateOrder(name, address, ids.Fence(fence), for_s)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 2 * late_orders.MOST),
+            strategies.integers(1, 5),
+            strategies.floats(0.0, 2 * late_orders.LATE_S),
+        ),
+        max_size=60,
+    )
+)
+def test_book_keeps_the_latest_with_their_highest_fences(steps):
+    book = late_orders.Book()
+    now_s = 0.0
+    fences: dict[str, int] = {}
+    for number, fence, for_s in steps:
+        now_s += 0.1
+        order = _order(number, fence, for_s)
+        if order.executor not in book.orders:
+            fences.pop(order.executor, None)
+        fences[order.executor] = max(fence, fences.get(order.executor, 0))
+        late_orders.take(book, order, now_s)
+        assert len(book.orders) <= late_orders.MOST
+        assert book.orders.keys() == book.until_s.keys()
+        for known in book.orders.values():
+            assert known.fence == fences[known.executor]
+        longest_s = max(book.until_s.values(), default=0.0)
+        assert longest_s <= now_s + late_orders.LATE_S
+    assert not late_orders.due(book, now_s + late_orders.LATE_S)
+
+
+def test_executor_is_asked_until_its_order_can_come_no_more():
+    book = late_orders.Book()
+    late_orders.take(book, _order(1), 0.0)
+    late_orders.take(book, _order(2), 5.0)
+    assert len(late_orders.due(book, late_orders.LATE_S - 0.1)) == 2
+    (left,) = late_orders.due(book, late_orders.LATE_S)
+    assert left.executor == 'i-2'
+    late_orders.drop(book, left.executor)
+    assert not late_orders.due(book, late_orders.LATE_S)
--- a/tests/test_order_in_the_next_life.py
+++ b/tests/test_order_in_the_next_life.py
@@ -10,9 +10,9 @@
 By then the store had been back for 0.36 s, and nobody led for want of an
 answer to a watch (`test_store_back`). Of the same kind are seed 91466 (a start
 given up at 6.390 is carried out at 9.17, while the leader, whose calls get
-late, asks the next life each 0.2 to 0.8 s) and 91469 (given up at 6.224, carried
-out at 13.65 by the life born at 9.696: the leader was suspended, then stopped,
-and the store away).
+late, asks the next life each 0.2 to 0.8 s) and 91469 (given up at 6.224, it is
+carried out at 13.65 by the life born at 9.696: the leader was suspended, then
+stopped, and the store away).
 
 Log (`python -m emulator.lab --seeds 1 --first-seed 61291 --trouble-count 2
 --restart-count 3`): `start task=0562df4d4e3a83cf.1.0.0 attempt=1 outcome=left
