Make one late order in one place in tests

Four stories went through all executors alike to let the first order be late. The same stories, the same checks; 48 tests of late calls pass.

--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -40,9 +40,7 @@
     """
 
     async def story(scene):
-        late: list[str] = []
-        for address in _addresses(scene):
-            utils_restarts.make_late(scene, address, LATE_S, meant, asks, late)
+        late = utils_restarts.make_one_late(scene, LATE_S, meant, asks)
         await build.hand_in(scene, build.leader(scene), step)
         while not late:
             await curio.sleep(0.01)
@@ -57,11 +55,6 @@
     return utils_restarts.play(story)
 
 
-def _addresses(scene) -> list[str]:
-    machines = scene.fleet.machines.values()
-    return [row.address for row in machines if row.executor is not None]
-
-
 @pytest.mark.parametrize('restarts', [False, True])
 def test_late_start_is_refused(restarts):
     outcomes = []
@@ -99,7 +92,7 @@
 
     async def story(scene):
         leader = _leader(scene)
-        for address in _addresses(scene):
+        for address in utils_restarts.executor_addresses(scene):
             _overtake(scene, leader, address, seen)
         await build.hand_in(scene, build.leader(scene), utils_restarts.LONG)
         await curio.sleep(1.0)
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -40,12 +40,7 @@
     outcomes = []
 
     async def story(scene):
-        late: list[str] = []
-        for machine in scene.fleet.machines.values():
-            if machine.executor is not None:
-                utils_restarts.make_late(
-                    scene, machine.address, LATE_S, late=late
-                )
+        late = utils_restarts.make_one_late(scene, LATE_S)
         leader = build.leader(scene)
         await build.hand_in(scene, leader, build.step(1, 16000, 1000))
         await curio.sleep(LATE_S - 2.0)
@@ -67,9 +62,7 @@
     books = []
 
     async def story(scene):
-        for machine in scene.fleet.machines.values():
-            if machine.executor is not None:
-                utils_restarts.make_late(scene, machine.address, LATE_S)
+        utils_restarts.make_one_late(scene, LATE_S)
         await build.hand_in(
             scene, build.leader(scene), build.step(1, 16000, 1000)
         )
--- a/tests/test_store_back.py
+++ b/tests/test_store_back.py
@@ -60,12 +60,7 @@
     outcomes = []
 
     async def story(scene):
-        late: list[str] = []
-        for machine in scene.fleet.machines.values():
-            if machine.executor is not None:
-                utils_restarts.make_late(
-                    scene, machine.address, LATE_S, late=late
-                )
+        late = utils_restarts.make_one_late(scene, LATE_S)
         await build.hand_in(
             scene, build.leader(scene), build.step(1, 16000, 1000)
         )
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -124,6 +124,23 @@
     return late
 
 
+def executor_addresses(scene) -> list[str]:
+    """Give the addresses of all executors that are there."""
+    machines = scene.fleet.machines.values()
+    return [row.address for row in machines if row.executor is not None]
+
+
+def make_one_late(scene, after_s, meant='/run-start', asks=None) -> list[str]:
+    """Let the first order at any address be carried out some time later.
+
+    As ``make_late``; gives that address, once the order was sent.
+    """
+    late: list[str] = []
+    for address in executor_addresses(scene):
+        make_late(scene, address, after_s, meant, asks, late)
+    return late
+
+
 def note_late(scene, address) -> list[str]:
     """Give how orders end that are carried out late at an address.
 
@@ -211,18 +228,9 @@
     """
 
     async def story(scene):
-        late: list[str] = []
-        machines = list(scene.fleet.machines.values())
-        for machine in machines:
-            if machine.executor is not None:
-                make_late(
-                    scene,
-                    machine.address,
-                    6.0,
-                    '/hold',
-                    lambda asked: asked['last_seen'] > 0,
-                    late,
-                )
+        late = make_one_late(
+            scene, 6.0, '/hold', lambda asked: asked['last_seen'] > 0
+        )
         await hand_in_brief(scene, 1)
         while not late:
             await curio.sleep(0.01)
