--- a/emulator/advice.py
+++ b/emulator/advice.py
@@ -52,9 +52,14 @@
 
 
 def is_good(step: str, executor: str) -> bool:
-    """Say whether an executor may run a step: two in three, by its machine."""
-    machine = executor.split('-')[1]
-    return (int(machine[1:]) + zlib.crc32(step.encode())) % 3 != 0
+    """Say whether an executor may run a step: two in three, by its machine.
+
+    One whose entry somebody else has written is of no machine.
+    """
+    number = executor.split('-')[1][1:]
+    if not number.isdecimal():
+        return False
+    return (int(number) + zlib.crc32(step.encode())) % 3 != 0
 
 
 def is_valid(service: Service, name: str, task: str, executor: str) -> bool:
--- a/tests/test_foreign_text.py
+++ b/tests/test_foreign_text.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from emulator import advice
 from emulator import callers as callers_
 from emulator import day
 from emulator import store as stores
@@ -219,3 +220,9 @@
         target.isascii() and target.isprintable() and ' ' not in target
         for target in asked
     )
+
+
+def test_no_advice_names_an_executor_of_no_machine():
+    """Lab seed 92317: a leader's term ended by a fault of the emulator."""
+    assert not advice.is_good('a.0.0', 'i-nobody')
+    assert any(advice.is_good('a.0.0', f'i-m{number}') for number in (1, 2))
