Remember which machines the advice refused for a labelled step

What callers saw: a job that asks for a label in a queue with advice stays open while the same machine comes and goes: it is fetched for its label, refused by the advice, leaves as idle and is fetched again. Or two pools that lack the same label each keep machines that the advice refuses to their own step and allows to the other's.

Cause: a pool lacked a label, not a machine that may run the step: nothing remembered a refusal, neither in the choice of a machine nor in what a lacking pool keeps.

The two tests of the decision fail before (the refused machine comes; nothing moves).

A machine is useless for a label only if all steps that lack it refuse it.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -99,6 +99,8 @@
         another machine might suit
     :ivar lacks_labels: labels of steps for which the same holds; only a
         machine with the label might suit
+    :ivar refused: machines that suit none of the steps which lack a label, as
+        the platform's advice refuses them, by label
     """
 
     service: ids.ServiceId
@@ -113,6 +115,9 @@
     priority: float = math.inf
     lacks_suitable_machine: bool = False
     lacks_labels: set[str] = dataclasses.field(default_factory=set)
+    refused: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -402,7 +407,7 @@
         member
         for member in pool.members
         if _is_movable(member, now_s)
-        and pool.lacks_labels.isdisjoint(member.labels)
+        and not any(_suits(pool, label, member) for label in pool.lacks_labels)
     ]
     return sorted(idle, key=lambda member: member.worker.idle_since_s)
 
@@ -500,10 +505,12 @@
     moves = []
     for pool in pools:
         for label in sorted(pool.lacks_labels):
-            labelled = [row for row in pool.members if label in row.labels]
+            labelled = [
+                row for row in pool.members if _suits(pool, label, row)
+            ]
             if _is_incoming(labelled):
                 continue
-            taken = _take_labelled(free, pool.service, label)
+            taken = _take_labelled(free, pool, label)
             if taken is not None:
                 source, member = taken
                 moves.append(
@@ -515,13 +522,20 @@
     return moves
 
 
+def _suits(pool: PoolView, label: str, member: Member) -> bool:
+    """Return whether a machine might run a step that lacks a label."""
+    if label not in member.labels:
+        return False
+    return member.machine not in pool.refused.get(label, ())
+
+
 def _take_labelled(
-    free: _Free, target: ids.ServiceId, label: str
+    free: _Free, target: PoolView, label: str
 ) -> tuple[ids.ServiceId, Member] | None:
     """Take a machine with a label, from standby or idle if possible."""
     for rows in (free.on_standby, free.idle):
         for row in rows:
-            if row[0] != target and label in row[1].labels:
+            if row[0] != target.service and _suits(target, label, row[1]):
                 rows.remove(row)
                 _charge_reserve(free, row)
                 return row
@@ -529,7 +543,7 @@
 
 
 def _take_from_reserves(
-    free: _Free, target: ids.ServiceId, label: str
+    free: _Free, target: PoolView, label: str
 ) -> tuple[ids.ServiceId, Member] | None:
     """Take a machine that its pool keeps for arrivals or a first burst.
 
@@ -537,10 +551,10 @@
     and a machine without the label is no substitute.
     """
     for reserve in free.reserves:
-        if reserve.service == target or reserve.count <= 0:
+        if reserve.service == target.service or reserve.count <= 0:
             continue
         for member in reserve.idle:
-            if label in member.labels:
+            if _suits(target, label, member):
                 row = reserve.service, member
                 _charge_reserve(free, row)
                 _charge_surplus(free, reserve.service)
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -144,6 +144,8 @@
         has answered
     :ivar advised_until_s: when the tickets expire
     :ivar asked: workers about which the advice was asked
+    :ivar refused_until_s: machines whose workers the advice refused for the
+        step, with the time until which that counts
     :ivar suspects: tasks suspected of crashing their workers, by index
     """
 
@@ -157,6 +159,7 @@
     tickets: dict[ids.VmId, str] | None = None
     advised_until_s: float = 0.0
     asked: frozenset[ids.VmId] = frozenset()
+    refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspects: dict[int, Task] = dataclasses.field(default_factory=dict)
 
 
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -9,6 +9,7 @@
 from oleanderwood.leading import relocating
 from oleanderwood.leading import state as states
 from oleanderwood.platform import advice
+from oleanderwood.pools import advised
 from oleanderwood.pools import placing
 
 POLL_INTERVAL_S = 0.05
@@ -66,11 +67,12 @@
 ) -> None:
     known = states.known_queues(leader)
     service = placing.queue_of(group.entry, known).service
-    workers = [
-        worker.entry.worker
+    machines = {
+        worker.entry.worker: worker.entry.machine
         for worker in leader.workers.values()
         if worker.entry.service == service and not worker.entry.draining
-    ]
+    }
+    workers = list(machines)[: advice.MOST_WORKERS]
     step = group.tasks[0].name.rpartition('.')[0]
     asked_s = clock.now_s()
     group.advised_until_s = asked_s + RETRY_S
@@ -80,22 +82,25 @@
     if not workers:
         return
     try:
-        advised = await advice.ask(calls, step, workers)
+        answer = await advice.ask(calls, step, workers)
     except errors.CallFailed as error:
         event_log.emit('advice', 'failed', step=step, why=error.reason)
         return
     now_s = clock.now_s()
-    group.tickets = dict(advised.tickets)
+    group.tickets = dict(answer.tickets)
+    advised.record_refusals(
+        group, [(machines[name], name) for name in workers], now_s
+    )
     event_log.emit(
         'advice',
         'got',
         step=step,
         asked=len(workers),
-        good=len(advised.tickets),
+        good=len(answer.tickets),
         after_s=round(now_s - asked_s, 3),
     )
-    if advised.tickets:
+    if answer.tickets:
         group.advised_until_s = now_s + max(
-            0.0, advised.valid_s - EXPIRY_MARGIN_S
+            0.0, answer.valid_s - EXPIRY_MARGIN_S
         )
     await leader.placement_due.set()
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -24,6 +24,7 @@
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import advised
 from oleanderwood.pools import incarnations
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
@@ -330,7 +331,8 @@
     for service, groups in relocating.starved_by_pool(leader, now_s).items():
         if service in views:
             for group in groups:
-                _record_lack(views[service], group.step)
+                refused = advised.refused_machines(group, now_s)
+                _record_lack(views[service], group.step, refused)
     quotas = schedule.quotas_of(
         leader, schedule.pools_with_unknown_runs(leader), now_s
     )
@@ -354,8 +356,11 @@
                     row.worker for row in view.members if row.worker
                 )
             free_capacity = idle_capacity[view.service]
-            if _needs_other_machines(leader, group, view, free_capacity):
-                _record_lack(view, group.step)
+            refused = advised.refused_machines(group, now_s)
+            if _needs_other_machines(
+                leader, group, view, free_capacity, refused
+            ):
+                _record_lack(view, group.step, refused)
         if placing.is_too_late(group.entry, queue, leader.lengths, now_s):
             # Its pool gets a machine on which it can run, but no more than
             # that.
@@ -380,16 +385,25 @@
     view: rebalancing.PoolView, group: ledgers.Group
 ) -> bool:
     """Return whether a step's pool may lack machines suitable for it."""
-    if group.step.label:
-        return group.step.label not in view.lacks_labels
+    label = group.step.label
+    if label:
+        return label not in view.lacks_labels or bool(view.refused[label])
     if view.lacks_suitable_machine:
         return False
     return not view.members or shortage.has_placement_constraint(group)
 
 
-def _record_lack(view: rebalancing.PoolView, step: model.Step) -> None:
+def _record_lack(
+    view: rebalancing.PoolView, step: model.Step, refused: frozenset[str]
+) -> None:
+    """Record that a step fits on none of its pool's machines.
+
+    :param refused: machines on which the advice refuses the step
+    """
     if step.label:
         view.lacks_labels.add(step.label)
+        others = view.refused.get(step.label, refused)
+        view.refused[step.label] = refused & others
     else:
         view.lacks_suitable_machine = True
 
@@ -399,14 +413,20 @@
     group: ledgers.Group,
     view: rebalancing.PoolView,
     free_capacity: list[placing.FreeCapacity],
+    refused: frozenset[str],
 ) -> bool:
     """Return whether a step fits only on machines of other pools.
 
     :param free_capacity: free capacity of the pool's workers if all were idle
+    :param refused: machines on which the advice refuses the step
     """
     if not shortage.fits_nowhere(group, free_capacity):
         return False
-    machines = leader.fleet.machines.values()
+    machines = [
+        row
+        for row in leader.fleet.machines.values()
+        if row.machine not in refused
+    ]
     elsewhere = [row for row in machines if row.pool != view.service]
     if not any(
         shortage.could_hold(group.step, row.labels, row.capacity)
--- a/tests/test_labelled_moves.py
+++ b/tests/test_labelled_moves.py
@@ -7,6 +7,10 @@
 its first machines are held for a first burst that never comes; or gives only
 those that have been idle longest, which lack the label.
 
+Or machines with the label come that the advice refuses for the step. They went
+again as idle and came again; or, where two pools lacked the same label, each
+kept machines that only the other could use.
+
 The scenes bring the end of that order about: the first without advice, the
 second with it, where the pool has a machine with the label that the advice
 doesn't name.
@@ -27,6 +31,8 @@
 from oleanderwood.capacity import demand
 from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
+from oleanderwood.leading import pool_loop
+from oleanderwood.pools import advised
 from tests import utils_jobs
 from tests import utils_restarts
 from tests import utils_takeover as build
@@ -73,6 +79,60 @@
     assert moves == ['m3']
 
 
+def _pool(service, members, refused=()):
+    """Build a pool that lacks the label a."""
+    pool = rebalancing.PoolView(service, members)
+    pool.lacks_labels.add('a')
+    pool.refused['a'] = frozenset(refused)
+    return pool
+
+
+def _moves(*pools):
+    history = demand.ArrivalHistory()
+    decision = rebalancing.decide(pools, {}, history, MOVE_S, NOW_S)
+    return [(move.machine, move.target) for move in decision.moves]
+
+
+def test_machine_that_the_advice_refused_for_the_step_does_not_come_again():
+    """It came and went each second, and the one that would do never came."""
+    lacking = _pool(utils_jobs.POOL, [_member('m1', 'b', 0.0)], ['m2'])
+    members = [_member('m2', 'a', 10.0), _member('m3', 'a', 9.0)]
+    other = rebalancing.PoolView(OTHER, members)
+    assert _moves(lacking, other) == [('m3', utils_jobs.POOL)]
+
+
+def test_two_pools_exchange_machines_that_the_advice_refused_to_each():
+    """Each pool kept all its machines with the label that it lacked."""
+    first = _pool(utils_jobs.POOL, [_member('m1', 'a', 9.0)], ['m1'])
+    second = _pool(OTHER, [_member('m2', 'a', 9.0)], ['m2'])
+    assert _moves(first, second) == [
+        ('m2', utils_jobs.POOL),
+        ('m1', OTHER),
+    ]
+
+
+def test_label_counts_as_lacked_by_each_step_with_its_own_refusals():
+    """A machine is useless for a label only if all its steps refuse it."""
+    view = rebalancing.PoolView(utils_jobs.POOL, [])
+    step = utils_jobs.step(label='a')
+    pool_loop._record_lack(view, step, frozenset(('m1', 'm2')))
+    pool_loop._record_lack(view, step, frozenset(('m2', 'm3')))
+    assert view.refused == {'a': frozenset(('m2',))}
+
+
+def test_refusal_counts_for_a_while_and_until_the_advice_allows_the_machine():
+    ledger = utils_jobs.ledger_with(utils_jobs.job(utils_jobs.step()))
+    group = utils_jobs.task(ledger).group
+    group.tickets = {'w2': 'ticket'}
+    advised.record_refusals(group, [('m1', 'w1'), ('m2', 'w2')], NOW_S)
+    assert advised.refused_machines(group, NOW_S) == {'m1'}
+    later_s = NOW_S + advised.REFUSAL_MEMORY_S
+    assert not advised.refused_machines(group, later_s)
+    group.tickets = {'w3': 'ticket'}
+    advised.record_refusals(group, [('m1', 'w3')], NOW_S)
+    assert not advised.refused_machines(group, NOW_S)
+
+
 def test_job_ends_though_only_another_idle_pool_has_its_label():
     """The other pool was before its first burst and kept its machines."""
 
