Judge what a step lacks by the advice's last answer, not by its tickets

Cause: whether a step fits on none of its pool's machines was decided by tickets. Expired ones name lives that are over, so a pool whose machine had just restarted counted as lacking the label and took the last machine from standby in vain; while the advice is asked again, 0.2 s of each 2 s, there are none, so the lack vanished, and whoever decided just then saw a pool that lacked nothing.

The new test of `fits_nowhere` failed before for absent tickets and for the next life.

The fix holds as on which workers a step may run doesn't change: what the last answer said of a worker counts until the next one, for a machine's next life what it said of the last, and a worker that it wasn't asked about may do until it is.

test_shortage: a group with tickets has also been asked about its worker, as it always has; the check is the same.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -420,7 +420,7 @@
     :param free_capacity: free capacity of the pool's workers if all were idle
     :param refused: machines on which the advice refuses the step
     """
-    if not shortage.fits_nowhere(group, free_capacity):
+    if not shortage.fits_nowhere(group, free_capacity, refused):
         return False
     machines = [
         row
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -332,6 +332,14 @@
 
 def fits(candidate: FreeCapacity, group: ledgers.Group) -> bool:
     """Return whether one more task of a group may start on a worker."""
+    if group.tickets is not None:
+        if candidate.worker.entry.worker not in group.tickets:
+            return False
+    return has_capacity(candidate, group)
+
+
+def has_capacity(candidate: FreeCapacity, group: ledgers.Group) -> bool:
+    """Return whether one more task of a group fits, if it may run there."""
     if candidate.reserved:
         return False
     step = group.step
@@ -347,9 +355,6 @@
         needs, candidate.rejected_needs
     ):
         return False
-    if group.tickets is not None:
-        if candidate.worker.entry.worker not in group.tickets:
-            return False
     if step.label and step.label not in candidate.worker.entry.labels:
         return False
     limit = step.max_per_worker
--- a/oleanderwood/pools/shortage.py
+++ b/oleanderwood/pools/shortage.py
@@ -10,6 +10,7 @@
 
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.pools import advised
 from oleanderwood.pools import placing
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
@@ -18,7 +19,8 @@
 def has_placement_constraint(group: ledgers.Group) -> bool:
     """Return whether a step needs more than free capacity on some worker."""
     step = group.step
-    return step.gang or bool(step.label) or group.tickets is not None
+    is_advised = group.tickets is not None or bool(group.refused_until_s)
+    return step.gang or bool(step.label) or is_advised
 
 
 def idle_capacity(
@@ -31,13 +33,25 @@
 
 
 def fits_nowhere(
-    group: ledgers.Group, candidates: list[placing.FreeCapacity]
+    group: ledgers.Group,
+    candidates: list[placing.FreeCapacity],
+    refused: frozenset[str] = frozenset(),
 ) -> bool:
-    """Return whether no worker could start a step, even if all were idle."""
+    """Return whether no worker could start a step, even if all were idle.
+
+    :param refused: machines on which the advice refuses the step
+    """
+    candidates = [
+        row
+        for row in candidates
+        if advised.may_run(group, row.worker, refused)
+    ]
     if group.step.gang:
         members = [task for task in group.tasks if not task.done]
         return not placing.could_place_all(group, members, candidates)
-    return not any(placing.fits(candidate, group) for candidate in candidates)
+    return not any(
+        placing.has_capacity(candidate, group) for candidate in candidates
+    )
 
 
 def could_hold(
--- a/tests/test_labelled_moves.py
+++ b/tests/test_labelled_moves.py
@@ -33,6 +33,7 @@
 from oleanderwood import ids
 from oleanderwood.leading import pool_loop
 from oleanderwood.pools import advised
+from oleanderwood.pools import shortage
 from tests import utils_jobs
 from tests import utils_restarts
 from tests import utils_takeover as build
@@ -133,6 +134,28 @@
     assert not advised.refused_machines(group, NOW_S)
 
 
+def test_expired_or_missing_tickets_do_not_tell_what_a_pool_lacks():
+    """The lack came and went with each question, and a machine in vain."""
+    ledger = utils_jobs.ledger_with(utils_jobs.job(utils_jobs.step(label='a')))
+    group = utils_jobs.task(ledger).group
+    good = utils_jobs.worker('w1', labels=('a',))
+    refused = utils_jobs.worker('w2', labels=('a',))
+    group.asked, group.tickets = frozenset(('w1', 'w2')), {'w1': 'ticket'}
+    machines = frozenset((refused.entry.machine,))
+    for tickets in (group.tickets, None):
+        group.tickets = tickets
+        assert not _is_lacked(group, [good, refused], machines)
+        assert _is_lacked(group, [refused], machines)
+    restarted = utils_jobs.worker('w1b', labels=('a',))
+    group.tickets = {'w1': 'ticket'}
+    assert not _is_lacked(group, [restarted], machines)
+
+
+def _is_lacked(group, pool, refused):
+    candidates = shortage.idle_capacity(pool)
+    return shortage.fits_nowhere(group, candidates, refused)
+
+
 def test_job_ends_though_only_another_idle_pool_has_its_label():
     """The other pool was before its first burst and kept its machines."""
 
