Fetch machines kept for a burst for steps without a label, too

What callers saw: a gang wider than its pool stayed open for good beside an idle pool that would have held it (a scene of two pools with two machines each; a gang of three tasks, one on each machine).

Cause: the same as for a lacked label. A step that fits on none of its pool's machines, even idle ones, as it is a gang, needs more memory or is refused by the advice, got a machine only from standby and idle surplus, and a pool before its first burst counts none of its first machines as surplus. It also got a machine that the advice had refused.

The two new tests failed before (no move; the job open at 39 s, `fleet short` with 2 of 3 machines and two idle ones in the other pool). The fix holds as such a step is a lack like that of a label, for which any machine might do that the advice hasn't refused: one at a time, from the same machines. A step whose pool has no machine at all counts so as well. Long-running tasks that wait for room, and runs that are starved, still get machines from idle surplus alone.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -97,8 +97,9 @@
     :ivar lacks_suitable_machine: a step fits on none of its machines even if
         they are idle, or a long-running one fits on none as they are, and
         another machine might suit
-    :ivar lacks_labels: labels of steps for which the same holds; only a
-        machine with the label might suit
+    :ivar lacks_labels: labels of steps that fit on none of its machines even
+        if they are idle; only a machine with the label might suit, for the
+        empty label any machine
     :ivar refused: machines that suit none of the steps which lack a label, as
         the platform's advice refuses them, by label
     """
@@ -497,7 +498,7 @@
 def _moves_for_labels(
     pools: collections.abc.Sequence[PoolView], free: _Free
 ) -> list[Move]:
-    """Move one machine at a time to each pool that lacks a label.
+    """Move one machine at a time to each pool for each label that it lacks.
 
     A machine without the label would be of no use: two pools that each held
     the kind that the other needed waited forever.
@@ -513,9 +514,8 @@
             taken = _take_labelled(free, pool, label)
             if taken is not None:
                 source, member = taken
-                moves.append(
-                    Move(member.machine, source, pool.service, 'labelled')
-                )
+                why = 'labelled' if label else 'needed'
+                moves.append(Move(member.machine, source, pool.service, why))
                 free.incoming[pool.service] = (
                     free.incoming.get(pool.service, 0) + 1
                 )
@@ -524,7 +524,7 @@
 
 def _suits(pool: PoolView, label: str, member: Member) -> bool:
     """Return whether a machine might run a step that lacks a label."""
-    if label not in member.labels:
+    if label and label not in member.labels:
         return False
     return member.machine not in pool.refused.get(label, ())
 
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -13,7 +13,6 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import relocating
@@ -332,7 +331,10 @@
         if service in views:
             for group in groups:
                 refused = advised.refused_machines(group, now_s)
-                _record_lack(views[service], group.step, refused)
+                if group.step.label:
+                    _record_lack(views[service], group.step.label, refused)
+                else:
+                    views[service].lacks_suitable_machine = True
     quotas = schedule.quotas_of(
         leader, schedule.pools_with_unknown_runs(leader), now_s
     )
@@ -360,7 +362,7 @@
             if _needs_other_machines(
                 leader, group, view, free_capacity, refused
             ):
-                _record_lack(view, group.step, refused)
+                _record_lack(view, group.step.label, refused)
         if placing.is_too_late(group.entry, queue, leader.lengths, now_s):
             # Its pool gets a machine on which it can run, but no more than
             # that.
@@ -386,25 +388,22 @@
 ) -> bool:
     """Return whether a step's pool may lack machines suitable for it."""
     label = group.step.label
-    if label:
-        return label not in view.lacks_labels or bool(view.refused[label])
-    if view.lacks_suitable_machine:
-        return False
+    if label in view.lacks_labels:
+        return bool(view.refused[label])
     return not view.members or shortage.has_placement_constraint(group)
 
 
 def _record_lack(
-    view: rebalancing.PoolView, step: model.Step, refused: frozenset[str]
+    view: rebalancing.PoolView, label: str, refused: frozenset[str]
 ) -> None:
     """Record that a step fits on none of its pool's machines.
 
+    :param label: label that the step asks for, or none
     :param refused: machines on which the advice refuses the step
     """
-    if step.label:
-        view.lacks_labels.add(step.label)
-        others = view.refused.get(step.label, refused)
-        view.refused[step.label] = refused & others
-    else:
+    view.lacks_labels.add(label)
+    view.refused[label] = refused & view.refused.get(label, refused)
+    if not label:
         view.lacks_suitable_machine = True
 
 
--- a/tests/test_labelled_moves.py
+++ b/tests/test_labelled_moves.py
@@ -80,6 +80,17 @@
     assert moves == ['m3']
 
 
+def test_pool_before_its_first_burst_gives_a_machine_that_another_step_lacks():
+    """A step that needs no label, but more than its pool, waited for good."""
+    lacking = rebalancing.PoolView(utils_jobs.POOL, [_member('m1', 'b', 0.0)])
+    pool_loop._record_lack(lacking, '', frozenset(('m2',)))
+    members = [_member('m2', 'b', 9.0), _member('m3', 'a', 8.0)]
+    other = rebalancing.PoolView(OTHER, members, first_size=2)
+    history = demand.ArrivalHistory(pools=frozenset((utils_jobs.POOL, OTHER)))
+    decision = rebalancing.decide([lacking, other], {}, history, MOVE_S, NOW_S)
+    assert [move.machine for move in decision.moves] == ['m3']
+
+
 def _pool(service, members, refused=()):
     """Build a pool that lacks the label a."""
     pool = rebalancing.PoolView(service, members)
@@ -115,9 +126,8 @@
 def test_label_counts_as_lacked_by_each_step_with_its_own_refusals():
     """A machine is useless for a label only if all its steps refuse it."""
     view = rebalancing.PoolView(utils_jobs.POOL, [])
-    step = utils_jobs.step(label='a')
-    pool_loop._record_lack(view, step, frozenset(('m1', 'm2')))
-    pool_loop._record_lack(view, step, frozenset(('m2', 'm3')))
+    pool_loop._record_lack(view, 'a', frozenset(('m1', 'm2')))
+    pool_loop._record_lack(view, 'a', frozenset(('m2', 'm3')))
     assert view.refused == {'a': frozenset(('m2',))}
 
 
@@ -174,6 +184,19 @@
     assert not result.unfinished and not result.breaches
 
 
+def test_gang_that_is_wider_than_its_pool_ends_beside_an_idle_pool():
+    """The other pool was before its first burst and kept its machines."""
+    gang = {'gang': True, 'max_per_server': 1}
+
+    async def story(scene):
+        step = {**build.step(3, 16000, 600), **gang}
+        await build.submit_job(scene, build.leader(scene), step)
+
+    plan = dataclasses.replace(build.TWO_POOLS, machines_a_pool=2)
+    result = build.play(story, plan)
+    assert not result.unfinished and not result.breaches
+
+
 ADVISED = dataclasses.replace(
     build.TWO_POOLS,
     machines_a_pool=4,
