Ask for advice on a long-running task that has to leave its machine

Cause: a wave judged whether another worker has room by the step's old tickets. Advice is asked for steps that wait to start and for starved ones; nothing of this step waited, so its tickets had expired and named no worker that came later. The reason changed because the machine that the wave asked for counted as needed by its pool: the pool had none to spare, the wave stopped asking, and the pool had one to spare again.

Ruled out: no room, the budget, advice against the idle machines (asked anew, it names them).

Now such a step is recorded and advised on before it is judged; its last judgement counts while the advice is asked again. Waves respect what a pool needs for its work, not a machine that it lacks because none of its own suits a step: that is another one.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -135,10 +135,12 @@
 class Need:
     """Number of machines that a pool needs.
 
-    :ivar now: for its present work and for arrivals at the current rate
+    :ivar work: for its present work and for arrivals at the current rate
+    :ivar now: also for a step that none of its machines suits
     :ivar soon: also for a burst that is about to start
     """
 
+    work: int
     now: int
     soon: int
 
@@ -178,10 +180,11 @@
         cores += sum(member.unavailable_cores for member in pool.members)
     usable_cores = machine_cores * USABLE_CORES_SHARE
     if not usable_cores:
-        return Need(0, 0)
+        return Need(0, 0, 0)
     now = math.ceil(cores / usable_cores)
     if pool_history is not None and demand.is_ramping_up(pool_history, now_s):
         now = max(now, _ramp_up_machines(pool, history))
+    work = now
     if pool.lacks_suitable_machine:
         # Machines come one at a time, and the present ones stay: when sent
         # away as idle, they kept coming back, 26 times in a run of 90 s.
@@ -199,7 +202,7 @@
                 + FORECAST_SHARE * pool_history.burst_cores
             )
             soon = math.ceil(forecast_cores / usable_cores)
-    return Need(now, max(now, soon))
+    return Need(work, now, max(now, soon))
 
 
 def _is_incoming(members: collections.abc.Iterable[Member]) -> bool:
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -7,6 +7,7 @@
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import relocating
+from oleanderwood.leading import relocations
 from oleanderwood.leading import state as states
 from oleanderwood.platform import advice
 from oleanderwood.pools import advised
@@ -47,8 +48,10 @@
         for name, worker in leader.workers.items()
         if not worker.entry.draining
     }
+    # Tasks of these run: their tickets expire, though nothing waits to start.
     starved = relocating.starved_groups(leader, now_s)
-    for group in [*leader.ledger.open_groups, *starved]:
+    leaving = relocations.waiting_groups(leader, now_s)
+    for group in [*leader.ledger.open_groups, *starved, *leaving]:
         queue = placing.queue_of(group.entry, known)
         if not queue.needs_advice:
             continue
--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -8,19 +8,17 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
-from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import pool_loop
+from oleanderwood.leading import relocations
 from oleanderwood.leading import state as states
-from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import disruption_budget
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
 from oleanderwood.platform import operator
 from oleanderwood.policy import hours
 from oleanderwood.policy import model as policies
-from oleanderwood.pools import placing
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 
@@ -104,7 +102,7 @@
             worker.closed = name in decision.close
             worker.maintenance_due = name not in progress.begun
     if decision.relocate is not None and not decision.order:
-        await _relocate(leader, decision.relocate)
+        await relocations.relocate(leader, decision.relocate)
     to_order = [
         name
         for name in decision.order
@@ -125,32 +123,6 @@
     await _write_status(leader, progress, decision.completed)
 
 
-async def _relocate(leader: states.Leader, task: ledgers.Task) -> None:
-    """Stop a long-running task once another worker has free capacity for it.
-
-    Stopped earlier, it was started again on the same machine: in a wave of 116
-    machines one task was stopped every five seconds, and its machine's
-    maintenance was late.
-    """
-    current = leader.workers.get(task.run.worker)
-    if current is None:
-        return
-    pool = current.entry.service
-    others = [
-        worker
-        for worker in leader.workers.values()
-        if worker.entry.service == pool
-        and worker.is_in_stored_list
-        and worker is not current
-        and not worker.maintenance_due
-    ]
-    if not placing.has_free_capacity(task.group, others, clock.now_s()):
-        leader.fleet.pools_without_capacity.add(pool)
-        return
-    event_log.emit('wave', 'relocates', task=task.name)
-    await worker_loop.stop_run(leader, task)
-
-
 def _bounds(leader: states.Leader) -> rolling.Bounds:
     """Return the operators' current limits on maintenance."""
     policy = leader.policy.policy
@@ -161,7 +133,7 @@
     )
     return rolling.Bounds(
         policies.min_up(policy),
-        {service: need.now for service, need in leader.fleet.needs.items()},
+        {service: need.work for service, need in leader.fleet.needs.items()},
         policy.maintenance.hold,
         quiet,
     )
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -16,6 +16,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import relocating
+from oleanderwood.leading import relocations
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -233,11 +234,9 @@
         elif machine.state is fleet.State.UP and service in standby:
             standby[service].append(member)
     _record_demand(leader, views, now_s)
-    for service in sorted(
-        leader.fleet.pools_without_capacity.intersection(views)
-    ):
-        views[service].lacks_suitable_machine = True
-    leader.fleet.pools_without_capacity.clear()
+    for service in relocations.pools_without_capacity(leader, now_s):
+        if service in views:
+            views[service].lacks_suitable_machine = True
     min_up = policies.min_up(leader.policy.policy)
     _record_first_sizes(leader, views)
     for service, view in views.items():
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -18,6 +18,7 @@
 from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import roles as roles_
 from oleanderwood.maintenance import fleet as fleet_
+from oleanderwood.maintenance import relocation
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import executors
 from oleanderwood.platform import machines as machines_
@@ -202,8 +203,7 @@
     :ivar needs: number of machines that each pool needs now
     :ivar shortage_logged_s: time at which a shortage of machines was last
         logged
-    :ivar pools_without_capacity: pools in which no worker can take a
-        long-running task that has to move
+    :ivar relocations: by step, for long-running tasks that have to leave
     :ivar move_retry_after_s: time until which a machine is not asked to move
         again
     :ivar announced: time at which an order was announced, by machine
@@ -238,8 +238,8 @@
         default_factory=dict
     )
     shortage_logged_s: float = -1e9
-    pools_without_capacity: set[ids.ServiceId] = dataclasses.field(
-        default_factory=set
+    relocations: dict[ledgers.Group, relocation.Relocation] = (
+        dataclasses.field(default_factory=dict)
     )
     move_retry_after_s: dict[str, float] = dataclasses.field(
         default_factory=dict
--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -33,8 +33,9 @@
     """Limits that operators and demand set on maintenance.
 
     :ivar min_up: machines that each pool keeps up, by its name
-    :ivar needed: machines that each pool needs for its work; a wave in a hurry
-        ignores them
+    :ivar needed: machines that each pool needs for its work, those that it
+        lacks because none of its own suits aside; a wave in a hurry ignores
+        them
     :ivar hold: no machine goes down
     :ivar quiet: only a wave in a hurry proceeds
     """
--- a/tests/test_labelled_moves.py
+++ b/tests/test_labelled_moves.py
@@ -17,23 +17,20 @@
 """
 
 import dataclasses
-import json
 
 import curio
 import pytest
 
 from emulator import advice
-from emulator import day
 from emulator import features
 from emulator import fleet as fleets
-from emulator import servers
-from emulator import store as stores
 from oleanderwood.capacity import demand
 from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
 from oleanderwood.leading import pool_loop
 from oleanderwood.pools import advised
 from oleanderwood.pools import shortage
+from tests import utils_advice
 from tests import utils_jobs
 from tests import utils_restarts
 from tests import utils_takeover as build
@@ -210,21 +207,6 @@
 """Of a job for which advice names m2, m6 and m8, of those with the label."""
 
 
-async def _need_advice(scene):
-    """Let the starts of all tasks need advice, and the servers know it."""
-    service = scene.callers.world.advising = advice.Service()
-    scene.network.handlers[servers.ADVICE_ADDRESS] = advice.make_handler(
-        service
-    )
-    value = json.loads(day.configuration(ADVISED.pools, ADVISED.features))
-    value['version'] += 1
-    await stores.put(scene.store, 'op/config', json.dumps(value).encode())
-    for process in scene.processes:
-        process.advised = True
-        await servers.start(scene.network, process)
-    await curio.sleep(build.FINISH_S)
-
-
 async def _move(scene, machine, pool):
     """Move a machine to a pool, as an order does."""
     await fleets.end_life(scene.fleet, machine, 'order')
@@ -237,7 +219,7 @@
     """The machine with the label that was left is none that advice names."""
 
     async def story(scene):
-        await _need_advice(scene)
+        await utils_advice.need_advice(scene, ADVISED)
         machines = scene.fleet.machines
         scene.jobs = JOB_NUMBER - 1
         step = {**build.step(2, 1000, 2000), 'required_label': 'a'}
