Keep the time at which a worker went when its entry comes back

Evidence: of three executors that restart at once (i-m7, i-m1 and i-m8 silent at 9.317, 'connection reset'), i-m7 is judged at 9.370: three within 0.1 s, a common cause. Its entry is written once more; the incarnation that had ended is registered again, found restarted a second time at 9.670, without a run, and the time of its loss becomes 9.670. So i-m8, judged at 10.319, counts i-m1 alone, and its crash is held against its runs with their ages.

Cause: the last time at which an incarnation was found to have ended replaced the first. One that hasn't answered since it was registered can't have ended anew: its first time stays. Ruled out: the silence of i-m1 was known and counted.

The test fails on the code before (a task is suspected) and passes now.

--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -66,7 +66,11 @@
         if other.silent_since_s is not None
     }
     others.pop(worker.entry.worker, None)
-    leader.recently_gone = recent | {worker.entry.worker: gone_s}
+    name = worker.entry.worker
+    if worker.fenced or name not in recent:
+        # An entry written late registers an ended incarnation once more.
+        recent[name] = gone_s
+    leader.recently_gone = recent
     return blame.has_common_cause(gone_s, others.values())
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,6 +14,7 @@
 from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
 from tests import utils_leading
+from tests import utils_restarts as restarts
 from tests import utils_takeover as takeovers
 
 Crash = crashes_.Crash
@@ -317,3 +318,36 @@
     takeovers.play(scenario)
     suspected = [event for event in events if event[1] == 'suspected']
     assert bool(suspected) == (others == 0)
+
+
+def test_ended_incarnation_that_is_registered_again_keeps_its_time(
+    monkeypatch,
+):
+    """Three executors fail at once, and one entry is written late.
+
+    The first to be back was judged by the time at which its late entry was
+    read, so that for the others only two had failed at once.
+    """
+    events = utils_leading.record_events(monkeypatch)
+
+    async def scenario(scene):
+        step = takeovers.step(3, 16000, 3000)
+        await takeovers.submit_job(scene, takeovers.leader(scene), step)
+        await curio.sleep(0.03)
+        machines = list(scene.fleet.machines.values())[:3]
+        for machine, away_s in zip(machines, (0.05, 1.0, 1.0), strict=True):
+            await curio.spawn(
+                restarts.restart,
+                scene,
+                machine.address,
+                away_s,
+                away_s < 1.0,
+                True,
+                daemon=True,
+            )
+        await curio.sleep(3.0)
+
+    restarts.play(scenario)
+    restarted = [event for event in events if event[1] == 'restarted']
+    assert len(restarted) > 3
+    assert not [event for event in events if event[1] == 'suspected']
