Weigh crashes by what else makes workers go, and by how alike ages are

Now a crash keeps whether workers were going for other causes (a trailing field: older servers ignore it, and read as before). Where each isolated crash of a task came so, and no two of its crashes were alike in age, a point is taken off: one isolated crash more. Ages that are alike, but not the same, count 2 points in place of 3.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import math
 
 import msgspec
 
@@ -24,21 +25,30 @@
 
 SIMILAR_AGE_MS = 20
 SIMILAR_AGE_FACTOR = 0.05
-"""Two ages are similar if they differ by at most this constant plus this
-fraction of the age."""
+SAME_AGE_MS = 5
+SAME_AGE_FACTOR = 0.01
+"""Two ages are similar, or the same, if they differ by at most this constant
+plus this fraction of the age."""
 
 CONCLUSIVE_POINTS = 8
 """Points at which a task's job fails. Reached by two early crashes at similar
-ages, the second isolated; by three crashes at similar ages; or by two
-isolated crashes after two that other runs could have caused."""
+ages, the second isolated; by three crashes at similar ages, one isolated; by
+two at the same age, the second isolated, after any other; or by two isolated
+crashes after two that other runs could have caused, three if they may be a
+coincidence."""
 
 NOT_ISOLATED_POINTS = 1
 ISOLATED_POINTS = 3
 EARLY_POINTS = 1
-SIMILAR_AGE_POINTS = 3
+SIMILAR_AGE_POINTS = 2
+SAME_AGE_POINTS = 3
 """Points of a crash: the first if other runs could have caused it, the second
 if none could; the third in addition if it was early, the fourth if an earlier
-crash came at a similar age."""
+crash came at a similar age, the fifth instead if one came at the same age.
+Restarts for other causes come at a similar age now and then."""
+
+COINCIDENCE_POINTS = 1
+"""Points taken off once if the isolated crashes may be a coincidence."""
 
 MIN_PROBATION_S = 0.3
 MAX_PROBATION_S = 1.0
@@ -56,12 +66,14 @@
     :ivar age_ms: upper bound of the run's age; -1 if unknown
     :ivar doubt_ms: by how much the run may have been younger
     :ivar isolated: no other run on the worker could have caused the crash
+    :ivar in_unrest: workers crashed at that time that no run had crashed
     """
 
     attempt: int
     age_ms: int = -1
     doubt_ms: int = 0
     isolated: bool = False
+    in_unrest: bool = False
 
 
 Crashes = collections.abc.Collection[Crash]
@@ -75,13 +87,12 @@
 def is_conclusive(crashes: Crashes) -> bool:
     """Return whether the evidence suffices to fail the task's job."""
     rows = sorted(crashes, key=lambda crash: crash.attempt)
-    points = 0
+    points = -COINCIDENCE_POINTS if _may_be_coincidence(rows) else 0
     for number, row in enumerate(rows):
         points += ISOLATED_POINTS if row.isolated else NOT_ISOLATED_POINTS
         if _is_early(row):
             points += EARLY_POINTS
-        if any(_have_similar_ages(row, other) for other in rows[:number]):
-            points += SIMILAR_AGE_POINTS
+        points += _points_for_age(row, rows[:number])
     return len(rows) > 1 and points >= CONCLUSIVE_POINTS
 
 
@@ -89,11 +100,37 @@
     return 0 <= crash.age_ms <= EARLY_CRASH_MS
 
 
-def _have_similar_ages(crash: Crash, other: Crash) -> bool:
-    if not (_is_age_comparable(crash) and _is_age_comparable(other)):
-        return False
-    tolerance_ms = SIMILAR_AGE_MS + SIMILAR_AGE_FACTOR * crash.age_ms
-    return abs(crash.age_ms - other.age_ms) <= tolerance_ms
+def _may_be_coincidence(rows: list[Crash]) -> bool:
+    """Return whether the isolated crashes may have other causes than the task.
+
+    Workers crashed for other causes at the time of each, and no two crashes
+    came at similar ages. A task that crashes its workers tends to do so at
+    one age.
+    """
+    isolated = [row for row in rows if row.isolated]
+    in_unrest = bool(isolated) and all(row.in_unrest for row in isolated)
+    return in_unrest and not any(
+        _points_for_age(row, rows[:number]) for number, row in enumerate(rows)
+    )
+
+
+def _points_for_age(crash: Crash, earlier: list[Crash]) -> int:
+    """Return the points of a crash for coming at the age of an earlier one."""
+    if not _is_age_comparable(crash):
+        return 0
+    difference_ms = min(
+        (
+            abs(crash.age_ms - other.age_ms)
+            for other in earlier
+            if _is_age_comparable(other)
+        ),
+        default=math.inf,
+    )
+    if difference_ms <= SAME_AGE_MS + SAME_AGE_FACTOR * crash.age_ms:
+        return SAME_AGE_POINTS
+    if difference_ms <= SIMILAR_AGE_MS + SIMILAR_AGE_FACTOR * crash.age_ms:
+        return SIMILAR_AGE_POINTS
+    return 0
 
 
 def _is_age_comparable(crash: Crash) -> bool:
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -6,6 +6,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
 from oleanderwood.pools import blame
+from oleanderwood.pools import incarnations
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 
@@ -31,8 +32,17 @@
     # A worker that drains, or is about to be ordered down, may crash first.
     if planned or (worker.entry.draining and blame.are_settled(losses)):
         return losses
+    leader.recently_gone = {
+        name: row
+        for name, row in leader.recently_gone.items()
+        if row.at_s > now_s - RECENT_S
+    }
     common = _is_correlated(leader, worker, now_s)
-    for task in blame.attribute(leader.ledger, losses, common, now_s):
+    in_unrest = _is_in_unrest(leader, worker)
+    _remember(leader, worker, losses, now_s)
+    for task in blame.attribute(
+        leader.ledger, losses, common, now_s, in_unrest=in_unrest
+    ):
         entry = task.group.entry
         server_metrics.SUSPICIONS.labels(entry.state.value).inc()
         event_log.emit(
@@ -54,24 +64,49 @@
 
     Others count if they are gone, or silent at present.
     """
-    gone_s = now_s if worker.silent_since_s is None else worker.silent_since_s
-    recent = {
-        name: at_s
-        for name, at_s in leader.recently_gone.items()
-        if at_s > now_s - RECENT_S
-    }
-    others = recent | {
+    others = {name: row.at_s for name, row in leader.recently_gone.items()}
+    others |= {
         other.entry.worker: other.silent_since_s
         for other in leader.workers.values()
         if other.silent_since_s is not None
     }
     others.pop(worker.entry.worker, None)
+    return blame.has_common_cause(_gone_s(worker, now_s), others.values())
+
+
+def _is_in_unrest(leader: states.Leader, worker: workers_.Worker) -> bool:
+    """Return whether other executors failed recently without explanation."""
+    executors = {
+        incarnations.executor_of(name)
+        for name, row in leader.recently_gone.items()
+        if row.unexplained
+    }
+    executors.discard(incarnations.executor_of(worker.entry.worker))
+    return blame.are_in_unrest(len(executors), len(leader.workers))
+
+
+def _remember(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    losses: list[workers_.Loss],
+    now_s: float,
+) -> None:
+    """Remember that a worker failed.
+
+    What ran on a worker that hasn't answered this leader isn't known. Nor is
+    when it failed; its entry may have been written once more afterwards.
+    """
     name = worker.entry.worker
-    if worker.fenced or name not in recent:
-        # An entry written late registers an ended incarnation once more.
-        recent[name] = gone_s
-    leader.recently_gone = recent
-    return blame.has_common_cause(gone_s, others.values())
+    unexplained = worker.fenced and not blame.is_explained(losses)
+    row = blame.Departure(_gone_s(worker, now_s), unexplained)
+    if worker.fenced:
+        leader.recently_gone[name] = row
+    else:
+        leader.recently_gone.setdefault(name, row)
+
+
+def _gone_s(worker: workers_.Worker, now_s: float) -> float:
+    return now_s if worker.silent_since_s is None else worker.silent_since_s
 
 
 def log_fields(losses: list[workers_.Loss]) -> dict[str, dict[str, list[int]]]:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -24,6 +24,7 @@
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import blame
 from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import fences as fences_
 from oleanderwood.pools import incarnations
@@ -304,8 +305,7 @@
         have ended, in the order of registration
     :ivar ended_incarnations: incarnations found to have ended that have not
         been reported yet
-    :ivar recently_gone: time at which each recently lost worker was found to
-        be gone
+    :ivar recently_gone: how each worker that failed recently went down
     :ivar arrivals_s: recent arrival times, by tenant, of jobs within the rate
         that the tenant's weight allows
     :ivar limits_logged_s: time at which a tenant's limit was last logged
@@ -337,7 +337,7 @@
     ended_incarnations: list[workers_.Worker] = dataclasses.field(
         default_factory=list
     )
-    recently_gone: dict[ids.VmId, float] = dataclasses.field(
+    recently_gone: dict[ids.VmId, blame.Departure] = dataclasses.field(
         default_factory=dict
     )
     arrivals_s: dict[ids.TenantId, collections.deque[float]] = (
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -1,6 +1,7 @@
 """Decides which tasks are blamed for the crash of their worker. Pure."""
 
 import collections.abc
+import dataclasses
 
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
@@ -12,6 +13,24 @@
 """When this many workers go down within this time of each other, the cause is
 a common one: a rack, a switch or a site's power."""
 
+UNREST_WORKERS = 2
+UNREST_FRACTION = 0.2
+"""Workers are in unrest if at least this many, and this fraction of all, have
+crashed lately without a run that is likely to have caused it. A worker on
+which a suspected task is tried may then crash without being crashed by it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A worker that went down without an order.
+
+    :ivar at_s: when it went down
+    :ivar unexplained: nothing on it is likely to have crashed it
+    """
+
+    at_s: float
+    unexplained: bool
+
 
 def has_common_cause(
     gone_s: float, others_s: collections.abc.Iterable[float]
@@ -27,11 +46,31 @@
     return count + 1 >= COMMON_CAUSE_WORKERS
 
 
+def is_explained(losses: list[workers_.Loss]) -> bool:
+    """Return whether a run lost with a worker is likely to have crashed it.
+
+    It was on probation, or had only just been started.
+    """
+    return any(
+        isolation.is_on_probation(row.task) or _is_early(row) for row in losses
+    )
+
+
+def are_in_unrest(unexplained: int, workers: int) -> bool:
+    """Return whether workers crash for other causes than their runs.
+
+    :param unexplained: how many crashed lately with no run to explain it
+    :param workers: number of all workers
+    """
+    return unexplained >= max(UNREST_WORKERS, UNREST_FRACTION * workers)
+
+
 def attribute(
     ledger: ledgers.Ledger,
     losses: list[workers_.Loss],
     common: bool,
     now_s: float,
+    in_unrest: bool = False,
 ) -> list[ledgers.Task]:
     """Attribute the crash of a worker to tasks; return those now suspected.
 
@@ -42,6 +81,7 @@
 
     :param common: the worker went down together with others, so the age of a
         run proves nothing
+    :param in_unrest: other workers crash at present for other causes
     """
     losses = [
         row for row in losses if not workers_.is_established(row.task, now_s)
@@ -66,7 +106,9 @@
         if row.age_s is not None and not common:
             age_ms = round(row.age_s * 1000)
         doubt_ms = round(row.doubt_s * 1000)
-        crash = crashes_.Crash(task.run.attempt, age_ms, doubt_ms, isolated)
+        crash = crashes_.Crash(
+            task.run.attempt, age_ms, doubt_ms, isolated, in_unrest
+        )
         isolation.record_crash(ledger, task, crash, now_s)
         if task.index in task.group.suspects:
             suspected.append(task)
@@ -82,6 +124,12 @@
     return row.age_s is not None and row.age_s >= crashes_.SETTLED_S
 
 
+def _is_early(row: workers_.Loss) -> bool:
+    return (
+        row.age_s is not None and row.age_s * 1000 <= crashes_.EARLY_CRASH_MS
+    )
+
+
 def _blamed_unit(task: ledgers.Task) -> ledgers.Group | str:
     """Return what is blamed as a unit: a gang, or else a task."""
     return task.group if task.group.step.gang else task.name
