Don't take trials that crash at the same time for a common cause

What callers saw: jobs wait for up to half a minute beside many that crash their workers (test_jobs_end_beside_many_that_crash_their_workers; still red, this is one of several causes).

Cause: suspected tasks of several jobs are tried at once, each crashes its worker some 10 ms after its start, and three workers that go within 0.1 s count as a power loss: the crashes are noted without an age and as not isolated, and each task takes one worker or two more. Ruled out: ages that aren't known, and trials that aren't isolated.

Why it holds: a worker on which a tried task crashed early, or at the age of an earlier crash, isn't counted as one that went together with others. It is itself still judged by others: with two that aren't explained it counts as a common cause.

The first new test failed before; the second guards the rule that stays and passes before, too.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -114,7 +114,7 @@
     )
 
 
-def _points_for_age(crash: Crash, earlier: list[Crash]) -> int:
+def _points_for_age(crash: Crash, earlier: Crashes) -> int:
     """Return the points of a crash for coming at the age of an earlier one."""
     if not _is_age_comparable(crash):
         return 0
@@ -148,3 +148,9 @@
         return MAX_PROBATION_S
     longest_s = 2 * max(ages) / 1000
     return min(MAX_PROBATION_S, max(MIN_PROBATION_S, longest_s))
+
+
+def is_expected_age(age_ms: int, crashes: Crashes) -> bool:
+    """Return whether a suspected task would crash its worker at an age."""
+    crash = Crash(UNREPORTED, age_ms)
+    return _is_early(crash) or _points_for_age(crash, crashes) > 0
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -62,13 +62,19 @@
 ) -> bool:
     """Return whether a worker failed together with others.
 
-    Others count if they are gone, or silent at present.
+    Others count if they are gone, or silent at present, unless a task that was
+    tried there explains it: tasks of several jobs may be tried at once.
     """
-    others = {name: row.at_s for name, row in leader.recently_gone.items()}
+    others = {
+        name: row.at_s
+        for name, row in leader.recently_gone.items()
+        if not row.on_trial
+    }
     others |= {
         other.entry.worker: other.silent_since_s
         for other in leader.workers.values()
         if other.silent_since_s is not None
+        and not blame.crashed_on_trial(other, other.silent_since_s)
     }
     others.pop(worker.entry.worker, None)
     return blame.has_common_cause(_gone_s(worker, now_s), others.values())
@@ -97,8 +103,12 @@
     when it failed; its entry may have been written once more afterwards.
     """
     name = worker.entry.worker
-    unexplained = worker.fenced and not blame.is_explained(losses)
-    row = blame.Departure(_gone_s(worker, now_s), unexplained)
+    gone_s = _gone_s(worker, now_s)
+    row = blame.Departure(
+        gone_s,
+        unexplained=worker.fenced and not blame.is_explained(losses),
+        on_trial=blame.crashed_on_trial(worker, gone_s),
+    )
     if worker.fenced:
         leader.recently_gone[name] = row
     else:
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -26,10 +26,12 @@
 
     :ivar at_s: when it went down
     :ivar unexplained: nothing on it is likely to have crashed it
+    :ivar on_trial: a suspected task that was tried there crashed it
     """
 
     at_s: float
     unexplained: bool
+    on_trial: bool = False
 
 
 def has_common_cause(
@@ -65,6 +67,30 @@
     return unexplained >= max(UNREST_WORKERS, UNREST_FRACTION * workers)
 
 
+def crashed_on_trial(worker: workers_.Worker, gone_s: float) -> bool:
+    """Return whether a task on probation explains the crash of its worker.
+
+    It does if it crashed early, or at the age at which it did before.
+
+    :param gone_s: when the worker went down
+    """
+    return any(
+        isolation.is_on_probation(task)
+        and task.run.worker == worker.entry.worker
+        and _crashed_as_before(task, gone_s)
+        for task in worker.runs.values()
+    )
+
+
+def _crashed_as_before(task: ledgers.Task, gone_s: float) -> bool:
+    if task.run.sent_s is None:
+        return False
+    age_ms = round((gone_s - task.run.sent_s) * 1000)
+    return crashes_.is_expected_age(
+        age_ms, isolation.crashes_of(task).values()
+    )
+
+
 def attribute(
     ledger: ledgers.Ledger,
     losses: list[workers_.Loss],
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Tests of attributing crashes of workers to tasks, and of isolating these."""
 
+import types
+
 import curio
 import hypothesis
 from hypothesis import strategies
@@ -7,11 +9,13 @@
 import pytest
 
 from emulator import fleet as fleets
+from oleanderwood import clock
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
+from oleanderwood.leading import losses as losses_
 from oleanderwood.pools import blame
 from oleanderwood.pools import placing
 from oleanderwood.pools import workers as workers_
@@ -237,6 +241,44 @@
     assert blame.are_in_unrest(unexplained, workers) == in_unrest
 
 
+def _trials_that_crash(ages_s):
+    """Build a leader whose workers crash at once, each under a tried task.
+
+    Each task has crashed a worker before, at its start.
+    """
+    ledger = build.ledger_with(build.job(build.step(len(ages_s))))
+    leader = types.SimpleNamespace(ledger=ledger, workers={}, recently_gone={})
+    crashed_s = clock.now_s()
+    for index, age_s in enumerate(ages_s):
+        task = build.task(ledger, index=index)
+        isolation.record_crash(ledger, task, _crash(1, EARLY_MS), 1.0)
+        worker = build.worker(f'w{index}')
+        run = build.start(ledger, task, worker, crashed_s - age_s)
+        run.attempt, run.sent, run.sent_s = 2, True, crashed_s - age_s
+        worker.silent_since_s = worker.silent_after_s = crashed_s
+        leader.workers[worker.entry.worker] = worker
+    return leader
+
+
+def test_trials_that_crash_at_the_same_time_are_no_common_cause():
+    """Else each crash counts for nothing, and costs one worker more."""
+    leader = _trials_that_crash((0.01, 0.02, 0.03))
+    worker = leader.workers.pop('w0')
+    (loss,) = losses_.record(leader, worker)
+    assert loss.task.crashes[2].isolated
+    assert loss.task.group.entry.state is model.State.FAILED
+
+
+def test_tried_tasks_are_not_blamed_if_workers_crash_together():
+    """At an age at which none of them crashed before, as power is lost."""
+    leader = _trials_that_crash((0.2, 0.23, 0.26))
+    for name in list(leader.workers):
+        worker = leader.workers.pop(name)
+        (loss,) = losses_.record(leader, worker)
+        assert not loss.task.crashes[2].isolated
+        assert loss.task.crashes[2].age_ms == -1
+
+
 def test_run_on_probation_is_blamed_alone_beside_settled_ones():
     ledger, tasks, worker = _worker_that_crashes(3, (0.02, 1.5, 3.0))
     isolation.record_crash(ledger, tasks[0], _crash(1, EARLY_MS), 1.0)
