Let suspected tasks use a whole pool while nothing else waits

Cause: half of a pool at most is reserved for tasks that are tried alone, even if no other step waits. Ruled out: crashes that the store lacks, and steps that wait for their own trial.

Why it holds: the bound leaves room to steps without suspected tasks; it applies whenever one waits. The first new test failed before; the second guards the bound and passes before, too.

--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -40,8 +40,8 @@
 
 
 RESERVED_WORKERS_DIVISOR = 2
-"""At most one in this many workers of a pool, but at least one, is reserved
-for tasks that are suspected of crashing their worker."""
+"""While other steps wait, at most one in this many workers of a pool, but at
+least one, is reserved for tasks suspected of crashing their worker."""
 
 INCOMPLETE_GANG_S = 0.4
 """Time in seconds after which the running members of a gang that lacks a
@@ -151,6 +151,7 @@
         _record_unsettled(free, now_s)
     quotas = quotas or quotas_.Quotas()
     unmet = Unmet()
+    max_reserved = _max_reserved(groups, free)
     decided: list[Placement] = []
     for group in groups:
         if not free or len(decided) >= max_starts:
@@ -161,10 +162,24 @@
             decided += _place_gang(group, free, now_s, quotas)
         else:
             left = max_starts - len(decided)
-            decided += _place_tasks(group, free, now_s, left, quotas, unmet)
+            decided += _place_tasks(
+                group, free, now_s, left, quotas, unmet, max_reserved
+            )
     return decided
 
 
+def _max_reserved(
+    groups: list[ledgers.Group], free: list[FreeCapacity]
+) -> int:
+    """Return how many workers may be reserved for suspected tasks.
+
+    The rest would be idle if all waiting steps have such tasks.
+    """
+    if all(group.suspects for group in groups):
+        return len(free)
+    return max(1, len(free) // RESERVED_WORKERS_DIVISOR)
+
+
 @dataclasses.dataclass
 class Unmet:
     """Requests that fit on no worker of a pool while starts are decided.
@@ -220,6 +235,7 @@
     max_starts: int,
     quotas: quotas_.Quotas,
     unmet: Unmet,
+    max_reserved: int,
 ) -> list[Placement]:
     placed: list[Placement] = []
     for task in isolation.startable(group):
@@ -231,7 +247,9 @@
         if best is None:
             _record_unmet(unmet, group)
             break
-        if task.index in group.suspects and not _reserve(best, free):
+        if task.index in group.suspects and not _reserve(
+            best, free, max_reserved
+        ):
             break
         _add_task(best, group)
         best.unsettled_s = crashes_.SETTLED_S
@@ -240,14 +258,15 @@
     return placed
 
 
-def _reserve(candidate: FreeCapacity, free: list[FreeCapacity]) -> bool:
+def _reserve(
+    candidate: FreeCapacity, free: list[FreeCapacity], max_reserved: int
+) -> bool:
     """Reserve a worker for a suspected task; return whether it may start now.
 
     Nothing else is started on the worker until its other tasks have run long
     enough not to be suspected.
     """
-    reserved_count = sum(other.reserved for other in free)
-    if reserved_count >= max(1, len(free) // RESERVED_WORKERS_DIVISOR):
+    if sum(other.reserved for other in free) >= max_reserved:
         return False
     candidate.reserved = True
     return candidate.unsettled_s <= 0.0
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -385,6 +385,36 @@
     assert _place(tasks, [young], 11.0) == [(tasks[0], 'w2')]
 
 
+def _decide_beside_suspected(count, others):
+    """Return what starts where several jobs have a suspected task each.
+
+    :param others: names of jobs without suspected tasks
+    """
+    ledger = ledgers.Ledger(1)
+    groups = []
+    for name in [*'abcdefgh'[:count], *others]:
+        job = build.job(build.step(1, cpu=8000), name=name * 16)
+        ledgers.add(ledger, job, 0.0)
+        task = build.task(ledger, name=name * 16)
+        groups.append(task.group)
+        if name not in others:
+            isolation.record_crash(ledger, task, _crash(1, EARLY_MS), 1.0)
+            entry = task.group.entry
+            entry.stored_crash_revision = entry.crash_revision
+    pool = [build.worker(f'w{number}') for number in range(count)]
+    decided = placing.decide(groups, pool, 10.0, 100)
+    return [row.task.name[0] for row in decided]
+
+
+def test_no_worker_is_idle_while_only_suspected_tasks_wait():
+    """Else those wait for one another beside idle workers."""
+    assert _decide_beside_suspected(4, '') == list('abcd')
+
+
+def test_suspected_tasks_leave_half_of_a_pool_to_others():
+    assert _decide_beside_suspected(4, 'xyz') == list('abxy')
+
+
 def test_nothing_starts_beside_a_run_on_probation():
     ledger, tasks, _entry = _suspected(1, [0])
     worker = build.worker()
