Keep a crash counted ahead when a later run is reported

Cause: with a crash, a leader stores the next start, which counts as a crash unless a worker reports that run. The record has no attempt number, and a report of any run after the last recorded crash dropped it, also one of a run that the present leader had started. At 18.084 attempt 1023001 of term 1024 was listed as running: the record of attempt 2 of term 256, which had crashed its worker at 6.869, went, and with it the suspicion and probation of the run under way. Its crash at 18.465 was then the second on record, and not isolated. Class: evidence about one run taken as evidence about another.

Ruled out: that the crash was never recorded, or lost in the store.

Why it holds: attempt numbers are reserved by term, so a run of an earlier leader is told from one of the present leader. Only the former drops the record; it does so also if a crash of a later run was recorded since. No call of the store more; the stored form is unchanged.

--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -69,7 +69,9 @@
             suspects.pop(row.index, None)
 
 
-def clear(task: ledgers.Task, attempt: int | None = None) -> None:
+def clear(
+    ledger: ledgers.Ledger, task: ledgers.Task, attempt: int | None = None
+) -> None:
     """Drop the crash recorded for a run that was reported again.
 
     Its copy in the store is removed by the next write of the job.
@@ -80,14 +82,26 @@
         return
     if attempt is None:
         task.crashes.clear()
-    elif attempt >= max(task.crashes):
-        task.crashes.pop(attempt, None)
-        task.crashes.pop(crashes_.UNREPORTED, None)
     else:
+        if _is_start_counted_ahead(ledger, task, attempt):
+            task.crashes.pop(crashes_.UNREPORTED, None)
         task.crashes.pop(attempt, None)
     update_suspects(task)
 
 
+def _is_start_counted_ahead(
+    ledger: ledgers.Ledger, task: ledgers.Task, attempt: int
+) -> bool:
+    """Return whether a run may be the one recorded before it was started.
+
+    Only an earlier leader can have recorded it: a run that this leader started
+    does not show how the earlier one ended.
+    """
+    last_earlier = (ledger.term - 1) * ledgers.ATTEMPTS_PER_TERM
+    known = [number for number in task.crashes if number <= last_earlier]
+    return max(known, default=0) <= attempt <= last_earlier
+
+
 def crashes_to_store(task: ledgers.Task) -> list[crashes_.Crash]:
     """Return the crashes of a task that the store has to hold.
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -251,7 +251,7 @@
         )
         return
     # Its worker listed this end, so it did not crash.
-    isolation.clear(task, row.attempt)
+    isolation.clear(ledger, task, row.attempt)
     current = is_current(worker, task, row.attempt)
     expected = current and task.run.phase is not ledgers.RunPhase.STOPPING
     if row.how is reports.How.DONE:
@@ -321,7 +321,7 @@
     if why:
         _stop_orphan(worker, row, now_s, outcome, why)
         return
-    isolation.clear(task, row.attempt)
+    isolation.clear(ledger, task, row.attempt)
     if is_current(worker, task, row.attempt):
         run = task.run
         run.seen = True
@@ -336,7 +336,7 @@
             run.last_progress_s = now_s
         ledgers.apply_report(task, row, now_s)
         if is_established(task, now_s):
-            isolation.clear(task)
+            isolation.clear(ledger, task)
         if (
             run.phase is ledgers.RunPhase.STOPPING
             and now_s - run.phase_since_s > STOP_REPEAT_S
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -18,6 +18,7 @@
 from oleanderwood.leading import losses as losses_
 from oleanderwood.pools import blame
 from oleanderwood.pools import placing
+from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
 from tests import utils_leading
@@ -485,6 +486,47 @@
     assert set(task.crashes) == {1}
 
 
+def _inherited_with_a_crash():
+    """Build a task with a crash and a start that an earlier leader stored."""
+    job = build.job(build.step(1))
+    ledger = build.ledger_with(job, term=3, inherited=True)
+    task = build.task(ledger)
+    task.crashes[1] = _crash(1, LATE_MS)
+    task.crashes[crashes_.UNREPORTED] = Crash(crashes_.UNREPORTED)
+    isolation.update_suspects(task)
+    return ledger, task
+
+
+@pytest.mark.parametrize('ends', [False, True])
+def test_later_run_does_not_disprove_an_unreported_crash(ends):
+    """A report of this leader's own run tells nothing of an earlier one.
+
+    Otherwise the crash that no leader heard of is dropped, and with it the
+    isolation of a run that may be about to crash its worker too.
+    """
+    ledger, task = _inherited_with_a_crash()
+    worker = build.worker()
+    run = build.start(ledger, task, worker)
+    assert isolation.is_on_probation(task)
+    name = (task.name, run.attempt)
+    report = build.report(running=[name])
+    if ends:
+        report = build.report(ended=[(1, *name, reports.How.FAILED)])
+    build.take(ledger, worker, report, run.begun_s + 0.1)
+    assert set(task.crashes) == {crashes_.UNREPORTED, 1}
+    assert ends or isolation.is_on_probation(task)
+
+
+@pytest.mark.parametrize('attempt', [2, 1001, 2000])
+def test_earlier_leaders_run_disproves_an_unreported_crash(attempt):
+    """Even if its report arrives after a crash under a later run."""
+    ledger, task = _inherited_with_a_crash()
+    task.crashes[2001] = _crash(2001, LATE_MS)
+    report = build.report(running=[(task.name, attempt)])
+    build.take(ledger, build.worker(), report)
+    assert set(task.crashes) == {1, 2001}
+
+
 def test_progress_of_an_earlier_version_is_read_and_ours_by_it():
     step = '[0,0,"1",{},{}]'
     old = f'{{"state":"running","groups":[{step}],"more_pools":[]}}'
--- a/tests/test_open_findings.py
+++ b/tests/test_open_findings.py
@@ -8,11 +8,10 @@
 the other pool, which kept all its first machines for a first burst that never
 came.
 
-A task crashes its workers once too often (lab seed 81, eight troubles). Order
-of events: its first crash is noted; its second, at about 6.9 s, falls into the
-change of leader and is heard of by nobody; so the third, at 18.486, counts as
-the second, and of three starts after it the last, at 21.29, crashes a fourth
-worker.
+A task crashed its workers once too often (lab seed 81). Order of
+events: its first crash is stored with its next start, which counts
+ahead; no leader hears of its second, at 6.869 s. A later leader starts the
+task again, and a report of that run dropped the record of the second crash.
 
 An innocent job was failed where executors start again every second or two (lab
 seeds 91156, 91263 and 93413; docs/incidents/innocent-jobs-failed.md). Order of
