Check alike refusals once a pass, and stop at a worker that fits

What callers saw: nothing yet; found by review. Each of a pool's waiting steps whose label is lacked was checked against all its workers and the whole machine list, as long as the recorded refusals weren't empty; and for each step that may be placed, all workers were listed although the first one fits.

The interval of a pass is 100 ms.

The fix holds as a lack is skipped only if recording it would leave the same refusals: those recorded are a subset of the step's own.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -351,13 +351,13 @@
             # More machines would not help: its team's quota or its tenant's
             # limit is used up.
             continue
-        if _may_lack_machines(view, group):
+        refused = advised.refused_machines(group, now_s)
+        if _may_lack_machines(view, group, refused):
             if view.service not in idle_capacity:
                 idle_capacity[view.service] = shortage.idle_capacity(
                     row.worker for row in view.members if row.worker
                 )
             free_capacity = idle_capacity[view.service]
-            refused = advised.refused_machines(group, now_s)
             if _needs_other_machines(
                 leader, group, view, free_capacity, refused
             ):
@@ -383,12 +383,19 @@
 
 
 def _may_lack_machines(
-    view: rebalancing.PoolView, group: ledgers.Group
+    view: rebalancing.PoolView,
+    group: ledgers.Group,
+    refused: frozenset[str],
 ) -> bool:
-    """Return whether a step's pool may lack machines suitable for it."""
+    """Return whether a step's pool may lack machines suitable for it.
+
+    False if its lack would change nothing in what is recorded.
+
+    :param refused: machines on which the advice refuses the step
+    """
     label = group.step.label
     if label in view.lacks_labels:
-        return bool(view.refused[label])
+        return not view.refused[label] <= refused
     return not view.members or shortage.has_placement_constraint(group)
 
 
--- a/oleanderwood/pools/shortage.py
+++ b/oleanderwood/pools/shortage.py
@@ -41,16 +41,16 @@
 
     :param refused: machines on which the advice refuses the step
     """
-    candidates = [
+    allowed = (
         row
         for row in candidates
         if advised.may_run(group, row.worker, refused)
-    ]
+    )
     if group.step.gang:
         members = [task for task in group.tasks if not task.done]
-        return not placing.could_place_all(group, members, candidates)
+        return not placing.could_place_all(group, members, list(allowed))
     return not any(
-        placing.has_capacity(candidate, group) for candidate in candidates
+        placing.has_capacity(candidate, group) for candidate in allowed
     )
 
 
--- a/tests/test_shortage_cost.py
+++ b/tests/test_shortage_cost.py
@@ -6,6 +6,9 @@
 runs and 300 waiting gangs, a pass took 108 ms of processor time, more than its
 interval of 100 ms; 300 steps with a label took 47 ms. The leader's timers were
 late, and it handed over to a server that was no faster.
+
+Nor may it visit them for steps that lack what is recorded already, or go on
+once it has found one.
 """
 
 from emulator import day
@@ -13,6 +16,8 @@
 from oleanderwood import clock
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import pool_loop
+from oleanderwood.maintenance import fleet
+from oleanderwood.pools import advised
 from oleanderwood.pools import shortage
 from tests import utils_jobs as build
 from tests import utils_leading
@@ -52,3 +57,55 @@
     monkeypatch.setattr(shortage, '_idle_capacity', idle)
     servers.run(main, CONFIGURATION)
     assert 0 < len(built) <= MAX_COMPUTED
+
+
+def _visits(monkeypatch, refuse, label):
+    """Return how often a worker was considered for a waiting step."""
+    visited = []
+    real = advised.may_run
+
+    def may_run(group, worker, refused):
+        visited.append(worker)
+        return real(group, worker, refused)
+
+    async def main(world):
+        leader = await utils_leading.lead(world)
+        now_s = clock.now_s()
+        workers = [build.worker(f'w{i}') for i in range(WORKERS)]
+        for number in range(STEPS):
+            job = build.job(build.step(label=label), name=f'{number:016x}')
+            ledgers.add(leader.ledger, job, now_s)
+        for group in leader.ledger.open_groups:
+            if refuse:
+                rows = [(r.entry.machine, r.entry.worker) for r in workers]
+                group.tickets, group.asked = {}, frozenset(rows)
+                advised.record_refusals(group, rows, now_s)
+        members = [
+            rebalancing.Member(row.entry.machine, 8.0, row) for row in workers
+        ]
+        leader.fleet.machines = {
+            'm0': fleet.Machine(
+                'm0',
+                'another',
+                fleet.State.UP,
+                labels=(label,),
+                capacity=workers[0].entry.capacity,
+            )
+        }
+        view = rebalancing.PoolView(build.POOL, members)
+        pool_loop._record_demand(leader, {build.POOL: view}, now_s)
+        assert len(view.waiting) == STEPS
+        assert view.lacks_labels == ({label} if refuse else set())
+
+    monkeypatch.setattr(advised, 'may_run', may_run)
+    servers.run(main, CONFIGURATION)
+    return len(visited)
+
+
+def test_steps_refused_alike_are_checked_once(monkeypatch):
+    """3000 steps took 234 ms, as each one might have narrowed the refusals."""
+    assert 0 < _visits(monkeypatch, True, 'a') <= WORKERS
+
+
+def test_no_worker_is_visited_beyond_one_that_fits(monkeypatch):
+    assert 0 < _visits(monkeypatch, False, 'a') <= STEPS
