Ask for advice about a labelled newcomer if the last answer named no worker

What callers saw: nothing yet; found by review. A machine that comes for its label counts as one that may run the step until the advice is asked about it, so the pool lacks nothing meanwhile, and the machine may leave as idle after 1 s. It was asked about at once only if the last answer named some worker; otherwise after up to 2 s.

Evidence: the new test failed before.

The fix holds as a question names the newcomer, so it is asked about once; while a question is open or has failed, the retry decides as before.

--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -691,7 +691,7 @@
     long before the current advice, which does not include it, expires.
     """
     label = group.step.label
-    if not label or not group.tickets:
+    if not label or group.tickets is None:
         return False
     there = [
         worker.entry.worker
--- a/tests/test_labelled_newcomer.py
+++ b/tests/test_labelled_newcomer.py
@@ -69,3 +69,14 @@
     assert not placing.has_new_matching_worker(
         good, [labelled, other], build.POOL
     )
+
+
+def test_advice_that_named_no_worker_is_asked_about_one_that_came():
+    """It could leave as idle after 1 s, and advice is asked each 2 s."""
+    group = _group('b', ['w1'], [])
+    refused = build.worker('w1', labels=('b',))
+    assert not placing.has_new_matching_worker(group, [refused], build.POOL)
+    pool = [refused, build.worker('w2', labels=('b',))]
+    assert placing.has_new_matching_worker(group, pool, build.POOL)
+    group.tickets = None
+    assert not placing.has_new_matching_worker(group, pool, build.POOL)
