Ask the advice first about workers that have a step's label

What callers saw: nothing yet; found by review. In a pool of more than 100 workers a labelled step could wait for good, though the pool had a worker for it, and with it all other steps that wait for advice.

Cause: a question names the first 100 workers, whatever their labels. Since only those named count as asked, a labelled worker beyond them counts as new for ever: the same step is asked about again after each answer, and no other one. It also counts as one that may run the step, so the pool lacks nothing.

The fix holds as the workers that count as new are among those that the next question names. Left: labelled workers beyond the hundredth of one pool are still not asked about.

--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -5,6 +5,7 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import relocating
 from oleanderwood.leading import relocations
@@ -12,6 +13,7 @@
 from oleanderwood.platform import advice
 from oleanderwood.pools import advised
 from oleanderwood.pools import placing
+from oleanderwood.pools import workers as workers_
 
 POLL_INTERVAL_S = 0.05
 """Interval between two checks for steps without advice."""
@@ -51,20 +53,40 @@
     # Tasks of these run: their tickets expire, though nothing waits to start.
     starved = relocating.starved_groups(leader, now_s)
     leaving = relocations.waiting_groups(leader, now_s)
+    named: dict[tuple[ids.ServiceId, str], list[workers_.Worker]] = {}
     for group in [*leader.ledger.open_groups, *starved, *leaving]:
         queue = placing.queue_of(group.entry, known)
         if not queue.needs_advice:
             continue
-        lacks = placing.lacks_advice(group, present, now_s)
-        if not lacks and not placing.has_new_matching_worker(
-            group, leader.workers.values(), queue.service
-        ):
-            continue
+        if not placing.lacks_advice(group, present, now_s):
+            key = queue.service, group.step.label
+            if key not in named:
+                named[key] = _workers_to_name(leader, *key)
+            if not placing.has_new_matching_worker(
+                group, named[key], queue.service
+            ):
+                continue
         if ledgers.is_ready(group, wall_ms):
             return group
     return None
 
 
+def _workers_to_name(
+    leader: states.Leader, service: ids.ServiceId, label: str
+) -> list[workers_.Worker]:
+    """Return the workers that a question names, those with the label first.
+
+    A question names a limited number, and only these may get the step.
+    """
+    rows = [
+        worker
+        for worker in leader.workers.values()
+        if worker.entry.service == service and not worker.entry.draining
+    ]
+    rows.sort(key=lambda worker: label not in worker.entry.labels)
+    return rows[: advice.MOST_WORKERS]
+
+
 async def _request_advice(
     leader: states.Leader, calls: advice.Advice, group: ledgers.Group
 ) -> None:
@@ -72,10 +94,9 @@
     service = placing.queue_of(group.entry, known).service
     machines = {
         worker.entry.worker: worker.entry.machine
-        for worker in leader.workers.values()
-        if worker.entry.service == service and not worker.entry.draining
+        for worker in _workers_to_name(leader, service, group.step.label)
     }
-    workers = list(machines)[: advice.MOST_WORKERS]
+    workers = list(machines)
     step = group.tasks[0].name.rpartition('.')[0]
     asked_s = clock.now_s()
     group.advised_until_s = asked_s + RETRY_S
