--- /dev/null
+++ b/tests/test_crashes_across_leaders.py
@@ -0,0 +1,85 @@
+"""A crash that no leader notices still counts against its task.
+
+A task crashes a worker, and its leader stores that together with the next
+start. The leader is killed after that start, so nobody notices the second
+crash. The next leader starts the task again, and a worker lists that run: this
+must not drop the record of the second crash.
+"""
+
+import math
+
+import curio
+import pytest
+
+from emulator import crashing
+from emulator import evidence as evidences
+from emulator import servers
+from tests import utils_crashes
+from tests import utils_leading
+from tests import utils_takeover as build
+
+CRASH_AFTER_S = 0.3
+STORED_S = 0.2
+"""Time after a start in which the crash before it is stored, in seconds."""
+
+SETTLED_S = 1.5
+"""Age, in seconds, at which a run no longer keeps suspected runs away."""
+
+RESTART_S = 2.0
+"""Time after which the killed process runs again, in seconds."""
+
+LONG_MS = 20_000
+POLL_S = 0.01
+MAX_POLLS = 1000
+
+
+async def _wait_until(is_reached) -> None:
+    for _ in range(MAX_POLLS):
+        if is_reached():
+            return
+        await curio.sleep(POLL_S)
+    raise AssertionError('not reached in time')
+
+
+def _starts(scene, job: str) -> int:
+    sights = scene.callers.world.evidence.sights
+    started = evidences.Kind.STARTED
+    return sum(row.kind is started and row.job == job for row in sights)
+
+
+def _is_led(scene) -> bool:
+    return any(servers.leads(row) for row in scene.processes)
+
+
+@pytest.mark.parametrize('gang', [False, True])
+def test_crash_unnoticed_by_any_leader_counts(monkeypatch, gang):
+    events = utils_leading.record_events(monkeypatch)
+
+    async def scenario(scene):
+        earlier = build.leader(scene)
+        # Workers without runs report too rarely to list one before it crashes.
+        beside = build.step(3, 2000, LONG_MS) | {'max_per_server': 1}
+        await build.submit_job(scene, earlier, beside)
+        await curio.sleep(SETTLED_S)
+        how = crashing.crash(CRASH_AFTER_S)
+        step = utils_crashes.crashing_step(how, 1, estimate_ms=LONG_MS)
+        await build.submit_job(scene, earlier, step | {'gang': gang})
+        await _wait_until(lambda: _starts(scene, f'{scene.jobs:016x}') == 2)
+        await curio.sleep(STORED_S)
+        await build.kill(scene, earlier)
+        await curio.sleep(RESTART_S)
+        await servers.start(scene.network, earlier)
+        await _wait_until(lambda: _is_led(scene))
+        # Busy workers report every 150 ms while calls are being lost.
+        build.leader(scene).state.leader.lossy_until_s = math.inf
+
+    result = build.play(scenario)
+    assert not result.breaches and not result.unfinished
+    crashes = utils_crashes.count(result, evidences.Kind.CRASHED)
+    causes = [
+        fields['why']
+        for _part, event, fields in events
+        if event == 'ended' and fields.get('state') == 'failed'
+    ]
+    assert crashes > 2
+    assert [cause.split()[2] for cause in causes] == [str(crashes)]
