Let the played passes record lacks by label, as the loop does now

test_lacks_end was written before steps without a label were recorded as a lack; its builder calls the loop's function with its present arguments.

--- a/tests/utils_lacks.py
+++ b/tests/utils_lacks.py
@@ -321,7 +321,7 @@
         if pool_loop._needs_other_machines(
             day.fleet, group, view, free, refused
         ):
-            pool_loop._record_lack(view, group.step, refused)
+            pool_loop._record_lack(view, group.step.label, refused)
     queue = group.entry.job.queue
     if not placing.is_too_late(group.entry, queue, LENGTHS, now_s(day)):
         waiting = len(group.waiting)
