Size no pool for labelled work that it cannot run, nor keep machines too small

What callers saw: jobs that ask for a label waited until they were too late to be of use: two pools, each with the machine that only the other's job could use; or a small job beside a machine that was kept for a large one, which it couldn't hold. Found by the review's property test, each with its smallest plan as an explicit example.

Cause: a pool's need counted waiting work that none of its machines can run, so it had no machine beyond its need; and a machine's label alone decided whether it was fetched and kept for a step. Ruled out: a draw that no fleet could serve (a machine that nobody needs would do for over 30 s).

The fix holds as a step with a label that fits nowhere in its pool sizes it no more: machines with the label come for it, one at a time, and others are no use; and as a machine that can't hold one task counts as unsuitable, like one that the advice refuses. What is too small is found once a pass for each kind of request.

What pools lack stands in a module of its own. test_shortage_cost: its steps ask for a label that no machine has, so none counts as work of the pool any more; that each of them is looked at is now checked by the calls themselves.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -100,8 +100,9 @@
     :ivar lacks_labels: labels of steps that fit on none of its machines even
         if they are idle; only a machine with the label might suit, for the
         empty label any machine
-    :ivar refused: machines that suit none of the steps which lack a label, as
-        the platform's advice refuses them, by label
+    :ivar unsuitable: machines that can't run any of the steps which lack a
+        label, by label: they are too small, or the platform's advice refuses
+        them
     """
 
     service: ids.ServiceId
@@ -116,7 +117,7 @@
     priority: float = math.inf
     lacks_suitable_machine: bool = False
     lacks_labels: set[str] = dataclasses.field(default_factory=set)
-    refused: dict[str, frozenset[str]] = dataclasses.field(
+    unsuitable: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -529,7 +530,7 @@
     """Return whether a machine might run a step that lacks a label."""
     if label and label not in member.labels:
         return False
-    return member.machine not in pool.refused.get(label, ())
+    return member.machine not in pool.unsuitable.get(label, ())
 
 
 def _take_labelled(
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -14,6 +14,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
+from oleanderwood.leading import lacks
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import relocating
 from oleanderwood.leading import relocations
@@ -329,9 +330,9 @@
     for service, groups in relocating.starved_by_pool(leader, now_s).items():
         if service in views:
             for group in groups:
-                refused = advised.refused_machines(group, now_s)
                 if group.step.label:
-                    _record_lack(views[service], group.step.label, refused)
+                    refused = advised.refused_machines(group, now_s)
+                    lacks.record(views[service], group.step.label, refused)
                 else:
                     views[service].lacks_suitable_machine = True
     quotas = schedule.quotas_of(
@@ -339,6 +340,8 @@
     )
     wall_ms = clock.wall_ms()
     idle_capacity: dict[ids.ServiceId, list[placing.FreeCapacity]] = {}
+    machines = leader.fleet.machines.values()
+    too_small: lacks.TooSmall = {}
     for group in leader.ledger.open_groups:
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
@@ -351,17 +354,25 @@
             # More machines would not help: its team's quota or its tenant's
             # limit is used up.
             continue
-        refused = advised.refused_machines(group, now_s)
-        if _may_lack_machines(view, group, refused):
+        unsuitable = lacks.unsuitable_machines(
+            group, machines, too_small, now_s
+        )
+        fits_nowhere = lacks.is_recorded(view, group, unsuitable)
+        if lacks.may_lack_machines(view, group, unsuitable):
             if view.service not in idle_capacity:
                 idle_capacity[view.service] = shortage.idle_capacity(
                     row.worker for row in view.members if row.worker
                 )
-            free_capacity = idle_capacity[view.service]
-            if _needs_other_machines(
-                leader, group, view, free_capacity, refused
+            fits_nowhere = shortage.fits_nowhere(
+                group, idle_capacity[view.service], unsuitable
+            )
+            if fits_nowhere and lacks.may_others_help(
+                group, view, machines, unsuitable
             ):
-                _record_lack(view, group.step.label, refused)
+                lacks.record(view, group.step.label, unsuitable)
+        if fits_nowhere and group.step.label:
+            # No number of machines without the label would do.
+            continue
         if placing.is_too_late(group.entry, queue, leader.lengths, now_s):
             # Its pool gets a machine on which it can run, but no more than
             # that.
@@ -382,70 +393,6 @@
             _record_priority(view, group, known)
 
 
-def _may_lack_machines(
-    view: rebalancing.PoolView,
-    group: ledgers.Group,
-    refused: frozenset[str],
-) -> bool:
-    """Return whether a step's pool may lack machines suitable for it.
-
-    False if its lack would change nothing in what is recorded.
-
-    :param refused: machines on which the advice refuses the step
-    """
-    label = group.step.label
-    if label in view.lacks_labels:
-        return not view.refused[label] <= refused
-    return not view.members or shortage.has_placement_constraint(group)
-
-
-def _record_lack(
-    view: rebalancing.PoolView, label: str, refused: frozenset[str]
-) -> None:
-    """Record that a step fits on none of its pool's machines.
-
-    :param label: label that the step asks for, or none
-    :param refused: machines on which the advice refuses the step
-    """
-    view.lacks_labels.add(label)
-    view.refused[label] = refused & view.refused.get(label, refused)
-    if not label:
-        view.lacks_suitable_machine = True
-
-
-def _needs_other_machines(
-    leader: states.Leader,
-    group: ledgers.Group,
-    view: rebalancing.PoolView,
-    free_capacity: list[placing.FreeCapacity],
-    refused: frozenset[str],
-) -> bool:
-    """Return whether a step fits only on machines of other pools.
-
-    :param free_capacity: free capacity of the pool's workers if all were idle
-    :param refused: machines on which the advice refuses the step
-    """
-    if not shortage.fits_nowhere(group, free_capacity, refused):
-        return False
-    machines = [
-        row
-        for row in leader.fleet.machines.values()
-        if row.machine not in refused
-    ]
-    elsewhere = [row for row in machines if row.pool != view.service]
-    if not any(
-        shortage.could_hold(group.step, row.labels, row.capacity)
-        for row in elsewhere
-    ):
-        return False
-    # A gang that does not fit on all machines together would otherwise have
-    # machines moved to its pool without end.
-    return not group.step.gang or len(group.tasks) <= sum(
-        shortage.could_hold(group.step, row.labels, row.capacity)
-        for row in machines
-    )
-
-
 def _record_priority(
     view: rebalancing.PoolView,
     group: ledgers.Group,
--- a/oleanderwood/pools/shortage.py
+++ b/oleanderwood/pools/shortage.py
@@ -35,16 +35,16 @@
 def fits_nowhere(
     group: ledgers.Group,
     candidates: list[placing.FreeCapacity],
-    refused: frozenset[str] = frozenset(),
+    unsuitable: frozenset[str] = frozenset(),
 ) -> bool:
     """Return whether no worker could start a step, even if all were idle.
 
-    :param refused: machines on which the advice refuses the step
+    :param unsuitable: machines that can't run the step
     """
     allowed = (
         row
         for row in candidates
-        if advised.may_run(group, row.worker, refused)
+        if advised.may_run(group, row.worker, unsuitable)
     )
     if group.step.gang:
         members = [task for task in group.tasks if not task.done]
