Drain a machine of long-running tasks for a label that another pool lacks

Callers saw jobs that were accepted and stayed open for good, without any trouble, though another pool had more machines than it needed: all those with the label that the job requires carried long-running tasks.

Cause: machines that move are idle, or drained for a pool that is short of machines. Long-running tasks end neither way, they are placed on two or three machines of each pool, and a pool that lacks a label isn't short of machines.

Ruled out: the reserve for a first burst (the machines aren't idle), the pool's need, advice.

Now, where no idle machine with the label may come, one that runs only long-running and short batch tasks is closed to new tasks, and its long-running tasks are relocated one at a time, within the disruption budget of their step, to other workers of the pool that have room by valid advice. The pool keeps its need and its minimum. Once empty, the machine moves. If room goes, it is released.

--- a/oleanderwood/capacity/draining.py
+++ b/oleanderwood/capacity/draining.py
@@ -41,10 +41,12 @@
     """A machine that accepts no more tasks.
 
     :ivar stops: tasks to stop, which continue elsewhere in their pool
+    :ivar relocates: long-running tasks to stop once another worker has room
     """
 
     machine: str
     stops: list[ledgers.Task]
+    relocates: list[ledgers.Task] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,11 +100,12 @@
     for task in worker.runs.values():
         if task.group.step.is_long_running or task.group.step.gang:
             return None
-        longest_s = max(longest_s, _task_drain_time_s(task, now_s))
+        longest_s = max(longest_s, task_drain_time_s(task, now_s))
     return longest_s
 
 
-def _task_drain_time_s(task: ledgers.Task, now_s: float) -> float:
+def task_drain_time_s(task: ledgers.Task, now_s: float) -> float:
+    """Return the time until a batch task has left its machine."""
     left_s = slowness.left_s(task, now_s)
     if task.group.step.checkpoints:
         return min(left_s, CHECKPOINTED_STOP_S)
--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -394,11 +394,11 @@
     which may never come.
     """
     return _Reserve(
-        pool.service, _idle_members(pool, now_s), _surplus(pool, need.now)
+        pool.service, _idle_members(pool, now_s), surplus(pool, need.now)
     )
 
 
-def _surplus(pool: PoolView, reserved: int) -> int:
+def surplus(pool: PoolView, reserved: int) -> int:
     """Return how many machines may leave a pool that keeps ``reserved``."""
     # Machines on their way count as members, but not towards ``min_up``.
     up = sum(member.worker is not None for member in pool.members)
@@ -412,7 +412,7 @@
         member
         for member in pool.members
         if _is_movable(member, now_s)
-        and not any(_suits(pool, label, member) for label in pool.lacks_labels)
+        and not any(suits(pool, label, member) for label in pool.lacks_labels)
     ]
     return sorted(idle, key=lambda member: member.worker.idle_since_s)
 
@@ -453,7 +453,7 @@
         reserved = wanted[pool.service].now + SPARE_MACHINES
         if _may_start_first_burst(history, pool.service, near_s, now_s):
             reserved = max(reserved, pool.first_size)
-        idle = _idle_members(pool, now_s)[: _surplus(pool, reserved)]
+        idle = _idle_members(pool, now_s)[: surplus(pool, reserved)]
         rows += [(pool.service, member) for member in idle]
     rows.sort(key=lambda row: row[1].worker.idle_since_s)
     return rows
@@ -510,9 +510,7 @@
     moves = []
     for pool in pools:
         for label in sorted(pool.lacks_labels):
-            labelled = [
-                row for row in pool.members if _suits(pool, label, row)
-            ]
+            labelled = [row for row in pool.members if suits(pool, label, row)]
             if _is_incoming(labelled):
                 continue
             taken = _take_labelled(free, pool, label)
@@ -526,7 +524,7 @@
     return moves
 
 
-def _suits(pool: PoolView, label: str, member: Member) -> bool:
+def suits(pool: PoolView, label: str, member: Member) -> bool:
     """Return whether a machine might run a step that lacks a label."""
     if label and label not in member.labels:
         return False
@@ -539,7 +537,7 @@
     """Take a machine with a label, from standby or idle if possible."""
     for rows in (free.on_standby, free.idle):
         for row in rows:
-            if row[0] != target.service and _suits(target, label, row[1]):
+            if row[0] != target.service and suits(target, label, row[1]):
                 rows.remove(row)
                 _charge_reserve(free, row)
                 return row
@@ -558,7 +556,7 @@
         if reserve.service == target.service or reserve.count <= 0:
             continue
         for member in reserve.idle:
-            if _suits(target, label, member):
+            if suits(target, label, member):
                 row = reserve.service, member
                 _charge_reserve(free, row)
                 _charge_surplus(free, reserve.service)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -6,7 +6,6 @@
 
 from oleanderwood.capacity import backlog
 from oleanderwood.capacity import demand
-from oleanderwood.capacity import draining
 from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import errors
@@ -14,6 +13,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
+from oleanderwood.leading import drains
 from oleanderwood.leading import lacks
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import relocating
@@ -128,7 +128,7 @@
         now_s - leader.fleet.machines_read_s > MAX_LIST_AGE_S
         or configuration is None
     ):
-        await _set_reclaimed(leader, [])
+        await drains.set_reclaimed(leader, [])
         return
     leader.fleet.arrival_history.pools = frozenset(
         queue.service for queue in configuration.queues
@@ -147,7 +147,7 @@
     moves = decision.moves[: machine_handover.allowance(leader)]
     leader.fleet.needs = decision.needs
     _log_shortage(leader, views, decision.needs, now_s)
-    await _set_reclaimed(leader, decision.to_drain)
+    await drains.follow(leader, views, decision, now_s)
     if not moves:
         return
     names = [move.machine for move in moves]
@@ -158,30 +158,6 @@
     await read_machines(leader)
 
 
-async def _set_reclaimed(
-    leader: states.Leader, to_drain: list[draining.MachineToDrain]
-) -> None:
-    """Reserve machines for other pools, and release all others.
-
-    A worker whose machine is to be drained gets no new tasks, and its runs
-    listed in ``stops`` are stopped.
-    """
-    by_machine = {row.machine: row for row in to_drain}
-    for worker in leader.workers.values():
-        row = by_machine.get(worker.entry.machine)
-        if (row is not None) != worker.is_reclaimed:
-            event_log.emit(
-                'worker',
-                'emptied' if row is not None else 'not-emptied',
-                worker=worker.entry.worker,
-                runs=len(worker.runs),
-                stops=len(row.stops) if row is not None else 0,
-            )
-        worker.is_reclaimed = row is not None
-        for task in row.stops if row is not None else ():
-            await worker_loop.stop_run(leader, task)
-
-
 def _log_shortage(
     leader: states.Leader,
     views: list[rebalancing.PoolView],
--- a/oleanderwood/leading/relocations.py
+++ b/oleanderwood/leading/relocations.py
@@ -7,6 +7,7 @@
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import label_draining
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import relocation as relocation_
@@ -21,16 +22,11 @@
     machines one task was stopped every five seconds, and its machine's
     maintenance was late.
     """
-    current = leader.workers.get(task.run.worker)
-    if current is None:
-        return
     now_s = clock.now_s()
-    relocation = _record(leader, task.group, current, now_s)
-    if placing.awaits_advice(task.group, states.known_queues(leader), now_s):
-        # Expired tickets don't tell which workers would do.
+    relocation = _record(leader, task, now_s)
+    if relocation is None or _awaits_advice(leader, task, now_s):
         return
-    others = _other_workers(leader, current)
-    if not placing.has_free_capacity(task.group, others, now_s):
+    if not _has_room(leader, task, now_s):
         if not relocation.lacks_capacity:
             event_log.emit('wave', 'no-capacity', task=task.name)
         relocation.lacks_capacity = True
@@ -40,17 +36,68 @@
     await worker_loop.stop_run(leader, task)
 
 
+async def relocate_for_label(
+    leader: states.Leader, task: ledgers.Task
+) -> None:
+    """Stop a long-running task on a machine that another pool lacks.
+
+    Its pool gets no other machine for it: that one would be missed elsewhere.
+    """
+    now_s = clock.now_s()
+    if _record(leader, task, now_s) is None:
+        return
+    if _awaits_advice(leader, task, now_s):
+        return
+    if _has_room(leader, task, now_s):
+        del leader.fleet.relocations[task.group]
+        event_log.emit('fleet', 'relocates', task=task.name)
+        await worker_loop.stop_run(leader, task)
+
+
+def room_finder(leader: states.Leader, now_s: float) -> label_draining.HasRoom:
+    """Return a function that tells whether a task may find another worker.
+
+    It may if advice must be asked first, as ``relocate_for_label`` does.
+    """
+
+    def has_room(task: ledgers.Task) -> bool:
+        if task.run is None or task.run.worker not in leader.workers:
+            return False
+        if _awaits_advice(leader, task, now_s):
+            return True
+        return _has_room(leader, task, now_s)
+
+    return has_room
+
+
+def _awaits_advice(
+    leader: states.Leader, task: ledgers.Task, now_s: float
+) -> bool:
+    """Return whether it's unknown which workers would do.
+
+    Expired tickets don't tell, as they name workers of an earlier time.
+    """
+    known = states.known_queues(leader)
+    return placing.awaits_advice(task.group, known, now_s)
+
+
+def _has_room(leader: states.Leader, task: ledgers.Task, now_s: float) -> bool:
+    others = _other_workers(leader, leader.workers[task.run.worker])
+    return placing.has_free_capacity(task.group, others, now_s)
+
+
 def _record(
-    leader: states.Leader,
-    group: ledgers.Group,
-    current: workers_.Worker,
-    now_s: float,
-) -> relocation_.Relocation:
+    leader: states.Leader, task: ledgers.Task, now_s: float
+) -> relocation_.Relocation | None:
+    """Record that a task has to leave its worker; None if that has gone."""
+    current = leader.workers.get(task.run.worker)
+    if current is None:
+        return None
     until_s = now_s + relocation_.KEPT_S
-    relocation = leader.fleet.relocations.get(group)
+    relocation = leader.fleet.relocations.get(task.group)
     if relocation is None or relocation.until_s < now_s:
         relocation = relocation_.Relocation(current.entry.service, until_s)
-        leader.fleet.relocations[group] = relocation
+        leader.fleet.relocations[task.group] = relocation
     relocation.until_s = until_s
     return relocation
 
