--- a/tests/test_open_findings.py
+++ b/tests/test_open_findings.py
@@ -28,11 +28,12 @@
 beside them.
 
 A job whose tasks crash workers was failed for one that had crashed one (lab
-seed 96001; docs/incidents/order-that-started-nothing.md). Order of events: the order for its first start is sent at 9.182 s
-to an executor that went at 9.015; the start counted ahead is never made; the
-order for the next is sent at 11.456 s, gets no answer, and its worker is
-restarted at 11.533 before it has started the task: recorded as isolated; the
-one real crash follows at 17.881 s, and makes the verdict.
+seed 96001; docs/incidents/order-that-started-nothing.md). Order of events: the
+order for its first start is sent at 9.182 s to an executor that went at 9.015;
+the start counted ahead is never made; the order for the next is sent at 11.456
+s, gets no answer, and its worker is restarted at 11.533 before it has started
+the task: recorded as isolated; the one real crash follows at 17.881 s, and
+made the verdict.
 
 An innocent long-running job is failed by five restarts of its workers (seed
 640040). Order of events: two go beside others at 5.090 and 6.428 s; one goes
