--- a/tests/test_open_findings.py
+++ b/tests/test_open_findings.py
@@ -41,6 +41,19 @@
 as only a call's timeout tells of it, so that no common cause is seen; the one
 at 11.073 s ends a run that has been at work for 1.35 s, of which the next
 leader learns nothing; the last goes at 14.266 s.
+
+A task that is done runs again where executors start again under their id and
+the leader changes (lab seeds 95060 and 95168). Both times a start that got no
+answer is carried out by a next life to which nobody has sent a higher fence.
+Order of events with 95060: attempt 511001 is sent at 8.657 s and gets no
+answer; its leader tells one server of it at 9.457, as the third has no row in
+the store, and starts the task again, which is done at 11.078. That leader is
+killed at 11.118, and the server that it told ends at 14.179; the next life,
+born at 14.406, carries the order out at 14.544. With 95168: attempt 1 is sent
+at 6.953 s, and its leader is killed at 7.679, before it has given the call up,
+so no server knows of it; the task runs elsewhere and is done at 17.205. The
+next leader's calls to the life born at 17.959 are refused by a cut, and that
+life carries the order out at 18.298.
 """
 
 import dataclasses
@@ -111,6 +124,11 @@
     assert not result.breaches and not result.unfinished
 
 
+@pytest.mark.parametrize('seed', [95060, 95168])
+def test_task_that_is_done_does_not_run_again_on_a_day_of_many_restarts(seed):
+    assert not utils_restarts.day_of_many_restarts(seed).breaches
+
+
 JOBS = 60
 GAP_S = 0.1
 FINISH_S = 14.0
