Log which labels pools lack, as it changes

Operators saw nothing of a pool that has enough machines and lacks one with a label: `fleet short` is written only where a pool has fewer machines than it needs.

`fleet lacks` names the labels by pool whenever they change. The new test failed before, as there was no such line.

--- a/oleanderwood/leading/lacks.py
+++ b/oleanderwood/leading/lacks.py
@@ -1,4 +1,4 @@
-"""What pools lack for steps that none of their machines can run. Pure.
+"""What pools lack for steps that none of their machines can run.
 
 However long such a step waits, no suitable capacity is freed in its pool. It
 gets one machine at a time that might run it.
@@ -7,7 +7,9 @@
 import collections.abc
 
 from oleanderwood.capacity import rebalancing
+from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import state as states
 from oleanderwood.maintenance import fleet
 from oleanderwood.pools import advised
 from oleanderwood.pools import shortage
@@ -98,3 +100,21 @@
         shortage.could_hold(group.step, row.labels, row.capacity)
         for row in suitable
     )
+
+
+def log_changes(
+    leader: states.Leader,
+    views: collections.abc.Iterable[rebalancing.PoolView],
+) -> None:
+    """Log the labels that pools lack, whenever they change.
+
+    An empty label stands for steps that ask for none.
+    """
+    found = {
+        view.service: sorted(view.lacks_labels)
+        for view in views
+        if view.lacks_labels
+    }
+    if found != leader.fleet.logged_lacks:
+        leader.fleet.logged_lacks = found
+        event_log.emit('fleet', 'lacks', labels=found)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -147,6 +147,7 @@
     moves = decision.moves[: machine_handover.allowance(leader)]
     leader.fleet.needs = decision.needs
     _log_shortage(leader, views, decision.needs, now_s)
+    lacks.log_changes(leader, views)
     await drains.follow(leader, views, decision, now_s)
     if not moves:
         return
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -204,6 +204,7 @@
     :ivar needs: number of machines that each pool needs now
     :ivar shortage_logged_s: time at which a shortage of machines was last
         logged
+    :ivar logged_lacks: labels that each pool lacked when this was last logged
     :ivar relocations: by step, for long-running tasks that have to leave
     :ivar move_retry_after_s: time until which a machine is not asked to move
         again
@@ -239,6 +240,9 @@
         default_factory=dict
     )
     shortage_logged_s: float = -1e9
+    logged_lacks: dict[ids.ServiceId, list[str]] = dataclasses.field(
+        default_factory=dict
+    )
     relocations: dict[ledgers.Group, relocation.Relocation] = (
         dataclasses.field(default_factory=dict)
     )
--- a/tests/test_labelled_moves.py
+++ b/tests/test_labelled_moves.py
@@ -17,6 +17,7 @@
 """
 
 import dataclasses
+import types
 
 import curio
 import pytest
@@ -32,6 +33,7 @@
 from oleanderwood.pools import shortage
 from tests import utils_advice
 from tests import utils_jobs
+from tests import utils_leading
 from tests import utils_restarts
 from tests import utils_takeover as build
 
@@ -128,6 +130,23 @@
     assert view.unsuitable == {'a': frozenset(('m2',))}
 
 
+def test_labels_that_a_pool_lacks_are_logged_when_they_change(monkeypatch):
+    """A pool with enough machines that lacked a label was silent."""
+    events = utils_leading.record_events(monkeypatch)
+    fleet = types.SimpleNamespace(logged_lacks={})
+    leader = types.SimpleNamespace(fleet=fleet)
+    view = _pool(utils_jobs.POOL, [])
+    idle = rebalancing.PoolView(OTHER, [])
+    for _ in range(2):
+        lacks.log_changes(leader, [view, idle])
+    view.lacks_labels.clear()
+    lacks.log_changes(leader, [view, idle])
+    assert events == [
+        ('fleet', 'lacks', {'labels': {utils_jobs.POOL: ['a']}}),
+        ('fleet', 'lacks', {'labels': {}}),
+    ]
+
+
 def test_refusal_counts_for_a_while_and_until_the_advice_allows_the_machine():
     ledger = utils_jobs.ledger_with(utils_jobs.job(utils_jobs.step()))
     group = utils_jobs.task(ledger).group
