Compare only steps that fit nowhere with the list of machines

What callers saw: nothing yet; found as the change was read. Each waiting step was held against all machines, to tell which are too small for it, in each pass, ten times a second; in a burst hundreds of steps of other sizes wait on fleets of hundreds of machines, and the leader's timers would have been late.

Now a step that any machine may run is not looked at, one that lacks at least what another step of the pool does isn't checked, and machines are compared only once a step fits nowhere.

--- a/oleanderwood/leading/lacks.py
+++ b/oleanderwood/leading/lacks.py
@@ -5,64 +5,103 @@
 """
 
 import collections.abc
+import dataclasses
 
 from oleanderwood.capacity import rebalancing
 from oleanderwood import event_log
+from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 from oleanderwood.leading import state as states
 from oleanderwood.maintenance import fleet
 from oleanderwood.pools import advised
+from oleanderwood.pools import placing
 from oleanderwood.pools import shortage
 
-TooSmall = dict[tuple, frozenset[str]]
-"""Machines that can't hold one task, by what a step asks of a machine."""
 
+@dataclasses.dataclass(frozen=True)
+class Lack:
+    """A step that fits on none of its pool's machines.
 
-def unsuitable_machines(
+    :ivar refused: machines on which the advice refuses it
+    """
+
+    needs: model.Resources
+    refused: frozenset[str]
+    gang: bool
+
+
+Lacks = dict[tuple[ids.ServiceId, str], list[Lack]]
+"""Lacks that a pass has recorded, by pool and label."""
+
+
+def record_lack(
+    view: rebalancing.PoolView,
     group: ledgers.Group,
     machines: collections.abc.Collection[fleet.Machine],
-    too_small: TooSmall,
+    idle_capacity: collections.abc.Callable[[], list[placing.FreeCapacity]],
+    known: Lacks,
     now_s: float,
-) -> frozenset[str]:
-    """Return the machines that can't run a step, even if they are idle.
+) -> bool:
+    """Record what a step lacks; return whether it fits nowhere in its pool.
 
-    They are too small, lack its label, or the advice refuses them.
+    Steps that lack what is recorded aren't checked: in a burst, thousands may
+    wait.
 
-    :param too_small: filled in; valid for this list of machines
+    :param machines: all machines
+    :param idle_capacity: returns the free capacity of the pool's workers if
+        all were idle
+    :param known: what this pass has recorded; filled in
     """
+    if view.members and not shortage.has_placement_constraint(group):
+        return False
     step = group.step
-    key = step.label, step.needs, step.max_per_worker
-    if key not in too_small:
-        too_small[key] = frozenset(
-            row.machine
-            for row in machines
-            if not shortage.could_hold(step, row.labels, row.capacity)
-        )
     refused = advised.refused_machines(group, now_s)
-    return too_small[key] | refused if refused else too_small[key]
-
-
-def is_recorded(
-    view: rebalancing.PoolView,
-    group: ledgers.Group,
-    unsuitable: frozenset[str],
-) -> bool:
-    """Return whether what is recorded for a pool covers a step's lack."""
-    label = group.step.label
-    if label not in view.lacks_labels:
+    recorded = known.setdefault((view.service, step.label), [])
+    if any(_covers(lack, step, refused) for lack in recorded):
+        return True
+    if not shortage.fits_nowhere(group, idle_capacity(), refused):
         return False
-    return view.unsuitable[label] <= unsuitable
+    suitable = [
+        row
+        for row in machines
+        if row.machine not in refused
+        and shortage.could_hold(step, row.labels, row.capacity)
+    ]
+    if _may_others_help(group, view, suitable):
+        recorded.append(Lack(step.needs, refused, step.gang))
+        unsuitable = {row.machine for row in machines}
+        unsuitable.difference_update(row.machine for row in suitable)
+        record(view, step.label, frozenset(unsuitable))
+    return True
+
+
+def _covers(lack: Lack, step: model.Step, refused: frozenset[str]) -> bool:
+    """Return whether a step lacks at least what another one does."""
+    return (
+        (step.gang or not lack.gang)
+        and model.needs_at_least(step.needs, lack.needs)
+        and lack.refused <= refused
+    )
 
 
-def may_lack_machines(
-    view: rebalancing.PoolView,
+def _may_others_help(
     group: ledgers.Group,
-    unsuitable: frozenset[str],
+    view: rebalancing.PoolView,
+    suitable: list[fleet.Machine],
 ) -> bool:
-    """Return whether a step may add to what its pool lacks."""
-    if group.step.label in view.lacks_labels:
-        return not is_recorded(view, group, unsuitable)
-    return not view.members or shortage.has_placement_constraint(group)
+    """Return whether machines of other pools might run a step.
+
+    :param suitable: machines that can run one of its tasks
+    """
+    if all(row.pool == view.service for row in suitable):
+        return False
+    # A gang that does not fit on all machines together would otherwise have
+    # machines moved to its pool without end.
+    return not group.step.gang or len(group.tasks) <= sum(
+        shortage.could_hold(group.step, row.labels, row.capacity)
+        for row in suitable
+    )
 
 
 def record(
@@ -80,28 +119,6 @@
         view.lacks_suitable_machine = True
 
 
-def may_others_help(
-    group: ledgers.Group,
-    view: rebalancing.PoolView,
-    machines: collections.abc.Collection[fleet.Machine],
-    unsuitable: frozenset[str],
-) -> bool:
-    """Return whether machines of other pools might run a step.
-
-    :param machines: all machines
-    :param unsuitable: machines that can't run the step
-    """
-    suitable = [row for row in machines if row.machine not in unsuitable]
-    if all(row.pool == view.service for row in suitable):
-        return False
-    # A gang that does not fit on all machines together would otherwise have
-    # machines moved to its pool without end.
-    return not group.step.gang or len(group.tasks) <= sum(
-        shortage.could_hold(group.step, row.labels, row.capacity)
-        for row in suitable
-    )
-
-
 def log_changes(
     leader: states.Leader,
     views: collections.abc.Iterable[rebalancing.PoolView],
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -318,7 +318,7 @@
     wall_ms = clock.wall_ms()
     idle_capacity: dict[ids.ServiceId, list[placing.FreeCapacity]] = {}
     machines = leader.fleet.machines.values()
-    too_small: lacks.TooSmall = {}
+    known_lacks: lacks.Lacks = {}
     for group in leader.ledger.open_groups:
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
@@ -331,22 +331,14 @@
             # More machines would not help: its team's quota or its tenant's
             # limit is used up.
             continue
-        unsuitable = lacks.unsuitable_machines(
-            group, machines, too_small, now_s
+        fits_nowhere = lacks.record_lack(
+            view,
+            group,
+            machines,
+            lambda view=view: _idle_capacity(idle_capacity, view),
+            known_lacks,
+            now_s,
         )
-        fits_nowhere = lacks.is_recorded(view, group, unsuitable)
-        if lacks.may_lack_machines(view, group, unsuitable):
-            if view.service not in idle_capacity:
-                idle_capacity[view.service] = shortage.idle_capacity(
-                    row.worker for row in view.members if row.worker
-                )
-            fits_nowhere = shortage.fits_nowhere(
-                group, idle_capacity[view.service], unsuitable
-            )
-            if fits_nowhere and lacks.may_others_help(
-                group, view, machines, unsuitable
-            ):
-                lacks.record(view, group.step.label, unsuitable)
         if fits_nowhere and group.step.label:
             # No number of machines without the label would do.
             continue
@@ -370,6 +362,21 @@
             _record_priority(view, group, known)
 
 
+def _idle_capacity(
+    found: dict[ids.ServiceId, list[placing.FreeCapacity]],
+    view: rebalancing.PoolView,
+) -> list[placing.FreeCapacity]:
+    """Return the free capacity of a pool's workers if all were idle.
+
+    :param found: capacities by pool, filled in
+    """
+    if view.service not in found:
+        found[view.service] = shortage.idle_capacity(
+            row.worker for row in view.members if row.worker
+        )
+    return found[view.service]
+
+
 def _record_priority(
     view: rebalancing.PoolView,
     group: ledgers.Group,
--- a/tests/test_shortage_cost.py
+++ b/tests/test_shortage_cost.py
@@ -118,3 +118,42 @@
 
 def test_no_worker_is_visited_beyond_one_that_fits(monkeypatch):
     assert 0 < _visits(monkeypatch, False, 'a') <= STEPS
+
+
+def test_steps_that_any_machine_may_run_are_held_against_none(monkeypatch):
+    """In a burst each step of another size was held against all machines."""
+    compared = []
+    real = shortage.could_hold
+
+    def could_hold(step, labels, capacity):
+        compared.append(step)
+        return real(step, labels, capacity)
+
+    async def main(world):
+        leader = await utils_leading.lead(world)
+        now_s = clock.now_s()
+        workers = [build.worker(f'w{i}') for i in range(WORKERS)]
+        for number in range(STEPS):
+            job = build.job(
+                build.step(cpu=1000 + number), name=f'{number:016x}'
+            )
+            ledgers.add(leader.ledger, job, now_s)
+        members = [
+            rebalancing.Member(row.entry.machine, 8.0, row) for row in workers
+        ]
+        leader.fleet.machines = {
+            row.entry.machine: fleet.Machine(
+                row.entry.machine,
+                build.POOL,
+                fleet.State.UP,
+                capacity=row.entry.capacity,
+            )
+            for row in workers
+        }
+        view = rebalancing.PoolView(build.POOL, members)
+        pool_loop._record_demand(leader, {build.POOL: view}, now_s)
+        assert len(view.waiting) == STEPS
+
+    monkeypatch.setattr(shortage, 'could_hold', could_hold)
+    servers.run(main, CONFIGURATION)
+    assert not compared
--- a/tests/utils_lacks.py
+++ b/tests/utils_lacks.py
@@ -307,25 +307,25 @@
         for member in view.members:
             for task in member.worker.runs.values() if member.worker else ():
                 pool_loop._add_cores(view, task.group, 1)
+    known_lacks: lacks.Lacks = {}
     for group in day.groups:
         if group.waiting:
-            _record_demand(day, views[group.entry.job.queue.service], group)
+            view = views[group.entry.job.queue.service]
+            _record_demand(day, view, group, known_lacks)
     return list(views.values()), standby
 
 
-def _record_demand(day, view, group) -> None:
-    rows = machines(day).values()
-    unsuitable = lacks.unsuitable_machines(group, rows, {}, now_s(day))
-    fits_nowhere = lacks.is_recorded(view, group, unsuitable)
-    if lacks.may_lack_machines(view, group, unsuitable):
-        free = shortage.idle_capacity(
+def _record_demand(day, view, group, known_lacks) -> None:
+    fits_nowhere = lacks.record_lack(
+        view,
+        group,
+        machines(day).values(),
+        lambda: shortage.idle_capacity(
             row.worker for row in view.members if row.worker
-        )
-        fits_nowhere = shortage.fits_nowhere(group, free, unsuitable)
-        if fits_nowhere and lacks.may_others_help(
-            group, view, rows, unsuitable
-        ):
-            lacks.record(view, group.step.label, unsuitable)
+        ),
+        known_lacks,
+        now_s(day),
+    )
     if fits_nowhere and group.step.label:
         return
     queue = group.entry.job.queue
