--- a/tests/test_label_draining.py
+++ b/tests/test_label_draining.py
@@ -55,16 +55,27 @@
 
 
 def _decide(
-    workers, needed=0, moves=(), to_drain=(), lacking=(), has_room=True, **view
+    workers,
+    needed=0,
+    moves=(),
+    to_drain=(),
+    lacking=(),
+    has_room=True,
+    unsuitable=(),
+    **view,
 ):
     """Return rows of machine and relocated tasks.
 
     :param workers: by label, of the other pool
     :param lacking: members of the pool that lacks the label a
+    :param unsuitable: machines that can't run the step which lacks it
     """
     pools = [
         rebalancing.PoolView(
-            utils_jobs.POOL, list(lacking), lacks_labels={'a'}
+            utils_jobs.POOL,
+            list(lacking),
+            lacks_labels={'a'},
+            unsuitable={'a': frozenset(unsuitable)},
         ),
         rebalancing.PoolView(
             OTHER,
@@ -99,6 +110,11 @@
     assert _decide([('a', labelled), ('b', other)]) == [('w-m1', 1)]
 
 
+def test_machine_that_the_advice_refused_is_not_drained():
+    """Its tasks were relocated, and it left, for a step that can't use it."""
+    assert _decide(_two_machines(), unsuitable=['w-m1']) == [('w-m2', 1)]
+
+
 def test_task_stays_while_too_many_of_its_step_are_away():
     labelled, other = _worker('m1'), _worker('m2')
     _start_long_running(labelled, other, serving_s=NOW_S)
