--- a/tests/test_emulated_feature_defects.py
+++ b/tests/test_emulated_feature_defects.py
@@ -47,7 +47,9 @@
 def _gangs_start_bit_by_bit(patch):
     def place(group, free, now_s, quotas):
         unmet = placing.Unmet()
-        return placing._place_tasks(group, free, now_s, 1, quotas, unmet)
+        return placing._place_tasks(
+            group, free, now_s, 1, quotas, unmet, len(free)
+        )
 
     patch.setattr(placing, '_place_gang', place)
 
