--- a/tests/test_open_findings.py
+++ b/tests/test_open_findings.py
@@ -92,27 +92,11 @@
     assert not utils_restarts.day_of_many_restarts(seed).breaches
 
 
-def _day_of_restarts(seed, wanted, **fields) -> day.Result:
-    """Run a day with three faults, a cut and six restarts."""
-    faults = troubles.draw(seed, 12.0, 3, troubles.LAB_KINDS)
-    faults += troubles.draw(seed, 12.0, 1, troubles.CUT_KINDS)
-    faults += troubles.draw(seed, 12.0, 6, troubles.RESTART_KINDS)
-    plan = day.Plan(
-        seed,
-        troubles=tuple(faults),
-        features=wanted,
-        finish_s=features.finish_s(wanted, day.FINISH_S),
-        tells_births=True,
-        **fields,
-    )
-    return day.play(plan)
-
-
 @pytest.mark.parametrize('seed', [96001])
 def test_job_is_not_failed_for_orders_that_started_nothing(seed):
     # A task is given up though only one worker crashed under it.
     wanted = (*features.draw(seed, 2), features.Feature.CRASHES)
-    result = _day_of_restarts(seed, wanted)
+    result = utils_restarts.random_day(seed, wanted, 1, 6, 3)
     assert not result.breaches and not result.unfinished
 
 
@@ -120,7 +104,9 @@
 def test_innocent_lasting_job_is_not_failed_by_restarts(seed):
     # A restart of three workers at once counts as an isolated crash.
     wanted = (features.Feature.LABELS, features.Feature.ADVICE)
-    result = _day_of_restarts(seed, wanted, machines_a_pool=3)
+    result = utils_restarts.random_day(
+        seed, wanted, 1, 6, 3, machines_a_pool=3
+    )
     assert not result.breaches and not result.unfinished
 
 
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -321,11 +321,17 @@
 
 
 def random_day(
-    seed, wanted_features=(), cuts=0, restart_count=3, fault_count=2
+    seed,
+    wanted_features=(),
+    cuts=0,
+    restart_count=3,
+    fault_count=2,
+    **fields,
 ):
     """Run a day with random faults, cuts, and restarts.
 
     :param wanted_features: features that its jobs use
+    :param fields: further fields of the day's plan
     """
     faults = troubles.draw(seed, 12.0, fault_count, troubles.LAB_KINDS)
     faults += troubles.draw(seed, 12.0, cuts, troubles.CUT_KINDS)
@@ -336,6 +342,7 @@
         features=wanted_features,
         finish_s=features.finish_s(wanted_features, day.FINISH_S),
         tells_births=True,
+        **fields,
     )
     return day.play(plan)
 
