Log what a crash counts as, and which crashes were stored and read

The log named the ages of lost runs, not what was put down for a crash: it could not tell crashes that die with their leader from crashes that are taken for a common cause or have no usable age. Logic unchanged.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -86,6 +86,11 @@
 
 def is_conclusive(crashes: Crashes) -> bool:
     """Return whether the evidence suffices to fail the task's job."""
+    return len(crashes) > 1 and points_of(crashes) >= CONCLUSIVE_POINTS
+
+
+def points_of(crashes: Crashes) -> int:
+    """Return how strong the evidence against a task is."""
     rows = sorted(crashes, key=lambda crash: crash.attempt)
     points = -COINCIDENCE_POINTS if _may_be_coincidence(rows) else 0
     for number, row in enumerate(rows):
@@ -93,7 +98,7 @@
         if _is_early(row):
             points += EARLY_POINTS
         points += _points_for_age(row, rows[:number])
-    return len(rows) > 1 and points >= CONCLUSIVE_POINTS
+    return points
 
 
 def _is_early(crash: Crash) -> bool:
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -2,6 +2,8 @@
 
 from oleanderwood import clock
 from oleanderwood import event_log
+from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
@@ -15,6 +17,9 @@
 together are found to be gone one after another, the last ones as their leases
 end."""
 
+MAX_WORKERS_LOGGED = 5
+"""Largest number of workers named in a log line on a crash."""
+
 
 def record(
     leader: states.Leader, worker: workers_.Worker, planned: bool = False
@@ -37,12 +42,25 @@
         for name, row in leader.recently_gone.items()
         if row.at_s > now_s - RECENT_S
     }
-    common = _is_correlated(leader, worker, now_s)
+    others_s = _others_gone_s(leader, worker)
+    gone_s = _gone_s(worker, now_s)
+    common = blame.has_common_cause(gone_s, others_s.values())
     in_unrest = _is_in_unrest(leader, worker)
     _remember(leader, worker, losses, now_s)
-    for task in blame.attribute(
+    suspected = blame.attribute(
         leader.ledger, losses, common, now_s, in_unrest=in_unrest
-    ):
+    )
+    if losses:
+        event_log.emit(
+            'worker',
+            'crash-attributed',
+            worker=worker.entry.worker,
+            common=common,
+            gone_together=_gone_together(gone_s, others_s),
+            in_unrest=in_unrest,
+            blamed=_blamed(losses),
+        )
+    for task in suspected:
         entry = task.group.entry
         server_metrics.SUSPICIONS.labels(entry.state.value).inc()
         event_log.emit(
@@ -57,10 +75,34 @@
     return losses
 
 
-def _is_correlated(
-    leader: states.Leader, worker: workers_.Worker, now_s: float
-) -> bool:
-    """Return whether a worker failed together with others.
+def _blamed(losses: list[workers_.Loss]) -> dict[ids.TaskId, list[int]]:
+    """Return the log field on tasks blamed for a crash, by task.
+
+    The attempt, the age recorded for it in milliseconds and by how much that
+    may be too high, 1 if the run was isolated, and the points against the task
+    so far.
+    """
+    found = {}
+    for row in losses:
+        crash = row.task.crashes.get(row.task.run.attempt)
+        if crash is not None:
+            points = crashes_.points_of(
+                isolation.crashes_of(row.task).values()
+            )
+            found[row.task.name] = [
+                crash.attempt,
+                crash.age_ms,
+                crash.doubt_ms,
+                int(crash.isolated),
+                points,
+            ]
+    return found
+
+
+def _others_gone_s(
+    leader: states.Leader, worker: workers_.Worker
+) -> dict[ids.ExecutorId, float]:
+    """Return when other workers failed, by worker.
 
     Others count if they are gone, or silent at present, unless a task that was
     tried there explains it: tasks of several jobs may be tried at once.
@@ -77,7 +119,22 @@
         and not blame.crashed_on_trial(other, other.silent_since_s)
     }
     others.pop(worker.entry.worker, None)
-    return blame.has_common_cause(_gone_s(worker, now_s), others.values())
+    return others
+
+
+def _gone_together(
+    gone_s: float, others_s: dict[ids.ExecutorId, float]
+) -> dict[ids.ExecutorId, int]:
+    """Return the log field on workers that failed together with one.
+
+    By worker: after how many milliseconds it failed.
+    """
+    found = {
+        name: round((at_s - gone_s) * 1000)
+        for name, at_s in others_s.items()
+        if abs(at_s - gone_s) <= blame.COMMON_CAUSE_WINDOW_S
+    }
+    return dict(list(found.items())[:MAX_WORKERS_LOGGED])
 
 
 def _is_in_unrest(leader: states.Leader, worker: workers_.Worker) -> bool:
--- a/oleanderwood/leading/progress_writer.py
+++ b/oleanderwood/leading/progress_writer.py
@@ -176,6 +176,8 @@
     persistence.note_written(leader.ledger, entries)
     for entry in entries:
         blocked = not isolation.are_crashes_stored(entry)
+        if blocked:
+            event_log.emit('job', 'crashes-stored', job=entry.job.job)
         if blocked or entry.more_pools != entry.more_pools_stored:
             await leader.placement_due.set()
         entry.stored_crash_revision = crashes[entry.job.job]
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -309,6 +309,7 @@
     try:
         progress = msgspec.json.decode(value, type=record.Progress)
         record.restore(leader.ledger, entry, progress, now_s)
+        _log_crashes(entry)
     except (msgspec.MsgspecError, ValueError) as error:
         name = entry.job.job
         event_log.emit('job', 'progress-malformed', job=name, why=str(error))
@@ -316,6 +317,20 @@
         leader.unreadable_jobs.add(name)
 
 
+def _log_crashes(entry: ledgers.Entry) -> None:
+    """Log the attempts of a job's tasks that earlier leaders saw crash."""
+    crashes = {
+        task.name: sorted(task.crashes)
+        for group in entry.groups.values()
+        for task in group.tasks
+        if task.crashes
+    }
+    if crashes:
+        event_log.emit(
+            'job', 'crashes-read', job=entry.job.job, crashes=crashes
+        )
+
+
 def _restore_arrivals(leader: states.Leader) -> None:
     """Restore arrival times of jobs, and recent arrivals of each pool."""
     now_s = clock.now_s()
