Keep the age of a crash that comes together with others

Cause: three workers that go within 0.1 s count as one common cause (power, a rack), and then a crash's age and isolation were dropped for good. A task then took four or five crashes where two do.

It gives no points and suspects nobody, so that a rack's loss still slows nothing; a later crash of its own at that age makes it evidence. Beside a tried task that crashed when it was expected to, workers under which a run may only just have begun don't count as gone with it: any of them may have been crashed the same way.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -63,10 +63,13 @@
     """A crash of a worker while it may have run a task.
 
     :ivar attempt: number of the run
-    :ivar age_ms: upper bound of the run's age; -1 if unknown
+    :ivar age_ms: upper bound of the run's age; -1 if it is unknown or, as the
+        worker went down together with others, no evidence
     :ivar doubt_ms: by how much the run may have been younger
     :ivar isolated: no other run on the worker could have caused the crash
     :ivar in_unrest: workers crashed at that time that no run had crashed
+    :ivar common_age_ms: the age if the worker went down together with others;
+        evidence only once a later crash comes at the same age
     """
 
     attempt: int
@@ -74,6 +77,7 @@
     doubt_ms: int = 0
     isolated: bool = False
     in_unrest: bool = False
+    common_age_ms: int = -1
 
 
 Crashes = collections.abc.Collection[Crash]
@@ -121,11 +125,11 @@
 
 def _points_for_age(crash: Crash, earlier: Crashes) -> int:
     """Return the points of a crash for coming at the age of an earlier one."""
-    if not _is_age_comparable(crash):
+    if crash.age_ms < 0 or not _is_age_comparable(crash):
         return 0
     difference_ms = min(
         (
-            abs(crash.age_ms - other.age_ms)
+            abs(crash.age_ms - _known_age_ms(other))
             for other in earlier
             if _is_age_comparable(other)
         ),
@@ -139,7 +143,11 @@
 
 
 def _is_age_comparable(crash: Crash) -> bool:
-    return crash.age_ms >= 0 and crash.doubt_ms <= MAX_AGE_DOUBT_MS
+    return _known_age_ms(crash) >= 0 and crash.doubt_ms <= MAX_AGE_DOUBT_MS
+
+
+def _known_age_ms(crash: Crash) -> int:
+    return max(crash.age_ms, crash.common_age_ms)
 
 
 def probation_s(crashes: Crashes) -> float:
@@ -148,7 +156,7 @@
     This is twice the highest age at a crash, within bounds; the upper bound
     if an age is unknown.
     """
-    ages = [crash.age_ms for crash in crashes]
+    ages = [_known_age_ms(crash) for crash in crashes]
     if min(ages, default=-1) < 0:
         return MAX_PROBATION_S
     longest_s = 2 * max(ages) / 1000
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -42,8 +42,8 @@
         for name, row in leader.recently_gone.items()
         if row.at_s > now_s - RECENT_S
     }
-    others_s = _others_gone_s(leader, worker)
     gone_s = _gone_s(worker, now_s)
+    others_s = _others_gone_s(leader, worker, gone_s)
     common = blame.has_common_cause(gone_s, others_s.values())
     in_unrest = _is_in_unrest(leader, worker)
     _remember(leader, worker, losses, now_s)
@@ -100,26 +100,39 @@
 
 
 def _others_gone_s(
-    leader: states.Leader, worker: workers_.Worker
+    leader: states.Leader, worker: workers_.Worker, gone_s: float
 ) -> dict[ids.ExecutorId, float]:
-    """Return when other workers failed, by worker.
+    """Return when other workers failed that may have the same cause.
 
     Others count if they are gone, or silent at present, unless a task that was
-    tried there explains it: tasks of several jobs may be tried at once.
+    tried there explains it: tasks of several jobs may be tried at once. Beside
+    a task that has just crashed its worker on trial, others don't count either
+    where a run may only just have been started: it may be of the same kind.
     """
-    others = {
-        name: row.at_s
-        for name, row in leader.recently_gone.items()
-        if not row.on_trial
-    }
-    others |= {
-        other.entry.worker: other.silent_since_s
+    others = leader.recently_gone | {
+        other.entry.worker: _departure(other, other.silent_since_s)
         for other in leader.workers.values()
         if other.silent_since_s is not None
-        and not blame.crashed_on_trial(other, other.silent_since_s)
+        and abs(other.silent_since_s - gone_s) <= blame.COMMON_CAUSE_WINDOW_S
     }
     others.pop(worker.entry.worker, None)
-    return others
+    on_trial = blame.crashed_on_trial(worker, gone_s)
+    return {
+        name: row.at_s
+        for name, row in others.items()
+        if not row.on_trial and not (on_trial and row.early)
+    }
+
+
+def _departure(
+    worker: workers_.Worker, gone_s: float, unexplained: bool = False
+) -> blame.Departure:
+    return blame.Departure(
+        gone_s,
+        unexplained,
+        on_trial=blame.crashed_on_trial(worker, gone_s),
+        early=blame.may_have_early_run(worker, gone_s),
+    )
 
 
 def _gone_together(
@@ -160,12 +173,8 @@
     when it failed; its entry may have been written once more afterwards.
     """
     name = worker.entry.worker
-    gone_s = _gone_s(worker, now_s)
-    row = blame.Departure(
-        gone_s,
-        unexplained=worker.fenced and not blame.is_explained(losses),
-        on_trial=blame.crashed_on_trial(worker, gone_s),
-    )
+    unexplained = worker.fenced and not blame.is_explained(losses)
+    row = _departure(worker, _gone_s(worker, now_s), unexplained)
     if worker.fenced:
         leader.recently_gone[name] = row
     else:
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -30,11 +30,13 @@
     :ivar at_s: when it went down
     :ivar unexplained: nothing on it is likely to have crashed it
     :ivar on_trial: a suspected task that was tried there crashed it
+    :ivar early: a run there may only just have been started
     """
 
     at_s: float
     unexplained: bool
     on_trial: bool = False
+    early: bool = False
 
 
 def has_common_cause(
@@ -85,6 +87,24 @@
     )
 
 
+def may_have_early_run(worker: workers_.Worker, gone_s: float) -> bool:
+    """Return whether a worker may have gone down just after a run began there.
+
+    :param gone_s: when it went down at the latest
+    """
+    after_s = worker.clock_at_s
+    if worker.silent_since_s is not None:
+        after_s = worker.silent_after_s
+    return any(
+        task.run is not None
+        and task.run.worker == worker.entry.worker
+        and task.run.sent_s is not None
+        and task.run.sent_s <= gone_s
+        and (after_s - task.run.sent_s) * 1000 <= crashes_.EARLY_CRASH_MS
+        for task in worker.runs.values()
+    )
+
+
 def _crashed_as_before(task: ledgers.Task, gone_s: float) -> bool:
     if task.run.sent_s is None:
         return False
@@ -109,7 +129,7 @@
     at work long enough are never blamed.
 
     :param common: the worker went down together with others, so the age of a
-        run proves nothing
+        run proves nothing by itself
     :param in_unrest: other workers crash at present for other causes
     """
     losses = [
@@ -138,12 +158,14 @@
     for row in blamed:
         row.task.blamed_with[row.task.run.attempt] = runs
         task = row.task
-        age_ms = -1
-        if row.age_s is not None and not common:
-            age_ms = round(row.age_s * 1000)
-        doubt_ms = round(row.doubt_s * 1000)
+        age_ms = -1 if row.age_s is None else round(row.age_s * 1000)
         crash = crashes_.Crash(
-            task.run.attempt, age_ms, doubt_ms, isolated, in_unrest
+            task.run.attempt,
+            -1 if common else age_ms,
+            round(row.doubt_s * 1000),
+            isolated,
+            in_unrest,
+            age_ms if common else -1,
         )
         isolation.record_crash(ledger, task, crash, now_s)
         if task.index in task.group.suspects:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -322,6 +322,36 @@
         assert loss.task.crashes[2].age_ms == -1
 
 
+@pytest.mark.parametrize(('begun_s', 'isolated'), [(0.02, True), (5.0, False)])
+def test_trial_counts_beside_workers_that_a_young_run_may_have_crashed(
+    begun_s, isolated
+):
+    """Else trials count for nothing while many tasks crash workers."""
+    leader = _trials_that_crash((0.01,))
+    (tried,) = leader.workers.values()
+    crashed_s = tried.silent_since_s
+    ledger = build.ledger_with(build.job(build.step(2)))
+    for index in range(2):
+        worker = build.worker(f'beside{index}')
+        task = build.task(ledger, index=index)
+        run = build.start(ledger, task, worker, crashed_s - begun_s)
+        run.sent, run.sent_s = True, crashed_s - begun_s
+        worker.silent_since_s = worker.silent_after_s = crashed_s
+        leader.workers[worker.entry.worker] = worker
+    (loss,) = losses_.record(leader, tried)
+    assert loss.task.crashes[2].isolated == isolated
+
+
+def test_age_in_a_common_crash_counts_once_a_crash_comes_at_that_age():
+    together = [crashes_.Crash(1, -1, common_age_ms=12)]
+    together.append(crashes_.Crash(2, -1, common_age_ms=13))
+    assert crashes_.points_of(together) == 2
+    trial = crashes_.Crash(3, 12, isolated=True)
+    assert crashes_.is_conclusive([*together, trial])
+    other = crashes_.Crash(3, 200, isolated=True)
+    assert not crashes_.is_conclusive([*together, other])
+
+
 def test_run_on_probation_is_blamed_alone_beside_settled_ones():
     ledger, tasks, worker = _worker_that_crashes(3, (0.02, 1.5, 3.0))
     isolation.record_crash(ledger, tasks[0], _crash(1, EARLY_MS), 1.0)
