Don't clear tasks with further crashes, or on trial, of explained ones

Cause: as a job was given up, all other jobs' tasks that had been on those workers were cleared of these crashes. Tasks that crash workers themselves cleared each other: an attempt that was on trial stopped being one, so its crash, alone on its worker, counted as one of many (seen in the log as points that fall from 6 to 2), and the tasks were started together again.

Now a task is cleared only of its one crash, and not while it is tried. An innocent one is still cleared at once in that case; otherwise its next trial decides.

--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -180,7 +180,9 @@
     """Clear other jobs' tasks of the crashes that a task has caused.
 
     These are its crashes at an age at which it crashes workers. What the store
-    holds of them is removed by the next writes of those jobs.
+    holds of them is removed by the next writes of those jobs. A task that is
+    on trial, or under which several workers have crashed, is not cleared: it
+    may crash them as well.
     """
     for attempt, crash in task.crashes.items():
         rest = [row for row in task.crashes.values() if row is not crash]
@@ -190,6 +192,8 @@
             other = ledgers.find(ledger, name)
             if other is None or other.group.entry is task.group.entry:
                 continue
+            if len(other.crashes) > 1 or isolation.is_on_probation(other):
+                continue
             if other.crashes.pop(other_attempt, None) is not None:
                 isolation.update_suspects(other)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -284,6 +284,24 @@
     assert tasks[1].crashes and tasks[1].group.suspects
 
 
+def test_task_with_other_crashes_is_not_cleared_of_an_explained_one():
+    """Else tasks that crash workers side by side clear each other."""
+    ledger, tasks = _crash_of_two_jobs((0.01, 0.02))
+    isolation.record_crash(ledger, tasks[1], _crash(9, 700), 12.0)
+    _crash_on_trial(ledger, tasks[0], 0.01)
+    assert tasks[0].group.entry.state is model.State.FAILED
+    assert len(tasks[1].crashes) == 2 and tasks[1].group.suspects
+
+
+def test_task_on_trial_is_not_cleared_of_an_explained_crash():
+    """Else the crash of its own worker doesn't count as isolated."""
+    ledger, tasks = _crash_of_two_jobs((0.01, 0.02))
+    build.start(ledger, tasks[1], build.worker('w3'), 19.9)
+    _crash_on_trial(ledger, tasks[0], 0.01)
+    assert tasks[0].group.entry.state is model.State.FAILED
+    assert isolation.is_on_probation(tasks[1])
+
+
 def _trials_that_crash(ages_s):
     """Build a leader whose workers crash at once, each under a tried task.
 
