Let each task wait until its crash is stored, unless the store is away

Cause: only a suspected task waited until its crash was in the store. Any other was started again within some 10 ms, so a leader that was killed then took two crashes along, the one that it hadn't written and the one it hadn't seen, and the next one began from none.

Now each task with a crash that the store lacks waits for it, at most until 1 s after the store's last answer; a write takes some 40 ms. While the store is away, tasks that aren't suspected go on, as before: to hold all that ran on a crashed worker for a whole outage would cost callers more.

--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -146,6 +146,19 @@
     return entry.stored_crash_revision >= entry.crash_revision
 
 
+def awaits_storage(task: ledgers.Task, now_s: float) -> bool:
+    """Return whether a task waits until the store holds its crashes.
+
+    If the leader fails, the next one knows only of those. A suspected task
+    waits for as long as it takes, any other for a limited time.
+    """
+    entry = task.group.entry
+    if not task.crashes or are_crashes_stored(entry):
+        return False
+    suspected = task.index in task.group.suspects
+    return suspected or now_s < entry.crash_storage_due_s
+
+
 def startable(group: ledgers.Group) -> list[ledgers.Task]:
     """Return the waiting tasks of a step that may start now, in order.
 
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -184,6 +184,8 @@
     :ivar more_pools_stored: the part of ``more_pools`` that the store holds
     :ivar crash_revision: number of changes to the crashes recorded for its
         tasks; the store holds the first ``stored_crash_revision`` of them
+    :ivar crash_storage_due_s: time until which even tasks that aren't
+        suspected wait until the store holds their crashes
     :ivar over_rate: it arrived when its tenant had used up its guaranteed rate
     :ivar first_unwritten: number of its first change that the store lacks
     :ivar expected_s: expected time of a task, by step, computed from version
@@ -205,6 +207,7 @@
     )
     crash_revision: int = 0
     stored_crash_revision: int = 0
+    crash_storage_due_s: float = 0.0
     over_rate: bool = False
     first_unwritten: int = 0
     ended_s: float = 0.0
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -17,6 +17,11 @@
 together are found to be gone one after another, the last ones as their leases
 end."""
 
+MAX_STORAGE_WAIT_S = 1.0
+"""Time since the store's last answer for which a task waits until the store
+holds its crash, long enough for two attempts to write it. While the store is
+away, the task starts without."""
+
 MAX_WORKERS_LOGGED = 5
 """Largest number of workers named in a log line on a crash."""
 
@@ -50,6 +55,9 @@
     suspected = blame.attribute(
         leader.ledger, losses, common, now_s, in_unrest=in_unrest
     )
+    due_s = leader.server.store_contact_s + MAX_STORAGE_WAIT_S
+    for row in losses:
+        row.task.group.entry.crash_storage_due_s = due_s
     if losses:
         event_log.emit(
             'worker',
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -241,7 +241,7 @@
     for task in isolation.startable(group):
         if len(placed) >= max_starts or not quotas_.allows(quotas, group):
             break
-        if task.not_before_s > now_s:
+        if task.not_before_s > now_s or isolation.awaits_storage(task, now_s):
             continue
         best = _best_candidate(group, task, free)
         if best is None:
@@ -432,7 +432,7 @@
     members = [task for task in group.tasks if not task.done]
     if any(task.run is not None for task in members):
         return []
-    if group.suspects and not isolation.are_crashes_stored(group.entry):
+    if any(isolation.awaits_storage(task, now_s) for task in members):
         return []
     if not quotas_.allows(quotas, group, len(members)):
         return []
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -308,8 +308,13 @@
     Each task has crashed a worker before, at its start.
     """
     ledger = build.ledger_with(build.job(build.step(len(ages_s))))
-    leader = types.SimpleNamespace(ledger=ledger, workers={}, recently_gone={})
     crashed_s = clock.now_s()
+    leader = types.SimpleNamespace(
+        ledger=ledger,
+        workers={},
+        recently_gone={},
+        server=types.SimpleNamespace(store_contact_s=crashed_s),
+    )
     for index, age_s in enumerate(ages_s):
         task = build.task(ledger, index=index)
         isolation.record_crash(ledger, task, _crash(1, EARLY_MS), 1.0)
@@ -501,6 +506,21 @@
     assert _place(tasks, [young], 11.0) == [(tasks[0], 'w2')]
 
 
+def test_task_waits_until_its_crash_is_stored_or_the_store_is_away():
+    """Else a leader that is killed takes one crash after another along."""
+    ledger = build.ledger_with(build.job())
+    task = build.task(ledger)
+    isolation.record_crash(ledger, task, _crash(1, 700), 1.0)
+    entry = task.group.entry
+    entry.crash_storage_due_s = 2.0
+    pool = [build.worker()]
+    assert not task.group.suspects
+    assert not _place([task], pool, now_s=1.9)
+    assert _place([task], pool, now_s=2.1)
+    entry.stored_crash_revision = entry.crash_revision
+    assert _place([task], pool, now_s=1.9)
+
+
 def _decide_beside_suspected(count, others):
     """Return what starts where several jobs have a suspected task each.
 
