Don't take workers that are ordered down for others that fail

Cause: a worker whose machine the leader itself moves or maintains closes its connections and is silent until the list of machines tells of it. It counted as one that had failed at that moment, so that two moves within 0.1 s made any crash one of a common cause.

Evidence: of the six trials of that task, each alone on its worker and over after 11 or 12 ms, each was common, with three to five workers at 62 to 84 ms, those looked up all closed and without runs (worker crash-attributed, worker silent closed=true).

Such a worker no longer counts. The test failed before.

--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -112,15 +112,17 @@
 ) -> dict[ids.ExecutorId, float]:
     """Return when other workers failed that may have the same cause.
 
-    Others count if they are gone, or silent at present, unless a task that was
-    tried there explains it: tasks of several jobs may be tried at once. Beside
-    a task that has just crashed its worker on trial, others don't count either
-    where a run may only just have been started: it may be of the same kind.
+    Others count if they are gone, or silent at present, unless their machine
+    was ordered down or a task that was tried there explains it: machines are
+    moved, and tasks of several jobs are tried, many at once. Beside a task
+    that has just crashed its worker on trial, others don't count either where
+    a run may only just have been started: it may be of the same kind.
     """
     others = leader.recently_gone | {
         other.entry.worker: _departure(other, other.silent_since_s)
         for other in leader.workers.values()
         if other.silent_since_s is not None
+        and not other.closed
         and abs(other.silent_since_s - gone_s) <= blame.COMMON_CAUSE_WINDOW_S
     }
     others.pop(worker.entry.worker, None)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -365,6 +365,20 @@
     assert loss.task.crashes[2].isolated == isolated
 
 
+@pytest.mark.parametrize('closed', [True, False])
+def test_workers_whose_machines_are_ordered_down_are_no_common_cause(closed):
+    """Else a trial counts for nothing while machines are moved."""
+    leader = _trials_that_crash((0.01,))
+    (tried,) = leader.workers.values()
+    for index in range(2):
+        worker = build.worker(f'moved{index}')
+        worker.silent_since_s = worker.silent_after_s = tried.silent_since_s
+        worker.closed = closed
+        leader.workers[worker.entry.worker] = worker
+    (loss,) = losses_.record(leader, tried)
+    assert loss.task.crashes[2].isolated == closed
+
+
 def test_age_in_a_common_crash_counts_once_a_crash_comes_at_that_age():
     together = [crashes_.Crash(1, -1, common_age_ms=12)]
     together.append(crashes_.Crash(2, -1, common_age_ms=13))
