Hand crashes that the store lacks from a leader to the next one

Callers saw a task that crashes its workers started up to ten times, each start taking a worker, as the store refused one leader after another while it served the other servers: BUDGET.

Cause: such a leader acts on for a second or more and can't store the crashes that it sees; the next one read none of them and began from none.

A new leader already asks each earlier one that isn't known to have ended. Servers of earlier releases ignore the field, or don't send it. No call is added. A leader that is killed still takes along what it hadn't stored.

Ways not taken: other servers as holders of each crash (a message for each crash, and a question to all at each takeover).

--- a/oleanderwood/leading/confirmation.py
+++ b/oleanderwood/leading/confirmation.py
@@ -12,6 +12,8 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
+from oleanderwood.leading import crash_handover
 from oleanderwood.leading import lease
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
@@ -49,6 +51,8 @@
     :ivar process: id of the server's incarnation, which is ``age_s`` old;
         empty from servers of an earlier release
     :ivar leading_term: the term that this server leads itself; 0 if none
+    :ivar crashes: for the leader of a later term, crashes that the store may
+        lack of the last term that this server led, by task
     """
 
     term: int
@@ -56,6 +60,7 @@
     process: str = ''
     age_s: float = 0.0
     leading_term: int = 0
+    crashes: dict[ids.TaskId, list[crashes_.Crash]] = {}
 
 
 async def answer_contact(server: states.Server, target: str) -> ContactAnswer:
@@ -64,13 +69,18 @@
     The call of a later leader contains its term: a leader of an earlier term
     then stops, and a server that is still taking over does not start to lead.
     """
-    asker_term = target.removeprefix(CONTACT_PATH).removeprefix('/')
-    if asker_term.isdecimal():
-        server.max_asking_term = max(server.max_asking_term, int(asker_term))
+    digits = target.removeprefix(CONTACT_PATH).removeprefix('/')
+    asking_term = int(digits) if digits.isdecimal() else 0
+    server.max_asking_term = max(server.max_asking_term, asking_term)
     leading = server.leader
     if leading is not None and server.max_asking_term > leading.term:
         await states.depose(leading, 'the leader of a later term has called')
     acts = leading is not None and not leading.deposed
+    if leading is not None:
+        server.unstored_crashes = crash_handover.unstored(leading.ledger)
+    crashes = {}
+    if asking_term > server.last_led_term:
+        crashes = server.unstored_crashes
     leader = server.roles.leader
     now_s = clock.now_s()
     return ContactAnswer(
@@ -79,6 +89,7 @@
         server.process,
         now_s - server.began_s,
         leading.term if acts else 0,
+        crashes,
     )
 
 
--- a/oleanderwood/leading/previous_leaders.py
+++ b/oleanderwood/leading/previous_leaders.py
@@ -13,6 +13,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import confirmation
+from oleanderwood.leading import crash_handover
 from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
@@ -82,6 +83,8 @@
 ) -> float | None:
     """Return a time by which an earlier leader had ended; None if unknown.
 
+    Its answer also contains the crashes that it could not store.
+
     An earlier leader ends its term when it hears of a later one. Another
     process at its address started after the earlier incarnation had ended.
     Only such an answer counts: a connection can also be refused by a network
@@ -101,6 +104,7 @@
         )
     except (errors.CallFailed, msgspec.MsgspecError):
         return None
+    await crash_handover.adopt(leader, row.term, contact.crashes)
     if not contact.process or contact.leading_term == row.term:
         return None
     age_s = 0.0 if contact.process == row.process else contact.age_s
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -13,6 +13,7 @@
 from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import ids
+from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
 from oleanderwood.leading import leadership_transfer
@@ -146,6 +147,8 @@
     :ivar last_led_term: the last term that this process led or is leading
     :ivar leader: state of the term that this process leads; None if it does
         not lead
+    :ivar unstored_crashes: crashes that the store may lack of the last term
+        that this process led, by task
     :ivar late_order_executors: executors to be called because an order to them
         may still arrive late
     :ivar late_orders_changed: wakes the task that calls these executors
@@ -176,6 +179,9 @@
     last_led_term: int = 0
     max_asking_term: int = 0
     leader: 'Leader | None' = None
+    unstored_crashes: dict[ids.TaskId, list[crashes_.Crash]] = (
+        dataclasses.field(default_factory=dict)
+    )
     stopping: bool = False
     late_order_executors: late_orders.UnansweredOrders = dataclasses.field(
         default_factory=late_orders.UnansweredOrders
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -19,6 +19,7 @@
 from oleanderwood.jobs import record
 from oleanderwood.leading import advising
 from oleanderwood.leading import confirmation
+from oleanderwood.leading import crash_handover
 from oleanderwood.leading import dispatch
 from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import fleet_loop
@@ -120,6 +121,7 @@
         for part in _term_loops(leader, read_at):
             await group.spawn(part)
         await group.spawn(leader.ended.wait, 1e9)
+    server.unstored_crashes = crash_handover.unstored(leader.ledger)
     server.leader = None
     why = leader.deposed or 'the server is stopping'
     for task in group.tasks:
