--- a/oleanderwood/leading/confirmation.py
+++ b/oleanderwood/leading/confirmation.py
@@ -76,11 +76,11 @@
     if leading is not None and server.max_asking_term > leading.term:
         await states.depose(leading, 'the leader of a later term has called')
     acts = leading is not None and not leading.deposed
-    if leading is not None:
-        server.unstored_crashes = crash_handover.unstored(leading.ledger)
     crashes = {}
     if asking_term > server.last_led_term:
         crashes = server.unstored_crashes
+        if leading is not None:
+            crashes = crash_handover.unstored(leading.ledger)
     leader = server.roles.leader
     now_s = clock.now_s()
     return ContactAnswer(
--- a/oleanderwood/leading/crash_handover.py
+++ b/oleanderwood/leading/crash_handover.py
@@ -59,5 +59,6 @@
 
 def _is_news(task: ledgers.Task, crash: crashes_.Crash) -> bool:
     """Return whether a crash is unknown, and its run isn't known to go on."""
-    runs = task.run is not None and task.run.attempt == crash.attempt
-    return crash.attempt not in task.crashes and not runs
+    if task.run is not None and task.run.attempt == crash.attempt:
+        return False
+    return crash.attempt not in task.crashes
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -69,20 +69,24 @@
             blamed=_blamed(losses),
         )
     for task in suspected:
-        entry = task.group.entry
-        server_metrics.SUSPICIONS.labels(entry.state.value).inc()
-        event_log.emit(
-            'run',
-            'suspected',
-            task=task.name,
-            worker=worker.entry.worker,
-            crashes=len(isolation.crashes_of(task)),
-            given_up=ledgers.is_final(entry),
-            why=entry.cause,
-        )
+        _log_suspicion(worker, task)
     return losses
 
 
+def _log_suspicion(worker: workers_.Worker, task: ledgers.Task) -> None:
+    entry = task.group.entry
+    server_metrics.SUSPICIONS.labels(entry.state.value).inc()
+    event_log.emit(
+        'run',
+        'suspected',
+        task=task.name,
+        worker=worker.entry.worker,
+        crashes=len(isolation.crashes_of(task)),
+        given_up=ledgers.is_final(entry),
+        why=entry.cause,
+    )
+
+
 def _blamed(losses: list[workers_.Loss]) -> dict[ids.TaskId, list[int]]:
     """Return the log field on tasks blamed for a crash, by task.
 
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -161,11 +161,11 @@
         age_ms = -1 if row.age_s is None else round(row.age_s * 1000)
         crash = crashes_.Crash(
             task.run.attempt,
-            -1 if common else age_ms,
-            round(row.doubt_s * 1000),
-            isolated,
-            in_unrest,
-            age_ms if common else -1,
+            age_ms=-1 if common else age_ms,
+            doubt_ms=round(row.doubt_s * 1000),
+            isolated=isolated,
+            in_unrest=in_unrest,
+            common_age_ms=age_ms if common else -1,
         )
         isolation.record_crash(ledger, task, crash, now_s)
         if task.index in task.group.suspects:
