--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -666,6 +666,22 @@
     assert msgspec.json.decode(old, type=Crash) == _crash(3, LATE_MS, True)
 
 
+def test_age_in_a_common_crash_is_stored_and_older_servers_ignore_it():
+    class Earlier(msgspec.Struct, array_like=True):
+        attempt: int
+        age_ms: int = -1
+        doubt_ms: int = 0
+        isolated: bool = False
+        in_unrest: bool = False
+
+    crash = Crash(3, common_age_ms=EARLY_MS)
+    encoded = msgspec.json.encode(crash)
+    assert msgspec.json.decode(encoded, type=Crash) == crash
+    assert msgspec.json.decode(encoded, type=Earlier).age_ms == -1
+    old = msgspec.json.encode(Earlier(3))
+    assert msgspec.json.decode(old, type=Crash) == Crash(3)
+
+
 def test_crashes_under_the_members_of_a_gang_count_together():
     ledger = build.ledger_with(build.job(build.step(2, gang=True)))
     tasks = [build.task(ledger, index=index) for index in (0, 1)]
