Let the test of a job in hand wait until its server listens

Cause: it connected after a fixed 2.5 s, and the server wasn't up yet. Shown by holding the server's process for its first 3 s (SIGSTOP): the test as it was is refused, now it passes. Beside 14 busy processes alone both pass. What it checks is as before; a server that never listens still fails it, after 20 s.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -125,6 +125,23 @@
 BODY = b'{"spec":"text","phases":[{"count":1,"cpu":500,"mem_mb":100}]}'
 
 
+LISTENING_TRIES = 100
+LISTENING_PAUSE_S = 0.2
+"""Tries to connect to a server, and the pause between them: beside many busy
+processes it takes seconds to start."""
+
+
+async def _connect(address: str):
+    """Connect to a server once it listens."""
+    host, _, port = address.partition(':')
+    for _ in range(LISTENING_TRIES - 1):
+        try:
+            return await curio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            await curio.sleep(LISTENING_PAUSE_S)
+    return await curio.open_connection(host, int(port))
+
+
 async def _stop_in_hand(folder: pathlib.Path) -> bytes:
     """Hand a job in just before a server ends whose store fell silent.
 
@@ -135,8 +152,7 @@
     process.busy = True
     try:
         await curio.sleep(2.5)
-        host, _, port = process.callers.partition(':')
-        async with await curio.open_connection(host, int(port)) as sock:
+        async with await _connect(process.callers) as sock:
             stopping = await curio.spawn(processes.stop, process)
             await curio.sleep(processes.STOP_TIME_S - 1.0)
             world.field.scene.store.down = 'silent'
