Write the test of the same moment and the type of crashes by task once

The window within which workers count as gone together stood in three places, the type of crashes by task in three. Others that failed are now filtered by the window once, so the log line takes them as they are.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from oleanderwood import ids
+
 EARLY_CRASH_MS = 60
 """A single crash makes a run of at most this age suspected. Orders reach a
 worker some milliseconds apart, so few of its runs are this young at any
@@ -82,6 +84,8 @@
 
 Crashes = collections.abc.Collection[Crash]
 
+CrashesByTask = dict[ids.TaskId, list[Crash]]
+
 
 def is_suspected(crashes: Crashes) -> bool:
     """Return whether a task has to be started isolated from others."""
--- a/oleanderwood/leading/confirmation.py
+++ b/oleanderwood/leading/confirmation.py
@@ -60,7 +60,7 @@
     process: str = ''
     age_s: float = 0.0
     leading_term: int = 0
-    crashes: dict[ids.TaskId, list[crashes_.Crash]] = {}
+    crashes: crashes_.CrashesByTask = {}
 
 
 async def answer_contact(server: states.Server, target: str) -> ContactAnswer:
--- a/oleanderwood/leading/crash_handover.py
+++ b/oleanderwood/leading/crash_handover.py
@@ -6,7 +6,6 @@
 
 from oleanderwood import clock
 from oleanderwood import event_log
-from oleanderwood import ids
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
@@ -16,11 +15,8 @@
 """Largest number of tasks whose crashes are handed over, to limit the size of
 the answer."""
 
-UnstoredCrashes = dict[ids.TaskId, list[crashes_.Crash]]
-"""Crashes that the store may lack, by task."""
 
-
-def unstored(ledger: ledgers.Ledger) -> UnstoredCrashes:
+def unstored(ledger: ledgers.Ledger) -> crashes_.CrashesByTask:
     """Return the crashes of jobs for which the store may lack some."""
     rows = [
         (task.name, list(task.crashes.values()))
@@ -34,7 +30,7 @@
 
 
 async def adopt(
-    leader: states.Leader, term: int, crashes: UnstoredCrashes
+    leader: states.Leader, term: int, crashes: crashes_.CrashesByTask
 ) -> None:
     """Record crashes that an earlier leader has handed over.
 
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -114,7 +114,7 @@
 def _others_gone_s(
     leader: states.Leader, worker: workers_.Worker, gone_s: float
 ) -> dict[ids.ExecutorId, float]:
-    """Return when other workers failed that may have the same cause.
+    """Return when others failed at that moment, perhaps for the same cause.
 
     Others count if they are gone, or silent at present, unless their machine
     was ordered down or a task that was tried there explains it: machines are
@@ -127,14 +127,16 @@
         for other in leader.workers.values()
         if other.silent_since_s is not None
         and not other.closed
-        and abs(other.silent_since_s - gone_s) <= blame.COMMON_CAUSE_WINDOW_S
+        and blame.is_same_moment(other.silent_since_s, gone_s)
     }
     others.pop(worker.entry.worker, None)
     on_trial = blame.crashed_on_trial(worker, gone_s)
     return {
         name: row.at_s
         for name, row in others.items()
-        if not row.on_trial and not (on_trial and row.early)
+        if blame.is_same_moment(row.at_s, gone_s)
+        and not row.on_trial
+        and not (on_trial and row.early)
     }
 
 
@@ -156,12 +158,8 @@
 
     By worker: after how many milliseconds it failed.
     """
-    found = {
-        name: round((at_s - gone_s) * 1000)
-        for name, at_s in others_s.items()
-        if abs(at_s - gone_s) <= blame.COMMON_CAUSE_WINDOW_S
-    }
-    return dict(list(found.items())[:MAX_WORKERS_LOGGED])
+    named = list(others_s.items())[:MAX_WORKERS_LOGGED]
+    return {name: round((at_s - gone_s) * 1000) for name, at_s in named}
 
 
 def _is_in_unrest(leader: states.Leader, worker: workers_.Worker) -> bool:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -179,8 +179,8 @@
     last_led_term: int = 0
     max_asking_term: int = 0
     leader: 'Leader | None' = None
-    unstored_crashes: dict[ids.TaskId, list[crashes_.Crash]] = (
-        dataclasses.field(default_factory=dict)
+    unstored_crashes: crashes_.CrashesByTask = dataclasses.field(
+        default_factory=dict
     )
     stopping: bool = False
     late_order_executors: late_orders.UnansweredOrders = dataclasses.field(
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -39,6 +39,11 @@
     early: bool = False
 
 
+def is_same_moment(at_s: float, other_s: float) -> bool:
+    """Return whether two workers went down together, by when they did."""
+    return abs(at_s - other_s) <= COMMON_CAUSE_WINDOW_S
+
+
 def has_common_cause(
     gone_s: float, others_s: collections.abc.Iterable[float]
 ) -> bool:
@@ -47,9 +52,7 @@
     :param gone_s: when it went down
     :param others_s: when all others that went down recently did
     """
-    count = sum(
-        abs(at_s - gone_s) <= COMMON_CAUSE_WINDOW_S for at_s in others_s
-    )
+    count = sum(is_same_moment(at_s, gone_s) for at_s in others_s)
     return count + 1 >= COMMON_CAUSE_WORKERS
 
 
