--- a/tests/test_crash_handover.py
+++ b/tests/test_crash_handover.py
@@ -11,9 +11,7 @@
 import curio
 import pytest
 
-from emulator import crashing
 from emulator import evidence as evidences
-from emulator import servers
 from oleanderwood.jobs import crashes
 from oleanderwood.jobs import isolation
 from oleanderwood.leading import crash_handover
@@ -21,7 +19,6 @@
 from tests import utils_jobs
 from tests import utils_takeover as build
 
-LONG_MS = 20_000
 POLL_S = 0.002
 REFUSED_S = 2.0
 """Time for which the store refuses a leader, in seconds; a lease is
@@ -30,8 +27,7 @@
 
 async def _refuse_leader(scene) -> None:
     """Let the store refuse the leader until another server leads."""
-    while not any(servers.leads(row) for row in scene.processes):
-        await curio.sleep(POLL_S)
+    await build.wait_until(lambda: build.is_led(scene), POLL_S)
     refused = build.leader(scene).name
     scene.store.refused.add(refused)
     await curio.sleep(REFUSED_S)
@@ -46,10 +42,7 @@
     jobs, after_s, refusals, pause_s
 ):
     async def scenario(scene):
-        how = crashing.crash(after_s)
-        step = utils_crashes.crashing_step(how, 1, estimate_ms=LONG_MS)
-        for _ in range(jobs):
-            await build.submit_job(scene, build.leader(scene), step)
+        await utils_crashes.submit(scene, jobs, after_s)
         for _ in range(refusals):
             await curio.sleep(pause_s)
             await _refuse_leader(scene)
--- a/tests/test_crashes_across_leaders.py
+++ b/tests/test_crashes_across_leaders.py
@@ -13,7 +13,6 @@
 
 from emulator import crashing
 from emulator import evidence as evidences
-from emulator import servers
 from tests import utils_crashes
 from tests import utils_leading
 from tests import utils_takeover as build
@@ -25,20 +24,7 @@
 SETTLED_S = 1.5
 """Age, in seconds, at which a run no longer keeps suspected runs away."""
 
-RESTART_S = 2.0
-"""Time after which the killed process runs again, in seconds."""
-
 LONG_MS = 20_000
-POLL_S = 0.01
-MAX_POLLS = 1000
-
-
-async def _wait_until(is_reached) -> None:
-    for _ in range(MAX_POLLS):
-        if is_reached():
-            return
-        await curio.sleep(POLL_S)
-    raise AssertionError('not reached in time')
 
 
 def _starts(scene, job: str) -> int:
@@ -47,10 +33,6 @@
     return sum(row.kind is started and row.job == job for row in sights)
 
 
-def _is_led(scene) -> bool:
-    return any(servers.leads(row) for row in scene.processes)
-
-
 @pytest.mark.parametrize('gang', [False, True])
 def test_crash_unnoticed_by_any_leader_counts(monkeypatch, gang):
     events = utils_leading.record_events(monkeypatch)
@@ -64,12 +46,11 @@
         how = crashing.crash(CRASH_AFTER_S)
         step = utils_crashes.crashing_step(how, 1, estimate_ms=LONG_MS)
         await build.submit_job(scene, earlier, step | {'gang': gang})
-        await _wait_until(lambda: _starts(scene, f'{scene.jobs:016x}') == 2)
+        await build.wait_until(
+            lambda: _starts(scene, f'{scene.jobs:016x}') == 2
+        )
         await curio.sleep(STORED_S)
-        await build.kill(scene, earlier)
-        await curio.sleep(RESTART_S)
-        await servers.start(scene.network, earlier)
-        await _wait_until(lambda: _is_led(scene))
+        await build.restart_leader(scene)
         # Busy workers report every 150 ms while calls are being lost.
         build.leader(scene).state.leader.lossy_until_s = math.inf
 
@@ -101,14 +82,10 @@
         )
         job = f'{scene.jobs:016x}'
         for starts in (2, 3):
-            await _wait_until(
+            await build.wait_until(
                 lambda count=starts: _starts(scene, job) >= count
             )
-            killed = build.leader(scene)
-            await build.kill(scene, killed)
-            await curio.sleep(RESTART_S)
-            await servers.start(scene.network, killed)
-            await _wait_until(lambda: _is_led(scene))
+            await build.restart_leader(scene)
 
     result = build.play(scenario)
     assert not result.breaches and not result.unfinished
--- a/tests/utils_crashes.py
+++ b/tests/utils_crashes.py
@@ -7,6 +7,7 @@
 from emulator import evidence as evidences
 from tests import utils_takeover as build
 
+LONG_MS = 20_000
 SETTLE_S = 8.0
 """Time for some crashes, and the first starts after them."""
 
@@ -16,6 +17,13 @@
     return {**build.step(count, 2000, 400), crashing.FIELD: how, **fields}
 
 
+async def submit(scene: build.Scene, count: int, after_s: float) -> None:
+    """Hand in jobs whose one long task crashes its worker after each start."""
+    step = crashing_step(crashing.crash(after_s), 1, estimate_ms=LONG_MS)
+    for _ in range(count):
+        await build.submit_job(scene, build.leader(scene), step)
+
+
 def play(steps: list[dict], plan: day.Plan = build.PLAN) -> day.Result:
     """Hand in a job for each step, in a calm system."""
 
--- a/tests/utils_takeover.py
+++ b/tests/utils_takeover.py
@@ -43,6 +43,11 @@
 for a previous leader, 18.8 s, and two runs of a task of up to 6.4 s, as one in
 a hundred fails."""
 
+MAX_POLLS = 1000
+
+RESTART_S = 2.0
+"""Time after which a killed server runs again, in seconds."""
+
 LONG_MS = 1000
 BRIEF_MS = 40
 """Estimated durations of tasks, in milliseconds."""
@@ -96,6 +101,29 @@
     return next(row for row in scene.processes if servers.leads(row))
 
 
+async def wait_until(is_reached, poll_s: float = 0.01) -> None:
+    """Wait until a condition holds, for at most a thousand polls."""
+    for _ in range(MAX_POLLS):
+        if is_reached():
+            return
+        await curio.sleep(poll_s)
+    raise AssertionError('not reached in time')
+
+
+def is_led(scene: Scene) -> bool:
+    """Return whether a server leads."""
+    return any(servers.leads(row) for row in scene.processes)
+
+
+async def restart_leader(scene: Scene, poll_s: float = 0.01) -> None:
+    """Kill the leader, and start it again once another server may lead."""
+    killed = leader(scene)
+    await kill(scene, killed)
+    await curio.sleep(RESTART_S)
+    await servers.start(scene.network, killed)
+    await wait_until(lambda: is_led(scene), poll_s)
+
+
 async def interrupt_store(scene: Scene, away_s: float) -> None:
     """Make the store answer 503 for a while; leases expire meanwhile."""
     scene.store.down, scene.store.lapses = 'busy', True
