Let a worker that calls time out on go at any time since its last answer

Cause: a worker whose calls time out was taken to have gone when the timeout came. At 8.472 s three executors were restarted, the one on which the task was tried alone among them. The connections of two were reset; the third went at some time from 8.165 to 8.615 by its last answer and the timeout of its call, and was dated 8.615. So only two had gone within 0.1 s of each other, no common cause was seen, and the crash counted as an isolated one: 3 points in place of 1, 9 at the verdict where 8 suffice.

Evidence: `worker crash-attributed` at 8.974 has isolated and `gone_together {'i-m3-1/...': 0}`; `worker silent` names the third worker with `no answer in 0.45 s`; the executors' own times of death are the same to the millisecond.

Ruled out: ages (742, 1315, 934 and 243 ms are unlike); unrest as the cause of this verdict (the leader of 12.333 knows of none, which alone is one point).

Fix: a departure has an earliest and a latest time. Another worker counts as gone at the same moment if that lies between its times, provided that nothing that ran there explains it (no run on probation, none that may only just have been started): otherwise tasks that crash workers side by side would hide each other's crashes. A worker that has not answered this leader keeps one time, as nothing is known of the time before. Of an executor's incarnations one counts.

--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -47,11 +47,12 @@
         for name, row in leader.recently_gone.items()
         if row.at_s > now_s - RECENT_S
     }
-    gone_s = _gone_s(worker, now_s)
-    others_s = _others_gone_s(leader, worker, gone_s)
-    common = blame.has_common_cause(gone_s, others_s.values())
+    name = worker.entry.worker
+    departure = _departure(worker, now_s)
+    others = _others_gone(leader, name, departure)
+    common = blame.has_common_cause(departure, others.values())
     in_unrest = _is_in_unrest(leader, worker)
-    _remember(leader, worker, losses, now_s)
+    _remember(leader, worker, departure)
     suspected = blame.attribute(
         leader.ledger, losses, common, now_s, in_unrest=in_unrest
     )
@@ -62,9 +63,9 @@
         event_log.emit(
             'worker',
             'crash-attributed',
-            worker=worker.entry.worker,
+            worker=name,
             common=common,
-            gone_together=_gone_together(gone_s, others_s),
+            gone_together=_gone_together(departure, others),
             in_unrest=in_unrest,
             blamed=_blamed(losses),
         )
@@ -111,55 +112,63 @@
     return found
 
 
-def _others_gone_s(
-    leader: states.Leader, worker: workers_.Worker, gone_s: float
-) -> dict[ids.ExecutorId, float]:
-    """Return when others failed at that moment, perhaps for the same cause.
+def _others_gone(
+    leader: states.Leader, name: ids.VmId, departure: blame.Departure
+) -> dict[ids.ExecutorId, blame.Departure]:
+    """Return others that failed with a worker, perhaps for the same cause.
 
     Others count if they are gone, or silent at present, unless their machine
-    was ordered down or a task that was tried there explains it: machines are
-    moved, and tasks of several jobs are tried, many at once. Beside a task
-    that has just crashed its worker on trial, others don't count either where
-    a run may only just have been started: it may be of the same kind.
+    was ordered down: machines are moved, many at once. Of the incarnations of
+    an executor only one can have failed at that moment.
     """
+    now_s = clock.now_s()
     others = leader.recently_gone | {
-        other.entry.worker: _departure(other, other.silent_since_s)
+        other.entry.worker: _departure(other, now_s)
         for other in leader.workers.values()
-        if other.silent_since_s is not None
-        and not other.closed
-        and blame.is_same_moment(other.silent_since_s, gone_s)
+        if other.silent_since_s is not None and not other.closed
     }
-    others.pop(worker.entry.worker, None)
-    on_trial = blame.crashed_on_trial(worker, gone_s)
-    return {
-        name: row.at_s
-        for name, row in others.items()
-        if blame.is_same_moment(row.at_s, gone_s)
-        and not row.on_trial
-        and not (on_trial and row.early)
+    found = {
+        incarnations.executor_of(other): row
+        for other, row in others.items()
+        if blame.may_share_cause(departure, row)
     }
+    found.pop(incarnations.executor_of(name), None)
+    return found
+
 
+def _departure(worker: workers_.Worker, now_s: float) -> blame.Departure:
+    """Return how a worker went down that is gone or silent.
 
-def _departure(
-    worker: workers_.Worker, gone_s: float, unexplained: bool = False
-) -> blame.Departure:
+    What ran on a worker that hasn't answered this leader isn't known, nor
+    since when it may have been down.
+    """
+    after_s, at_s = workers_.gone_between_s(worker, now_s)
+    losses = workers_.losses_if_gone(worker, now_s)
     return blame.Departure(
-        gone_s,
-        unexplained,
-        on_trial=blame.crashed_on_trial(worker, gone_s),
-        early=blame.may_have_early_run(worker, gone_s),
+        after_s if worker.fenced else at_s,
+        at_s,
+        worker.fenced and not blame.is_explained(losses),
+        on_trial=blame.crashed_on_trial(worker, at_s),
+        early=blame.may_have_early_run(worker, at_s),
     )
 
 
 def _gone_together(
-    gone_s: float, others_s: dict[ids.ExecutorId, float]
-) -> dict[ids.ExecutorId, int]:
+    departure: blame.Departure, others: dict[ids.ExecutorId, blame.Departure]
+) -> dict[ids.ExecutorId, list[int]]:
     """Return the log field on workers that failed together with one.
 
-    By worker: after how many milliseconds it failed.
+    By executor: after how many milliseconds it failed at the earliest and at
+    the latest.
     """
-    named = list(others_s.items())[:MAX_WORKERS_LOGGED]
-    return {name: round((at_s - gone_s) * 1000) for name, at_s in named}
+    named = list(others.items())[:MAX_WORKERS_LOGGED]
+    return {
+        name: [
+            round((row.after_s - departure.at_s) * 1000),
+            round((row.at_s - departure.at_s) * 1000),
+        ]
+        for name, row in named
+    }
 
 
 def _is_in_unrest(leader: states.Leader, worker: workers_.Worker) -> bool:
@@ -176,25 +185,18 @@
 def _remember(
     leader: states.Leader,
     worker: workers_.Worker,
-    losses: list[workers_.Loss],
-    now_s: float,
+    departure: blame.Departure,
 ) -> None:
     """Remember that a worker failed.
 
-    What ran on a worker that hasn't answered this leader isn't known. Nor is
-    when it failed; its entry may have been written once more afterwards.
+    The time at which one failed that hasn't answered this leader isn't known;
+    its entry may have been written once more afterwards.
     """
     name = worker.entry.worker
-    unexplained = worker.fenced and not blame.is_explained(losses)
-    row = _departure(worker, _gone_s(worker, now_s), unexplained)
     if worker.fenced:
-        leader.recently_gone[name] = row
+        leader.recently_gone[name] = departure
     else:
-        leader.recently_gone.setdefault(name, row)
-
-
-def _gone_s(worker: workers_.Worker, now_s: float) -> float:
-    return now_s if worker.silent_since_s is None else worker.silent_since_s
+        leader.recently_gone.setdefault(name, departure)
 
 
 def log_fields(losses: list[workers_.Loss]) -> dict[str, dict[str, list[int]]]:
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -27,32 +27,67 @@
 class Departure:
     """A worker that went down without an order.
 
-    :ivar at_s: when it went down
-    :ivar unexplained: nothing on it is likely to have crashed it
+    Only a reset connection tells exactly when: a worker whose calls time out
+    went down at some time since its last answer.
+
+    :ivar after_s: when it went down at the earliest
+    :ivar at_s: when it went down at the latest
+    :ivar unexplained: nothing on it is likely to have crashed it, as far as
+        this leader knows
     :ivar on_trial: a suspected task that was tried there crashed it
     :ivar early: a run there may only just have been started
     """
 
+    after_s: float
     at_s: float
     unexplained: bool
     on_trial: bool = False
     early: bool = False
 
 
-def is_same_moment(at_s: float, other_s: float) -> bool:
-    """Return whether two workers went down together, by when they did."""
-    return abs(at_s - other_s) <= COMMON_CAUSE_WINDOW_S
+def is_same_moment(departure: Departure, other: Departure) -> bool:
+    """Return whether two workers were found down at the same time."""
+    return abs(departure.at_s - other.at_s) <= COMMON_CAUSE_WINDOW_S
+
+
+def may_be_same_moment(departure: Departure, other: Departure) -> bool:
+    """Return whether another worker may have gone down together with one.
+
+    Only the time of the other one is taken as uncertain. If both were, tasks
+    that crash workers side by side would hide each other's crashes.
+    """
+    earliest_s = other.after_s - COMMON_CAUSE_WINDOW_S
+    latest_s = other.at_s + COMMON_CAUSE_WINDOW_S
+    return earliest_s <= departure.at_s <= latest_s
+
+
+def may_share_cause(departure: Departure, other: Departure) -> bool:
+    """Return whether another worker may have gone for the same cause as one.
+
+    It doesn't count if a task that was tried there explains it: tasks of
+    several jobs are tried at once. Beside a task that has just crashed its
+    worker on trial, it doesn't count either where a run may only just have
+    been started: that may be of the same kind. One that only may have gone
+    down at that moment counts if nothing that ran there explains it.
+    """
+    if is_same_moment(departure, other):
+        return not other.on_trial and not (departure.on_trial and other.early)
+    return may_be_same_moment(departure, other) and has_outside_cause(other)
+
+
+def has_outside_cause(departure: Departure) -> bool:
+    """Return whether no run on a worker can have crashed it."""
+    return departure.unexplained and not departure.early
 
 
 def has_common_cause(
-    gone_s: float, others_s: collections.abc.Iterable[float]
+    departure: Departure, others: collections.abc.Iterable[Departure]
 ) -> bool:
     """Return whether a worker went down together with others.
 
-    :param gone_s: when it went down
-    :param others_s: when all others that went down recently did
+    :param others: all others that went down recently
     """
-    count = sum(is_same_moment(at_s, gone_s) for at_s in others_s)
+    count = sum(may_share_cause(departure, other) for other in others)
     return count + 1 >= COMMON_CAUSE_WORKERS
 
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -457,15 +457,26 @@
 
 def record_losses(worker: Worker, now_s: float) -> list[Loss]:
     """Record which runs are lost with a worker that is gone."""
-    gone_s, after_s = now_s, worker.clock_at_s
-    if worker.silent_since_s is not None:
-        gone_s, after_s = worker.silent_since_s, worker.silent_after_s
+    for row in losses_if_gone(worker, now_s):
+        row.task.losses += 1
+    return losses_if_gone(worker, now_s)
+
+
+def gone_between_s(worker: Worker, now_s: float) -> tuple[float, float]:
+    """Return when a worker went down at the earliest and at the latest."""
+    if worker.silent_since_s is None:
+        return worker.clock_at_s, now_s
+    return worker.silent_after_s, worker.silent_since_s
+
+
+def losses_if_gone(worker: Worker, now_s: float) -> list[Loss]:
+    """Return the runs that are lost with a worker if it is gone."""
+    after_s, gone_s = gone_between_s(worker, now_s)
     losses = []
     for task in worker.runs.values():
         run = task.run
         if run is None or run.worker != worker.entry.worker or not run.sent:
             continue
-        task.losses += 1
         age_s = None
         if run.sent_s is not None:
             age_s = max(0.0, gone_s - run.sent_s)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -205,13 +205,21 @@
     assert [len(task.crashes) for task in tasks] == [1, 1, 1]
 
 
+def _departures(*moments_s):
+    """Return departures of workers that went down at known times."""
+    return [blame.Departure(at_s, at_s, False) for at_s in moments_s]
+
+
 def test_no_task_is_suspected_if_workers_crash_together():
     ledger, tasks, worker = _worker_that_crashes(2, (0.01, 0.5))
     crashed_s = worker.silent_since_s
+    (departure,) = _departures(crashed_s)
     assert blame.has_common_cause(
-        crashed_s, [crashed_s - 0.05, crashed_s + 0.02, 1.0]
+        departure, _departures(crashed_s - 0.05, crashed_s + 0.02, 1.0)
+    )
+    assert not blame.has_common_cause(
+        departure, _departures(crashed_s - 0.05, 1.0)
     )
-    assert not blame.has_common_cause(crashed_s, [crashed_s - 0.05, 1.0])
     assert not _crash_worker(ledger, worker, common=True)
 
 
@@ -365,6 +373,74 @@
     assert loss.task.crashes[2].isolated == isolated
 
 
+def _gone_silently(name, after_s, since_s):
+    """Build a worker that went down between two times, as calls time out."""
+    worker = build.worker(name)
+    worker.silent_after_s, worker.silent_since_s = after_s, since_s
+    return worker
+
+
+@pytest.mark.parametrize(
+    ('after_s', 'since_s', 'fenced', 'isolated'),
+    [
+        (-0.3, 0.4, True, False),
+        (-0.3, 0.0, True, False),
+        (0.15, 0.4, True, True),
+        (-0.6, -0.15, True, True),
+        (-0.3, 0.4, False, True),
+    ],
+)
+def test_trial_proves_little_beside_workers_that_may_have_gone_with_it(
+    after_s, since_s, fenced, isolated
+):
+    """Else an innocent job is failed where a restart is seen as a timeout.
+
+    Two workers go with the one on which a task is tried. The connection of
+    one is reset, and calls to the other time out. Nothing is known of a time
+    at which a worker went that has not answered this leader.
+    """
+    leader = _trials_that_crash((0.3,))
+    (tried,) = leader.workers.values()
+    crashed_s = tried.silent_since_s
+    silent = _gone_silently('w2', crashed_s + after_s, crashed_s + since_s)
+    silent.fenced = fenced
+    for worker in (_gone_silently('w1', crashed_s, crashed_s), silent):
+        leader.workers[worker.entry.worker] = worker
+    (loss,) = losses_.record(leader, tried)
+    assert loss.task.crashes[2].isolated == isolated
+
+
+@pytest.mark.parametrize('age_s', [0.1, 0.3])
+def test_worker_that_its_own_run_may_have_crashed_hides_no_trial(age_s):
+    """Else tasks that crash workers side by side are started too often."""
+    leader = _trials_that_crash((0.3,))
+    (tried,) = leader.workers.values()
+    crashed_s = tried.silent_since_s
+    ledger = build.ledger_with(build.job(build.step(2)))
+    for index in range(2):
+        worker = _gone_silently(
+            f'beside{index}', crashed_s - 0.3, crashed_s + 0.2
+        )
+        run = build.start(
+            ledger, build.task(ledger, index=index), worker, crashed_s
+        )
+        run.sent, run.sent_s = True, worker.silent_since_s - age_s
+        leader.workers[worker.entry.worker] = worker
+    (loss,) = losses_.record(leader, tried)
+    assert loss.task.crashes[2].isolated
+
+
+def test_incarnations_of_one_executor_count_once_in_a_common_cause():
+    leader = _trials_that_crash((0.3,))
+    (tried,) = leader.workers.values()
+    crashed_s = tried.silent_since_s
+    for name in ('w1/1', 'w1/2'):
+        worker = _gone_silently(name, crashed_s - 0.3, crashed_s + 0.4)
+        leader.workers[worker.entry.worker] = worker
+    (loss,) = losses_.record(leader, tried)
+    assert loss.task.crashes[2].isolated
+
+
 @pytest.mark.parametrize('closed', [True, False])
 def test_workers_whose_machines_are_ordered_down_are_no_common_cause(closed):
     """Else a trial counts for nothing while machines are moved."""
