Weigh a trial's crash again once others are found gone with its worker

Cause: a crash is weighed for good as its worker is found to be gone. Workers that go together are found one after another: one whose connections are reset at once, another by a timeout or by its next incarnation, up to 2.8 s later. So the first one is judged before the others are known to be silent.

Evidence: in the scene three executors restart at 8.410 s, the one on which a task is tried among them; all three next incarnations are met at 8.713, within one batch of entries. The trial is attributed first, as isolated, `gone_together` without the silent ones; they are recorded 0 ms later, and another one is found `silent` at 8.798. At 9.261 the next trial makes the verdict, with 8 points.

Fix: when a task loses its next worker, its earlier isolated crashes that this leader attributed in the last 10 s are weighed again by the departures that are known by then. `worker crash-reconsidered` tells of it.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -82,6 +82,14 @@
     common_age_ms: int = -1
 
 
+def as_common(crash: Crash) -> Crash:
+    """Return a crash as one of a worker that went down with others."""
+    age_ms = max(crash.age_ms, crash.common_age_ms)
+    return msgspec.structs.replace(
+        crash, age_ms=-1, isolated=False, common_age_ms=age_ms
+    )
+
+
 Crashes = collections.abc.Collection[Crash]
 
 CrashesByTask = dict[ids.TaskId, list[Crash]]
--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -43,6 +43,16 @@
         ledgers.end(ledger, entry, model.State.FAILED, now_s)
 
 
+def mark_common(
+    ledger: ledgers.Ledger, task: ledgers.Task, attempt: int
+) -> None:
+    """Record that the worker of a crash went down together with others."""
+    task.crashes[attempt] = crashes_.as_common(task.crashes[attempt])
+    update_suspects(task)
+    task.group.entry.crash_revision += 1
+    ledgers.touch(ledger, task.group.entry)
+
+
 def crashes_workers(task: ledgers.Task) -> bool:
     """Return whether the evidence shows that a task crashes its workers.
 
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -110,6 +110,8 @@
     :ivar blamed_with: the other runs blamed for each of these crashes, as
         pairs of task and attempt, unless they were recorded by an earlier
         leader
+    :ivar crashed_workers: the worker that each of these crashes took down,
+        unless it was recorded by an earlier leader
     :ivar losses: number of its runs that may have ended with their worker
     :ivar relocated: number of its runs that were stopped to be restarted
         elsewhere because other runs starved them
@@ -134,6 +136,9 @@
     blamed_with: dict[int, list[tuple[ids.TaskId, int]]] = dataclasses.field(
         default_factory=dict
     )
+    crashed_workers: dict[int, ids.VmId] = dataclasses.field(
+        default_factory=dict
+    )
     losses: int = 0
     relocated: int = 0
 
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -53,6 +53,7 @@
     common = blame.has_common_cause(departure, others.values())
     in_unrest = _is_in_unrest(leader, worker)
     _remember(leader, worker, departure)
+    _reconsider_crashes(leader, losses)
     suspected = blame.attribute(
         leader.ledger, losses, common, now_s, in_unrest=in_unrest
     )
@@ -112,6 +113,49 @@
     return found
 
 
+def _reconsider_crashes(
+    leader: states.Leader, losses: list[workers_.Loss]
+) -> None:
+    """Weigh earlier isolated crashes of lost tasks by what is known by now.
+
+    Workers that fail together are found to be gone one after another, some of
+    them after the crash of the first one has been attributed. A crash at the
+    age of earlier ones is left as it is, and workers that their own runs may
+    have crashed don't count: tasks that crash workers do so together.
+    """
+    for task in _lost_members(losses):
+        for attempt, crash in list(task.crashes.items()):
+            name = task.crashed_workers.get(attempt, '')
+            departure = leader.recently_gone.get(name)
+            if departure is None or not crash.isolated or departure.on_trial:
+                continue
+            others = {
+                other: row
+                for other, row in _others_gone(leader, name, departure).items()
+                if blame.has_outside_cause(row)
+            }
+            if blame.has_common_cause(departure, others.values()):
+                isolation.mark_common(leader.ledger, task, attempt)
+                event_log.emit(
+                    'worker',
+                    'crash-reconsidered',
+                    worker=name,
+                    task=task.name,
+                    attempt=attempt,
+                    gone_together=_gone_together(departure, others),
+                )
+
+
+def _lost_members(losses: list[workers_.Loss]) -> list[ledgers.Task]:
+    """Return the lost tasks, and all members of their gangs."""
+    found = {}
+    for row in losses:
+        group = row.task.group
+        for task in group.tasks if group.step.gang else [row.task]:
+            found[task.name] = task
+    return list(found.values())
+
+
 def _others_gone(
     leader: states.Leader, name: ids.VmId, departure: blame.Departure
 ) -> dict[ids.ExecutorId, blame.Departure]:
--- a/oleanderwood/pools/blame.py
+++ b/oleanderwood/pools/blame.py
@@ -194,8 +194,9 @@
     suspected = []
     runs = [(row.task.name, row.task.run.attempt) for row in blamed]
     for row in blamed:
-        row.task.blamed_with[row.task.run.attempt] = runs
         task = row.task
+        task.blamed_with[task.run.attempt] = runs
+        task.crashed_workers[task.run.attempt] = task.run.worker
         age_ms = -1 if row.age_s is None else round(row.age_s * 1000)
         crash = crashes_.Crash(
             task.run.attempt,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -430,6 +430,31 @@
     assert loss.task.crashes[2].isolated
 
 
+@pytest.mark.parametrize(('age_s', 'isolated'), [(0.3, False), (0.05, True)])
+def test_trial_counts_less_once_others_are_found_gone_with_it(age_s, isolated):
+    """Workers that fail together are found one after another.
+
+    An early crash goes on counting: tasks that crash workers side by side
+    would be started too often.
+    """
+    leader = _trials_that_crash((age_s,))
+    (tried,) = leader.workers.values()
+    crashed_s = tried.silent_since_s
+    (loss,) = losses_.record(leader, leader.workers.pop('w0'))
+    task = loss.task
+    assert task.crashes[2].isolated
+    for name in ('w1', 'w2'):
+        other = _gone_silently(name, crashed_s - 0.3, crashed_s + 0.4)
+        losses_.record(leader, other)
+    workers_.end_all_runs(leader.ledger, tried, clock.now_s())
+    again = _gone_silently('w3', crashed_s + 2.0, crashed_s + 2.0)
+    run = build.start(leader.ledger, task, again, crashed_s + 1.8)
+    run.attempt, run.sent, run.sent_s = 3, True, crashed_s + 1.8
+    losses_.record(leader, again)
+    assert task.crashes[2].isolated == isolated
+    assert task.crashes[3].isolated
+
+
 def test_incarnations_of_one_executor_count_once_in_a_common_cause():
     leader = _trials_that_crash((0.3,))
     (tried,) = leader.workers.values()
