--- a/tests/test_crashes_dated_by_timeouts.py
+++ b/tests/test_crashes_dated_by_timeouts.py
@@ -28,38 +28,6 @@
 """Ages at which the next two runs end, where the task is tried alone."""
 
 
-def _runs_at(scene, job: str) -> list[str]:
-    """Return the addresses of the executors that run a job."""
-    return [
-        machine.address
-        for machine in scene.fleet.machines.values()
-        if machine.executor is not None
-        and any(name.startswith(job) for name in machine.executor.running)
-    ]
-
-
-async def _restart_under(
-    scene, job: str, age_s: float, resets: bool = True, beside=()
-) -> str:
-    """Restart the executor of a job's only run; return its address.
-
-    :param age_s: age of the run at that moment
-    :param resets: its connections are reset
-    :param beside: addresses of others that restart at that moment, and
-        whether their connections are reset
-    """
-    await build.wait_until(lambda: _runs_at(scene, job), 0.002)
-    (address,) = _runs_at(scene, job)
-    await curio.sleep(age_s)
-    async with curio.TaskGroup() as group:
-        await group.spawn(restarts.restart, scene, address, 0.3, False, resets)
-        for other, other_resets in beside:
-            await group.spawn(
-                restarts.restart, scene, other, 0.3, False, other_resets
-            )
-    return address
-
-
 @pytest.mark.parametrize(
     'others_reset',
     [(True, True), (True, False), (False, False)],
@@ -89,17 +57,19 @@
         job = f'{scene.jobs:016x}'
         used = set()
         for age_s in BESIDE_AGES_S:
-            used.add(await _restart_under(scene, job, age_s))
-        await build.wait_until(lambda: _runs_at(scene, job), 0.002)
-        used.update(_runs_at(scene, job))
+            used.add(await restarts.restart_under(scene, job, age_s))
+        await build.wait_until(lambda: restarts.runs_at(scene, job), 0.002)
+        used.update(restarts.runs_at(scene, job))
         others = [
             address
             for address in restarts.executor_addresses(scene)
             if address not in used
         ]
         beside = list(zip(others[:2], others_reset, strict=True))
-        await _restart_under(scene, job, TRIED_AGES_S[0], tried_resets, beside)
-        await _restart_under(scene, job, TRIED_AGES_S[1])
+        await restarts.restart_under(
+            scene, job, TRIED_AGES_S[0], tried_resets, beside
+        )
+        await restarts.restart_under(scene, job, TRIED_AGES_S[1])
 
     plan = dataclasses.replace(restarts.PLAN, machines_a_pool=MACHINES)
     result = build.play(scenario, plan)
--- a/tests/test_open_findings.py
+++ b/tests/test_open_findings.py
@@ -78,6 +78,23 @@
     assert not utils_restarts.day_of_many_restarts(seed).unfinished
 
 
+@pytest.mark.parametrize(
+    'ages_s',
+    [(0.010, 0.013), (0.3, 0.6, 0.8, 0.2)],
+    ids=['early', 'late'],
+)
+def test_innocent_job_is_not_failed_by_lone_restarts(ages_s):
+    async def scenario(scene):
+        leader = build.leader(scene)
+        await build.submit_job(scene, leader, build.step(1, 2000, 20_000))
+        for age_s in ages_s:
+            job = f'{scene.jobs:016x}'
+            await utils_restarts.restart_under(scene, job, age_s)
+
+    plan = dataclasses.replace(utils_restarts.PLAN, machines_a_pool=12)
+    assert not build.play(scenario, plan).breaches
+
+
 @pytest.mark.parametrize('seed', [81])
 def test_crash_that_no_leader_heard_of_costs_no_start_more(seed):
     wanted = (*features.draw(seed, 2), features.Feature.CRASHES)
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -72,6 +72,36 @@
     await fleets.restart(scene.fleet, machine, away_s, late_entry, resets)
 
 
+def runs_at(scene, job: str) -> list[str]:
+    """Return the addresses of the executors that run a job."""
+    return [
+        machine.address
+        for machine in scene.fleet.machines.values()
+        if machine.executor is not None
+        and any(name.startswith(job) for name in machine.executor.running)
+    ]
+
+
+async def restart_under(
+    scene, job: str, age_s: float, resets: bool = True, beside=()
+) -> str:
+    """Restart the executor of a job's only run; return its address.
+
+    :param age_s: age of the run at that moment
+    :param resets: its connections are reset
+    :param beside: addresses of others that restart at that moment, and
+        whether their connections are reset
+    """
+    await build.wait_until(lambda: runs_at(scene, job), 0.002)
+    (address,) = runs_at(scene, job)
+    await curio.sleep(age_s)
+    async with curio.TaskGroup() as group:
+        await group.spawn(restart, scene, address, 0.3, False, resets)
+        for other, other_resets in beside:
+            await group.spawn(restart, scene, other, 0.3, False, other_resets)
+    return address
+
+
 async def delay_entries(scene, for_s) -> None:
     """Delay the store's answers on workers' entries for a while."""
     until_s = await curio.clock() + for_s
