Suspect late orders of a killed leader at lives that the next one can't reach

Cause: an order is recorded, and two other servers told of it, when its call has timed out. A leader that is killed before that takes the knowledge along. The next leader runs the task to its end; the order arrives at a next life of the executor, which has seen no fence, as only that leader calls it, and a cut refuses its calls.

Evidence: attempt 1 sent at 6.953 s; its leader killed at 7.679, `late-order expected` only in that process then; done as attempt 511001 at 17.158; the life born at 17.959 met at 17.960, `connect ... refused` at 17.961; attempt 1 begins there at 18.298.

Ruled out: an order pushed out of the 16 places; a fence that was too low (no server called that life); the proofs that a run is over (it was never there).

Fix: until 15 s after earlier leaders can have sent their last order, a leader suspects a late one at each executor that leaves its call unanswered, and at each further life that it meets. It and two others probe there every 30 ms with the term's fence, until a life has answered or refused a probe. It holds for a leader that is killed at any moment after the order, as it needs nothing of that leader. A suspected order takes no place of one that is known to be unanswered. Telling others of orders sooner was ruled out: a leader killed before that still tells nobody, and probes would overtake orders that are only slow.

No deployment of the users has such executors: where lives have ids of their own no call is added.

--- a/oleanderwood/leading/late_orders.py
+++ b/oleanderwood/leading/late_orders.py
@@ -4,6 +4,10 @@
 other servers. All three probe these executors with a higher fence for as long
 as the order may be carried out, whoever leads by then: a leader may be
 suspended, cut off, or dead.
+
+A leader that is killed before its order has timed out has recorded nothing.
+The next leader therefore suspects such an order at each executor that it does
+not reach, or that restarts, until it could no longer arrive.
 """
 
 import curio
@@ -13,6 +17,7 @@
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
+from oleanderwood.leading import previous_leaders
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
@@ -50,13 +55,57 @@
     Needed only where incarnations share an id: elsewhere the next incarnation
     refuses the order, which names the id of the earlier one.
     """
+    if incarnations.has_birth_time(worker.entry.worker):
+        await _record(leader, _order(leader, worker))
+
+
+async def suspect_unreached(
+    leader: states.Leader, worker: workers_.Worker
+) -> None:
+    """Suspect a late order at a worker that does not answer this leader.
+
+    The next incarnation of its executor may be out of this leader's reach
+    while other servers reach it.
+    """
+    unanswered = leader.server.late_order_executors
+    executor = incarnations.executor_of(worker.entry.worker)
+    expected = late_orders.is_expected(unanswered, executor, clock.now_s())
+    if not expected and late_orders.has_room(unanswered):
+        await suspect(leader, worker)
+
+
+async def suspect(leader: states.Leader, worker: workers_.Worker) -> None:
+    """Suspect an order of an earlier leader that may be carried out late.
+
+    Nothing has to be done while one is known to be unanswered: the servers
+    that know of it go on probing whoever answers.
+    """
     if not incarnations.has_birth_time(worker.entry.worker):
         return
-    order = late_orders.LateOrder(
+    order = _order(leader, worker)
+    unanswered = leader.server.late_order_executors
+    last_sent_s = previous_leaders.last_order_s(leader)
+    left_s = last_sent_s + late_orders.MAX_DELAY_S - clock.now_s()
+    if left_s <= 0.0 or late_orders.is_unanswered(unanswered, order.executor):
+        return
+    for_s = min(order.for_s, left_s)
+    await _record(
+        leader, msgspec.structs.replace(order, for_s=for_s, suspected=True)
+    )
+
+
+def _order(
+    leader: states.Leader, worker: workers_.Worker
+) -> late_orders.LateOrder:
+    return late_orders.LateOrder(
         incarnations.executor_of(worker.entry.worker),
         worker.entry.address,
         states.fence_of(leader, worker),
     )
+
+
+async def _record(leader: states.Leader, order: late_orders.LateOrder) -> None:
+    """Start probing an executor, and notify other servers of it."""
     server = leader.server
     server.late_order_executors.unreported[order.executor] = order
     await server.late_orders_to_relay.set()
@@ -75,7 +124,8 @@
             executor=order.executor,
             address=order.address,
             fence=order.fence,
-            for_s=order.for_s,
+            for_s=round(order.for_s, 3),
+            suspected=order.suspected,
         )
     await server.late_orders_changed.set()
 
@@ -109,7 +159,11 @@
     calls: executors.Executors,
     order: late_orders.LateOrder,
 ) -> None:
-    """Send an executor a fence; only the leader processes its reports."""
+    """Send an executor a fence; only the leader processes its reports.
+
+    A suspected order is refused by the incarnation that answers. The leader
+    suspects it again at the next incarnation.
+    """
     entry = reports.Entry(
         ids.VmId(order.executor), ids.ServiceId(''), order.address
     )
@@ -118,9 +172,23 @@
     except executors.Replaced:
         late_orders.remove(server.late_order_executors, order.executor)
         event_log.emit('late-order', 'replaced', executor=order.executor)
-    except (executors.Fenced, errors.CallFailed):
-        # It has seen a higher fence, or is probed again at once.
+    except errors.CallFailed:
+        # It is probed again at once.
         return
+    except executors.Fenced:
+        _end_suspicion(server, order)
+    else:
+        _end_suspicion(server, order)
+
+
+def _end_suspicion(
+    server: states.Server, order: late_orders.LateOrder
+) -> None:
+    """Stop probing an executor, unless an order is known to be unanswered."""
+    unanswered = server.late_order_executors
+    if order.suspected and unanswered.orders.get(order.executor) is order:
+        late_orders.remove(unanswered, order.executor)
+        event_log.emit('late-order', 'fenced', executor=order.executor)
 
 
 async def notify_always(server: states.Server) -> None:
--- a/oleanderwood/leading/previous_leaders.py
+++ b/oleanderwood/leading/previous_leaders.py
@@ -48,8 +48,16 @@
 
 def leases_end_s(leader: states.Leader, now_s: float) -> float:
     """Return a time by which all leases of earlier leaders have expired."""
-    order_wait_s = LONG_WAIT_S if _unended_terms(leader) else SHORT_WAIT_S
-    return now_s + order_wait_s + max_lease_s(leader)
+    return now_s + _order_wait_s(leader) + max_lease_s(leader)
+
+
+def last_order_s(leader: states.Leader) -> float:
+    """Return a time by which earlier leaders have sent their last order."""
+    return leader.began_s + _order_wait_s(leader)
+
+
+def _order_wait_s(leader: states.Leader) -> float:
+    return LONG_WAIT_S if _unended_terms(leader) else SHORT_WAIT_S
 
 
 def _unended_terms(leader: states.Leader) -> list[int]:
--- a/oleanderwood/leading/registration.py
+++ b/oleanderwood/leading/registration.py
@@ -4,7 +4,9 @@
 
 from oleanderwood import clock
 from oleanderwood import event_log
+from oleanderwood.leading import late_orders
 from oleanderwood.leading import state as states
+from oleanderwood.pools import fences
 from oleanderwood.pools import incarnations
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
@@ -30,6 +32,7 @@
     )
     name = entry.worker
     leader.workers[name] = worker
+    restarted = fences.is_known(leader.fences, incarnations.executor_of(name))
     # This incarnation then refuses orders that were sent to an
     # earlier one and not answered.
     states.raise_fence(leader, worker)
@@ -52,5 +55,7 @@
         fence_number=states.fence_number(leader, worker),
     )
     await leader.new_workers.put(worker)
+    if restarted:
+        await late_orders.suspect(leader, worker)
     await leader.worker_lists_changed.set()
     return worker
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -120,6 +120,7 @@
         await handle_fenced(leader, worker, fence)
     except (errors.CallFailed, executors.Replaced) as error:
         record_silence(worker, str(error))
+        await late_orders.suspect_unreached(leader, worker)
     else:
         if not _is_from(worker, report):
             record_silence(worker, RESTARTED)
@@ -244,6 +245,7 @@
             await handle_failed_order(leader, worker, error)
         note_unanswered(leader, error)
         record_silence(worker, error.reason, _silent_from_s(error, sent_s))
+        await late_orders.suspect_unreached(leader, worker)
         return False
     if _is_from(worker, report):
         await process_report(leader, worker, report, sent_s)
--- a/oleanderwood/pools/fences.py
+++ b/oleanderwood/pools/fences.py
@@ -59,6 +59,11 @@
     return fences.numbers.setdefault(executor, 1)
 
 
+def is_known(fences: Fences, executor: ids.ExecutorId) -> bool:
+    """Return whether the term has issued a fence for an executor."""
+    return executor in fences.numbers
+
+
 def current(fences: Fences, executor: ids.ExecutorId) -> ids.Fence:
     """Return the fence of the next order to an executor."""
     return make(fences.term, number(fences, executor))
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,6 +6,11 @@
 other calls, and the store is down, so nobody else can take over. The first
 call that reaches the next incarnation sets its fence, and only the leader made
 such calls, one after the other: the late orders were answered with 200.
+
+The same happens if the leader is killed before its order has timed out (lab
+seed 95168): no server has recorded the order, the next leader runs the task to
+its end, and the executor's next incarnation, which that leader does not reach,
+carries the order out.
 """
 
 import curio
@@ -13,8 +18,11 @@
 from hypothesis import strategies
 import pytest
 
+from emulator import network as networks
 from emulator import virtual
 from oleanderwood import ids
+from oleanderwood.leading import late_orders as leading_late_orders
+from oleanderwood.leading import previous_leaders
 from oleanderwood.pools import late_orders
 from tests import utils_restarts
 from tests import utils_takeover as build
@@ -58,6 +66,108 @@
     assert not result.breaches and not result.unfinished
 
 
+async def _take_over_with_order_in_flight(scene, kill_after_s) -> str:
+    """Kill the leader with a start in flight; return its executor's address.
+
+    The next leader has run the task to its end when this returns.
+    """
+    late = utils_restarts.delay_one_order(scene, LATE_S)
+    leader = build.leader(scene)
+    await build.submit_job(scene, leader, build.step(1, 16000, 1000))
+    await build.wait_until(lambda: late, 0.001)
+    await curio.sleep(kill_after_s)
+    await build.restart_leader(scene)
+    await build.wait_until(lambda: scene.callers.finished_s)
+    return late[0]
+
+
+@pytest.mark.parametrize('harm', [None, networks.Harm.REFUSED])
+@pytest.mark.parametrize('kill_after_s', [0.02, 0.1, 0.3, 0.7])
+def test_order_in_flight_at_a_leaders_death_is_refused_later(
+    kill_after_s, harm
+):
+    """The task is done when the order arrives in the next incarnation.
+
+    Order of events: a start is delayed by 8 s; the leader is killed before its
+    call times out; the next leader runs the task to its end and is then cut
+    off from that executor, which restarts 0.5 s before the order arrives.
+    """
+    outcomes = []
+
+    async def scenario(scene):
+        due_s = await curio.clock() + LATE_S
+        address = await _take_over_with_order_in_flight(scene, kill_after_s)
+        await curio.sleep(due_s - 0.5 - await curio.clock())
+        way = (build.leader(scene).name, address)
+        if harm is None:
+            scene.network.cuts.add(way)
+        else:
+            scene.network.harms[way] = harm
+        await utils_restarts.restart(scene, address)
+        outcomes.extend([utils_restarts.record_late_outcomes(scene, address)])
+        await curio.sleep(2.0)
+        scene.network.cuts.clear()
+        scene.network.harms.clear()
+
+    result = utils_restarts.play(scenario)
+    assert outcomes == [['fence']]
+    assert not utils_restarts.done_twice(result)
+    assert not result.breaches and not result.unfinished
+
+
+def _probed(scene) -> list[list[str]]:
+    """Return the executors that each server probes."""
+    return [
+        list(row.state.late_order_executors.orders) for row in scene.processes
+    ]
+
+
+async def _suspect(scene) -> str:
+    """Let the leader suspect a late order at a worker; return its address."""
+    leader = build.leader(scene).state.leader
+    worker = next(iter(leader.workers.values()))
+    address = worker.entry.address
+    for process in scene.processes:
+        scene.network.cuts.add((process.name, address))
+    await leading_late_orders.suspect(leader, worker)
+    return address
+
+
+def test_executor_is_probed_for_a_suspected_order_until_it_answers():
+    probed = []
+
+    async def scenario(scene):
+        await build.restart_leader(scene)
+        await curio.sleep(1.0)
+        await _suspect(scene)
+        await curio.sleep(0.2)
+        probed.append(_probed(scene))
+        scene.network.cuts.clear()
+        await curio.sleep(0.2)
+        probed.append(_probed(scene))
+
+    utils_restarts.play(scenario)
+    assert probed == [[['i-m1-1']] * 3, [[]] * 3]
+
+
+def test_no_order_is_suspected_once_it_could_no_longer_arrive():
+    probed = []
+
+    async def scenario(scene):
+        await build.restart_leader(scene)
+        await _suspect(scene)
+        await curio.sleep(
+            previous_leaders.SHORT_WAIT_S + late_orders.MAX_DELAY_S
+        )
+        probed.append(_probed(scene))
+        await _suspect(scene)
+        await curio.sleep(0.2)
+        probed.append(_probed(scene))
+
+    utils_restarts.play(scenario)
+    assert probed == [[[]] * 3, [[]] * 3]
+
+
 def test_executors_without_birth_times_are_not_called():
     all_unanswered = []
 
@@ -76,10 +186,12 @@
     assert not any(unanswered.orders for unanswered in all_unanswered)
 
 
-def _order(number, fence=1, for_s=late_orders.MAX_DELAY_S):
+def _order(number, fence=1, for_s=late_orders.MAX_DELAY_S, suspected=False):
     name = ids.ExecutorId(f'i-{number}')
     address = ids.Address(f'10.0.0.{number}:1')
-    return late_orders.LateOrder(name, address, ids.Fence(fence), for_s)
+    return late_orders.LateOrder(
+        name, address, ids.Fence(fence), for_s, suspected
+    )
 
 
 @hypothesis.given(
@@ -114,6 +226,33 @@
     )
 
 
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 2 * late_orders.MAX_EXECUTORS),
+            strategies.booleans(),
+        ),
+        max_size=60,
+    )
+)
+def test_suspected_orders_take_no_place_of_unanswered_ones(steps):
+    unanswered = late_orders.UnansweredOrders()
+    only_unanswered = late_orders.UnansweredOrders()
+    for moment_s, (number, suspected) in enumerate(steps):
+        order = _order(number, moment_s, suspected=suspected)
+        late_orders.add(unanswered, order, moment_s / 100)
+        if not suspected:
+            late_orders.add(only_unanswered, order, moment_s / 100)
+        kept = {
+            name
+            for name, row in unanswered.orders.items()
+            if not row.suspected
+        }
+        assert only_unanswered.orders.keys() <= kept
+        assert len(unanswered.orders) <= late_orders.MAX_EXECUTORS
+        assert unanswered.orders.keys() == unanswered.until_s.keys()
+
+
 def test_executor_is_called_until_its_order_can_no_longer_arrive():
     unanswered = late_orders.UnansweredOrders()
     late_orders.add(unanswered, _order(1), 0.0)
