Plant a leader that expects no order that nobody has recorded

The scene of an order in flight at a leader's death moves to utils_restarts, so that the planted defect and test_late_orders play the same one; assertions and cases are as they were.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -66,50 +66,16 @@
     assert not result.breaches and not result.unfinished
 
 
-async def _take_over_with_order_in_flight(scene, kill_after_s) -> str:
-    """Kill the leader with a start in flight; return its executor's address.
-
-    The next leader has run the task to its end when this returns.
-    """
-    late = utils_restarts.delay_one_order(scene, LATE_S)
-    leader = build.leader(scene)
-    await build.submit_job(scene, leader, build.step(1, 16000, 1000))
-    await build.wait_until(lambda: late, 0.001)
-    await curio.sleep(kill_after_s)
-    await build.restart_leader(scene)
-    await build.wait_until(lambda: scene.callers.finished_s)
-    return late[0]
-
-
 @pytest.mark.parametrize('harm', [None, networks.Harm.REFUSED])
 @pytest.mark.parametrize('kill_after_s', [0.02, 0.1, 0.3, 0.7])
 def test_order_in_flight_at_a_leaders_death_is_refused_later(
     kill_after_s, harm
 ):
-    """The task is done when the order arrives in the next incarnation.
-
-    Order of events: a start is delayed by 8 s; the leader is killed before its
-    call times out; the next leader runs the task to its end and is then cut
-    off from that executor, which restarts 0.5 s before the order arrives.
-    """
+    """The task is done when the order arrives in the next incarnation."""
     outcomes = []
-
-    async def scenario(scene):
-        due_s = await curio.clock() + LATE_S
-        address = await _take_over_with_order_in_flight(scene, kill_after_s)
-        await curio.sleep(due_s - 0.5 - await curio.clock())
-        way = (build.leader(scene).name, address)
-        if harm is None:
-            scene.network.cuts.add(way)
-        else:
-            scene.network.harms[way] = harm
-        await utils_restarts.restart(scene, address)
-        outcomes.extend([utils_restarts.record_late_outcomes(scene, address)])
-        await curio.sleep(2.0)
-        scene.network.cuts.clear()
-        scene.network.harms.clear()
-
-    result = utils_restarts.play(scenario)
+    result = utils_restarts.order_in_flight_at_a_leaders_death(
+        kill_after_s, harm, outcomes
+    )
     assert outcomes == [['fence']]
     assert not utils_restarts.done_twice(result)
     assert not result.breaches and not result.unfinished
--- a/tests/test_restart_defects.py
+++ b/tests/test_restart_defects.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from oleanderwood.leading import late_orders
 from oleanderwood.leading import restarts
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -93,6 +94,13 @@
     patch.setattr(fences, 'raise_fence', raise_fence)
 
 
+def _unrecorded_orders_are_ignored(patch):
+    async def suspect(leader, worker):
+        return None
+
+    patch.setattr(late_orders, 'suspect', suspect)
+
+
 def _lease_is_ignored(patch):
     patch.setattr(states, 'holds_lease', states.may_act)
 
@@ -116,6 +124,12 @@
         _fences_never_rise,
         utils_restarts.late_acknowledgement,
     ),
+    'expects no order that nobody has recorded': (
+        _unrecorded_orders_are_ignored,
+        functools.partial(
+            utils_restarts.order_in_flight_at_a_leaders_death, 0.1
+        ),
+    ),
     'takes an id for one life': (
         _ids_name_one_incarnation,
         utils_restarts.ends_of_next_incarnation,
--- a/tests/utils_restarts.py
+++ b/tests/utils_restarts.py
@@ -252,6 +252,43 @@
     return play(scenario)
 
 
+def order_in_flight_at_a_leaders_death(kill_after_s, harm=None, outcomes=None):
+    """Delay a start by 8 s, and kill its leader before the call times out.
+
+    The next leader runs the task to its end and is then cut off from that
+    executor, which restarts 0.5 s before the order arrives.
+
+    :param kill_after_s: time between the order and the leader's death
+    :param harm: how calls across the cut fail; None: they are never answered
+    :param outcomes: receives the list of outcomes of the late order
+    """
+
+    async def scenario(scene):
+        due_s = await curio.clock() + 8.0
+        late = delay_one_order(scene, 8.0)
+        leader = build.leader(scene)
+        await build.submit_job(scene, leader, build.step(1, 16000, 1000))
+        await build.wait_until(lambda: late, 0.001)
+        await curio.sleep(kill_after_s)
+        await build.restart_leader(scene)
+        await build.wait_until(lambda: scene.callers.finished_s)
+        (address,) = late
+        await curio.sleep(due_s - 0.5 - await curio.clock())
+        way = (build.leader(scene).name, address)
+        if harm is None:
+            scene.network.cuts.add(way)
+        else:
+            scene.network.harms[way] = harm
+        await restart(scene, address)
+        if outcomes is not None:
+            outcomes.append(record_late_outcomes(scene, address))
+        await curio.sleep(2.0)
+        scene.network.cuts.clear()
+        scene.network.harms.clear()
+
+    return play(scenario)
+
+
 def late_acknowledgement():
     """Let the next incarnation carry out an acknowledgement of ends.
 
