Look at what ran on a silent worker only if it may have gone at that moment

As a rack goes, each of its workers is held against all that are silent. What ran there was looked through for each pair, also where the times rule it out. The number of a task's losses is counted once.

--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -1,5 +1,7 @@
 """Runs lost with workers that are gone, and the tasks blamed for it."""
 
+import dataclasses
+
 from oleanderwood import clock
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -169,7 +171,9 @@
     others = leader.recently_gone | {
         other.entry.worker: _departure(other, now_s)
         for other in leader.workers.values()
-        if other.silent_since_s is not None and not other.closed
+        if other.silent_since_s is not None
+        and not other.closed
+        and blame.may_be_same_moment(departure, _dated(other, now_s))
     }
     found = {
         incarnations.executor_of(other): row
@@ -183,20 +187,29 @@
 def _departure(worker: workers_.Worker, now_s: float) -> blame.Departure:
     """Return how a worker went down that is gone or silent.
 
-    What ran on a worker that hasn't answered this leader isn't known, nor
-    since when it may have been down.
+    What ran on a worker that hasn't answered this leader isn't known.
     """
-    after_s, at_s = workers_.gone_between_s(worker, now_s)
+    departure = _dated(worker, now_s)
     losses = workers_.losses_if_gone(worker, now_s)
-    return blame.Departure(
-        after_s if worker.fenced else at_s,
-        at_s,
-        worker.fenced and not blame.is_explained(losses),
-        on_trial=blame.crashed_on_trial(worker, at_s),
-        early=blame.may_have_early_run(worker, at_s),
+    return dataclasses.replace(
+        departure,
+        unexplained=worker.fenced and not blame.is_explained(losses),
+        on_trial=blame.crashed_on_trial(worker, departure.at_s),
+        early=blame.may_have_early_run(worker, departure.at_s),
     )
 
 
+def _dated(worker: workers_.Worker, now_s: float) -> blame.Departure:
+    """Return when a worker went down that is gone or silent.
+
+    For one that hasn't answered this leader, no earliest time is known.
+    """
+    after_s, at_s = workers_.gone_between_s(worker, now_s)
+    if not worker.fenced:
+        after_s = at_s
+    return blame.Departure(after_s, at_s, unexplained=False)
+
+
 def _gone_together(
     departure: blame.Departure, others: dict[ids.ExecutorId, blame.Departure]
 ) -> dict[ids.ExecutorId, list[int]]:
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -457,9 +457,10 @@
 
 def record_losses(worker: Worker, now_s: float) -> list[Loss]:
     """Record which runs are lost with a worker that is gone."""
-    for row in losses_if_gone(worker, now_s):
-        row.task.losses += 1
-    return losses_if_gone(worker, now_s)
+    losses = losses_if_gone(worker, now_s)
+    for row in losses:
+        row.task.losses = row.losses
+    return losses
 
 
 def gone_between_s(worker: Worker, now_s: float) -> tuple[float, float]:
@@ -481,7 +482,7 @@
         if run.sent_s is not None:
             age_s = max(0.0, gone_s - run.sent_s)
         doubt_s = min(gone_s - after_s, age_s or 0.0)
-        losses.append(Loss(task, age_s, doubt_s, task.losses))
+        losses.append(Loss(task, age_s, doubt_s, task.losses + 1))
     return losses
 
 
