Reserve the ports of a soak for as long as it lasts

Cause: a soak drew a port that was free on 127.0.0.1, then used another number (the draw modulo 50,000 and 10,000 more), which nobody had looked at and nothing held. test_soak and test_spoiled_days play soaks at about the same time in two processes; where both draw the same, the servers of the first answer the command line of the second, without its token.

Ruled out: sockets left by an earlier test (each kernel closes them as it ends), other programs (each of the 28 loopback addresses was taken).

Fix: a world binds its port on an address that only guards use, and keeps it; one that draws the same port draws again. Ports are below those of outgoing connections. The new test draws the same port twice.

--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import random
+import secrets
 import socket
 
 import curio
@@ -26,6 +27,13 @@
 from soak import strikes
 
 
+FIRST_PORT = 10_000
+PORT_TRIPLES = 7_000
+"""Ports below those that the system gives to outgoing connections."""
+
+GUARD_HOST = '127.10.0.1'
+
+
 @dataclasses.dataclass
 class Cut:
     """A caller's call that a server took and didn't answer whole."""
@@ -38,6 +46,7 @@
 class World:
     """All that runs.
 
+    :ivar guard: keeps the world's ports from others while it is open
     :ivar cuts: calls that ended while their server stopped as planned
     """
 
@@ -45,6 +54,7 @@
     field: strikes.Field
     fleet: fleets.Fleet
     callers: callers_.Callers
+    guard: socket.socket
     cuts: list[Cut] = dataclasses.field(default_factory=list)
 
 
@@ -52,7 +62,7 @@
 class Addresses:
     """IP numbers of loopback: each thing has its own, so one port does.
 
-    :ivar port: free when it was chosen; two more behind it are used as well
+    :ivar port: no other soak's; two more behind it are used as well
     """
 
     port: int
@@ -62,11 +72,21 @@
         return ids.Address(f'127.{block}.0.{number}:{self.port}')
 
 
-def _choose_addresses() -> Addresses:
-    """Choose a free port, so that two soaks don't meet."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return Addresses(sock.getsockname()[1] % 50_000 + 10_000)
+def reserve_port() -> socket.socket:
+    """Reserve a port and the two behind it, so that two soaks don't meet.
+
+    :return: socket bound to that port at an address that only guards use; the
+        port is free again once it is closed
+    """
+    while True:
+        guard = socket.socket()
+        port = FIRST_PORT + 3 * secrets.randbelow(PORT_TRIPLES)
+        try:
+            guard.bind((GUARD_HOST, port))
+        except OSError:
+            guard.close()
+        else:
+            return guard
 
 
 async def build(plan: day.Plan, folder: pathlib.Path) -> World:
@@ -80,7 +100,8 @@
     network.handlers['machines'] = fleets.make_handler(fleet)
     await curio.spawn(stores.run_leases, store, daemon=True)
     tenancy = await day.configure(plan, store)
-    addresses = _choose_addresses()
+    guard = reserve_port()
+    addresses = Addresses(guard.getsockname()[1])
     await day.build_fleet(fleet, plan, lambda n: addresses.at(21, n))
     fleets.let_tasks_crash(fleet, random.Random(plan.seed + 5))
     servers = [
@@ -114,7 +135,7 @@
         processes.write_settings(process)
         processes.start(process)
         await curio.spawn(processes.look_after, process, daemon=True)
-    return World(plan, field, fleet, callers)
+    return World(plan, field, fleet, callers, guard)
 
 
 def _process(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import secrets
 import subprocess
 import sys
 
@@ -63,6 +64,18 @@
     return popen.returncode, popen.stdout.read(), popen.stderr.read()
 
 
+def test_two_soaks_at_the_same_time_use_different_ports(monkeypatch):
+    """Else the servers of one answer the callers of the other."""
+    drawn = iter([5, 5, 6, 5])
+    monkeypatch.setattr(secrets, 'randbelow', lambda _count: next(drawn))
+    with worlds.reserve_port() as first:
+        with worlds.reserve_port() as second:
+            ports = [row.getsockname()[1] for row in (first, second)]
+    assert ports[1] == ports[0] + 3
+    with worlds.reserve_port() as again:
+        assert again.getsockname()[1] == ports[0]
+
+
 async def _with_servers(folder: pathlib.Path, use):
     world = await worlds.build(day.Plan(1, server_count=2), folder)
     servers = world.field.servers
