Set a task's crash in one place, and end a suspected late order in one

Last reading of the change: recording a crash and marking one as common had the same three lines after it, as_common worked out the known age once more, and two branches of a probe ended the suspicion alike.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -84,9 +84,8 @@
 
 def as_common(crash: Crash) -> Crash:
     """Return a crash as one of a worker that went down with others."""
-    age_ms = max(crash.age_ms, crash.common_age_ms)
     return msgspec.structs.replace(
-        crash, age_ms=-1, isolated=False, common_age_ms=age_ms
+        crash, age_ms=-1, isolated=False, common_age_ms=_known_age_ms(crash)
     )
 
 
--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -33,10 +33,7 @@
     entry = task.group.entry
     if task.done or ledgers.is_final(entry):
         return
-    task.crashes[crash.attempt] = crash
-    update_suspects(task)
-    entry.crash_revision += 1
-    ledgers.touch(ledger, entry)
+    _put_crash(ledger, task, crash)
     if crashes_workers(task):
         found = len(crashes_of(task))
         entry.cause = f'{task.name} crashed {found} workers'
@@ -47,7 +44,14 @@
     ledger: ledgers.Ledger, task: ledgers.Task, attempt: int
 ) -> None:
     """Record that the worker of a crash went down together with others."""
-    task.crashes[attempt] = crashes_.as_common(task.crashes[attempt])
+    _put_crash(ledger, task, crashes_.as_common(task.crashes[attempt]))
+
+
+def _put_crash(
+    ledger: ledgers.Ledger, task: ledgers.Task, crash: crashes_.Crash
+) -> None:
+    """Set a crash of a task, and have the job's crashes stored."""
+    task.crashes[crash.attempt] = crash
     update_suspects(task)
     task.group.entry.crash_revision += 1
     ledgers.touch(ledger, task.group.entry)
--- a/oleanderwood/leading/late_orders.py
+++ b/oleanderwood/leading/late_orders.py
@@ -172,13 +172,14 @@
     except executors.Replaced:
         late_orders.remove(server.late_order_executors, order.executor)
         event_log.emit('late-order', 'replaced', executor=order.executor)
+        return
     except errors.CallFailed:
         # It is probed again at once.
         return
     except executors.Fenced:
-        _end_suspicion(server, order)
-    else:
-        _end_suspicion(server, order)
+        # It has seen a higher fence.
+        pass
+    _end_suspicion(server, order)
 
 
 def _end_suspicion(
