Let the policy and the settings switch load control on

Cause: overload, uneven demand and uneven workers need parts that the earlier deployments must not notice, and nothing in the settings told them apart.

Nothing uses it yet.

--- a/oleanderwood/boot.py
+++ b/oleanderwood/boot.py
@@ -35,9 +35,12 @@
         store, by the platform's rules
     :ivar key_revocation_ms: time after which no server may accept a revoked
         key
+    :ivar task_stop_ms: longest time of a stop of a task
+    :ivar task_restore_ms: time in which a task resumes from its checkpoint
     :ivar machine_turn_ms: minimum time between the orders of two leaders for
         one machine
     :ivar job_retention_s: how long an ended job can be queried by callers
+    :ivar contracts: names of the platform's rules that are in force
     """
 
     name: str
@@ -59,6 +62,7 @@
     max_task_lease_ms: float = 6000.0
     contact_ms: float = 3000.0
     task_stop_ms: float = 200.0
+    task_restore_ms: float = 250.0
     machine_turn_ms: float = 3000.0
     maintenance_s: float = 2.0
     move_s: float = 1.5
@@ -70,6 +74,7 @@
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
     descriptors: int = 4096
+    contracts: tuple[str, ...] = ()
 
 
 class BadSettings(errors.OleanderError):
--- a/oleanderwood/policy/model.py
+++ b/oleanderwood/policy/model.py
@@ -1,5 +1,7 @@
 """The operators' policy, which complements the platform's configuration."""
 
+import enum
+
 import msgspec
 
 from oleanderwood import ids
@@ -53,6 +55,31 @@
     moves: float = 1.0
 
 
+class Mode(enum.Enum):
+    """Whether a part of load control is in force."""
+
+    AUTO = 'auto'
+    ON = 'on'
+    OFF = 'off'
+
+
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How overload, uneven demand and uneven workers are handled.
+
+    :ivar max_wait_factor: a job that would end later than this multiple of
+        its objective is refused
+    :ivar usage_half_life_s: time in which half of a tenant's past use of
+        workers stops counting for its share
+    """
+
+    admission: Mode = Mode.AUTO
+    ordering: Mode = Mode.AUTO
+    balancing: Mode = Mode.AUTO
+    placement: Mode = Mode.AUTO
+    max_wait_factor: float = 3.0
+    usage_half_life_s: float = 5.0
+
+
 class Policy(msgspec.Struct, frozen=True):
     """The content of a policy file."""
 
@@ -60,6 +87,7 @@
     teams: tuple[Team, ...] = ()
     maintenance: Maintenance = Maintenance()
     weights: Weights = Weights()
+    load: Load = Load()
 
 
 class StoredPolicy(msgspec.Struct, frozen=True):
--- a/oleanderwood/policy/reading.py
+++ b/oleanderwood/policy/reading.py
@@ -20,7 +20,17 @@
 """Bounds of a weight; beyond them machines would always or never move."""
 
 LISTS = {'pools': model.Pool, 'teams': model.Team}
-TABLES = {'maintenance': model.Maintenance, 'weights': model.Weights}
+TABLES = {
+    'maintenance': model.Maintenance,
+    'weights': model.Weights,
+    'load': model.Load,
+}
+
+LOAD_RANGES = {
+    'max_wait_factor': (1.0, 10.0),
+    'usage_half_life_s': (0.5, 300.0),
+}
+"""Smallest and largest values of the numbers in the section ``load``."""
 
 
 def read(text: str) -> model.Policy:
@@ -119,6 +129,26 @@
                 f'{weight} is not allowed',
                 f'{MIN_WEIGHT:g} to {MAX_WEIGHT:g}',
             )
+    yield from _validate_load(policy.load)
+
+
+def _validate_load(
+    load: model.Load,
+) -> collections.abc.Iterator[errors.ConfigurationFault]:
+    for name, (least, most) in LOAD_RANGES.items():
+        value = getattr(load, name)
+        if not least <= value <= most:
+            yield errors.ConfigurationFault(
+                f'load.{name}',
+                f'{value} is not allowed',
+                f'{least:g} to {most:g}',
+            )
+    if load.admission is model.Mode.ON and load.ordering is model.Mode.OFF:
+        yield errors.ConfigurationFault(
+            'load.admission',
+            "'on' contradicts load.ordering 'off'",
+            'waits are predicted for that order: turn both on, or both off',
+        )
 
 
 def _find_duplicates(path: str, names: list[str]):
