Divide waiting work by worth, and record excess arrivals apart

Cause: work that is late or beyond a customer's rate raises a pool's need for machines like work that can be in time, so pools cannot be compared by what their work is worth.

Change: waiting tasks carry their worth, `required_by_worth` splits the cores that they need, and the demand history also records which arrivals were beyond their customers' rates. The predicted demand is unchanged.

Measured: tests/test_backlog.py passes, with the property that the parts make up the whole.

--- a/oleanderwood/capacity/backlog.py
+++ b/oleanderwood/capacity/backlog.py
@@ -8,12 +8,26 @@
 
 import collections.abc
 import dataclasses
+import enum
 
 MIN_LEFT_S = 1.5
 """Smallest time until a deadline that is counted with: a machine that is
 requested now arrives no earlier."""
 
 
+class Worth(enum.IntEnum):
+    """What waiting work is worth to its callers; lower numbers go first."""
+
+    ASSURED = 0
+    """It is within its customer's rate and can be in time."""
+
+    LATE = 1
+    """It is within its customer's rate, and late."""
+
+    EXCESS = 2
+    """It is beyond its customer's rate."""
+
+
 @dataclasses.dataclass(frozen=True)
 class WaitingTasks:
     """Waiting tasks of one step.
@@ -26,6 +40,7 @@
     cores: float
     length_s: float
     left_s: float
+    worth: Worth = Worth.ASSURED
 
 
 def required_cores(rows: collections.abc.Iterable[WaitingTasks]) -> float:
@@ -44,3 +59,16 @@
 
 def _due_s(row: WaitingTasks) -> float:
     return max(MIN_LEFT_S, row.length_s, row.left_s)
+
+
+def required_by_worth(
+    rows: collections.abc.Collection[WaitingTasks],
+) -> dict[Worth, float]:
+    """Return the cores that work needs beside all work of higher worth."""
+    found = {}
+    before = 0.0
+    for worth in Worth:
+        cores = required_cores(row for row in rows if row.worth <= worth)
+        found[worth] = max(0.0, cores - before)
+        before = max(before, cores)
+    return found
--- a/oleanderwood/capacity/demand.py
+++ b/oleanderwood/capacity/demand.py
@@ -77,6 +77,8 @@
         are separated by a lull count separately
     :ivar burst_cores: mean number of cores that the last burst kept busy
     :ivar total_core_s: work of all arrivals in ``arrivals``
+    :ivar excess_s: times of those arrivals that were beyond their customers'
+        rates
     """
 
     arrivals: collections.deque = dataclasses.field(
@@ -88,6 +90,9 @@
     ended_s: float = -1e9
     burst_cores: float = 0.0
     total_core_s: float = 0.0
+    excess_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 @dataclasses.dataclass
@@ -110,9 +115,16 @@
 
 
 def record_arrival(
-    history: ArrivalHistory, pool: str, at_s: float, core_s: float
+    history: ArrivalHistory,
+    pool: str,
+    at_s: float,
+    core_s: float,
+    is_excess: bool = False,
 ) -> None:
-    """Record the arrival of a job; arrivals come in order of time."""
+    """Record the arrival of a job; arrivals come in order of time.
+
+    :param is_excess: it is beyond its customer's rate
+    """
     if history.began_s is None:
         history.began_s = at_s
     pool_history = history.by_pool.setdefault(pool, PoolHistory())
@@ -122,6 +134,13 @@
     pool_history.total_core_s += core_s
     while pool_history.arrivals[0][0] < at_s - MEAN_WINDOW_S:
         pool_history.total_core_s -= pool_history.arrivals.popleft()[1]
+    if is_excess:
+        pool_history.excess_s.append(at_s)
+    while (
+        pool_history.excess_s
+        and pool_history.excess_s[0] < at_s - MEAN_WINDOW_S
+    ):
+        pool_history.excess_s.popleft()
     update_burst_state(history, pool, at_s)
 
 
@@ -185,6 +204,18 @@
     return weight * rate * _mean_size(pool_history)
 
 
+def excess_share(pool_history: PoolHistory, now_s: float) -> float:
+    """Return the share of present arrivals that is beyond customers' rates."""
+    since_s = _window_start_s(pool_history, now_s)
+    count = _count(pool_history, since_s)
+    excess = 0
+    for at_s in reversed(pool_history.excess_s):
+        if at_s <= since_s:
+            break
+        excess += 1
+    return excess / count if count else 0.0
+
+
 def _window_start_s(pool_history: PoolHistory, now_s: float) -> float:
     """Return the start of the window that estimates the rate best."""
     if _count(pool_history, now_s - SHORT_RATE_WINDOW_S) >= RELIABLE_ARRIVALS:
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -41,6 +41,7 @@
         strategies.floats(0.0, 500.0),
         strategies.floats(0.1, 10.0),
         strategies.floats(-10.0, 20.0),
+        strategies.sampled_from(backlog.Worth),
     ),
     max_size=12,
 )
@@ -59,3 +60,11 @@
         backlog.required_cores(some + more)
         >= backlog.required_cores(some) - 1e-6
     )
+
+
+@hypothesis.given(ROWS)
+def test_parts_by_worth_make_up_the_whole(rows):
+    parts = backlog.required_by_worth(rows)
+    assert min(parts.values()) >= 0.0
+    whole = backlog.required_cores(rows)
+    assert abs(sum(parts.values()) - whole) < 1e-6
