Take the costs of a stop and a restore as arguments, and keep drains

Cause: stops and restarts are costed at 0.3 to 0.65 s where tasks take up to 1.5 s to stop and resume. A machine that is chosen to be drained is released as soon as another would be empty sooner or the shortfall changes.

Change: `draining.Rules` holds the costs and whether chosen machines stay chosen; those count towards what is wanted. `slowness.runs_to_restart` takes the time that a restart must save. The defaults are the present constants.

Measured: tests/test_draining.py and tests/test_slowness.py pass.

--- a/oleanderwood/capacity/draining.py
+++ b/oleanderwood/capacity/draining.py
@@ -26,6 +26,37 @@
 """A task with checkpoints is stopped only if it would occupy its machine for
 longer than this: a stop and a restore take 0.65 s."""
 
+REPORT_S = 0.1
+"""Time from the end of a stopped task until its report is processed."""
+
+GAIN_MARGIN_S = 0.35
+"""Time beyond those of a stop and a restore that a stop has to save."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """How machines are chosen.
+
+    :ivar stop_s: time until a task with checkpoints has left its machine
+    :ivar min_gain_s: a task with checkpoints is stopped only if it would
+        occupy its machine for longer than this
+    :ivar keeps: a machine that is being drained stays chosen
+    """
+
+    stop_s: float = CHECKPOINTED_STOP_S
+    min_gain_s: float = MIN_STOP_GAIN_S
+    keeps: bool = False
+
+
+def measured_rules(stop_ms: float, restore_ms: float) -> Rules:
+    """Return rules for tasks that take these times to stop and to resume."""
+    stop_s = stop_ms / 1000
+    return Rules(
+        stop_s=stop_s + REPORT_S,
+        min_gain_s=stop_s + restore_ms / 1000 + GAIN_MARGIN_S,
+        keeps=True,
+    )
+
 
 class Member(typing.Protocol):
     """The fields of ``rebalancing.Member`` that are used here."""
@@ -62,34 +93,52 @@
 
 
 def decide(
-    pools: collections.abc.Iterable[Surplus], wanted: int, now_s: float
+    pools: collections.abc.Iterable[Surplus],
+    wanted: int,
+    now_s: float,
+    rules: Rules = Rules(),
 ) -> list[MachineToDrain]:
-    """Choose up to ``wanted`` machines, those that are drained soonest."""
-    rows = []
+    """Choose up to ``wanted`` machines, those that are drained soonest.
+
+    Where machines stay chosen, they count towards ``wanted``, and all stay
+    that their pools can spare: released ones would get new tasks, and their
+    drain would begin again.
+    """
+    kept, rows = [], []
     for pool in pools:
-        rows += _candidates(pool, now_s)
-    rows.sort(key=lambda row: row[:3])
-    return [drained for *_order, drained in rows[: max(0, wanted)]]
+        for row in _candidates(pool, now_s, rules):
+            is_new, *_order = row
+            (rows if is_new else kept).append(row)
+    rows.sort(key=lambda row: row[:-1])
+    chosen = kept + rows[: max(0, wanted - len(kept))]
+    return [drained for *_order, drained in chosen]
+
 
+def _candidates(pool: Surplus, now_s: float, rules: Rules) -> list:
+    """Return a pool's machines that can be drained, soonest first.
 
-def _candidates(pool: Surplus, now_s: float) -> list:
-    """Return a pool's machines that can be drained, soonest first."""
+    Those that stay chosen come before the others.
+    """
     rows = []
     for member in pool.members:
-        drain_time_s = _drain_time_s(member, now_s)
-        if drain_time_s is None or drain_time_s > MAX_DRAIN_S:
+        drain_time_s = _drain_time_s(member, now_s, rules)
+        if drain_time_s is None:
+            continue
+        stays = rules.keeps and member.worker.is_reclaimed
+        if drain_time_s > MAX_DRAIN_S and not stays:
             continue
         tasks = list(member.worker.runs.values())
         drained = MachineToDrain(
             member.machine,
-            [task for task in tasks if _is_stopped(task, now_s)],
+            [task for task in tasks if _is_stopped(task, now_s, rules)],
         )
-        rows.append((drain_time_s, _cores(tasks), member.machine, drained))
-    rows.sort(key=lambda row: row[:3])
+        order = drain_time_s, _cores(tasks), member.machine
+        rows.append((not stays, *order, drained))
+    rows.sort(key=lambda row: row[:-1])
     return rows[: max(0, pool.count)]
 
 
-def _drain_time_s(member: Member, now_s: float) -> float | None:
+def _drain_time_s(member: Member, now_s: float, rules: Rules) -> float | None:
     """Return the time to drain a machine; None if it must not be drained."""
     worker = member.worker
     if worker is None or member.fixed or not worker.runs:
@@ -100,24 +149,26 @@
     for task in worker.runs.values():
         if task.group.step.is_long_running or task.group.step.gang:
             return None
-        longest_s = max(longest_s, task_drain_time_s(task, now_s))
+        longest_s = max(longest_s, task_drain_time_s(task, now_s, rules))
     return longest_s
 
 
-def task_drain_time_s(task: ledgers.Task, now_s: float) -> float:
+def task_drain_time_s(
+    task: ledgers.Task, now_s: float, rules: Rules = Rules()
+) -> float:
     """Return the time until a batch task has left its machine."""
     left_s = slowness.left_s(task, now_s)
     if task.group.step.checkpoints:
-        return min(left_s, CHECKPOINTED_STOP_S)
+        return min(left_s, rules.stop_s)
     return left_s
 
 
-def _is_stopped(task: ledgers.Task, now_s: float) -> bool:
+def _is_stopped(task: ledgers.Task, now_s: float, rules: Rules) -> bool:
     return (
         task.group.step.checkpoints
         and task.run is not None
         and task.run.phase is ledgers.RunPhase.RUNNING
-        and slowness.left_s(task, now_s) > MIN_STOP_GAIN_S
+        and slowness.left_s(task, now_s) > rules.min_gain_s
     )
 
 
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -33,6 +33,10 @@
 MIN_GAIN_S = 0.5
 """Time in seconds that a restart must save; a stop and a start take 0.3 s."""
 
+GAIN_MARGIN_S = 0.2
+"""Time in seconds beyond those of a stop and a restore that a restart must
+save."""
+
 FactorOf = collections.abc.Callable[[ledgers.Entry], float]
 """Returns the factor by which the estimates of a job's queue are corrected."""
 
@@ -142,10 +146,21 @@
     speed.slow = speed.ratio - pool_ratio >= math.log(SLOW_FACTOR)
 
 
+def min_gain_s(stop_ms: float, restore_ms: float) -> float:
+    """Return the time that a restart must save by the times of its parts."""
+    return (stop_ms + restore_ms) / 1000 + GAIN_MARGIN_S
+
+
 def runs_to_restart(
-    worker: workers_.Worker, factor_of: FactorOf, now_s: float
+    worker: workers_.Worker,
+    factor_of: FactorOf,
+    now_s: float,
+    least_gain_s: float = MIN_GAIN_S,
 ) -> list[ledgers.Task]:
-    """Return the tasks on a slow worker that would end sooner elsewhere."""
+    """Return the tasks on a slow worker that would end sooner elsewhere.
+
+    :param least_gain_s: time that a restart must save
+    """
     found = []
     for task in worker.runs.values():
         total_s = _projected_s(task, now_s)
@@ -153,6 +168,6 @@
             continue
         left_s = total_s - (now_s - task.run.begun_s)
         restart_s = _estimated_s(task, factor_of(task.group.entry))
-        if left_s > restart_s + MIN_GAIN_S:
+        if left_s > restart_s + least_gain_s:
             found.append(task)
     return found
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -23,9 +23,9 @@
     return rebalancing.Member(name, 8.0, worker, fixed)
 
 
-def _decide(members, count=9, wanted=9):
+def _decide(members, count=9, wanted=9, rules=draining.Rules()):
     surplus = draining.Surplus(SERVICE, members, count)
-    return draining.decide([surplus], wanted, NOW_S)
+    return draining.decide([surplus], wanted, NOW_S, rules)
 
 
 def _names(members, **numbers):
@@ -90,6 +90,49 @@
     assert _names(members, wanted=1) == chosen == ['m1']
 
 
+KEEPING = draining.measured_rules(900.0, 600.0)
+
+
+def test_drained_machine_is_not_released_for_one_that_is_sooner_empty():
+    """Guards against machines that are chosen and released in turn."""
+    sooner = {'guess_ms': 500.0}
+    members = [_member('m1', SAVED, SAVED), _member('m2', sooner)]
+    members[0].worker.is_reclaimed = True
+    assert _names(members, wanted=1) == ['m2']
+    assert _names(members, wanted=1, rules=KEEPING) == ['m1']
+    # It stays even where nobody asks any more, or a task takes longer.
+    assert _names(members, wanted=0, rules=KEEPING) == ['m1']
+    slower = _member('m3', LONG)
+    slower.worker.is_reclaimed = True
+    assert _names([slower], wanted=1, rules=KEEPING) == ['m3']
+
+
+def test_drained_machines_count_towards_what_is_wanted():
+    """Guards against more machines drained than other pools lack."""
+    members = [_member(f'm{i}', SAVED) for i in range(6)]
+    for member in members[:2]:
+        member.worker.is_reclaimed = True
+    assert _names(members, wanted=3, rules=KEEPING) == ['m0', 'm1', 'm2']
+
+
+def test_pool_that_needs_its_machines_gets_drained_ones_back():
+    """Guards a pool against draining below what it needs or is granted."""
+    members = [_member(f'm{i}', SAVED) for i in range(3)]
+    for member in members:
+        member.worker.is_reclaimed = True
+    assert len(_names(members, count=1, rules=KEEPING)) == 1
+    assert _names(members, count=-1, rules=KEEPING) == []
+
+
+def test_stop_that_takes_long_has_to_save_more():
+    """Guards against stops that cost a task more than they save others."""
+    members = [_member('m1', {'guess_ms': 1700.0, 'checkpoints': True})]
+    (today,) = _decide(members)
+    (measured,) = _decide(members, rules=KEEPING)
+    # 1.5 s are left; a stop and a restore take as long.
+    assert today.stops and not measured.stops
+
+
 def test_pool_in_need_gets_machines_that_a_past_burst_holds():
     past = rebalancing.PoolView(
         ids.ServiceId('past'),
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -85,6 +85,19 @@
     assert found == [build.task(ledger, 0)]
 
 
+def test_restart_has_to_save_what_a_stop_and_a_restore_take():
+    """Guards tasks whose stop takes longer than their run still would."""
+    least_s = slowness.min_gain_s(900.0, 600.0)
+    assert 1.6 < least_s < 1.8
+    worker = build.worker()
+    _running(worker, [40.0])
+    # At 40% after 1 s, 1.5 s are left, and a run elsewhere takes 0.6 s.
+    assert slowness.runs_to_restart(worker, lambda entry: 0.6, 2.0)
+    assert not slowness.runs_to_restart(
+        worker, lambda entry: 0.6, 2.0, least_s
+    )
+
+
 def test_slow_worker_gets_only_long_running_tasks():
     ledger = build.ledger_with(build.job())
     worker = build.worker()
