Divide the fleet among pools by the worth of their work

Cause: each pool's need is computed on its own, so while all pools together need more machines than there are, the first to have a burst keeps them.

In contention, grants cap the needs before moves, idle surplus and drains are decided; pools that lack the greatest part of their grant go first; machines that are idle for a moment may leave a pool beyond its grant; machines that are drained stay so until their move is sent. A guess for a burst that is not measured yet makes no contention. `Fleet.grants`, a log line `fleet contended` and the gauge `oleander_server_granted_machines` show the result.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -10,6 +10,7 @@
 import math
 
 from oleanderwood.capacity import backlog
+from oleanderwood.capacity import contention
 from oleanderwood.capacity import demand
 from oleanderwood.capacity import draining
 from oleanderwood import ids
@@ -90,6 +91,8 @@
     :ivar busy_cores: cores of running tasks, and of all long-running ones
     :ivar long_running_cores: cores of long-running tasks, included in
         ``busy_cores``
+    :ivar late_cores: cores of running tasks that end too late, included in
+        ``busy_cores``; known only where pools share the fleet
     :ivar waiting: other tasks that are ready to start
     :ivar first_size: initial number of machines
     :ivar min_up: machines that operators have set as its minimum
@@ -109,6 +112,7 @@
     members: list[Member]
     busy_cores: float = 0.0
     long_running_cores: float = 0.0
+    late_cores: float = 0.0
     first_size: int = 0
     min_up: int = 0
     waiting: list[backlog.WaitingTasks] = dataclasses.field(
@@ -150,7 +154,9 @@
 class Decision:
     """The result of a planning pass.
 
-    :ivar needs: machines that each pool needs
+    :ivar needs: machines that each pool needs, at most its grant
+    :ivar asked: machines that each pool asks for, while they don't suffice
+    :ivar grants: machines that each pool gets, while they don't suffice
     :ivar to_drain: busy machines to drain for pools that lack machines
     """
 
@@ -159,6 +165,20 @@
     to_drain: list[draining.MachineToDrain] = dataclasses.field(
         default_factory=list
     )
+    asked: contention.Grants = dataclasses.field(default_factory=dict)
+    grants: contention.Grants = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Sharing:
+    """How pools share a fleet that does not suffice.
+
+    :ivar previous: grants of the previous pass
+    :ivar rules: how machines to drain are chosen
+    """
+
+    previous: contention.Grants = dataclasses.field(default_factory=dict)
+    rules: draining.Rules = draining.Rules(keeps=True)
 
 
 def _machines_needed(
@@ -206,6 +226,71 @@
     return Need(work, now, max(now, soon))
 
 
+def _claim(
+    pool: PoolView,
+    need: Need,
+    history: demand.ArrivalHistory,
+    machine_cores: float,
+    near_s: float,
+    now_s: float,
+) -> contention.Claim:
+    """Divide what a pool needs by the worth of its work.
+
+    Expected arrivals count in full, and running tasks only beyond them: if
+    arrivals counted beyond running tasks, each machine that a pool gives away
+    would raise its claim to get it back.
+    """
+    usable_cores = machine_cores * USABLE_CORES_SHARE
+    pool_history = history.by_pool.get(pool.service)
+    expected_cores = excess_share = 0.0
+    if pool_history is not None:
+        expected_cores = demand.expected_cores(pool_history, now_s)
+        excess_share = demand.excess_share(pool_history, now_s)
+    waiting = backlog.required_by_worth(pool.waiting)
+    batch_cores = pool.busy_cores - pool.long_running_cores
+    present_cores = max(batch_cores, expected_cores)
+    cores = pool.long_running_cores + present_cores + sum(waiting.values())
+    # What can't be measured yet, and what replaces cores that can't be used.
+    unmeasured = max(0, need.work - math.ceil(cores / usable_cores))
+    arriving_cores = (1 - excess_share) * expected_cores
+    held_cores = max(0.0, batch_cores - pool.late_cores - arriving_cores)
+    rest_cores = present_cores - arriving_cores - held_cores
+    late_cores = min(pool.late_cores, rest_cores)
+    suitable = pool.lacks_suitable_machine and not _is_incoming(pool.members)
+    reserve = need.soon
+    if not need.work and pool.members:
+        reserve = max(reserve, SPARE_MACHINES)
+    if _may_start_first_burst(history, pool.service, near_s, now_s):
+        reserve = max(reserve, pool.first_size)
+    return contention.Claim(
+        pool.service,
+        pool.priority,
+        held=(pool.long_running_cores + held_cores) / usable_cores,
+        assured=(arriving_cores + waiting[backlog.Worth.ASSURED])
+        / usable_cores
+        + (1 - excess_share) * unmeasured
+        + suitable,
+        late=(late_cores + waiting[backlog.Worth.LATE]) / usable_cores,
+        excess=(rest_cores - late_cores + waiting[backlog.Worth.EXCESS])
+        / usable_cores
+        + excess_share * unmeasured,
+        min_up=pool.min_up,
+        unmeasured=unmeasured,
+        long_running=pool.long_running_cores / usable_cores,
+        reserve=max(0.0, reserve - need.work),
+    )
+
+
+def _cap(need: Need, grant: int | None) -> Need:
+    """Return a need within a grant.
+
+    Maintenance goes by the work that there is, which a grant doesn't change.
+    """
+    if grant is None:
+        return need
+    return Need(need.work, min(need.now, grant), min(need.soon, grant))
+
+
 def _is_incoming(members: collections.abc.Iterable[Member]) -> bool:
     return any(member.worker is None for member in members)
 
@@ -238,12 +323,16 @@
     move_s: float,
     now_s: float,
     weights: policies.Weights = policies.Weights(),
+    sharing: Sharing | None = None,
 ) -> Decision:
     """Decide on moves.
 
     Machines go first to pools that lack them now, if necessary from pools that
     keep idle ones for a later burst; then to pools whose burst is about to
     start; then to standby.
+
+    :param sharing: None: each pool keeps what it needs, even if others lack
+        machines
     """
     machine_cores = _mean_machine_cores(pools, standby)
     wanted = {
@@ -252,6 +341,29 @@
         )
         for pool in pools
     }
+    lead_s = move_s + BURST_LEAD_S
+    asked: contention.Grants = {}
+    grants: contention.Grants = {}
+    if sharing is not None and machine_cores:
+        claims = [
+            _claim(
+                pool,
+                wanted[pool.service],
+                history,
+                machine_cores,
+                lead_s,
+                now_s,
+            )
+            for pool in pools
+        ]
+        grants = contention.allocate(
+            claims, _machine_count(pools, standby), sharing.previous
+        )
+        asked = {row.service: contention.asked(row) for row in claims}
+        wanted = {
+            service: _cap(need, grants.get(service))
+            for service, need in wanted.items()
+        }
     free = _Free(
         [
             (service, member)
@@ -259,8 +371,11 @@
             for member in members
             if not member.fixed
         ],
-        _idle_surplus(pools, wanted, history, move_s + BURST_LEAD_S, now_s),
-        [_reserve(pool, wanted[pool.service], now_s) for pool in pools],
+        _idle_surplus(pools, wanted, history, lead_s, now_s, grants),
+        [
+            _reserve(pool, wanted[pool.service], now_s, grants)
+            for pool in pools
+        ],
     )
     near_s = KEEP_BEFORE_BURST_S * weights.moves / weights.buffer + move_s
     near = {
@@ -270,7 +385,11 @@
     }
     moves = _moves_for_labels(pools, free)
     moves += _moves_for_shortfalls(
-        pools, {name: need.now for name, need in wanted.items()}, free, set()
+        pools,
+        {name: need.now for name, need in wanted.items()},
+        free,
+        set(),
+        by_share=bool(grants),
     )
     moves += _moves_for_shortfalls(
         pools, {name: need.soon for name, need in wanted.items()}, free, near
@@ -287,8 +406,10 @@
         ):
             moves.append(Move(member.machine, service, target, 'idle'))
             remaining[service] -= 1
-    drained = _to_drain(pools, wanted, free, remaining, now_s)
-    return Decision(moves, wanted, drained)
+    drained = _to_drain(
+        pools, wanted, free, remaining, now_s, sharing, bool(grants)
+    )
+    return Decision(moves, wanted, drained, asked if grants else {}, grants)
 
 
 def _to_standby(
@@ -334,11 +455,14 @@
     free: '_Free',
     remaining: dict[ids.ServiceId, int],
     now_s: float,
+    sharing: Sharing | None,
+    is_contended: bool,
 ) -> list[draining.MachineToDrain]:
     """Choose busy machines to drain for pools that got too few idle ones.
 
     :param remaining: members of each pool after the moves decided so far
     """
+    rules = draining.Rules() if sharing is None else sharing.rules
     lacking = {}
     for pool in pools:
         shortfall = _shortfall(pool, wanted[pool.service].now, free)
@@ -350,12 +474,15 @@
     )
     surplus = []
     for pool in pools:
-        reserved = wanted[pool.service].now + SPARE_MACHINES
-        if pool.priority > best_priority:
+        reserved = wanted[pool.service].now
+        if not is_contended:
+            reserved += SPARE_MACHINES
+        if pool.priority > best_priority and not is_contended:
+            # In contention, the grants have taken priorities into account.
             reserved = math.ceil(PREEMPTED_SHARE * reserved)
         spare = remaining[pool.service] - max(pool.min_up, reserved)
         surplus.append(draining.Surplus(pool.service, pool.members, spare))
-    return draining.decide(surplus, sum(lacking.values()), now_s)
+    return draining.decide(surplus, sum(lacking.values()), now_s, rules)
 
 
 @dataclasses.dataclass
@@ -387,14 +514,18 @@
     count: int
 
 
-def _reserve(pool: PoolView, need: Need, now_s: float) -> _Reserve:
+def _reserve(
+    pool: PoolView, need: Need, now_s: float, grants: contention.Grants
+) -> _Reserve:
     """Return the idle machines that a pool doesn't need at present.
 
     They include those that it keeps for single arrivals and a first burst,
     which may never come.
     """
     return _Reserve(
-        pool.service, _idle_members(pool, now_s), surplus(pool, need.now)
+        pool.service,
+        _idle_members(pool, now_s, grants),
+        surplus(pool, need.now),
     )
 
 
@@ -406,12 +537,19 @@
     return max(0, min(len(pool.members) - kept, up - pool.min_up))
 
 
-def _idle_members(pool: PoolView, now_s: float) -> list[Member]:
-    """Return a pool's machines that may move, longest idle first."""
+def _idle_members(
+    pool: PoolView, now_s: float, grants: contention.Grants
+) -> list[Member]:
+    """Return a pool's machines that may move, longest idle first.
+
+    In contention, one that is idle for a moment may, too: beyond its grant,
+    the pool's next tasks go to the machines that remain.
+    """
+    min_idle_s = 0.0 if pool.service in grants else MIN_IDLE_S
     idle = [
         member
         for member in pool.members
-        if _is_movable(member, now_s)
+        if _is_movable(member, now_s, min_idle_s)
         and not any(suits(pool, label, member) for label in pool.lacks_labels)
     ]
     return sorted(idle, key=lambda member: member.worker.idle_since_s)
@@ -432,6 +570,16 @@
     return forecast is not None and _is_near(forecast, now_s, near_s)
 
 
+def _machine_count(
+    pools: collections.abc.Sequence[PoolView],
+    standby: dict[ids.ServiceId, list[Member]],
+) -> int:
+    """Return the size of the fleet: machines of pools and on standby."""
+    return sum(len(pool.members) for pool in pools) + sum(
+        map(len, standby.values())
+    )
+
+
 def _mean_machine_cores(pools, standby) -> float:
     members = [member for pool in pools for member in pool.members]
     members += [member for rows in standby.values() for member in rows]
@@ -446,6 +594,7 @@
     history: demand.ArrivalHistory,
     near_s: float,
     now_s: float,
+    grants: contention.Grants,
 ) -> list[tuple[ids.ServiceId, Member]]:
     """Return idle machines that their pools can spare, longest idle first."""
     rows = []
@@ -453,7 +602,8 @@
         reserved = wanted[pool.service].now + SPARE_MACHINES
         if _may_start_first_burst(history, pool.service, near_s, now_s):
             reserved = max(reserved, pool.first_size)
-        idle = _idle_members(pool, now_s)[: surplus(pool, reserved)]
+        reserved = min(reserved, grants.get(pool.service, reserved))
+        idle = _idle_members(pool, now_s, grants)[: surplus(pool, reserved)]
         rows += [(pool.service, member) for member in idle]
     rows.sort(key=lambda row: row[1].worker.idle_since_s)
     return rows
@@ -489,14 +639,14 @@
     return not history.by_pool[history.last_burst_pool].in_burst
 
 
-def _is_movable(member: Member, now_s: float) -> bool:
+def _is_movable(member: Member, now_s: float, min_idle_s: float) -> bool:
     worker = member.worker
     if worker is None or member.fixed or worker.runs:
         return False
     if worker.is_reclaimed:
         return True
     idle_s = now_s - worker.idle_since_s
-    return workers_.accepts(worker, now_s) and idle_s >= MIN_IDLE_S
+    return workers_.accepts(worker, now_s) and idle_s >= min_idle_s
 
 
 def _moves_for_labels(
@@ -585,10 +735,12 @@
     wanted: dict[ids.ServiceId, int],
     free: _Free,
     protected: set[ids.ServiceId],
+    by_share: bool = False,
 ) -> list[Move]:
     """Move machines to the pools that lack them, the largest shortfall first.
 
     :param protected: pools that keep their idle machines
+    :param by_share: the shortfall counts relative to what is wanted
     """
     shortfalls = {
         pool.service: _shortfall(pool, wanted[pool.service], free)
@@ -596,7 +748,14 @@
     }
     moves = []
     while shortfalls:
-        service = max(shortfalls, key=lambda name: shortfalls[name])
+        service = max(
+            shortfalls,
+            key=lambda name: (
+                shortfalls[name] / max(1, wanted[name])
+                if by_share
+                else shortfalls[name]
+            ),
+        )
         if shortfalls[service] <= 0:
             break
         taken = _take(free, service, protected)
--- a/oleanderwood/leading/drains.py
+++ b/oleanderwood/leading/drains.py
@@ -14,11 +14,32 @@
     pools: list[rebalancing.PoolView],
     decision: rebalancing.Decision,
     now_s: float,
+    keeps: bool = False,
 ) -> None:
-    """Drain the machines that a planning pass has chosen, and no others."""
+    """Drain the machines that a planning pass has chosen, and no others.
+
+    :param keeps: a machine that has been drained accepts no tasks until its
+        move is sent, even if that takes several passes
+    """
     has_room = relocations.room_finder(leader, now_s)
     for_labels = label_draining.decide(pools, decision, has_room, now_s)
-    await set_reclaimed(leader, decision.to_drain + for_labels)
+    drained = _awaiting_move(pools, decision) if keeps else []
+    await set_reclaimed(leader, decision.to_drain + for_labels + drained)
+
+
+def _awaiting_move(
+    pools: list[rebalancing.PoolView], decision: rebalancing.Decision
+) -> list[draining.MachineToDrain]:
+    """Return the machines that have been drained and are about to move."""
+    moving = {move.machine for move in decision.moves}
+    return [
+        draining.MachineToDrain(member.machine, [])
+        for pool in pools
+        for member in pool.members
+        if member.machine in moving
+        and member.worker is not None
+        and member.worker.is_reclaimed
+    ]
 
 
 async def set_reclaimed(
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -6,6 +6,7 @@
 
 from oleanderwood.capacity import backlog
 from oleanderwood.capacity import demand
+from oleanderwood.capacity import draining
 from oleanderwood.capacity import rebalancing
 from oleanderwood import clock
 from oleanderwood import errors
@@ -15,6 +16,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.leading import drains
 from oleanderwood.leading import lacks
+from oleanderwood.leading import load_control
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import relocating
 from oleanderwood.leading import relocations
@@ -32,6 +34,7 @@
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
 from oleanderwood.pools import shortage
+from oleanderwood.pools import slowness
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -39,7 +42,8 @@
 in the machine list."""
 
 SHORTAGE_LOG_INTERVAL_S = 1.0
-"""Interval between two log lines on pools that lack machines."""
+"""Interval between two log lines on pools that lack machines, and between two
+on the grants of pools."""
 
 INVALID_PAUSE_S = 60.0
 """Time for which a machine is not moved after the platform rejected its move
@@ -128,6 +132,7 @@
         now_s - leader.fleet.machines_read_s > MAX_LIST_AGE_S
         or configuration is None
     ):
+        _record_grants(leader, {})
         await drains.set_reclaimed(leader, [])
         return
     leader.fleet.arrival_history.pools = frozenset(
@@ -135,7 +140,10 @@
     )
     for pool in configuration.services:
         demand.update_burst_state(leader.fleet.arrival_history, pool, now_s)
+    is_shared = load_control.switches(leader).balancing
     views, standby = _pool_views(leader, now_s)
+    if is_shared:
+        _record_late_runs(leader, views, now_s)
     decision = rebalancing.decide(
         views,
         standby,
@@ -143,12 +151,15 @@
         settings.move_s,
         now_s,
         leader.policy.policy.weights,
+        _sharing(leader) if is_shared else None,
     )
     moves = decision.moves[: machine_handover.allowance(leader)]
     leader.fleet.needs = decision.needs
+    _record_grants(leader, decision.grants)
+    _log_contention(leader, views, decision, now_s)
     _log_shortage(leader, views, decision.needs, now_s)
     lacks.log_changes(leader, views)
-    await drains.follow(leader, views, decision, now_s)
+    await drains.follow(leader, views, decision, now_s, keeps=is_shared)
     if not moves:
         return
     names = [move.machine for move in moves]
@@ -159,6 +170,47 @@
     await read_machines(leader)
 
 
+def _sharing(leader: states.Leader) -> rebalancing.Sharing:
+    settings = leader.server.settings
+    rules = draining.measured_rules(
+        settings.task_stop_ms, settings.task_restore_ms
+    )
+    return rebalancing.Sharing(leader.fleet.grants, rules)
+
+
+def _record_grants(
+    leader: states.Leader, grants: dict[ids.ServiceId, int]
+) -> None:
+    """Record the machines that each pool gets; empty: as many as it needs."""
+    if grants or leader.fleet.grants:
+        server_metrics.GRANTED_MACHINES.clear()
+    for service, count in grants.items():
+        server_metrics.GRANTED_MACHINES.labels(service).set(count)
+    leader.fleet.grants = grants
+
+
+def _log_contention(
+    leader: states.Leader,
+    views: list[rebalancing.PoolView],
+    decision: rebalancing.Decision,
+    now_s: float,
+) -> None:
+    """Log what pools ask for and get while machines don't suffice."""
+    logged_s = leader.fleet.contention_logged_s
+    if not decision.grants or now_s - logged_s < SHORTAGE_LOG_INTERVAL_S:
+        return
+    leader.fleet.contention_logged_s = now_s
+    rows = {
+        view.service: {
+            'has': len(view.members),
+            'asked': decision.asked[view.service],
+            'granted': decision.grants[view.service],
+        }
+        for view in views
+    }
+    event_log.emit('fleet', 'contended', pools=rows)
+
+
 def _log_shortage(
     leader: states.Leader,
     views: list[rebalancing.PoolView],
@@ -362,6 +414,32 @@
             _record_priority(view, group, known)
 
 
+def _record_late_runs(
+    leader: states.Leader,
+    views: list[rebalancing.PoolView],
+    now_s: float,
+) -> None:
+    """Add up each pool's running tasks that end too late for their callers."""
+    known = states.known_queues(leader)
+    by_service = {view.service: view for view in views}
+    left_s: dict[ledgers.Group, float] = {}
+    for worker in leader.workers.values():
+        view = by_service.get(worker.entry.service)
+        if view is None:
+            continue
+        for task in worker.runs.values():
+            group = task.group
+            if group.step.is_long_running or group.step.uses_leftover:
+                continue
+            if group not in left_s:
+                queue = placing.queue_of(group.entry, known)
+                left_s[group] = placing.time_left_s(
+                    group, queue, leader.lengths, now_s
+                )
+            if slowness.left_s(task, now_s) > left_s[group]:
+                view.late_cores += group.step.needs.cpu_millicores / 1000
+
+
 def _idle_capacity(
     found: dict[ids.ServiceId, list[placing.FreeCapacity]],
     view: rebalancing.PoolView,
@@ -401,7 +479,12 @@
     length_s = lengths.of_job(known, group.entry)[group.number]
     cores = tasks * group.step.needs.cpu_millicores / 1000
     left_s = placing.time_left_s(group, queue, known, now_s)
-    return backlog.WaitingTasks(cores, length_s, left_s)
+    worth = backlog.Worth.ASSURED
+    if group.entry.over_rate:
+        worth = backlog.Worth.EXCESS
+    elif left_s < length_s:
+        worth = backlog.Worth.LATE
+    return backlog.WaitingTasks(cores, length_s, left_s, worth)
 
 
 def _add_cores(
@@ -494,6 +577,7 @@
             queue.service,
             at_s,
             millicore_ms * factor / 1e6,
+            entry.over_rate,
         )
 
 
--- a/oleanderwood/leading/slow_workers.py
+++ b/oleanderwood/leading/slow_workers.py
@@ -4,6 +4,7 @@
 
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import load_control
 from oleanderwood.leading import state as states
 from oleanderwood.pools import lengths
 from oleanderwood.pools import slowness
@@ -47,7 +48,9 @@
     _update_slow_flag(leader, worker, speed)
     if not worker.slow:
         return []
-    tasks = slowness.runs_to_restart(worker, factor_of, now_s)
+    tasks = slowness.runs_to_restart(
+        worker, factor_of, now_s, _min_gain_s(leader)
+    )
     for task in tasks:
         event_log.emit(
             'run',
@@ -60,6 +63,14 @@
     return tasks
 
 
+def _min_gain_s(leader: states.Leader) -> float:
+    """Return the time that a restart must save."""
+    if not load_control.switches(leader).balancing:
+        return slowness.MIN_GAIN_S
+    settings = leader.server.settings
+    return slowness.min_gain_s(settings.task_stop_ms, settings.task_restore_ms)
+
+
 def _update_slow_flag(
     leader: states.Leader, worker: workers_.Worker, speed: slowness.Speed
 ) -> None:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -208,6 +208,9 @@
     :ivar first_sizes: number of machines of each pool before the first
         announced order
     :ivar needs: number of machines that each pool needs now
+    :ivar grants: number of machines that each pool gets; empty while the fleet
+        suffices for all pools, or where pools don't share it by worth
+    :ivar contention_logged_s: time at which grants were last logged
     :ivar shortage_logged_s: time at which a shortage of machines was last
         logged
     :ivar logged_lacks: labels that each pool lacked when this was last logged
@@ -245,6 +248,8 @@
     needs: dict[ids.ServiceId, rebalancing.Need] = dataclasses.field(
         default_factory=dict
     )
+    grants: dict[ids.ServiceId, int] = dataclasses.field(default_factory=dict)
+    contention_logged_s: float = -1e9
     shortage_logged_s: float = -1e9
     logged_lacks: dict[ids.ServiceId, list[str]] = dataclasses.field(
         default_factory=dict
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -123,6 +123,7 @@
         await group.spawn(leader.ended.wait, 1e9)
     server.unstored_crashes = crash_handover.unstored(leader.ledger)
     server.leader = None
+    server_metrics.GRANTED_MACHINES.clear()
     why = leader.deposed or 'the server is stopping'
     for task in group.tasks:
         if task.exception is not None and not isinstance(
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -75,6 +75,13 @@
     registry=REGISTRY,
 )
 
+GRANTED_MACHINES = prometheus_client.Gauge(
+    'oleander_server_granted_machines',
+    'Machines that a pool gets while the fleet does not suffice for all.',
+    ('pool',),
+    registry=REGISTRY,
+)
+
 CALLS = prometheus_client.Histogram(
     'oleander_server_call_seconds',
     'Time of calls to the platform and to other servers, by outcome.',
