Rename fields of claims and costs that are names of the wire

Cause: `long_running` and `stop_ms` are fields of the platform's protocol, and tests/test_platform_names.py failed for four modules.

Change: `held_long_running`, `task_stop_ms` and `task_restore_ms`.

--- a/oleanderwood/capacity/contention.py
+++ b/oleanderwood/capacity/contention.py
@@ -42,7 +42,7 @@
     :ivar late: other work within customers' rates that is of use
     :ivar excess: work beyond customers' rates
     :ivar min_up: machines that operators have set as its minimum
-    :ivar long_running: long-running tasks, included in ``held``
+    :ivar held_long_running: long-running tasks, included in ``held``
     :ivar unmeasured: what it expects without having measured it, included in
         ``assured`` and ``excess``
     :ivar reserve: machines that it keeps for a burst that has not started
@@ -55,7 +55,7 @@
     late: float
     excess: float
     min_up: int
-    long_running: float = 0.0
+    held_long_running: float = 0.0
     unmeasured: float = 0.0
     reserve: float = 0.0
 
@@ -92,10 +92,10 @@
 ) -> collections.abc.Iterator[dict[ids.ServiceId, float]]:
     """Yield the machines that pools ask for in total up to each step."""
     yield {claim.service: claim.min_up for claim in claims}
-    yield {claim.service: claim.long_running for claim in claims}
+    yield {claim.service: claim.held_long_running for claim in claims}
     for priority in sorted({claim.priority for claim in claims}):
         yield {
-            claim.service: claim.long_running + claim.assured
+            claim.service: claim.held_long_running + claim.assured
             for claim in claims
             if claim.priority == priority
         }
--- a/oleanderwood/capacity/draining.py
+++ b/oleanderwood/capacity/draining.py
@@ -48,12 +48,12 @@
     keeps: bool = False
 
 
-def measured_rules(stop_ms: float, restore_ms: float) -> Rules:
+def measured_rules(task_stop_ms: float, task_restore_ms: float) -> Rules:
     """Return rules for tasks that take these times to stop and to resume."""
-    stop_s = stop_ms / 1000
+    stop_s = task_stop_ms / 1000
     return Rules(
         stop_s=stop_s + REPORT_S,
-        min_gain_s=stop_s + restore_ms / 1000 + GAIN_MARGIN_S,
+        min_gain_s=stop_s + task_restore_ms / 1000 + GAIN_MARGIN_S,
         keeps=True,
     )
 
--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -276,7 +276,7 @@
         + excess_share * unmeasured,
         min_up=pool.min_up,
         unmeasured=unmeasured,
-        long_running=pool.long_running_cores / usable_cores,
+        held_long_running=pool.long_running_cores / usable_cores,
         reserve=max(0.0, reserve - need.work),
     )
 
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -146,9 +146,9 @@
     speed.slow = speed.ratio - pool_ratio >= math.log(SLOW_FACTOR)
 
 
-def min_gain_s(stop_ms: float, restore_ms: float) -> float:
+def min_gain_s(task_stop_ms: float, task_restore_ms: float) -> float:
     """Return the time that a restart must save by the times of its parts."""
-    return (stop_ms + restore_ms) / 1000 + GAIN_MARGIN_S
+    return (task_stop_ms + task_restore_ms) / 1000 + GAIN_MARGIN_S
 
 
 def runs_to_restart(
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -41,12 +41,12 @@
     machines = strategies.floats(0.0, 40.0)
     rows = []
     for number in range(draw(strategies.integers(1, 6))):
-        long_running = draw(machines)
+        held_long_running = draw(machines)
         row = _claim(
             f'p{number}',
             draw(strategies.integers(0, 2)),
-            long_running=long_running,
-            held=long_running + draw(machines),
+            held_long_running=held_long_running,
+            held=held_long_running + draw(machines),
             assured=draw(machines),
             late=draw(machines),
             excess=draw(machines),
@@ -89,13 +89,14 @@
     lacking = [
         claim.priority
         for claim in claims
-        if granted[claim.service] + 1e-3 < claim.long_running + claim.assured
+        if granted[claim.service] + 1e-3
+        < claim.held_long_running + claim.assured
     ]
     for claim in claims:
         if lacking:
-            most = claim.long_running + claim.assured
+            most = claim.held_long_running + claim.assured
             if claim.priority > min(lacking):
-                most = claim.long_running
+                most = claim.held_long_running
             assert granted[claim.service] <= math.ceil(most)
 
 
