Log what a pool asks for where its grant is less as a shortage

Cause: `fleet short` compared a pool's machines with its need within the grant, so `oleanderctl causes` would put waiting in contention down to the order of work.

Change: the line shows what the pool asks for.

--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -157,7 +157,7 @@
     leader.fleet.needs = decision.needs
     _record_grants(leader, decision.grants)
     _log_contention(leader, views, decision, now_s)
-    _log_shortage(leader, views, decision.needs, now_s)
+    _log_shortage(leader, views, decision, now_s)
     lacks.log_changes(leader, views)
     await drains.follow(leader, views, decision, now_s, keeps=is_shared)
     if not moves:
@@ -214,17 +214,22 @@
 def _log_shortage(
     leader: states.Leader,
     views: list[rebalancing.PoolView],
-    needs: dict[ids.ServiceId, rebalancing.Need],
+    decision: rebalancing.Decision,
     now_s: float,
 ) -> None:
-    """Log the pools that have fewer machines than needed, once a second."""
+    """Log the pools that have fewer machines than needed, once a second.
+
+    What a pool asks for counts, even if its grant is less: callers wait for
+    these machines.
+    """
+    needs, asked = decision.needs, decision.asked
     if now_s - leader.fleet.shortage_logged_s < SHORTAGE_LOG_INTERVAL_S:
         return
     rows = {
         view.service: {
             'has': len(view.members),
-            'needs': needs[view.service].now,
-            'soon': needs[view.service].soon,
+            'needs': max(needs[view.service].now, asked.get(view.service, 0)),
+            'soon': max(needs[view.service].soon, asked.get(view.service, 0)),
             'idle': sum(
                 member.worker is not None and not member.worker.runs
                 for member in view.members
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -15,11 +15,13 @@
 
 from oleanderwood.capacity import contention
 from oleanderwood.capacity import demand
+from oleanderwood.capacity import rebalancing
 from oleanderwood import ids
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import state as states
 from oleanderwood import server_metrics
 from tests import utils_contention as play
+from tests import utils_leading
 
 SEEDS = (1, 2, 3)
 LIGHT = (
@@ -342,6 +344,26 @@
     assert _mean_share(played) > 2 * _mean_share(before)
 
 
+def test_pool_with_all_its_grant_is_logged_as_short(monkeypatch):
+    """Guards `oleanderctl causes`, which goes by these lines."""
+    events = utils_leading.record_events(monkeypatch)
+    leader = types.SimpleNamespace(fleet=states.Fleet())
+    pool = ids.ServiceId('a')
+    members = [rebalancing.Member(f'm{i}', 32.0, None) for i in range(3)]
+    decision = rebalancing.Decision(
+        [],
+        {pool: rebalancing.Need(9, 3, 3)},
+        asked={pool: 9},
+        grants={pool: 3},
+    )
+    view = rebalancing.PoolView(pool, members)
+    pool_loop._log_shortage(leader, [view], decision, 5.0)
+    ((part, event, fields),) = events
+    assert (part, event) == ('fleet', 'short')
+    assert fields['pools']['a']['has'] == 3
+    assert fields['pools']['a']['needs'] == 9
+
+
 def _granted_metric(pool):
     return server_metrics.REGISTRY.get_sample_value(
         'oleander_server_granted_machines', {'pool': pool}
