--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -388,6 +388,6 @@
         'taken',
         wave=wave.wave,
         machines=len(wave.machines),
-        time_s=wave.time_s,
+        within_s=wave.time_s,
         at_once=wave.most_at_once,
     )
