Tell what logs lack in oleanderctl causes and explain

A truncated 'fleet short' ended the command with KeyError. Jobs that a new leader read at its start have no taken line and counted as never taken, also with runs.

Gaps are now found by server and second (operators/missing.py); outcomes and causes that a line dropped by a possible leader could change are unknown, and the table says how many. Refusals for lack of capacity are named with the customer that had it; a later acceptance counts. Saved logs with line separators in texts or broken UTF-8 are read.

--- a/oleanderwood/operators/ctl.py
+++ b/oleanderwood/operators/ctl.py
@@ -281,8 +281,11 @@
     story = explain.explain(rows, job)
     for line in story.lines:
         print(line)
-    print(f'{job}: {story.cause.value}')
-    if story.cause is explain.Cause.UNKNOWN:
+    for gap in story.gaps:
+        print(f'missing: {gap}')
+    holder = f'; {story.holder} had the capacity' if story.holder else ''
+    print(f'{job}: {story.cause.value}{holder}')
+    if story.cause in (explain.Cause.UNKNOWN, explain.Cause.DROPPED):
         return Exit.REFUSED
     return Exit.OK
 
@@ -293,8 +296,7 @@
     rows = _rows(files)
     if rows is None:
         return Exit.BAD_USAGE
-    findings = causes.find(rows)
-    for line in causes.table(findings):
+    for line in causes.report(rows):
         print(line)
     return Exit.OK
 
@@ -303,10 +305,14 @@
     """Read saved logs; None if one can't be read."""
     lines: list[str] = []
     for file in files:
-        content = _read(file)
-        if content is None:
+        try:
+            content = file.read_bytes()
+        except OSError as error:
+            print(f'{PROGRAM}: {file}: {error}', file=sys.stderr)
             return None
-        lines += content.splitlines()
+        # Texts in lines may contain other characters that end a line, and a
+        # line that was not written whole may be no UTF-8.
+        lines += content.decode(errors='replace').split('\n')
     return explain.read(lines)
 
 
--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -7,10 +7,13 @@
 import collections.abc
 import dataclasses
 import enum
-import typing
+import math
+import re
 
 import msgspec
 
+from oleanderwood.operators import missing as missing_
+
 
 class Cause(enum.Enum):
     """Why a caller didn't get what it asked for, as far as the logs tell."""
@@ -19,6 +22,8 @@
     REFUSED = 'it was refused and has not run'
     DENIED = 'its caller showed no good key, and it has not run'
     REVOKED = 'it was refused: its key had been taken away'
+    OVER_SHARE = 'refused: its customer had more than its share'
+    TOO_LATE = 'refused: it would have been too late'
     IN_DOUBT = 'the store did not answer whether it was accepted'
     CRASHED_WORKERS = 'a task crashed the workers that started it'
     TASK_FAILED = 'a task failed as often as it may'
@@ -29,6 +34,7 @@
     ISOLATED = 'tasks were started apart, as workers had crashed under them'
     LOST_RUNS = 'runs were lost with their workers'
     UNKNOWN = 'the logs hold nothing of it'
+    DROPPED = 'unknown: log lines were dropped'
 
 
 WAITED_S = 1.0
@@ -45,9 +51,15 @@
 AT_LIMIT = 'at-limit'
 """Event of a tenant whose jobs wait for its limit."""
 
+NOT_ADMITTED = {'over-share': Cause.OVER_SHARE, 'too-late': Cause.TOO_LATE}
+"""Causes of calls that were refused for lack of capacity."""
+
 SUSPECTED = 'suspected'
 """Event of a task under which a worker has crashed."""
 
+CRASHED = re.compile(r' crashed \d+ workers$')
+"""End of the reason of a job that failed as its tasks crashed workers."""
+
 HELD_BACK = ('held-back', 'relocated')
 """Events of a run that gets next to no processor time where it is."""
 
@@ -57,14 +69,18 @@
     """What the logs tell of a job.
 
     :ivar lines: in order of time, ready to print
+    :ivar holder: customer that had the capacity, if the job was refused
+    :ivar gaps: lines that servers dropped meanwhile, ready to print
     """
 
     job: str
     cause: Cause
     lines: list[str]
+    holder: str = ''
+    gaps: list[str] = dataclasses.field(default_factory=list)
 
 
-Row = dict[str, typing.Any]
+Row = missing_.Row
 
 
 def read(texts: collections.abc.Iterable[str]) -> list[Row]:
@@ -99,7 +115,27 @@
     ]
     story = sorted(touching + around, key=lambda row: row['time_s'])
     lines = [_line(row, story[0]['time_s']) for row in story]
-    return Story(job, _cause(touching, around), lines)
+    missing = missing_.find(rows)
+    cause = _cause(touching, around, missing)
+    holder = ''
+    if cause in NOT_ADMITTED.values():
+        holder = _last_call(touching).get('holder') or ''
+    gaps = [
+        missing_.gap_line(gap)
+        for gap in missing.gaps
+        if _concerns(gap, touching)
+    ]
+    return Story(job, cause, lines, holder, gaps)
+
+
+def _concerns(gap: missing_.Gap, touching: list[Row]) -> bool:
+    """Return whether a dropped line may be of a job with these rows."""
+    if not touching:
+        return gap.decisive > 0
+    to_s = touching[-1]['time_s']
+    if not any(_is_of_job(row, 'ended') for row in touching):
+        to_s = math.inf
+    return gap.since_s <= to_s and touching[0]['time_s'] <= gap.until_s
 
 
 def _touches(row: Row, job: str) -> bool:
@@ -132,25 +168,18 @@
     return f'{after_s:8.3f} {node} {row["part"]} {row["event"]} {told}'
 
 
-def _cause(touching: list[Row], around: list[Row]) -> Cause:
+def _cause(
+    touching: list[Row], around: list[Row], missing: missing_.Missing
+) -> Cause:
     if not touching:
-        return Cause.UNKNOWN
-    handed = [row for row in touching if row['event'] == 'handed-in']
-    denied = [
-        row
-        for row in touching
-        if row['event'] == DENIED and row['method'] == 'POST'
-    ]
-    if denied and not handed:
-        revoked = any(row['why'] == REVOKED_KEY for row in denied)
-        return Cause.REVOKED if revoked else Cause.DENIED
-    verdicts = {row.get('verdict') for row in handed}
-    if handed and 'ran' not in verdicts:
-        if verdicts == {'not-run'}:
-            return Cause.REFUSED
-        return Cause.IN_DOUBT
+        dropped = any(gap.decisive for gap in missing.gaps)
+        return Cause.DROPPED if dropped else Cause.UNKNOWN
+    if not any(_shows_leader(row) for row in touching):
+        not_accepted = _why_not_accepted(touching, missing)
+        if not_accepted is not None:
+            return not_accepted
     for row in touching:
-        if row['part'] == 'job' and row['event'] == 'ended':
+        if _is_of_job(row, 'ended'):
             if row.get('state') == 'failed':
                 return _why_failed(touching)
             if row.get('state') == 'cancelled':
@@ -161,15 +190,88 @@
         return Cause.LOST_RUNS
     if any(row['event'] in HELD_BACK for row in touching):
         return Cause.HELD_BACK
+    return _why_waited(touching, missing)
+
+
+def _is_of_job(row: Row, event: str) -> bool:
+    return row['part'] == 'job' and row['event'] == event
+
+
+def _shows_leader(row: Row) -> bool:
+    """Return whether a row shows that a leader took the job it touches."""
+    return row['part'] in ('job', 'run')
+
+
+def _calls(touching: list[Row]) -> list[Row]:
+    """Return the rows on calls that handed the job in, except for denied."""
+    events = 'handed-in', missing_.NOT_ADMITTED
+    return [
+        row
+        for row in touching
+        if row['part'] == 'caller' and row['event'] in events
+    ]
+
+
+def _last_call(touching: list[Row]) -> Row:
+    return _calls(touching)[-1]
+
+
+def _why_not_accepted(
+    touching: list[Row], missing: missing_.Missing
+) -> Cause | None:
+    """Return why a job without a leader's line was not accepted.
+
+    None if it was, or if nobody handed it in. A line that tells of the
+    acceptance may have been dropped.
+    """
+    calls = _calls(touching)
+    if not calls:
+        denied = [
+            row
+            for row in touching
+            if row['event'] == DENIED and row['method'] == 'POST'
+        ]
+        if not denied:
+            return None
+        revoked = any(row['why'] == REVOKED_KEY for row in denied)
+        return Cause.REVOKED if revoked else Cause.DENIED
+    verdicts = {row.get('verdict') for row in calls}
+    if 'ran' in verdicts:
+        return None
+    last_s = calls[-1]['time_s']
+    in_doubt = 'may-have-run' in verdicts
+    within_s = missing_.TAKEN_WITHIN_S if in_doubt else missing_.RETRIES_S
+    dropped = missing.leaders_decisive
+    if missing_.overlaps(dropped, last_s, last_s + within_s):
+        return Cause.DROPPED
+    if in_doubt:
+        return Cause.IN_DOUBT
+    return NOT_ADMITTED.get(calls[-1].get('why', ''), Cause.REFUSED)
+
+
+def _why_waited(touching: list[Row], missing: missing_.Missing) -> Cause:
+    """Return whether a job waited, as far as no line contradicts it."""
+    came_s, seen_s = touching[0]['time_s'], touching[-1]['time_s']
+    ended = any(_is_of_job(row, 'ended') for row in touching)
+    if not ended and missing_.overlaps(
+        missing.leaders_decisive, seen_s, math.inf
+    ):
+        return Cause.DROPPED
     starts = [row['time_s'] for row in touching if row['event'] == 'start']
-    waited_s = min(starts, default=float('inf')) - touching[0]['time_s']
-    if waited_s <= WAITED_S:
+    first_s = min(starts, default=math.inf)
+    if first_s - came_s <= WAITED_S:
         return Cause.NONE
-    limited = any(row['event'] == AT_LIMIT for row in touching)
-    return Cause.TENANT_LIMIT if limited else Cause.WAITED
+    if any(row['event'] == AT_LIMIT for row in touching):
+        return Cause.TENANT_LIMIT
+    until_s = min(first_s, seen_s if ended else math.inf)
+    dropped = missing_.overlaps(missing.leaders_other, came_s, until_s)
+    return Cause.DROPPED if dropped else Cause.WAITED
 
 
 def _why_failed(touching: list[Row]) -> Cause:
-    if any(row.get('given_up') for row in touching):
+    # The lines on suspected tasks are among the first to be dropped.
+    ends = [row for row in touching if _is_of_job(row, 'ended')]
+    told = any(CRASHED.search(row.get('why') or '') for row in ends)
+    if told or any(row.get('given_up') for row in touching):
         return Cause.CRASHED_WORKERS
     return Cause.TASK_FAILED
