Weigh workers' speeds and racks where tasks are placed

Cause: below the factor of three from which a worker gets nothing, all workers were treated alike, and runs were placed on the fullest that fits. A worker that had just turned slow got new tasks until four of its steps had shown it.

Change: worker_speed sorts a pool's workers into three classes by their steps, shrunk towards the pool's median, and compares runs with siblings that ended elsewhere. placing prefers normal workers and leaves much slower ones to short runs first. spreading keeps long-running tasks on different racks where a pool will not give machines away. Nothing passes these parameters yet.

Tasks that end are not spread: a job is late once it loses one task.

--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -17,6 +17,8 @@
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import reports
+from oleanderwood.pools import spreading
+from oleanderwood.pools import worker_speed
 from oleanderwood.pools import workers as workers_
 
 TenantOrder = collections.abc.Callable[
@@ -72,6 +74,10 @@
     :ivar reserved: reserved for a task suspected of crashing its worker
     :ivar unsettled_s: time until every task on the worker has run long enough
         not to be suspected of a crash
+    :ivar speeds: speeds of the pool's workers; None: all are treated alike
+    :ivar speed_class: how much slower than its pool the worker is
+    :ivar racks: tasks of each job by rack, shared by the pool's workers; None:
+        tasks are not spread
     """
 
     worker: workers_.Worker
@@ -87,6 +93,9 @@
     rejected_needs: model.Resources | None = None
     reserved: bool = False
     unsettled_s: float = 0.0
+    speeds: worker_speed.Speeds | None = None
+    speed_class: worker_speed.SpeedClass = worker_speed.SpeedClass.NORMAL
+    racks: spreading.RackCounts | None = None
     task_counts: dict[ledgers.Group, int] = dataclasses.field(
         default_factory=dict
     )
@@ -139,20 +148,44 @@
     now_s: float,
     max_starts: int,
     quotas: quotas_.Quotas | None = None,
+    speeds: worker_speed.Speeds | None = None,
+    is_spread: bool = False,
 ) -> list[Placement]:
     """Decide which tasks to start, taking the groups in their order.
 
     :param max_starts: maximal number of starts to decide
     :param quotas: what teams and tenants may still start; they are
         charged for each start
+    :param speeds: speeds of the pool's workers; None: all are treated alike
+    :param is_spread: a job's tasks are spread over racks
     """
     free = free_capacity(pool, now_s)
+    if speeds is not None and not speeds.classes:
+        speeds = None
+    if is_spread:
+        # In most pools no waiting step is spread, and all runs are counted.
+        is_spread = not all(
+            spreading.keeps_together(group.step) for group in groups
+        )
+    _set_unevenness(free, pool, speeds, is_spread)
     if any(group.suspects for group in groups):
         _record_unsettled(free, now_s)
     quotas = quotas or quotas_.Quotas()
     unmet = Unmet()
     max_reserved = _max_reserved(groups, free)
     decided: list[Placement] = []
+    faster = _faster(free)
+    unmet_by_faster = Unmet()
+    held_back: list[ledgers.Group] = []
+
+    def place(group, candidates, known_unmet):
+        if _is_unmet(known_unmet, group):
+            return []
+        left = max_starts - len(decided)
+        return _place_tasks(
+            group, candidates, now_s, left, quotas, known_unmet, max_reserved
+        )
+
     for group in groups:
         if not free or len(decided) >= max_starts:
             break
@@ -160,14 +193,81 @@
             continue
         if group.step.gang:
             decided += _place_gang(group, free, now_s, quotas)
+        elif faster and _leaves_slow(group, speeds, faster):
+            placed = place(group, faster, unmet_by_faster)
+            if not placed:
+                held_back.append(group)
+            decided += placed
         else:
-            left = max_starts - len(decided)
-            decided += _place_tasks(
-                group, free, now_s, left, quotas, unmet, max_reserved
-            )
+            decided += place(group, free, unmet)
+    for group in held_back:
+        decided += place(group, free, unmet)
     return decided
 
 
+def _set_unevenness(
+    free: list[FreeCapacity],
+    pool: list[workers_.Worker],
+    speeds: worker_speed.Speeds | None,
+    is_spread: bool,
+) -> None:
+    """Set the workers' speeds, and the tasks of each job by rack."""
+    racks = spreading.RackCounts() if is_spread else None
+    if racks is not None:
+        for worker in pool:
+            rack = reports.rack(worker.entry)
+            for task in worker.runs.values():
+                spreading.add(racks, task.group, rack)
+    for candidate in free:
+        candidate.speeds = speeds
+        candidate.racks = racks
+        if speeds is not None:
+            candidate.speed_class = speeds.classes.get(
+                candidate.worker.entry.worker, worker_speed.SpeedClass.NORMAL
+            )
+
+
+def _faster(free: list[FreeCapacity]) -> list[FreeCapacity]:
+    """Return the healthy workers that are not much slower.
+
+    None of them if no worker is much slower.
+    """
+    much_slower = worker_speed.SpeedClass.MUCH_SLOWER
+    if all(row.speed_class is not much_slower for row in free):
+        return []
+    return [
+        row
+        for row in free
+        if row.speed_class is not much_slower and not row.suspect
+    ]
+
+
+def _leaves_slow(
+    group: ledgers.Group,
+    speeds: worker_speed.Speeds | None,
+    faster: list[FreeCapacity],
+) -> bool:
+    """Return whether a step leaves much slower workers to the others at first.
+
+    Long runs gain most by waiting for a faster worker. Steps that few workers
+    may run, or none of the faster ones can hold, do not wait, as short runs
+    that go first in every pass would starve them. A step that gets a faster
+    worker for some of its tasks waits for the next pass with the others.
+    """
+    step = group.step
+    bound = step.label or step.max_per_worker or group.tickets is not None
+    if speeds is None or bound or step.near_rack or step.uses_leftover:
+        return False
+    if step.is_long_running or group not in speeds.long_groups:
+        return False
+    if group.suspects or any(row.failed_on for row in group.waiting.values()):
+        return False
+    return any(
+        model.needs_at_least(candidate.worker.entry.capacity, step.needs)
+        for candidate in faster
+    )
+
+
 def _max_reserved(
     groups: list[ledgers.Group], free: list[FreeCapacity]
 ) -> int:
@@ -308,6 +408,9 @@
 ):
     """Return a worker's sort key: healthy first, near the data, then fullest.
 
+    Where a pool's workers are uneven, normal ones go before slower ones, and
+    racks with few tasks of the job before fullness.
+
     Workers are packed so that whole machines stay free to move to other
     pools. Long-running tasks are placed together, but not all on one worker.
     """
@@ -326,16 +429,38 @@
         candidate.suspect,
         candidate.worker.entry.worker == task.failed_on,
         not near,
+        _speed_preference(candidate, task),
         is_long_running and candidate.worker.maintenance_due,
         is_long_running
         and candidate.task_counts.get(group, 0) >= MAX_LONG_RUNNING_PER_WORKER,
         step.uses_leftover and candidate.has_latency_tasks,
         is_long_running and not candidate.long_running_count,
         _leftover_shortfall(candidate, group),
+        _rack_preference(candidate, task),
         candidate.cpu_millicores,
     )
 
 
+def _speed_preference(candidate: FreeCapacity, task: ledgers.Task) -> int:
+    if candidate.speeds is None:
+        return 0
+    is_unused = not (candidate.batch_count or candidate.long_running_count)
+    return worker_speed.preference(
+        candidate.speeds, candidate.speed_class, task, is_unused
+    )
+
+
+def _rack_preference(candidate: FreeCapacity, task: ledgers.Task) -> int:
+    if candidate.racks is None:
+        return 0
+    return spreading.preference(
+        candidate.racks,
+        task.group,
+        candidate.rack,
+        candidate.long_running_count > 0,
+    )
+
+
 def _leftover_shortfall(candidate: FreeCapacity, group: ledgers.Group) -> int:
     """Return the CPU that leftover tasks would lack after adding one more."""
     if not group.step.uses_leftover:
@@ -398,6 +523,8 @@
     candidate.leftover_demand_millicores += _leftover_demand(group)
     candidate.batch_count += not group.step.is_long_running
     candidate.long_running_count += group.step.is_long_running
+    if candidate.racks is not None:
+        spreading.add(candidate.racks, group, candidate.rack)
 
 
 def _subtract_needs(candidate: FreeCapacity, group: ledgers.Group) -> None:
@@ -420,6 +547,8 @@
     candidate.leftover_demand_millicores -= _leftover_demand(group)
     candidate.batch_count -= not group.step.is_long_running
     candidate.long_running_count -= group.step.is_long_running
+    if candidate.racks is not None:
+        spreading.add(candidate.racks, group, candidate.rack, -1)
 
 
 def _place_gang(
--- a/oleanderwood/pools/slowness.py
+++ b/oleanderwood/pools/slowness.py
@@ -39,11 +39,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedTask:
-    """Log ratio of actual to estimated duration of an ended task."""
+    """Duration of an ended task.
+
+    :ivar ratio: logarithm of actual over estimated duration
+    """
 
     at_s: float
     group: ledgers.Group
     ratio: float
+    took_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measurement:
+    """Mean log ratio of actual to expected time on a worker.
+
+    :ivar steps: number of steps that it is the mean of, weighted
+    """
+
+    ratio: float
+    steps: float
 
 
 @dataclasses.dataclass
@@ -54,6 +69,7 @@
     :ivar ratio: mean logarithm of actual over estimated durations; None if
         there are too few steps
     :ivar slow: it is slow compared with its pool
+    :ivar measured: what placement weighs; None if there is nothing yet
     """
 
     ended: collections.deque = dataclasses.field(
@@ -61,6 +77,7 @@
     )
     ratio: float | None = None
     slow: bool = False
+    measured: Measurement | None = None
 
 
 def record_end(
@@ -74,7 +91,7 @@
     estimate_s = _estimated_s(task, factor)
     if estimate_s > 0 and took_s > 0:
         ratio = math.log(took_s / estimate_s)
-        speed.ended.append(EndedTask(now_s, task.group, ratio))
+        speed.ended.append(EndedTask(now_s, task.group, ratio, took_s))
 
 
 def _estimated_s(task: ledgers.Task, factor: float) -> float:
@@ -91,7 +108,7 @@
     for row in speed.ended:
         ratios.setdefault(row.group, []).append(row.ratio)
     for task in worker.runs.values():
-        total_s = _projected_s(task, now_s)
+        total_s = projected_s(task, now_s)
         estimate_s = _estimated_s(task, factor_of(task.group.entry))
         if total_s is not None and estimate_s > 0:
             ratio = math.log(total_s / estimate_s)
@@ -101,8 +118,11 @@
         speed.ratio = statistics.fmean(map(statistics.fmean, ratios.values()))
 
 
-def _projected_s(task: ledgers.Task, now_s: float) -> float | None:
-    """Return the projected total duration of a run; None if unknown."""
+def projected_s(task: ledgers.Task, now_s: float) -> float | None:
+    """Return the projected total duration of a run; None if unknown.
+
+    Before its first progress, this is the time that it has taken so far.
+    """
     run = task.run
     if (
         run is None
@@ -124,7 +144,7 @@
     """Return the time a run still takes, by its progress or its estimate."""
     if task.run is None:
         return 0.0
-    total_s = _projected_s(task, now_s)
+    total_s = projected_s(task, now_s)
     if total_s is None:
         total_s = task.group.step.guess_ms / 1000
     return max(0.0, total_s - (now_s - task.run.begun_s))
@@ -148,7 +168,7 @@
     """Return the tasks on a slow worker that would end sooner elsewhere."""
     found = []
     for task in worker.runs.values():
-        total_s = _projected_s(task, now_s)
+        total_s = projected_s(task, now_s)
         if total_s is None:
             continue
         left_s = total_s - (now_s - task.run.begun_s)
