Measure and log uneven workers where placement is switched on

Cause: the speeds and racks that placement can weigh were not measured.

Change: slow_workers keeps each worker's measurement with its reports and the times of ended tasks by step; schedule passes classes and spreading to placing and logs them once per second and pool. With the switch off, placing gets neither.

--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -1,5 +1,6 @@
 """The leader's scheduling passes over waiting tasks, workers and leases."""
 
+import dataclasses
 import math
 
 import curio
@@ -10,13 +11,19 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.leading import load_control
 from oleanderwood.leading import losses as losses_
+from oleanderwood.leading import slow_workers
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import reports
 from oleanderwood.pools import shares
+from oleanderwood.pools import spreading
+from oleanderwood.pools import worker_speed
 from oleanderwood.pools import workers as workers_
+from oleanderwood import server_metrics
 
 MIN_PASS_GAP_S = 0.01
 """Shortest pause between two passes: events come in bursts, and one pass
@@ -39,10 +46,28 @@
 MAX_JOBS_LOGGED = 20
 """Largest number of jobs named in such a line."""
 
+UNEVENNESS_LOG_INTERVAL_S = 1.0
+"""Interval between two log lines on the slower workers of a pool."""
+
 MAX_STARTS_PER_PASS = 200
 """Largest number of starts decided for a pool in one pass."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Unevenness:
+    """How a pool's workers differ, as far as placement weighs it.
+
+    :ivar speeds: None where all workers are treated alike
+    :ivar is_spread: a job's tasks are spread over racks
+    """
+
+    speeds: worker_speed.Speeds | None = None
+    is_spread: bool = False
+
+
+EVEN = Unevenness()
+
+
 async def place_always(leader: states.Leader) -> None:
     """Run scheduling passes until cancelled."""
     all_placed_s = -math.inf
@@ -158,6 +183,7 @@
     known = states.known_queues(leader)
     blocked = pools_with_unknown_runs(leader)
     quotas = quotas_of(leader, blocked, now_s)
+    is_placement_on = load_control.switches(leader).placement
     ready = placing.ready_by_pool(
         leader.ledger,
         known,
@@ -182,14 +208,86 @@
         for task in placing.incomplete_gang_members(groups, now_s):
             await worker_loop.stop_run(leader, task)
         pool = pools.get(service, [])
-        groups = await _startable(leader, groups, service, pool, quotas)
+        uneven = EVEN
+        if is_placement_on:
+            uneven = unevenness(leader, service, pool, groups)
+            _log_unevenness(leader, service, uneven, now_s)
+        groups = await _startable(
+            leader, groups, service, pool, quotas, uneven
+        )
         decided = placing.decide(
-            groups, pool, now_s, MAX_STARTS_PER_PASS, quotas
+            groups,
+            pool,
+            now_s,
+            MAX_STARTS_PER_PASS,
+            quotas,
+            uneven.speeds,
+            uneven.is_spread,
         )
+        _count_starts(decided, uneven)
         await _enqueue_starts(leader, decided, now_s)
     _log_limits(leader, ready, quotas, now_s)
 
 
+def unevenness(
+    leader: states.Leader,
+    service: ids.ServiceId,
+    pool: list[workers_.Worker],
+    groups: list[ledgers.Group],
+) -> Unevenness:
+    """Return how a pool's workers differ, for the placement of groups.
+
+    A pool whose need is not known yet is packed, as it may give machines away.
+    """
+    need = leader.fleet.needs.get(service)
+    needed = need.now if need is not None else None
+    racks = (reports.rack(worker.entry) for worker in pool)
+    return Unevenness(
+        slow_workers.speeds(
+            leader, pool, groups, needed is None or len(pool) > needed
+        ),
+        spreading.applies(racks, len(pool), needed),
+    )
+
+
+def _log_unevenness(
+    leader: states.Leader,
+    service: ids.ServiceId,
+    uneven: Unevenness,
+    now_s: float,
+) -> None:
+    """Log the slower workers of a pool, at limited intervals."""
+    logged_s = leader.unevenness_logged_s.get(service, -math.inf)
+    if not uneven.speeds.classes or (
+        now_s - logged_s < UNEVENNESS_LOG_INTERVAL_S
+    ):
+        return
+    leader.unevenness_logged_s[service] = now_s
+    event_log.emit(
+        'placement',
+        'uneven',
+        service=service,
+        classes={
+            name: int(speed_class)
+            for name, speed_class in uneven.speeds.classes.items()
+        },
+        is_spread=uneven.is_spread,
+        packs=uneven.speeds.packs,
+    )
+
+
+def _count_starts(
+    decided: list[placing.Placement], uneven: Unevenness
+) -> None:
+    """Count the starts on slower workers."""
+    if uneven.speeds is None:
+        return
+    for row in decided:
+        speed_class = uneven.speeds.classes.get(row.worker.entry.worker)
+        if speed_class is not None:
+            server_metrics.SLOWER_STARTS.labels(str(int(speed_class))).inc()
+
+
 def _share_order(
     leader: states.Leader, quotas: quotas_.Quotas
 ) -> placing.TenantOrder:
@@ -316,6 +414,7 @@
     service: ids.ServiceId,
     pool: list[workers_.Worker],
     quotas: quotas_.Quotas,
+    uneven: Unevenness = EVEN,
 ) -> list[ledgers.Group]:
     """Return the groups whose jobs may already be started in a pool.
 
@@ -329,7 +428,13 @@
     if len(startable) == len(groups):
         return groups
     trial = placing.decide(
-        groups, pool, clock.now_s(), MAX_STARTS_PER_PASS, quotas_.copy(quotas)
+        groups,
+        pool,
+        clock.now_s(),
+        MAX_STARTS_PER_PASS,
+        quotas_.copy(quotas),
+        uneven.speeds,
+        uneven.is_spread,
     )
     # Ordered, so that a simulated day is reproducible.
     for entry in dict.fromkeys(row.task.group.entry for row in trial):
--- a/oleanderwood/leading/slow_workers.py
+++ b/oleanderwood/leading/slow_workers.py
@@ -1,12 +1,15 @@
 """Measures workers' speed, and finds tasks to move off slow workers."""
 
+import collections.abc
 import functools
 
 from oleanderwood import event_log
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.leading import load_control
 from oleanderwood.leading import state as states
 from oleanderwood.pools import lengths
 from oleanderwood.pools import slowness
+from oleanderwood.pools import worker_speed
 from oleanderwood.pools import workers as workers_
 
 
@@ -31,6 +34,13 @@
     for task, length_s in rows:
         factor = _correction_factor(leader, task.group.entry)
         slowness.record_end(speed, task, length_s, factor, now_s)
+        worker_speed.record_end(
+            leader.step_times,
+            task.group,
+            worker.entry.worker,
+            length_s,
+            now_s,
+        )
         lengths.record(leader.lengths, task.group, length_s)
 
 
@@ -44,6 +54,11 @@
     factor_of = functools.partial(_correction_factor, leader)
     speed = leader.speeds[worker.entry.worker]
     slowness.measure(speed, worker, factor_of, now_s)
+    if load_control.switches(leader).placement:
+        expected_of = functools.partial(expected_s, leader)
+        speed.measured = worker_speed.measure(
+            speed, worker, leader.step_times, expected_of, now_s
+        )
     _update_slow_flag(leader, worker, speed)
     if not worker.slow:
         return []
@@ -60,6 +75,44 @@
     return tasks
 
 
+def expected_s(leader: states.Leader, group: ledgers.Group) -> float:
+    """Return the expected time of one task of a step, in seconds.
+
+    The regression on estimates halves their error, compared with a factor.
+    """
+    return lengths.of_job(leader.lengths, group.entry)[group.number]
+
+
+def speeds(
+    leader: states.Leader,
+    pool: list[workers_.Worker],
+    groups: collections.abc.Iterable[ledgers.Group],
+    packs: bool,
+) -> worker_speed.Speeds:
+    """Return the speeds of a pool's workers, for the placement of groups.
+
+    :param packs: the pool will give machines away
+    """
+    measured = {}
+    for worker in pool:
+        speed = leader.speeds.get(worker.entry.worker)
+        if speed is not None and speed.measured is not None:
+            measured[worker.entry.worker] = speed.measured
+    classes = worker_speed.classify(measured)
+    if not classes:
+        return worker_speed.Speeds(classes, packs=packs)
+    running = (
+        task.group
+        for worker in pool
+        for task in worker.runs.values()
+        if not task.group.step.is_long_running
+    )
+    long_groups = worker_speed.long_groups(
+        groups, running, functools.partial(expected_s, leader)
+    )
+    return worker_speed.Speeds(classes, long_groups, packs)
+
+
 def _update_slow_flag(
     leader: states.Leader, worker: workers_.Worker, speed: slowness.Speed
 ) -> None:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -32,6 +32,7 @@
 from oleanderwood.pools import late_orders
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import slowness
+from oleanderwood.pools import worker_speed
 from oleanderwood.pools import workers as workers_
 from oleanderwood.tenants import access
 from oleanderwood.tenants import model as tenants_
@@ -319,6 +320,9 @@
     :ivar arrivals_s: recent arrival times, by tenant, of jobs within the rate
         that the tenant's weight allows
     :ivar limits_logged_s: time at which a tenant's limit was last logged
+    :ivar step_times: times of recently ended tasks, by step
+    :ivar unevenness_logged_s: time at which a pool's slower workers were last
+        logged
     :ivar starved_until_s: steps whose runs are starved of CPU and would finish
         sooner on another machine than their pool has, with the time until
         which this counts
@@ -379,6 +383,12 @@
     speeds: dict[ids.VmId, slowness.Speed] = dataclasses.field(
         default_factory=dict
     )
+    step_times: worker_speed.StepTimes = dataclasses.field(
+        default_factory=worker_speed.StepTimes
+    )
+    unevenness_logged_s: dict[ids.ServiceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     starved_until_s: dict[ledgers.Group, float] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -47,6 +47,13 @@
     registry=REGISTRY,
 )
 
+SLOWER_STARTS = prometheus_client.Counter(
+    'oleander_server_slower_starts_total',
+    'Starts decided on workers slower than their pool, by speed class.',
+    ('speed_class',),
+    registry=REGISTRY,
+)
+
 ENDS = prometheus_client.Counter(
     'oleander_server_ends_total',
     'Ends of runs and what else reports told of them.',
