Measure tenants' recent use and count it for their shares

A tenant that had filled a pool counted as one without any use as soon as its runs ended, and got the next free capacity too. Its use now decays by half-lives. order_by_share counts it only where it is given, so the order elsewhere is unchanged.

--- a/oleanderwood/pools/shares.py
+++ b/oleanderwood/pools/shares.py
@@ -15,15 +15,16 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.tenants import usage as usage_
 
-MIN_WEIGHT = 1.0
+MIN_WEIGHT = usage_.MIN_WEIGHT
 """Weight of work without a tenant, and of tenants that were removed."""
 
 RATE_WINDOW_S = 1.0
 """Window in seconds in which a tenant may submit as many jobs as its
 weight."""
 
-Weights = collections.abc.Mapping[ids.TenantId, float]
+Weights = usage_.Weights
 
 
 def is_beyond(
@@ -46,12 +47,15 @@
     quotas: quotas_.Quotas,
     weights: Weights,
     whole: model.Resources,
+    recent: usage_.Usage | None = None,
 ) -> list[ledgers.Group]:
     """Order groups of equal urgency by their tenants' shares.
 
     The groups of one tenant keep their order.
 
     :param whole: total capacity of all workers
+    :param recent: recent use, which counts like running work; None: only
+        running work counts
     """
     queues: dict[ids.TenantId, collections.deque[ledgers.Group]] = {}
     for group in groups:
@@ -64,7 +68,11 @@
         used = quotas.used.get(tenant, quotas_.Usage())
         share = _dominant_share(
             used.cpu_millicores, used.memory_mb, used.gpus, whole
-        ) / _weight(weights, tenant)
+        )
+        if recent is not None:
+            millicores = 1000 * usage_.recent_cores(recent, tenant)
+            share += millicores / max(1, whole.cpu_millicores)
+        share /= usage_.weight_of(weights, tenant)
         heapq.heappush(heap, (share, position, tenant))
     ordered = []
     while heap:
@@ -79,15 +87,11 @@
                 waiting * needs.memory_mb,
                 waiting * needs.gpus,
                 whole,
-            ) / _weight(weights, tenant)
+            ) / usage_.weight_of(weights, tenant)
             heapq.heappush(heap, (share, position, tenant))
     return ordered
 
 
-def _weight(weights: Weights, tenant: ids.TenantId) -> float:
-    return max(MIN_WEIGHT, weights.get(tenant, MIN_WEIGHT))
-
-
 def _dominant_share(
     cpu_millicores: float,
     memory_mb: float,
