Order a burst by what can end in time

In the order of arrival, all jobs of a burst beyond a pool's capacity end late. Where an ordering is given and not all ready work fits, jobs are chosen that can end in time behind each other; the others follow by tiers, and the last tiers have an eighth of the cores.

--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import itertools
 
 from oleanderwood import ids
@@ -14,10 +15,12 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
+from oleanderwood.pools import feasibility
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import reports
 from oleanderwood.pools import workers as workers_
+from oleanderwood.tenants import usage as usage_
 
 TenantOrder = collections.abc.Callable[
     [list[ledgers.Group]], list[ledgers.Group]
@@ -43,6 +46,24 @@
 """While other steps wait, at most one in this many workers of a pool, but at
 least one, is reserved for tasks suspected of crashing their worker."""
 
+BEGUN_MARGIN = 0.8
+"""The same for jobs that have begun. What they have had would be wasted, so
+they are given up only when they are almost certain to end late."""
+
+BEGUN_LEAD_S = 0.5
+"""Time in seconds by which jobs that have begun go before others of the same
+latest start. Their remaining steps wait for a free core several times, which
+the expected time of the chain doesn't contain."""
+
+LAST_TIER_DIVISOR = 8
+"""Work that is too late or beyond its tenant's rate gets at least one core in
+this many while other work waits, so that all accepted work ends."""
+
+TOO_LATE_PART = 0.25
+"""Part of these cores that goes to work that is too late, oldest first, before
+the other work in question. Without it, a tenant that stays beyond its rate
+would keep such work waiting for ever."""
+
 INCOMPLETE_GANG_S = 0.4
 """Time in seconds after which the running members of a gang that lacks a
 member are stopped. When a member of a complete gang ends, the others end on
@@ -568,11 +589,45 @@
     return age_s > LATE_FACTOR * objective_s(entry, queue, lengths)
 
 
+class Tier(enum.IntEnum):
+    """Tiers of waiting work in a burst, in the order in which it is served.
+
+    The last three get little while others wait. Among them, jobs that can
+    still end in time go first.
+    """
+
+    IN_TIME = 0
+    LATE = 1
+    BEYOND_RATE_IN_TIME = 2
+    BEYOND_RATE = 3
+    TOO_LATE = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Ordering:
+    """What the order of work in a burst depends on besides the jobs.
+
+    :ivar workers: workers by pool
+    :ivar usage: what tenants have used recently
+    :ivar weights: weight by tenant
+    :ivar bursts: pools that can't serve all that waits, filled in as they are
+        ordered
+    """
+
+    workers: collections.abc.Mapping[ids.ServiceId, list[workers_.Worker]]
+    usage: usage_.Usage = dataclasses.field(default_factory=usage_.Usage)
+    weights: usage_.Weights = dataclasses.field(default_factory=dict)
+    bursts: dict[ids.ServiceId, 'Burst'] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 def rank(
     group: ledgers.Group,
     queue: queues.Queue,
     lengths: lengths_.Lengths,
     now_s: float,
+    chosen: collections.abc.Container[ids.JobId] | None = None,
 ):
     """Return the sort key of a group in its pool; lower keys go first.
 
@@ -585,10 +640,24 @@
     Jobs about to miss their objective do not go first: a job started at the
     last moment would end late and delay the next one, and in a burst larger
     than the pool every job would be late.
+
+    :param chosen: jobs that can end in time behind each other, if the pool
+        can't serve all that waits. The tier then goes before the priority, as
+        a job that ends late is of little use, and the chosen jobs are ordered
+        by their latest start.
     """
     entry = group.entry
     if group.step.is_long_running:
         return (0, queue.priority, 0, entry.arrived_s, group.number)
+    if chosen is not None:
+        tier = _burst_tier(group, queue, lengths, now_s, chosen)
+        at_s = entry.arrived_s
+        if entry.job.job in chosen:
+            length_s = lengths_.of_job(lengths, entry)[group.number]
+            left = time_left_s(group, queue, lengths, now_s)
+            lead_s = BEGUN_LEAD_S if ledgers.has_begun(entry) else 0.0
+            at_s = now_s + left - length_s - lead_s
+        return (1, tier, queue.priority, at_s, group.number)
     tier = 0
     if entry.over_rate or is_too_late(entry, queue, lengths, now_s):
         tier = 2
@@ -597,6 +666,23 @@
     return (1, queue.priority, tier, entry.arrived_s, group.number)
 
 
+def _burst_tier(
+    group: ledgers.Group,
+    queue: queues.Queue,
+    lengths: lengths_.Lengths,
+    now_s: float,
+    chosen: collections.abc.Container[ids.JobId],
+) -> Tier:
+    """Return the tier of a step whose pool can't serve all that waits."""
+    entry = group.entry
+    if is_too_late(entry, queue, lengths, now_s):
+        return Tier.TOO_LATE
+    is_chosen = entry.job.job in chosen
+    if entry.over_rate:
+        return Tier.BEYOND_RATE_IN_TIME if is_chosen else Tier.BEYOND_RATE
+    return Tier.IN_TIME if is_chosen else Tier.LATE
+
+
 def _is_late(
     group: ledgers.Group,
     queue: queues.Queue,
@@ -617,36 +703,320 @@
     now_s: float,
     only: set[ids.ServiceId] | None = None,
     tenant_order: TenantOrder = list,
+    ordering: Ordering | None = None,
 ) -> dict[ids.ServiceId, list[ledgers.Group]]:
     """Return the groups that are ready to start, in order, by pool.
 
     :param only: pools to include; None: all of them
     :param tenant_order: orders groups of equal urgency by their tenants
+    :param ordering: orders the work of pools that can't serve all of it by
+        what can end in time; None: by arrival
     """
-    ready: dict[ids.ServiceId, list] = {}
+    ready: dict[ids.ServiceId, list[ledgers.Group]] = {}
+    due: dict[ids.ServiceId, list[ledgers.Group]] = {}
     for group in list(ledger.open_groups):
-        if only is not None:
-            if queue_of(group.entry, known).service not in only:
-                continue
-        if not group.waiting or not ledgers.is_ready(group, wall_ms):
+        service = queue_of(group.entry, known).service
+        if only is not None and service not in only:
+            continue
+        if not group.waiting:
+            continue
+        if ordering is not None and _is_claim(group, wall_ms):
+            due.setdefault(service, []).append(group)
+        if not ledgers.is_ready(group, wall_ms):
             continue
         if awaits_advice(group, known, now_s):
             continue
-        queue = queue_of(group.entry, known)
-        key = rank(group, queue, lengths, now_s)
-        ready.setdefault(queue.service, []).append((key, group))
-    for rows in ready.values():
-        rows.sort(key=lambda row: row[0])
+        ready.setdefault(service, []).append(group)
     return {
-        service: [
-            group
-            for _urgency, alike in itertools.groupby(rows, _urgency_of)
-            for group in tenant_order([group for _key, group in alike])
-        ]
-        for service, rows in ready.items()
+        service: _ordered(
+            service,
+            groups,
+            due.get(service, []),
+            known,
+            lengths,
+            now_s,
+            tenant_order,
+            ledger,
+            ordering,
+        )
+        for service, groups in ready.items()
     }
 
 
+def _ordered(
+    service: ids.ServiceId,
+    groups: list[ledgers.Group],
+    due: list[ledgers.Group],
+    known: dict[str, queues.Queue],
+    lengths: lengths_.Lengths,
+    now_s: float,
+    tenant_order: TenantOrder,
+    ledger: ledgers.Ledger,
+    ordering: Ordering | None,
+) -> list[ledgers.Group]:
+    """Return the ready groups of a pool in order.
+
+    :param due: groups whose jobs compete for the pool, ready or not
+    """
+    burst = None
+    if ordering is not None:
+        burst = _burst(
+            ordering, service, groups, due, known, lengths, now_s, ledger
+        )
+    rows = []
+    for group in groups:
+        queue = queue_of(group.entry, known)
+        if burst is None:
+            key = rank(group, queue, lengths, now_s)
+        else:
+            key = rank(group, queue, lengths, now_s, burst.chosen)
+        rows.append((key, group))
+    rows.sort(key=lambda row: row[0])
+    found = _by_tenant(rows, tenant_order, burst is not None)
+    if burst is None:
+        return found
+    return _with_last_tier(rows, found, burst)
+
+
+@dataclasses.dataclass(frozen=True)
+class Burst:
+    """Work of a pool that can't serve all that waits at once.
+
+    :ivar chosen: jobs that can end in time behind each other
+    :ivar waiting: number of jobs that have waiting work
+    :ivar cores: cores of the pool that are not used by long-running tasks
+    :ivar last_cores: the part of them that runs of the last tiers use
+    :ivar too_late_cores: the part that runs of jobs use that are too late
+    """
+
+    chosen: set[ids.JobId]
+    waiting: int
+    cores: float
+    last_cores: float
+    too_late_cores: float
+
+
+def _burst(
+    ordering: Ordering,
+    service: ids.ServiceId,
+    groups: list[ledgers.Group],
+    due: list[ledgers.Group],
+    known: dict[str, queues.Queue],
+    lengths: lengths_.Lengths,
+    now_s: float,
+    ledger: ledgers.Ledger,
+) -> Burst | None:
+    """Choose the jobs that can end in time; None if all fits at once."""
+    pool = ordering.workers.get(service, [])
+    asked_cores = sum(map(feasibility.cores_of, groups))
+    if asked_cores <= feasibility.free_cores(pool, now_s):
+        return None
+    supply = feasibility.supply(pool, lengths, now_s)
+    claims, beyond = _claims(due, known, lengths, now_s, ledger, ordering)
+    chosen = _choose(claims, beyond, supply, now_s)
+    last_cores, too_late_cores = _last_tier_cores(pool, known, lengths, now_s)
+    burst = Burst(
+        chosen,
+        len(claims) + len(beyond),
+        supply.cores,
+        last_cores,
+        too_late_cores,
+    )
+    ordering.bursts[service] = burst
+    return burst
+
+
+def _choose(
+    claims: list[feasibility.Claim],
+    beyond: list[feasibility.Claim],
+    supply: feasibility.Supply,
+    now_s: float,
+) -> set[ids.JobId]:
+    """Choose the jobs that can end in time.
+
+    :param beyond: claims beyond tenants' rates, which are served behind all
+        others, or with the cores that they get in any case
+    """
+    reserved_cores = supply.cores / LAST_TIER_DIVISOR if beyond else 0.0
+    chosen = feasibility.choose(
+        claims,
+        supply.cores - reserved_cores,
+        now_s,
+        supply.ahead_core_s - supply.beyond_ahead_core_s,
+    )
+    if not beyond:
+        return chosen
+    work_core_s = sum(row.work_core_s for row in claims if row.job in chosen)
+    behind = feasibility.choose(
+        beyond, supply.cores, now_s, supply.ahead_core_s + work_core_s
+    )
+    reserved = feasibility.choose(
+        beyond, reserved_cores, now_s, supply.beyond_ahead_core_s
+    )
+    return chosen | max(behind, reserved, key=len)
+
+
+def _last_tier_cores(
+    pool: list[workers_.Worker],
+    known: dict[str, queues.Queue],
+    lengths: lengths_.Lengths,
+    now_s: float,
+) -> tuple[float, float]:
+    """Return the cores that runs of the last tiers use.
+
+    :return: cores of all of them, and of those whose jobs are too late
+    """
+    last_cores = too_late_cores = 0.0
+    too_late: dict[ledgers.Entry, bool] = {}
+    for task in feasibility.batch_runs(pool, now_s):
+        entry = task.group.entry
+        if entry not in too_late:
+            queue = queue_of(entry, known)
+            too_late[entry] = is_too_late(entry, queue, lengths, now_s)
+        cores = task.group.step.needs.cpu_millicores / 1000
+        if too_late[entry]:
+            too_late_cores += cores
+        if too_late[entry] or entry.over_rate:
+            last_cores += cores
+    return last_cores, too_late_cores
+
+
+def _by_tenant(
+    rows: list[tuple[tuple, ledgers.Group]],
+    tenant_order: TenantOrder,
+    is_burst: bool,
+) -> list[ledgers.Group]:
+    """Return the groups, those of equal urgency ordered by their tenants.
+
+    Jobs chosen to end in time are kept in the order that makes them do so;
+    tenants' shares have counted in the choice.
+    """
+    found: list[ledgers.Group] = []
+    for urgency, alike in itertools.groupby(rows, _urgency_of):
+        groups = [group for _key, group in alike]
+        if is_burst and urgency[0] and urgency[1] == Tier.IN_TIME:
+            found += groups
+        else:
+            found += tenant_order(groups)
+    return found
+
+
+def _with_last_tier(
+    rows: list[tuple[tuple, ledgers.Group]],
+    ordered: list[ledgers.Group],
+    burst: Burst,
+) -> list[ledgers.Group]:
+    """Move work of the last tiers forward that is due its part of the pool.
+
+    A part of that is for jobs that are too late, the rest in the order of the
+    tiers.
+    """
+    reserved_cores = burst.cores / LAST_TIER_DIVISOR
+    tiers = {group: key[1] for key, group in rows if key[0]}
+    last = [
+        group
+        for group in ordered
+        if tiers.get(group, 0) >= Tier.BEYOND_RATE_IN_TIME
+    ]
+    if not last:
+        return ordered
+    too_late = [group for group in last if tiers[group] == Tier.TOO_LATE]
+    too_late.sort(key=lambda group: group.entry.arrived_s)
+    moved, cores = _up_to(
+        too_late, burst.too_late_cores, TOO_LATE_PART * reserved_cores
+    )
+    first = dict.fromkeys(moved)
+    others = [group for group in last if group not in first]
+    used_cores = burst.last_cores + cores - burst.too_late_cores
+    moved, _cores = _up_to(others, used_cores, reserved_cores)
+    first.update(dict.fromkeys(moved))
+    long_running = [row for row in ordered if row.step.is_long_running]
+    rest = [
+        row
+        for row in ordered
+        if row not in first and not row.step.is_long_running
+    ]
+    return [*long_running, *first, *rest]
+
+
+def _up_to(
+    groups: list[ledgers.Group], used_cores: float, reserved_cores: float
+) -> tuple[list[ledgers.Group], float]:
+    """Return the first groups that reserved cores suffice for.
+
+    A group is included if that comes closer to the reserved number, or if
+    nothing uses it.
+
+    :return: the groups, and the cores in use after their start
+    """
+    found = []
+    for group in groups:
+        cores = feasibility.cores_of(group)
+        if used_cores and used_cores + cores / 2 > reserved_cores:
+            break
+        used_cores += cores
+        found.append(group)
+    return found, used_cores
+
+
+def _is_claim(group: ledgers.Group, wall_ms: float) -> bool:
+    """Return whether a step's work competes for its pool's cores now."""
+    entry = group.entry
+    if group.step.is_long_running:
+        return False
+    return wall_ms >= model.due_ms(entry.job, group.occurrence)
+
+
+def _claims(
+    groups: list[ledgers.Group],
+    known: dict[str, queues.Queue],
+    lengths: lengths_.Lengths,
+    now_s: float,
+    ledger: ledgers.Ledger,
+    ordering: Ordering,
+) -> tuple[list[feasibility.Claim], list[feasibility.Claim]]:
+    """Return the claims of a pool's jobs, and of those beyond tenants' rates.
+
+    Steps that wait for earlier ones count too: their job is to end in time,
+    not just its next step.
+    """
+    by_entry: dict[ledgers.Entry, list[ledgers.Group]] = {}
+    for group in groups:
+        by_entry.setdefault(group.entry, []).append(group)
+    work_core_s = {
+        entry: feasibility.work_core_s(rows, lengths)
+        for entry, rows in by_entry.items()
+    }
+    asked_core_s: dict[ids.TenantId, float] = {}
+    for entry, core_s in work_core_s.items():
+        tenant = entry.job.tenant
+        asked_core_s[tenant] = asked_core_s.get(tenant, 0.0) + core_s
+    share_of = usage_.over_share(
+        ordering.usage, ledger.running, ordering.weights, asked_core_s
+    )
+    before_core_s = dict.fromkeys(asked_core_s, 0.0)
+    claims: list[feasibility.Claim] = []
+    beyond: list[feasibility.Claim] = []
+    for entry, rows in by_entry.items():
+        tenant = entry.job.tenant
+        queue = queue_of(entry, known)
+        begun = ledgers.has_begun(entry)
+        claim = feasibility.Claim(
+            entry.job.job,
+            work_core_s[entry],
+            feasibility.chain_s(
+                rows, lengths, BEGUN_MARGIN if begun else LATENESS_MARGIN
+            ),
+            entry.arrived_s + objective_s(entry, queue, lengths),
+            queue.priority,
+            share_of(tenant, before_core_s[tenant]),
+            begun,
+        )
+        (beyond if entry.over_rate else claims).append(claim)
+        before_core_s[tenant] += work_core_s[entry]
+    return claims, beyond
+
+
 def _urgency_of(row: tuple[tuple, ledgers.Group]) -> tuple:
     """Return the part of a rank that precedes the arrival time."""
     key, _group = row
