--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -10,6 +10,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.leading import load_control
 from oleanderwood.leading import losses as losses_
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
@@ -17,6 +18,8 @@
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
 from oleanderwood.pools import workers as workers_
+from oleanderwood import server_metrics
+from oleanderwood.tenants import usage as usage_
 
 MIN_PASS_GAP_S = 0.01
 """Shortest pause between two passes: events come in bursts, and one pass
@@ -36,6 +39,10 @@
 LIMIT_LOG_INTERVAL_S = 1.0
 """Interval between two log lines on work that waits for a tenant's limit."""
 
+BURST_LOG_INTERVAL_S = 1.0
+"""Interval between two log lines on one pool that has more work than it can
+serve."""
+
 MAX_JOBS_LOGGED = 20
 """Largest number of jobs named in such a line."""
 
@@ -158,6 +165,11 @@
     known = states.known_queues(leader)
     blocked = pools_with_unknown_runs(leader)
     quotas = quotas_of(leader, blocked, now_s)
+    pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
+    for worker in leader.workers.values():
+        if worker.is_in_stored_list:
+            pools.setdefault(worker.entry.service, []).append(worker)
+    ordering = _ordering(leader, pools, now_s)
     ready = placing.ready_by_pool(
         leader.ledger,
         known,
@@ -165,12 +177,9 @@
         clock.wall_ms(),
         now_s,
         only,
-        _share_order(leader, quotas),
+        _share_order(leader, quotas, ordering),
+        ordering,
     )
-    pools: dict[ids.ServiceId, list[workers_.Worker]] = {}
-    for worker in leader.workers.values():
-        if worker.is_in_stored_list and worker.entry.service in ready:
-            pools.setdefault(worker.entry.service, []).append(worker)
     if _entries_are_stale(leader, now_s):
         ready = _guarded_only(leader, ready)
     for service, groups in ready.items():
@@ -188,10 +197,51 @@
         )
         await _enqueue_starts(leader, decided, now_s)
     _log_limits(leader, ready, quotas, now_s)
+    if ordering is not None:
+        _log_bursts(leader, ordering, now_s)
+
+
+def _ordering(
+    leader: states.Leader,
+    pools: dict[ids.ServiceId, list[workers_.Worker]],
+    now_s: float,
+) -> placing.Ordering | None:
+    """Return what orders the work of a burst; None if that is not in force.
+
+    Tenants' use is measured in each pass, as passes are the only starts.
+    """
+    if not load_control.switches(leader).ordering:
+        leader.usage = usage_.Usage()
+        return None
+    half_life_s = leader.policy.policy.load.usage_half_life_s
+    usage_.advance(leader.usage, leader.ledger.running, half_life_s, now_s)
+    return placing.Ordering(pools, leader.usage, states.tenant_weights(leader))
+
+
+def _log_bursts(
+    leader: states.Leader, ordering: placing.Ordering, now_s: float
+) -> None:
+    """Log which pools can't serve all that waits, at limited intervals."""
+    for service, burst in ordering.bursts.items():
+        server_metrics.BURST_PASSES.labels(pool=service).inc()
+        logged_s = leader.bursts_logged_s.get(service, -math.inf)
+        if now_s - logged_s < BURST_LOG_INTERVAL_S:
+            continue
+        leader.bursts_logged_s[service] = now_s
+        event_log.emit(
+            'pool',
+            'burst-ordered',
+            pool=service,
+            cores=round(burst.cores, 1),
+            jobs=burst.waiting,
+            in_time=len(burst.chosen),
+        )
 
 
 def _share_order(
-    leader: states.Leader, quotas: quotas_.Quotas
+    leader: states.Leader,
+    quotas: quotas_.Quotas,
+    ordering: placing.Ordering | None,
 ) -> placing.TenantOrder:
     """Return the ordering of equally urgent groups, by tenants' shares."""
     weights = states.tenant_weights(leader)
@@ -200,7 +250,10 @@
     whole = model.total(
         worker.entry.capacity for worker in leader.workers.values()
     )
-    return lambda groups: shares.order_by_share(groups, quotas, weights, whole)
+    recent = ordering.usage if ordering is not None else None
+    return lambda groups: shares.order_by_share(
+        groups, quotas, weights, whole, recent
+    )
 
 
 def _log_limits(
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -35,6 +35,7 @@
 from oleanderwood.pools import workers as workers_
 from oleanderwood.tenants import access
 from oleanderwood.tenants import model as tenants_
+from oleanderwood.tenants import usage as usage_
 from oleanderwood.web import connections
 
 SERVER_LEASE_S = 1.5
@@ -319,6 +320,9 @@
     :ivar arrivals_s: recent arrival times, by tenant, of jobs within the rate
         that the tenant's weight allows
     :ivar limits_logged_s: time at which a tenant's limit was last logged
+    :ivar usage: what tenants have used recently; measured where the order of
+        bursts is in force, and empty at first
+    :ivar bursts_logged_s: time at which a pool's burst was last logged
     :ivar starved_until_s: steps whose runs are starved of CPU and would finish
         sooner on another machine than their pool has, with the time until
         which this counts
@@ -356,6 +360,10 @@
     limits_logged_s: dict[ids.TenantId, float] = dataclasses.field(
         default_factory=dict
     )
+    usage: usage_.Usage = dataclasses.field(default_factory=usage_.Usage)
+    bursts_logged_s: dict[ids.ServiceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     orders: dict[ids.VmId, curio.Queue] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -47,6 +47,14 @@
     registry=REGISTRY,
 )
 
+BURST_PASSES = prometheus_client.Counter(
+    'oleander_server_burst_passes_total',
+    'Scheduling passes in which a pool had more work than it could start, and '
+    'jobs that can end in time were chosen.',
+    ('pool',),
+    registry=REGISTRY,
+)
+
 ENDS = prometheus_client.Counter(
     'oleander_server_ends_total',
     'Ends of runs and what else reports told of them.',
