Compute and publish how much of each tenant's calls a pool takes

Cause: no call was refused, however much work waited, so a burst of one tenant made the jobs of all late.

Change: package admission (figures, gate, fair shares, load, controller) and a loop of the term that measures pools in which work waits and sends figures to all servers each 0.25 s while a pool is limited. Nothing is computed or sent where the switch is off. The layer test knows the new package.

--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -4,10 +4,14 @@
 import collections.abc
 import dataclasses
 import math
+import secrets
 import typing
 
 import curio
 
+from oleanderwood.admission import controller as controllers
+from oleanderwood.admission import figures as figures_
+from oleanderwood.admission import gate as gates
 from oleanderwood import boot
 from oleanderwood.capacity import demand
 from oleanderwood.capacity import rebalancing
@@ -47,6 +51,10 @@
 change of leader (lease expiry, election and first renewals take about 2.5 s),
 and it delays the restart of tasks whose worker stopped answering."""
 
+SALT_BYTES = 16
+"""Size of the key by which a term samples jobs; callers must not be able to
+find ids that pass."""
+
 
 class Signal:
     """A signal to one waiting task; it is not lost if set before the wait."""
@@ -156,6 +164,7 @@
         servers
     :ivar max_asking_term: highest term whose leader asked this server whether
         it leads
+    :ivar gate: the newest figures by which jobs are admitted
     """
 
     settings: boot.Settings
@@ -178,6 +187,7 @@
     began_s: float = dataclasses.field(default_factory=_now_s)
     last_led_term: int = 0
     max_asking_term: int = 0
+    gate: gates.Gate = dataclasses.field(default_factory=gates.Gate)
     leader: 'Leader | None' = None
     unstored_crashes: crashes_.CrashesByTask = dataclasses.field(
         default_factory=dict
@@ -326,6 +336,7 @@
         workers, by pool
     :ivar confirmed_until_s: time by which servers that cannot reach the store
         either must confirm again that no other server leads
+    :ivar admission: state of the admission control
     """
 
     server: Server
@@ -412,9 +423,13 @@
     new_workers: curio.Queue = dataclasses.field(default_factory=curio.Queue)
     fences: fences_.Fences = dataclasses.field(init=False)
     fences_exhausted: bool = False
+    admission: controllers.Controller = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.fences = fences_.Fences(self.term)
+        self.admission = controllers.Controller(
+            self.term, secrets.token_hex(SALT_BYTES)
+        )
 
 
 def incarnations_of(
@@ -557,11 +572,29 @@
     }
     if server.configuration is not None:
         value['configuration_version'] = server.configuration.version
+    admission = gates.in_force(server.gate, now_s)
+    if admission is not None:
+        value['admission'] = _dump_admission(admission)
     if server.leader is not None:
         value['leading'] = _dump_leader(server.leader, now_s)
     return value
 
 
+def _dump_admission(figures: figures_.Figures) -> dict[str, typing.Any]:
+    return {
+        'term': figures.term,
+        'number': figures.number,
+        'pools': {
+            name: {
+                'wait_s': pool.wait_s,
+                'holder': pool.holder,
+                'smallest_share': figures_.smallest_share(pool),
+            }
+            for name, pool in figures.pools.items()
+        },
+    }
+
+
 def _dump_leader(leader: Leader, now_s: float) -> dict[str, typing.Any]:
     return {
         'term': leader.term,
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -17,6 +17,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import record
+from oleanderwood.leading import admission_loop
 from oleanderwood.leading import advising
 from oleanderwood.leading import confirmation
 from oleanderwood.leading import crash_handover
@@ -156,6 +157,7 @@
         confirmation.confirm_always(leader),
         previous_leaders.await_ends_always(leader),
         _watch_role(leader),
+        admission_loop.publish_always(leader),
     ]
     address = leader.server.settings.advice_address
     if address is not None:
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -24,6 +24,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
+from oleanderwood.leading import admission_loop
 from oleanderwood.leading import confirmation
 from oleanderwood.leading import election
 from oleanderwood.leading import intake as leading_intake
@@ -221,6 +222,10 @@
             body = await http.read_all(request.body, MAX_TOLD_BYTES)
             await late_orders.receive(server, body)
             return http.Response(200, [], b'')
+        if path == admission_loop.PATH:
+            body = await http.read_all(request.body, MAX_TOLD_BYTES)
+            admission_loop.receive(server, body)
+            return http.Response(200, [], b'')
         if path.startswith(confirmation.CONTACT_PATH):
             return _json(await confirmation.answer_contact(server, path))
         if path == forwarding.CALL_PATH:
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -75,6 +75,20 @@
     registry=REGISTRY,
 )
 
+ADMISSION = prometheus_client.Counter(
+    'oleander_server_admission_total',
+    'Jobs for limited pools that callers handed in, by outcome.',
+    ('outcome',),
+    registry=REGISTRY,
+)
+
+ADMISSION_SHARE = prometheus_client.Gauge(
+    'oleander_server_admission_share',
+    "Smallest share of a tenant's jobs that the leader admits, by pool.",
+    ('pool',),
+    registry=REGISTRY,
+)
+
 CALLS = prometheus_client.Histogram(
     'oleander_server_call_seconds',
     'Time of calls to the platform and to other servers, by outcome.',
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -91,6 +91,7 @@
     'tenants': (),
     'jobs': ('tenants',),
     'pools': ('tenants', 'jobs'),
+    'admission': ('tenants', 'jobs', 'pools'),
     'maintenance': ('tenants', 'jobs', 'pools'),
     'capacity': ('tenants', 'jobs', 'pools'),
     'platform': ('tenants', 'jobs', 'pools', 'maintenance'),
@@ -98,11 +99,19 @@
         'tenants',
         'jobs',
         'pools',
+        'admission',
         'capacity',
         'maintenance',
         'platform',
     ),
-    'frontend': ('tenants', 'jobs', 'pools', 'platform', 'leading'),
+    'frontend': (
+        'tenants',
+        'jobs',
+        'pools',
+        'admission',
+        'platform',
+        'leading',
+    ),
 }
 """What each subpackage may import of the others."""
 
