Check a new job against the figures before it is stored

Cause: a refusal has to be true: the job must not run later.

Change: the front end refuses a job with 429 by the newest figures, after it read the job's key. It is not refused if a write of this server may still store it, if the key cannot be read within 0.3 s, or if it is a job of a public queue, without a tenant, long-running, repeated or leftover. The intake records writes that remained without an answer.

--- /dev/null
+++ b/oleanderwood/frontend/admitting.py
@@ -0,0 +1,165 @@
+"""Checks a new job against the leader's figures before it is stored.
+
+A refusal promises that the job never runs, so it is given only if the store
+certainly has no such job and will not get one from this server.
+"""
+
+import dataclasses
+import enum
+
+from oleanderwood.admission import gate as gates
+from oleanderwood import clock
+from oleanderwood import errors
+from oleanderwood import event_log
+from oleanderwood.frontend import forwarding
+from oleanderwood.frontend import intake as intakes
+from oleanderwood import ids
+from oleanderwood.jobs import model
+from oleanderwood.jobs import queues
+from oleanderwood.jobs import record
+from oleanderwood.leading import state as states
+from oleanderwood.platform import store as stores
+from oleanderwood import server_metrics
+from oleanderwood.tenants import access
+
+READ_TIMEOUT_S = 0.3
+"""Longest wait for the job's key. A refusal has to come at once to be of use,
+and a slow store takes 0.24 s."""
+
+LATE_WRITE_S = 8.0
+"""Time after a write without an answer for which nothing is refused: the write
+may be carried out late, and which of its jobs callers send again is
+unknown."""
+
+MAX_LINES_PER_S = 20
+"""Refusals that are logged per second; a burst has hundreds."""
+
+
+class Outcome(enum.Enum):
+    """Why a job is not refused."""
+
+    ADMITTED = 'admitted'
+    STORED = 'stored'
+    """The store has the job of this tenant."""
+
+    TAKEN = 'taken'
+    """The store has another tenant's job of this id."""
+
+    IN_DOUBT = 'in-doubt'
+    """A write of this server may still store the job."""
+
+    UNREAD = 'unread'
+    """The store did not say whether it has the job."""
+
+
+@dataclasses.dataclass
+class Refusals:
+    """Refusals logged in the current second.
+
+    :ivar suppressed: refusals that were not logged since the last log line
+    """
+
+    since_s: float = -1e9
+    line_count: int = 0
+    suppressed: int = 0
+
+
+def may_refuse(
+    server: states.Server,
+    queue: queues.Queue,
+    work: model.Work,
+    tenant: ids.TenantId,
+) -> bool:
+    """Return whether a job is one that figures in force may refuse."""
+    figures = gates.in_force(server.gate, clock.now_s())
+    return (
+        figures is not None
+        and queue.service in figures.pools
+        and not queue.public
+        and tenant != access.NO_TENANT
+        and not gates.is_exempt(work)
+    )
+
+
+async def judge(
+    server: states.Server,
+    intake: intakes.Intake,
+    queue: queues.Queue,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+) -> Outcome | gates.Refused:
+    """Return whether a job is refused, and if not, why.
+
+    A refusal costs one read of the store and no write.
+    """
+    outcome = await _judge(server, intake, queue, job, tenant)
+    label = outcome.value if isinstance(outcome, Outcome) else 'refused'
+    server_metrics.ADMISSION.labels(label).inc()
+    return outcome
+
+
+async def _judge(
+    server: states.Server,
+    intake: intakes.Intake,
+    queue: queues.Queue,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+) -> Outcome | gates.Refused:
+    decision = gates.decide(
+        server.gate, queue.service, tenant, job, clock.now_s()
+    )
+    if isinstance(decision, gates.Admitted):
+        return Outcome.ADMITTED
+    if _may_be_written(intake, job):
+        return Outcome.IN_DOUBT
+    if forwarding.is_store_lost(server):
+        return Outcome.UNREAD
+    try:
+        stored = await stores.read(
+            server.store, record.job_key(job), READ_TIMEOUT_S
+        )
+    except errors.CallFailed as error:
+        event_log.emit('caller', 'key-unread', job=job, why=error.reason)
+        return Outcome.UNREAD
+    if stored is not None:
+        is_own = intakes.belongs_to(stored.value, tenant)
+        return Outcome.STORED if is_own else Outcome.TAKEN
+    # Another call may have begun to write the job during the read.
+    return Outcome.IN_DOUBT if _may_be_written(intake, job) else decision
+
+
+def _may_be_written(intake: intakes.Intake, job: ids.JobId) -> bool:
+    """Return whether a write of this server may still store a job."""
+    since_s = clock.now_s() - intake.unanswered_s
+    return since_s < LATE_WRITE_S or job in intake.submitting
+
+
+def log(
+    refusals: Refusals,
+    queue: queues.Queue,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+    refused: gates.Refused,
+) -> None:
+    """Log a refusal, unless many were logged within the last second."""
+    now_s = clock.now_s()
+    if now_s - refusals.since_s >= 1.0:
+        refusals.since_s = now_s
+        refusals.line_count = 0
+    if refusals.line_count >= MAX_LINES_PER_S:
+        refusals.suppressed += 1
+        return
+    refusals.line_count += 1
+    event_log.emit(
+        'caller',
+        'not-admitted',
+        job=job,
+        queue=queue.name,
+        tenant=tenant,
+        wait_s=refused.wait_s,
+        retry_after_s=refused.retry_after_s,
+        holder=refused.holder,
+        why=refused.why.value,
+        untold=refusals.suppressed,
+    )
+    refusals.suppressed = 0
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -6,9 +6,11 @@
 import curio
 import msgspec
 
+from oleanderwood.admission import gate as gates
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood.frontend import admitting
 from oleanderwood.frontend import denials as denials_
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import freshness
@@ -73,6 +75,9 @@
     denials: denials_.Denials = dataclasses.field(
         default_factory=denials_.Denials
     )
+    refusals: admitting.Refusals = dataclasses.field(
+        default_factory=admitting.Refusals
+    )
 
 
 def make_handler(frontend: Frontend) -> http.Handler:
@@ -221,8 +226,17 @@
         raise errors.BadMessage(413, str(error)) from error
 
 
-def _refusal(status: int, reason: str) -> http.Response:
-    headers = [(b'retry-after', b'%d' % RETRY_AFTER_S)]
+def _not_admitted(refused: gates.Refused) -> http.Response:
+    reason = 'the pool is full, and the job would end too late'
+    if refused.why is gates.Why.OVER_SHARE:
+        reason = "the pool is full, and the tenant's share of it is used up"
+    return _refusal(429, f'not accepted: {reason}', refused.retry_after_s)
+
+
+def _refusal(
+    status: int, reason: str, retry_after_s: int = RETRY_AFTER_S
+) -> http.Response:
+    headers = [(b'retry-after', b'%d' % retry_after_s)]
     return http.Response(status, headers, reason.encode() + b'\n')
 
 
@@ -255,6 +269,16 @@
         return http.Response(
             429, [], b'a gang is wider than its tenant may run\n'
         )
+    if admitting.may_refuse(frontend.server, queue, work, tenant):
+        outcome = await admitting.judge(
+            frontend.server, frontend.intake, queue, job, tenant
+        )
+        if isinstance(outcome, gates.Refused):
+            admitting.log(frontend.refusals, queue, job, tenant, outcome)
+            return _not_admitted(outcome)
+        if outcome is admitting.Outcome.STORED:
+            _log('handed-in', job, began_s, queue=queue.name, why='known')
+            return _state_response(model.State.QUEUED)
     record = model.Job(job, queue, work, clock.wall_ms(), tenant=tenant)
     result = await _persist(frontend, record)
     _log(
@@ -316,6 +340,8 @@
             )
         verdict = submission.verdict
     relayed = await forwarding.submit(frontend.client, job)
+    if relayed.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        intakes.note_unanswered(frontend.intake)
     if relayed.verdict is verdicts.Verdict.NOT_RUN and not relayed.foreign:
         return forwarding.RelayResult(verdict, relayed.reason)
     return relayed
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -1,7 +1,9 @@
 """Submit and cancel jobs; answers follow once the store has the write."""
 
+import collections
 import collections.abc
 import dataclasses
+import math
 
 import curio
 import msgspec
@@ -63,6 +65,9 @@
     :ivar on_written: called with jobs that were stored by a write
     :ivar is_store_lost: returns whether the store has stopped answering, so
         that retries are useless
+    :ivar unanswered_s: time at which a write last remained without an answer;
+        it may still be carried out
+    :ivar submitting: number of calls that are submitting a job now, by job
     """
 
     store: stores.Store
@@ -71,11 +76,33 @@
     is_store_lost: collections.abc.Callable[[], bool]
     waiting: list[Submission] = dataclasses.field(default_factory=list)
     arrived: curio.Event = dataclasses.field(default_factory=curio.Event)
+    unanswered_s: float = -math.inf
+    submitting: collections.Counter[ids.JobId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 async def submit(intake: Intake, job: model.Job) -> Submission:
     """Write a job and return the outcome."""
+    intake.submitting[job.job] += 1
     submission = Submission(job)
+    try:
+        await _submit(intake, submission)
+    finally:
+        if submission.verdict in (None, verdicts.Verdict.MAY_HAVE_RUN):
+            note_unanswered(intake)
+        intake.submitting[job.job] -= 1
+        if not intake.submitting[job.job]:
+            del intake.submitting[job.job]
+    return submission
+
+
+def note_unanswered(intake: Intake) -> None:
+    """Record that a write of a job remained without an answer."""
+    intake.unanswered_s = clock.now_s()
+
+
+async def _submit(intake: Intake, submission: Submission) -> None:
     intake.waiting.append(submission)
     await intake.arrived.set()
     async with curio.ignore_after(WRITE_TIMEOUT_S):
@@ -86,7 +113,6 @@
         if submission in intake.waiting:
             intake.waiting.remove(submission)
             submission.verdict = verdicts.Verdict.NOT_RUN
-    return submission
 
 
 async def write_forever(intake: Intake) -> None:
@@ -170,14 +196,14 @@
                 await _settle_known(submission, stored[key])
         return remaining
     except errors.CallFailed as error:
-        return await _after_failure(batch, error)
+        return await _after_failure(intake, batch, error)
     for submission in batch:
         await _settle(submission, verdicts.Verdict.RAN, '')
     return []
 
 
 async def _after_failure(
-    batch: list[Submission], error: errors.CallFailed
+    intake: Intake, batch: list[Submission], error: errors.CallFailed
 ) -> list[Submission]:
     event_log.emit(
         'caller',
@@ -187,6 +213,7 @@
         why=error.reason,
     )
     if error.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        note_unanswered(intake)
         for submission in batch:
             submission.reason = 'in doubt'
         return batch
