Keep a limited pool limited while its ready tasks need all free cores

Cause: a pool counted as full only while some task fitted on no worker. While machines arrive, every task fits somewhere until the next scheduling pass.

Change: a pool that is limited stays so while its ready tasks need more cores than are free. Also two names that the layer tests refuse: usage declares what it reads of running tasks, and a variable is not called as a field of the wire.

--- a/oleanderwood/leading/admission_load.py
+++ b/oleanderwood/leading/admission_load.py
@@ -41,8 +41,9 @@
             workers[worker.entry.service].append(worker)
     found = {}
     for pool, rows in workers.items():
-        is_waiting = _do_not_fit(leader, waiting.get(pool, []), rows, now_s)
-        if is_waiting or pool in limited:
+        is_limited = pool in limited
+        is_waiting = _is_full(waiting.get(pool, []), rows, is_limited, now_s)
+        if is_waiting or is_limited:
             found[pool] = _pool_load(
                 leader, pool, groups.get(pool, []), rows, is_waiting, now_s
             )
@@ -97,18 +98,22 @@
     )
 
 
-def _do_not_fit(
-    leader: states.Leader,
+def _is_full(
     ready: list[ledgers.Group],
     workers: list[workers_.Worker],
+    is_limited: bool,
     now_s: float,
 ) -> bool:
-    """Return whether tasks are ready that fit on no worker.
+    """Return whether a pool's ready tasks leave no room for others.
+
+    They need more cores than are free, and some fit on no worker: a large task
+    that waits beside free cores for small ones does not make a pool full.
+    Steps that only some workers may run say nothing about the pool. Equal
+    needs are looked at once.
 
-    The ready tasks then need more cores than are free, too: a large task that
-    waits beside free cores for small ones does not make a pool full. Steps
-    that only some workers may run say nothing about the pool. Equal needs are
-    looked at once.
+    A limited pool is full as long as its ready tasks need all free cores.
+    Machines that have just arrived have room until the next scheduling pass;
+    opened to all callers each time, a pool accepted twice what it could do.
     """
     rows = {
         group.step.needs: group
@@ -124,7 +129,7 @@
     needed = sum(len(group.waiting) * _cores(group) for group in ready)
     if needed <= sum(row.cpu_millicores for row in free) / 1000:
         return False
-    return any(
+    return is_limited or any(
         not any(placing.has_capacity(candidate, group) for candidate in free)
         for group in rows.values()
     )
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -1059,13 +1059,13 @@
     used_cores = burst.last_cores + cores - burst.too_late_cores
     moved, _cores = _up_to(others, used_cores, reserved_cores)
     first.update(dict.fromkeys(moved))
-    long_running = [row for row in ordered if row.step.is_long_running]
+    lasting = [row for row in ordered if row.step.is_long_running]
     rest = [
         row
         for row in ordered
         if row not in first and not row.step.is_long_running
     ]
-    return [*long_running, *first, *rest]
+    return [*lasting, *first, *rest]
 
 
 def _up_to(
--- a/oleanderwood/tenants/usage.py
+++ b/oleanderwood/tenants/usage.py
@@ -9,9 +9,9 @@
 import collections.abc
 import dataclasses
 import math
+import typing
 
 from oleanderwood import ids
-from oleanderwood.jobs import ledger as ledgers
 
 MIN_WEIGHT = 1.0
 """Weight of work without a tenant, and of tenants that were removed."""
@@ -22,6 +22,12 @@
 Weights = collections.abc.Mapping[ids.TenantId, float]
 
 
+class Running(typing.Protocol):
+    """The field of ``ledger.Running`` that is used here."""
+
+    cpu_millicores: int
+
+
 @dataclasses.dataclass
 class Usage:
     """What tenants have used recently.
@@ -38,7 +44,7 @@
 
 def advance(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running: collections.abc.Mapping[ids.TenantId, Running],
     half_life_s: float,
     now_s: float,
 ) -> None:
@@ -78,7 +84,7 @@
 
 def over_share(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running: collections.abc.Mapping[ids.TenantId, Running],
     weights: Weights,
     asked_core_s: collections.abc.Mapping[ids.TenantId, float],
 ) -> collections.abc.Callable[[ids.TenantId, float], float]:
@@ -108,7 +114,7 @@
 
 def _used_core_s(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running: collections.abc.Mapping[ids.TenantId, Running],
     tenant: ids.TenantId,
 ) -> float:
     """Return recent use, and use by running tasks over the same window."""
