--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -252,8 +252,8 @@
     assert all(admission.POOL in row.pools for row in during)
     assert all(not row.pools for row in after)
     assert [row.number for row in later] == [row.number for row in after]
-    if status == 200:
-        assert json.loads(dump)['admission']['pools']
+    assert status == 200
+    assert json.loads(dump)['admission']['pools']
 
 
 def test_one_unreachable_server_does_not_delay_the_others(monkeypatch):
