Refuse nobody as too late while a pool awaits machines

Change: while a pool has less than 0.8 of the machines that it is granted or needs, nobody is refused as too late.

Result: the new test fails without the condition; admission, contention and rebalancing tests pass (130).

--- a/oleanderwood/admission/controller.py
+++ b/oleanderwood/admission/controller.py
@@ -242,8 +242,12 @@
 def _is_too_late(load: loads_.PoolLoad, rules: Rules, limit: Limit) -> bool:
     """Return whether an assured job would end too late to be of use.
 
-    Once this holds, it ends at half of the threshold.
+    Once this holds, it ends at half of the threshold. It never holds while
+    the pool awaits machines: a refusal would also hide the demand for which
+    they are moved.
     """
+    if load.awaits_machines:
+        return False
     max_s = rules.max_wait_factor * load.horizon_s
     if limit.too_late:
         max_s /= 2
--- a/oleanderwood/admission/load.py
+++ b/oleanderwood/admission/load.py
@@ -89,6 +89,8 @@
         rates
     :ivar by_tenant: accepted work by tenant, in core-seconds
     :ivar is_waiting: tasks are ready that fit on no worker
+    :ivar awaits_machines: the pool has far fewer machines than it is about to
+        get, so that its present wait says little of the wait to come
     """
 
     cores: float
@@ -101,6 +103,7 @@
         default_factory=dict
     )
     is_waiting: bool = False
+    awaits_machines: bool = False
 
 
 Offers = dict[ids.ServiceId, dict[ids.TenantId, Offer]]
--- a/oleanderwood/leading/admission_load.py
+++ b/oleanderwood/leading/admission_load.py
@@ -19,6 +19,10 @@
 
 Groups = dict[ids.ServiceId, list[ledgers.Group]]
 
+ARRIVED_PART = 0.8
+"""Part of the machines that a pool is to have from which it no longer awaits
+any. The last ones are often late, as their tasks have to end."""
+
 
 def measure(
     leader: states.Leader,
@@ -154,6 +158,7 @@
         assured_core_s=work.assured_core_s,
         by_tenant=work.by_tenant,
         is_waiting=is_waiting,
+        awaits_machines=_awaits_machines(leader, pool, len(workers)),
     )
 
 
@@ -252,6 +257,17 @@
     return group.step.needs.cpu_millicores / 1000
 
 
+def _awaits_machines(
+    leader: states.Leader, pool: ids.ServiceId, machines: int
+) -> bool:
+    """Return whether a pool is about to get many machines."""
+    need = leader.fleet.needs.get(pool)
+    wanted = leader.fleet.grants.get(pool)
+    if wanted is None:
+        wanted = need.now if need is not None else 0
+    return machines < ARRIVED_PART * wanted
+
+
 def _later_cores(
     leader: states.Leader,
     pool: ids.ServiceId,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 import random
 
 import hypothesis
@@ -305,6 +306,20 @@
     assert figures.too_late and len(set(figures.shares.values())) == 1
 
 
+def test_nobody_is_refused_as_too_late_while_machines_are_on_their_way():
+    """Guards against refusals that hide the demand of a growing pool.
+
+    A pool that has a few of its machines yet counted as 8 s behind, all
+    customers were refused, and without their calls it was granted no more.
+    """
+    arrivals = _arrivals(A, 30) + _arrivals(B, 30)
+    late = _load(accepted_core_s=1e4, assured_core_s=1e4)
+    growing = dataclasses.replace(late, awaits_machines=True)
+    assert _decide(_controller(), late, arrivals).too_late
+    figures = _decide(_controller(), growing, arrivals)
+    assert figures is None or not figures.too_late
+
+
 def test_limit_for_lateness_ends_at_half_of_its_threshold():
     controller = _controller()
     rows = _arrivals(A, 1)
