--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -214,7 +214,8 @@
         leader.usage = usage_.Usage()
         return None
     half_life_s = leader.policy.policy.load.usage_half_life_s
-    usage_.advance(leader.usage, leader.ledger.running, half_life_s, now_s)
+    running_cores = placing.running_cores(leader.ledger)
+    usage_.advance(leader.usage, running_cores, half_life_s, now_s)
     return placing.Ordering(pools, leader.usage, states.tenant_weights(leader))
 
 
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -930,13 +930,13 @@
     used_cores = burst.last_cores + cores - burst.too_late_cores
     moved, _cores = _up_to(others, used_cores, reserved_cores)
     first.update(dict.fromkeys(moved))
-    long_running = [row for row in ordered if row.step.is_long_running]
+    lasting = [row for row in ordered if row.step.is_long_running]
     rest = [
         row
         for row in ordered
         if row not in first and not row.step.is_long_running
     ]
-    return [*long_running, *first, *rest]
+    return [*lasting, *first, *rest]
 
 
 def _up_to(
@@ -959,6 +959,14 @@
     return found, used_cores
 
 
+def running_cores(ledger: ledgers.Ledger) -> dict[ids.TenantId, float]:
+    """Return the cores that each tenant's running tasks use."""
+    return {
+        tenant: row.cpu_millicores / 1000
+        for tenant, row in ledger.running.items()
+    }
+
+
 def _is_claim(group: ledgers.Group, wall_ms: float) -> bool:
     """Return whether a step's work competes for its pool's cores now."""
     entry = group.entry
@@ -992,7 +1000,10 @@
         tenant = entry.job.tenant
         asked_core_s[tenant] = asked_core_s.get(tenant, 0.0) + core_s
     share_of = usage_.over_share(
-        ordering.usage, ledger.running, ordering.weights, asked_core_s
+        ordering.usage,
+        running_cores(ledger),
+        ordering.weights,
+        asked_core_s,
     )
     before_core_s = dict.fromkeys(asked_core_s, 0.0)
     claims: list[feasibility.Claim] = []
--- a/oleanderwood/tenants/usage.py
+++ b/oleanderwood/tenants/usage.py
@@ -11,7 +11,6 @@
 import math
 
 from oleanderwood import ids
-from oleanderwood.jobs import ledger as ledgers
 
 MIN_WEIGHT = 1.0
 """Weight of work without a tenant, and of tenants that were removed."""
@@ -21,6 +20,8 @@
 
 Weights = collections.abc.Mapping[ids.TenantId, float]
 
+Cores = collections.abc.Mapping[ids.TenantId, float]
+
 
 @dataclasses.dataclass
 class Usage:
@@ -38,13 +39,13 @@
 
 def advance(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running_cores: Cores,
     half_life_s: float,
     now_s: float,
 ) -> None:
     """Count the use of the running tasks since the last call.
 
-    :param running: resources in use by tenant
+    :param running_cores: cores in use by tenant
     """
     passed_s = 0.0 if usage.as_of_s is None else now_s - usage.as_of_s
     usage.as_of_s = now_s
@@ -58,9 +59,9 @@
             del usage.core_s[tenant]
     # What is used evenly during the interval decays within it too.
     counted_s = usage.window_s * (1.0 - kept)
-    for tenant, row in running.items():
-        if row.cpu_millicores > 0:
-            used_core_s = row.cpu_millicores / 1000 * counted_s
+    for tenant, cores in running_cores.items():
+        if cores > 0:
+            used_core_s = cores * counted_s
             usage.core_s[tenant] = usage.core_s.get(tenant, 0.0) + used_core_s
 
 
@@ -78,7 +79,7 @@
 
 def over_share(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running_cores: Cores,
     weights: Weights,
     asked_core_s: collections.abc.Mapping[ids.TenantId, float],
 ) -> collections.abc.Callable[[ids.TenantId, float], float]:
@@ -88,10 +89,12 @@
     in core-seconds, which counts as if it was used already. The result is 1
     for a tenant at its share.
 
+    :param running_cores: cores in use by tenant
     :param asked_core_s: waiting work by tenant
     """
     used_core_s = {
-        tenant: _used_core_s(usage, running, tenant) for tenant in asked_core_s
+        tenant: _used_core_s(usage, running_cores, tenant)
+        for tenant in asked_core_s
     }
     total_weight = sum(weight_of(weights, tenant) for tenant in asked_core_s)
     total_core_s = sum(used_core_s.values()) + sum(asked_core_s.values())
@@ -108,10 +111,9 @@
 
 def _used_core_s(
     usage: Usage,
-    running: collections.abc.Mapping[ids.TenantId, ledgers.Running],
+    running_cores: Cores,
     tenant: ids.TenantId,
 ) -> float:
     """Return recent use, and use by running tasks over the same window."""
-    row = running.get(tenant)
-    cores = row.cpu_millicores / 1000 if row else 0.0
+    cores = running_cores.get(tenant, 0.0)
     return usage.core_s.get(tenant, 0.0) + cores * usage.window_s
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -7,7 +7,6 @@
 import pytest
 
 from oleanderwood import ids
-from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.pools import feasibility
 from oleanderwood.pools import lengths
@@ -115,17 +114,10 @@
     assert feasibility.left_s(task, known, 0.8) == pytest.approx(3.2)
 
 
-def _running(**cores):
-    return {
-        ids.TenantId(name): ledgers.Running(cpu_millicores=value * 1000)
-        for name, value in cores.items()
-    }
-
-
 def test_use_decays_by_half_lives():
     usage = usage_.Usage()
-    usage_.advance(usage, _running(a=8), 5.0, 0.0)
-    usage_.advance(usage, _running(a=8), 5.0, 500.0)
+    usage_.advance(usage, {A: 8.0}, 5.0, 0.0)
+    usage_.advance(usage, {A: 8.0}, 5.0, 500.0)
     assert usage_.recent_cores(usage, A) == pytest.approx(8.0)
     usage_.advance(usage, {}, 5.0, 505.0)
     assert usage_.recent_cores(usage, A) == pytest.approx(4.0)
@@ -136,9 +128,9 @@
 def test_number_of_passes_does_not_change_the_use():
     few, many = usage_.Usage(), usage_.Usage()
     usage_.advance(few, {}, 5.0, 0.0)
-    usage_.advance(few, _running(a=8), 5.0, 2.0)
+    usage_.advance(few, {A: 8.0}, 5.0, 2.0)
     for number in range(201):
-        usage_.advance(many, _running(a=8), 5.0, number / 100)
+        usage_.advance(many, {A: 8.0}, 5.0, number / 100)
     assert few.core_s[A] == pytest.approx(many.core_s[A])
 
 
--- a/tests/utils_bursts.py
+++ b/tests/utils_bursts.py
@@ -211,7 +211,8 @@
             ledgers.end_run(ledger, task, end_s)
         if load.new_leader_s <= now_s < load.new_leader_s + PASS_S:
             usage = usage_.Usage()
-        usage_.advance(usage, ledger.running, HALF_LIFE_S, now_s)
+        cores = placing.running_cores(ledger)
+        usage_.advance(usage, cores, HALF_LIFE_S, now_s)
         limits = dict.fromkeys(weights, tenants_.Limit())
         quotas = quotas_.make(policies.Policy(), pool, ledger, limits)
         whole = model.Resources(CORES * 1000 * load.machines, 1536_000)
