--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -1088,6 +1088,14 @@
     return found, used_cores
 
 
+def running_cores(ledger: ledgers.Ledger) -> dict[ids.TenantId, float]:
+    """Return the cores that each tenant's running tasks use."""
+    return {
+        tenant: row.cpu_millicores / 1000
+        for tenant, row in ledger.running.items()
+    }
+
+
 def _is_claim(group: ledgers.Group, wall_ms: float) -> bool:
     """Return whether a step's work competes for its pool's cores now."""
     entry = group.entry
@@ -1121,7 +1129,10 @@
         tenant = entry.job.tenant
         asked_core_s[tenant] = asked_core_s.get(tenant, 0.0) + core_s
     share_of = usage_.over_share(
-        ordering.usage, ledger.running, ordering.weights, asked_core_s
+        ordering.usage,
+        running_cores(ledger),
+        ordering.weights,
+        asked_core_s,
     )
     before_core_s = dict.fromkeys(asked_core_s, 0.0)
     claims: list[feasibility.Claim] = []
