--- a/oleanderwood/leading/admission_load.py
+++ b/oleanderwood/leading/admission_load.py
@@ -14,6 +14,7 @@
 from oleanderwood.maintenance import fleet
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
+from oleanderwood.pools import urgency
 from oleanderwood.pools import workers as workers_
 from oleanderwood.tenants import access
 
@@ -73,7 +74,7 @@
             continue
         if not group.waiting or _is_at_limit(leader, group):
             continue
-        pool = placing.queue_of(group.entry, known).service
+        pool = urgency.queue_of(group.entry, known).service
         groups.setdefault(pool, []).append(group)
         if ledgers.is_ready(group, wall_ms):
             ready.setdefault(pool, []).append(group)
@@ -207,9 +208,9 @@
     now_s: float,
 ) -> bool:
     """Record a waiting job's objective; return whether it is still of use."""
-    queue = placing.queue_of(entry, known)
-    objective_s = placing.objective_s(entry, queue, leader.lengths)
-    if now_s - entry.arrived_s > placing.LATE_FACTOR * objective_s:
+    queue = urgency.queue_of(entry, known)
+    objective_s = urgency.objective_s(entry, queue, leader.lengths)
+    if now_s - entry.arrived_s > urgency.LATE_FACTOR * objective_s:
         return False
     work.objectives_s.append(objective_s)
     return True
@@ -310,7 +311,7 @@
         if now_s - entry.arrived_s > controllers.ARRIVAL_WINDOW_S:
             break
         job = entry.job
-        queue = placing.queue_of(entry, known)
+        queue = urgency.queue_of(entry, known)
         tenant = job.tenant
         if queue.public or gates.is_exempt(job.work):
             tenant = access.NO_TENANT
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -12,7 +12,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.platform import advice
 from oleanderwood.pools import advised
-from oleanderwood.pools import placing
+from oleanderwood.pools import urgency
 from oleanderwood.pools import workers as workers_
 
 POLL_INTERVAL_S = 0.05
@@ -55,14 +55,14 @@
     leaving = relocations.waiting_groups(leader, now_s)
     named: dict[tuple[ids.ServiceId, str], list[workers_.Worker]] = {}
     for group in [*leader.ledger.open_groups, *starved, *leaving]:
-        queue = placing.queue_of(group.entry, known)
+        queue = urgency.queue_of(group.entry, known)
         if not queue.needs_advice:
             continue
-        if not placing.lacks_advice(group, present, now_s):
+        if not advised.lacks_advice(group, present, now_s):
             key = queue.service, group.step.label
             if key not in named:
                 named[key] = _workers_to_name(leader, *key)
-            if not placing.has_new_matching_worker(
+            if not advised.has_new_matching_worker(
                 group, named[key], queue.service
             ):
                 continue
@@ -91,7 +91,7 @@
     leader: states.Leader, calls: advice.Advice, group: ledgers.Group
 ) -> None:
     known = states.known_queues(leader)
-    service = placing.queue_of(group.entry, known).service
+    service = urgency.queue_of(group.entry, known).service
     machines = {
         worker.entry.worker: worker.entry.machine
         for worker in _workers_to_name(leader, service, group.step.label)
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -35,6 +35,7 @@
 from oleanderwood.pools import shares
 from oleanderwood.pools import shortage
 from oleanderwood.pools import slowness
+from oleanderwood.pools import urgency
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -379,7 +380,7 @@
     for group in leader.ledger.open_groups:
         if not group.waiting or not ledgers.is_ready(group, wall_ms):
             continue
-        queue = placing.queue_of(group.entry, known)
+        queue = urgency.queue_of(group.entry, known)
         view = views.get(queue.service)
         if view is None:
             continue
@@ -399,7 +400,7 @@
         if fits_nowhere and group.step.label:
             # No number of machines without the label would do.
             continue
-        if placing.is_too_late(group.entry, queue, leader.lengths, now_s):
+        if urgency.is_too_late(group.entry, queue, leader.lengths, now_s):
             # Its pool gets a machine on which it can run, but no more than
             # that.
             continue
@@ -437,8 +438,8 @@
             if group.step.is_long_running or group.step.uses_leftover:
                 continue
             if group not in left_s:
-                queue = placing.queue_of(group.entry, known)
-                left_s[group] = placing.time_left_s(
+                queue = urgency.queue_of(group.entry, known)
+                left_s[group] = urgency.time_left_s(
                     group, queue, leader.lengths, now_s
                 )
             if slowness.left_s(task, now_s) > left_s[group]:
@@ -466,7 +467,7 @@
     known: dict[str, queues.Queue],
 ) -> None:
     if not group.step.is_long_running:
-        queue = placing.queue_of(group.entry, known)
+        queue = urgency.queue_of(group.entry, known)
         view.priority = min(view.priority, queue.priority)
 
 
@@ -483,7 +484,7 @@
     """
     length_s = lengths.of_job(known, group.entry)[group.number]
     cores = tasks * group.step.needs.cpu_millicores / 1000
-    left_s = placing.time_left_s(group, queue, known, now_s)
+    left_s = urgency.time_left_s(group, queue, known, now_s)
     worth = backlog.Worth.ASSURED
     if group.entry.over_rate:
         worth = backlog.Worth.EXCESS
@@ -575,7 +576,7 @@
     )
     if millicore_ms:
         known = states.known_queues(leader)
-        queue = placing.queue_of(entry, known)
+        queue = urgency.queue_of(entry, known)
         factor = lengths.correction_factor(leader.lengths, queue.name)
         demand.record_arrival(
             leader.fleet.arrival_history,
--- a/oleanderwood/leading/relocating.py
+++ b/oleanderwood/leading/relocating.py
@@ -4,8 +4,8 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
+from oleanderwood.pools import advised
 from oleanderwood.pools import lengths
-from oleanderwood.pools import placing
 from oleanderwood.pools import starvation
 from oleanderwood.pools import workers as workers_
 
@@ -66,7 +66,7 @@
     advised = [
         row
         for row in rows
-        if not placing.awaits_advice(row.task.group, known, now_s)
+        if not advised.awaits_advice(row.task.group, known, now_s)
     ]
     leaving = starvation.runs_to_relocate(
         advised, _other_workers(leader, worker), now_s
--- a/oleanderwood/leading/relocations.py
+++ b/oleanderwood/leading/relocations.py
@@ -11,6 +11,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import relocation as relocation_
+from oleanderwood.pools import advised
 from oleanderwood.pools import placing
 from oleanderwood.pools import workers as workers_
 
@@ -78,7 +79,7 @@
     Expired tickets don't tell, as they name workers of an earlier time.
     """
     known = states.known_queues(leader)
-    return placing.awaits_advice(task.group, known, now_s)
+    return advised.awaits_advice(task.group, known, now_s)
 
 
 def _has_room(leader: states.Leader, task: ledgers.Task, now_s: float) -> bool:
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -16,11 +16,13 @@
 from oleanderwood.leading import slow_workers
 from oleanderwood.leading import state as states
 from oleanderwood.leading import worker_loop
+from oleanderwood.pools import burst_order
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import reports
 from oleanderwood.pools import shares
 from oleanderwood.pools import spreading
+from oleanderwood.pools import waiting_order
 from oleanderwood.pools import worker_speed
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
@@ -194,7 +196,7 @@
         if worker.is_in_stored_list:
             pools.setdefault(worker.entry.service, []).append(worker)
     ordering = _ordering(leader, pools, now_s)
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         leader.ledger,
         known,
         leader.lengths,
@@ -242,7 +244,7 @@
     leader: states.Leader,
     pools: dict[ids.ServiceId, list[workers_.Worker]],
     now_s: float,
-) -> placing.Ordering | None:
+) -> burst_order.Ordering | None:
     """Return what orders the work of a burst; None if that is not in force.
 
     Tenants' use is measured in each pass, as passes are the only starts.
@@ -251,13 +253,15 @@
         leader.usage = usage_.Usage()
         return None
     half_life_s = leader.policy.policy.load.usage_half_life_s
-    running_cores = placing.running_cores(leader.ledger)
+    running_cores = burst_order.running_cores(leader.ledger)
     usage_.advance(leader.usage, running_cores, half_life_s, now_s)
-    return placing.Ordering(pools, leader.usage, states.tenant_weights(leader))
+    return burst_order.Ordering(
+        pools, leader.usage, states.tenant_weights(leader)
+    )
 
 
 def _log_bursts(
-    leader: states.Leader, ordering: placing.Ordering, now_s: float
+    leader: states.Leader, ordering: burst_order.Ordering, now_s: float
 ) -> None:
     """Log which pools can't serve all that waits, at limited intervals."""
     for service, burst in ordering.bursts.items():
@@ -338,8 +342,8 @@
 def _share_order(
     leader: states.Leader,
     quotas: quotas_.Quotas,
-    ordering: placing.Ordering | None,
-) -> placing.TenantOrder:
+    ordering: burst_order.Ordering | None,
+) -> waiting_order.TenantOrder:
     """Return the ordering of equally urgent groups, by tenants' shares."""
     weights = states.tenant_weights(leader)
     if not weights:
--- a/oleanderwood/leading/worker_loop.py
+++ b/oleanderwood/leading/worker_loop.py
@@ -18,9 +18,9 @@
 from oleanderwood.leading import state as states
 from oleanderwood.platform import executors
 from oleanderwood.pools import pacing
-from oleanderwood.pools import placing
 from oleanderwood.pools import reports
 from oleanderwood.pools import stalls
+from oleanderwood.pools import urgency
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 from oleanderwood import verdict as verdicts
@@ -321,7 +321,7 @@
     known = states.known_queues(leader)
 
     def most_attempts(entry: ledgers.Entry) -> int:
-        return placing.queue_of(entry, known).most_attempts
+        return urgency.queue_of(entry, known).most_attempts
 
     outcome = workers_.process_report(
         leader.ledger, worker, report, sent_s, now_s, most_attempts
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -9,8 +9,8 @@
 from oleanderwood.maintenance import fleet
 from oleanderwood.operators import messages
 from oleanderwood.policy import model as policies
-from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import urgency
 from oleanderwood.pools import workers as workers_
 
 
@@ -79,7 +79,7 @@
     waiting: collections.Counter = collections.Counter()
     for group in leader.ledger.open_groups:
         if group.waiting and ledgers.is_ready(group, wall_ms):
-            service = placing.queue_of(group.entry, known).service
+            service = urgency.queue_of(group.entry, known).service
             waiting[service] += len(group.waiting)
     return waiting
 
@@ -134,7 +134,7 @@
     entry = leader.ledger.entries.get(name)
     if entry is None:
         return None
-    queue = placing.queue_of(entry, states.known_queues(leader))
+    queue = urgency.queue_of(entry, states.known_queues(leader))
     return messages.JobReply(
         name,
         queue.name,
--- a/oleanderwood/pools/advised.py
+++ b/oleanderwood/pools/advised.py
@@ -8,6 +8,8 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import queues
+from oleanderwood.pools import urgency
 from oleanderwood.pools import workers as workers_
 
 REFUSAL_MEMORY_S = 30.0
@@ -56,3 +58,55 @@
     if group.tickets is not None and name in group.asked:
         return name in group.tickets
     return worker.entry.machine not in refused
+
+
+def awaits_advice(
+    group: ledgers.Group, known: dict[str, queues.Queue], now_s: float
+) -> bool:
+    """Return whether a step has to wait for advice.
+
+    Until the advice arrives, the workers that may run the step are unknown.
+    """
+    if not urgency.queue_of(group.entry, known).needs_advice:
+        return False
+    return group.tickets is None or now_s >= group.advised_until_s
+
+
+def lacks_advice(
+    group: ledgers.Group,
+    present: collections.abc.Container[ids.VmId],
+    now_s: float,
+) -> bool:
+    """Return whether advice on a step must be requested, first or again.
+
+    :param present: workers that may accept tasks now or later
+    """
+    if now_s >= group.advised_until_s:
+        return True
+    tickets = group.tickets
+    return bool(tickets) and not any(name in present for name in tickets)
+
+
+def has_new_matching_worker(
+    group: ledgers.Group,
+    workers: collections.abc.Iterable[workers_.Worker],
+    service: ids.ServiceId,
+) -> bool:
+    """Return whether a new worker has the step's label and no advised one has.
+
+    Such a worker is added for this step. While idle it would be removed again
+    long before the current advice, which does not include it, expires.
+    """
+    label = group.step.label
+    if not label or group.tickets is None:
+        return False
+    there = [
+        worker.entry.worker
+        for worker in workers
+        if worker.entry.service == service
+        and label in worker.entry.labels
+        and not worker.entry.draining
+    ]
+    return not any(name in group.tickets for name in there) and any(
+        name not in group.asked for name in there
+    )
--- a/tests/test_emulated_feature_defects.py
+++ b/tests/test_emulated_feature_defects.py
@@ -9,8 +9,10 @@
 from emulator import day
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.pools import advised
 from oleanderwood.pools import pacing
 from oleanderwood.pools import placing
+from oleanderwood.pools import urgency
 from tests import utils_features as build
 
 Feature = build.Feature
@@ -95,7 +97,7 @@
 
 
 def _nobody_needs_advice(patch):
-    patch.setattr(placing, 'awaits_advice', lambda group, known, now_s: False)
+    patch.setattr(advised, 'awaits_advice', lambda group, known, now_s: False)
 
 
 def _nothing_is_paced(patch):
@@ -106,8 +108,8 @@
     def rank(group, queue, *rest):
         return real(group, msgspec.structs.replace(queue, priority=0), *rest)
 
-    real = placing.rank
-    patch.setattr(placing, 'rank', rank)
+    real = urgency.rank
+    patch.setattr(urgency, 'rank', rank)
 
 
 def _breaks(rule):
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -8,11 +8,12 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import model
+from oleanderwood.pools import burst_order
 from oleanderwood.pools import feasibility
 from oleanderwood.pools import lengths
-from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
+from oleanderwood.pools import waiting_order
 from oleanderwood.tenants import usage as usage_
 from tests import utils_jobs as build
 
@@ -171,13 +172,13 @@
 
 
 def _order(ledger, workers, now_s=1.0, queue=None):
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger,
         {'q': queue or build.queue()},
         lengths.Lengths(),
         0.0,
         now_s,
-        ordering=placing.Ordering({build.POOL: workers}),
+        ordering=burst_order.Ordering({build.POOL: workers}),
     )
     return [int(row.entry.job.job, 16) for row in ready[build.POOL]]
 
--- a/tests/test_full_pool.py
+++ b/tests/test_full_pool.py
@@ -17,6 +17,7 @@
 
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
+from oleanderwood.pools import waiting_order
 from tests import utils_jobs as build
 
 QUEUES = {'q': build.queue()}
@@ -28,7 +29,9 @@
         for number, step in enumerate(steps)
     ]
     ledger = build.ledger_with(*jobs)
-    ready = placing.ready_by_pool(ledger, QUEUES, lengths.Lengths(), 0.0, 1.0)
+    ready = waiting_order.ready_by_pool(
+        ledger, QUEUES, lengths.Lengths(), 0.0, 1.0
+    )
     return ready.get(build.POOL, [])
 
 
@@ -97,7 +100,9 @@
     ]
     ledger = build.ledger_with(*jobs)
     known = lengths.Lengths()
-    assert placing.ready_by_pool(ledger, QUEUES, known, 0.0, 1.0, {build.POOL})
-    assert not placing.ready_by_pool(
+    assert waiting_order.ready_by_pool(
+        ledger, QUEUES, known, 0.0, 1.0, {build.POOL}
+    )
+    assert not waiting_order.ready_by_pool(
         ledger, QUEUES, known, 0.0, 1.0, {'other'}
     )
--- a/tests/test_jobs_end.py
+++ b/tests/test_jobs_end.py
@@ -10,7 +10,7 @@
 - The step asks for what its pool's machines aren't: a label, a gang's room, a
   worker that the platform's advice allows. By the time that the pool had given
   its machines away the job was worth nothing to its caller any more
-  (`placing.is_too_late`), and such jobs counted for no machines at all. Log:
+  (`urgency.is_too_late`), and such jobs counted for no machines at all. Log:
   `needs drafts (1, 1)` with six machines on standby and three tasks of label b
   waiting.
 - The step's runs use what others leave, and stand still: they are paced down
--- a/tests/test_labelled_newcomer.py
+++ b/tests/test_labelled_newcomer.py
@@ -18,7 +18,7 @@
 from emulator import day
 from emulator import features
 from emulator import troubles
-from oleanderwood.pools import placing
+from oleanderwood.pools import advised
 from tests import utils_jobs as build
 
 
@@ -50,9 +50,9 @@
     plain, labelled = build.worker('w1'), build.worker('w2', labels=('b',))
     group = _group('b', ['w1'], ['w1'])
     pool = [plain, labelled]
-    assert not placing.has_new_matching_worker(group, [plain], build.POOL)
-    assert placing.has_new_matching_worker(group, pool, build.POOL)
-    assert not placing.has_new_matching_worker(group, pool, 'another')
+    assert not advised.has_new_matching_worker(group, [plain], build.POOL)
+    assert advised.has_new_matching_worker(group, pool, build.POOL)
+    assert not advised.has_new_matching_worker(group, pool, 'another')
 
 
 def test_advice_is_not_asked_for_again_without_need():
@@ -64,9 +64,9 @@
         _group('', ['w1'], ['w1']),
     ):
         pool = [plain, labelled]
-        assert not placing.has_new_matching_worker(group, pool, build.POOL)
+        assert not advised.has_new_matching_worker(group, pool, build.POOL)
     good = _group('b', ['w2'], ['w2'])
-    assert not placing.has_new_matching_worker(
+    assert not advised.has_new_matching_worker(
         good, [labelled, other], build.POOL
     )
 
@@ -75,8 +75,8 @@
     """It could leave as idle after 1 s, and advice is asked each 2 s."""
     group = _group('b', ['w1'], [])
     refused = build.worker('w1', labels=('b',))
-    assert not placing.has_new_matching_worker(group, [refused], build.POOL)
+    assert not advised.has_new_matching_worker(group, [refused], build.POOL)
     pool = [refused, build.worker('w2', labels=('b',))]
-    assert placing.has_new_matching_worker(group, pool, build.POOL)
+    assert advised.has_new_matching_worker(group, pool, build.POOL)
     group.tickets = None
-    assert not placing.has_new_matching_worker(group, pool, build.POOL)
+    assert not advised.has_new_matching_worker(group, pool, build.POOL)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oleanderwood.pools import lengths
-from oleanderwood.pools import placing
+from oleanderwood.pools import urgency
 from tests import utils_overload as overload
 
 SEEDS = (1, 2, 3)
@@ -35,7 +35,7 @@
 @pytest.fixture
 def without_margin(monkeypatch):
     """Play with jobs started until the last moment."""
-    monkeypatch.setattr(placing, 'LATENESS_MARGIN', 1.0)
+    monkeypatch.setattr(urgency, 'LATENESS_MARGIN', 1.0)
     return _play()
 
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,10 +1,12 @@
 """Tests of paces, stalled runs and steps that wait for advice."""
 
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.pools import advised
 from oleanderwood.pools import lengths
 from oleanderwood.pools import pacing
 from oleanderwood.pools import placing
 from oleanderwood.pools import stalls
+from oleanderwood.pools import waiting_order
 from tests import utils_jobs as build
 
 
@@ -46,7 +48,7 @@
 def test_leftover_task_prefers_a_worker_without_latency_targets():
     busy = _next_to_latency_task(10.0)
     ledger = build.ledger_with(build.job(build.step(uses_leftover=True)))
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger, {'q': build.queue()}, lengths.Lengths(), 0.0, 1.0
     )
     pool = [busy, build.worker('w2')]
@@ -95,12 +97,14 @@
 
 def test_step_waits_for_advice_and_starts_on_an_advised_worker():
     ledger, queues, group = _advised_setup()
-    assert not placing.ready_by_pool(
+    assert not waiting_order.ready_by_pool(
         ledger, queues, lengths.Lengths(), 0.0, 1.0
     )
     group.tickets = {'w2': 'ticket'}
     group.advised_until_s = 5.0
-    ready = placing.ready_by_pool(ledger, queues, lengths.Lengths(), 0.0, 1.0)
+    ready = waiting_order.ready_by_pool(
+        ledger, queues, lengths.Lengths(), 0.0, 1.0
+    )
     pool = [build.worker('w1'), build.worker('w2')]
     decided = placing.decide(ready[build.POOL], pool, 1.0, 10)
     assert {row.worker.entry.worker for row in decided} == {'w2'}
@@ -110,7 +114,7 @@
     ledger, queues, group = _advised_setup()
     group.tickets = {'w1': 'ticket'}
     group.advised_until_s = 0.5
-    assert not placing.ready_by_pool(
+    assert not waiting_order.ready_by_pool(
         ledger, queues, lengths.Lengths(), 0.0, 1.0
     )
     assert group.waiting and not ledgers.is_final(group.entry)
@@ -120,14 +124,14 @@
     # Guards against a step that waits for its tickets to expire, which takes
     # seconds, although its only advised worker is gone.
     _ledger, _queues, group = _advised_setup()
-    assert placing.lacks_advice(group, {'w1'}, 1.0)
+    assert advised.lacks_advice(group, {'w1'}, 1.0)
     group.tickets = {'w1': 'ticket'}
     group.advised_until_s = 5.0
-    assert not placing.lacks_advice(group, {'w1', 'w2'}, 1.0)
-    assert placing.lacks_advice(group, {'w2'}, 1.0)
-    assert placing.lacks_advice(group, {'w1'}, 5.0)
+    assert not advised.lacks_advice(group, {'w1', 'w2'}, 1.0)
+    assert advised.lacks_advice(group, {'w2'}, 1.0)
+    assert advised.lacks_advice(group, {'w1'}, 5.0)
     group.tickets = {}
-    assert not placing.lacks_advice(group, {'w2'}, 1.0)
+    assert not advised.lacks_advice(group, {'w2'}, 1.0)
 
 
 def _leftover_run(percent):
@@ -173,7 +177,7 @@
     # tenth of the CPU that they requested, while other workers were idle.
     step = build.step(4, cpu=4000, uses_leftover=True)
     ledger = build.ledger_with(build.job(step))
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger, {'q': build.queue()}, lengths.Lengths(), 0.0, 1.0
     )
     pool = [build.worker('w1'), build.worker('w2')]
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,13 +7,14 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.pools import reports
+from oleanderwood.pools import waiting_order
 from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
 
 
 def _decide(ledger, pool, now_s=1.0):
     queues = {'q': build.queue()}
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger, queues, lengths.Lengths(), 0.0, now_s
     )
     return placing.decide(ready.get(build.POOL, []), pool, now_s, 100)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -5,6 +5,7 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import waiting_order
 from tests import utils_jobs as build
 
 POLICY = policies.Policy(teams=(policies.Team('t', ('q',), 3.0),))
@@ -12,7 +13,9 @@
 
 def _decide(ledger, pool, policy=POLICY):
     known = {name: build.queue(name=name) for name in ('q', 'other')}
-    ready = placing.ready_by_pool(ledger, known, lengths.Lengths(), 0.0, 1.0)
+    ready = waiting_order.ready_by_pool(
+        ledger, known, lengths.Lengths(), 0.0, 1.0
+    )
     quotas = quotas_.make(policy, pool, ledger, {})
     return placing.decide(ready.get(build.POOL, []), pool, 1.0, 100, quotas)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -11,6 +11,7 @@
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
+from oleanderwood.pools import waiting_order
 from oleanderwood.tenants import model as tenants_
 from tests import utils_jobs as build
 
@@ -33,7 +34,7 @@
 def _order(ledger, workers=(), known=None, weights=None):
     limits = {LARGE: tenants_.Limit(), SMALL: tenants_.Limit()}
     quotas = quotas_.make(policies.Policy(), workers, ledger, limits)
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger,
         known or {'q': build.queue()},
         lengths.Lengths(),
@@ -68,7 +69,7 @@
 
 def test_only_tenant_gets_all_free_capacity():
     ledger = _ledger([LARGE] * 8)
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         ledger, {'q': build.queue()}, lengths.Lengths(), 0.0, 1.0
     )
     decided = placing.decide(
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -22,6 +22,7 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
+from oleanderwood.pools import waiting_order
 from oleanderwood.tenants import model as tenants_
 from tests import utils_jobs as build
 
@@ -40,7 +41,9 @@
 
 
 def _decide(ledger, pool, limits, workers=None, unseen=None, teams=()):
-    ready = placing.ready_by_pool(ledger, KNOWN, lengths.Lengths(), 0.0, 1.0)
+    ready = waiting_order.ready_by_pool(
+        ledger, KNOWN, lengths.Lengths(), 0.0, 1.0
+    )
     quotas = quotas_.make(
         policies.Policy(teams=teams),
         workers or pool,
--- a/tests/utils_admission.py
+++ b/tests/utils_admission.py
@@ -24,6 +24,7 @@
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares as shares_
+from oleanderwood.pools import waiting_order
 from tests import utils_jobs as build
 
 PASS_S = 0.02
@@ -251,7 +252,7 @@
         for tenant, used in leading.ledger.running.items():
             quotas.used[tenant] = used
         whole = model.total(worker.entry.capacity for worker in pool)
-        groups = placing.ready_by_pool(
+        groups = waiting_order.ready_by_pool(
             leading.ledger,
             {'q': build.queue(public=False)},
             leading.lengths,
--- a/tests/utils_bursts.py
+++ b/tests/utils_bursts.py
@@ -12,10 +12,12 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import burst_order
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import placing
 from oleanderwood.pools import quotas as quotas_
 from oleanderwood.pools import shares
+from oleanderwood.pools import waiting_order
 from oleanderwood.tenants import model as tenants_
 from oleanderwood.tenants import usage as usage_
 from tests import utils_jobs as build
@@ -211,13 +213,13 @@
             ledgers.end_run(ledger, task, end_s)
         if load.new_leader_s <= now_s < load.new_leader_s + PASS_S:
             usage = usage_.Usage()
-        cores = placing.running_cores(ledger)
+        cores = burst_order.running_cores(ledger)
         usage_.advance(usage, cores, HALF_LIFE_S, now_s)
         limits = dict.fromkeys(weights, tenants_.Limit())
         quotas = quotas_.make(policies.Policy(), pool, ledger, limits)
         whole = model.Resources(CORES * 1000 * load.machines, 1536_000)
         recent = usage if ordering else None
-        ready = placing.ready_by_pool(
+        ready = waiting_order.ready_by_pool(
             ledger,
             known,
             lengths,
@@ -226,7 +228,7 @@
             tenant_order=lambda groups: shares.order_by_share(
                 groups, quotas, weights, whole, recent
             ),
-            ordering=placing.Ordering({build.POOL: pool}, usage, weights)
+            ordering=burst_order.Ordering({build.POOL: pool}, usage, weights)
             if ordering
             else None,
         )
--- a/tests/utils_contention.py
+++ b/tests/utils_contention.py
@@ -25,6 +25,7 @@
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import placing
+from oleanderwood.pools import waiting_order
 from oleanderwood.tenants import model as tenants
 from tests import utils_jobs as build
 from tests import utils_settings
@@ -244,7 +245,7 @@
 
     def _start(self) -> None:
         leader = self.leader
-        ready = placing.ready_by_pool(
+        ready = waiting_order.ready_by_pool(
             leader.ledger,
             states.known_queues(leader),
             leader.lengths,
--- a/tests/utils_lacks.py
+++ b/tests/utils_lacks.py
@@ -21,6 +21,7 @@
 from oleanderwood.pools import lengths
 from oleanderwood.pools import placing
 from oleanderwood.pools import shortage
+from oleanderwood.pools import urgency
 from tests import utils_jobs as build
 
 PASS_S = 0.5
@@ -241,7 +242,7 @@
 
 def _start_tasks(day: Day) -> None:
     for group in day.groups:
-        if not group.waiting or placing.awaits_advice(group, {}, now_s(day)):
+        if not group.waiting or advised.awaits_advice(group, {}, now_s(day)):
             continue
         pool = _present(day, group)
         for row in placing.decide([group], pool, now_s(day), 99):
@@ -259,8 +260,8 @@
         names = {row.entry.worker for row in workers}
         service = group.entry.job.queue.service
         if not group.waiting or not (
-            placing.lacks_advice(group, names, now_s(day))
-            or placing.has_new_matching_worker(group, workers, service)
+            advised.lacks_advice(group, names, now_s(day))
+            or advised.has_new_matching_worker(group, workers, service)
         ):
             continue
         group.asked, group.tickets = frozenset(names), None
@@ -329,7 +330,7 @@
     if fits_nowhere and group.step.label:
         return
     queue = group.entry.job.queue
-    if not placing.is_too_late(group.entry, queue, LENGTHS, now_s(day)):
+    if not urgency.is_too_late(group.entry, queue, LENGTHS, now_s(day)):
         waiting = len(group.waiting)
         row = pool_loop._waiting_tasks(
             group, waiting, queue, LENGTHS, now_s(day)
--- a/tests/utils_overload.py
+++ b/tests/utils_overload.py
@@ -10,6 +10,7 @@
 from oleanderwood.jobs import model
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import placing
+from oleanderwood.pools import waiting_order
 from tests import utils_jobs as build
 
 PASS_S = 0.02
@@ -114,7 +115,7 @@
 
 
 def _start(ledger, pool, known, lengths, ends, real, now_s) -> None:
-    ready = placing.ready_by_pool(ledger, known, lengths, 0.0, now_s)
+    ready = waiting_order.ready_by_pool(ledger, known, lengths, 0.0, now_s)
     groups = ready.get(build.POOL, [])
     for placement in placing.decide(groups, pool, now_s, 200):
         task = placement.task
--- a/tests/utils_uneven.py
+++ b/tests/utils_uneven.py
@@ -15,6 +15,7 @@
 from oleanderwood.leading import state as states
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import placing
+from oleanderwood.pools import waiting_order
 from oleanderwood.pools import workers as workers_
 from tests import utils_jobs as build
 from tests import utils_settings
@@ -252,7 +253,7 @@
 def _place(day: Day) -> None:
     leader = day.leader
     known = {'q': build.queue()}
-    ready = placing.ready_by_pool(
+    ready = waiting_order.ready_by_pool(
         leader.ledger, known, leader.lengths, 0.0, day.now_s
     )
     groups = ready.get(build.POOL, [])
