--- a/oleanderwood/leading/relocating.py
+++ b/oleanderwood/leading/relocating.py
@@ -63,13 +63,13 @@
     # each stopped in favour of an unsuitable worker while advice was being
     # requested, and began again on the worker they had left.
     known = states.known_queues(leader)
-    advised = [
+    with_advice = [
         row
         for row in rows
         if not advised.awaits_advice(row.task.group, known, now_s)
     ]
     leaving = starvation.runs_to_relocate(
-        advised, _other_workers(leader, worker), now_s
+        with_advice, _other_workers(leader, worker), now_s
     )
     for task in leaving:
         task.relocated += 1
