--- a/emulator/day.py
+++ b/emulator/day.py
@@ -54,6 +54,8 @@
     :ivar press_gap_s: time between two small jobs while a leader changes or
         the store comes back; 0: none
     :ivar tenants: how many callers share the day; 0: callers need no keys
+    :ivar pressure: the settings of real servers declare that callers may
+        press, so that load control is in force
     :ivar tells_births: executors tell when they were born
     :ivar entries: what another writer writes, by the time from the first job
     """
@@ -77,6 +79,7 @@
     jitter_s: float = 0.0
     tells_births: bool = False
     tenants: int = 0
+    pressure: bool = False
 
 
 @dataclasses.dataclass
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -27,6 +27,7 @@
     """One server's machine.
 
     :ivar callers: where callers connect
+    :ivar contracts: the platform's contracts that its settings name
     :ivar busy: a strike keeps it
     :ivar stopping: it was told to stop and nothing else befalls it
     """
@@ -37,6 +38,7 @@
     log_path: pathlib.Path
     store: ids.Address
     machines: ids.Address
+    contracts: tuple[str, ...] = ()
     popen: subprocess.Popen | None = None
     busy: bool = False
     stopping: bool = False
@@ -60,6 +62,7 @@
         'store_address': process.store,
         'machines_address': process.machines,
         'stop_time_s': STOP_TIME_S,
+        'contracts': process.contracts,
         **changes,
     }
     process.settings_path.write_text(json.dumps(values))
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,6 +35,11 @@
 CHANGES_PER_S = 0.2
 """Changes of tenants, beside them, where there are some."""
 
+PRESSURE_JOBS_PER_S = 8.0
+"""Jobs a second that are several times what the soak's machines can do."""
+
+PRESSURE_TENANTS = 4
+
 APP = cyclopts.App(name='soak', help='Real servers under drawn faults.')
 
 
@@ -135,6 +140,7 @@
     servers: int = 3,
     crashes: bool = False,
     tenants: int = 0,
+    pressure: bool = False,
 ) -> int:
     """Soak some seeds, one after another.
 
@@ -142,6 +148,8 @@
     :param servers: processes of the product
     :param tenants: callers with keys and limits, which change, beside
         strangers with wrong keys
+    :param pressure: callers send several times what the pools can do, and
+        load control is in force
     :param crashes: some tasks crash their executors, and rooms change
     """
     event_log.emit = _quiet
@@ -152,6 +160,8 @@
             number, length_s=seconds, server_count=servers, tenants=tenants
         )
         rows = strikes.draw(number, seconds, STRIKES_PER_S)
+        if pressure:
+            plan = pressed(plan)
         if crashes:
             wanted = (features.Feature.CRASHES,)
             plan = dataclasses.replace(plan, features=wanted)
@@ -165,6 +175,16 @@
     return 1 if bad else 0
 
 
+def pressed(plan: day.Plan) -> day.Plan:
+    """Return a plan in which callers press and load control is in force."""
+    return dataclasses.replace(
+        plan,
+        pressure=True,
+        jobs_per_s=PRESSURE_JOBS_PER_S,
+        tenants=plan.tenants or PRESSURE_TENANTS,
+    )
+
+
 def _tell(outcome: Outcome, rows: list[strikes.Strike]) -> None:
     result = outcome.result
     waits_s = result.waits_s or [0.0]
--- a/soak/world.py
+++ b/soak/world.py
@@ -19,6 +19,7 @@
 from emulator import store as stores
 from oleanderwood import errors
 from oleanderwood import ids
+from oleanderwood.platform import contracts
 from oleanderwood.platform import transport
 from oleanderwood import verdict as verdicts
 from soak import processes
@@ -132,6 +133,8 @@
         tenancy=tenancy,
     )
     for process in servers:
+        if plan.pressure:
+            process.contracts = (contracts.PRESSURE,)
         processes.write_settings(process)
         processes.start(process)
         await curio.spawn(processes.look_after, process, daemon=True)
