--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,8 +207,10 @@
 
 
 def test_load_control_holds_under_strikes(tmp_path):
-    """Guards against a refused job that runs, and an accepted one that is
-    lost, while callers press and servers are struck."""
+    """Guards against refused jobs that run, and accepted ones that are lost.
+
+    Callers send several times what the pools can do, and servers are struck.
+    """
     seed, length_s = 1, 6.0
     plan = run.pressed(day.Plan(seed, length_s=length_s, server_count=3))
     rows = strikes.draw(seed, length_s, run.STRIKES_PER_S)
