Bound log lines on refused calls in one place

Denied calls and calls that were not admitted each counted the lines of a second and those suppressed in the same twelve lines. log_limit does it for both; same lines, bounds and fields.

--- a/oleanderwood/frontend/admitting.py
+++ b/oleanderwood/frontend/admitting.py
@@ -4,7 +4,6 @@
 certainly has no such job and will not get one from this server.
 """
 
-import dataclasses
 import enum
 
 from oleanderwood.admission import gate as gates
@@ -13,6 +12,7 @@
 from oleanderwood import event_log
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import intake as intakes
+from oleanderwood.frontend import log_limit
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
@@ -52,18 +52,6 @@
     """The store did not say whether it has the job."""
 
 
-@dataclasses.dataclass
-class Refusals:
-    """Refusals logged in the current second.
-
-    :ivar suppressed: refusals that were not logged since the last log line
-    """
-
-    since_s: float = -1e9
-    line_count: int = 0
-    suppressed: int = 0
-
-
 def may_refuse(
     server: states.Server,
     queue: queues.Queue,
@@ -135,21 +123,15 @@
 
 
 def log(
-    refusals: Refusals,
+    limit: log_limit.LineLimit,
     queue: queues.Queue,
     job: ids.JobId,
     tenant: ids.TenantId,
     refused: gates.Refused,
 ) -> None:
     """Log a refusal, unless many were logged within the last second."""
-    now_s = clock.now_s()
-    if now_s - refusals.since_s >= 1.0:
-        refusals.since_s = now_s
-        refusals.line_count = 0
-    if refusals.line_count >= MAX_LINES_PER_S:
-        refusals.suppressed += 1
+    if not log_limit.allows(limit, MAX_LINES_PER_S, clock.now_s()):
         return
-    refusals.line_count += 1
     event_log.emit(
         'caller',
         'not-admitted',
@@ -160,6 +142,5 @@
         retry_after_s=refused.retry_after_s,
         holder=refused.holder,
         why=refused.why.value,
-        untold=refusals.suppressed,
+        untold=log_limit.take_suppressed(limit),
     )
-    refusals.suppressed = 0
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -15,6 +15,7 @@
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import freshness
 from oleanderwood.frontend import intake as intakes
+from oleanderwood.frontend import log_limit
 from oleanderwood.frontend import peer_client as peer_clients
 from oleanderwood.frontend import targets
 from oleanderwood import ids
@@ -72,11 +73,11 @@
     server: states.Server
     intake: intakes.Intake
     client: peer_clients.PeerClient
-    denials: denials_.Denials = dataclasses.field(
-        default_factory=denials_.Denials
+    denials: log_limit.LineLimit = dataclasses.field(
+        default_factory=log_limit.LineLimit
     )
-    refusals: admitting.Refusals = dataclasses.field(
-        default_factory=admitting.Refusals
+    refusals: log_limit.LineLimit = dataclasses.field(
+        default_factory=log_limit.LineLimit
     )
 
 
