--- a/oleanderwood/admission/controller.py
+++ b/oleanderwood/admission/controller.py
@@ -13,8 +13,8 @@
 from oleanderwood.admission import gate as gates
 from oleanderwood.admission import load as loads_
 from oleanderwood import ids
-from oleanderwood.pools import shares as pool_shares
 from oleanderwood.tenants import access
+from oleanderwood.tenants import usage as usage_
 
 MAX_RISE_FACTOR = 2.0
 """Largest factor by which a share rises per publication. Refused callers retry
@@ -174,7 +174,7 @@
     :param arrivals: of the last ``ARRIVAL_WINDOW_S``, in all pools
     """
     controller.offers = loads_.offers(
-        arrivals, loads, rules.weights, pool_shares.MIN_WEIGHT
+        arrivals, loads, rules.weights, usage_.MIN_WEIGHT
     )
     for pool in list(controller.limits):
         if pool not in loads:
@@ -270,7 +270,7 @@
             tenant,
             offer.core_s_per_s,
             offer.core_s_per_s * offer.assured,
-            _weight(rules, tenant),
+            usage_.weight_of(rules.weights, tenant),
         )
         for tenant, offer in offers.items()
         if tenant != access.NO_TENANT and offer.core_s_per_s > 0
@@ -345,7 +345,9 @@
 ) -> figures_.PoolFigures:
     holder = max(
         load.by_tenant,
-        key=lambda tenant: load.by_tenant[tenant] / _weight(rules, tenant),
+        key=lambda tenant: (
+            load.by_tenant[tenant] / usage_.weight_of(rules.weights, tenant)
+        ),
         default=access.NO_TENANT,
     )
     return figures_.PoolFigures(
@@ -355,8 +357,3 @@
         holder=holder,
         too_late=limit.too_late,
     )
-
-
-def _weight(rules: Rules, tenant: ids.TenantId) -> float:
-    weight = rules.weights.get(tenant, pool_shares.MIN_WEIGHT)
-    return max(pool_shares.MIN_WEIGHT, weight)
