Keep step times only where placement compares them

Each ended task was recorded for the comparison of workers also where placement does not weigh speed, on the path of every worker's report. Behaviour is the same where the part is off (nothing reads them) and where it is on; if the policy turns it on later, workers count as normal until measured, as after a change of leader.

--- a/oleanderwood/leading/slow_workers.py
+++ b/oleanderwood/leading/slow_workers.py
@@ -31,16 +31,18 @@
     :param rows: tasks, each with its length in seconds
     """
     speed = leader.speeds.setdefault(worker.entry.worker, slowness.Speed())
+    compares_steps = load_control.switches(leader).placement
     for task, length_s in rows:
         factor = _correction_factor(leader, task.group.entry)
         slowness.record_end(speed, task, length_s, factor, now_s)
-        worker_speed.record_end(
-            leader.step_times,
-            task.group,
-            worker.entry.worker,
-            length_s,
-            now_s,
-        )
+        if compares_steps:
+            worker_speed.record_end(
+                leader.step_times,
+                task.group,
+                worker.entry.worker,
+                length_s,
+                now_s,
+            )
         lengths.record(leader.lengths, task.group, length_s)
 
 
