--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,11 @@
-"""A job that its caller has cancelled runs once a cut ends."""
+"""A job that its caller has cancelled runs once a server wakes.
 
+With HOW=cut the server is cut off from the store instead.
+"""
+
+import os
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,8 +16,10 @@
 import lab  # noqa: E402
 from oleanderwood import clock  # noqa: E402
 
-CUT_S = 5.0
-"""Length of the cut; the site's longest of the kind is 5.5 s."""
+HOW = os.environ.get('HOW', 'freeze')
+LENGTH_S = {'freeze': 3.95, 'cut': 5.0}[HOW]
+"""Length of the trouble; the site's longest freeze is 4 s, its longest cut of
+a machine from the store 5.5 s."""
 
 LEAVES_S = 0.3
 """When the caller leaves: half of its aim of 600 ms."""
@@ -51,19 +58,17 @@
     taker, canceller = others
     body = lab.job_body(found, JOB, PHASES)
     if trouble:
-        taker.link.cut = True
-        record.note(f'{taker.name} is cut off from the store')
+        _begin(record, taker)
     await curio.sleep(0.05)
     await lab.ask(found, taker, 'POST', PATH, body, timeout_s=LEAVES_S)
-    cut_left_s = CUT_S - 0.05 - LEAVES_S
+    left_s = LENGTH_S - 0.05 - LEAVES_S
     status, _ = await lab.ask(found, canceller, 'DELETE', PATH)
     acknowledged_s = clock.now_s()
     if status != 410 and not 200 <= status < 300:
         raise lab.Unplayable('the cancelling was not acknowledged')
-    await curio.sleep(cut_left_s)
+    await curio.sleep(left_s)
     if trouble:
-        taker.link.cut = False
-        record.note(f'{taker.name} reaches the store again')
+        _end(record, taker)
     await curio.sleep(10.0)
     await lab.ask(found, canceller, 'GET', PATH)
     if found.leader() is not leader:
@@ -82,5 +87,23 @@
     return bool(late)
 
 
+def _begin(record, server) -> None:
+    if HOW == 'cut':
+        server.link.cut = True
+        record.note(f'{server.name} is cut off from the store')
+    else:
+        lab.send(server, signal.SIGSTOP)
+        record.note(f'{server.name} freezes')
+
+
+def _end(record, server) -> None:
+    if HOW == 'cut':
+        server.link.cut = False
+        record.note(f'{server.name} reaches the store again')
+    else:
+        lab.send(server, signal.SIGCONT)
+        record.note(f'{server.name} wakes')
+
+
 if __name__ == '__main__':
     lab.run(case, HERE)
