Keep connections of callers open, end all servers, and steady the refused job

The load balancer gives a server that isn't ready no new connections, so the callers of case 2 use connections that were open before. Its trouble comes up to three times. The scripts end their servers also if they are stopped.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -54,12 +54,11 @@
 ]
 
 
-async def case(record, folder, trouble, servers) -> bool:
+async def case(record, folder, trouble) -> bool:
     """Play the case; gives whether the rule was broken."""
     found = await lab.build(
         record, folder, ['s1', 's2', 's3'], {'units': MACHINES}, CONFIGURATION
     )
-    servers += found.servers
     body = lab.job_body(found, JOB, PHASES)
     status, _ = await lab.ask(found, found.servers[0], 'POST', PATH, body)
     if status != 200:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,6 +11,7 @@
 
 import lab  # noqa: E402
 from oleanderwood import clock  # noqa: E402
+from oleanderwood.web import http  # noqa: E402
 
 TURNED_AWAY = 2
 TURNED_AWAY_S = 5.4
@@ -28,12 +29,16 @@
 HOT_PER_S = 30.0
 """Jobs that the large tenant sends then, 7.5 times its usual."""
 
-FREEZE_S = 0.95
+FREEZE_S = 1.0
 """Length of the freeze; the site's longest of the kind is 4 s."""
 
-CALLS = 14
+CALLS = 15
 """Calls at each server that is turned away, during the freeze."""
 
+ROUNDS = 3
+"""How often the trouble comes at most, 17 s apart; the first round that breaks
+the rule is the last one."""
+
 KEYS = {'large': 'key-of-large', 'small': 'key-of-small'}
 CONFIGURATION = {
     'version': 3,
@@ -67,10 +72,10 @@
     'revoke_ms': 5000,
     'contracts': ['base', 'sched', 'tenants', 'quota', 'pressure', 'platform'],
 }
-PHASES = [{'count': 8, 'cpu': 3100, 'mem_mb': 256, 'estimate_ms': 1000}]
+PHASES = [{'count': 2, 'cpu': 3100, 'mem_mb': 256, 'estimate_ms': 1000}]
 
 
-async def case(record, folder, trouble, servers) -> bool:
+async def case(record, folder, trouble) -> bool:
     """Play the case; gives whether the rule was broken."""
     found = await lab.build(
         record,
@@ -81,54 +86,70 @@
         BOUNDS,
         cores=32,
     )
-    servers += found.servers
+    answers: dict[str, list[int]] = {}
+    for _ in range(ROUNDS):
+        await _play_round(found, trouble, answers)
+        # Whatever was stored has begun by then.
+        await curio.sleep(12.0)
+        if _judge(found, answers):
+            return True
+    return False
+
+
+async def _play_round(found, trouble, answers) -> None:
     leader = found.leader()
     others = [row for row in found.servers if row is not leader]
     if len(others) != 5:
         raise lab.Unplayable('nobody leads')
     away, sound = others[:TURNED_AWAY], others[TURNED_AWAY:]
-    answers: dict[str, list[int]] = {}
     began_s = clock.now_s()
 
     async def until(at_s: float) -> None:
         await curio.sleep(max(0.0, began_s + at_s - clock.now_s()))
 
     names = ' and '.join(server.name for server in away)
+    # The load balancer gives a server that isn't ready no new connections,
+    # but open ones stay.
+    lines = [
+        (server, await lab.connect(server.front))
+        for _ in range(CALLS)
+        for server in away
+    ]
     if trouble:
         found.store.refused.update(server.name for server in away)
-        record.note(f'the store turns {names} away with 503')
+        found.record.note(f'the store turns {names} away with 503')
     await until(HOT_FROM_S)
     hot = await curio.spawn(_press, found, [leader, *sound], answers)
     await until(STALE_AFTER_S)
     for _ in range(2):
         # The calls of an ordinary moment: they are passed on and answered.
-        await _call_many(found, away, answers, 'a')
+        await _call_many(found, lines, answers)
     await curio.sleep(0.1)
     if trouble:
         lab.send(leader, signal.SIGSTOP)
-        record.note(f'{leader.name} freezes')
+        found.record.note(f'{leader.name}, which leads, freezes')
     frozen_s = clock.now_s()
     await curio.sleep(0.01)
-    calls = await curio.spawn(_call_many, found, away, answers, 'b')
+    calls = await curio.spawn(_call_many, found, lines, answers)
     await curio.sleep(frozen_s + FREEZE_S - clock.now_s())
     if trouble:
         lab.send(leader, signal.SIGCONT)
-        record.note(f'{leader.name} wakes')
+        found.record.note(f'{leader.name} wakes')
     await calls.join()
     await hot.join()
     await until(TURNED_AWAY_S)
     if trouble:
         found.store.refused.clear()
-        record.note(f'the store serves {names} again')
-    await curio.sleep(20.0)
-    return _judge(found, answers)
+        found.record.note(f'the store serves {names} again')
+    for _server, kept in lines:
+        await http.close(kept)
 
 
 def _judge(found, answers) -> bool:
     rejected = [
         job
         for job, statuses in answers.items()
-        if all(status in (429, 503) for status in statuses)
+        if statuses and all(status in (429, 503) for status in statuses)
     ]
     ran = [job for job in rejected if lab.starts(found, job)]
     found.record.note(
@@ -144,40 +165,42 @@
     """Let the large tenant send many times its usual."""
     tasks = []
     until_s = clock.now_s() + HOT_S
-    number = 0
     while clock.now_s() < until_s:
-        number += 1
-        server = servers[number % len(servers)]
+        server = servers[len(answers) % len(servers)]
         tasks.append(
-            await curio.spawn(
-                _hand_in, found, server, f'{0xC0000 + number:016x}', answers
-            )
+            await curio.spawn(_hand_in, found, server, _job(answers), answers)
         )
         await curio.sleep(1 / HOT_PER_S)
     for task in tasks:
         await task.join()
 
 
-async def _call_many(found, servers, answers, mark) -> None:
-    """Hand jobs in at some servers, all at the same time."""
+async def _call_many(found, lines, answers) -> None:
+    """Hand a job in on each of some open connections, all at once."""
     tasks = []
-    for index in range(CALLS * len(servers)):
-        number = len(answers) + 1
-        job = f'{number:04x}{mark * 12}'
-        answers[job] = []
-        server = servers[index % len(servers)]
-        tasks.append(await curio.spawn(_hand_in, found, server, job, answers))
+    for server, kept in lines:
+        job = _job(answers)
+        tasks.append(
+            await curio.spawn(_hand_in, found, server, job, answers, kept)
+        )
     for task in tasks:
         await task.join()
 
 
-async def _hand_in(found, server, job, answers) -> None:
+def _job(answers) -> str:
+    """Give the id of another job."""
+    job = f'{len(answers) + 1:04x}{"b" * 12}'
+    answers[job] = []
+    return job
+
+
+async def _hand_in(found, server, job, answers, kept=None) -> None:
     body = lab.job_body(found, job, PHASES)
     path = f'/pricing/{job}'
     status, _ = await lab.ask(
-        found, server, 'POST', path, body, key=KEYS['large']
+        found, server, 'POST', path, body, key=KEYS['large'], kept=kept
     )
-    answers.setdefault(job, []).append(status)
+    answers[job].append(status)
 
 
 if __name__ == '__main__':
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,12 +45,11 @@
 PHASES = [{'count': 6, 'cpu': 3500, 'mem_mb': 256, 'estimate_ms': 800}]
 
 
-async def case(record, folder, trouble, servers) -> bool:
+async def case(record, folder, trouble) -> bool:
     """Play the case; gives whether the rule was broken."""
     found = await lab.build(
         record, folder, ['s1', 's2', 's3'], {'drafts': 6}, CONFIGURATION
     )
-    servers += found.servers
     leader = found.leader()
     others = [row for row in found.servers if row is not leader]
     if len(others) != 2:
--- a/review/lab.py
+++ b/review/lab.py
@@ -61,6 +61,10 @@
 """Pause in seconds between two looks of a task that waits for something."""
 
 
+_STARTED: list[subprocess.Popen] = []
+"""The servers' processes; all of them are ended with the script."""
+
+
 class Unplayable(Exception):
     """The case couldn't run: the exit status is 2."""
 
@@ -274,6 +278,7 @@
             stdout=log,
             stderr=subprocess.STDOUT,
         )
+    _STARTED.append(server.popen)
 
 
 def send(server: Server, number: signal.Signals) -> None:
@@ -282,11 +287,11 @@
         server.popen.send_signal(number)
 
 
-def _end(servers: list[Server]) -> None:
-    for server in servers:
-        if server.popen is not None and server.popen.poll() is None:
-            server.popen.kill()
-            server.popen.wait()
+def _end_servers() -> None:
+    for popen in _STARTED:
+        if popen.poll() is None:
+            popen.kill()
+            popen.wait()
 
 
 async def build(
@@ -393,6 +398,13 @@
     raise Unplayable('the servers did not become ready')
 
 
+async def connect(address: str) -> typing.Any:
+    """Open a connection that a caller keeps for several calls."""
+    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await sock.connect(http.split_address(address))
+    return sock
+
+
 async def call(
     address: str,
     method: str,
@@ -400,27 +412,35 @@
     body: bytes = b'',
     key: str = '',
     timeout_s: float = 3.0,
+    kept: typing.Any = None,
 ) -> tuple[int, bytes]:
-    """Make one call on a connection of its own; status 0: no answer.
+    """Make one call; status 0: no answer.
 
     The connection is closed when the time is over: the caller has left.
+
+    :param kept: open connection to use; None: the call has one of its own
     """
-    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     head = f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
     if key:
         head += f'Authorization: Token {key}\r\n'
     if body:
         head += 'Content-Type: application/json\r\n'
         head += f'Content-Length: {len(body)}\r\n'
+    sock = kept
+    answered = False
     try:
         async with curio.timeout_after(timeout_s):
-            await sock.connect(http.split_address(address))
+            if sock is None:
+                sock = await connect(address)
             await sock.sendall(head.encode() + b'\r\n' + body)
-            return await _read_answer(sock)
+            status, answer = await _read_answer(sock)
+            answered = status != 0
+            return status, answer
     except (OSError, curio.TaskTimeout, ValueError):
         return 0, b''
     finally:
-        await http.close(sock)
+        if sock is not None and not (kept is not None and answered):
+            await http.close(sock)
 
 
 async def _read_answer(sock: typing.Any) -> tuple[int, bytes]:
@@ -511,13 +531,13 @@
     """
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder / 'record.txt')
-    servers: list[Server] = []
     status = 2
     began_s = time.monotonic()
+    signal.signal(signal.SIGTERM, _stop_now)
     try:
         with tempfile.TemporaryDirectory() as name:
             broken = curio.run(
-                _play, case, record, pathlib.Path(name), trouble, servers
+                _play, case, record, pathlib.Path(name), trouble
             )
             status = 1 if broken else 0
             if os.environ.get('KEEP_LOGS'):
@@ -527,7 +547,7 @@
     except Unplayable as error:
         record.note(f'could not run: {error}')
     finally:
-        _end(servers)
+        _end_servers()
     verdict = {0: 'the rule held', 1: 'THE RULE WAS BROKEN'}.get(
         status, 'could not run'
     )
@@ -539,14 +559,15 @@
     sys.exit(status)
 
 
-async def _play(case, record, folder, trouble, servers) -> bool:
-    async def guarded() -> bool:
-        return await case(record, folder, trouble, servers)
+def _stop_now(number: int, frame: typing.Any) -> None:
+    raise SystemExit(2)
+
 
+async def _play(case, record, folder, trouble) -> bool:
     try:
         async with curio.timeout_after(110):
-            return await guarded()
+            return await case(record, folder, trouble)
     except curio.TaskTimeout as error:
         raise Unplayable('it took over 110 s') from error
     finally:
-        _end(servers)
+        _end_servers()
