--- a/review/lab.py
+++ b/review/lab.py
@@ -187,8 +187,12 @@
 
 @dataclasses.dataclass
 class Deployment:
-    """All that runs."""
+    """All that runs.
 
+    :ivar guard: keeps the ports from other scripts
+    """
+
+    guard: socket.socket
     record: Record
     folder: pathlib.Path
     store: stores.Store
@@ -294,6 +298,26 @@
             popen.wait()
 
 
+def _reserve_ports() -> socket.socket:
+    """Reserve three ports that nothing uses, for as long as it is open."""
+    for _ in range(50):
+        guard = worlds.reserve_port()
+        port = guard.getsockname()[1]
+        if all(_is_free(port + more) for more in range(3)):
+            return guard
+        guard.close()
+    raise Unplayable('no ports are free')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.11.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
 async def build(
     record: Record,
     folder: pathlib.Path,
@@ -316,7 +340,7 @@
     network.handlers['machines'] = fleets.make_handler(fleet)
     await curio.spawn(stores.run_leases, store, daemon=True)
     await stores.put(store, 'op/config', json.dumps(configuration).encode())
-    guard = worlds.reserve_port()
+    guard = _reserve_ports()
     at = worlds.Addresses(guard.getsockname()[1]).at
     await sockets.spawn(network, at(15, 1), 'machines', 'server')
     number = 0
@@ -347,7 +371,7 @@
         _write_settings(server, at(15, 1), bounds or {})
         servers.append(server)
     deployment = Deployment(
-        record, folder, store, network, world, fleet, servers, rng
+        guard, record, folder, store, network, world, fleet, servers, rng
     )
     for machine in fleet.machines.values():
         await fleets.begin_life(fleet, machine)
