--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,5 @@
-"""A job that its caller has cancelled runs once a server wakes.
+"""A job that was refused runs: the call was passed on twice."""
 
-With HOW=cut the server is cut off from the store instead.
-"""
-
-import os
 import pathlib
 import signal
 import sys
@@ -16,93 +12,172 @@
 import lab  # noqa: E402
 from oleanderwood import clock  # noqa: E402
 
-HOW = os.environ.get('HOW', 'freeze')
-LENGTH_S = {'freeze': 3.95, 'cut': 5.0}[HOW]
-"""Length of the trouble; the site's longest freeze is 4 s, its longest cut of
-a machine from the store 5.5 s."""
+TURNED_AWAY = 2
+TURNED_AWAY_S = 5.4
+"""How many of six servers the store turns away, and for how long; the site's
+largest share of the kind is 0.35, and its longest time 9 s."""
+
+STALE_AFTER_S = 3.15
+"""Time from which a server that is turned away passes calls on."""
+
+HOT_FROM_S = 1.0
+HOT_S = 4.4
+"""When the large tenant sends many times its usual, and for how long; the
+site's longest of the kind is 6.9 s."""
 
-LEAVES_S = 0.3
-"""When the caller leaves: half of its aim of 600 ms."""
+HOT_PER_S = 30.0
+"""Jobs that the large tenant sends then, 7.5 times its usual."""
 
-JOB = '5c0e7a21d94b36f8'
-PATH = f'/drafts/{JOB}'
+FREEZE_S = 0.95
+"""Length of the freeze; the site's longest of the kind is 4 s."""
+
+CALLS = 14
+"""Calls at each server that is turned away, during the freeze."""
+
+KEYS = {'large': 'key-of-large', 'small': 'key-of-small'}
 CONFIGURATION = {
     'version': 3,
     'routes': [
         {
-            'name': 'sheet-draft',
+            'name': 'tag-reprice',
             'host': lab.HOST,
-            'prefix': '/drafts/',
-            'service': 'drafts',
+            'prefix': '/pricing/',
+            'service': 'pricing',
             'target_duration_ms': 600,
             'priority': 0,
-            'max_attempts': 4,
+            'max_attempts': 2,
             'stretch': 1.6,
+            'public': False,
         }
     ],
-    'services': [{'name': 'drafts', 'admission_check': True}],
+    'services': [{'name': 'pricing', 'admission_check': True}],
+    'tenants': [
+        {
+            'name': name,
+            'api_keys': [key],
+            'weight': 4,
+            'max_count': {'cpu': 0, 'mem_mb': 0, 'gpu': 0},
+        }
+        for name, key in KEYS.items()
+    ],
+}
+BOUNDS = {
+    'contact_ms': 4000,
+    'strict_revoke': True,
+    'revoke_ms': 5000,
+    'contracts': ['base', 'sched', 'tenants', 'quota', 'pressure', 'platform'],
 }
-PHASES = [{'count': 6, 'cpu': 3500, 'mem_mb': 256, 'estimate_ms': 800}]
+PHASES = [{'count': 8, 'cpu': 3100, 'mem_mb': 256, 'estimate_ms': 1000}]
 
 
 async def case(record, folder, trouble, servers) -> bool:
     """Play the case; gives whether the rule was broken."""
     found = await lab.build(
-        record, folder, ['s1', 's2', 's3'], {'drafts': 6}, CONFIGURATION
+        record,
+        folder,
+        ['s1', 's2', 's3', 's4', 's5', 's6'],
+        {'pricing': 4},
+        CONFIGURATION,
+        BOUNDS,
+        cores=32,
     )
     servers += found.servers
     leader = found.leader()
     others = [row for row in found.servers if row is not leader]
-    if len(others) != 2:
+    if len(others) != 5:
         raise lab.Unplayable('nobody leads')
-    taker, canceller = others
-    body = lab.job_body(found, JOB, PHASES)
-    if trouble:
-        _begin(record, taker)
-    await curio.sleep(0.05)
-    await lab.ask(found, taker, 'POST', PATH, body, timeout_s=LEAVES_S)
-    left_s = LENGTH_S - 0.05 - LEAVES_S
-    status, _ = await lab.ask(found, canceller, 'DELETE', PATH)
-    acknowledged_s = clock.now_s()
-    if status != 410 and not 200 <= status < 300:
-        raise lab.Unplayable('the cancelling was not acknowledged')
-    await curio.sleep(left_s)
-    if trouble:
-        _end(record, taker)
-    await curio.sleep(10.0)
-    await lab.ask(found, canceller, 'GET', PATH)
-    if found.leader() is not leader:
-        raise lab.Unplayable('another server leads: who started is not known')
-    late_s = lab.BOUNDS['cancel_ms'] / 1000
-    late = [
-        row
-        for row in lab.starts(found, JOB)
-        if row.at_s > acknowledged_s + late_s
-    ]
-    for row in late:
-        record.note(
-            f'{row.task} was started {row.at_s - acknowledged_s:.2f} s after '
-            f'its cancelling was acknowledged, {late_s:.1f} s are allowed'
-        )
-    return bool(late)
+    away, sound = others[:TURNED_AWAY], others[TURNED_AWAY:]
+    answers: dict[str, list[int]] = {}
+    began_s = clock.now_s()
 
+    async def until(at_s: float) -> None:
+        await curio.sleep(max(0.0, began_s + at_s - clock.now_s()))
 
-def _begin(record, server) -> None:
-    if HOW == 'cut':
-        server.link.cut = True
-        record.note(f'{server.name} is cut off from the store')
-    else:
-        lab.send(server, signal.SIGSTOP)
-        record.note(f'{server.name} freezes')
+    names = ' and '.join(server.name for server in away)
+    if trouble:
+        found.store.refused.update(server.name for server in away)
+        record.note(f'the store turns {names} away with 503')
+    await until(HOT_FROM_S)
+    hot = await curio.spawn(_press, found, [leader, *sound], answers)
+    await until(STALE_AFTER_S)
+    for _ in range(2):
+        # The calls of an ordinary moment: they are passed on and answered.
+        await _call_many(found, away, answers, 'a')
+    await curio.sleep(0.1)
+    if trouble:
+        lab.send(leader, signal.SIGSTOP)
+        record.note(f'{leader.name} freezes')
+    frozen_s = clock.now_s()
+    await curio.sleep(0.01)
+    calls = await curio.spawn(_call_many, found, away, answers, 'b')
+    await curio.sleep(frozen_s + FREEZE_S - clock.now_s())
+    if trouble:
+        lab.send(leader, signal.SIGCONT)
+        record.note(f'{leader.name} wakes')
+    await calls.join()
+    await hot.join()
+    await until(TURNED_AWAY_S)
+    if trouble:
+        found.store.refused.clear()
+        record.note(f'the store serves {names} again')
+    await curio.sleep(20.0)
+    return _judge(found, answers)
 
 
-def _end(record, server) -> None:
-    if HOW == 'cut':
-        server.link.cut = False
-        record.note(f'{server.name} reaches the store again')
-    else:
-        lab.send(server, signal.SIGCONT)
-        record.note(f'{server.name} wakes')
+def _judge(found, answers) -> bool:
+    rejected = [
+        job
+        for job, statuses in answers.items()
+        if all(status in (429, 503) for status in statuses)
+    ]
+    ran = [job for job in rejected if lab.starts(found, job)]
+    found.record.note(
+        f'{len(answers)} jobs were sent, {len(rejected)} were rejected at '
+        f'every attempt'
+    )
+    for job in ran:
+        found.record.note(f'{job} was rejected ({answers[job]}) and has run')
+    return bool(ran)
+
+
+async def _press(found, servers, answers) -> None:
+    """Let the large tenant send many times its usual."""
+    tasks = []
+    until_s = clock.now_s() + HOT_S
+    number = 0
+    while clock.now_s() < until_s:
+        number += 1
+        server = servers[number % len(servers)]
+        tasks.append(
+            await curio.spawn(
+                _hand_in, found, server, f'{0xC0000 + number:016x}', answers
+            )
+        )
+        await curio.sleep(1 / HOT_PER_S)
+    for task in tasks:
+        await task.join()
+
+
+async def _call_many(found, servers, answers, mark) -> None:
+    """Hand jobs in at some servers, all at the same time."""
+    tasks = []
+    for index in range(CALLS * len(servers)):
+        number = len(answers) + 1
+        job = f'{number:04x}{mark * 12}'
+        answers[job] = []
+        server = servers[index % len(servers)]
+        tasks.append(await curio.spawn(_hand_in, found, server, job, answers))
+    for task in tasks:
+        await task.join()
+
+
+async def _hand_in(found, server, job, answers) -> None:
+    body = lab.job_body(found, job, PHASES)
+    path = f'/pricing/{job}'
+    status, _ = await lab.ask(
+        found, server, 'POST', path, body, key=KEYS['large']
+    )
+    answers.setdefault(job, []).append(status)
 
 
 if __name__ == '__main__':
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,11 @@
-"""Jobs that no worker has begun are left out of the count of pending jobs."""
+"""A job that its caller has cancelled runs once a server wakes.
 
-import json
+With HOW=cut the server is cut off from the store instead.
+"""
+
+import os
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -12,21 +16,16 @@
 import lab  # noqa: E402
 from oleanderwood import clock  # noqa: E402
 
-GREY_S = 6.4
-"""Time for which a worker refuses; the site's longest of the kind is 6.5 s."""
-
-REFUSED_SHARE = 0.4
-"""Share of the starts that it refuses, as ``fleetbench kinds`` gives it."""
-
-MACHINES = 10
-"""One of them is a share of 0.1; the site's largest of the kind is 0.1."""
-
-WAITING = 40
-"""Jobs that wait."""
+HOW = os.environ.get('HOW', 'freeze')
+LENGTH_S = {'freeze': 3.95, 'cut': 5.0}[HOW]
+"""Length of the trouble; the site's longest freeze is 4 s, its longest cut of
+a machine from the store 5.5 s."""
 
-COUNTED_AFTER_S = lab.BOUNDS['visible_ms'] / 1000 + 2.0
-"""Age from which a job has to be counted."""
+LEAVES_S = 0.3
+"""When the caller leaves: half of its aim of 600 ms."""
 
+JOB = '5c0e7a21d94b36f8'
+PATH = f'/drafts/{JOB}'
 CONFIGURATION = {
     'version': 3,
     'routes': [
@@ -43,87 +42,67 @@
     ],
     'services': [{'name': 'drafts', 'admission_check': True}],
 }
-LONG = [
-    {
-        'count': MACHINES - 1,
-        'cpu': 64000,
-        'mem_mb': 256,
-        'estimate_ms': 25000,
-    }
-]
-SHORT = [{'count': 1, 'cpu': 1500, 'mem_mb': 256, 'estimate_ms': 800}]
+PHASES = [{'count': 6, 'cpu': 3500, 'mem_mb': 256, 'estimate_ms': 800}]
 
 
 async def case(record, folder, trouble, servers) -> bool:
     """Play the case; gives whether the rule was broken."""
     found = await lab.build(
-        record, folder, ['s1', 's2', 's3'], {'drafts': MACHINES}, CONFIGURATION
+        record, folder, ['s1', 's2', 's3'], {'drafts': 6}, CONFIGURATION
     )
     servers += found.servers
-    accepted_s: dict[str, float] = {}
-    await _hand_in(found, 0, LONG, accepted_s)
-    await curio.sleep(1.5)
-    busy = {row.place for row in lab.starts(found, f'{0:016x}')}
-    free = [
-        machine
-        for machine in found.fleet.machines.values()
-        if machine.executor.name not in busy
-    ]
-    if len(free) != 1:
-        raise lab.Unplayable(f'{len(free)} workers are free')
-    grey_from_s = clock.now_s()
-    end_grey = None
+    leader = found.leader()
+    others = [row for row in found.servers if row is not leader]
+    if len(others) != 2:
+        raise lab.Unplayable('nobody leads')
+    taker, canceller = others
+    body = lab.job_body(found, JOB, PHASES)
     if trouble:
-        end_grey = lab.refuse_starts(found, free[0], REFUSED_SHARE)
-        record.note(
-            f'the worker of {free[0].name} refuses {REFUSED_SHARE:.0%} of '
-            f'the starts with 503'
-        )
-    for number in range(1, WAITING + 1):
-        await _hand_in(found, number, SHORT, accepted_s)
-    last_s = max(accepted_s.values())
-    await curio.sleep(last_s + COUNTED_AFTER_S + 0.15 - clock.now_s())
-    broken = False
-    for server in found.servers:
-        broken |= await _count(found, server, accepted_s)
-    left_s = grey_from_s + GREY_S - clock.now_s()
-    if left_s < 0:
-        raise lab.Unplayable('the count took too long')
+        _begin(record, taker)
+    await curio.sleep(0.05)
+    await lab.ask(found, taker, 'POST', PATH, body, timeout_s=LEAVES_S)
+    left_s = LENGTH_S - 0.05 - LEAVES_S
+    status, _ = await lab.ask(found, canceller, 'DELETE', PATH)
+    acknowledged_s = clock.now_s()
+    if status != 410 and not 200 <= status < 300:
+        raise lab.Unplayable('the cancelling was not acknowledged')
     await curio.sleep(left_s)
-    if end_grey is not None:
-        end_grey()
-        record.note(f'the worker of {free[0].name} takes all starts')
-    await curio.sleep(4.0)
-    return broken
-
-
-async def _hand_in(found, number, phases, accepted_s) -> None:
-    job = f'{number:016x}'
-    body = lab.job_body(found, job, phases)
-    server = found.servers[number % len(found.servers)]
-    status, _ = await lab.ask(found, server, 'POST', f'/drafts/{job}', body)
-    if status != 200:
-        raise lab.Unplayable('a job was not accepted')
-    accepted_s[job] = clock.now_s()
-
-
-async def _count(found, server, accepted_s) -> bool:
-    """Ask for the count; give whether it is under half of the true one."""
-    asked_s = clock.now_s()
-    status, answer = await lab.ask(found, server, 'GET', '/drafts/')
-    waiting = [
-        job
-        for job, at_s in accepted_s.items()
-        if at_s < asked_s - COUNTED_AFTER_S and not lab.starts(found, job)
+    if trouble:
+        _end(record, taker)
+    await curio.sleep(10.0)
+    await lab.ask(found, canceller, 'GET', PATH)
+    if found.leader() is not leader:
+        raise lab.Unplayable('another server leads: who started is not known')
+    late_s = lab.BOUNDS['cancel_ms'] / 1000
+    late = [
+        row
+        for row in lab.starts(found, JOB)
+        if row.at_s > acknowledged_s + late_s
     ]
-    if status != 200:
-        raise lab.Unplayable('the count was not answered')
-    pending = json.loads(answer)['pending']
-    found.record.note(
-        f'{len(waiting)} jobs accepted over {COUNTED_AFTER_S:.0f} s ago have '
-        f'not begun on any worker; {server.name} gives {pending}'
-    )
-    return pending < len(waiting) / 2
+    for row in late:
+        record.note(
+            f'{row.task} was started {row.at_s - acknowledged_s:.2f} s after '
+            f'its cancelling was acknowledged, {late_s:.1f} s are allowed'
+        )
+    return bool(late)
+
+
+def _begin(record, server) -> None:
+    if HOW == 'cut':
+        server.link.cut = True
+        record.note(f'{server.name} is cut off from the store')
+    else:
+        lab.send(server, signal.SIGSTOP)
+        record.note(f'{server.name} freezes')
+
+
+def _end(record, server) -> None:
+    if HOW == 'cut':
+        server.link.cut = False
+        record.note(f'{server.name} reaches the store again')
+    else:
+        lab.send(server, signal.SIGCONT)
+        record.note(f'{server.name} wakes')
 
 
 if __name__ == '__main__':
