Return no refusal of a call that a silent server may still carry out

Cause: a server whose configuration is too old to check keys has others answer its calls, one after another. If one gave no answer, the call may be carried out there later. forward_call() remembered that, but went by it only if no other server answered; the next server's refusal was returned as it was. So were 401, 404 and 503.

For one of the jobs that ran: the call to the suspended leader is given up after 0.7 s, the next server refuses, 429 is answered, 0.35 s later the leader wakes and logs handed-in with verdict ran. Neither a write of the refusing server nor a write delayed on its way to the store is there.

Why it holds: after doubt, only an answer that has the same effect whether or not the first server runs the call is returned: 2xx, and 410 to a cancel. All else becomes 504 with Retry-After. Reads aren't in doubt.

--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -43,6 +43,10 @@
 """Servers that are asked to answer a forwarded call; with two thirds of all
 servers cut off, one call in fifty finds none that can."""
 
+READ_METHODS = ('GET',)
+"""Methods of calls that change nothing, so that it doesn't matter how many
+servers carry them out."""
+
 
 class RelayResult(msgspec.Struct, frozen=True):
     """Result of a relayed call.
@@ -136,11 +140,17 @@
 
 
 async def forward_call(
-    client: peer_clients.PeerClient, call: ForwardedCall
+    client: peer_clients.PeerClient, call: ForwardedCall, job: str = ''
 ) -> ForwardedAnswer:
     """Have a call answered by a server with a recent configuration.
 
-    :raises errors.CallFailed: a server may have carried out the call
+    A server that didn't answer in time may carry the call out later, by what
+    holds there then. Once that is possible, another server's refusal is not
+    the answer to the call.
+
+    :param job: the job that the call names, for the log
+    :raises errors.CallFailed: a server may have carried out the call, or may
+        do so later
     """
     body = msgspec.json.encode(call)
     in_doubt = ''
@@ -154,17 +164,46 @@
             )
         except errors.CallFailed as error:
             unanswered += 1
+            _log_unanswered(job, address, error)
             if error.verdict is not verdicts.Verdict.NOT_RUN:
                 in_doubt = error.reason
             continue
-        if reply.status is not None:
-            client.last_forward_peer = address
+        if reply.status is None:
+            continue
+        client.last_forward_peer = address
+        if not in_doubt or _is_certain_after_doubt(call, reply.status):
             return reply
-    if in_doubt:
+        in_doubt += f'; another server answered {reply.status}'
+        break
+    if in_doubt and call.method not in READ_METHODS:
         raise errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, in_doubt)
     return ForwardedAnswer()
 
 
+def _is_certain_after_doubt(call: ForwardedCall, status: int) -> bool:
+    """Return whether an answer holds even if another server runs the call.
+
+    A stored job remains one job, and a cancelled or unknown one remains
+    cancelled, however often the call is carried out.
+    """
+    if call.method in READ_METHODS or 200 <= status < 300:
+        return True
+    return call.method == 'DELETE' and status == 410
+
+
+def _log_unanswered(
+    job: str, address: ids.Address, error: errors.CallFailed
+) -> None:
+    event_log.emit(
+        'caller',
+        'forward-unanswered',
+        job=job,
+        address=address,
+        verdict=error.verdict.value,
+        why=error.reason,
+    )
+
+
 def _forward_peer_addresses(
     client: peer_clients.PeerClient,
 ) -> list[ids.Address]:
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -135,11 +135,22 @@
     )
     began_s = clock.now_s()
     try:
-        reply = await forwarding.forward_call(frontend.client, forwarded)
+        reply = await forwarding.forward_call(
+            frontend.client, forwarded, _job_of(call)
+        )
     except errors.CallFailed as error:
         server_metrics.PASSED_ON.labels('in-doubt').inc()
-        _log('passed-on', _job_of(call), began_s, why=error.reason)
-        return in_doubt('another server was asked, and did not answer')
+        if call.method == 'POST':
+            intakes.note_unanswered(frontend.intake)
+        _log(
+            'passed-on',
+            _job_of(call),
+            began_s,
+            method=call.method,
+            verdict=error.verdict.value,
+            why=error.reason,
+        )
+        return in_doubt('another server was asked and may still do it')
     outcome = 'refused' if reply.status is None else 'answered'
     server_metrics.PASSED_ON.labels(outcome).inc()
     _log('passed-on', _job_of(call), began_s, status=reply.status)
--- a/oleanderwood/operators/explain.py
+++ b/oleanderwood/operators/explain.py
@@ -204,12 +204,17 @@
 
 def _calls(touching: list[Row]) -> list[Row]:
     """Return the rows on calls that handed the job in, except for denied."""
-    events = 'handed-in', missing_.NOT_ADMITTED
-    return [
-        row
-        for row in touching
-        if row['part'] == 'caller' and row['event'] in events
-    ]
+    return [row for row in touching if _is_call(row)]
+
+
+def _is_call(row: Row) -> bool:
+    if row['part'] != 'caller':
+        return False
+    if row['event'] == 'passed-on':
+        # What became of any other call that was passed on is told by the
+        # server that answered it.
+        return row.get('method') == 'POST' and 'verdict' in row
+    return row['event'] in ('handed-in', missing_.NOT_ADMITTED)
 
 
 def _last_call(touching: list[Row]) -> Row:
