Stop a job's write after the job was cancelled

Cause: a cancel of a job that the store didn't hold left nothing behind, so a write of the job that came later was taken: the job's call had waited in a suspended server, or its write was held up. Which of the two calls reached the store first decided.

That the leader had lost the cancel is ruled out, as it was told of none and the next leader starts the job as well; so is the reading, which is linearizable.

Test: test_cancel_before_the_job. Of its tests, the seven that name no new part failed before: a suspended server, a leader that is killed, a relayed and a forwarded cancel, a public queue, a relayed job, and what the caller is told.

Why it holds: the cancel writes a tombstone, conditional on there being no job, before it is answered; each write of a job is conditional on its owner having no tombstone for the id. The store orders the two, and no leader takes part. A tombstone is its owner's, so another tenant's job of the id runs. It goes with a lease of the store.

A write takes 10 jobs in place of 15.

--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -21,11 +21,16 @@
 from oleanderwood.leading import state as states
 from oleanderwood.platform import transport
 from oleanderwood import verdict as verdicts
+from oleanderwood.web import http
 
 JOB_PATH = '/relay/job'
 CANCEL_PATH = '/relay/cancel/'
 CALL_PATH = '/relay/call'
 
+PUBLIC_HEADER = 'oleander-public-queue'
+"""Header of a relayed cancel: its queue is public, so a job that is stored
+later has no tenant."""
+
 STORE_LOST_AFTER_S = 1.2
 """Time without an answer from the store after which it counts as unreachable:
 the lease is renewed each 0.5 s."""
@@ -53,12 +58,14 @@
 
     :ivar there: for a cancellation, whether the job exists
     :ivar foreign: another tenant has a job of this id
+    :ivar cancelled: for a job, its caller cancelled it before it was stored
     """
 
     verdict: verdicts.Verdict
     reason: str = ''
     there: bool = True
     foreign: bool = False
+    cancelled: bool = False
 
 
 class ForwardedCall(msgspec.Struct, frozen=True):
@@ -106,14 +113,26 @@
 
 
 async def cancel(
-    client: peer_clients.PeerClient, job: ids.JobId, tenant: ids.TenantId
+    client: peer_clients.PeerClient,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+    owner: ids.TenantId,
 ) -> RelayResult:
-    """Cancel a tenant's job through another server."""
-    return await _relay(client, CANCEL_PATH + job, tenant.encode(), job)
+    """Cancel a job through another server; see :func:`intake.cancel`."""
+    headers = []
+    if owner != tenant:
+        headers.append((PUBLIC_HEADER.encode(), b'1'))
+    return await _relay(
+        client, CANCEL_PATH + job, tenant.encode(), job, headers
+    )
 
 
 async def _relay(
-    client: peer_clients.PeerClient, target: str, body: bytes, job: ids.JobId
+    client: peer_clients.PeerClient,
+    target: str,
+    body: bytes,
+    job: ids.JobId,
+    headers: http.Headers | None = None,
 ) -> RelayResult:
     """Call servers one after another until one has carried out the call."""
     result = RelayResult(
@@ -122,7 +141,7 @@
     )
     in_doubt = False
     for address in _peer_addresses(client.server):
-        result = await _relay_to(client, address, target, body)
+        result = await _relay_to(client, address, target, body, headers)
         event_log.emit(
             'caller',
             'relayed',
@@ -131,7 +150,7 @@
             verdict=result.verdict.value,
             why=result.reason,
         )
-        if result.verdict is verdicts.Verdict.RAN or result.foreign:
+        if _is_final(result):
             return result
         in_doubt |= result.verdict is verdicts.Verdict.MAY_HAVE_RUN
     if in_doubt:
@@ -139,6 +158,16 @@
     return result
 
 
+def _is_final(result: RelayResult) -> bool:
+    """Return whether no other server's result can be another one.
+
+    What another tenant or a cancel put into the store stops the writes of all
+    servers, also one of a server that hasn't answered.
+    """
+    ran = result.verdict is verdicts.Verdict.RAN
+    return ran or result.foreign or result.cancelled
+
+
 async def forward_call(
     client: peer_clients.PeerClient, call: ForwardedCall, job: str = ''
 ) -> ForwardedAnswer:
@@ -246,9 +275,12 @@
     address: ids.Address,
     target: str,
     body: bytes,
+    headers: http.Headers | None,
 ) -> RelayResult:
     try:
-        return await _call_peer(client, address, target, body, RelayResult)
+        return await _call_peer(
+            client, address, target, body, RelayResult, headers
+        )
     except errors.CallFailed as error:
         return RelayResult(error.verdict, error.reason)
 
@@ -259,6 +291,7 @@
     target: str,
     body: bytes,
     answer_type: type[Answer],
+    headers: http.Headers | None = None,
 ) -> Answer:
     """Call one server and return its decoded answer.
 
@@ -271,6 +304,7 @@
         'POST',
         target,
         body,
+        headers,
         timeout_s=PEER_TIMEOUT_S,
     )
     if answer.status != 200:
@@ -297,21 +331,28 @@
         )
     submission = await intakes.submit(intake, job)
     return RelayResult(
-        submission.verdict, submission.reason, foreign=submission.id_taken
+        submission.verdict,
+        submission.reason,
+        foreign=submission.id_taken,
+        cancelled=submission.cancelled,
     )
 
 
 async def handle_cancel(
-    server: states.Server, job: ids.JobId, tenant: ids.TenantId
+    server: states.Server,
+    intake: intakes.Intake,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+    owner: ids.TenantId,
 ) -> RelayResult:
-    """Cancel a tenant's job for another server; it isn't relayed further."""
+    """Cancel a job for another server; it isn't relayed further."""
     if is_store_lost(server):
         return RelayResult(
             verdicts.Verdict.NOT_RUN, 'the store is unreachable here as well'
         )
     try:
         async with curio.timeout_after(PEER_TIMEOUT_S):
-            exists = await intakes.cancel(server.store, job, tenant)
+            exists = await intakes.cancel(intake, job, tenant, owner)
     except errors.CallFailed as error:
         return RelayResult(error.verdict, error.reason)
     except curio.TaskTimeout:
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -228,7 +228,7 @@
         return await _submit(frontend, queue, job, tenant, call.body)
     if call.method == 'GET':
         return await _get_state(frontend, job, tenant)
-    return await _cancel(frontend, job, tenant)
+    return await _cancel(frontend, job, tenant, _owner_at(queue, tenant))
 
 
 async def _read_body(request: http.Request) -> bytes:
@@ -274,8 +274,7 @@
 ) -> http.Response:
     began_s = clock.now_s()
     work = callers.decode_job(body)
-    if queue.public:
-        tenant = access.NO_TENANT
+    tenant = _owner_at(queue, tenant)
     if await _can_never_run(frontend, job, work, tenant):
         _log('too-wide', job, began_s, tenant=tenant)
         return http.Response(
@@ -314,11 +313,18 @@
         return _state_response(model.State.QUEUED)
     if result.foreign:
         return http.Response(403, [], b'this id is taken\n')
+    if result.cancelled:
+        return http.Response(410, [], b'this job was cancelled\n')
     if result.verdict is verdicts.Verdict.NOT_RUN:
         return _refusal(503, f'not accepted: {result.reason}')
     return in_doubt(result.reason)
 
 
+def _owner_at(queue: queues.Queue, tenant: ids.TenantId) -> ids.TenantId:
+    """Return to whom a caller's job in a queue belongs."""
+    return access.NO_TENANT if queue.public else tenant
+
+
 async def _can_never_run(
     frontend: Frontend,
     job: ids.JobId,
@@ -352,17 +358,23 @@
     verdict = verdicts.Verdict.NOT_RUN
     if not forwarding.is_store_lost(frontend.server):
         submission = await intakes.submit(frontend.intake, job)
-        if submission.verdict is verdicts.Verdict.RAN or submission.id_taken:
+        if (
+            submission.verdict is verdicts.Verdict.RAN
+            or submission.id_taken
+            or submission.cancelled
+        ):
             return forwarding.RelayResult(
                 submission.verdict,
                 submission.reason,
                 foreign=submission.id_taken,
+                cancelled=submission.cancelled,
             )
         verdict = submission.verdict
     relayed = await forwarding.submit(frontend.client, job)
     if relayed.verdict is verdicts.Verdict.MAY_HAVE_RUN:
         intakes.note_unanswered(frontend.intake)
-    if relayed.verdict is verdicts.Verdict.NOT_RUN and not relayed.foreign:
+    is_refused = relayed.verdict is verdicts.Verdict.NOT_RUN
+    if is_refused and not relayed.foreign and not relayed.cancelled:
         return forwarding.RelayResult(verdict, relayed.reason)
     return relayed
 
@@ -388,11 +400,14 @@
 
 
 async def _cancel(
-    frontend: Frontend, job: ids.JobId, tenant: ids.TenantId
+    frontend: Frontend,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+    owner: ids.TenantId,
 ) -> http.Response:
     began_s = clock.now_s()
     try:
-        exists = await _mark_cancelled(frontend, job, tenant)
+        exists = await _mark_cancelled(frontend, job, tenant, owner)
     except errors.CallFailed as error:
         _log('not-cancelled', job, began_s, why=error.reason)
         status = 503
@@ -410,20 +425,23 @@
 
 
 async def _mark_cancelled(
-    frontend: Frontend, job: ids.JobId, tenant: ids.TenantId
+    frontend: Frontend,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+    owner: ids.TenantId,
 ) -> bool:
-    """Mark a job as cancelled; return False if the tenant has no such job.
+    """Cancel a job here or through another server, see ``intake.cancel``.
 
     :raises errors.CallFailed: neither this server nor another could do it
     """
     verdict = verdicts.Verdict.NOT_RUN
     if not forwarding.is_store_lost(frontend.server):
         try:
-            return await intakes.cancel(frontend.server.store, job, tenant)
+            return await intakes.cancel(frontend.intake, job, tenant, owner)
         except errors.CallFailed as error:
             _log('store-failed', job, clock.now_s(), why=error.reason)
             verdict = error.verdict
-    relayed = await forwarding.cancel(frontend.client, job, tenant)
+    relayed = await forwarding.cancel(frontend.client, job, tenant, owner)
     if relayed.verdict is verdicts.Verdict.RAN:
         return relayed.there
     if relayed.verdict is not verdicts.Verdict.NOT_RUN:
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -11,17 +11,20 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood.frontend import tombstones as tombstones_
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
 from oleanderwood.leading import roles as roles_
 from oleanderwood.platform import store as stores
+from oleanderwood import server_metrics
 from oleanderwood.tenants import access
 from oleanderwood import verdict as verdicts
 
-MAX_JOBS_PER_WRITE = (stores.MAX_WRITES - 1) // 2
-"""Jobs in one transaction; each takes a condition and a write, and one
-condition is that the leader is still the one this server knows."""
+MAX_JOBS_PER_WRITE = (stores.MAX_WRITES - 1) // 3
+"""Jobs in one transaction; each takes two conditions, on its key and on its
+tombstone, and a write, and one condition is that the leader is still the one
+this server knows."""
 
 WRITE_ATTEMPTS = 3
 """Attempts at a write, as long as none gets an answer."""
@@ -31,6 +34,9 @@
 is retried at once, which delays a caller by one more answer of the store, 4
 ms."""
 
+CANCEL_RETRY_PAUSE_S = 0.05
+"""Pause between two attempts to cancel a job, in seconds."""
+
 WRITE_TIMEOUT_S = 2.0
 """Time for which a caller waits for the write; callers wait 3 s in all."""
 
@@ -42,6 +48,7 @@
     :ivar verdict: RAN once the job is stored
     :ivar already_stored: the store held the job before this write
     :ivar id_taken: another tenant has a job of its id
+    :ivar cancelled: its caller cancelled it before it was stored
     """
 
     job: model.Job
@@ -49,6 +56,7 @@
     reason: str = ''
     already_stored: bool = False
     id_taken: bool = False
+    cancelled: bool = False
     done: curio.Event = dataclasses.field(default_factory=curio.Event)
 
 
@@ -67,6 +75,7 @@
         that retries are useless
     :ivar unanswered_s: time at which a write last remained without an answer;
         it may still be carried out
+    :ivar tombstones: of jobs that are cancelled before they are stored
     :ivar submitting: number of calls that are submitting a job now, by job
     """
 
@@ -74,6 +83,9 @@
     roles: roles_.Roles
     on_written: WrittenCallback
     is_store_lost: collections.abc.Callable[[], bool]
+    tombstones: tombstones_.Tombstones = dataclasses.field(
+        default_factory=tombstones_.Tombstones
+    )
     waiting: list[Submission] = dataclasses.field(default_factory=list)
     arrived: curio.Event = dataclasses.field(default_factory=curio.Event)
     unanswered_s: float = -math.inf
@@ -161,6 +173,9 @@
     that no other term has begun. From the job's term, a previous leader that
     is still acting sees that the job isn't its own, and the next leader sees
     that no earlier leader can have started it.
+
+    The store also checks that the caller hasn't cancelled the job: the call
+    that submits it may have been read late, or this may be a late retry.
     """
     keys: dict[str, list[Submission]] = {}
     leader = intake.roles.leader
@@ -171,6 +186,7 @@
             submission
         )
     conditions = dict.fromkeys(keys, 0)
+    conditions.update({_tombstone_key(rows[0]): 0 for rows in keys.values()})
     conditions[roles_.LEADER_KEY] = intake.roles.leader_revision
     try:
         await stores.write(
@@ -189,11 +205,13 @@
         }
         remaining = []
         for key, rows in keys.items():
-            if key not in stored:
-                remaining += rows
-                continue
             for submission in rows:
-                await _settle_known(submission, stored[key])
+                if key in stored:
+                    await _settle_known(submission, stored[key])
+                elif _tombstone_key(submission) in stored:
+                    await _settle_cancelled(submission)
+                else:
+                    remaining.append(submission)
         return remaining
     except errors.CallFailed as error:
         return await _after_failure(intake, batch, error)
@@ -239,6 +257,21 @@
     )
 
 
+def _tombstone_key(submission: Submission) -> str:
+    return record.tombstone_key(submission.job.job, submission.job.tenant)
+
+
+async def _settle_cancelled(submission: Submission) -> None:
+    """Settle a job with a tombstone: no write of it can succeed any more."""
+    submission.cancelled = True
+    server_metrics.TOMBSTONES.labels('stopped-job').inc()
+    await _settle(
+        submission,
+        verdicts.Verdict.NOT_RUN,
+        'its caller cancelled it before it was stored',
+    )
+
+
 def belongs_to(value: bytes, tenant: ids.TenantId) -> bool:
     """Return whether a stored job belongs to a tenant, or to nobody.
 
@@ -260,35 +293,61 @@
 
 
 async def cancel(
-    store: stores.Store, job: ids.JobId, tenant: ids.TenantId
+    intake: Intake, job: ids.JobId, tenant: ids.TenantId, owner: ids.TenantId
 ) -> bool:
-    """Mark a job as cancelled; return False if the tenant has no such job.
+    """Cancel a job; return False if the tenant has no such job.
 
+    A job that isn't stored yet can't be stored any more afterwards.
+
+    :param tenant: who cancels
+    :param owner: the tenant that a job of this caller and queue belongs to
     :raises errors.CallFailed: with the verdict of all attempts together: a
         last attempt without effect doesn't exclude that an earlier one was
         written
     """
     in_doubt = False
+    reason = ''
     for attempt in range(WRITE_ATTEMPTS):
         try:
-            stored = await stores.read(store, record.job_key(job))
-            if stored is None or not belongs_to(stored.value, tenant):
-                return False
-            await _mark_cancelled(store, job)
-            return True
+            return await _try_cancel(intake, job, tenant, owner)
+        except stores.Conflict:
+            # The job was stored or removed after it was read.
+            reason = 'the job changed during each attempt'
+            continue
+        except tombstones_.LimitReached as error:
+            reason = error.reason
+            break
         except errors.CallFailed as error:
             in_doubt |= error.verdict is verdicts.Verdict.MAY_HAVE_RUN
-            if attempt < WRITE_ATTEMPTS - 1:
-                await curio.sleep(0.05)
-            elif in_doubt:
-                raise errors.CallFailed(
-                    verdicts.Verdict.MAY_HAVE_RUN, error.reason
-                ) from error
-            else:
-                raise
-    return False
-
-
-async def _mark_cancelled(store: stores.Store, job: ids.JobId) -> None:
-    mark = {record.cancel_key(job): b'%d' % clock.wall_ms()}
-    await stores.write(store, {}, mark)
+            reason = error.reason
+        if attempt < WRITE_ATTEMPTS - 1:
+            await curio.sleep(CANCEL_RETRY_PAUSE_S)
+    verdict = verdicts.Verdict.NOT_RUN
+    if in_doubt:
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+    raise errors.CallFailed(verdict, reason)
+
+
+async def _try_cancel(
+    intake: Intake, job: ids.JobId, tenant: ids.TenantId, owner: ids.TenantId
+) -> bool:
+    """Mark a stored job as cancelled, or stop later writes of it.
+
+    :raises stores.Conflict: the job was stored or removed meanwhile
+    :raises errors.CallFailed: the store didn't answer
+    """
+    key = record.job_key(job)
+    stored = await stores.read(intake.store, key)
+    if stored is None:
+        await tombstones_.write(intake.tombstones, intake.store, job, owner)
+        return False
+    if not belongs_to(stored.value, tenant):
+        return False
+    # The condition keeps a write that is carried out late from marking a
+    # later job of this id.
+    await stores.write(
+        intake.store,
+        {key: stored.revision},
+        {record.cancel_key(job): b'%d' % clock.wall_ms()},
+    )
+    return True
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -1,5 +1,7 @@
 """Stored form of jobs and of their progress."""
 
+import hashlib
+
 import msgspec
 
 from oleanderwood import ids
@@ -14,6 +16,14 @@
 
 JOB_PREFIX = 'ow/in/job/'
 CANCEL_PREFIX = 'ow/in/cancel/'
+TOMBSTONE_PREFIX = 'ow/tombstones/'
+"""Not below the prefix of requests: leaders don't need tombstones, and many
+must not delay a takeover."""
+
+OWNER_DIGEST_CHARS = 32
+"""Length of the digest that stands for a tenant's name in a key; names may be
+longer than a key."""
+
 POLICY_KEY = 'ow/in/policy'
 """The operators' policy. It shares a prefix with callers' requests, so that
 the leader receives both through one watch."""
@@ -63,6 +73,18 @@
     return CANCEL_PREFIX + job
 
 
+def tombstone_key(job: ids.JobId, owner: ids.TenantId) -> str:
+    """Return the key that stops writes of a job of this owner.
+
+    Tombstones of different owners are independent, so that nobody can stop
+    another tenant's job that isn't stored yet.
+    """
+    digest = ''
+    if owner:
+        digest = hashlib.sha256(owner.encode()).hexdigest()
+    return f'{TOMBSTONE_PREFIX}{job}/{digest[:OWNER_DIGEST_CHARS]}'
+
+
 def progress_key(job: ids.JobId) -> str:
     """Return the key of a job's progress."""
     return PROGRESS_PREFIX + job
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -21,6 +21,7 @@
 from oleanderwood.frontend import handler as handlers
 from oleanderwood.frontend import intake as intakes
 from oleanderwood.frontend import peer_client as peer_clients
+from oleanderwood.frontend import tombstones
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
@@ -95,7 +96,13 @@
     def lost() -> bool:
         return forwarding.is_store_lost(server)
 
-    intake = intakes.Intake(server.store, server.roles, written, lost)
+    intake = intakes.Intake(
+        server.store,
+        server.roles,
+        written,
+        lost,
+        tombstones.Tombstones(server.settings.job_retention_s),
+    )
     return handlers.Frontend(server, intake, client)
 
 
@@ -237,11 +244,7 @@
                 await forwarding.handle_job(server, frontend.intake, body)
             )
         if path.startswith(forwarding.CANCEL_PATH):
-            job = ids.JobId(path.removeprefix(forwarding.CANCEL_PATH))
-            tenant = ids.TenantId(
-                (await http.read_all(request.body, MAX_TOLD_BYTES)).decode()
-            )
-            return _json(await forwarding.handle_cancel(server, job, tenant))
+            return await _relayed_cancel(server, frontend, request)
         if path == peer_clients.JOBS_PATH:
             return await _told_jobs(server, request)
         if path.startswith(peer_clients.CANCELLED_PATH):
@@ -256,6 +259,21 @@
     return handle
 
 
+async def _relayed_cancel(
+    server: states.Server, frontend: handlers.Frontend, request: http.Request
+) -> http.Response:
+    job = ids.JobId(request.target.removeprefix(forwarding.CANCEL_PATH))
+    body = await http.read_all(request.body, MAX_TOLD_BYTES)
+    tenant = ids.TenantId(body.decode())
+    is_public = request.header(forwarding.PUBLIC_HEADER) is not None
+    owner = access.NO_TENANT if is_public else tenant
+    return _json(
+        await forwarding.handle_cancel(
+            server, frontend.intake, job, tenant, owner
+        )
+    )
+
+
 async def _told_jobs(
     server: states.Server, request: http.Request
 ) -> http.Response:
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -32,6 +32,14 @@
     registry=REGISTRY,
 )
 
+TOMBSTONES = prometheus_client.Counter(
+    'oleander_server_tombstones_total',
+    'Cancels of jobs that were not stored yet: tombstones written, refused as '
+    'there were too many, and jobs that a tombstone stopped.',
+    ('outcome',),
+    registry=REGISTRY,
+)
+
 JOB_SECONDS = prometheus_client.Histogram(
     'oleander_server_job_seconds',
     'Time from taking a job in until its last state is kept.',
