Forget cancels of unknown jobs after a while

What callers would see: a job shown as cancelled though nobody cancelled it, after a cancel of an earlier job of its id; and a leader whose memory grows with each cancel of a job that it has forgotten. Found by reading beside the cancels of jobs that aren't stored yet; no caller reported it.

Cause: a cancel that the leader is told of before its job is kept, as a bare id, in a set that nothing is removed from.

Why it holds: such a cancel is told only of stored jobs, whose job and mark the leader's watch brings in their order. So the memory covers only the moment by which the direct message is ahead: 10 s, and it ends with the job.

--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -1,5 +1,7 @@
 """Applies jobs, cancels, policies, worker entries and maintenance waves."""
 
+import math
+
 import curio
 import msgspec
 
@@ -30,6 +32,11 @@
 CONFIGURATION_CHECK_S = 0.1
 """Interval between two checks of which services are configured, in seconds."""
 
+EARLY_CANCEL_RETENTION_S = 10.0
+"""Time for which a cancel is remembered that the leader is told of before the
+job. Only stored jobs are cancelled this way, and the watch that brings the job
+brings the cancel after it. A later job of the same id is another one."""
+
 MOVED_REASON = 'its entry names another location'
 """Reason logged when a worker is lost because its entry names another
 location."""
@@ -115,7 +122,8 @@
             revision=revision,
             accepted_under=job.term,
         )
-    if job.job in leader.early_cancels:
+    cancelled_s = leader.early_cancels.pop(job.job, -math.inf)
+    if now_s - cancelled_s <= EARLY_CANCEL_RETENTION_S:
         cancel(leader, job.job)
 
 
@@ -165,7 +173,7 @@
     """Cancel a job at its caller's request."""
     entry = leader.ledger.entries.get(job)
     if entry is None:
-        leader.early_cancels.add(job)
+        _remember_early_cancel(leader, job)
         return
     if ledgers.is_final(entry):
         return
@@ -173,6 +181,17 @@
     ledgers.end(leader.ledger, entry, model.State.CANCELLED, clock.now_s())
 
 
+def _remember_early_cancel(leader: states.Leader, job: ids.JobId) -> None:
+    """Remember a cancel whose job this leader hasn't received."""
+    now_s = clock.now_s()
+    leader.early_cancels.pop(job, None)
+    leader.early_cancels[job] = now_s
+    for known, at_s in list(leader.early_cancels.items()):
+        if now_s - at_s <= EARLY_CANCEL_RETENTION_S:
+            break
+        del leader.early_cancels[known]
+
+
 async def wake_after_intake(leader: states.Leader) -> None:
     """Stop runs of ended jobs and wake the tasks that new jobs concern."""
     if leader.deposed:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -317,7 +317,8 @@
     :ivar new_workers: registered workers whose loops have not been started
     :ivar worker_lists_unread_until_s: time by which the leases have expired of
         the workers whose stored worker list could not be decoded
-    :ivar early_cancels: jobs whose cancel was read before the job itself
+    :ivar early_cancels: jobs whose cancel was received before the job itself,
+        with the time at which it was, the earliest first
     :ivar unreadable_jobs: jobs whose stored progress could not be decoded
     :ivar lease_renewed_s: send time of the latest renewal of the lease that
         the leader's liveness key is attached to
@@ -427,7 +428,9 @@
     confirmed_until_s: float = 0.0
     worker_lists_unread_until_s: float = -1e9
     unreadable_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
-    early_cancels: set[ids.JobId] = dataclasses.field(default_factory=set)
+    early_cancels: dict[ids.JobId, float] = dataclasses.field(
+        default_factory=dict
+    )
     entries: entries_.UnusedEntries = dataclasses.field(
         default_factory=entries_.UnusedEntries
     )
