Keep jobs that last when workers crash under their tasks

Callers saw a job of tasks that last, which they hadn't cancelled and whose tasks crash nothing, shown as failed after three to five crashes of the workers under one of its tasks.

Cause: record_crash() ends a job once the evidence against a task suffices, whatever the step. A task that lasts has no bound on its starts, and meets any number of crashes in time.

The disruption budget isn't asked, as the job counts as ended.

Why it holds: a job with a step that lasts isn't given up for crashes, by this leader or by those that an earlier one hands over. Its task is started again after pauses of up to 2 s, counted from the crash; alone on a worker if one can be had within 3 s without a run; and the rest of its step is not held back, as it was while one task was tried.

--- a/oleanderwood/jobs/crashes.py
+++ b/oleanderwood/jobs/crashes.py
@@ -85,7 +85,7 @@
 def as_common(crash: Crash) -> Crash:
     """Return a crash as one of a worker that went down with others."""
     return msgspec.structs.replace(
-        crash, age_ms=-1, isolated=False, common_age_ms=_known_age_ms(crash)
+        crash, age_ms=-1, isolated=False, common_age_ms=known_age_ms(crash)
     )
 
 
@@ -140,7 +140,7 @@
         return 0
     difference_ms = min(
         (
-            abs(crash.age_ms - _known_age_ms(other))
+            abs(crash.age_ms - known_age_ms(other))
             for other in earlier
             if _is_age_comparable(other)
         ),
@@ -154,10 +154,11 @@
 
 
 def _is_age_comparable(crash: Crash) -> bool:
-    return _known_age_ms(crash) >= 0 and crash.doubt_ms <= MAX_AGE_DOUBT_MS
+    return known_age_ms(crash) >= 0 and crash.doubt_ms <= MAX_AGE_DOUBT_MS
 
 
-def _known_age_ms(crash: Crash) -> int:
+def known_age_ms(crash: Crash) -> int:
+    """Return the age of a run at a crash; -1 if it is unknown."""
     return max(crash.age_ms, crash.common_age_ms)
 
 
@@ -167,7 +168,7 @@
     This is twice the highest age at a crash, within bounds; the upper bound
     if an age is unknown.
     """
-    ages = [_known_age_ms(crash) for crash in crashes]
+    ages = [known_age_ms(crash) for crash in crashes]
     if min(ages, default=-1) < 0:
         return MAX_PROBATION_S
     longest_s = 2 * max(ages) / 1000
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -107,6 +107,9 @@
     :ivar presumed_over: a run of it was considered over without a report from
         its worker
     :ivar crashes: crashes of workers that may have run it, by attempt
+    :ivar crash_count: number of crashes since it last worked long enough, also
+        of those that are no longer in ``crashes``
+    :ivar backoff_until_s: end of the pause after its latest crash
     :ivar blamed_with: the other runs blamed for each of these crashes, as
         pairs of task and attempt, unless they were recorded by an earlier
         leader
@@ -133,6 +136,8 @@
     crashes: dict[int, crashes_.Crash] = dataclasses.field(
         default_factory=dict
     )
+    crash_count: int = 0
+    backoff_until_s: float = 0.0
     blamed_with: dict[int, list[tuple[ids.TaskId, int]]] = dataclasses.field(
         default_factory=dict
     )
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -39,6 +39,8 @@
     :ivar failed: numbers of failed attempts, by index of the task
     :ivar checkpoints: last known checkpoint, by index of the task
     :ivar crashes: crashes that may be caused by a task, by its index
+    :ivar crash_counts: number of crashes of a task that has had more, by its
+        index
     """
 
     occurrence: int
@@ -47,6 +49,7 @@
     failed: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
     crashes: dict[int, list[crashes_.Crash]] = {}
+    crash_counts: dict[int, int] = {}
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -107,6 +110,7 @@
     failed = {}
     checkpoints = {}
     crashes = {}
+    crash_counts = {}
     for task in group.tasks:
         if task.done:
             done |= 1 << task.index
@@ -116,6 +120,8 @@
             failed[task.index] = sorted(task.failed_attempts)
         if task.crashes and not task.done:
             crashes[task.index] = isolation.crashes_to_store(task)
+            if task.crash_count > len(task.crashes):
+                crash_counts[task.index] = task.crash_count
     return GroupProgress(
         group.occurrence,
         group.number,
@@ -123,6 +129,7 @@
         failed,
         checkpoints,
         crashes,
+        crash_counts,
     )
 
 
@@ -163,6 +170,7 @@
         for crash in row.crashes.get(task.index, ()):
             task.crashes[crash.attempt] = crash
             isolation.update_suspects(task)
+        task.crash_count = row.crash_counts.get(task.index, len(task.crashes))
         task.last_attempt = max(
             [*task.failed_attempts, *task.crashes], default=task.last_attempt
         )
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -5,6 +5,7 @@
 from oleanderwood import clock
 from oleanderwood import event_log
 from oleanderwood import ids
+from oleanderwood.jobs import crash_backoff
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
@@ -89,6 +90,16 @@
         given_up=ledgers.is_final(entry),
         why=entry.cause,
     )
+    if not ledgers.is_final(entry) and isolation.is_kept_apart(task):
+        server_metrics.CRASH_LOOPS.inc()
+        event_log.emit(
+            'run',
+            'kept-apart',
+            task=task.name,
+            worker=worker.entry.worker,
+            crashes=task.crash_count,
+            pause_s=crash_backoff.pause_s(task),
+        )
 
 
 def _blamed(losses: list[workers_.Loss]) -> dict[ids.TaskId, list[int]]:
--- a/oleanderwood/operators/messages.py
+++ b/oleanderwood/operators/messages.py
@@ -180,7 +180,13 @@
 
 
 class StepRow(msgspec.Struct, frozen=True):
-    """One step of a job, in one of its repetitions."""
+    """One step of a job, in one of its repetitions.
+
+    :ivar crashes: number of workers that have crashed under each task since it
+        last worked long enough
+    :ivar kept_apart: tasks that are known to crash their workers, and are
+        started again alone and after pauses
+    """
 
     occurrence: int
     step: int
@@ -189,6 +195,8 @@
     running: dict[str, str]
     waiting: int
     failed_runs: int
+    crashes: dict[str, int] = {}
+    kept_apart: tuple[str, ...] = ()
 
 
 class JobReply(msgspec.Struct, frozen=True):
--- a/oleanderwood/operators/text.py
+++ b/oleanderwood/operators/text.py
@@ -100,7 +100,17 @@
         for row in reply.steps
     ]
     head = ('step', 'tasks', 'done', 'running', 'waiting', 'failed runs')
-    return '\n'.join([*lines, _table(head, rows)])
+    crashes = [line for row in reply.steps for line in _crashes(row)]
+    return '\n'.join([*lines, _table(head, rows), *crashes])
+
+
+def _crashes(row: messages.StepRow) -> list[str]:
+    """Tell under which tasks of a step workers have crashed."""
+    return [
+        f'{name}: {count} workers crashed under it'
+        + (', kept apart' if name in row.kept_apart else '')
+        for name, count in row.crashes.items()
+    ]
 
 
 @of.register
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -4,6 +4,7 @@
 
 from oleanderwood import clock
 from oleanderwood import ids
+from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
 from oleanderwood.maintenance import fleet
@@ -159,4 +160,14 @@
         },
         len(group.waiting),
         sum(len(task.failed_attempts) for task in group.tasks),
+        {
+            task.name: task.crash_count
+            for task in group.tasks
+            if task.crash_count
+        },
+        tuple(
+            task.name
+            for task in group.suspects.values()
+            if isolation.is_kept_apart(task)
+        ),
     )
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -7,6 +7,7 @@
 import collections.abc
 import dataclasses
 
+from oleanderwood.jobs import crash_backoff
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
@@ -323,19 +324,20 @@
     max_reserved: int,
 ) -> list[Placement]:
     placed: list[Placement] = []
-    for task in isolation.startable(group):
+    for task in isolation.startable(group, now_s):
         if len(placed) >= max_starts or not quotas_.allows(quotas, group):
             break
-        if task.not_before_s > now_s or isolation.awaits_storage(task, now_s):
+        if _is_paused(task, now_s) or isolation.awaits_storage(task, now_s):
             continue
         best = _best_candidate(group, task, free)
         if best is None:
             _record_unmet(unmet, group)
             break
-        if task.index in group.suspects and not _reserve(
-            best, free, max_reserved
-        ):
-            break
+        if task.index in group.suspects:
+            apart = isolation.is_kept_apart(task)
+            is_isolated = _reserve(best, free, max_reserved, apart)
+            if not is_isolated and not isolation.is_overdue(task, now_s):
+                break
         _add_task(best, group)
         best.unsettled_s = crashes_.SETTLED_S
         quotas_.charge(quotas, group)
@@ -343,17 +345,29 @@
     return placed
 
 
+def _is_paused(task: ledgers.Task, now_s: float) -> bool:
+    return task.not_before_s > now_s or crash_backoff.is_waiting(task, now_s)
+
+
 def _reserve(
-    candidate: FreeCapacity, free: list[FreeCapacity], max_reserved: int
+    candidate: FreeCapacity,
+    free: list[FreeCapacity],
+    max_reserved: int,
+    apart: bool = False,
 ) -> bool:
     """Reserve a worker for a suspected task; return whether it may start now.
 
     Nothing else is started on the worker until its other tasks have run long
     enough not to be suspected.
+
+    :param apart: the task is known to crash workers, so it waits until the
+        worker's other tasks have ended
     """
     if sum(other.reserved for other in free) >= max_reserved:
         return False
     candidate.reserved = True
+    if apart and (candidate.batch_count or candidate.long_running_count):
+        return False
     return candidate.unsettled_s <= 0.0
 
 
@@ -399,10 +413,12 @@
     Workers are packed so that whole machines stay free to move to other
     pools. Long-running tasks are placed together, but not all on one worker.
     """
-    if group.suspects:
-        # Isolated, so that a crash has one explanation and costs few runs.
+    if _is_isolated(group, task):
+        # A crash then has one explanation and costs few runs.
+        apart = isolation.is_kept_apart(task)
         return (
             candidate.suspect,
+            apart and candidate.long_running_count + candidate.batch_count,
             candidate.unsettled_s,
             candidate.long_running_count,
             candidate.batch_count,
@@ -426,6 +442,16 @@
     )
 
 
+def _is_isolated(group: ledgers.Group, task: ledgers.Task) -> bool:
+    """Return whether a task is placed where a crash costs few other runs.
+
+    So is the rest of a step with suspected tasks, unless it is long-running.
+    """
+    if group.step.is_long_running and not group.step.gang:
+        return task.index in group.suspects
+    return bool(group.suspects)
+
+
 def _speed_preference(candidate: FreeCapacity, task: ledgers.Task) -> int:
     if candidate.speeds is None:
         return 0
@@ -550,7 +576,7 @@
         return []
     if not quotas_.allows(quotas, group, len(members)):
         return []
-    if any(task.not_before_s > now_s for task in members):
+    if any(_is_paused(task, now_s) for task in members):
         return []
     without_latency_tasks = free
     if group.step.uses_leftover:
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -77,6 +77,13 @@
     registry=REGISTRY,
 )
 
+CRASH_LOOPS = prometheus_client.Counter(
+    'oleander_server_crash_loops_total',
+    'Crashes of workers under tasks that are known to crash them and are '
+    'started again after a pause.',
+    registry=REGISTRY,
+)
+
 SUSPICIONS = prometheus_client.Counter(
     'oleander_server_suspicions_total',
     'Tasks that a crash of their worker was put down to, by what became of '
