Start tasks of jobs that go on in the end, in a full pool too

What callers would see: a gang that lasts, or a task that ends in a job with both kinds of steps, never starts again after crashes, in a pool whose workers are never idle.

Cause: only a single task that lasts stopped waiting for a worker of its own after 3 s.

Test: two tests in test_crashes_under_long_running_tasks (gang, batch task) failed before.

Why it holds: the bound goes by whether the job may be given up, which is what makes the isolation matter, and gangs heed it as well.

--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -19,8 +19,8 @@
 one write of its job takes."""
 
 MAX_ISOLATION_WAIT_S = 3.0
-"""Time without a run after which a suspected long-running task no longer waits
-for a worker of its own, or for other suspected tasks."""
+"""Time without a run after which a suspected task whose job isn't given up no
+longer waits for a worker of its own."""
 
 
 def crashes_of(task: ledgers.Task) -> dict[int, crashes_.Crash]:
@@ -288,11 +288,15 @@
 def is_overdue(task: ledgers.Task, now_s: float) -> bool:
     """Return whether a task may start without being isolated.
 
-    That a task crashes workers is no reason to keep a long-running one away.
+    A task of a job that isn't given up has to start in the end, also where no
+    worker can be kept free for it.
     """
-    if not task.group.step.is_long_running:
+    if crash_backoff.may_give_up(task.group.entry):
         return False
-    return now_s - task.not_serving_since_s >= MAX_ISOLATION_WAIT_S
+    since_s = task.not_serving_since_s
+    if not task.group.step.is_long_running:
+        since_s = max(since_s, task.backoff_until_s)
+    return now_s - since_s >= MAX_ISOLATION_WAIT_S
 
 
 def is_kept_apart(task: ledgers.Task) -> bool:
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -397,13 +397,18 @@
     fitting = [candidate for candidate in free if fits(candidate, group)]
     if not fitting:
         return None
+    apart = isolation.is_kept_apart(task)
     return min(
-        fitting, key=lambda candidate: _preference(candidate, group, task)
+        fitting,
+        key=lambda candidate: _preference(candidate, group, task, apart),
     )
 
 
 def _preference(
-    candidate: FreeCapacity, group: ledgers.Group, task: ledgers.Task
+    candidate: FreeCapacity,
+    group: ledgers.Group,
+    task: ledgers.Task,
+    apart: bool,
 ):
     """Return a worker's sort key: healthy first, near the data, then fullest.
 
@@ -415,7 +420,6 @@
     """
     if _is_isolated(group, task):
         # A crash then has one explanation and costs few runs.
-        apart = isolation.is_kept_apart(task)
         return (
             candidate.suspect,
             apart and candidate.long_running_count + candidate.batch_count,
@@ -578,6 +582,7 @@
         return []
     if any(_is_paused(task, now_s) for task in members):
         return []
+    overdue = any(isolation.is_overdue(task, now_s) for task in members)
     without_latency_tasks = free
     if group.step.uses_leftover:
         # Next to latency-sensitive tasks, such a gang would be starved.
@@ -592,7 +597,7 @@
     ]
     for choice in choices:
         placed = place_all(group, members, choice)
-        if placed and group.suspects:
+        if placed and group.suspects and not overdue:
             placed = _reserve_for_gang(group, placed, free)
         for row in placed:
             quotas_.charge(quotas, row.task.group)
--- a/tests/test_crashes_under_long_running_tasks.py
+++ b/tests/test_crashes_under_long_running_tasks.py
@@ -274,6 +274,38 @@
     assert _placed(task.group, [busy], late_s, task) == ['w1']
 
 
+def test_batch_task_of_such_a_job_does_not_wait_for_good_either():
+    """A worker that runs a service never becomes idle."""
+    ledger, service = _ledger(_lasting(1), build.step(1))
+    task = build.task(ledger, step=1)
+    _crash(ledger, task, 6)
+    worker = build.worker()
+    build.start(ledger, service, worker, 0.0)
+    due_s = task.backoff_until_s
+    early_s = due_s + isolation.MAX_ISOLATION_WAIT_S / 2
+    assert not _placed(task.group, [worker], early_s, task)
+    late_s = due_s + isolation.MAX_ISOLATION_WAIT_S
+    assert _placed(task.group, [worker], late_s, task) == ['w1']
+
+
+def test_gang_that_lasts_does_not_wait_for_good():
+    """In a busy pool, some run is always younger than its trial asks for."""
+    other = '0' * 16
+    ledger = build.ledger_with(
+        build.job(_lasting(2, gang=True)),
+        build.job(build.step(2), name=other),
+    )
+    task = build.task(ledger)
+    _crash(ledger, task, 4)
+    for member in task.group.tasks:
+        member.not_serving_since_s = 10.0
+    late_s = 10.0 + isolation.MAX_ISOLATION_WAIT_S
+    early_s = late_s - 0.1
+    busy = _busy_worker(ledger, 'w1', 2, early_s - 0.2, other)
+    assert not _placed(task.group, [busy], early_s, task)
+    assert _placed(task.group, [busy], late_s, task) == ['w1']
+
+
 def test_worker_of_such_a_task_stays_reserved_until_it_has_served():
     """It may crash its worker at any time until then."""
     ledger, task = _ledger()
