Accept one tenant's job of an id that two hand in together

Cause: a batch is grouped by key, the first call's job is written, and all calls for that key were settled as written.

Test: two tests of test_submission failed before: two tenants, and two calls of one tenant, of which the leader was told twice.

Why it holds: the other calls of a key are settled by the job that was written, as for a key that the store held before.

--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -188,14 +188,14 @@
     conditions = dict.fromkeys(keys, 0)
     conditions.update({_tombstone_key(rows[0]): 0 for rows in keys.values()})
     conditions[roles_.LEADER_KEY] = intake.roles.leader_revision
+    writes = {
+        key: msgspec.json.encode(rows[0].job) for key, rows in keys.items()
+    }
     try:
         await stores.write(
             intake.store,
             conditions,
-            {
-                key: msgspec.json.encode(rows[0].job)
-                for key, rows in keys.items()
-            },
+            writes,
             timeout_s=WRITE_TIMEOUT_S / WRITE_ATTEMPTS,
         )
     except stores.Conflict as conflict:
@@ -215,8 +215,10 @@
         return remaining
     except errors.CallFailed as error:
         return await _after_failure(intake, batch, error)
-    for submission in batch:
-        await _settle(submission, verdicts.Verdict.RAN, '')
+    for key, (written, *others) in keys.items():
+        await _settle(written, verdicts.Verdict.RAN, '')
+        for submission in others:
+            await _settle_known(submission, writes[key])
     return []
 
 
--- a/tests/test_submission.py
+++ b/tests/test_submission.py
@@ -6,6 +6,7 @@
 from emulator import day
 from emulator import store as stores
 from oleanderwood.frontend import intake as intakes
+from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
 from oleanderwood.leading import intake as leading_intake
@@ -135,3 +136,43 @@
     own = build.ledger_with(_job(2), term=3)
     assert [row.inherited for row in earlier.entries.values()] == [True]
     assert [row.inherited for row in own.entries.values()] == [False]
+
+
+def _submit_together(*tenants):
+    """Submit one id for some tenants in one write; return the outcome."""
+
+    async def main(world):
+        intake, written_jobs = _intake(world)
+        rows = [
+            intakes.Submission(
+                msgspec.structs.replace(_job(1), tenant=ids.TenantId(name))
+            )
+            for name in tenants
+        ]
+        intake.waiting += rows
+        await intake.arrived.set()
+        await curio.spawn(intakes.write_forever, intake, daemon=True)
+        for row in rows:
+            await row.done.wait()
+        await curio.sleep(0.1)
+        return rows, written_jobs, _stored(world, _job(1)).tenant
+
+    return servers.run(main)
+
+
+def test_two_tenants_with_one_id_in_one_write_are_not_both_accepted():
+    """The second was told that its job is stored, and got 410 from then on."""
+    rows, written_jobs, owner = _submit_together('first', 'second')
+    assert [row.verdict for row in rows] == [
+        verdicts.Verdict.RAN,
+        verdicts.Verdict.NOT_RUN,
+    ]
+    assert rows[1].id_taken and owner == 'first'
+    assert [job.tenant for job in written_jobs] == ['first']
+
+
+def test_two_calls_with_one_job_in_one_write_are_both_accepted():
+    """It is one job, of which the leader is told once."""
+    rows, written_jobs, _owner = _submit_together('first', 'first')
+    assert {row.verdict for row in rows} == {verdicts.Verdict.RAN}
+    assert len(written_jobs) == 1
