Count jobs as pending while workers refuse their starts

Cause: a job counts as begun once a start of one of its tasks is decided, and stays so if the worker refuses it. That suits the order of work, which uses it, too.

Test: test_pending_jobs; three of its seven tests failed before, one of them with a whole system.

Why it holds: what callers count and are shown goes by whether a worker has answered an order to start a task, has listed a run of it, or has left the order unanswered.

--- a/oleanderwood/frontend/peer_client.py
+++ b/oleanderwood/frontend/peer_client.py
@@ -67,7 +67,7 @@
     count = sum(
         1
         for entry in leader.ledger.entries.values()
-        if entry.job.queue.name == queue and not ledgers.has_begun(entry)
+        if entry.job.queue.name == queue and ledgers.is_pending(entry)
     )
     return QueryResult(pending=count)
 
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -186,6 +186,8 @@
     :ivar arrived_s: when this leader received it
     :ivar inherited: an earlier leader may have started tasks of it
     :ivar groups: by occurrence and index of the step
+    :ivar has_run: a task of it has begun, or may have: a worker has answered
+        an order to start one, or left it unanswered
     :ivar state: present state
     :ivar stored_state: state that the store holds
     :ivar cause: why it has failed
@@ -208,6 +210,7 @@
     groups: dict[tuple[int, int], Group] = dataclasses.field(
         default_factory=dict
     )
+    has_run: bool = False
     state: model.State = model.State.QUEUED
     stored_state: model.State = model.State.QUEUED
     cause: str = ''
@@ -402,6 +405,7 @@
         task.run.pace_percent = None
     _remove_waiting(ledger, task)
     entry = task.group.entry
+    entry.has_run = True
     if entry.state is model.State.QUEUED:
         entry.state = model.State.RUNNING
     return task.run
@@ -414,9 +418,16 @@
 
 
 def end_run(
-    ledger: Ledger, task: Task, now_s: float, checkpoint: str = ''
+    ledger: Ledger,
+    task: Task,
+    now_s: float,
+    checkpoint: str = '',
+    has_begun: bool = True,
 ) -> None:
-    """Record that a task's run is over; the task waits unless it is done."""
+    """Record that a task's run is over; the task waits unless it is done.
+
+    :param has_begun: False if the order to start it was refused
+    """
     run = task.run
     if run is None:
         return
@@ -425,6 +436,7 @@
     note_checkpoint(task, checkpoint)
     task.not_serving_since_s = now_s
     task.run = None
+    task.group.entry.has_run |= has_begun
     if not task.done and not is_final(task.group.entry):
         task.group.waiting[task.index] = task
         ledger.open_groups[task.group] = None
@@ -507,16 +519,25 @@
 
 def shown_state(entry: Entry) -> model.State:
     """Return the state for callers: a final one only once it is stored."""
-    if is_final(entry) and entry.stored_state is not entry.state:
-        return model.State.RUNNING
-    return entry.state
+    if is_final(entry):
+        is_stored = entry.stored_state is entry.state
+        return entry.state if is_stored else model.State.RUNNING
+    return entry.state if entry.has_run else model.State.QUEUED
 
 
 def has_begun(entry: Entry) -> bool:
-    """Return whether any task of a job has been started."""
+    """Return whether a start of any task of a job has been decided."""
     return entry.state is not model.State.QUEUED
 
 
+def is_pending(entry: Entry) -> bool:
+    """Return whether no task of a job has begun, as callers count it.
+
+    An order to start one proves nothing, as its worker may refuse it.
+    """
+    return not entry.has_run and not is_final(entry)
+
+
 def forget(ledger: Ledger, job: ids.JobId) -> None:
     """Remove a job that callers no longer ask for."""
     entry = ledger.entries.pop(job, None)
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -148,6 +148,7 @@
         ledgers.end(ledger, entry, progress.state, now_s)
     elif not ledgers.is_final(entry):
         entry.state = progress.state
+        entry.has_run = progress.state is model.State.RUNNING
     entry.stored_state = progress.state
     entry.more_pools.update(progress.more_pools)
     entry.more_pools_stored.update(progress.more_pools)
--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -140,6 +140,7 @@
 async def _start_answered(leader, worker, task, run, refusal) -> None:
     if refusal is None:
         _log_start(leader, worker, task, run, 'ran', '')
+        task.group.entry.has_run = True
         if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
             now_s = clock.now_s()
             ledgers.set_phase(run, ledgers.RunPhase.RUNNING, now_s)
@@ -183,6 +184,7 @@
 
     The worker can be marked as gone only while the leader's lease is in force.
     """
+    task.group.entry.has_run = True
     if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
         ledgers.set_phase(run, ledgers.RunPhase.UNCONFIRMED, clock.now_s())
 
@@ -208,7 +210,9 @@
 async def _requeue_unstarted(leader, worker, task, why) -> None:
     """Return a task to the queue after a start that certainly did not run."""
     task.not_before_s = clock.now_s() + REFUSED_PAUSE_S
-    workers_.end_run(leader.ledger, worker, task, clock.now_s())
+    workers_.end_run(
+        leader.ledger, worker, task, clock.now_s(), has_begun=False
+    )
     await leader.placement_due.set(worker.entry.service)
 
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -307,12 +307,16 @@
     task: ledgers.Task,
     now_s: float,
     checkpoint: str = '',
+    has_begun: bool = True,
 ) -> None:
-    """Record that the task's run on this worker is over."""
+    """Record that the task's run on this worker is over.
+
+    :param has_begun: False if the worker refused to start it
+    """
     worker.runs.pop(task.name, None)
     if not worker.runs:
         worker.idle_since_s = now_s
-    ledgers.end_run(ledger, task, now_s, checkpoint)
+    ledgers.end_run(ledger, task, now_s, checkpoint, has_begun)
 
 
 def _apply_running(ledger, worker, row, sent_s, now_s, outcome) -> None:
@@ -324,7 +328,7 @@
     isolation.clear(ledger, task, row.attempt)
     if is_current(worker, task, row.attempt):
         run = task.run
-        run.seen = True
+        run.seen = task.group.entry.has_run = True
         if isolation.update_probation(task, sent_s - run.begun_s):
             outcome.changed = True
             outcome.events.append(RunEvent('trusted', row.task, row.attempt))
