Count the pause between leaders' orders from the end of a call

Cause: orders announced together are sent one after another, and later announcements gave their age from when they were announced.

Why it holds: the age of an order begins anew as its call ends, answered or not, so that the next leader counts from when the platform may last have taken it.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -168,6 +168,8 @@
         event_log.emit('wave', 'doubtful', machine=name, why=error.reason)
         progress.refused_until_s[name] = clock.now_s() + REFUSED_PAUSE_S
         return
+    finally:
+        machine_handover.record_order(leader, name)
     server_metrics.MACHINE_ORDERS.labels('maintain', outcome.value).inc()
     event_log.emit(
         'wave',
--- a/oleanderwood/leading/machine_handover.py
+++ b/oleanderwood/leading/machine_handover.py
@@ -41,8 +41,8 @@
         by seconds
     :ivar first_sizes: number of machines that each pool had
     :ivar pool_cores: cores of these machines, by pool
-    :ivar ages_ms: age of each announcement when this was written, by the
-        monotonic clock of the writer
+    :ivar ages_ms: age of each announcement, or of its order once that was
+        sent, when this was written, by the monotonic clock of the writer
     :ivar maintained: machines whose order was for maintenance
     """
 
@@ -90,6 +90,17 @@
     return True
 
 
+def record_order(leader: states.Leader, machine: str) -> None:
+    """Record that the call with a machine's order has just ended.
+
+    Orders that were announced together are sent one after another, each for as
+    long as the platform takes. The age of an order that the next announcements
+    give counts from here, as the platform may have taken it until now.
+    """
+    if machine in leader.fleet.announced:
+        leader.fleet.announced[machine] = clock.now_s()
+
+
 def allowance(leader: states.Leader) -> int:
     """Return how many orders may be sent now."""
     now_s = clock.now_s()
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -554,6 +554,8 @@
             why=move.why,
             outcome=outcome.value,
         )
+    finally:
+        machine_handover.record_order(leader, move.machine)
     if outcome is not machine_calls.Outcome.DONE:
         pause_s = rolling.CYCLE_SLACK_S
         if outcome is machine_calls.Outcome.INVALID:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -229,7 +229,8 @@
     :ivar relocations: by step, for long-running tasks that have to leave
     :ivar move_retry_after_s: time until which a machine is not asked to move
         again
-    :ivar announced: time at which an order was announced, by machine
+    :ivar announced: time at which an order was announced or last under way,
+        by machine
     :ivar maintained: announced machines that the order may take down for
         maintenance
     :ivar order_after_s: time from which this leader may send an order to a
