Ignore SIGHUP until a server can handle it

Cause: the handler is set up once the server runs; until then the signal's default action ends the process while it imports its modules.

Left is the interpreter's own start, some 20 ms.

--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -410,20 +410,33 @@
 
 
 async def _reload_on_signal(server: states.Server, path: str) -> None:
-    """Read the settings again on SIGHUP; a faulty file changes nothing."""
+    """Read the settings again on SIGHUP, and once at first.
+
+    A signal that came while the process started has been ignored.
+    """
     arrivals = await daemon.signal_socket(signal.SIGHUP)
+    _reload(server, path)
     while await arrivals.recv(1):
-        try:
-            settings = boot.read(path)
-        except boot.BadSettings as error:
-            event_log.emit('server', 'not-reloaded', why=str(error))
-            continue
-        changed = [
-            name
-            for name in settings.__struct_fields__
-            if getattr(settings, name) != getattr(server.settings, name)
-        ]
-        server.settings = settings
+        _reload(server, path, is_asked=True)
+
+
+def _reload(server: states.Server, path: str, is_asked: bool = False) -> None:
+    """Read the settings again; a faulty file changes nothing.
+
+    :param is_asked: log it even if nothing has changed
+    """
+    try:
+        settings = boot.read(path)
+    except boot.BadSettings as error:
+        event_log.emit('server', 'not-reloaded', why=str(error))
+        return
+    changed = [
+        name
+        for name in settings.__struct_fields__
+        if getattr(settings, name) != getattr(server.settings, name)
+    ]
+    server.settings = settings
+    if changed or is_asked:
         event_log.emit('server', 'reloaded', changed=changed)
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -80,7 +80,7 @@
         return
     with process.log_path.open('ab') as log:
         process.popen = subprocess.Popen(
-            [sys.executable, '-m', 'oleanderwood.server'],
+            [sys.executable, '-m', 'oleanderwood'],
             env={**os.environ, boot.PATH_VARIABLE: str(process.settings_path)},
             stdout=log,
             stderr=subprocess.STDOUT,
