Let callers of the soak leave and cancel their jobs elsewhere

Twice a second, a caller hands a job in, leaves after up to 0.6 s with or without an answer, and cancels the job at any server. Under suspended and cut-off servers this is the order of events in which a cancelled job ran.

Also rename what says when a task waits after a crash, so that it is called backoff throughout, and let one function say which outcomes of a job or cancel are final, here and at other servers.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -26,6 +26,12 @@
 ASK_S = 0.7
 """Time between two questions for a job's state."""
 
+ABANDON_EVERY_S = 0.5
+"""Time between two jobs whose callers leave."""
+
+LONGEST_WAIT_S = 0.6
+"""Longest time for which such a caller waits for its answer."""
+
 LATER = '-later'
 """What the paths of jobs that may wait have beyond their pool's name."""
 
@@ -158,6 +164,39 @@
     await _ask(callers, prefix, job, began_s)
 
 
+async def abandon_always(callers: Callers, pools: tuple[str, ...]) -> None:
+    """Let callers leave and cancel their jobs elsewhere, until cancelled."""
+    rng = random.Random(callers.rng.random())
+    while True:
+        await curio.sleep(ABANDON_EVERY_S)
+        await curio.spawn(
+            _abandon,
+            callers,
+            rng.choice(pools),
+            f'{rng.getrandbits(64):016x}',
+            rng.uniform(0.0, LONGEST_WAIT_S),
+            daemon=True,
+        )
+
+
+async def _abandon(
+    callers: Callers, pool: str, job: str, leave_after_s: float
+) -> None:
+    """Hand a job in, leave without its answer if need be, and cancel it."""
+    step = {'count': 1, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 300}
+    spec = {'phases': [step]}
+    callers.world.jobs[job] = {**spec, 'service': pool}
+    prefix = f'/{pool}/'
+    _note(callers, evidences.Kind.HANDED_IN, job, 'sent')
+    status = 0
+    async with curio.ignore_after(leave_after_s):
+        status, _answer = await _call(
+            callers, 'POST', prefix + job, _body(job, spec)
+        )
+    _note(callers, evidences.Kind.HANDED_IN, job, str(status))
+    await _cancel(callers, prefix, job)
+
+
 async def _cancel(callers: Callers, prefix: str, job: str) -> None:
     for _try in range(TRIES):
         status, _answer = await _call(callers, 'DELETE', prefix + job)
--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -105,6 +105,16 @@
     return clock.now_s() - server.store_contact_s > STORE_LOST_AFTER_S
 
 
+def result_of(submission: intakes.Submission) -> RelayResult:
+    """Return the outcome of a job that this server has written or not."""
+    return RelayResult(
+        submission.verdict,
+        submission.reason,
+        foreign=submission.id_taken,
+        cancelled=submission.cancelled,
+    )
+
+
 async def submit(
     client: peer_clients.PeerClient, job: model.Job
 ) -> RelayResult:
@@ -118,7 +128,7 @@
     tenant: ids.TenantId,
     owner: ids.TenantId,
 ) -> RelayResult:
-    """Cancel a job through another server; see :func:`intake.cancel`."""
+    """Cancel a job through another server, see ``intake.cancel``."""
     headers = []
     if owner != tenant:
         headers.append((PUBLIC_HEADER.encode(), b'1'))
@@ -150,7 +160,7 @@
             verdict=result.verdict.value,
             why=result.reason,
         )
-        if _is_final(result):
+        if is_final(result):
             return result
         in_doubt |= result.verdict is verdicts.Verdict.MAY_HAVE_RUN
     if in_doubt:
@@ -158,8 +168,8 @@
     return result
 
 
-def _is_final(result: RelayResult) -> bool:
-    """Return whether no other server's result can be another one.
+def is_final(result: RelayResult) -> bool:
+    """Return whether asking another server can't change a result.
 
     What another tenant or a cancel put into the store stops the writes of all
     servers, also one of a server that hasn't answered.
@@ -329,13 +339,7 @@
         return RelayResult(
             verdicts.Verdict.NOT_RUN, 'the store is unreachable here as well'
         )
-    submission = await intakes.submit(intake, job)
-    return RelayResult(
-        submission.verdict,
-        submission.reason,
-        foreign=submission.id_taken,
-        cancelled=submission.cancelled,
-    )
+    return result_of(await intakes.submit(intake, job))
 
 
 async def handle_cancel(
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -358,23 +358,15 @@
     verdict = verdicts.Verdict.NOT_RUN
     if not forwarding.is_store_lost(frontend.server):
         submission = await intakes.submit(frontend.intake, job)
-        if (
-            submission.verdict is verdicts.Verdict.RAN
-            or submission.id_taken
-            or submission.cancelled
-        ):
-            return forwarding.RelayResult(
-                submission.verdict,
-                submission.reason,
-                foreign=submission.id_taken,
-                cancelled=submission.cancelled,
-            )
+        result = forwarding.result_of(submission)
+        if forwarding.is_final(result):
+            return result
         verdict = submission.verdict
     relayed = await forwarding.submit(frontend.client, job)
     if relayed.verdict is verdicts.Verdict.MAY_HAVE_RUN:
         intakes.note_unanswered(frontend.intake)
     is_refused = relayed.verdict is verdicts.Verdict.NOT_RUN
-    if is_refused and not relayed.foreign and not relayed.cancelled:
+    if is_refused and not forwarding.is_final(relayed):
         return forwarding.RelayResult(verdict, relayed.reason)
     return relayed
 
--- a/oleanderwood/jobs/crash_backoff.py
+++ b/oleanderwood/jobs/crash_backoff.py
@@ -26,8 +26,8 @@
     return not any(step.is_long_running for step in entry.job.work.steps)
 
 
-def pause_s(task: ledgers.Task) -> float:
-    """Return the pause after a task's latest crash."""
+def backoff_s(task: ledgers.Task) -> float:
+    """Return the pause after a task's latest crash, in seconds."""
     doublings = max(0, task.crash_count - 2)
     longest_s = MAX_BATCH_S
     if task.group.step.is_long_running:
@@ -41,12 +41,12 @@
 
     :param crashed_s: when its worker crashed
     """
-    until_s = crashed_s + pause_s(task)
+    until_s = crashed_s + backoff_s(task)
     members = task.group.tasks if task.group.step.gang else [task]
     for member in members:
         member.backoff_until_s = max(member.backoff_until_s, until_s)
 
 
-def is_waiting(task: ledgers.Task, now_s: float) -> bool:
-    """Return whether the pause before a task's next start goes on."""
+def is_in_backoff(task: ledgers.Task, now_s: float) -> bool:
+    """Return whether the pause after a task's latest crash goes on."""
     return now_s < task.backoff_until_s
--- a/oleanderwood/jobs/isolation.py
+++ b/oleanderwood/jobs/isolation.py
@@ -271,7 +271,7 @@
     return [
         task
         for task in group.suspects.values()
-        if is_waiting(task) and not crash_backoff.is_waiting(task, now_s)
+        if is_waiting(task) and not crash_backoff.is_in_backoff(task, now_s)
     ]
 
 
--- a/oleanderwood/leading/losses.py
+++ b/oleanderwood/leading/losses.py
@@ -98,7 +98,7 @@
             task=task.name,
             worker=worker.entry.worker,
             crashes=task.crash_count,
-            pause_s=crash_backoff.pause_s(task),
+            backoff_s=crash_backoff.backoff_s(task),
         )
 
 
--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -327,7 +327,7 @@
     for task in isolation.startable(group, now_s):
         if len(placed) >= max_starts or not quotas_.allows(quotas, group):
             break
-        if _is_paused(task, now_s) or isolation.awaits_storage(task, now_s):
+        if _must_wait(task, now_s) or isolation.awaits_storage(task, now_s):
             continue
         best = _best_candidate(group, task, free)
         if best is None:
@@ -345,8 +345,10 @@
     return placed
 
 
-def _is_paused(task: ledgers.Task, now_s: float) -> bool:
-    return task.not_before_s > now_s or crash_backoff.is_waiting(task, now_s)
+def _must_wait(task: ledgers.Task, now_s: float) -> bool:
+    return task.not_before_s > now_s or crash_backoff.is_in_backoff(
+        task, now_s
+    )
 
 
 def _reserve(
@@ -580,7 +582,7 @@
         return []
     if not quotas_.allows(quotas, group, len(members)):
         return []
-    if any(_is_paused(task, now_s) for task in members):
+    if any(_must_wait(task, now_s) for task in members):
         return []
     overdue = any(isolation.is_overdue(task, now_s) for task in members)
     without_latency_tasks = free
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,6 +72,14 @@
             await curio.sleep(LEAD_S)
             for row in rows:
                 await curio.spawn(_later, world, row, daemon=True)
+            disturbing.append(
+                await curio.spawn(
+                    callers_.abandon_always,
+                    world.callers,
+                    plan.pools,
+                    daemon=True,
+                )
+            )
             if plan.tenants:
                 disturbing += await _change_tenants(world)
             rng = random.Random(plan.seed + 4)
--- a/tests/test_crashes_under_long_running_tasks.py
+++ b/tests/test_crashes_under_long_running_tasks.py
@@ -119,7 +119,7 @@
     ledger, _task = _ledger(_lasting(2), build.step(3))
     task = build.task(ledger, step=1)
     _crash(ledger, task, 30)
-    pause_s = crash_backoff.pause_s(task)
+    pause_s = crash_backoff.backoff_s(task)
     assert pause_s == crash_backoff.MAX_BATCH_S
     others = [row for row in task.group.tasks if row is not task]
     startable = isolation.startable(task.group, 1.0 + pause_s / 2)
@@ -150,7 +150,7 @@
         crash = crashes_.Crash(run.attempt, 500, isolated=True)
         isolation.record_crash(ledger, task, crash, 16.0)
         workers_.end_all_runs(ledger, worker, 16.0)
-    assert task.backoff_until_s == 10.5 + crash_backoff.pause_s(task)
+    assert task.backoff_until_s == 10.5 + crash_backoff.backoff_s(task)
 
 
 def test_pause_is_forgotten_once_a_task_has_served():
