--- a/oleanderwood/pools/placing.py
+++ b/oleanderwood/pools/placing.py
@@ -399,18 +399,13 @@
     fitting = [candidate for candidate in free if fits(candidate, group)]
     if not fitting:
         return None
-    apart = isolation.is_kept_apart(task)
     return min(
-        fitting,
-        key=lambda candidate: _preference(candidate, group, task, apart),
+        fitting, key=lambda candidate: _preference(candidate, group, task)
     )
 
 
 def _preference(
-    candidate: FreeCapacity,
-    group: ledgers.Group,
-    task: ledgers.Task,
-    apart: bool,
+    candidate: FreeCapacity, group: ledgers.Group, task: ledgers.Task
 ):
     """Return a worker's sort key: healthy first, near the data, then fullest.
 
@@ -422,6 +417,7 @@
     """
     if _is_isolated(group, task):
         # A crash then has one explanation and costs few runs.
+        apart = isolation.is_kept_apart(task)
         return (
             candidate.suspect,
             apart and candidate.long_running_count + candidate.batch_count,
