--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -48,6 +48,7 @@
 
     :ivar answered_s: time from handing in to the first accepted answer
     :ivar finished_s: time from handing in until shown as completed
+    :ivar abandoned: jobs whose callers left and cancelled them
     :ivar tenancy: whose keys they show; None: they need none
     """
 
@@ -61,6 +62,7 @@
     accepted: dict[str, float] = dataclasses.field(default_factory=dict)
     finished_s: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelled: set[str] = dataclasses.field(default_factory=set)
+    abandoned: set[str] = dataclasses.field(default_factory=set)
     tenancy: tenancies.Tenancy | None = None
 
 
@@ -186,6 +188,7 @@
     step = {'count': 1, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 300}
     spec = {'phases': [step]}
     callers.world.jobs[job] = {**spec, 'service': pool}
+    callers.abandoned.add(job)
     prefix = f'/{pool}/'
     _note(callers, evidences.Kind.HANDED_IN, job, 'sent')
     status = 0
--- a/emulator/day.py
+++ b/emulator/day.py
@@ -288,7 +288,7 @@
         breaches += tenant_rules.check(callers.tenancy, evidence, world.jobs)
     return Result(
         breaches=breaches,
-        handed_in=len(world.jobs),
+        handed_in=len(world.jobs) - len(callers.abandoned),
         accepted=len(callers.accepted),
         unfinished=unfinished,
         waits_s=sorted(callers.finished_s.values()),
