--- a/review/rig.py
+++ b/review/rig.py
@@ -326,6 +326,7 @@
 
     :ivar orders: called with path and body before each order; what it returns
         is the answer, unless it is None
+    :ivar dark: it has crashed, and nothing is heard of it
     """
 
     def __init__(self, world: 'World', name: str, pool: str, labels: list):
@@ -337,6 +338,7 @@
         self.lives = 0
         self.ident = ''
         self.up = False
+        self.dark = False
         self.waves: set[int] = set()
         self.orders: typing.Any = None
         self.http = HttpServer(self._handle)
@@ -360,6 +362,7 @@
         self.ident = f'i-{self.name}-{self.lives}'
         self.state = 'up'
         self.up = True
+        self.dark = False
         await self.http.start()
         self.world.note(f'executor {self.ident} is up, pool {self.pool}')
         self.beat = asyncio.create_task(self._live(self.ident))
@@ -375,6 +378,15 @@
         await self.http.stop()
         self.world.note(f'executor {self.ident} ends: {why}; lost {lost}')
 
+    def fall_silent(self, why: str) -> None:
+        """End the life without a sign: nothing is answered any more."""
+        self.up = False
+        self.dark = True
+        self.state = 'down'
+        lost = sorted(self.running)
+        self.running.clear()
+        self.world.note(f'executor {self.ident} is silent: {why}; lost {lost}')
+
     async def _live(self, ident: str) -> None:
         """Keep the entry in the store, and let runs end, until it ends."""
         store = self.world.store
@@ -439,6 +451,9 @@
         return status, {'clock_ms': int(self.clock_ms()), **fields}
 
     async def _handle(self, method, target, headers, body) -> Answer:
+        if self.dark:
+            self.world.note(f'never arrives at {self.ident}: {target}')
+            return HANG
         if headers.get('expect-instance', self.ident) != self.ident:
             return 421, None
         asked = json.loads(body)
@@ -510,6 +525,8 @@
                 await asyncio.wait_for(
                     self.changed.wait(), asked['wait_ms'] / 1000
                 )
+        if self.dark:
+            return HANG
         rows = [
             [run.task, run.attempt, '', self._percent(run), 0]
             for run in self.running.values()
