--- a/review/rig.py
+++ b/review/rig.py
@@ -431,6 +431,10 @@
             elif now_s - run.began_s >= work_s:
                 self._finish(run, 'done')
 
+    def fail(self, task: str) -> None:
+        """Let a run end as failed, through a fault of its own."""
+        self._finish(self.running[task], 'failed')
+
     def _finish(self, run: Run, how: str) -> None:
         del self.running[run.task]
         self.over[run.task] = max(self.over.get(run.task, 0), run.attempt)
