--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,9 +24,7 @@
 }
 SHORT = {
     'spec': 'sheet',
-    'phases': [
-        {'count': 1, 'cpu': 2000, 'mem_mb': 1024, 'estimate_ms': 800}
-    ],
+    'phases': [{'count': 1, 'cpu': 2000, 'mem_mb': 1024, 'estimate_ms': 800}],
 }
 JOBS = [f'5c0e7a21d94b36{number:02x}' for number in range(4)]
 
--- a/review/rig.py
+++ b/review/rig.py
@@ -148,6 +148,66 @@
     writer.transport.abort()
 
 
+class Link:
+    """The way from one server to an address; it can be cut for a while.
+
+    As with TCP over a partition: what was sent on a connection that was open
+    before the cut is held up, and it arrives after the cut, also if the sender
+    has closed the connection meanwhile. Connections that are opened during the
+    cut never come about.
+
+    :ivar sent: called with each piece that a server sends
+    """
+
+    def __init__(self, target: HttpServer) -> None:
+        self.target = target
+        self.port = 0
+        self.sent: typing.Any = None
+        self.server: asyncio.Server | None = None
+        self.whole = asyncio.Event()
+        self.whole.set()
+
+    @property
+    def address(self) -> str:
+        """Return the address on which it listens."""
+        return f'127.0.0.1:{self.port}'
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(
+            self._carry, '127.0.0.1', 0, limit=1 << 24
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _carry(self, reader, writer) -> None:
+        if not self.whole.is_set():
+            await self.whole.wait()
+            abort(writer)
+            return
+        try:
+            far = await asyncio.open_connection('127.0.0.1', self.target.port)
+        except OSError:
+            abort(writer)
+            return
+        await asyncio.gather(
+            self._pump(reader, far[1], self.sent),
+            self._pump(far[0], writer, None),
+        )
+
+    async def _pump(self, reader, writer, sent) -> None:
+        try:
+            while data := await reader.read(1 << 16):
+                if sent is not None:
+                    sent(data)
+                await self.whole.wait()
+                writer.write(data)
+                await writer.drain()
+            await self.whole.wait()
+            writer.write_eof()
+        except (OSError, RuntimeError, asyncio.CancelledError):
+            writer.close()
+
+
 class Store:
     """The platform's key-value store.
 
@@ -500,9 +560,7 @@
         job, _occurrence, step, _index = task.split('.')
         phase = self.world.jobs[job]['phases'][int(step)]
         for what in ('cpu', 'mem_mb'):
-            used = sum(
-                run.phase.get(what, 0) for run in self.running.values()
-            )
+            used = sum(run.phase.get(what, 0) for run in self.running.values())
             if used + phase.get(what, 0) > self.capacity[what]:
                 return self._answer(409, reason='room')
         run = Run(task, attempt, phase, asked['spec'])
@@ -543,11 +601,16 @@
 
     :ivar before: called with path and body before each order; what it returns
         is the answer, unless it is None
+    :ivar arrived: machine, fencing token and holder of each order
+    :ivar begun: machine of each upkeep that began, and the machines that were
+        down for theirs
     """
 
     def __init__(self, world: 'World') -> None:
         self.world = world
         self.before: typing.Any = None
+        self.arrived: list[tuple[str, int, str]] = []
+        self.begun: list[tuple[str, list[str]]] = []
         self.http = HttpServer(self._handle)
 
     async def _handle(self, method, target, headers, body) -> Answer:
@@ -566,7 +629,9 @@
             ]
             return 200, {'machines': rows, 'next_token': None}
         asked = json.loads(body)
-        by = f'{headers["duty-holder"]} {headers["fencing-token"]}'
+        token, holder = int(headers['fencing-token']), headers['duty-holder']
+        self.arrived.append((asked['machine'], token, holder))
+        by = f'{holder}, token {token}'
         self.world.note(f'machine order {target} {asked} of {by}')
         if self.before is not None:
             answer = await self.before(target, asked)
@@ -598,6 +663,12 @@
         if machine.state != 'up':
             return 409, {'reason': 'busy'}
         machine.waves.add(number)
+        down = [
+            row.name
+            for row in self.world.machines.values()
+            if row.state == 'upkeep'
+        ]
+        self.begun.append((machine.name, down))
         self.world.note(f'upkeep of {machine.name} begins, wave {number}')
         await self._turn(machine, 'upkeep', MAINTENANCE_S)
         return 200, {}
@@ -623,6 +694,8 @@
         self.port = free_port()
         self.ready = free_port()
         self.inner = free_port()
+        self.store_link = Link(world.store.http)
+        self.cloud_link = Link(world.cloud.http)
         self.popen: subprocess.Popen | None = None
 
     def start(self, **changes) -> None:
@@ -634,11 +707,11 @@
             'callers_listen': f'127.0.0.1:{self.port}',
             'ready_listen': f'127.0.0.1:{self.ready}',
             'inner_port': self.inner,
-            'store_address': self.world.store.http.address,
+            'store_address': self.store_link.address,
             'store_writes_per_s': 400,
             'store_reads_per_s': 2000,
             'store_lease_min_ms': 1000,
-            'machines_address': self.world.cloud.http.address,
+            'machines_address': self.cloud_link.address,
             'machine_orders_per_s': 64.0,
             'machine_reads_per_s': 64.0,
             'heartbeat_ms': 1500,
@@ -759,6 +832,8 @@
         for machine in self.machines.values():
             await machine.begin()
         for server in self.servers:
+            await server.store_link.start()
+            await server.cloud_link.start()
             server.start(**settings)
         await self.until_led()
 
@@ -884,9 +959,14 @@
         return status, None
 
 
-Case = collections.abc.Callable[
-    [World, bool], collections.abc.Awaitable[bool]
-]
+def note_fault(world: World, context: dict) -> None:
+    """Note what a stand-in did not handle; connections end as cases do."""
+    error = context.get('exception')
+    if not isinstance(error, asyncio.CancelledError):
+        world.note(f'fault of a stand-in: {context["message"]} {error!r}')
+
+
+Case = collections.abc.Callable[[World, bool], collections.abc.Awaitable[bool]]
 
 
 def main(
@@ -897,6 +977,10 @@
 
     async def run() -> int:
         world = World(folder, **options)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _loop, context: note_fault(world, context)
+        )
         try:
             held = await asyncio.wait_for(case(world, trouble), limit_s)
         except (Unplayable, asyncio.TimeoutError, OSError) as error:
