--- a/review/6/case.py
+++ b/review/6/case.py
@@ -43,7 +43,7 @@
     if len(idle) != 1:
         raise rig.Unplayable(f'{len(idle)} executors are idle')
     if trouble:
-        idle[0].fall_silent('it crashes and is lost for good')
+        crash_at_start(idle[0])
     accepted = 0
     for answer in await asyncio.gather(
         *(world.hand_in(server, 'drafts', job, SHORT) for job in JOBS)
@@ -59,6 +59,19 @@
     return held
 
 
+def crash_at_start(machine: rig.Machine) -> None:
+    """Let an executor crash as the next order to start a task arrives."""
+
+    async def orders(target: str, asked: dict) -> rig.Answer:
+        if target != '/run-start':
+            return None
+        if not machine.dark:
+            machine.fall_silent('it crashes and is lost for good')
+        return rig.HANG
+
+    machine.orders = orders
+
+
 async def counts_pending(world: rig.World) -> bool:
     """Return whether the servers give half of the waiting jobs at least."""
     held = True
