--- a/review/rig.py
+++ b/review/rig.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import secrets
 import shutil
 import signal
 import socket
@@ -60,11 +61,21 @@
         self.file.flush()
 
 
+FIRST_PORT = 11_000
+PORTS = 20_000
+"""Below the ports that the system gives to outgoing connections."""
+
+
 def free_port() -> int:
     """Return a port that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    while True:
+        port = FIRST_PORT + secrets.randbelow(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 class HttpServer:
