--- a/review/rig.py
+++ b/review/rig.py
@@ -831,15 +831,19 @@
         self.machines[name] = Machine(self, name, pool, labels)
         return self.machines[name]
 
-    async def start(self, pools: list[str], **settings) -> None:
+    async def start(
+        self, pools: list[str], tenants: list[dict] | None = None, **settings
+    ) -> None:
         """Start everything, with one queue a pool, and wait for a leader.
 
         A queue's prefix is ``/POOL/``; its host is ``jobs.example``.
+
+        :param tenants: None if callers need no keys
         """
         await self.store.http.start()
         self.spawn(self.store.run_leases())
         await self.cloud.http.start()
-        self.configure(1, pools)
+        self.configure(1, pools, tenants=tenants)
         for machine in self.machines.values():
             await machine.begin()
         for server in self.servers:
