--- a/review/rig.py
+++ b/review/rig.py
@@ -398,6 +398,8 @@
     :ivar orders: called with path and body before each order; what it returns
         is the answer, unless it is None
     :ivar dark: it has crashed, and nothing is heard of it
+    :ivar cut: it runs on, but no server reaches it
+    :ivar born: when it was born, as it tells; None if it doesn't tell
     """
 
     def __init__(self, world: 'World', name: str, pool: str, labels: list):
@@ -410,6 +412,9 @@
         self.ident = ''
         self.up = False
         self.dark = False
+        self.cut = False
+        self.born: int | None = None
+        self.clock_from_s = 0.0
         self.waves: set[int] = set()
         self.orders: typing.Any = None
         self.http = HttpServer(self._handle)
@@ -471,6 +476,7 @@
 
     def _entry(self, ident: str) -> dict:
         return {
+            **self._told(),
             'service': self.pool,
             'addr': self.http.address,
             'zone': 'zone-a',
@@ -486,7 +492,26 @@
 
     def clock_ms(self) -> float:
         """Return the executor's own clock."""
-        return time.monotonic() * 1000
+        return (time.monotonic() - self.clock_from_s) * 1000
+
+    def restart(self) -> None:
+        """Begin another life under the same id, unheard behind a cut."""
+        lost = sorted(self.running)
+        self._reset()
+        self.clock_from_s = time.monotonic()
+        self.born = round(time.time() * 1000)
+        self.world.note(f'{self.ident} starts again, lost {lost}')
+        self.world.store.put(f'servers/{self.ident}', self._entry(self.ident))
+
+    def heal(self) -> None:
+        """End a cut; of the connections of before nobody knows any more."""
+        self.cut = False
+        for writer in list(self.http.writers):
+            abort(writer)
+        self.world.note(f'{self.ident} is reached again')
+
+    def _told(self) -> dict:
+        return {} if self.born is None else {'born': self.born}
 
     def _advance(self) -> None:
         now_s = time.monotonic()
@@ -526,6 +551,8 @@
         return status, {'clock_ms': int(self.clock_ms()), **fields}
 
     async def _handle(self, method, target, headers, body) -> Answer:
+        if self.cut:
+            return HANG
         if self.dark:
             self.world.note(f'never arrives at {self.ident}: {target}')
             return HANG
@@ -598,13 +625,15 @@
                 await asyncio.wait_for(
                     self.changed.wait(), asked['wait_ms'] / 1000
                 )
-        if self.dark:
+        if self.dark or self.cut:
             return HANG
         rows = [
             [run.task, run.attempt, '', self._percent(run), 0]
             for run in self.running.values()
         ]
-        return self._answer(200, running=rows, finished=self.ends[:500])
+        return self._answer(
+            200, **self._told(), running=rows, finished=self.ends[:500]
+        )
 
 
 class Cloud:
