--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: an order for a machine is held up as its sender is cut off."""
+"""Case 8: a wave that can't take a machine keeps it closed to its tasks."""
 
 import asyncio
 import pathlib
@@ -11,84 +11,73 @@
 
 WAVE = {
     'wave': 1,
-    'machines': ['m-1', 'm-0', 'm-2'],
-    'duration_s': 26,
+    'machines': ['m-0', 'm-1', 'm-2'],
+    'duration_s': 20,
     'max_count': 1,
 }
-CUT_S = 5.5
-"""As in the site file: node_cut, for_s 5.5."""
-
+FAILS_AFTER_S = 24.0
+RESTART_S = 6.0
+WATCH_S = 3.0
+CALM_S = 4.0
+JOB = '5c0e7a21d94b36f8'
 WORK = {
     'spec': 'sheet',
     'phases': [
         {
-            'count': 1,
+            'count': 2,
             'cpu': 2000,
             'mem_mb': 1024,
-            'estimate_ms': 2100,
+            'estimate_ms': 900,
             'required_label': 'b',
+            'long_running': True,
+            'may_miss': 1,
         }
     ],
 }
+TASK = f'{JOB}.0.0.0'
 
 
 async def case(world: rig.World, trouble: bool) -> bool:
     """Return whether the rule held."""
     for number in range(6):
-        kind = 'b' if number == 1 else 'a'
+        kind = 'b' if number == 0 else 'a'
         world.add(f'm-{number}', 'drafts', [kind, f'r1-{number // 4}'])
-    if trouble:
-        for server in world.servers:
-            server.cloud_link.sent = cut_at_order(world, server)
     await world.start(['drafts'])
-    status, _ = await world.hand_in(
-        world.servers[0], 'drafts', '5c0e7a21d94b36f8', WORK
-    )
+    server = world.servers[0]
+    status, _ = await world.hand_in(server, 'drafts', JOB, WORK)
     if status != 200:
         raise rig.Unplayable(f'the job was answered {status}')
-    await asyncio.sleep(0.3)
-    world.store.put('op/wave/1', WAVE)
-    world.note(f'the operator writes op/wave/1: {WAVE}')
-    await asyncio.sleep(20.0)
+    await asyncio.sleep(2.0)
+    machine = world.machines['m-0']
+    if len(machine.running) != 2:
+        raise rig.Unplayable('the tasks that last do not run')
+    if trouble:
+        world.store.put('op/wave/1', WAVE)
+        world.note(f'the operator writes op/wave/1: {WAVE}')
+    await asyncio.sleep(FAILS_AFTER_S)
     world.note(f'status/wave/1: {world.store.value("status/wave/1")}')
-    if not world.cloud.begun:
-        raise rig.Unplayable('no upkeep began')
-    return are_few_down(world)
-
-
-def cut_at_order(world: rig.World, server: rig.Server):
-    """Cut a server off from the platform as it sends the first order."""
-
-    def sent(data: bytes) -> None:
-        if not data.startswith(b'POST /machine-upkeep'):
-            return
-        for other in world.servers:
-            other.cloud_link.sent = None
-        world.note(f'{server.name} has sent: {data!r}')
-        world.note(f'{server.name} is cut off from the platform')
-        server.store_link.whole.clear()
-        server.cloud_link.whole.clear()
-        world.spawn(heal(world, server))
-
-    return sent
-
-
-async def heal(world: rig.World, server: rig.Server) -> None:
-    """End the cut."""
-    await asyncio.sleep(CUT_S)
-    world.note(f'{server.name} reaches the platform again')
-    server.store_link.whole.set()
-    server.cloud_link.whole.set()
+    if TASK not in machine.running:
+        raise rig.Unplayable('the task does not run on its machine')
+    machine.fail(TASK)
+    await asyncio.sleep(RESTART_S + CALM_S)
+    held = await runs_again(world, machine)
+    await world.state(server, 'drafts', JOB)
+    return held
 
 
-def are_few_down(world: rig.World) -> bool:
-    """Return whether each upkeep began with less than max_count others."""
-    held = True
-    for machine, down in world.cloud.begun:
-        if len(down) >= WAVE['max_count']:
-            world.note(f'the upkeep of {machine} began with {down} down')
-            held = False
-    return held
+async def runs_again(world: rig.World, machine: rig.Machine) -> bool:
+    """Return whether the task runs within 3 s, or has no room."""
+    for _ in range(int(WATCH_S / 0.1)):
+        if TASK in machine.running or not machine.up:
+            return True
+        await asyncio.sleep(0.1)
+    used = sum(run.phase['cpu'] for run in machine.running.values())
+    free = machine.capacity['cpu'] - used
+    world.note(
+        f'{RESTART_S + CALM_S + WATCH_S} s after its last run the task does '
+        f'not run; its executor is up and has {free} of cpu free'
+    )
+    return free < 2 * WORK['phases'][0]['cpu']
 
 
 if __name__ == '__main__':
