--- a/review/6/case.py
+++ b/review/6/case.py
@@ -92,4 +92,4 @@
 
 
 if __name__ == '__main__':
-    rig.main(FOLDER, case)
+    rig.main(FOLDER, case, server_count=6)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -39,7 +39,7 @@
 
 async def case(world: rig.World, trouble: bool) -> bool:
     """Return whether the rule held."""
-    for number in range(6):
+    for number in range(7):
         kind = 'b' if number == 0 else 'a'
         world.add(f'm-{number}', 'drafts', [kind, f'r1-{number // 4}'])
     await world.start(['drafts'])
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,7 @@
 
 import rig  # noqa: E402
 
-EXECUTORS = 7
+EXECUTORS = 8
 VISIBLE_S = 3.0
 LONG = {
     'spec': 'sheet',
