Reset connections whose calls are given up

What the platform saw: an order of a leader that was cut off and deposed arrived when the cut ended, under the next leader.

Cause, one of two: a call without an answer ended by a plain close, after which the kernel goes on delivering what was sent.

Test: test_held_up_requests holds up what was sent and delivers it unless the sender resets.

Why it holds: SO_LINGER with 0 s is set as a connection is opened, so every way of closing resets, also the kernel's after a kill. For a suspended process, TCP_USER_TIMEOUT lets the kernel give up after 2 s. All of our client connections have both, those to other servers as well: a call is done once its whole answer was read, so a close owes nothing to the peer. Answers to callers go over accepted connections, which stay as they were.

What the next leader believes is the second cause.

--- a/oleanderwood/web/http_client.py
+++ b/oleanderwood/web/http_client.py
@@ -2,12 +2,17 @@
 
 Every failure raises :class:`oleanderwood.errors.CallFailed` with a verdict:
 ``NOT_RUN`` only if nothing was written to the connection.
+
+All connections are reset when they are closed, so that a request which was
+given up isn't delivered after that. Nothing is lost by it: a request counts as
+done only once its whole response was read.
 """
 
 import contextlib
 import dataclasses
 import select
 import socket
+import struct
 import typing
 
 import curio
@@ -21,6 +26,15 @@
 MAX_BODY_BYTES = 8 << 20
 """Size limit of a response body that :func:`call` reads."""
 
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+"""Value of ``SO_LINGER``: the kernel drops unsent data and resets the
+connection on close, also when it closes it for a process that was killed."""
+
+UNACKNOWLEDGED_TIMEOUT_MS = 2000
+"""Time after which the kernel gives up a connection whose peer acknowledges
+nothing, also while this process is suspended. It is shorter than a change of
+leader with the pause before the next leader's first order for a machine."""
+
 
 @dataclasses.dataclass(eq=False)
 class Connection:
@@ -47,6 +61,7 @@
     """
     host, port = http.split_address(address)
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    _bound_delivery(sock)
     try:
         async with curio.timeout_after(timeout_s):
             await sock.connect((host, port))
@@ -65,6 +80,20 @@
     return Connection(address, sock, protocol)
 
 
+def _bound_delivery(sock: typing.Any) -> None:
+    """Limit how long data may be delivered after it was sent.
+
+    A partition may hold data up for longer than a leader's lease. By then
+    another leader may have acted on what this one has not done.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_TIMEOUT_MS,
+    )
+
+
 def is_reusable(connection: Connection) -> bool:
     """Return whether the connection is ready for another request."""
     return connection.protocol.our_state is h11.IDLE
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
         'test_connections',
         'test_daemon',
         'test_due',
+        'test_held_up_requests',
         'test_http',
         'test_http_server',
         'test_lossy_calls',
