Close machines only for a time, and only if closing helps

Cause: a wave in a hurry closed whatever it could not take, without end. New tasks do not change these reasons: long-running tasks that are needed, a hold, a pool without a machine to spare, a silent worker. The mark itself was set in three places, each with an exit of its own: a pass over a wave that returned early, another wave with the same machine, or a move that was already done left it behind.

Fix: a machine is closed only if work that ends, or others that are down, keep it up, and for at most 6 s on end; a task that can run nowhere else waits no longer than that. One place, leading/closing.py, derives the marks of all workers from the present waves and moves, anew in each pass.

Operators see a wave that is late: a log line with what it waits for, the counter oleander_server_late_waves_total, and oleanderctl status.

Tests: test_closed_machines.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -9,6 +9,7 @@
 from oleanderwood import clock
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood.leading import closing
 from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import machine_handover
 from oleanderwood.leading import pool_loop
@@ -68,6 +69,7 @@
         for progress in list(leader.fleet.waves.values()):
             if not progress.completed:
                 await _advance(leader, progress)
+        closing.update(leader)
         await pool_loop.balance(leader)
 
 
@@ -87,6 +89,7 @@
         now_s - leader.fleet.machines_read_s > 2 * READ_INTERVAL_S
         or not leader.fleet.machines
     ):
+        rolling.update_closed(progress, frozenset(), now_s)
         return
     by_machine = _workers_by_machine(leader)
     decision = rolling.decide(
@@ -97,7 +100,8 @@
         now_s,
         _bounds(leader),
     )
-    progress.closed = decision.close
+    rolling.update_closed(progress, decision.close, now_s)
+    closing.update(leader)
     if decision.waits != progress.waits:
         progress.waits = decision.waits
         event_log.emit(
@@ -107,10 +111,7 @@
             machines=decision.waits,
             down=sorted(progress.down),
         )
-    for name, worker in by_machine.items():
-        if name in progress.wave.machines:
-            worker.closed = name in decision.close
-            worker.maintenance_due = name not in progress.begun
+    _log_late(progress, now_s)
     if decision.relocate is not None and not decision.order:
         await relocations.relocate(leader, decision.relocate)
     to_order = [
@@ -133,6 +134,22 @@
     await _write_status(leader, progress, decision.completed)
 
 
+def _log_late(progress: rolling.Progress, now_s: float) -> None:
+    """Log and count a wave once its time is over, with what it waits for."""
+    if progress.is_late_logged or not rolling.is_late(progress, now_s):
+        return
+    progress.is_late_logged = True
+    server_metrics.LATE_WAVES.inc()
+    event_log.emit(
+        'wave',
+        'late',
+        wave=progress.wave.wave,
+        left=len(progress.wave.machines) - len(progress.begun),
+        machines=progress.waits,
+        down=sorted(progress.down),
+    )
+
+
 def _bounds(leader: states.Leader) -> rolling.Bounds:
     """Return the operators' current limits on maintenance."""
     policy = leader.policy.policy
--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -14,6 +14,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import queues
+from oleanderwood.leading import closing
 from oleanderwood.leading import drains
 from oleanderwood.leading import lacks
 from oleanderwood.leading import load_control
@@ -533,12 +534,13 @@
     if worker is not None:
         if worker.runs:
             return
-        worker.closed = True
+        closing.close_for_move(leader, worker, machine_calls.TIMEOUT_S)
     try:
         outcome = await machine_calls.move(
             leader.machine_calls, move.machine, move.target, leader.term
         )
     except errors.CallFailed as error:
+        server_metrics.MACHINE_ORDERS.labels('move', error.verdict.value).inc()
         event_log.emit(
             'fleet', 'move-doubtful', machine=move.machine, why=error.reason
         )
@@ -561,8 +563,20 @@
         if outcome is machine_calls.Outcome.INVALID:
             pause_s = INVALID_PAUSE_S
         leader.fleet.move_retry_after_s[move.machine] = clock.now_s() + pause_s
-        if worker is not None:
-            worker.closed = False
+    if worker is None:
+        return
+    if outcome is None:
+        # The move may have been carried out; the next list shows it.
+        closing.close_for_move(leader, worker, rolling.CYCLE_SLACK_S)
+    elif outcome is machine_calls.Outcome.DONE:
+        # It stays up if an earlier order had moved it there already.
+        closing.close_for_move(
+            leader,
+            worker,
+            leader.server.settings.move_s + rolling.CYCLE_SLACK_S,
+        )
+    else:
+        closing.reopen_after_move(leader, worker)
 
 
 def record_job_arrival(
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -229,6 +229,8 @@
     :ivar relocations: by step, for long-running tasks that have to leave
     :ivar move_retry_after_s: time until which a machine is not asked to move
         again
+    :ivar moving_until_s: workers that accept no new tasks, as their machine
+        moves or may move, with the time until which that counts
     :ivar announced: time at which an order was announced or last under way,
         by machine
     :ivar maintained: announced machines that the order may take down for
@@ -274,6 +276,9 @@
     move_retry_after_s: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    moving_until_s: dict[ids.VmId, float] = dataclasses.field(
+        default_factory=dict
+    )
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     maintained: set[str] = dataclasses.field(default_factory=set)
     inherited_maintenance: frozenset[str] = frozenset()
--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -23,6 +23,14 @@
 """Machines closed to new tasks beyond those that go down next; each costs
 capacity."""
 
+MAX_CLOSED_S = 6.0
+"""Longest time for which a machine is closed to new tasks ahead of its
+maintenance. Tasks that can run nowhere else wait meanwhile."""
+
+HAS_WORK = 'it has work'
+"""Why a machine doesn't go down now: the one reason that ends sooner if it
+gets no new tasks."""
+
 MAX_HELD_UP_S = 10.0
 """Longest time that an order without an answer is expected to be held up on
 its way to a machine that is down, which refuses orders. A machine that is lost
@@ -73,11 +81,14 @@
     :ivar begun: machines whose maintenance has begun
     :ivar down: machines that were, or may have been, ordered down and aren't
         known to be back
-    :ivar closed: machines that go down next
+    :ivar closed: machines that accept no new tasks, as they go down next
+    :ivar closed_since_s: since when each of them is closed, also of those that
+        were closed for too long
     :ivar refused_until_s: until when a machine isn't ordered again, as its
         last order was refused or got no answer
     :ivar waits: why a machine doesn't go down now
     :ivar status_written: the last status in the store
+    :ivar is_late_logged: whether it was logged that its time is over
     """
 
     wave: fleet.Wave
@@ -85,16 +96,20 @@
     begun: set[str] = dataclasses.field(default_factory=set)
     down: dict[str, MaintenanceOrder] = dataclasses.field(default_factory=dict)
     closed: set[str] = dataclasses.field(default_factory=set)
+    closed_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     waits: dict[str, str] = dataclasses.field(default_factory=dict)
     completed: bool = False
     status_written: str = ''
+    is_late_logged: bool = False
 
 
 @dataclasses.dataclass
 class Decision:
     """The result of a planning pass over a wave.
 
+    :ivar close: machines that need to accept no new tasks, as they go down
+        next
     :ivar waits: why other machines don't go down now
     :ivar relocate: a long-running task to start elsewhere
     """
@@ -177,42 +192,74 @@
     )
     hurry = _must_hurry(progress, len(pending), maintenance_s, now_s)
     for name in pending:
-        if name not in ready:
-            decision.waits[name] = _unready_reason(
-                machines[name], name in in_doubt
-            )
+        if name in ready:
+            continue
+        machine = machines[name]
+        decision.waits[name] = machine.state.value
+        if name in in_doubt and machine.state is fleet.State.UP:
+            decision.waits[name] = 'its order got no answer'
+            decision.close.add(name)
+    held = bounds.hold or (bounds.quiet and not hurry)
     spare = _spare_machines(progress, machines, bounds, hurry)
     for name in ready:
         worker = workers.get(name)
         pool = ids.ServiceId(machines[name].pool)
-        reason = _blocking_reason(worker, hurry, now_s)
         repeated = name in in_doubt
         if spare.get(pool, 1) < (0 if repeated else 1):
             decision.waits[name] = 'its pool has no machine to spare'
             continue
-        if bounds.hold or (bounds.quiet and not hurry):
+        if pool in spare and not repeated:
+            spare[pool] -= 1
+        reason = _blocking_reason(worker, hurry, now_s)
+        if held:
             reason = 'operators hold maintenance'
+        is_due_next = reason in ('', HAS_WORK)
         if not repeated and slots <= 0:
             reason = 'others are down'
-        if pool in spare and not repeated:
-            spare[pool] -= 1
         if not reason:
             decision.order.append(name)
             if not repeated:
                 slots -= 1
             continue
         decision.waits[name] = reason
-        if len(decision.close) < wave.most_at_once + CLOSED_AHEAD:
-            if worker is None or hurry:
-                decision.close.add(name)
-            elif disruption_budget.may_interrupt_all(worker, now_s):
-                decision.close.add(name)
+        if (
+            is_due_next
+            and len(decision.close) < wave.most_at_once + CLOSED_AHEAD
+        ):
+            decision.close.add(name)
         if decision.relocate is None and worker is not None:
             decision.relocate = _task_to_relocate(worker, now_s)
     decision.close.update(decision.order)
     return decision
 
 
+def update_closed(
+    progress: Progress, wanted: collections.abc.Set[str], now_s: float
+) -> None:
+    """Close machines to new tasks, each for at most ``MAX_CLOSED_S``.
+
+    One that was closed for longer is open until it need not be closed.
+    """
+    progress.closed_since_s = {
+        name: progress.closed_since_s.get(name, now_s) for name in wanted
+    }
+    progress.closed = {
+        name
+        for name, since_s in progress.closed_since_s.items()
+        if now_s - since_s <= MAX_CLOSED_S
+    }
+
+
+def is_late(progress: Progress, now_s: float) -> bool:
+    """Return whether the time of a wave is over before the wave is."""
+    return not progress.completed and time_left_s(progress, now_s) < 0.0
+
+
+def time_left_s(progress: Progress, now_s: float) -> float:
+    """Return the time left for a wave; it is negative once that is over."""
+    return progress.first_seen_s + progress.wave.time_s - now_s
+
+
 def _spare_machines(
     progress: Progress,
     machines: dict[str, fleet.Machine],
@@ -261,13 +308,6 @@
     )
 
 
-def _unready_reason(machine: fleet.Machine, in_doubt: bool) -> str:
-    """Return why no order can be sent for a machine now."""
-    if in_doubt and machine.state is fleet.State.UP:
-        return 'its order got no answer'
-    return machine.state.value
-
-
 def _blocking_reason(
     worker: workers_.Worker | None, hurry: bool, now_s: float
 ) -> str:
@@ -280,7 +320,7 @@
     if not disruption_budget.may_interrupt_all(worker, now_s):
         return 'its long-running tasks are needed'
     if _batch_task_count(worker) and not hurry:
-        return 'it has work'
+        return HAS_WORK
     return ''
 
 
@@ -346,5 +386,5 @@
 ) -> bool:
     rounds = -(-pending // max(1, progress.wave.most_at_once))
     needed_s = rounds * (maintenance_s + CYCLE_SLACK_S)
-    left_s = progress.first_seen_s + progress.wave.time_s - now_s
+    left_s = time_left_s(progress, now_s)
     return left_s < HURRY_FACTOR * needed_s
--- a/oleanderwood/operators/messages.py
+++ b/oleanderwood/operators/messages.py
@@ -127,6 +127,7 @@
     """One wave now.
 
     :ivar waits: why machines don't go down, by their name
+    :ivar left_s: time left for it; negative once that is over
     """
 
     wave: int
@@ -135,6 +136,7 @@
     down: int
     completed: bool
     waits: dict[str, str] = {}
+    left_s: float = 0.0
 
 
 class StatusReply(msgspec.Struct, frozen=True):
--- a/oleanderwood/operators/text.py
+++ b/oleanderwood/operators/text.py
@@ -76,6 +76,8 @@
         f'{row.down} down'
     ]
     if not row.completed:
+        if row.left_s < 0:
+            lines[0] += f', {-row.left_s:.0f} s late'
         lines += [f'  {name}: {why}' for name, why in row.waits.items()]
     return '\n'.join(lines)
 
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -8,6 +8,7 @@
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.leading import state as states
 from oleanderwood.maintenance import fleet
+from oleanderwood.maintenance import rolling
 from oleanderwood.operators import messages
 from oleanderwood.policy import model as policies
 from oleanderwood.pools import quotas as quotas_
@@ -19,6 +20,7 @@
     """Tell of the whole."""
     server = leader.server
     configuration = server.configuration
+    now_s = clock.now_s()
     jobs = collections.Counter(
         entry.state.value for entry in leader.ledger.entries.values()
     )
@@ -38,6 +40,7 @@
                 len(progress.down),
                 progress.completed,
                 progress.waits,
+                round(rolling.time_left_s(progress, now_s), 1),
             )
             for number, progress in sorted(leader.fleet.waves.items())
         ),
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -105,6 +105,13 @@
     registry=REGISTRY,
 )
 
+LATE_WAVES = prometheus_client.Counter(
+    'oleander_server_late_waves_total',
+    'Waves of maintenance whose time was over before all their machines had '
+    'gone down.',
+    registry=REGISTRY,
+)
+
 GRANTED_MACHINES = prometheus_client.Gauge(
     'oleander_server_granted_machines',
     'Machines that a pool gets while the fleet does not suffice for all.',
