Count jobs as begun only once a run of them was seen

Cause: a run that ended with its worker counted as begun, also if its order had never left the leader, or had left and was never answered; a start without an answer counted at once. The mark is never taken back.

Fix: a job has begun once a run of it was seen, that is, once a worker took the order to start it, or listed the run or its end. An order in doubt is no sight: while it is, the job is shown as queued and counts as pending, and the worker's next report settles it. So no job goes back from running to queued. The store gets that state as well: a decided start was stored as running, which the next leader took for a begun job. The order of bursts goes by decided starts, as before.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -186,8 +186,8 @@
     :ivar arrived_s: when this leader received it
     :ivar inherited: an earlier leader may have started tasks of it
     :ivar groups: by occurrence and index of the step
-    :ivar has_run: a task of it has begun, or may have: a worker has answered
-        an order to start one, or left it unanswered
+    :ivar has_run: a run of one of its tasks was seen: a worker took the order
+        to start it, or listed it or its end
     :ivar state: present state
     :ivar stored_state: state that the store holds
     :ivar cause: why it has failed
@@ -422,12 +422,8 @@
     task: Task,
     now_s: float,
     checkpoint: str = '',
-    has_begun: bool = True,
 ) -> None:
-    """Record that a task's run is over; the task waits unless it is done.
-
-    :param has_begun: False if the order to start it was refused
-    """
+    """Record that a task's run is over; the task waits unless it is done."""
     run = task.run
     if run is None:
         return
@@ -436,7 +432,8 @@
     note_checkpoint(task, checkpoint)
     task.not_serving_since_s = now_s
     task.run = None
-    task.group.entry.has_run |= has_begun
+    if run.seen or run.phase is RunPhase.RUNNING:
+        task.group.entry.has_run = True
     if not task.done and not is_final(task.group.entry):
         task.group.waiting[task.index] = task
         ledger.open_groups[task.group] = None
@@ -519,10 +516,19 @@
 
 def shown_state(entry: Entry) -> model.State:
     """Return the state for callers: a final one only once it is stored."""
-    if is_final(entry):
-        is_stored = entry.stored_state is entry.state
-        return entry.state if is_stored else model.State.RUNNING
-    return entry.state if entry.has_run else model.State.QUEUED
+    if is_final(entry) and entry.stored_state is not entry.state:
+        return model.State.RUNNING
+    return state_to_store(entry)
+
+
+def state_to_store(entry: Entry) -> model.State:
+    """Return the state that later leaders and callers may rely on.
+
+    A job is queued until a run of it is seen, whatever starts were decided.
+    """
+    if is_final(entry) or entry.has_run:
+        return entry.state
+    return model.State.QUEUED
 
 
 def has_begun(entry: Entry) -> bool:
@@ -533,7 +539,8 @@
 def is_pending(entry: Entry) -> bool:
     """Return whether no task of a job has begun, as callers count it.
 
-    An order to start one proves nothing, as its worker may refuse it.
+    An order to start one proves nothing: its worker may refuse it, or be lost
+    before it takes it.
     """
     return not entry.has_run and not is_final(entry)
 
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -101,7 +101,10 @@
         if row.done != '0' or row.failed or row.crashes:
             rows.append(row)
     return Progress(
-        entry.state, rows, sorted(entry.more_pools), entry.job.tenant
+        ledgers.state_to_store(entry),
+        rows,
+        sorted(entry.more_pools),
+        entry.job.tenant,
     )
 
 
--- a/oleanderwood/leading/dispatch.py
+++ b/oleanderwood/leading/dispatch.py
@@ -184,7 +184,6 @@
 
     The worker can be marked as gone only while the leader's lease is in force.
     """
-    task.group.entry.has_run = True
     if task.run is run and run.phase is ledgers.RunPhase.ORDERED:
         ledgers.set_phase(run, ledgers.RunPhase.UNCONFIRMED, clock.now_s())
 
@@ -210,9 +209,7 @@
 async def _requeue_unstarted(leader, worker, task, why) -> None:
     """Return a task to the queue after a start that certainly did not run."""
     task.not_before_s = clock.now_s() + REFUSED_PAUSE_S
-    workers_.end_run(
-        leader.ledger, worker, task, clock.now_s(), has_begun=False
-    )
+    workers_.end_run(leader.ledger, worker, task, clock.now_s())
     await leader.placement_due.set(worker.entry.service)
 
 
--- a/oleanderwood/pools/workers.py
+++ b/oleanderwood/pools/workers.py
@@ -250,6 +250,7 @@
             )
         )
         return
+    task.group.entry.has_run = True
     # Its worker listed this end, so it did not crash.
     isolation.clear(ledger, task, row.attempt)
     current = is_current(worker, task, row.attempt)
@@ -307,16 +308,12 @@
     task: ledgers.Task,
     now_s: float,
     checkpoint: str = '',
-    has_begun: bool = True,
 ) -> None:
-    """Record that the task's run on this worker is over.
-
-    :param has_begun: False if the worker refused to start it
-    """
+    """Record that the task's run on this worker is over."""
     worker.runs.pop(task.name, None)
     if not worker.runs:
         worker.idle_since_s = now_s
-    ledgers.end_run(ledger, task, now_s, checkpoint, has_begun)
+    ledgers.end_run(ledger, task, now_s, checkpoint)
 
 
 def _apply_running(ledger, worker, row, sent_s, now_s, outcome) -> None:
