Keep orders in doubt apart by wave, and within what may be down

Cause: the announcements name machines without their wave, and the orders of other waves were inherited from them, besides those that the wave's own state names. Repetitions took no slot whatever their number was.

Fix: announcements say that the stored waves name the orders in doubt; only those of an earlier release are still used in place of that. And no more orders are repeated at a time than machines may be down, which holds as well if operators lower that number meanwhile.

--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -308,9 +308,9 @@
 def restore_announced(
     leader: states.Leader, progress: rolling.Progress
 ) -> None:
-    """Count orders in doubt that only the announcements of a leader name.
+    """Count the orders that a leader of an earlier release announced.
 
-    Leaders of an earlier release persisted no others.
+    Its announcements don't name the waves, so they may name too many.
     """
     _add_in_doubt(progress, leader.fleet.inherited_maintenance)
     if progress.down:
--- a/oleanderwood/leading/machine_handover.py
+++ b/oleanderwood/leading/machine_handover.py
@@ -44,6 +44,8 @@
     :ivar ages_ms: age of each announcement, or of its order once that was
         sent, when this was written, by the monotonic clock of the writer
     :ivar maintained: machines whose order was for maintenance
+    :ivar waves_name_doubts: the stored waves name the orders in doubt; leaders
+        of an earlier release only announced them
     """
 
     wall_ms: dict[str, float] = {}
@@ -51,6 +53,7 @@
     pool_cores: dict[str, float] = {}
     ages_ms: dict[str, float] = {}
     maintained: list[str] = []
+    waves_name_doubts: bool = False
 
 
 async def announce(
@@ -82,6 +85,7 @@
         leader.fleet.arrival_history.pool_cores,
         ages_ms,
         sorted(maintained),
+        waves_name_doubts=True,
     )
     values = {KEY: msgspec.json.encode(announced), **(wave or {})}
     if not await fenced_writes.try_write(
@@ -128,7 +132,8 @@
     now_s = clock.now_s()
     stored = msgspec.json.decode(value, type=Announcements)
     leader.fleet.maintained = set(stored.maintained)
-    leader.fleet.inherited_maintenance = frozenset(stored.maintained)
+    if not stored.waves_name_doubts:
+        leader.fleet.inherited_maintenance = frozenset(stored.maintained)
     leader.fleet.first_sizes = dict(stored.first_sizes)
     leader.fleet.arrival_history.pool_cores = dict(stored.pool_cores)
     for name in stored.wall_ms:
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -235,7 +235,8 @@
         by machine
     :ivar maintained: announced machines that the order may take down for
         maintenance
-    :ivar inherited_maintenance: what ``maintained`` was for the leader before
+    :ivar inherited_maintenance: the machines that a leader of an earlier
+        release announced for maintenance
     :ivar order_after_s: time from which this leader may send an order to a
         machine for which an earlier leader announced one, by machine
     :ivar no_order_before_s: time from which this leader may send orders to
--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -162,7 +162,8 @@
 
     A machine whose order is in doubt counts as down until the platform has
     answered for it. Its order is repeated before any other is sent, which
-    takes no further slot: maintenance is idempotent within its wave.
+    takes no further slot: maintenance is idempotent within its wave. There may
+    be more in doubt than may go down, if that number was lowered meanwhile.
 
     :param workers: by machine
     """
@@ -177,7 +178,9 @@
         decision.completed = machines.keys().isdisjoint(progress.down)
         return decision
     in_doubt = progress.down.keys() & pending
-    slots = wave.most_at_once - len(_down(progress, machines, now_s))
+    down = _down(progress, machines, now_s)
+    slots = wave.most_at_once - len(down)
+    repetitions = wave.most_at_once - len(down - in_doubt)
     ready = [
         name
         for name in pending
@@ -214,11 +217,13 @@
         if held:
             reason = 'operators hold maintenance'
         is_due_next = reason in ('', HAS_WORK)
-        if not repeated and slots <= 0:
+        if (repetitions if repeated else slots) <= 0:
             reason = 'others are down'
         if not reason:
             decision.order.append(name)
-            if not repeated:
+            if repeated:
+                repetitions -= 1
+            else:
                 slots -= 1
             continue
         decision.waits[name] = reason
--- a/tests/test_orders_in_doubt.py
+++ b/tests/test_orders_in_doubt.py
@@ -69,6 +69,18 @@
     assert decision.waits['b'] == 'others are down'
 
 
+def test_no_more_orders_are_repeated_than_machines_may_be_down():
+    """Guards against too many machines down once operators allow fewer."""
+    progress = build.progress('a', 'b', 'c')
+    _in_doubt(progress, 'a')
+    _in_doubt(progress, 'b')
+    machines = build.machines('a', 'b', 'c')
+    assert build.decide(progress, machines).order == ['a']
+    progress.begun.add('a')
+    progress.down['a'] = rolling.MaintenanceOrder('w-a', 10.0, taken=True)
+    assert not build.decide(progress, machines).order
+
+
 def test_order_in_doubt_is_not_repeated_if_operators_hold_maintenance():
     progress = build.progress('a')
     _in_doubt(progress, 'a')
@@ -200,6 +212,18 @@
         curio.run(fleet_loop._write_progress, leader, progress)
 
 
+def test_order_in_doubt_counts_in_its_own_wave_alone(monkeypatch):
+    """Guards against repetitions for machines that another wave ordered."""
+    platform = build.install_platform(monkeypatch)
+    leader, progress = build.leader('a', 'b'), build.progress('a', 'b')
+    _announce(leader, progress, ['a'])
+    later = build.leader('a', 'b')
+    machine_handover.restore(later, platform.stored[machine_handover.KEY])
+    other = build.progress('a', 'b')
+    fleet_loop.restore_announced(later, other)
+    assert not other.down
+
+
 def test_answered_order_costs_the_next_leader_no_slot(monkeypatch):
     platform = build.install_platform(monkeypatch)
     platform.answers.append(DONE)
