Let the emulator and the soak hold up orders for machines

New troubles, drawn by seeds like the others: an order that is carried out once its sender's cut ends, orders whose answers are lost, and an executor that is lost as an order to start arrives.

An order that arrives after its sender has reset the connection doesn't count for ONE in the checker: real connections lose it, and the emulated network delivers it on purpose, so that LIMIT is tested without the reset. No kind of trouble had such orders for machines before.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -362,10 +362,14 @@
 
 
 def _turns(evidence):
-    """Two leaders don't order one machine in quick succession."""
+    """Two leaders don't order one machine in quick succession.
+
+    Orders that are delivered after their sender has reset the connection don't
+    count: a real network loses them.
+    """
     last = {}
     for sight in evidence.sights:
-        if sight.kind is not Kind.ORDERED:
+        if sight.kind is not Kind.ORDERED or sight.how == 'late':
             continue
         before = last.get(sight.place)
         last[sight.place] = sight
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -318,6 +318,7 @@
             place=machine.name,
             attempt=int(headers['fencing-token']),
             by=headers['duty-holder'],
+            how='late' if networks.LATE_HEADER in headers else '',
         )
         if target == '/machine-move':
             return await _move(fleet, machine, asked['pool'])
--- a/emulator/lab.py
+++ b/emulator/lab.py
@@ -50,6 +50,7 @@
     resize_count: int = 0,
     tenants: int = 0,
     change_count: int = 0,
+    order_count: int = 0,
     log: str = '',
 ) -> int:
     """Play days with drawn troubles; the status is 1 if a rule was broken.
@@ -67,6 +68,8 @@
         strangers with wrong ones
     :param change_count: further troubles: keys that are taken away and
         limits that fall
+    :param order_count: further troubles: orders for machines that are held up
+        or whose answers are lost, and executors lost at an order to start
     :param log: file for the log of the last day
     """
     lines: list[str] = []
@@ -102,6 +105,9 @@
         drawn += troubles.draw(
             seed, length_s, change_count, troubles.TENANT_KINDS
         )
+        drawn += troubles.draw(
+            seed, length_s, order_count, troubles.ORDER_KINDS
+        )
         wanted = features.draw(seed, feature_count)
         if crashes:
             wanted += (features.Feature.CRASHES,)
--- a/emulator/scenes.py
+++ b/emulator/scenes.py
@@ -20,6 +20,7 @@
     :ivar back_s: when a store that is away will be back
     :ivar tenancy: the tenants of the day, if it has some
     :ivar spoiled: executors whose entries are written over at the moment
+    :ivar machines_address: address of the machines' interface
     """
 
     network: networks.Network
@@ -30,6 +31,7 @@
     back_s: float = math.inf
     spoiled: set[str] = dataclasses.field(default_factory=set)
     tenancy: tenancies.Tenancy | None = None
+    machines_address: str = servers.MACHINES_ADDRESS
 
 
 def leader(scene: Scene) -> servers.Process:
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -10,6 +10,7 @@
 from emulator import evidence as evidences
 from emulator import executors
 from emulator import fleet as fleets
+from emulator import machine_orders
 from emulator import restarts
 from emulator import scenes
 from emulator import servers
@@ -74,6 +75,9 @@
     KEY_REVOKED = 'key-revoked'
     KEYS_REVOKED = 'keys-revoked'
     LIMITS_FALL = 'limits-fall'
+    MACHINE_ORDER_HELD_UP = 'machine-order-held-up'
+    MACHINE_ANSWERS_LOST = 'machine-answers-lost'
+    EXECUTOR_LOST_AT_START = 'executor-lost-at-start'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,6 +127,13 @@
 RESIZE_KINDS = (Kind.ROOMS_RESIZED,)
 """Executors whose room shrinks and grows while they run."""
 
+ORDER_KINDS = (
+    Kind.MACHINE_ORDER_HELD_UP,
+    Kind.MACHINE_ANSWERS_LOST,
+    Kind.EXECUTOR_LOST_AT_START,
+)
+"""Orders that are held up past their sender, or have no answer."""
+
 TENANT_KINDS = (Kind.KEY_REVOKED, Kind.KEYS_REVOKED, Kind.LIMITS_FALL)
 """What operators do to tenants; nothing on days without any."""
 
@@ -153,6 +164,7 @@
     Kind.RESTARTED_IN_TAKEOVER,
     Kind.RESTARTED_IN_CUT,
     Kind.RESTARTED_STORE_AWAY,
+    Kind.MACHINE_ORDER_HELD_UP,
 )
 """Kinds that keep servers from hearing of changes in the store."""
 
@@ -166,6 +178,7 @@
     *RESTART_KINDS,
     *RESIZE_KINDS,
     *TENANT_KINDS,
+    *ORDER_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
@@ -175,7 +188,14 @@
 LAB_KINDS = tuple(
     kind
     for kind in Kind
-    if kind not in (*CUT_KINDS, *RESTART_KINDS, *RESIZE_KINDS, *TENANT_KINDS)
+    if kind
+    not in (
+        *CUT_KINDS,
+        *RESTART_KINDS,
+        *RESIZE_KINDS,
+        *TENANT_KINDS,
+        *ORDER_KINDS,
+    )
 )
 """The same for days of the lab; others are asked for by a count of theirs."""
 
@@ -454,4 +474,7 @@
     Kind.KEY_REVOKED: tenant_troubles.key_revoked,
     Kind.KEYS_REVOKED: tenant_troubles.keys_revoked,
     Kind.LIMITS_FALL: tenant_troubles.limits_fall,
+    Kind.MACHINE_ORDER_HELD_UP: machine_orders.held_up,
+    Kind.MACHINE_ANSWERS_LOST: machine_orders.answers_lost,
+    Kind.EXECUTOR_LOST_AT_START: machine_orders.executor_lost,
 }
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,10 @@
 RESIZES_PER_S = 0.2
 """Changes of rooms, beside them, where they are asked for."""
 
+ORDERS_PER_S = 0.15
+"""Troubles around orders for machines, beside them, where they are asked for.
+"""
+
 CHANGES_PER_S = 0.2
 """Changes of tenants, beside them, where there are some."""
 
@@ -149,6 +153,7 @@
     crashes: bool = False,
     tenants: int = 0,
     pressure: bool = False,
+    orders: bool = False,
 ) -> int:
     """Soak some seeds, one after another.
 
@@ -158,6 +163,8 @@
         strangers with wrong keys
     :param pressure: callers send several times what the pools can do, and
         load control is in force
+    :param orders: orders for machines are held up past their sender or have no
+        answer, and an executor is lost as an order to start arrives
     :param crashes: some tasks crash their executors, and rooms change
     """
     event_log.emit = _quiet
@@ -174,6 +181,8 @@
             wanted = (features.Feature.CRASHES,)
             plan = dataclasses.replace(plan, features=wanted)
             rows += strikes.draw_resizes(number, seconds, RESIZES_PER_S)
+        if orders:
+            rows += strikes.draw_orders(number, seconds, ORDERS_PER_S)
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{number}-'))
         outcome = curio.run(soak, plan, folder, rows)
         _tell(outcome, rows)
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from emulator import machine_orders
 from emulator import scenes
 from emulator import troubles
 from soak import processes
@@ -109,8 +110,19 @@
     return [Strike(row.kind, row.at_s, row.for_s) for row in rows]
 
 
+def draw_orders(seed: int, length_s: float, per_s: float) -> list[Strike]:
+    """Draw troubles around orders for machines."""
+    rows = troubles.draw(
+        seed, length_s, max(1, int(length_s * per_s)), troubles.ORDER_KINDS
+    )
+    return [Strike(row.kind, row.at_s, row.for_s) for row in rows]
+
+
 async def strike(field: Field, row: Strike) -> None:
     """Let a strike come now, and pass."""
+    if row.kind is troubles.Kind.MACHINE_ORDER_HELD_UP:
+        await _machine_order_held_up(field, row)
+        return
     if isinstance(row.kind, troubles.Kind):
         trouble = troubles.Trouble(row.kind, 0.0, row.for_s)
         await troubles.strike(field.scene, trouble)
@@ -210,6 +222,19 @@
     await _spoil(field, [field.machine_links[name]], row)
 
 
+async def _machine_order_held_up(field: Field, row: Strike) -> None:
+    async def cut(scene: scenes.Scene, source: str, for_s: float) -> None:
+        async with curio.TaskGroup() as group:
+            for links in (field.store_links, field.machine_links):
+                await group.spawn(
+                    proxies.spoil, links[source], proxies.Mode.SILENT, for_s
+                )
+
+    troubles.note_deaf(field.scene, 'begin')
+    await machine_orders.held_up(field.scene, row, cut)
+    troubles.note_deaf(field.scene, 'end')
+
+
 async def _worker_link(field: Field, row: Strike) -> None:
     name = field.rng.choice(sorted(field.worker_links))
     await _spoil(field, [field.worker_links[name]], row)
--- a/soak/world.py
+++ b/soak/world.py
@@ -117,6 +117,7 @@
             [],
             random.Random(plan.seed),
             tenancy=tenancy,
+            machines_address='machines',
         ),
         servers,
         {},
