--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -100,8 +100,10 @@
         now_s,
         _bounds(leader),
     )
+    closed = progress.closed
     rolling.update_closed(progress, decision.close, now_s)
-    closing.update(leader)
+    if progress.closed != closed:
+        closing.update(leader)
     if decision.waits != progress.waits:
         progress.waits = decision.waits
         event_log.emit(
--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -167,10 +167,9 @@
 
     :param workers: by machine
     """
-    wave = progress.wave
     pending = [
         name
-        for name in wave.machines
+        for name in progress.wave.machines
         if name in machines and name not in progress.begun
     ]
     decision = Decision()
@@ -178,9 +177,10 @@
         decision.completed = machines.keys().isdisjoint(progress.down)
         return decision
     in_doubt = progress.down.keys() & pending
-    down = _down(progress, machines, now_s)
-    slots = wave.most_at_once - len(down)
-    repetitions = wave.most_at_once - len(down - in_doubt)
+    hurry = _must_hurry(progress, len(pending), maintenance_s, now_s)
+    held = bounds.hold or (bounds.quiet and not hurry)
+    spare = _spare_machines(progress, machines, bounds, hurry)
+    slots = _slots(progress, machines, in_doubt, now_s)
     ready = [
         name
         for name in pending
@@ -193,44 +193,28 @@
             _order_key(workers.get(name), now_s),
         )
     )
-    hurry = _must_hurry(progress, len(pending), maintenance_s, now_s)
     for name in pending:
-        if name in ready:
-            continue
-        machine = machines[name]
-        decision.waits[name] = machine.state.value
-        if name in in_doubt and machine.state is fleet.State.UP:
-            decision.waits[name] = 'its order got no answer'
-            decision.close.add(name)
-    held = bounds.hold or (bounds.quiet and not hurry)
-    spare = _spare_machines(progress, machines, bounds, hurry)
+        if name not in ready:
+            _add_unready(decision, machines[name], name in in_doubt)
     for name in ready:
         worker = workers.get(name)
-        pool = ids.ServiceId(machines[name].pool)
         repeated = name in in_doubt
-        if spare.get(pool, 1) < (0 if repeated else 1):
+        if not _claim_spare(spare, machines[name], repeated):
             decision.waits[name] = 'its pool has no machine to spare'
             continue
-        if pool in spare and not repeated:
-            spare[pool] -= 1
         reason = _blocking_reason(worker, hurry, now_s)
         if held:
             reason = 'operators hold maintenance'
         is_due_next = reason in ('', HAS_WORK)
-        if (repetitions if repeated else slots) <= 0:
+        if slots[repeated] <= 0:
             reason = 'others are down'
         if not reason:
             decision.order.append(name)
-            if repeated:
-                repetitions -= 1
-            else:
-                slots -= 1
+            slots[repeated] -= 1
             continue
         decision.waits[name] = reason
-        if (
-            is_due_next
-            and len(decision.close) < wave.most_at_once + CLOSED_AHEAD
-        ):
+        most_closed = progress.wave.most_at_once + CLOSED_AHEAD
+        if is_due_next and len(decision.close) < most_closed:
             decision.close.add(name)
         if decision.relocate is None and worker is not None:
             decision.relocate = _task_to_relocate(worker, now_s)
@@ -238,6 +222,44 @@
     return decision
 
 
+def _slots(
+    progress: Progress,
+    machines: dict[str, fleet.Machine],
+    in_doubt: collections.abc.Set[str],
+    now_s: float,
+) -> dict[bool, int]:
+    """Return how many machines may be ordered, by whether that is repeated."""
+    down = _down(progress, machines, now_s)
+    most = progress.wave.most_at_once
+    return {False: most - len(down), True: most - len(down - in_doubt)}
+
+
+def _add_unready(
+    decision: Decision, machine: fleet.Machine, in_doubt: bool
+) -> None:
+    """Add a machine for which no order can be sent now."""
+    decision.waits[machine.machine] = machine.state.value
+    if in_doubt and machine.state is fleet.State.UP:
+        decision.waits[machine.machine] = 'its order got no answer'
+        decision.close.add(machine.machine)
+
+
+def _claim_spare(
+    spare: dict[ids.ServiceId, int], machine: fleet.Machine, repeated: bool
+) -> bool:
+    """Return whether a machine's pool can spare it, and count it as spared.
+
+    One whose order is repeated is missing from its pool already.
+    """
+    pool = ids.ServiceId(machine.pool)
+    if pool not in spare:
+        return True
+    if repeated:
+        return spare[pool] >= 0
+    spare[pool] -= 1
+    return spare[pool] >= 0
+
+
 def update_closed(
     progress: Progress, wanted: collections.abc.Set[str], now_s: float
 ) -> None:
