Log when a worker is closed to new tasks, and when it is opened

The log could not tell a task that waits for a pause from one whose worker accepts nothing: only the state dump and 'worker silent' had the mark.

--- a/oleanderwood/leading/closing.py
+++ b/oleanderwood/leading/closing.py
@@ -5,6 +5,7 @@
 """
 
 from oleanderwood import clock
+from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.leading import state as states
 from oleanderwood.maintenance import rolling
@@ -32,11 +33,24 @@
     for worker in leader.workers.values():
         name, machine = worker.entry.worker, worker.entry.machine
         worker.maintenance_due = machine in due
-        worker.closed = (
+        is_closed = (
             machine in closed
             or name in moving
             or (bool(ordered) and executor_of(name) in ordered)
         )
+        if is_closed != worker.closed:
+            _mark(worker, is_closed)
+
+
+def _mark(worker: workers_.Worker, is_closed: bool) -> None:
+    worker.closed = is_closed
+    event_log.emit(
+        'worker',
+        'closed' if is_closed else 'opened',
+        worker=worker.entry.worker,
+        machine=worker.entry.machine,
+        runs=len(worker.runs),
+    )
 
 
 def _due(progress: rolling.Progress) -> set[str]:
@@ -60,7 +74,8 @@
     """Close a worker, as its machine moves within ``for_s``."""
     until_s = clock.now_s() + for_s
     leader.fleet.moving_until_s[worker.entry.worker] = until_s
-    worker.closed = True
+    if not worker.closed:
+        _mark(worker, True)
 
 
 def reopen_after_move(leader: states.Leader, worker: workers_.Worker) -> None:
