--- a/oleanderwood/leading/pool_loop.py
+++ b/oleanderwood/leading/pool_loop.py
@@ -37,6 +37,7 @@
 from oleanderwood.pools import shortage
 from oleanderwood.pools import slowness
 from oleanderwood.pools import urgency
+from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 
 LIST_LAG_S = 1.0
@@ -563,18 +564,26 @@
         if outcome is machine_calls.Outcome.INVALID:
             pause_s = INVALID_PAUSE_S
         leader.fleet.move_retry_after_s[move.machine] = clock.now_s() + pause_s
-    if worker is None:
-        return
+    if worker is not None:
+        _update_closing(leader, worker, outcome)
+
+
+def _update_closing(
+    leader: states.Leader,
+    worker: workers_.Worker,
+    outcome: machine_calls.Outcome | None,
+) -> None:
+    """Close or open a worker by how its machine's move was answered.
+
+    :param outcome: None if there was no answer
+    """
     if outcome is None:
         # The move may have been carried out; the next list shows it.
         closing.close_for_move(leader, worker, rolling.CYCLE_SLACK_S)
     elif outcome is machine_calls.Outcome.DONE:
         # It stays up if an earlier order had moved it there already.
-        closing.close_for_move(
-            leader,
-            worker,
-            leader.server.settings.move_s + rolling.CYCLE_SLACK_S,
-        )
+        move_s = leader.server.settings.move_s
+        closing.close_for_move(leader, worker, move_s + rolling.CYCLE_SLACK_S)
     else:
         closing.reopen_after_move(leader, worker)
 
