--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -217,3 +217,14 @@
     outcome = curio.run(run.soak, plan, tmp_path, rows)
     assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
     assert outcome.result.accepted
+
+
+def test_waves_hold_while_orders_for_machines_are_held_up(tmp_path):
+    """Guards against orders that outlive their sender, and lost answers."""
+    seed, length_s = 81, 8.0
+    plan = day.Plan(seed, length_s=length_s, server_count=3)
+    rows = strikes.draw_orders(seed, length_s, 0.4)
+    outcome = curio.run(run.soak, plan, tmp_path, rows)
+    assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
+    kinds = [sight.kind for sight in outcome.result.evidence.sights]
+    assert evidences.Kind.MAINTAINED in kinds
