End the work of a machine in doubt once it was closed long enough

An order in doubt holds a slot of its wave. A machine that keeps getting work held it until the wave's time ran out, as other machines of the wave waited for it; found by reading. It is closed for 6 s, as before, and then ordered again although work ends with it: the order in doubt may end that work at any time anyway.

Test: test_machine_in_doubt_with_much_work_does_not_hold_up_the_wave, which failed before.

--- a/oleanderwood/maintenance/rolling.py
+++ b/oleanderwood/maintenance/rolling.py
@@ -202,7 +202,8 @@
         if not _claim_spare(spare, machines[name], repeated):
             decision.waits[name] = 'its pool has no machine to spare'
             continue
-        reason = _blocking_reason(worker, hurry, now_s)
+        ends_work = hurry or (repeated and _was_closed(progress, name, now_s))
+        reason = _blocking_reason(worker, ends_work, now_s)
         if held:
             reason = 'operators hold maintenance'
         is_due_next = reason in ('', HAS_WORK)
@@ -335,10 +336,22 @@
     )
 
 
+def _was_closed(progress: Progress, name: str, now_s: float) -> bool:
+    """Return whether a machine was closed for as long as it may be.
+
+    One whose order is in doubt holds up others, and its work may end anyway.
+    """
+    since_s = progress.closed_since_s.get(name, now_s)
+    return now_s - since_s > MAX_CLOSED_S
+
+
 def _blocking_reason(
-    worker: workers_.Worker | None, hurry: bool, now_s: float
+    worker: workers_.Worker | None, ends_work: bool, now_s: float
 ) -> str:
-    """Return why a machine can't go down now; '' if it can."""
+    """Return why a machine can't go down now; '' if it can.
+
+    :param ends_work: other tasks than long-running ones don't keep it up
+    """
     if worker is None:
         return ''
     if not worker.fenced or worker.silent_since_s is not None:
@@ -346,7 +359,7 @@
         return 'its worker does not answer'
     if not disruption_budget.may_interrupt_all(worker, now_s):
         return 'its long-running tasks are needed'
-    if _batch_task_count(worker) and not hurry:
+    if _batch_task_count(worker) and not ends_work:
         return HAS_WORK
     return ''
 
--- a/tests/test_orders_in_doubt.py
+++ b/tests/test_orders_in_doubt.py
@@ -69,6 +69,18 @@
     assert decision.waits['b'] == 'others are down'
 
 
+def test_machine_in_doubt_with_much_work_does_not_hold_up_the_wave():
+    """Guards against a slot that is held until the wave must hurry."""
+    progress = build.progress('a', 'b')
+    _in_doubt(progress, 'a')
+    worker, _ledger = build.busy_worker('w-a')
+    machines = build.machines('a', 'b')
+    for now_s, orders in ((10.0, []), (16.0, []), (16.1, ['a'])):
+        decision = build.decide(progress, machines, {'a': worker}, now_s)
+        assert decision.order == orders
+        rolling.update_closed(progress, decision.close, now_s)
+
+
 def test_no_more_orders_are_repeated_than_machines_may_be_down():
     """Guards against too many machines down once operators allow fewer."""
     progress = build.progress('a', 'b', 'c')
