Begin no lives of executors once a soak is over

Cause: a machine that is moving or has crashed comes back after a sleep. As the kernel ends it cancels the newest tasks first, which takes milliseconds; on a busy machine it takes long enough for such a sleep to end, and the new executor's tasks are left.

The harness alone was at fault, not the servers.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -57,8 +57,8 @@
     """All machines.
 
     :ivar tells_births: executors tell when they were born
-
     :ivar guarded: executors reject what doesn't fit
+    :ivar ended: the day is over, and no lives begin any more
     """
 
     world: executors.World
@@ -69,6 +69,7 @@
     memory_mb: int = 65536
     guarded: bool = True
     tells_births: bool = False
+    ended: bool = False
 
 
 async def begin_life(
@@ -78,6 +79,8 @@
 
     :param same_id: under the id that it had before
     """
+    if fleet.ended:
+        return
     machine.state = 'up'
     machine.lives += 1
     if not same_id:
@@ -307,6 +310,8 @@
     async def handle(source, method, target, body, headers):
         if method == 'GET':
             return _list(fleet)
+        if fleet.ended:
+            return transport.Answer(503, b'')
         asked = json.loads(body)
         machine = fleet.machines.get(asked['machine'])
         if machine is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -90,6 +90,7 @@
             await day.hand_in_jobs(world.callers, plan, rng)
             await _finish(world, rows)
     finally:
+        world.fleet.ended = True
         for task in disturbing:
             await task.cancel()
         for process in world.field.servers:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from emulator import day
 from emulator import evidence as evidences
 from emulator import features
+from emulator import fleet as fleets
 from oleanderwood.operators import ctl
 from soak import processes
 from soak import run
@@ -228,3 +229,20 @@
     assert not run.failed(outcome), (outcome.result.breaches, outcome.cuts)
     kinds = [sight.kind for sight in outcome.result.evidence.sights]
     assert evidences.Kind.MAINTAINED in kinds
+
+
+def test_no_executor_begins_a_life_once_the_soak_is_over(tmp_path):
+    """Guards against tasks that begin while the kernel ends, and fail it.
+
+    A machine that was down then came back while a busy machine took long to
+    cancel the tasks of the soak.
+    """
+
+    async def use(world, _flags):
+        machine = next(iter(world.fleet.machines.values()))
+        world.fleet.ended = True
+        lives = machine.lives
+        await fleets.crash(world.fleet, machine, 0.0)
+        assert machine.executor is None and machine.lives == lives
+
+    curio.run(_with_servers, tmp_path, use)
