--- a/oleanderwood/leading/fleet_loop.py
+++ b/oleanderwood/leading/fleet_loop.py
@@ -1,10 +1,8 @@
 """The leader's maintenance of machines in waves."""
 
-import collections.abc
 import dataclasses
 
 import curio
-import msgspec
 
 from oleanderwood import clock
 from oleanderwood import errors
@@ -15,6 +13,7 @@
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import relocations
 from oleanderwood.leading import state as states
+from oleanderwood.leading import stored_waves
 from oleanderwood.maintenance import disruption_budget
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
@@ -40,23 +39,6 @@
 )
 """Answers that hold for each later order of the same kind as well."""
 
-WAVES_PREFIX = 'ow/waves/'
-"""Prefix of the store keys of waves' states."""
-
-
-class StoredWave(msgspec.Struct, frozen=True):
-    """The state of a wave that is persisted for later leaders.
-
-    :ivar begun: machines whose maintenance has begun
-    :ivar seen_wall_ms: when the wave was first seen, in ms since 1970
-    :ivar in_doubt: machines whose order is about to be sent, or has got no
-        answer
-    """
-
-    begun: list[str]
-    seen_wall_ms: float
-    in_doubt: list[str] = []
-
 
 async def manage_always(leader: states.Leader) -> None:
     """Advance waves, detect dead machines, balance pools until cancelled."""
@@ -122,7 +104,7 @@
         if machine_handover.may_order(leader, name)
     ][: machine_handover.allowance(leader)]
     if to_order and not await machine_handover.announce(
-        leader, to_order, _encode(progress, to_order)
+        leader, to_order, stored_waves.encode(progress, to_order)
     ):
         return
     leader.fleet.orders_left -= len(to_order)
@@ -132,7 +114,7 @@
         # The list shows which machines went down: one that was already
         # maintained by an earlier leader's order stays up.
         await pool_loop.read_machines(leader)
-        await _write_progress(leader, progress)
+        await stored_waves.write(leader, progress)
     await _write_status(leader, progress, decision.completed)
 
 
@@ -187,40 +169,20 @@
     progress.down[name] = order
     if worker is not None:
         disruption_budget.mark_unavailable(worker, now_s)
-    wave = progress.wave.wave
     try:
         outcome = await machine_calls.maintain(
-            leader.machine_calls, name, wave, leader.term
+            leader.machine_calls, name, progress.wave.wave, leader.term
         )
     except errors.CallFailed as error:
-        server_metrics.MACHINE_ORDERS.labels(
-            'maintain', error.verdict.value
-        ).inc()
-        event_log.emit(
-            'wave',
-            'doubtful',
-            wave=wave,
-            machine=name,
-            verdict=error.verdict.value,
-            repeated=earlier is not None,
-            why=error.reason,
-        )
+        _log_unanswered(progress, name, error, repeated=earlier is not None)
         if error.verdict is verdicts.Verdict.NOT_RUN:
             _withdraw(progress, name, earlier)
         progress.refused_until_s[name] = clock.now_s() + REFUSED_PAUSE_S
         return
     finally:
         machine_handover.record_order(leader, name)
-    server_metrics.MACHINE_ORDERS.labels('maintain', outcome.value).inc()
-    event_log.emit(
-        'wave',
-        'ordered',
-        wave=wave,
-        machine=name,
-        outcome=outcome.value,
-        repeated=earlier is not None,
-        runs=len(worker.runs) if worker else 0,
-        left=len(progress.wave.machines) - len(progress.begun) - 1,
+    _log_answered(
+        progress, name, outcome, worker, repeated=earlier is not None
     )
     if outcome is machine_calls.Outcome.DONE:
         progress.begun.add(name)
@@ -233,6 +195,45 @@
         progress.refused_until_s[name] = clock.now_s() + REFUSED_PAUSE_S
 
 
+def _log_unanswered(
+    progress: rolling.Progress,
+    name: str,
+    error: errors.CallFailed,
+    repeated: bool,
+) -> None:
+    verdict = error.verdict.value
+    server_metrics.MACHINE_ORDERS.labels('maintain', verdict).inc()
+    event_log.emit(
+        'wave',
+        'doubtful',
+        wave=progress.wave.wave,
+        machine=name,
+        verdict=verdict,
+        repeated=repeated,
+        why=error.reason,
+    )
+
+
+def _log_answered(
+    progress: rolling.Progress,
+    name: str,
+    outcome: machine_calls.Outcome,
+    worker: workers_.Worker | None,
+    repeated: bool,
+) -> None:
+    server_metrics.MACHINE_ORDERS.labels('maintain', outcome.value).inc()
+    event_log.emit(
+        'wave',
+        'ordered',
+        wave=progress.wave.wave,
+        machine=name,
+        outcome=outcome.value,
+        repeated=repeated,
+        runs=len(worker.runs) if worker else 0,
+        left=len(progress.wave.machines) - len(progress.begun) - 1,
+    )
+
+
 def _withdraw(
     progress: rolling.Progress,
     name: str,
@@ -263,71 +264,3 @@
     progress.status_written = status
     event_log.emit('wave', status, wave=progress.wave.wave)
     progress.completed = completed
-
-
-async def _write_progress(
-    leader: states.Leader, progress: rolling.Progress
-) -> None:
-    """Persist which orders were taken, and which are in doubt.
-
-    If the write is lost, a later leader repeats orders, which changes nothing.
-    """
-    await fenced_writes.try_write(
-        leader, _encode(progress), 'wave', 'begun-not-written'
-    )
-
-
-def _encode(
-    progress: rolling.Progress,
-    to_order: collections.abc.Iterable[str] = (),
-) -> dict[str, bytes]:
-    """Return a wave's state for later leaders, by its key.
-
-    :param to_order: machines whose orders are about to be sent
-    """
-    age_s = clock.now_s() - progress.first_seen_s
-    in_doubt = {
-        name for name, order in progress.down.items() if not order.taken
-    }
-    stored = StoredWave(
-        sorted(progress.begun),
-        clock.wall_ms() - age_s * 1000,
-        sorted(in_doubt.union(to_order)),
-    )
-    key = f'{WAVES_PREFIX}{progress.wave.wave}'
-    return {key: msgspec.json.encode(stored)}
-
-
-def restore(progress: rolling.Progress, value: bytes) -> None:
-    """Restore a wave's state as an earlier leader persisted it."""
-    stored = msgspec.json.decode(value, type=StoredWave)
-    progress.begun.update(stored.begun)
-    age_s = max(0.0, (clock.wall_ms() - stored.seen_wall_ms) / 1000)
-    progress.first_seen_s = clock.now_s() - age_s
-    _add_in_doubt(progress, stored.in_doubt)
-
-
-def restore_announced(
-    leader: states.Leader, progress: rolling.Progress
-) -> None:
-    """Count the orders that a leader of an earlier release announced.
-
-    Its announcements don't name the waves, so they may name too many.
-    """
-    _add_in_doubt(progress, leader.fleet.inherited_maintenance)
-    if progress.down:
-        event_log.emit(
-            'wave',
-            'inherited',
-            wave=progress.wave.wave,
-            in_doubt=sorted(progress.down),
-        )
-
-
-def _add_in_doubt(
-    progress: rolling.Progress, names: collections.abc.Iterable[str]
-) -> None:
-    now_s = clock.now_s()
-    for name in set(names).intersection(progress.wave.machines):
-        if name not in progress.begun:
-            progress.down[name] = rolling.MaintenanceOrder('', now_s)
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -12,10 +12,10 @@
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
-from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import registration
 from oleanderwood.leading import state as states
+from oleanderwood.leading import stored_waves
 from oleanderwood.leading import worker_loop
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import entries
@@ -398,11 +398,11 @@
     stored = leader.fleet.stored_waves.get(str(wave.wave))
     if stored is not None:
         try:
-            fleet_loop.restore(progress, stored)
+            stored_waves.restore(progress, stored)
         except msgspec.MsgspecError as error:
             # Orders already sent are sent again, without effect.
             event_log.emit('wave', 'kept-malformed', why=str(error))
-    fleet_loop.restore_announced(leader, progress)
+    stored_waves.restore_announced(leader, progress)
     event_log.emit(
         'wave',
         'taken',
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -36,6 +36,7 @@
 from oleanderwood.leading import roles as roles_
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
+from oleanderwood.leading import stored_waves
 from oleanderwood.leading import watcher
 from oleanderwood.leading import worker_loop
 from oleanderwood.platform import advice
@@ -198,7 +199,7 @@
         progress_writer.WORKER_LIST_PREFIX,
         record.INTAKE_PREFIX,
         record.PROGRESS_PREFIX,
-        fleet_loop.WAVES_PREFIX,
+        stored_waves.WAVES_PREFIX,
     )
     calls = [
         functools.partial(
@@ -245,7 +246,7 @@
     ]:
         fenced_writes.note_read(leader, item)
     for item in waves.items:
-        number = item.key.removeprefix(fleet_loop.WAVES_PREFIX)
+        number = item.key.removeprefix(stored_waves.WAVES_PREFIX)
         leader.fleet.stored_waves[number] = item.value
     _load_jobs(leader, stored)
     _restore_arrivals(leader)
--- a/tests/test_machine_order_defects.py
+++ b/tests/test_machine_order_defects.py
@@ -11,7 +11,7 @@
 from emulator import evidence as evidences
 from emulator import features
 from emulator import troubles
-from oleanderwood.leading import fleet_loop
+from oleanderwood.leading import stored_waves
 from oleanderwood.maintenance import rolling
 
 Kind = troubles.Kind
@@ -32,7 +32,7 @@
 
 
 def _forget_orders_in_doubt(patch):
-    patch.setattr(fleet_loop, '_add_in_doubt', lambda progress, names: None)
+    patch.setattr(stored_waves, '_add_in_doubt', lambda progress, names: None)
 
 
 @pytest.mark.parametrize('seed', HELD_UP_SEEDS)
--- a/tests/test_orders_in_doubt.py
+++ b/tests/test_orders_in_doubt.py
@@ -18,6 +18,7 @@
 from oleanderwood import errors
 from oleanderwood.leading import fleet_loop
 from oleanderwood.leading import machine_handover
+from oleanderwood.leading import stored_waves
 from oleanderwood.maintenance import fleet
 from oleanderwood.maintenance import rolling
 from oleanderwood.platform import machines as machine_calls
@@ -31,7 +32,7 @@
 UNANSWERED = errors.CallFailed(verdicts.Verdict.MAY_HAVE_RUN, 'reset')
 NOT_SENT = errors.CallFailed(verdicts.Verdict.NOT_RUN, 'no connection')
 
-WAVE_KEY = f'{fleet_loop.WAVES_PREFIX}1'
+WAVE_KEY = f'{stored_waves.WAVES_PREFIX}1'
 
 CUT_S = 5.5
 """Time for which the leader is cut off: longer than the pause between the
@@ -194,7 +195,7 @@
         machine_handover.announce,
         leader,
         names,
-        fleet_loop._encode(progress, names),
+        stored_waves.encode(progress, names),
     )
 
 
@@ -204,8 +205,8 @@
     stored = platform.stored
     machine_handover.restore(leader, stored[machine_handover.KEY])
     if WAVE_KEY in stored:
-        fleet_loop.restore(progress, stored[WAVE_KEY])
-    fleet_loop.restore_announced(leader, progress)
+        stored_waves.restore(progress, stored[WAVE_KEY])
+    stored_waves.restore_announced(leader, progress)
     return leader, progress
 
 
@@ -221,7 +222,7 @@
         assert build.decide(progress, leader.fleet.machines).order == ['a']
         _announce(leader, progress, ['b'])
         progress.begun.add('b')
-        curio.run(fleet_loop._write_progress, leader, progress)
+        curio.run(stored_waves.write, leader, progress)
 
 
 def test_order_in_doubt_counts_in_its_own_wave_alone(monkeypatch):
@@ -232,7 +233,7 @@
     later = build.leader('a', 'b')
     machine_handover.restore(later, platform.stored[machine_handover.KEY])
     other = build.progress('a', 'b')
-    fleet_loop.restore_announced(later, other)
+    stored_waves.restore_announced(later, other)
     assert not other.down
 
 
@@ -242,7 +243,7 @@
     leader, progress = build.leader('a', 'b'), build.progress('a', 'b')
     _announce(leader, progress, ['a'])
     curio.run(fleet_loop._maintain, leader, progress, 'a', None)
-    curio.run(fleet_loop._write_progress, leader, progress)
+    curio.run(stored_waves.write, leader, progress)
     leader, progress = _next_leader(platform, 'a', 'b')
     assert not progress.down
     assert build.decide(progress, leader.fleet.machines).order == ['b']
