Tell the leader of cancels that are relayed

What callers would see: a task that starts 3.3 s after its job's cancel was acknowledged.

Cause: the server that was asked tells the leader of a cancel; cut off from the store, it did not know who led. The server that wrote the mark for it told nobody. In the logs the leader gets no word of this cancel, and does of the next one, which came to itself.

Test: test_relayed_cancel, which failed before. Why it holds: the server that writes the mark reaches the store, so it knows the leader.

--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -267,11 +267,15 @@
     tenant = ids.TenantId(body.decode())
     is_public = request.header(forwarding.PUBLIC_HEADER) is not None
     owner = access.NO_TENANT if is_public else tenant
-    return _json(
-        await forwarding.handle_cancel(
-            server, frontend.intake, job, tenant, owner
-        )
+    result = await forwarding.handle_cancel(
+        server, frontend.intake, job, tenant, owner
     )
+    if result.there:
+        # The server that was asked may not know who leads.
+        await curio.spawn(
+            peer_clients.notify_cancel, frontend.client, job, daemon=True
+        )
+    return _json(result)
 
 
 async def _told_jobs(
