Tell the leader only of relayed cancels that were written

Cause: the result of a relayed cancel says "there" unless it says otherwise, also if nothing was written. The leader was told of cancels that the store had refused.

Why it holds: the verdict RAN is given for a mark that is in the store.

--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -40,6 +40,7 @@
 from oleanderwood.platform import store as stores
 from oleanderwood import server_metrics
 from oleanderwood.tenants import access
+from oleanderwood import verdict as verdicts
 from oleanderwood.web import http
 from oleanderwood.web import http_server
 
@@ -270,7 +271,7 @@
     result = await forwarding.handle_cancel(
         server, frontend.intake, job, tenant, owner
     )
-    if result.there:
+    if result.verdict is verdicts.Verdict.RAN and result.there:
         # The server that was asked may not know who leads.
         await curio.spawn(
             peer_clients.notify_cancel, frontend.client, job, daemon=True
