--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -148,6 +148,61 @@
     ]
 
 
+def is_done(case: Case, job: str) -> bool:
+    """Return whether a run of a job with a single task has ended as done."""
+    return any(
+        row.kind is evidences.Kind.ENDED and row.how == 'done'
+        for row in sights(case)
+        if row.job == job
+    )
+
+
+def free_cores(case: Case, pool: str) -> tuple[int, int]:
+    """Return the free cores of a service's executors, and all their cores."""
+    executors = [
+        machine.executor
+        for machine in case.world.fleet.machines.values()
+        if machine.pool == pool and machine.executor is not None
+    ]
+    cores = sum(executor.cores for executor in executors)
+    used = sum(
+        run.spec['cpu'] // 1000
+        for executor in executors
+        for run in executor.running.values()
+    )
+    return cores - used, cores
+
+
+def lost_jobs(
+    case: Case,
+    cores_of: dict[str, int],
+    pool: str,
+    free: list[tuple[int, int]],
+) -> list[str]:
+    """Return the accepted jobs that the rule LOST counts, by its last part.
+
+    Each has nothing running and isn't done, while there was capacity for it
+    twice over, and under half of the service's capacity was in use.
+
+    :param cores_of: cores that each job needs
+    :param free: free cores and all cores of the service, in the time judged
+    """
+    note(case, f'free cores of {pool}, of all: {sorted(set(free))}')
+    breaches = []
+    for job, needed in cores_of.items():
+        has_room = all(
+            left >= 2 * needed and 2 * (cores - left) < cores
+            for left, cores in free
+        )
+        if has_room and not starts(case, job) and not is_done(case, job):
+            breaches.append(
+                f'LOST: job {job} of {pool} was accepted, and nothing of it '
+                f'has run until 17 s after the end of the traffic, with '
+                f'{min(free)[0]} cores free, of which it needs {needed}'
+            )
+    return breaches
+
+
 def run_case(plan: day.Plan, play: Play, folder: pathlib.Path) -> int:
     """Play a case once, write its record and return its exit status."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
