--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,7 +3,6 @@
 import curio
 
 from emulator import day
-from emulator import evidence as evidences
 from oleanderwood import clock
 from review import rig_3
 
@@ -51,15 +50,13 @@
     await _submit(case, 2, gang, steps)
     rig_3.note(case, 'the traffic ends')
     await curio.sleep(FINISH_S)
-    since_s = clock.now_s()
     free: list[tuple[int, int]] = []
-    while clock.now_s() < since_s + IDLE_S:
-        free.append(_free_cores(case))
+    end_s = clock.now_s() + IDLE_S
+    while clock.now_s() < end_s:
+        free.append(rig_3.free_cores(case, POOL))
         await curio.sleep(0.1)
-    _status, value = await rig_3.call(
-        case, 0, 'GET', f'{day.prefix(POOL)}{gang}'
-    )
-    return _judge(case, gang, value.get('state', ''), free)
+    await rig_3.call(case, 0, 'GET', f'{day.prefix(POOL)}{gang}')
+    return rig_3.lost_jobs(case, {gang: GANG * GANG_CPU // 1000}, POOL, free)
 
 
 async def _submit(
@@ -82,45 +79,5 @@
     raise rig_3.CannotRunError(f'job {job} was not accepted')
 
 
-def _free_cores(case: rig_3.Case) -> tuple[int, int]:
-    """Return the free cores of the pool's executors, and all their cores."""
-    executors = [
-        machine.executor
-        for machine in case.world.fleet.machines.values()
-        if machine.pool == POOL and machine.executor is not None
-    ]
-    cores = sum(executor.cores for executor in executors)
-    used = sum(
-        run.spec['cpu'] // 1000
-        for executor in executors
-        for run in executor.running.values()
-    )
-    return cores - used, cores
-
-
-def _judge(
-    case: rig_3.Case, gang: str, state: str, free: list[tuple[int, int]]
-) -> list[str]:
-    """Return whether the gang has nothing running although there is room."""
-    rig_3.note(case, f'gang: {state}; free cores, of: {sorted(set(free))}')
-    done = any(
-        row.kind is evidences.Kind.ENDED and row.how == 'done'
-        for row in rig_3.sights(case)
-        if row.job == gang
-    )
-    needed = GANG * GANG_CPU // 1000
-    has_room = all(
-        left >= 2 * needed and 2 * (cores - left) < cores
-        for left, cores in free
-    )
-    if done or rig_3.starts(case, gang) or not has_room:
-        return []
-    return [
-        f'LOST: job {gang} was accepted and is {state}; {FINISH_S} s after '
-        f'the end of the traffic and for {IDLE_S} s more nothing of it has '
-        f'run, with {min(free)[0]} cores free, of which it needs {needed}'
-    ]
-
-
 if __name__ == '__main__':
     rig_3.main(PLAN, _play, __file__)
