--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Accepted jobs of many tasks take every leader over its memory limit."""
+"""A dozen repeated jobs take every leader over its memory limit."""
 
 import os
 import pathlib
@@ -16,8 +16,11 @@
 
 PLAN = day.Plan(1, server_count=3, lasting=False, machines_a_pool=8)
 
-JOBS = 24
-TASKS = 20_000
+JOBS = 14
+REPEATS = 17_280
+INTERVAL_MS = 5000
+"""One short task each 5 s, for 24 hours."""
+
 BURST_S = 4.0
 """Time of ``burst`` in the site file."""
 
@@ -71,17 +74,22 @@
 
 
 async def _burst(case: rig_3.Case) -> None:
-    tasks = TASKS if case.trouble else 1
-    step = {'count': tasks, 'cpu': 1000, 'mem_mb': 10, 'estimate_ms': 400}
     for number in range(JOBS):
-        await curio.spawn(_submit, case, number, step, daemon=True)
+        await curio.spawn(_submit, case, number, daemon=True)
         await curio.sleep(BURST_S / JOBS)
 
 
-async def _submit(case: rig_3.Case, number: int, step: dict) -> None:
+async def _submit(case: rig_3.Case, number: int) -> None:
+    step = {'count': 1, 'cpu': 500, 'mem_mb': 10, 'estimate_ms': 300}
+    times = {
+        'repeat_count': REPEATS if case.trouble else 1,
+        'start_time_ms': round(clock.wall_ms()),
+        'interval_ms': INTERVAL_MS,
+    }
+    job = f'b{number:015x}'
     for attempt in range(4):
         status = await rig_3.hand_in(
-            case, (number + attempt) % 3, BUSY, f'b{number:015x}', [step]
+            case, (number + attempt) % 3, BUSY, job, [step], **times
         )
         if status == 200:
             return
