--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,6 +12,9 @@
 LARGE_AFTER = 8
 """Small jobs that come before it."""
 
+DUE_AFTER_MS = 8000
+"""Time until the turn of jobs that are accepted just before the large one."""
+
 TRAFFIC_S = 30.0
 FINISH_S = 14.0
 """Bound of the rule, from the end of the traffic."""
@@ -31,8 +34,10 @@
     end_s = clock.now_s() + TRAFFIC_S
     number = 0
     while clock.now_s() < end_s:
-        if number == LARGE_AFTER and case.trouble:
-            await curio.spawn(_large, case, daemon=True)
+        if number == LARGE_AFTER:
+            await _hand_in_timed_jobs(case, small)
+            if case.trouble:
+                await curio.spawn(_large, case, daemon=True)
         pool = day.POOLS[number % 2]
         job = f'{number + 1:016x}'
         for attempt in range(4):
@@ -61,6 +66,22 @@
     return breaches
 
 
+async def _hand_in_timed_jobs(
+    case: rig_3.Case, small: dict[str, dict[str, int]]
+) -> None:
+    """Add two jobs a queue that are accepted now and due later."""
+    due_ms = round(clock.wall_ms()) + DUE_AFTER_MS
+    times = {'repeat_count': 1, 'start_time_ms': due_ms}
+    for number in range(4):
+        pool = day.POOLS[number % 2]
+        job = f'e{number:015x}'
+        status = await rig_3.hand_in(
+            case, number % 3, pool, job, [_step()], **times
+        )
+        if status == 200:
+            small[pool][job] = 1
+
+
 async def _large(case: rig_3.Case) -> None:
     job = 'f' * 16
     for number in range(3):
