Compute the chains of a job's steps once, in linear time

Cause: a scheduling pass calls model.remaining_chain_s() for each ready step, and that function compared each step with each later one: the third power of the steps. urgency.objective_s() and ledgers.is_ready() walked all steps for each step as well. The pass gives no turn to the renewal of the lease of 1.5 s.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -155,6 +155,7 @@
     :ivar number: index of the step in the job
     :ivar waiting: tasks that wait to be started, by index
     :ivar left: number of tasks that aren't done
+    :ivar blockers: number of steps that it waits for and that aren't done
     :ivar tickets: if the queue needs advice, the workers that may run the
         step, with the ticket that a start must carry; None until the advice
         has answered
@@ -172,6 +173,7 @@
     tasks: list[Task] = dataclasses.field(default_factory=list)
     waiting: dict[int, Task] = dataclasses.field(default_factory=dict)
     left: int = 0
+    blockers: int = 0
     tickets: dict[ids.VmId, str] | None = None
     advised_until_s: float = 0.0
     asked: frozenset[ids.VmId] = frozenset()
@@ -200,7 +202,8 @@
         suspected wait until the store holds their crashes
     :ivar over_rate: it arrived when its tenant had used up its guaranteed rate
     :ivar first_unwritten: number of its first change that the store lacks
-    :ivar expected_s: expected time of a task, by step, computed from version
+    :ivar dependents: indices of the steps that wait for each step
+    :ivar expected: expected times of its steps, computed from version
         ``expected_version`` of the measured lengths
     """
 
@@ -224,7 +227,8 @@
     over_rate: bool = False
     first_unwritten: int = 0
     ended_s: float = 0.0
-    expected_s: tuple[float, ...] = ()
+    dependents: tuple[tuple[int, ...], ...] = ()
+    expected: model.ExpectedTimes | None = None
     expected_version: int = -1
 
 
@@ -272,9 +276,11 @@
     if known is not None:
         return known
     entry = Entry(job, now_s, inherited=job.term < ledger.term)
+    entry.dependents = model.dependents(job.work)
     for occurrence in range(model.occurrences(job)):
         for number, step in enumerate(job.work.steps):
             group = Group(entry, occurrence, number, step, left=step.tasks)
+            group.blockers = len(set(step.after))
             entry.groups[occurrence, number] = group
             for index in range(step.tasks):
                 name = model.task_name(job.job, occurrence, number, index)
@@ -314,12 +320,8 @@
 
 def is_ready(group: Group, wall_ms: float) -> bool:
     """Return whether a group is due and the steps before it are done."""
-    if wall_ms < model.due_ms(group.entry.job, group.occurrence):
-        return False
-    groups = group.entry.groups
-    return all(
-        groups[group.occurrence, number].left == 0
-        for number in group.step.after
+    return not group.blockers and wall_ms >= model.due_ms(
+        group.entry.job, group.occurrence
     )
 
 
@@ -459,11 +461,20 @@
     group = task.group
     _remove_waiting(ledger, task)
     group.left -= 1
+    if not group.left:
+        _unblock_dependents(group)
     touch(ledger, group.entry)
     _end_if_completed(ledger, group.entry, now_s)
     return True
 
 
+def _unblock_dependents(group: Group) -> None:
+    """Record that the steps which wait for a step no longer wait for it."""
+    entry = group.entry
+    for number in entry.dependents[group.number]:
+        entry.groups[group.occurrence, number].blockers -= 1
+
+
 def mark_failed(
     ledger: Ledger,
     task: Task,
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -148,6 +148,34 @@
     return job.work.first_due_ms + occurrence * job.work.repeat_every_ms
 
 
+class ExpectedTimes(msgspec.Struct, frozen=True):
+    """Expected times of a job's steps, in seconds.
+
+    :ivar steps_s: time of one task, by step
+    :ivar remaining_s: critical path from the start of a step to the job's
+        end, by step
+    :ivar chain_s: critical path through the whole job
+    """
+
+    steps_s: tuple[float, ...]
+    remaining_s: tuple[float, ...]
+    chain_s: float
+
+
+def expected_times(
+    work: Work, lengths_s: collections.abc.Sequence[float]
+) -> ExpectedTimes:
+    """Return what follows from the expected time of each step's tasks.
+
+    :param lengths_s: time of one task, by step
+    """
+    return ExpectedTimes(
+        tuple(lengths_s),
+        remaining_chains_s(work, lengths_s),
+        longest_chain_s(work, lengths_s),
+    )
+
+
 def longest_chain_s(
     work: Work, lengths_s: collections.abc.Sequence[float]
 ) -> float:
@@ -169,15 +197,34 @@
 
     :param lengths_s: time of one task, by step
     """
-    rest_s: dict[int, float] = {}
-    for index in range(len(work.steps) - 1, number - 1, -1):
-        after_s = [
-            rest_s[later]
-            for later in rest_s
-            if index in work.steps[later].after
-        ]
-        rest_s[index] = lengths_s[index] + max(after_s, default=0.0)
-    return rest_s[number]
+    return remaining_chains_s(work, lengths_s)[number]
+
+
+def remaining_chains_s(
+    work: Work, lengths_s: collections.abc.Sequence[float]
+) -> tuple[float, ...]:
+    """Return the critical path from the start of each step to the job's end.
+
+    Takes time linear in the steps and in the steps that they wait for.
+
+    :param lengths_s: time of one task, by step
+    """
+    rest_s = [0.0] * len(work.steps)
+    for index in range(len(work.steps) - 1, -1, -1):
+        # What waits for this step has a higher index and is complete.
+        rest_s[index] += lengths_s[index]
+        for earlier in work.steps[index].after:
+            rest_s[earlier] = max(rest_s[earlier], rest_s[index])
+    return tuple(rest_s)
+
+
+def dependents(work: Work) -> tuple[tuple[int, ...], ...]:
+    """Return the indices of the steps that wait for each step."""
+    found: list[list[int]] = [[] for _ in work.steps]
+    for index, step in enumerate(work.steps):
+        for earlier in set(step.after):
+            found[earlier].append(index)
+    return tuple(map(tuple, found))
 
 
 def task_name(
--- a/oleanderwood/pools/feasibility.py
+++ b/oleanderwood/pools/feasibility.py
@@ -13,7 +13,6 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.jobs import model
 from oleanderwood.pools import lengths as lengths_
 from oleanderwood.pools import workers as workers_
 
@@ -228,11 +227,7 @@
     """
     found_s = 0.0
     for group in groups:
-        entry = group.entry
-        expected_s = lengths_.of_job(lengths, entry)
-        rest_s = model.remaining_chain_s(
-            entry.job.work, group.number, expected_s
-        )
-        extra_s = (margin - 1.0) * expected_s[group.number]
-        found_s = max(found_s, rest_s + extra_s)
+        expected = lengths_.times_of_job(lengths, group.entry)
+        extra_s = (margin - 1.0) * expected.steps_s[group.number]
+        found_s = max(found_s, expected.remaining_s[group.number] + extra_s)
     return found_s
--- a/oleanderwood/pools/lengths.py
+++ b/oleanderwood/pools/lengths.py
@@ -12,6 +12,7 @@
 import math
 
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
 
 LEARNING_RATE = 0.05
 """Weight of one task in the moving means: about the last 20 tasks count."""
@@ -138,12 +139,26 @@
     lengths: Lengths, entry: ledgers.Entry
 ) -> collections.abc.Sequence[float]:
     """Return the expected duration of a task of each step, in seconds."""
+    return times_of_job(lengths, entry).steps_s
+
+
+def times_of_job(
+    lengths: Lengths, entry: ledgers.Entry
+) -> model.ExpectedTimes:
+    """Return the expected times of a job's steps.
+
+    They are computed once per job and version of the measured durations: a
+    scheduling pass needs them for each step that is ready.
+    """
     version = lengths.tasks // REFIT_TASKS
-    if entry.expected_version != version:
+    if entry.expected is None or entry.expected_version != version:
         queue = entry.job.queue.name
         entry.expected_version = version
-        entry.expected_s = tuple(
-            expected_s(lengths, queue, step.guess_ms / 1000)
-            for step in entry.job.work.steps
+        entry.expected = model.expected_times(
+            entry.job.work,
+            [
+                expected_s(lengths, queue, step.guess_ms / 1000)
+                for step in entry.job.work.steps
+            ],
         )
-    return entry.expected_s
+    return entry.expected
--- a/oleanderwood/pools/urgency.py
+++ b/oleanderwood/pools/urgency.py
@@ -9,7 +9,6 @@
 
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
-from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
 from oleanderwood.pools import lengths as lengths_
 
@@ -44,9 +43,7 @@
     entry: ledgers.Entry, queue: queues.Queue, lengths: lengths_.Lengths
 ) -> float:
     """Return a job's objective in seconds, based on its expected duration."""
-    chain_s = model.longest_chain_s(
-        entry.job.work, lengths_.of_job(lengths, entry)
-    )
+    chain_s = lengths_.times_of_job(lengths, entry).chain_s
     return queue.stretch * chain_s + queue.objective_ms / 1000
 
 
@@ -58,10 +55,9 @@
 ) -> float:
     """Return the time left for a step if its job is to meet its objective."""
     entry = group.entry
-    expected_s = lengths_.of_job(lengths, entry)
-    work = entry.job.work
-    rest_s = model.remaining_chain_s(work, group.number, expected_s)
-    after_s = rest_s - expected_s[group.number]
+    expected = lengths_.times_of_job(lengths, entry)
+    number = group.number
+    after_s = expected.remaining_s[number] - expected.steps_s[number]
     age_s = now_s - entry.arrived_s
     return objective_s(entry, queue, lengths) - age_s - after_s
 
@@ -73,7 +69,7 @@
     now_s: float,
 ) -> bool:
     """Return whether a job is too late to be of use to its caller."""
-    if entry.groups[0, 0].step.is_long_running:
+    if entry.job.work.steps[0].is_long_running:
         return False
     age_s = now_s - entry.arrived_s
     return age_s > LATE_FACTOR * objective_s(entry, queue, lengths)
