Open a repeated job's occurrences when they are due

Cause: ledgers.add() made groups and tasks for all occurrences at once, and each pass went through all of them. restore() called mark_done() for each stored task, and that looked through the groups for one that isn't done: the square of the occurrences. Progress listed each done group, so that the value grew with each end. term._load_jobs() gave no turn to the lease.

Now a calendar says which occurrence is due next; only open occurrences have groups and tasks, and they are dropped once all is done and nothing runs. What is done are ranges of group numbers, in the ledger and, for jobs of more than 64 groups, in the store; smaller jobs keep the form that earlier releases read, and these refuse the other form, so that they never run again what is done. Open occurrences of one job have an eighth of the memory for all; each job always has one.

A takeover gives turns, and turns.record() shows how long passes and takeovers hold the event loop.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -7,11 +7,14 @@
 import collections.abc
 import dataclasses
 import enum
+import heapq
+import itertools
 
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood.jobs import crashes as crashes_
 from oleanderwood.jobs import model
+from oleanderwood.jobs import ranges
 from oleanderwood.pools import reports
 
 ATTEMPTS_PER_TERM = 1000
@@ -22,6 +25,17 @@
 """
 
 
+DEFAULT_MAX_OPEN_BYTES = 64 << 20
+"""Memory for the open occurrences of all jobs if no limit is given."""
+
+MAX_SHARE_OF_ONE_JOB = 1 / 8
+"""Largest part of this memory for the open occurrences of one repeated job.
+One whose tasks cannot be started would otherwise keep out all others."""
+
+MAX_OPENED_PER_PASS = 500
+"""Largest number of occurrences that are opened at once; after an outage, many
+are due."""
+
 SERVING_PERCENT = 100.0
 """Progress that a long-running task reports once it serves."""
 
@@ -187,7 +201,14 @@
 
     :ivar arrived_s: when this leader received it
     :ivar inherited: an earlier leader may have started tasks of it
-    :ivar groups: by occurrence and index of the step
+    :ivar groups: those of open occurrences, by occurrence and index of the
+        step
+    :ivar next_occurrence: the first occurrence that may not have been opened
+    :ivar groups_left: number of groups that aren't done, by open occurrence
+    :ivar open_bytes: estimated memory of the open occurrences
+    :ivar done_groups: numbers of the groups that are done, see
+        :func:`group_number`, of closed occurrences as well
+    :ivar left: number of groups of all occurrences that aren't done
     :ivar has_run: a run of one of its tasks was seen: a worker took the order
         to start it, or listed it or its end
     :ivar state: present state
@@ -213,6 +234,11 @@
     groups: dict[tuple[int, int], Group] = dataclasses.field(
         default_factory=dict
     )
+    next_occurrence: int = 0
+    groups_left: dict[int, int] = dataclasses.field(default_factory=dict)
+    open_bytes: int = 0
+    done_groups: list[ranges.Range] = dataclasses.field(default_factory=list)
+    left: int = 0
     has_run: bool = False
     state: model.State = model.State.QUEUED
     stored_state: model.State = model.State.QUEUED
@@ -245,7 +271,15 @@
 class Ledger:
     """All jobs.
 
-    :ivar open_groups: groups with waiting tasks, in order of arrival
+    :ivar open_groups: groups with waiting tasks, in the order in which they
+        were opened
+    :ivar calendar: repeated jobs by the time at which their next occurrence is
+        due; a number makes jobs of equal times comparable
+    :ivar overdue: repeated jobs with an occurrence that is due and not open
+    :ivar over: open occurrences of which all groups are done
+    :ivar open_bytes: estimated memory of all open occurrences
+    :ivar max_open_bytes: memory beyond which a job with an open occurrence
+        gets no further one
     :ivar dirty: jobs with changes that must be written
     :ivar under_way: jobs that are being written, with the number of the first
         change in that write
@@ -257,6 +291,18 @@
     term: int = 1
     entries: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
     open_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
+    calendar: list[tuple[float, int, Entry]] = dataclasses.field(
+        default_factory=list
+    )
+    overdue: dict[Entry, None] = dataclasses.field(default_factory=dict)
+    over: dict[tuple[Entry, int], None] = dataclasses.field(
+        default_factory=dict
+    )
+    open_bytes: int = 0
+    max_open_bytes: float = DEFAULT_MAX_OPEN_BYTES
+    numbers: collections.abc.Iterator[int] = dataclasses.field(
+        default_factory=itertools.count
+    )
     dirty: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
     under_way: dict[ids.JobId, int] = dataclasses.field(default_factory=dict)
     changes: int = 0
@@ -277,21 +323,164 @@
         return known
     entry = Entry(job, now_s, inherited=job.term < ledger.term)
     entry.dependents = model.dependents(job.work)
-    for occurrence in range(model.occurrences(job)):
-        for number, step in enumerate(job.work.steps):
-            group = Group(entry, occurrence, number, step, left=step.tasks)
-            group.blockers = len(set(step.after))
-            entry.groups[occurrence, number] = group
-            for index in range(step.tasks):
-                name = model.task_name(job.job, occurrence, number, index)
-                task = Task(name, group, index, not_serving_since_s=now_s)
-                group.tasks.append(task)
-                group.waiting[index] = task
-            ledger.open_groups[group] = None
+    entry.left = model.occurrences(job) * len(job.work.steps)
     ledger.entries[job.job] = entry
+    if job.work.repeats:
+        _schedule_next(ledger, entry)
+    else:
+        _open(ledger, entry, 0)
     return entry
 
 
+def set_done(ledger: Ledger, entry: Entry, done: list[ranges.Range]) -> None:
+    """Set which groups of a job that was just added are done.
+
+    :param done: their numbers, see :func:`group_number`
+    """
+    if not done:
+        return
+    entry.done_groups = done
+    entry.left -= ranges.count(done)
+    for group in entry.groups.values():
+        ledger.open_groups.pop(group, None)
+    entry.groups.clear()
+    for occurrence in list(entry.groups_left):
+        del entry.groups_left[occurrence]
+        _add_open_bytes(ledger, entry, -1)
+        _open(ledger, entry, occurrence)
+
+
+def open_due(ledger: Ledger, wall_ms: float) -> None:
+    """Open occurrences that are due, and close those that are over.
+
+    Only open occurrences have groups and tasks, so that memory and the time of
+    a pass follow what is due and not what callers ask for in advance. Jobs
+    with several overdue occurrences take turns.
+    """
+    _close_over(ledger)
+    while ledger.calendar and ledger.calendar[0][0] <= wall_ms:
+        _due_ms, _number, entry = heapq.heappop(ledger.calendar)
+        if ledger.entries.get(entry.job.job) is entry:
+            ledger.overdue[entry] = None
+    opened = 0
+    waiting = list(ledger.overdue)
+    while waiting and opened < MAX_OPENED_PER_PASS:
+        waiting = [
+            entry
+            for entry in waiting
+            if _has_room(ledger, entry)
+            and _open_next_due(ledger, entry, wall_ms)
+        ]
+        opened += len(waiting)
+
+
+def _has_room(ledger: Ledger, entry: Entry) -> bool:
+    """Return whether a further occurrence of a job may be opened.
+
+    One of each job always may: without it, the job would stand still.
+    """
+    if not entry.groups:
+        return True
+    size_bytes = model.open_bytes(entry.job.work)
+    max_bytes = ledger.max_open_bytes
+    return (
+        entry.open_bytes + size_bytes <= MAX_SHARE_OF_ONE_JOB * max_bytes
+        and ledger.open_bytes + size_bytes <= max_bytes
+    )
+
+
+def _open_next_due(ledger: Ledger, entry: Entry, wall_ms: float) -> bool:
+    """Open a job's next occurrence; return False if none is due any more."""
+    _skip_known(entry)
+    is_over = is_final(entry) or (
+        entry.next_occurrence >= model.occurrences(entry.job)
+    )
+    if is_over or model.due_ms(entry.job, entry.next_occurrence) > wall_ms:
+        del ledger.overdue[entry]
+        if not is_over:
+            _schedule_next(ledger, entry)
+        return False
+    _open(ledger, entry, entry.next_occurrence)
+    return True
+
+
+def _schedule_next(ledger: Ledger, entry: Entry) -> None:
+    due_ms = model.due_ms(entry.job, entry.next_occurrence)
+    heapq.heappush(ledger.calendar, (due_ms, next(ledger.numbers), entry))
+
+
+def _skip_known(entry: Entry) -> None:
+    """Advance a job's next occurrence past those that are open or done."""
+    steps = len(entry.job.work.steps)
+    while True:
+        number = entry.next_occurrence
+        end = ranges.end_of(entry.done_groups, number * steps)
+        if number in entry.groups_left:
+            entry.next_occurrence += 1
+        elif end is not None and end >= (number + 1) * steps - 1:
+            entry.next_occurrence = (end + 1) // steps
+        else:
+            return
+
+
+def _open(ledger: Ledger, entry: Entry, occurrence: int) -> None:
+    """Make the groups and tasks of an occurrence; they wait unless done."""
+    job = entry.job
+    entry.groups_left[occurrence] = 0
+    for number, step in enumerate(job.work.steps):
+        group = Group(entry, occurrence, number, step)
+        entry.groups[occurrence, number] = group
+        is_done = ranges.contains(entry.done_groups, group_number(group))
+        for index in range(step.tasks):
+            name = model.task_name(job.job, occurrence, number, index)
+            task = Task(name, group, index, done=is_done)
+            task.not_serving_since_s = entry.arrived_s
+            group.tasks.append(task)
+        if is_done:
+            continue
+        group.left = step.tasks
+        group.blockers = sum(
+            entry.groups[occurrence, earlier].left > 0
+            for earlier in set(step.after)
+        )
+        entry.groups_left[occurrence] += 1
+        if not is_final(entry):
+            group.waiting = dict(enumerate(group.tasks))
+            ledger.open_groups[group] = None
+    _add_open_bytes(ledger, entry, 1)
+    if not entry.groups_left[occurrence]:
+        ledger.over[entry, occurrence] = None
+
+
+def _add_open_bytes(ledger: Ledger, entry: Entry, sign: int) -> None:
+    """Add the memory of one occurrence of a job; -1 removes it."""
+    size_bytes = sign * model.open_bytes(entry.job.work)
+    entry.open_bytes += size_bytes
+    ledger.open_bytes += size_bytes
+
+
+def _close_over(ledger: Ledger) -> None:
+    """Drop the groups of occurrences that are over, once nothing runs."""
+    for entry, occurrence in list(ledger.over):
+        numbers = range(len(entry.job.work.steps))
+        groups = [entry.groups[occurrence, number] for number in numbers]
+        if any(task.run for group in groups for task in group.tasks):
+            continue
+        del ledger.over[entry, occurrence]
+        if is_final(entry):
+            continue
+        for group in groups:
+            del entry.groups[occurrence, group.number]
+        del entry.groups_left[occurrence]
+        _add_open_bytes(ledger, entry, -1)
+
+
+def group_number(group: Group) -> int:
+    """Return the number of a group, by occurrence and then by step."""
+    steps = len(group.entry.job.work.steps)
+    return group.occurrence * steps + group.number
+
+
 def may_start_in(entry: Entry, pool: ids.ServiceId) -> bool:
     """Return whether a job's tasks may be started in a pool now.
 
@@ -331,11 +520,26 @@
     entry = ledger.entries.get(ids.JobId(parts[0]))
     if entry is None or len(parts) != 4:
         return None
-    group = entry.groups.get((int(parts[1]), int(parts[2])))
-    index = int(parts[3])
-    if group is None or not 0 <= index < len(group.tasks):
+    occurrence, number, index = map(int, parts[1:])
+    if not 0 <= occurrence < model.occurrences(entry.job):
         return None
-    return group.tasks[index]
+    if number not in range(len(entry.job.work.steps)):
+        return None
+    group = open_group(ledger, entry, occurrence, number)
+    return group.tasks[index] if 0 <= index < len(group.tasks) else None
+
+
+def open_group(
+    ledger: Ledger, entry: Entry, occurrence: int, number: int
+) -> Group:
+    """Return a group; its occurrence is opened if it isn't.
+
+    An earlier leader may have opened it before it is due by this clock, or
+    further ones of a job than this leader has room for.
+    """
+    if occurrence not in entry.groups_left:
+        _open(ledger, entry, occurrence)
+    return entry.groups[occurrence, number]
 
 
 def begin_run(
@@ -461,13 +665,24 @@
     group = task.group
     _remove_waiting(ledger, task)
     group.left -= 1
+    touch(ledger, group.entry)
     if not group.left:
+        note_group_done(ledger, group.entry, group_number(group))
         _unblock_dependents(group)
-    touch(ledger, group.entry)
-    _end_if_completed(ledger, group.entry, now_s)
+        _note_group_over(ledger, group)
+    end_if_completed(ledger, group.entry, now_s)
     return True
 
 
+def note_group_done(ledger: Ledger, entry: Entry, number: int) -> None:
+    """Record that all tasks of a group are done.
+
+    :param number: see :func:`group_number`
+    """
+    if ranges.add(entry.done_groups, number):
+        entry.left -= 1
+
+
 def _unblock_dependents(group: Group) -> None:
     """Record that the steps which wait for a step no longer wait for it."""
     entry = group.entry
@@ -475,6 +690,14 @@
         entry.groups[group.occurrence, number].blockers -= 1
 
 
+def _note_group_over(ledger: Ledger, group: Group) -> None:
+    """Record that one group less of an open occurrence is left."""
+    entry = group.entry
+    entry.groups_left[group.occurrence] -= 1
+    if not entry.groups_left[group.occurrence]:
+        ledger.over[entry, group.occurrence] = None
+
+
 def mark_failed(
     ledger: Ledger,
     task: Task,
@@ -560,9 +783,14 @@
     """Remove a job that callers no longer ask for."""
     entry = ledger.entries.pop(job, None)
     ledger.dirty.pop(job, None)
-    if entry is not None:
-        for group in entry.groups.values():
-            ledger.open_groups.pop(group, None)
+    if entry is None:
+        return
+    for group in entry.groups.values():
+        ledger.open_groups.pop(group, None)
+    ledger.open_bytes -= entry.open_bytes
+    ledger.overdue.pop(entry, None)
+    for occurrence in entry.groups_left:
+        ledger.over.pop((entry, occurrence), None)
 
 
 def runs(entry: Entry) -> collections.abc.Iterator[Task]:
@@ -573,10 +801,9 @@
                 yield task
 
 
-def _end_if_completed(ledger: Ledger, entry: Entry, now_s: float) -> None:
-    if is_final(entry):
-        return
-    if all(group.left == 0 for group in entry.groups.values()):
+def end_if_completed(ledger: Ledger, entry: Entry, now_s: float) -> None:
+    """End a job of which all groups are done."""
+    if not entry.left and not is_final(entry):
         end(ledger, entry, model.State.COMPLETED, now_s)
 
 
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -24,6 +24,12 @@
 """States that a job never leaves."""
 
 
+STEP_BYTES = 2300
+TASK_BYTES = 700
+"""Memory in which a leader holds a step of one occurrence of a job, without
+its tasks, and one task, with the containers that name them."""
+
+
 class Resources(msgspec.Struct, frozen=True):
     """Resources that a task needs or a worker has."""
 
@@ -141,6 +147,12 @@
     return max(1, job.work.repeats)
 
 
+def open_bytes(work: Work) -> int:
+    """Return the memory that a leader needs for one occurrence of a job."""
+    tasks = sum(step.tasks for step in work.steps)
+    return STEP_BYTES * len(work.steps) + TASK_BYTES * tasks
+
+
 def due_ms(job: Job, occurrence: int) -> float:
     """Return when an occurrence is due, in milliseconds since 1970."""
     if job.work.repeats == 0:
--- a/oleanderwood/jobs/record.py
+++ b/oleanderwood/jobs/record.py
@@ -9,6 +9,7 @@
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
 from oleanderwood.jobs import model
+from oleanderwood.jobs import ranges
 
 INTAKE_PREFIX = 'ow/in/'
 """Prefix of the keys of all requests: jobs, cancellations and the operators'
@@ -30,6 +31,11 @@
 
 PROGRESS_PREFIX = 'ow/progress/'
 
+MAX_LISTED_GROUPS = 64
+"""Largest number of groups of a job whose progress lists each of them. Servers
+of earlier releases read only this form. They refuse the compact form and leave
+the job alone, instead of running again what it holds as done."""
+
 
 class GroupProgress(msgspec.Struct, frozen=True, array_like=True):
     """Progress of one step in one occurrence.
@@ -52,16 +58,32 @@
     crash_counts: dict[int, int] = {}
 
 
+class CompactProgress(msgspec.Struct, frozen=True):
+    """Progress of the steps of a job with many steps or occurrences.
+
+    Its size follows what is open: what is done forms few ranges.
+
+    :ivar done: groups whose tasks are all done, as ranges of their numbers,
+        see ``ledger.group_number()``
+    :ivar others: progress of other groups
+    """
+
+    done: list[ranges.Range] = []
+    others: list[GroupProgress] = []
+
+
 class Progress(msgspec.Struct, frozen=True):
     """Progress of one job.
 
+    :ivar groups: progress of its groups; those in which nothing has happened
+        may be left out
     :ivar more_pools: pools in which its tasks may have been started, in
         addition to the pool of its queue at submission
     :ivar tenant: the job's tenant
     """
 
     state: model.State
-    groups: list[GroupProgress] = []
+    groups: list[GroupProgress] | CompactProgress = []
     more_pools: list[ids.ServiceId] = []
     tenant: ids.TenantId = ids.TenantId('')
 
@@ -97,17 +119,43 @@
     """Return a job's progress as the store has to hold it."""
     rows = []
     for group in entry.groups.values():
+        if not group.left:
+            continue
         row = _group_progress(group)
         if row.done != '0' or row.failed or row.crashes:
             rows.append(row)
+    work = entry.job.work
+    groups = model.occurrences(entry.job) * len(work.steps)
+    progress = CompactProgress(list(entry.done_groups), rows)
     return Progress(
         ledgers.state_to_store(entry),
-        rows,
+        _listed(work, progress) if groups <= MAX_LISTED_GROUPS else progress,
         sorted(entry.more_pools),
         entry.job.tenant,
     )
 
 
+def _listed(work: model.Work, progress: CompactProgress) -> list:
+    """Return progress with a row for each group that is done."""
+    steps = len(work.steps)
+    done = [
+        GroupProgress(
+            number // steps,
+            number % steps,
+            f'{_all_bits(work.steps[number % steps]):x}',
+        )
+        for first, last in progress.done
+        for number in range(first, last + 1)
+    ]
+    rows = [*done, *progress.others]
+    return sorted(rows, key=lambda row: (row.occurrence, row.step))
+
+
+def _all_bits(step: model.Step) -> int:
+    """Return the bits of a step of which all tasks are done."""
+    return (1 << step.tasks) - 1
+
+
 def _group_progress(group: ledgers.Group) -> GroupProgress:
     done = 0
     failed = {}
@@ -143,10 +191,11 @@
     now_s: float,
 ) -> None:
     """Restore the stored progress of a job that was just added."""
-    for row in progress.groups:
-        group = entry.groups.get((row.occurrence, row.step))
-        if group is not None:
-            _restore_group(ledger, group, row, now_s)
+    compact = _compact(entry, progress.groups)
+    ledgers.set_done(ledger, entry, compact.done)
+    for row in compact.others:
+        _restore_group(ledger, entry, row, now_s)
+    ledgers.end_if_completed(ledger, entry, now_s)
     if progress.state in model.FINAL:
         ledgers.end(ledger, entry, progress.state, now_s)
     elif not ledgers.is_final(entry):
@@ -159,13 +208,42 @@
         ledger.dirty.pop(entry.job.job, None)
 
 
+def _compact(
+    entry: ledgers.Entry, groups: list[GroupProgress] | CompactProgress
+) -> CompactProgress:
+    """Return the compact form of stored progress, without unknown groups.
+
+    :raises ValueError: the progress contradicts the job
+    """
+    steps = entry.job.work.steps
+    occurrences = model.occurrences(entry.job)
+    done: list[ranges.Range] = []
+    others = []
+    if isinstance(groups, CompactProgress):
+        done, groups = list(groups.done), groups.others
+    for row in groups:
+        if not 0 <= row.step < len(steps):
+            continue
+        if not 0 <= row.occurrence < occurrences:
+            continue
+        bits = _all_bits(steps[row.step])
+        if int(row.done, 16) & bits == bits:
+            number = row.occurrence * len(steps) + row.step
+            done.append((number, number))
+        else:
+            others.append(row)
+    done = ranges.normalized(done, occurrences * len(steps))
+    return CompactProgress(done, others)
+
+
 def _restore_group(
     ledger: ledgers.Ledger,
-    group: ledgers.Group,
+    entry: ledgers.Entry,
     row: GroupProgress,
     now_s: float,
 ) -> None:
     done = int(row.done, 16)
+    group = ledgers.open_group(ledger, entry, row.occurrence, row.step)
     for task in group.tasks:
         if done >> task.index & 1:
             ledgers.mark_done(ledger, task, now_s)
--- a/oleanderwood/leading/schedule.py
+++ b/oleanderwood/leading/schedule.py
@@ -27,6 +27,7 @@
 from oleanderwood.pools import workers as workers_
 from oleanderwood import server_metrics
 from oleanderwood.tenants import usage as usage_
+from oleanderwood import turns
 
 MIN_PASS_GAP_S = 0.01
 """Shortest pause between two passes: events come in bursts, and one pass
@@ -90,6 +91,7 @@
         if states.may_act(leader):
             await place(leader, pools)
         took_s = clock.now_s() - began_s
+        turns.record('pass', took_s)
         await curio.sleep(max(MIN_PASS_GAP_S, took_s * (1 / PASS_SHARE - 1)))
 
 
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -47,6 +47,7 @@
 from oleanderwood.platform import store as stores
 from oleanderwood.pools import reports
 from oleanderwood import server_metrics
+from oleanderwood import turns
 
 WATCH_TIMEOUT_S = 1.0
 """Maximum duration of a watch, in seconds. A dead connection is detected after
@@ -248,28 +249,32 @@
     for item in waves.items:
         number = item.key.removeprefix(stored_waves.WAVES_PREFIX)
         leader.fleet.stored_waves[number] = item.value
-    _load_jobs(leader, stored)
+    await _load_jobs(leader, stored)
     _restore_arrivals(leader)
     await _register_previous_workers(leader, stored.worker_lists)
     return stored.jobs.revision
 
 
-def _load_jobs(leader: states.Leader, stored: StoredState) -> None:
+async def _load_jobs(leader: states.Leader, stored: StoredState) -> None:
     """Apply the stored jobs and policy, then progress, then cancels."""
     now_s = clock.now_s()
+    work = turns.begin('takeover')
     cancels = []
     for item in stored.jobs.items:
         if item.key.startswith(record.CANCEL_PREFIX):
             cancels.append(item)
         else:
             intake.apply_intake(leader, item, taking_over=True)
+            await turns.give(work)
     for item in stored.progress.items:
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
         entry = leader.ledger.entries.get(job)
         if entry is not None:
             _restore_progress(leader, entry, item.value, now_s)
+            await turns.give(work)
     for item in cancels:
         intake.apply_intake(leader, item, taking_over=True)
+        await turns.give(work)
 
 
 async def _register_previous_workers(
--- a/oleanderwood/pools/waiting_order.py
+++ b/oleanderwood/pools/waiting_order.py
@@ -35,6 +35,7 @@
     :param ordering: orders the work of pools that can't serve all of it by
         what can end in time; None: by arrival
     """
+    ledgers.open_due(ledger, wall_ms)
     ready: dict[ids.ServiceId, list[ledgers.Group]] = {}
     due: dict[ids.ServiceId, list[ledgers.Group]] = {}
     for group in list(ledger.open_groups):
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -98,6 +98,15 @@
     registry=REGISTRY,
 )
 
+TURN_SECONDS = prometheus_client.Histogram(
+    'oleander_server_turn_seconds',
+    'Time for which a computation gave no other coroutine a turn, by what was '
+    'computed. Beyond 1.5 s, the lease of the server ends.',
+    ('work',),
+    buckets=LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
+
 MACHINE_ORDERS = prometheus_client.Counter(
     'oleander_server_machine_orders_total',
     'Orders for machines, by kind and outcome.',
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -25,8 +25,13 @@
     job = build.job(repeats=2, first_due_ms=1000.0, repeat_every_ms=500.0)
     ledger = build.ledger_with(job)
     groups = ledger.entries[build.JOB].groups
+    ledgers.open_due(ledger, 999.0)
+    assert not groups
+    ledgers.open_due(ledger, 1499.0)
+    assert list(groups) == [(0, 0)]
     assert not ledgers.is_ready(groups[0, 0], 999.0)
     assert ledgers.is_ready(groups[0, 0], 1000.0)
+    ledgers.open_due(ledger, 1500.0)
     assert not ledgers.is_ready(groups[1, 0], 1499.0)
     assert ledgers.is_ready(groups[1, 0], 1500.0)
 
