Refuse jobs that no leader has memory for beside what is accepted

Cause: one job was limited to 20,000 tasks, all accepted jobs together were not. 480,000 open tasks take 337 MB in one process (measured), and a server has 200 to 552 MB.

Now the leader counts the memory of one occurrence of each job that hasn't ended; before a server writes a job of 200 KB or more it asks the leader, which keeps the room for 4 s until the job arrives. Smaller jobs are asked about while less than a tenth is left, which the leader tells with each notice of new jobs. The limit is 0.3 of the memory of the smallest server, as any may lead; memory_mb comes from the settings. Without room: 429 with Retry-After, only where the store surely has no such job; 503 for a large job while nobody leads; 400 if no server could hold it. Large jobs that have ended keep no groups. 14 repeated jobs take a few KB of the room.

--- a/oleanderwood/admission/gate.py
+++ b/oleanderwood/admission/gate.py
@@ -33,6 +33,12 @@
     TOO_LATE = 'too-late'
     """It would end too late to be of use."""
 
+    NO_ROOM = 'no-room'
+    """The leader has no memory for it beside the jobs that were accepted."""
+
+    ROOM_UNKNOWN = 'room-unknown'
+    """No leader says whether it has memory for it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
@@ -55,8 +61,8 @@
 
     why: Why
     retry_after_s: int
-    holder: ids.TenantId
-    wait_s: float
+    holder: ids.TenantId = ids.TenantId('')
+    wait_s: float = 0.0
 
 
 @dataclasses.dataclass
--- a/oleanderwood/boot.py
+++ b/oleanderwood/boot.py
@@ -28,6 +28,7 @@
     :ivar cpu_share: fraction of a core that the process gets
     :ivar cpu_speed: speed factor of that core; ``cpu_share`` times this factor
         is the processor time in cores
+    :ivar memory_mb: memory beyond which the process is killed; 0 if unknown
     :ivar descriptors: maximum number of open files and sockets
     :ivar stop_time_s: time from the stop signal until the process is killed
     :ivar max_task_lease_ms: longest lease that a worker grants its tasks
@@ -73,6 +74,7 @@
     admin_token: str = ''
     cpu_share: float = 1.0
     cpu_speed: float = 1.0
+    memory_mb: float = 0.0
     descriptors: int = 4096
     contracts: tuple[str, ...] = ()
 
--- a/oleanderwood/frontend/admitting.py
+++ b/oleanderwood/frontend/admitting.py
@@ -13,7 +13,9 @@
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import intake as intakes
 from oleanderwood.frontend import log_limit
+from oleanderwood.frontend import peer_client as peer_clients
 from oleanderwood import ids
+from oleanderwood.jobs import memory
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
@@ -31,6 +33,10 @@
 may be carried out late, and which of its jobs callers send again is
 unknown."""
 
+ROOM_RETRY_AFTER_S = {gates.Why.NO_ROOM: 5, gates.Why.ROOM_UNKNOWN: 2}
+"""When callers may come back for room, in seconds: as jobs end, and once
+another server leads."""
+
 MAX_LINES_PER_S = 20
 """Refusals that are logged per second; a burst has hundreds."""
 
@@ -76,28 +82,65 @@
     job: ids.JobId,
     tenant: ids.TenantId,
 ) -> Outcome | gates.Refused:
-    """Return whether a job is refused, and if not, why.
+    """Return whether a job is refused for its pool's load, and if not, why.
 
     A refusal costs one read of the store and no write.
     """
-    outcome = await _judge(server, intake, queue, job, tenant)
+    decision = gates.decide(
+        server.gate, queue.service, tenant, job, clock.now_s()
+    )
+    if isinstance(decision, gates.Admitted):
+        return _counted(Outcome.ADMITTED)
+    return _counted(await _confirmed(server, intake, job, tenant, decision))
+
+
+def needs_room(server: states.Server, work: model.Work) -> bool:
+    """Return whether the leader has to be asked for room for a job."""
+    return (
+        memory.is_large(work) or clock.now_s() < server.short_of_room_until_s
+    )
+
+
+async def judge_room(
+    server: states.Server,
+    client: peer_clients.PeerClient,
+    intake: intakes.Intake,
+    work: model.Work,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+) -> Outcome | gates.Refused:
+    """Return whether a job is refused for want of memory, and if not, why.
+
+    A job of unknown room is refused only if it is large.
+    """
+    size_bytes = model.open_bytes(work)
+    why = gates.Why.NO_ROOM
+    try:
+        if await peer_clients.ask_room(client, job, size_bytes):
+            return _counted(Outcome.ADMITTED)
+    except errors.CallFailed as error:
+        event_log.emit('caller', 'room-unknown', job=job, why=error.reason)
+        if not memory.is_large(work):
+            return _counted(Outcome.ADMITTED)
+        why = gates.Why.ROOM_UNKNOWN
+    decision = gates.Refused(why, ROOM_RETRY_AFTER_S[why])
+    return _counted(await _confirmed(server, intake, job, tenant, decision))
+
+
+def _counted(outcome: Outcome | gates.Refused) -> Outcome | gates.Refused:
     label = outcome.value if isinstance(outcome, Outcome) else 'refused'
     server_metrics.ADMISSION.labels(label).inc()
     return outcome
 
 
-async def _judge(
+async def _confirmed(
     server: states.Server,
     intake: intakes.Intake,
-    queue: queues.Queue,
     job: ids.JobId,
     tenant: ids.TenantId,
+    decision: gates.Refused,
 ) -> Outcome | gates.Refused:
-    decision = gates.decide(
-        server.gate, queue.service, tenant, job, clock.now_s()
-    )
-    if isinstance(decision, gates.Admitted):
-        return Outcome.ADMITTED
+    """Return a refusal if the store doesn't have the job and won't get it."""
     if _may_be_written(intake, job):
         return Outcome.IN_DOUBT
     if forwarding.is_store_lost(server):
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -21,6 +21,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
+from oleanderwood.leading import room
 from oleanderwood.leading import state as states
 from oleanderwood.platform import callers
 from oleanderwood.pools import quotas
@@ -245,11 +246,21 @@
         raise errors.BadMessage(413, str(error)) from error
 
 
+REFUSALS = {
+    gates.Why.TOO_LATE: (429, 'the pool is full, and it would end too late'),
+    gates.Why.OVER_SHARE: (
+        429,
+        "the pool is full, and the tenant's share of it is used up",
+    ),
+    gates.Why.NO_ROOM: (429, 'no memory is left for a job of this size'),
+    gates.Why.ROOM_UNKNOWN: (503, 'no server leads at the moment'),
+}
+"""Status and reason of each refusal."""
+
+
 def _not_admitted(refused: gates.Refused) -> http.Response:
-    reason = 'the pool is full, and the job would end too late'
-    if refused.why is gates.Why.OVER_SHARE:
-        reason = "the pool is full, and the tenant's share of it is used up"
-    return _refusal(429, f'not accepted: {reason}', refused.retry_after_s)
+    status, reason = REFUSALS[refused.why]
+    return _refusal(status, f'not accepted: {reason}', refused.retry_after_s)
 
 
 def _refusal(
@@ -287,24 +298,24 @@
         return http.Response(
             429, [], b'a gang is wider than its tenant may run\n'
         )
-    if admitting.may_refuse(frontend.server, queue, work, tenant):
-        outcome = await admitting.judge(
-            frontend.server, frontend.intake, queue, job, tenant
+    if model.open_bytes(work) > room.largest_bytes(frontend.server):
+        _log('too-large', job, began_s, tenant=tenant)
+        return http.Response(400, [], b'larger than any server can hold\n')
+    outcome = await _admit(frontend, queue, work, job, tenant)
+    if isinstance(outcome, gates.Refused):
+        admitting.log(frontend.refusals, queue, job, tenant, outcome)
+        return _not_admitted(outcome)
+    if outcome is admitting.Outcome.STORED:
+        _log(
+            'handed-in',
+            job,
+            began_s,
+            queue=queue.name,
+            tenant=tenant,
+            verdict=verdicts.Verdict.RAN.value,
+            why='known',
         )
-        if isinstance(outcome, gates.Refused):
-            admitting.log(frontend.refusals, queue, job, tenant, outcome)
-            return _not_admitted(outcome)
-        if outcome is admitting.Outcome.STORED:
-            _log(
-                'handed-in',
-                job,
-                began_s,
-                queue=queue.name,
-                tenant=tenant,
-                verdict=verdicts.Verdict.RAN.value,
-                why='known',
-            )
-            return _state_response(model.State.QUEUED)
+        return _state_response(model.State.QUEUED)
     record = model.Job(job, queue, work, clock.wall_ms(), tenant=tenant)
     result = await _persist(frontend, record)
     _log(
@@ -327,6 +338,29 @@
     return in_doubt(result.reason)
 
 
+async def _admit(
+    frontend: Frontend,
+    queue: queues.Queue,
+    work: model.Work,
+    job: ids.JobId,
+    tenant: ids.TenantId,
+) -> admitting.Outcome | gates.Refused:
+    """Return whether a job is refused for load or for want of memory."""
+    server = frontend.server
+    outcome: admitting.Outcome | gates.Refused = admitting.Outcome.ADMITTED
+    if admitting.may_refuse(server, queue, work, tenant):
+        outcome = await admitting.judge(
+            server, frontend.intake, queue, job, tenant
+        )
+    if outcome is admitting.Outcome.ADMITTED and admitting.needs_room(
+        server, work
+    ):
+        outcome = await admitting.judge_room(
+            server, frontend.client, frontend.intake, work, job, tenant
+        )
+    return outcome
+
+
 def _owner_at(queue: queues.Queue, tenant: ids.TenantId) -> ids.TenantId:
     """Return to whom a caller's job in a queue belongs."""
     return access.NO_TENANT if queue.public else tenant
--- a/oleanderwood/frontend/peer_client.py
+++ b/oleanderwood/frontend/peer_client.py
@@ -1,10 +1,14 @@
 """Query and notify the leader on behalf of callers."""
 
 import dataclasses
+import math
+import typing
 import urllib.parse
 
 import msgspec
 
+from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -12,6 +16,7 @@
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
 from oleanderwood.leading import intake
+from oleanderwood.leading import room
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
 from oleanderwood.platform import transport
@@ -26,6 +31,14 @@
 PENDING_PATH = '/pending/'
 JOBS_PATH = '/jobs'
 CANCELLED_PATH = '/cancelled/'
+ROOM_PATH = '/room/'
+
+SHORT_OF_ROOM_S = 5.0
+"""Time for which small jobs are asked about after the leader was short of
+room."""
+
+
+Answer = typing.TypeVar('Answer')
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -82,8 +95,44 @@
     if leader is not None and not leader.deposed:
         await intake.add_jobs(leader, jobs)
         if not leader.deposed:
+            _note_room(client.server, room.left(leader))
             return
-    await _notify(client, JOBS_PATH, msgspec.json.encode(jobs))
+    answer = await _notify(client, JOBS_PATH, msgspec.json.encode(jobs))
+    if not answer:
+        return
+    try:
+        _note_room(client.server, codec.decode(answer, room.Room))
+    except codec.MalformedValue as error:
+        event_log.emit('caller', 'leader-malformed', why=str(error))
+
+
+async def ask_room(
+    client: PeerClient, job: ids.JobId, size_bytes: int
+) -> bool:
+    """Return whether the leader has room for a job.
+
+    :raises errors.CallFailed: the leader doesn't answer
+    """
+    leader = client.server.leader
+    if leader is not None and not leader.deposed:
+        answer = room.ask(leader, job, size_bytes)
+    else:
+        answer = await _call_leader(
+            client, f'{ROOM_PATH}{job}/{size_bytes}', room.Room
+        )
+    if answer is None:
+        raise errors.CallFailed(
+            verdicts.Verdict.NOT_RUN, 'the leader does not answer'
+        )
+    _note_room(client.server, answer)
+    return answer.has_room
+
+
+def _note_room(server: states.Server, answer: room.Room) -> None:
+    """Record whether the leader has to be asked for room for small jobs."""
+    server.short_of_room_until_s = -math.inf
+    if answer.is_short:
+        server.short_of_room_until_s = clock.now_s() + SHORT_OF_ROOM_S
 
 
 async def notify_cancel(client: PeerClient, job: ids.JobId) -> None:
@@ -100,13 +149,16 @@
     await _notify(client, CANCELLED_PATH + job, b'')
 
 
-async def _notify(client: PeerClient, target: str, body: bytes) -> None:
-    """Call the leader, if another server leads; a failure is only logged."""
+async def _notify(client: PeerClient, target: str, body: bytes) -> bytes:
+    """Call the leader, if another server leads; a failure is only logged.
+
+    Returns the body of a successful answer.
+    """
     leader = client.server.roles.leader
     if leader is None or leader.process == client.server.process:
-        return
+        return b''
     try:
-        await transport.call(
+        answer = await transport.call(
             client.open_connections,
             leader.address,
             'POST',
@@ -116,6 +168,8 @@
         )
     except errors.CallFailed as error:
         event_log.emit('caller', 'leader-not-told', why=error.reason)
+        return b''
+    return answer.body if answer.status == 200 else b''
 
 
 async def fetch_state(client: PeerClient, job: ids.JobId) -> QueryResult:
@@ -137,12 +191,12 @@
     stored = await stores.read(store, record.progress_key(job))
     try:
         if stored is not None:
-            progress = msgspec.json.decode(stored.value, type=record.Progress)
+            progress = codec.decode(stored.value, record.Progress)
             return QueryResult(progress.state, tenant=progress.tenant)
         stored = await stores.read(store, record.job_key(job))
         if stored is None:
             return QueryResult()
-        owned = msgspec.json.decode(stored.value, type=model.JobOwner)
+        owned = codec.decode(stored.value, model.JobOwner)
     except msgspec.MsgspecError as error:
         raise errors.CallFailed(
             verdicts.Verdict.NOT_RUN, f'malformed record in the store: {error}'
@@ -168,7 +222,9 @@
     return answer.pending
 
 
-async def _call_leader(client: PeerClient, target: str) -> QueryResult | None:
+async def _call_leader(
+    client: PeerClient, target: str, kind: type[Answer] = QueryResult
+) -> Answer | None:
     """Call the leader; return None if it doesn't answer or doesn't lead."""
     leader = client.server.roles.leader
     if leader is None or leader.process == client.server.process:
@@ -183,7 +239,7 @@
         )
         if answer.status != 200:
             return None
-        return msgspec.json.decode(answer.body, type=QueryResult)
+        return codec.decode(answer.body, kind)
     except (errors.CallFailed, msgspec.MsgspecError) as error:
         event_log.emit(
             'caller', 'leader-silent', target=target, why=str(error)
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -13,6 +13,7 @@
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood.jobs import crashes as crashes_
+from oleanderwood.jobs import memory
 from oleanderwood.jobs import model
 from oleanderwood.jobs import ranges
 from oleanderwood.pools import reports
@@ -25,9 +26,6 @@
 """
 
 
-DEFAULT_MAX_OPEN_BYTES = 64 << 20
-"""Memory for the open occurrences of all jobs if no limit is given."""
-
 MAX_SHARE_OF_ONE_JOB = 1 / 8
 """Largest part of this memory for the open occurrences of one repeated job.
 One whose tasks cannot be started would otherwise keep out all others."""
@@ -278,6 +276,8 @@
     :ivar overdue: repeated jobs with an occurrence that is due and not open
     :ivar over: open occurrences of which all groups are done
     :ivar open_bytes: estimated memory of all open occurrences
+    :ivar claimed_bytes: estimated memory of one occurrence of each job that
+        hasn't ended
     :ivar max_open_bytes: memory beyond which a job with an open occurrence
         gets no further one
     :ivar dirty: jobs with changes that must be written
@@ -299,7 +299,8 @@
         default_factory=dict
     )
     open_bytes: int = 0
-    max_open_bytes: float = DEFAULT_MAX_OPEN_BYTES
+    claimed_bytes: int = 0
+    max_open_bytes: float = memory.max_open_bytes(0)
     numbers: collections.abc.Iterator[int] = dataclasses.field(
         default_factory=itertools.count
     )
@@ -325,6 +326,7 @@
     entry.dependents = model.dependents(job.work)
     entry.left = model.occurrences(job) * len(job.work.steps)
     ledger.entries[job.job] = entry
+    ledger.claimed_bytes += model.open_bytes(job.work)
     if job.work.repeats:
         _schedule_next(ledger, entry)
     else:
@@ -467,7 +469,8 @@
         if any(task.run for group in groups for task in group.tasks):
             continue
         del ledger.over[entry, occurrence]
-        if is_final(entry):
+        if is_final(entry) and not memory.is_large(entry.job.work):
+            # Operators ask about jobs that have just ended.
             continue
         for group in groups:
             del entry.groups[occurrence, group.number]
@@ -525,6 +528,8 @@
         return None
     if number not in range(len(entry.job.work.steps)):
         return None
+    if occurrence not in entry.groups_left and is_final(entry):
+        return None
     group = open_group(ledger, entry, occurrence, number)
     return group.tasks[index] if 0 <= index < len(group.tasks) else None
 
@@ -742,9 +747,13 @@
         return
     entry.state = state
     entry.ended_s = now_s
+    ledger.claimed_bytes -= model.open_bytes(entry.job.work)
     for group in entry.groups.values():
         group.waiting.clear()
         ledger.open_groups.pop(group, None)
+    if memory.is_large(entry.job.work):
+        for occurrence in entry.groups_left:
+            ledger.over[entry, occurrence] = None
     touch(ledger, entry)
 
 
@@ -785,6 +794,8 @@
     ledger.dirty.pop(job, None)
     if entry is None:
         return
+    if not is_final(entry):
+        ledger.claimed_bytes -= model.open_bytes(entry.job.work)
     for group in entry.groups.values():
         ledger.open_groups.pop(group, None)
     ledger.open_bytes -= entry.open_bytes
--- a/oleanderwood/leading/lease.py
+++ b/oleanderwood/leading/lease.py
@@ -134,6 +134,7 @@
         boot.inner_address(settings),
         boot.cores(settings),
         settings.data_centre,
+        settings.memory_mb,
     )
     key = _row_key(server)
     await stores.write(
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -49,6 +49,8 @@
     """A server that can be called and elected.
 
     :ivar cores: CPU cores available to it
+    :ivar memory_mb: memory available to it; 0 if unknown, as from servers of
+        an earlier release
     """
 
     name: str
@@ -56,6 +58,7 @@
     address: ids.Address
     cores: float = 1.0
     data_centre: ids.DataCentre = ids.DataCentre('')
+    memory_mb: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -166,6 +166,8 @@
         servers
     :ivar max_asking_term: highest term whose leader asked this server whether
         it leads
+    :ivar short_of_room_until_s: time until which the leader is asked for room
+        for small jobs as well
     :ivar gate: the newest figures by which jobs are admitted
     """
 
@@ -189,6 +191,7 @@
     began_s: float = dataclasses.field(default_factory=_now_s)
     last_led_term: int = 0
     max_asking_term: int = 0
+    short_of_room_until_s: float = -math.inf
     gate: gates.Gate = dataclasses.field(default_factory=gates.Gate)
     leader: 'Leader | None' = None
     unstored_crashes: crashes_.CrashesByTask = dataclasses.field(
@@ -289,6 +292,14 @@
     orders_left_as_of_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class PromisedRoom:
+    """Memory that is kept for a job until it arrives."""
+
+    size_bytes: int
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class SeenEnds:
     """Ends of runs to be acknowledged once certain changes are stored.
@@ -328,6 +339,8 @@
         the workers whose stored worker list could not be decoded
     :ivar early_cancels: jobs whose cancel was received before the job itself,
         with the time at which it was, the earliest first
+    :ivar promised_room: memory that is kept for jobs which servers are about
+        to write
     :ivar unreadable_jobs: jobs whose stored progress could not be decoded
     :ivar lease_renewed_s: send time of the latest renewal of the lease that
         the leader's liveness key is attached to
@@ -436,6 +449,9 @@
     lease_renewed_s: float = -math.inf
     confirmed_until_s: float = 0.0
     worker_lists_unread_until_s: float = -1e9
+    promised_room: dict[ids.JobId, PromisedRoom] = dataclasses.field(
+        default_factory=dict
+    )
     unreadable_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
     early_cancels: dict[ids.JobId, float] = dataclasses.field(
         default_factory=dict
@@ -636,6 +652,8 @@
         'jobs': len(leader.ledger.entries),
         'groups_waiting': len(leader.ledger.open_groups),
         'unwritten': len(leader.ledger.dirty),
+        'open_bytes': leader.ledger.open_bytes,
+        'claimed_bytes': leader.ledger.claimed_bytes,
         'policy': leader.policy.number,
         'timers_late_s': round(leader.timer_lateness.late_s, 3),
         'workers': {
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -34,6 +34,7 @@
 from oleanderwood.leading import progress_writer
 from oleanderwood.leading import registration
 from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import room
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
 from oleanderwood.leading import stored_waves
@@ -89,6 +90,7 @@
         leader.machine_calls = machine_calls.Machines(
             settings.machines_address, settings.name
         )
+    room.prepare(leader)
     server.last_led_term = term
     event_log.emit('leader', 'took-over', term=term)
     server_metrics.TERMS.inc()
--- a/oleanderwood/operators/client.py
+++ b/oleanderwood/operators/client.py
@@ -101,7 +101,7 @@
     except errors.CallFailed as error:
         raise Refused(_failed(error)) from error
     if response.status == 200:
-        return codec.from_json(response.body, call.reply)
+        return codec.decode(response.body, call.reply)
     raise Refused(_read_refusal(response))
 
 
@@ -115,7 +115,7 @@
 def _read_refusal(response: http.Response) -> messages.ErrorReply:
     """Read a refusal; one that isn't the API's own proves nothing."""
     try:
-        return codec.from_json(response.body, messages.ErrorReply)
+        return codec.decode(response.body, messages.ErrorReply)
     except msgspec.MsgspecError:
         return messages.ErrorReply(
             Kind.MAY_HAVE_RUN,
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -13,6 +13,7 @@
 
 from oleanderwood import boot
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import daemon
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -32,6 +33,7 @@
 from oleanderwood.leading import late_orders
 from oleanderwood.leading import lease
 from oleanderwood.leading import roles as roles_
+from oleanderwood.leading import room
 from oleanderwood.leading import state as states
 from oleanderwood.leading import term
 from oleanderwood.leading import watcher
@@ -252,7 +254,11 @@
             job = ids.JobId(path.removeprefix(peer_clients.CANCELLED_PATH))
             return await _told_cancel(server, job)
         if path.startswith(
-            (peer_clients.STATE_PATH, peer_clients.PENDING_PATH)
+            (
+                peer_clients.STATE_PATH,
+                peer_clients.PENDING_PATH,
+                peer_clients.ROOM_PATH,
+            )
         ):
             return _tell(server, path)
         return await probes(request)
@@ -286,9 +292,9 @@
     leader = server.leader
     if leader is None or leader.deposed:
         return http.Response(409, [], b'does not lead\n')
-    jobs = msgspec.json.decode(body, type=list[model.Job])
+    jobs = codec.decode(body, list[model.Job])
     await leading_intake.add_jobs(leader, jobs)
-    return http.Response(200, [], b'')
+    return _json(room.left(leader))
 
 
 async def _told_cancel(server: states.Server, job: ids.JobId) -> http.Response:
@@ -307,6 +313,11 @@
     if path.startswith(peer_clients.STATE_PATH):
         job = ids.JobId(path.removeprefix(peer_clients.STATE_PATH))
         return _json(peer_clients.answer_state(leader, job))
+    if path.startswith(peer_clients.ROOM_PATH):
+        job, _, size = path.removeprefix(peer_clients.ROOM_PATH).partition('/')
+        if not size.isdecimal():
+            return http.Response(400, [], b'no size\n')
+        return _json(room.ask(leader, ids.JobId(job), int(size)))
     queue = urllib.parse.unquote(path.removeprefix(peer_clients.PENDING_PATH))
     return _json(peer_clients.answer_pending(leader, queue))
 
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -98,6 +98,12 @@
     registry=REGISTRY,
 )
 
+ROOM_LEFT = prometheus_client.Gauge(
+    'oleander_server_room_left',
+    'Part of the memory for jobs that is left, as this leader last answered.',
+    registry=REGISTRY,
+)
+
 TURN_SECONDS = prometheus_client.Histogram(
     'oleander_server_turn_seconds',
     'Time for which a computation gave no other coroutine a turn, by what was '
