Give a lent machine back for a step that none left in its pool suits

The pool is known to lack a suitable machine ("lacks"), but such a machine was taken only from standby or from what other pools don't need, and the pool of the burst needs more than there is until it ends.

Now a pool with fewer machines than at first may take one back from a pool with more than at first, for a step without a label that none of its machines suits: an idle one, or else one that is drained of its runs. Steps with a label are as before, since a labelled move never takes what a pool needs at present (test_lacks_end). Where pools share the fleet by grants, grants decide.

--- a/oleanderwood/capacity/rebalancing.py
+++ b/oleanderwood/capacity/rebalancing.py
@@ -376,6 +376,7 @@
             _reserve(pool, wanted[pool.service], now_s, grants)
             for pool in pools
         ],
+        [] if grants else [_borrowed(pool, now_s) for pool in pools],
     )
     near_s = KEEP_BEFORE_BURST_S * weights.moves / weights.buffer + move_s
     near = {
@@ -491,12 +492,14 @@
 
     :ivar idle: those that their pools can spare
     :ivar reserves: all idle ones; for steps that no other machine can run
+    :ivar borrowed: idle ones of pools with more machines than at first
     :ivar incoming: machines already assigned to each pool in this pass
     """
 
     on_standby: list[tuple[ids.ServiceId, Member]]
     idle: list[tuple[ids.ServiceId, Member]]
     reserves: list['_Reserve'] = dataclasses.field(default_factory=list)
+    borrowed: list['_Reserve'] = dataclasses.field(default_factory=list)
     incoming: dict[ids.ServiceId, int] = dataclasses.field(
         default_factory=dict
     )
@@ -529,6 +532,31 @@
     )
 
 
+def _borrowed(pool: PoolView, now_s: float) -> _Reserve:
+    """Return the idle machines of a pool that has more than at first."""
+    idle = [
+        member
+        for member in pool.members
+        if _is_movable(member, now_s, 0.0)
+        and not any(suits(pool, label, member) for label in pool.lacks_labels)
+    ]
+    return _Reserve(pool.service, idle, borrowed_count(pool))
+
+
+def borrowed_count(pool: PoolView) -> int:
+    """Return how many machines a pool has beyond those that it had first."""
+    return surplus(pool, pool.first_size)
+
+
+def is_owed(pool: PoolView) -> bool:
+    """Return whether a pool lends machines while none left there suits.
+
+    It may take one back for a step without a label, however much the others
+    need. Without this, one pool's burst keeps work of another waiting.
+    """
+    return '' in pool.lacks_labels and len(pool.members) < pool.first_size
+
+
 def surplus(pool: PoolView, reserved: int) -> int:
     """Return how many machines may leave a pool that keeps ``reserved``."""
     # Machines on their way count as members, but not towards ``min_up``.
@@ -691,18 +719,21 @@
                 rows.remove(row)
                 _charge_reserve(free, row)
                 return row
-    return _take_from_reserves(free, target, label)
+    taken = _take_from_reserves(free, free.reserves, target, label)
+    if taken is None and not label and is_owed(target):
+        taken = _take_from_reserves(free, free.borrowed, target, label)
+    return taken
 
 
 def _take_from_reserves(
-    free: _Free, target: PoolView, label: str
+    free: _Free, reserves: list[_Reserve], target: PoolView, label: str
 ) -> tuple[ids.ServiceId, Member] | None:
     """Take a machine that its pool keeps for arrivals or a first burst.
 
     A step that waits for this machine goes before work that may never come,
     and a machine without the label is no substitute.
     """
-    for reserve in free.reserves:
+    for reserve in reserves:
         if reserve.service == target.service or reserve.count <= 0:
             continue
         for member in reserve.idle:
@@ -717,8 +748,8 @@
 def _charge_reserve(free: _Free, row: tuple[ids.ServiceId, Member]) -> None:
     """Record that a machine leaves its pool."""
     service, member = row
-    for reserve in free.reserves:
-        if reserve.service == service:
+    for reserve in (*free.reserves, *free.borrowed):
+        if reserve.service == service and member in reserve.idle:
             reserve.idle.remove(member)
             reserve.count -= 1
 
--- a/oleanderwood/leading/label_draining.py
+++ b/oleanderwood/leading/label_draining.py
@@ -6,6 +6,8 @@
 """
 
 import collections.abc
+import functools
+import math
 
 from oleanderwood.capacity import draining
 from oleanderwood.capacity import rebalancing
@@ -32,22 +34,26 @@
     chosen: list[draining.MachineToDrain] = []
     for pool in pools:
         for label in sorted(pool.lacks_labels):
-            if not label or _is_served(pool, label, decision):
+            is_owed = not label and rebalancing.is_owed(pool)
+            is_owed = is_owed and not decision.grants
+            if not (label or is_owed) or _is_served(pool, label, decision):
                 continue
             candidates = [
                 member
                 for source in pools
                 if source is not pool
-                and _spare_count(source, decision, chosen) > 0
+                and _spare_count(source, decision, chosen, is_owed) > 0
                 for member in source.members
                 if rebalancing.suits(pool, label, member)
                 and not _is_wanted(source, member)
                 and member.machine not in busy
                 and _is_busy(member, now_s)
             ]
+            cost = functools.partial(_cost, now_s=now_s)
             # Looking for room is slow in a large pool, so the best come first.
-            for member in sorted(candidates, key=_cost):
-                if _may_drain(member, has_room, now_s):
+            max_s = math.inf if is_owed else draining.MAX_DRAIN_S
+            for member in sorted(candidates, key=cost):
+                if _may_drain(member, has_room, now_s, max_s):
                     busy.add(member.machine)
                     chosen.append(_drain(member, chosen, now_s))
                     break
@@ -72,8 +78,9 @@
         for member in pool.members
     ):
         return True
+    why = 'labelled' if label else 'needed'
     return any(
-        move.target == pool.service and move.why == 'labelled'
+        move.target == pool.service and move.why == why
         for move in decision.moves
     )
 
@@ -82,14 +89,21 @@
     pool: rebalancing.PoolView,
     decision: rebalancing.Decision,
     chosen: list[draining.MachineToDrain],
+    is_owed: bool = False,
 ) -> int:
-    """Return how many machines may leave a pool beside those that do."""
+    """Return how many machines may leave a pool beside those that do.
+
+    :param is_owed: another pool takes back what it lends
+    """
     names = {member.machine for member in pool.members}
     leaving = sum(move.machine in names for move in decision.moves)
     drained = [*decision.to_drain, *chosen]
     leaving += sum(row.machine in names for row in drained)
     need = decision.needs[pool.service]
-    return rebalancing.surplus(pool, need.now) - leaving
+    spare = rebalancing.surplus(pool, need.now)
+    if is_owed:
+        spare = max(spare, rebalancing.borrowed_count(pool))
+    return spare - leaving
 
 
 def _is_busy(member: rebalancing.Member, now_s: float) -> bool:
@@ -101,24 +115,38 @@
 
 
 def _may_drain(
-    member: rebalancing.Member, has_room: HasRoom, now_s: float
+    member: rebalancing.Member, has_room: HasRoom, now_s: float, max_s: float
 ) -> bool:
-    """Return whether all tasks of a machine end soon or may leave it."""
+    """Return whether all tasks of a machine end soon or may leave it.
+
+    :param max_s: time in which those must end that may not leave
+    """
     for task in member.worker.runs.values():
         if task.group.step.gang:
             return False
         if task.group.step.is_long_running:
             if not has_room(task):
                 return False
-        elif draining.task_drain_time_s(task, now_s) > draining.MAX_DRAIN_S:
+        elif draining.task_drain_time_s(task, now_s) > max_s:
             return False
     return True
 
 
-def _cost(member: rebalancing.Member) -> tuple[bool, int, str]:
+def _cost(
+    member: rebalancing.Member, now_s: float
+) -> tuple[bool, int, float, str]:
     """Return a machine's sort key: a started one first, then few tasks."""
-    tasks = _long_running_tasks(member)
-    return not member.worker.is_reclaimed, len(tasks), member.machine
+    long_running = _long_running_tasks(member)
+    drain_s = max(
+        draining.task_drain_time_s(task, now_s)
+        for task in member.worker.runs.values()
+    )
+    return (
+        not member.worker.is_reclaimed,
+        len(long_running),
+        drain_s,
+        member.machine,
+    )
 
 
 def _long_running_tasks(member: rebalancing.Member) -> list[ledgers.Task]:
