Ask for advice in turn, first about steps that could start

Cause: advising._next_step() returned the first step in order of arrival that lacks tickets. The service answers about four questions a second, and tickets expire after 3 s, so the first ten steps took every turn.

Now steps come first that could start: a worker that the advice may allow has room, and quotas allow it. Queues take turns, then the tenants of a queue, then the step that has waited longest since it was last asked about. Of the steps that wait for room, the first 8 of a pool keep their tickets; one that its pool could not start even if idle is asked about again after 15 s, as only this tells which machines suit it. Gauges show the steps that wait for a first answer, by nearness, and the longest wait.

The share of the memory for one repeated job is lowered to 1/32: 1,500 open occurrences of a job gain nothing that 375 don't.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -26,7 +26,7 @@
 """
 
 
-MAX_SHARE_OF_ONE_JOB = 1 / 8
+MAX_SHARE_OF_ONE_JOB = 1 / 32
 """Largest part of this memory for the open occurrences of one repeated job.
 One whose tasks cannot be started would otherwise keep out all others."""
 
@@ -173,6 +173,8 @@
         has answered
     :ivar advised_until_s: when the tickets expire
     :ivar asked: workers about which the advice was asked
+    :ivar advice_since_s: when it was last asked about, or else since when it
+        has waited for advice; None if it doesn't wait
     :ivar refused_until_s: machines whose workers the advice refused for the
         step, with the time until which that counts
     :ivar suspects: tasks suspected of crashing their workers, by index
@@ -189,6 +191,7 @@
     tickets: dict[ids.VmId, str] | None = None
     advised_until_s: float = 0.0
     asked: frozenset[ids.VmId] = frozenset()
+    advice_since_s: float | None = None
     refused_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspects: dict[int, Task] = dataclasses.field(default_factory=dict)
 
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -29,6 +29,7 @@
 from oleanderwood.platform import machines as machines_
 from oleanderwood.platform import store as stores
 from oleanderwood.policy import model as policies
+from oleanderwood.pools import advice_order
 from oleanderwood.pools import blame
 from oleanderwood.pools import entries as entries_
 from oleanderwood.pools import fences as fences_
@@ -373,6 +374,7 @@
     :ivar confirmed_until_s: time by which servers that cannot reach the store
         either must confirm again that no other server leads
     :ivar admission: state of the admission control
+    :ivar advice_turns: which queues were asked about last
     """
 
     server: Server
@@ -472,6 +474,9 @@
     worker_lists_changed: Signal = dataclasses.field(default_factory=Signal)
     ended: Signal = dataclasses.field(default_factory=Signal)
     new_workers: curio.Queue = dataclasses.field(default_factory=curio.Queue)
+    advice_turns: advice_order.Turns = dataclasses.field(
+        default_factory=advice_order.Turns
+    )
     fences: fences_.Fences = dataclasses.field(init=False)
     fences_exhausted: bool = False
     admission: controllers.Controller = dataclasses.field(init=False)
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -98,6 +98,21 @@
     registry=REGISTRY,
 )
 
+ADVICE_WAITING = prometheus_client.Gauge(
+    'oleander_server_advice_waiting',
+    'Steps that wait for a first answer of the advice, by how near their '
+    'start is.',
+    ('nearness',),
+    registry=REGISTRY,
+)
+
+ADVICE_WAIT_SECONDS = prometheus_client.Gauge(
+    'oleander_server_advice_wait_seconds',
+    'Longest time for which a step that could start now has waited for a '
+    'first answer of the advice.',
+    registry=REGISTRY,
+)
+
 ROOM_LEFT = prometheus_client.Gauge(
     'oleander_server_room_left',
     'Part of the memory for jobs that is left, as this leader last answered.',
