Pass over odd values under all followed keys of the store

What callers saw, by a trace of the users' lead: a value of op/config with an unknown field nested 15,000 deep ends every server at once, and again at each start for as long as it stands; one under op/wave/ ends every leader's term, and small jobs aren't started any more.

Cause: msgspec raises RecursionError for it, and ValueError for text or numbers that can't be, which "except msgspec.MsgspecError" doesn't catch at most places that decode stored values. Executors' entries were guarded.

Evidence: test_server_starts_beside_an_odd_configuration fails before with the value nested in an unknown field (run on; the process's follower is gone).

Now one decoder (codec.decode) turns whatever is wrong into one typed error with a bounded reason; all stored values and messages between processes use it. Followers apply items one by one, and pass over, count and log at a bounded rate whatever can't be applied; broken invariants and failed calls still end the term. Stored jobs are checked like those of callers. Numbers of the operator's values are bounded to what the code can count with, and "born" to 2**53, as it becomes part of names.

--- a/oleanderwood/frontend/admitting.py
+++ b/oleanderwood/frontend/admitting.py
@@ -12,7 +12,6 @@
 from oleanderwood import event_log
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import intake as intakes
-from oleanderwood.frontend import log_limit
 from oleanderwood.frontend import peer_client as peer_clients
 from oleanderwood import ids
 from oleanderwood.jobs import memory
@@ -20,6 +19,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.jobs import record
 from oleanderwood.leading import state as states
+from oleanderwood import log_limit
 from oleanderwood.platform import store as stores
 from oleanderwood import server_metrics
 from oleanderwood.tenants import access
--- a/oleanderwood/frontend/denials.py
+++ b/oleanderwood/frontend/denials.py
@@ -2,7 +2,7 @@
 
 from oleanderwood import clock
 from oleanderwood import event_log
-from oleanderwood.frontend import log_limit
+from oleanderwood import log_limit
 from oleanderwood import server_metrics
 from oleanderwood.tenants import access
 
--- a/oleanderwood/frontend/forwarding.py
+++ b/oleanderwood/frontend/forwarding.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import intake as intakes
@@ -320,7 +321,7 @@
     if answer.status != 200:
         raise transport.refused(answer, 'relay')
     try:
-        return msgspec.json.decode(answer.body, type=answer_type)
+        return codec.decode(answer.body, answer_type)
     except msgspec.MsgspecError as error:
         raise errors.CallFailed(
             verdicts.Verdict.MAY_HAVE_RUN, str(error)
@@ -334,7 +335,7 @@
 
     :raises msgspec.MsgspecError: the body is not a job
     """
-    job = msgspec.json.decode(body, type=model.Job)
+    job = codec.decode(body, model.Job)
     if is_store_lost(server):
         return RelayResult(
             verdicts.Verdict.NOT_RUN, 'the store is unreachable here as well'
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -4,10 +4,10 @@
 import re
 
 import curio
-import msgspec
 
 from oleanderwood.admission import gate as gates
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import admitting
@@ -15,7 +15,6 @@
 from oleanderwood.frontend import forwarding
 from oleanderwood.frontend import freshness
 from oleanderwood.frontend import intake as intakes
-from oleanderwood.frontend import log_limit
 from oleanderwood.frontend import peer_client as peer_clients
 from oleanderwood.frontend import targets
 from oleanderwood import ids
@@ -23,6 +22,7 @@
 from oleanderwood.jobs import queues
 from oleanderwood.leading import room
 from oleanderwood.leading import state as states
+from oleanderwood import log_limit
 from oleanderwood.platform import callers
 from oleanderwood.pools import quotas
 from oleanderwood import server_metrics
@@ -174,7 +174,7 @@
 
     :raises msgspec.MsgspecError: the body is not a call
     """
-    forwarded = msgspec.json.decode(body, type=forwarding.ForwardedCall)
+    forwarded = codec.decode(body, forwarding.ForwardedCall)
     call = Call(
         forwarded.method,
         forwarded.host,
--- a/oleanderwood/frontend/intake.py
+++ b/oleanderwood/frontend/intake.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.frontend import tombstones as tombstones_
@@ -280,7 +281,7 @@
     A job that can't be read belongs to no tenant, and nobody may change it.
     """
     try:
-        owner = msgspec.json.decode(value, type=model.JobOwner).tenant
+        owner = codec.decode(value, model.JobOwner).tenant
     except msgspec.MsgspecError:
         return False
     return access.may_access(owner, tenant)
--- a/oleanderwood/jobs/model.py
+++ b/oleanderwood/jobs/model.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood.jobs import queues
 from oleanderwood.jobs import stored
@@ -24,6 +25,9 @@
 """States that a job never leaves."""
 
 
+MAX_TASKS = 20_000
+"""Tasks of one job over all its occurrences."""
+
 STEP_BYTES = 2300
 TASK_BYTES = 700
 """Memory in which a leader holds a step of one occurrence of a job, without
@@ -136,6 +140,25 @@
     tenant: ids.TenantId = ids.TenantId('')
 
 
+class BadWork(errors.OleanderError):
+    """A caller's work that cannot be run."""
+
+
+def check(work: Work) -> None:
+    """Check what types cannot express of a caller's work.
+
+    :raises BadWork: with what is wrong
+    """
+    if not work.steps or any(step.tasks < 1 for step in work.steps):
+        raise BadWork('a job needs steps with tasks')
+    for number, step in enumerate(work.steps):
+        if any(not 0 <= other < number for other in step.after):
+            raise BadWork(f'step {number} waits for a later')
+    tasks = sum(step.tasks for step in work.steps)
+    if tasks * max(1, work.repeats) > MAX_TASKS:
+        raise BadWork(f'more than {MAX_TASKS} tasks')
+
+
 class JobOwner(msgspec.Struct, frozen=True):
     """The tenant of a job, decoded without the rest of the stored job."""
 
--- a/oleanderwood/leading/admission_loop.py
+++ b/oleanderwood/leading/admission_loop.py
@@ -8,6 +8,7 @@
 from oleanderwood.admission import gate as gates
 from oleanderwood.admission import load as loads_
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -147,7 +148,7 @@
 
     :raises msgspec.MsgspecError: the body cannot be decoded
     """
-    figures = msgspec.json.decode(body, type=figures_.Figures)
+    figures = codec.decode(body, figures_.Figures)
     leader = server.roles.leader
     least_term = leader.term if leader is not None else 0
     gates.receive(server.gate, figures, clock.now_s(), least_term)
--- a/oleanderwood/leading/confirmation.py
+++ b/oleanderwood/leading/confirmation.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -183,7 +184,7 @@
             CONTACT_PATH,
             timeout_s=ASK_TIMEOUT_S,
         )
-        return msgspec.json.decode(answer.body, type=ContactAnswer)
+        return codec.decode(answer.body, ContactAnswer)
     except (errors.CallFailed, msgspec.MsgspecError) as error:
         event_log.emit('leader', 'unasked', address=address, why=str(error))
         return None
--- a/oleanderwood/leading/intake.py
+++ b/oleanderwood/leading/intake.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.jobs import ledger as ledgers
@@ -41,8 +42,6 @@
 """Reason logged when a worker is lost because its entry names another
 location."""
 
-JOB_DECODER = msgspec.json.Decoder(model.Job)
-
 
 def apply_intake(
     leader: states.Leader, item: stores.Item, taking_over: bool
@@ -56,8 +55,9 @@
         return
     if item.key.startswith(record.JOB_PREFIX):
         try:
-            job = JOB_DECODER.decode(item.value)
-        except msgspec.MsgspecError as error:
+            job = codec.decode(item.value, model.Job)
+            model.check(job.work)
+        except (codec.MalformedValue, model.BadWork) as error:
             event_log.emit('job', 'malformed', key=item.key, why=str(error))
             return
         _add_job(leader, job, now_s, taking_over, item.revision)
--- a/oleanderwood/leading/late_orders.py
+++ b/oleanderwood/leading/late_orders.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -135,7 +136,7 @@
 
     :raises msgspec.MsgspecError: the body cannot be decoded
     """
-    orders = msgspec.json.decode(body, type=list[late_orders.LateOrder])
+    orders = codec.decode(body, list[late_orders.LateOrder])
     await start_probing(server, orders)
 
 
--- a/oleanderwood/leading/machine_handover.py
+++ b/oleanderwood/leading/machine_handover.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import event_log
 from oleanderwood import ids
 from oleanderwood.leading import fenced_writes
@@ -130,7 +131,7 @@
     """
     pause_s = (leader.server.settings.machine_turn_ms + SEND_WINDOW_MS) / 1000
     now_s = clock.now_s()
-    stored = msgspec.json.decode(value, type=Announcements)
+    stored = codec.decode(value, Announcements)
     leader.fleet.maintained = set(stored.maintained)
     if not stored.waves_name_doubts:
         leader.fleet.inherited_maintenance = frozenset(stored.maintained)
--- a/oleanderwood/leading/previous_leaders.py
+++ b/oleanderwood/leading/previous_leaders.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.leading import confirmation
@@ -107,9 +108,7 @@
             f'{confirmation.CONTACT_PATH}/{leader.term}',
             timeout_s=confirmation.ASK_TIMEOUT_S,
         )
-        contact = msgspec.json.decode(
-            answer.body, type=confirmation.ContactAnswer
-        )
+        contact = codec.decode(answer.body, confirmation.ContactAnswer)
     except (errors.CallFailed, msgspec.MsgspecError):
         return None
     await crash_handover.adopt(leader, row.term, contact.crashes)
--- a/oleanderwood/leading/progress_writer.py
+++ b/oleanderwood/leading/progress_writer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -259,7 +260,7 @@
 
 def decode_worker_list(value: bytes) -> list[reports.Entry]:
     """Decode the workers of one pool's stored list."""
-    return msgspec.json.decode(value, type=list[reports.Entry])
+    return codec.decode(value, list[reports.Entry])
 
 
 async def remove_ended_jobs_always(leader: states.Leader) -> None:
--- a/oleanderwood/leading/roles.py
+++ b/oleanderwood/leading/roles.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import ids
 from oleanderwood.platform import store as stores
 
@@ -107,16 +108,14 @@
     """Apply a value read from the store, unless a newer one is known."""
     if key == LEADER_KEY:
         if revision > roles.leader_revision:
-            note_leader(
-                roles, msgspec.json.decode(value, type=Leader), revision
-            )
+            note_leader(roles, codec.decode(value, Leader), revision)
     elif key == ENDED_KEY:
-        note_ended(roles, msgspec.json.decode(value, type=int))
+        note_ended(roles, codec.decode(value, int))
     elif key == ALIVE_KEY:
         if revision > roles.alive_revision:
             note_alive(roles, value.decode('ascii'), revision, lease)
     elif key.startswith(SERVER_PREFIX):
-        server = msgspec.json.decode(value, type=Server)
+        server = codec.decode(value, Server)
         roles.servers[key] = server
         roles.removed_servers.pop(key, None)
 
--- a/oleanderwood/leading/stored_waves.py
+++ b/oleanderwood/leading/stored_waves.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import event_log
 from oleanderwood.leading import fenced_writes
 from oleanderwood.leading import state as states
@@ -61,7 +62,7 @@
 
 def restore(progress: rolling.Progress, value: bytes) -> None:
     """Restore a wave's state as an earlier leader persisted it."""
-    stored = msgspec.json.decode(value, type=StoredWave)
+    stored = codec.decode(value, StoredWave)
     progress.begun.update(stored.begun)
     age_s = max(0.0, (clock.wall_ms() - stored.seen_wall_ms) / 1000)
     progress.first_seen_s = clock.now_s() - age_s
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -12,6 +12,7 @@
 from oleanderwood import boot
 from oleanderwood.capacity import demand
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood import ids
@@ -266,7 +267,7 @@
         if item.key.startswith(record.CANCEL_PREFIX):
             cancels.append(item)
         else:
-            intake.apply_intake(leader, item, taking_over=True)
+            _apply_stored(leader, item)
             await turns.give(work)
     for item in stored.progress.items:
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
@@ -275,10 +276,20 @@
             _restore_progress(leader, entry, item.value, now_s)
             await turns.give(work)
     for item in cancels:
-        intake.apply_intake(leader, item, taking_over=True)
+        _apply_stored(leader, item)
         await turns.give(work)
 
 
+def _apply_stored(leader: states.Leader, item: stores.Item) -> None:
+    """Apply an item that was in the store; pass over one that can't be."""
+    try:
+        intake.apply_intake(leader, item, taking_over=True)
+    except errors.InvariantBreach:
+        raise
+    except Exception as error:
+        watcher.refuse(item, error)
+
+
 async def _register_previous_workers(
     leader: states.Leader, worker_lists: stores.Items
 ) -> None:
@@ -320,7 +331,7 @@
     of its tasks have already run.
     """
     try:
-        progress = msgspec.json.decode(value, type=record.Progress)
+        progress = codec.decode(value, record.Progress)
         record.restore(leader.ledger, entry, progress, now_s)
         _log_crashes(entry)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -364,9 +375,11 @@
     leader's lease cannot be renewed.
     """
 
+    async def apply_one(item: stores.Item) -> None:
+        intake.apply_intake(leader, item, taking_over=False)
+
     async def apply(items: list[stores.Item], whole: bool) -> None:
-        for item in items:
-            intake.apply_intake(leader, item, taking_over=False)
+        await watcher.apply_each(items, apply_one)
         await intake.wake_after_intake(leader)
 
     await watcher.follow(
@@ -381,8 +394,9 @@
 
 async def _follow_workers(leader: states.Leader) -> None:
     async def apply(items: list[stores.Item], whole: bool) -> None:
-        for item in items:
-            await intake.apply_worker(leader, item)
+        await watcher.apply_each(
+            items, functools.partial(intake.apply_worker, leader)
+        )
         if whole:
             await intake.mark_absent_unlisted(leader, items)
 
@@ -397,9 +411,11 @@
 
 
 async def _follow_waves(leader: states.Leader) -> None:
+    async def apply_one(item: stores.Item) -> None:
+        intake.apply_wave(leader, item)
+
     async def apply(items: list[stores.Item], whole: bool) -> None:
-        for item in items:
-            intake.apply_wave(leader, item)
+        await watcher.apply_each(items, apply_one)
 
     await watcher.follow(
         leader.server.store,
--- a/oleanderwood/leading/watcher.py
+++ b/oleanderwood/leading/watcher.py
@@ -6,9 +6,12 @@
 import curio
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
+from oleanderwood import log_limit
 from oleanderwood.platform import store as stores
+from oleanderwood import server_metrics
 
 RETRY_PAUSE_S = 0.15
 """Pause after a failed call, in seconds; each follower calls a store that is
@@ -34,6 +37,51 @@
     store_back: curio.Event
 
 
+MAX_LINES_PER_S = 10
+"""Values that are logged per second as ones that can't be applied; a writer
+may repeat one forever."""
+
+_refusals = log_limit.LineLimit()
+
+
+async def apply_each(
+    items: collections.abc.Iterable[stores.Item],
+    apply: collections.abc.Callable[
+        [stores.Item], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    """Apply items one by one; one that can't be applied is passed over.
+
+    Anybody may write anything below a followed prefix, and an exception would
+    end the server's process or its term, and each following one, for as long
+    as the value stands.
+    """
+    for item in items:
+        try:
+            await apply(item)
+        except (errors.InvariantBreach, errors.CallFailed):
+            # These concern the server and not the value.
+            raise
+        except Exception as error:
+            refuse(item, error)
+
+
+def refuse(item: stores.Item, error: Exception) -> None:
+    """Count and log a value that can't be applied."""
+    prefix = item.key.rpartition('/')[0]
+    server_metrics.VALUES_REFUSED.labels(prefix).inc()
+    if not log_limit.allows(_refusals, MAX_LINES_PER_S, clock.now_s()):
+        return
+    event_log.emit(
+        'store',
+        'value-refused',
+        key=item.key,
+        revision=item.revision,
+        why=f'{type(error).__name__}: {error}'[: codec.MAX_REASON_CHARS],
+        untold=log_limit.take_suppressed(_refusals),
+    )
+
+
 async def follow(
     store: stores.Store,
     prefix: str,
--- a/oleanderwood/operators/api.py
+++ b/oleanderwood/operators/api.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import daemon
 from oleanderwood import errors
 from oleanderwood import event_log
@@ -165,7 +166,7 @@
 
 
 async def _plan(server, body, rest) -> messages.PlanReply:
-    text = msgspec.json.decode(body, type=messages.FileBody).text
+    text = codec.decode(body, messages.FileBody).text
     policy = desk.parse(text)
     unknown: tuple[str, ...] = ()
     if server.configuration is not None:
@@ -175,7 +176,7 @@
 
 
 async def _apply(server, body, rest) -> messages.ApplyReply:
-    asked = msgspec.json.decode(body, type=messages.ApplyBody)
+    asked = codec.decode(body, messages.ApplyBody)
     return await desk.apply(server.store, asked)
 
 
--- a/oleanderwood/operators/desk.py
+++ b/oleanderwood/operators/desk.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import event_log
 from oleanderwood.jobs import record
@@ -74,7 +75,7 @@
     item = await stores.read(store, HISTORY_KEY)
     if item is None:
         return (), 0
-    rows = msgspec.json.decode(item.value, type=tuple[messages.Record, ...])
+    rows = codec.decode(item.value, tuple[messages.Record, ...])
     return rows, item.revision
 
 
--- a/oleanderwood/platform/callers.py
+++ b/oleanderwood/platform/callers.py
@@ -4,13 +4,12 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood.jobs import model
 
 
-MAX_TASKS = 20_000
-"""Tasks of one job over all its repetitions; each takes about 500 bytes in
-the leader, so this is 10 MB."""
+MAX_TASKS = model.MAX_TASKS
 
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 """A number of things; a negative need would make room."""
@@ -54,24 +53,21 @@
     :raises errors.BadMessage: 400, the body is malformed
     """
     try:
-        wire = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        wire = codec.decode(body, _WireJob)
+    except codec.MalformedValue as error:
         raise errors.BadMessage(400, str(error)) from error
-    if not wire.phases or any(phase.count < 1 for phase in wire.phases):
-        raise errors.BadMessage(400, 'a job needs steps with tasks')
-    for number, phase in enumerate(wire.phases):
-        if any(not 0 <= other < number for other in phase.after):
-            raise errors.BadMessage(400, f'step {number} waits for a later')
-    tasks = sum(phase.count for phase in wire.phases)
-    if tasks * max(1, wire.repeat_count) > MAX_TASKS:
-        raise errors.BadMessage(400, f'more than {MAX_TASKS} tasks')
-    return model.Work(
+    work = model.Work(
         text=wire.spec,
         steps=tuple(_step(phase) for phase in wire.phases),
         repeats=wire.repeat_count,
         first_due_ms=wire.start_time_ms,
         repeat_every_ms=wire.interval_ms,
     )
+    try:
+        model.check(work)
+    except model.BadWork as error:
+        raise errors.BadMessage(400, str(error)) from error
+    return work
 
 
 def _step(wire: _WirePhase) -> model.Step:
@@ -79,7 +75,7 @@
         tasks=wire.count,
         needs=model.Resources(wire.cpu, wire.mem_mb, wire.gpu),
         guess_ms=wire.estimate_ms,
-        after=tuple(wire.after),
+        after=tuple(dict.fromkeys(wire.after)),
         checkpoints=wire.checkpointing,
         gang=wire.gang,
         one_rack=wire.same_rack,
--- a/oleanderwood/platform/entries.py
+++ b/oleanderwood/platform/entries.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.platform import executors
@@ -64,10 +65,7 @@
     labels: list[str]
     machine: str = ''
     remaining_ms: float | None = None
-    born: _Amount | msgspec.UnsetType = msgspec.UNSET
-
-
-_DECODER = msgspec.json.Decoder(_WireEntry)
+    born: executors.Born | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode(key: str, value: bytes) -> reports.Entry:
@@ -86,8 +84,8 @@
             entries.Fault.TOO_LONG, f'more than {MAX_ENTRY_BYTES} bytes'
         )
     try:
-        wire = _DECODER.decode(value)
-    except (ValueError, RecursionError) as error:
+        wire = codec.decode(value, _WireEntry)
+    except codec.MalformedValue as error:
         raise entries.BadEntry(entries.Fault.MALFORMED, str(error)) from error
     _check(wire)
     born = None if wire.born is msgspec.UNSET else wire.born
--- a/oleanderwood/platform/executors.py
+++ b/oleanderwood/platform/executors.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import typing
+
 import msgspec
 
 from oleanderwood import errors
@@ -82,6 +84,11 @@
     return model.Resources(wire.cpu, wire.mem_mb, wire.gpu)
 
 
+Born = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""When an executor was born, in milliseconds since 1970. It becomes part of
+the worker's name, in logs and in the stored list of its pool."""
+
+
 class _WireAnswer(msgspec.Struct):
     clock_ms: float = 0
     reason: str = ''
@@ -107,7 +114,7 @@
 
 class _WireReport(msgspec.Struct):
     clock_ms: float = 0
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    born: Born | msgspec.UnsetType = msgspec.UNSET
     reason: str = ''
     running: list[_WireRun] = []
     finished: list[_WireEnd] = []
--- a/oleanderwood/platform/operator.py
+++ b/oleanderwood/platform/operator.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import ids
 from oleanderwood.jobs import queues
 from oleanderwood.maintenance import fleet
@@ -16,10 +17,15 @@
 WAVE_STATUS_PREFIX = 'status/wave/'
 
 
+_Whole = typing.Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_Real = typing.Annotated[float, msgspec.Meta(ge=-(2**53), le=2**53)]
+"""Numbers with which the code can count in any unit."""
+
+
 class _WireAdvice(msgspec.Struct):
-    decide_ms: float = 0
-    period_ms: float = 0
-    valid_ms: float = 0
+    decide_ms: _Real = 0
+    period_ms: _Real = 0
+    valid_ms: _Real = 0
 
 
 class _WireRoute(msgspec.Struct):
@@ -27,10 +33,10 @@
     host: str
     prefix: str
     service: str
-    target_duration_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    target_duration_ms: _Real = 0
+    priority: _Whole = 0
+    max_attempts: _Whole = 1
+    stretch: _Real = 1.0
     advice: _WireAdvice | None = None
     public: bool | None = None
 
@@ -59,7 +65,7 @@
 
 
 class _WireConfig(msgspec.Struct):
-    version: int
+    version: _Whole
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     tenants: typing.Any = None
@@ -70,7 +76,7 @@
 
     :raises msgspec.MsgspecError: the value is malformed
     """
-    wire = msgspec.json.decode(value, type=_WireConfig)
+    wire = codec.decode(value, _WireConfig)
     tenants = None if wire.tenants is None else _tenants(wire.tenants)
     if tenants is None and any(row.public is False for row in wire.routes):
         # Queues that ask for keys, of which there are none.
@@ -144,8 +150,8 @@
 class _WireWave(msgspec.Struct):
     wave: _Number
     machines: list[str] = []
-    duration_s: float = 0
-    max_count: int = 1
+    duration_s: _Real = 0
+    max_count: _Whole = 1
 
 
 def decode_wave(value: bytes) -> fleet.Wave:
@@ -153,7 +159,7 @@
 
     :raises msgspec.MsgspecError: the value is malformed
     """
-    wire = msgspec.json.decode(value, type=_WireWave)
+    wire = codec.decode(value, _WireWave)
     return fleet.Wave(
         wire.wave, tuple(wire.machines), wire.duration_s, wire.max_count
     )
--- a/oleanderwood/platform/transport.py
+++ b/oleanderwood/platform/transport.py
@@ -5,9 +5,9 @@
 import typing
 
 import curio
-import msgspec
 
 from oleanderwood import clock
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood import ids
 from oleanderwood import server_metrics
@@ -150,8 +150,8 @@
         may have given it
     """
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        return codec.decode(answer.body, kind)
+    except codec.MalformedValue as error:
         raise not_understood(error) from error
 
 
--- a/oleanderwood/policy/reading.py
+++ b/oleanderwood/policy/reading.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from oleanderwood import codec
 from oleanderwood import errors
 from oleanderwood.jobs import queues
 from oleanderwood.policy import hours
@@ -223,4 +224,4 @@
 
     :raises msgspec.MsgspecError: the value is malformed
     """
-    return msgspec.json.decode(value, type=model.StoredPolicy)
+    return codec.decode(value, model.StoredPolicy)
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -1,6 +1,7 @@
 """The server process: takes callers' jobs, and leads if it is its turn."""
 
 import collections.abc
+import functools
 import os
 import signal
 import sys
@@ -328,8 +329,9 @@
 
 async def _follow_configuration(server: states.Server) -> None:
     async def take(items: list[stores.Item], whole: bool) -> None:
-        for item in items:
-            await _take_configuration(server, item)
+        await watcher.apply_each(
+            items, functools.partial(_take_configuration, server)
+        )
 
     async def note(sent_s: float) -> None:
         await lease.note_contact(server, sent_s)
@@ -396,23 +398,21 @@
 async def _follow_roles(server: states.Server) -> None:
     roles = server.roles
 
+    async def apply_role(item: stores.Item) -> None:
+        if item.removed:
+            roles_.apply_removal(roles, item.key, item.revision, clock.now_s())
+            return
+        try:
+            roles_.apply_value(
+                roles, item.key, item.value, item.revision, item.lease
+            )
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            event_log.emit('roles', 'malformed', key=item.key, why=str(error))
+
     async def take(items: list[stores.Item], whole: bool) -> None:
         if whole:
             roles_.reset(roles, clock.now_s())
-        for item in items:
-            if item.removed:
-                roles_.apply_removal(
-                    roles, item.key, item.revision, clock.now_s()
-                )
-                continue
-            try:
-                roles_.apply_value(
-                    roles, item.key, item.value, item.revision, item.lease
-                )
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-                event_log.emit(
-                    'roles', 'malformed', key=item.key, why=str(error)
-                )
+        await watcher.apply_each(items, apply_role)
         roles.is_loaded = True
         await server.roles_changed.set()
 
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -178,6 +178,14 @@
     registry=REGISTRY,
 )
 
+VALUES_REFUSED = prometheus_client.Counter(
+    'oleander_server_values_refused_total',
+    'Values below a followed prefix of the store that were passed over, as '
+    'they could not be applied.',
+    ('prefix',),
+    registry=REGISTRY,
+)
+
 LOG_DROPPED = prometheus_client.Counter(
     'oleander_server_log_dropped_total',
     'Log lines that were not written.',
