--- a/oleanderwood/admission/gate.py
+++ b/oleanderwood/admission/gate.py
@@ -33,10 +33,10 @@
     TOO_LATE = 'too-late'
     """It would end too late to be of use."""
 
-    NO_ROOM = 'no-room'
+    NO_MEMORY = 'no-memory'
     """The leader has no memory for it beside the jobs that were accepted."""
 
-    ROOM_UNKNOWN = 'room-unknown'
+    NO_LEADER = 'memory-unknown'
     """No leader says whether it has memory for it."""
 
 
--- a/oleanderwood/frontend/admitting.py
+++ b/oleanderwood/frontend/admitting.py
@@ -33,8 +33,8 @@
 may be carried out late, and which of its jobs callers send again is
 unknown."""
 
-ROOM_RETRY_AFTER_S = {gates.Why.NO_ROOM: 5, gates.Why.ROOM_UNKNOWN: 2}
-"""When callers may come back for room, in seconds: as jobs end, and once
+MEMORY_RETRY_AFTER_S = {gates.Why.NO_MEMORY: 5, gates.Why.NO_LEADER: 2}
+"""When callers may come back for memory, in seconds: as jobs end, and once
 another server leads."""
 
 MAX_LINES_PER_S = 20
@@ -94,14 +94,14 @@
     return _counted(await _confirmed(server, intake, job, tenant, decision))
 
 
-def needs_room(server: states.Server, work: model.Work) -> bool:
-    """Return whether the leader has to be asked for room for a job."""
+def needs_reservation(server: states.Server, work: model.Work) -> bool:
+    """Return whether the leader has to reserve memory for a job."""
     return (
-        memory.is_large(work) or clock.now_s() < server.short_of_room_until_s
+        memory.is_large(work) or clock.now_s() < server.short_of_memory_until_s
     )
 
 
-async def judge_room(
+async def judge_memory(
     server: states.Server,
     client: peer_clients.PeerClient,
     intake: intakes.Intake,
@@ -111,19 +111,19 @@
 ) -> Outcome | gates.Refused:
     """Return whether a job is refused for want of memory, and if not, why.
 
-    A job of unknown room is refused only if it is large.
+    If nobody leads, only a large job is refused.
     """
     size_bytes = model.open_bytes(work)
-    why = gates.Why.NO_ROOM
+    why = gates.Why.NO_MEMORY
     try:
-        if await peer_clients.ask_room(client, job, size_bytes):
+        if await peer_clients.reserve_memory(client, job, size_bytes):
             return _counted(Outcome.ADMITTED)
     except errors.CallFailed as error:
-        event_log.emit('caller', 'room-unknown', job=job, why=error.reason)
+        event_log.emit('caller', 'memory-unknown', job=job, why=error.reason)
         if not memory.is_large(work):
             return _counted(Outcome.ADMITTED)
-        why = gates.Why.ROOM_UNKNOWN
-    decision = gates.Refused(why, ROOM_RETRY_AFTER_S[why])
+        why = gates.Why.NO_LEADER
+    decision = gates.Refused(why, MEMORY_RETRY_AFTER_S[why])
     return _counted(await _confirmed(server, intake, job, tenant, decision))
 
 
--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -20,7 +20,7 @@
 from oleanderwood import ids
 from oleanderwood.jobs import model
 from oleanderwood.jobs import queues
-from oleanderwood.leading import room
+from oleanderwood.leading import memory_budget
 from oleanderwood.leading import state as states
 from oleanderwood import log_limit
 from oleanderwood.platform import callers
@@ -252,8 +252,8 @@
         429,
         "the pool is full, and the tenant's share of it is used up",
     ),
-    gates.Why.NO_ROOM: (429, 'no memory is left for a job of this size'),
-    gates.Why.ROOM_UNKNOWN: (503, 'no server leads at the moment'),
+    gates.Why.NO_MEMORY: (429, 'no memory is left for a job of this size'),
+    gates.Why.NO_LEADER: (503, 'no server leads at the moment'),
 }
 """Status and reason of each refusal."""
 
@@ -298,7 +298,7 @@
         return http.Response(
             429, [], b'a gang is wider than its tenant may run\n'
         )
-    if model.open_bytes(work) > room.largest_bytes(frontend.server):
+    if model.open_bytes(work) > memory_budget.largest_bytes(frontend.server):
         _log('too-large', job, began_s, tenant=tenant)
         return http.Response(400, [], b'larger than any server can hold\n')
     outcome = await _admit(frontend, queue, work, job, tenant)
@@ -352,10 +352,10 @@
         outcome = await admitting.judge(
             server, frontend.intake, queue, job, tenant
         )
-    if outcome is admitting.Outcome.ADMITTED and admitting.needs_room(
+    if outcome is admitting.Outcome.ADMITTED and admitting.needs_reservation(
         server, work
     ):
-        outcome = await admitting.judge_room(
+        outcome = await admitting.judge_memory(
             server, frontend.client, frontend.intake, work, job, tenant
         )
     return outcome
--- a/oleanderwood/frontend/peer_client.py
+++ b/oleanderwood/frontend/peer_client.py
@@ -16,7 +16,7 @@
 from oleanderwood.jobs import model
 from oleanderwood.jobs import record
 from oleanderwood.leading import intake
-from oleanderwood.leading import room
+from oleanderwood.leading import memory_budget
 from oleanderwood.leading import state as states
 from oleanderwood.platform import store as stores
 from oleanderwood.platform import transport
@@ -31,11 +31,11 @@
 PENDING_PATH = '/pending/'
 JOBS_PATH = '/jobs'
 CANCELLED_PATH = '/cancelled/'
-ROOM_PATH = '/room/'
+MEMORY_PATH = '/memory/'
 
-SHORT_OF_ROOM_S = 5.0
-"""Time for which small jobs are asked about after the leader was short of
-room."""
+SHORT_OF_MEMORY_S = 5.0
+"""Time for which memory is reserved for small jobs, too, after the leader was
+short of it."""
 
 
 Answer = typing.TypeVar('Answer')
@@ -95,44 +95,44 @@
     if leader is not None and not leader.deposed:
         await intake.add_jobs(leader, jobs)
         if not leader.deposed:
-            _note_room(client.server, room.left(leader))
+            _note_budget(client.server, memory_budget.remaining(leader))
             return
     answer = await _notify(client, JOBS_PATH, msgspec.json.encode(jobs))
     if not answer:
         return
     try:
-        _note_room(client.server, codec.decode(answer, room.Room))
+        _note_budget(client.server, codec.decode(answer, memory_budget.Budget))
     except codec.MalformedValue as error:
         event_log.emit('caller', 'leader-malformed', why=str(error))
 
 
-async def ask_room(
+async def reserve_memory(
     client: PeerClient, job: ids.JobId, size_bytes: int
 ) -> bool:
-    """Return whether the leader has room for a job.
+    """Return whether the leader has reserved memory for a job.
 
     :raises errors.CallFailed: the leader doesn't answer
     """
     leader = client.server.leader
     if leader is not None and not leader.deposed:
-        answer = room.ask(leader, job, size_bytes)
+        answer = memory_budget.reserve(leader, job, size_bytes)
     else:
         answer = await _call_leader(
-            client, f'{ROOM_PATH}{job}/{size_bytes}', room.Room
+            client, f'{MEMORY_PATH}{job}/{size_bytes}', memory_budget.Budget
         )
     if answer is None:
         raise errors.CallFailed(
             verdicts.Verdict.NOT_RUN, 'the leader does not answer'
         )
-    _note_room(client.server, answer)
-    return answer.has_room
+    _note_budget(client.server, answer)
+    return answer.fits
 
 
-def _note_room(server: states.Server, answer: room.Room) -> None:
-    """Record whether the leader has to be asked for room for small jobs."""
-    server.short_of_room_until_s = -math.inf
+def _note_budget(server: states.Server, answer: memory_budget.Budget) -> None:
+    """Record whether memory has to be reserved for small jobs, too."""
+    server.short_of_memory_until_s = -math.inf
     if answer.is_short:
-        server.short_of_room_until_s = clock.now_s() + SHORT_OF_ROOM_S
+        server.short_of_memory_until_s = clock.now_s() + SHORT_OF_MEMORY_S
 
 
 async def notify_cancel(client: PeerClient, job: ids.JobId) -> None:
--- a/oleanderwood/jobs/memory.py
+++ b/oleanderwood/jobs/memory.py
@@ -17,7 +17,7 @@
 """Memory of a server that isn't told its limit."""
 
 LARGE_BYTES = 200_000
-"""Memory from which the room for a job is asked for before it is accepted.
+"""Memory from which a job needs a reservation before it is accepted.
 Hundreds of smaller ones may be accepted on the figure of the last write."""
 
 SHORT_SHARE = 0.1
@@ -42,5 +42,5 @@
 
 
 def is_large(work: model.Work) -> bool:
-    """Return whether a job takes so much that room is asked for it."""
+    """Return whether a job takes so much that memory is reserved for it."""
     return model.open_bytes(work) >= LARGE_BYTES
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -136,7 +136,7 @@
     [ledgers.Group, ids.ServiceId], advice_order.Nearness
 ]:
     """Return a function that tells how near a waiting step's start is."""
-    rooms: dict[ids.ServiceId, advice_order.Room] = {}
+    capacities: dict[ids.ServiceId, advice_order.PoolCapacity] = {}
     quotas: list[quotas_.Quotas] = []
 
     def near(
@@ -145,18 +145,20 @@
         if not quotas:
             blocked = schedule.pools_with_unknown_runs(leader)
             quotas.append(schedule.quotas_of(leader, blocked, now_s))
-        if service not in rooms:
+        if service not in capacities:
             pool = [
                 worker
                 for worker in leader.workers.values()
                 if worker.entry.service == service
             ]
-            rooms[service] = advice_order.Room(
+            capacities[service] = advice_order.PoolCapacity(
                 placing.free_capacity(pool, now_s),
                 shortage.idle_capacity(pool),
             )
         is_allowed = quotas_.allows(quotas[0], group)
-        return advice_order.nearness(rooms[service], group, is_allowed, now_s)
+        return advice_order.nearness(
+            capacities[service], group, is_allowed, now_s
+        )
 
     return near
 
--- a/oleanderwood/leading/label_draining.py
+++ b/oleanderwood/leading/label_draining.py
@@ -136,14 +136,14 @@
     member: rebalancing.Member, now_s: float
 ) -> tuple[bool, int, float, str]:
     """Return a machine's sort key: a started one first, then few tasks."""
-    long_running = _long_running_tasks(member)
+    relocated = _long_running_tasks(member)
     drain_s = max(
         draining.task_drain_time_s(task, now_s)
         for task in member.worker.runs.values()
     )
     return (
         not member.worker.is_reclaimed,
-        len(long_running),
+        len(relocated),
         drain_s,
         member.machine,
     )
--- a/oleanderwood/leading/state.py
+++ b/oleanderwood/leading/state.py
@@ -167,7 +167,7 @@
         servers
     :ivar max_asking_term: highest term whose leader asked this server whether
         it leads
-    :ivar short_of_room_until_s: time until which the leader is asked for room
+    :ivar short_of_memory_until_s: time until which the leader reserves memory
         for small jobs as well
     :ivar gate: the newest figures by which jobs are admitted
     """
@@ -192,7 +192,7 @@
     began_s: float = dataclasses.field(default_factory=_now_s)
     last_led_term: int = 0
     max_asking_term: int = 0
-    short_of_room_until_s: float = -math.inf
+    short_of_memory_until_s: float = -math.inf
     gate: gates.Gate = dataclasses.field(default_factory=gates.Gate)
     leader: 'Leader | None' = None
     unstored_crashes: crashes_.CrashesByTask = dataclasses.field(
@@ -294,7 +294,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PromisedRoom:
+class Reservation:
     """Memory that is kept for a job until it arrives."""
 
     size_bytes: int
@@ -340,7 +340,7 @@
         the workers whose stored worker list could not be decoded
     :ivar early_cancels: jobs whose cancel was received before the job itself,
         with the time at which it was, the earliest first
-    :ivar promised_room: memory that is kept for jobs which servers are about
+    :ivar reservations: memory that is kept for jobs which servers are about
         to write
     :ivar unreadable_jobs: jobs whose stored progress could not be decoded
     :ivar lease_renewed_s: send time of the latest renewal of the lease that
@@ -451,7 +451,7 @@
     lease_renewed_s: float = -math.inf
     confirmed_until_s: float = 0.0
     worker_lists_unread_until_s: float = -1e9
-    promised_room: dict[ids.JobId, PromisedRoom] = dataclasses.field(
+    reservations: dict[ids.JobId, Reservation] = dataclasses.field(
         default_factory=dict
     )
     unreadable_jobs: set[ids.JobId] = dataclasses.field(default_factory=set)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -29,13 +29,13 @@
 from oleanderwood.leading import leadership_transfer
 from oleanderwood.leading import lease
 from oleanderwood.leading import machine_handover
+from oleanderwood.leading import memory_budget
 from oleanderwood.leading import parallel
 from oleanderwood.leading import pool_loop
 from oleanderwood.leading import previous_leaders
 from oleanderwood.leading import progress_writer
 from oleanderwood.leading import registration
 from oleanderwood.leading import roles as roles_
-from oleanderwood.leading import room
 from oleanderwood.leading import schedule
 from oleanderwood.leading import state as states
 from oleanderwood.leading import stored_waves
@@ -91,7 +91,7 @@
         leader.machine_calls = machine_calls.Machines(
             settings.machines_address, settings.name
         )
-    room.prepare(leader)
+    memory_budget.apply_setting(leader)
     server.last_led_term = term
     event_log.emit('leader', 'took-over', term=term)
     server_metrics.TERMS.inc()
--- a/oleanderwood/pools/advice_order.py
+++ b/oleanderwood/pools/advice_order.py
@@ -33,7 +33,7 @@
     """There is room for it, or its runs are about to move."""
 
     NEXT = 1
-    """It is among the first in its pool that wait for room."""
+    """It is among the first in its pool that wait for capacity."""
 
     LATER = 2
     """Other steps of its pool go first."""
@@ -108,8 +108,8 @@
 
 
 @dataclasses.dataclass
-class Room:
-    """Room of one pool for steps, as its workers are now.
+class PoolCapacity:
+    """Capacity of one pool, as its workers are now.
 
     :ivar free: free capacity of the workers that accept tasks
     :ivar idle: capacity of all workers as if they were idle
@@ -124,7 +124,10 @@
 
 
 def nearness(
-    room: Room, group: ledgers.Group, is_allowed: bool, now_s: float
+    capacity: PoolCapacity,
+    group: ledgers.Group,
+    is_allowed: bool,
+    now_s: float,
 ) -> Nearness:
     """Return how near the start of a waiting step is.
 
@@ -132,23 +135,23 @@
 
     :param is_allowed: quotas and limits allow one more task of the step
     """
-    if is_allowed and _may_fit(room, room.free, 'free', group):
+    if is_allowed and _may_fit(capacity, capacity.free, 'free', group):
         refused = advised.refused_machines(group, now_s)
-        if not shortage.fits_nowhere(group, room.free, refused):
+        if not shortage.fits_nowhere(group, capacity.free, refused):
             return Nearness.NOW
-    if not _may_fit(room, room.idle, 'idle', group):
+    if not _may_fit(capacity, capacity.idle, 'idle', group):
         return Nearness.HOPELESS
     refused = advised.refused_machines(group, now_s)
-    if shortage.fits_nowhere(group, room.idle, refused):
+    if shortage.fits_nowhere(group, capacity.idle, refused):
         return Nearness.HOPELESS
     if not is_allowed:
         return Nearness.LATER
-    room.held += 1
-    return Nearness.NEXT if room.held <= MAX_PREFETCHED else Nearness.LATER
+    capacity.held += 1
+    return Nearness.NEXT if capacity.held <= MAX_PREFETCHED else Nearness.LATER
 
 
 def _may_fit(
-    room: Room,
+    capacity: PoolCapacity,
     candidates: list[placing.FreeCapacity],
     name: str,
     group: ledgers.Group,
@@ -160,8 +163,8 @@
     step = group.step
     key = name, step.needs, step.label, step.uses_leftover
     key = *key, step.is_long_running
-    if step.max_per_worker or key not in room.known:
-        room.known[key] = any(
+    if step.max_per_worker or key not in capacity.known:
+        capacity.known[key] = any(
             placing.has_capacity(candidate, group) for candidate in candidates
         )
-    return room.known[key]
+    return capacity.known[key]
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -33,8 +33,8 @@
 from oleanderwood.leading import intake as leading_intake
 from oleanderwood.leading import late_orders
 from oleanderwood.leading import lease
+from oleanderwood.leading import memory_budget
 from oleanderwood.leading import roles as roles_
-from oleanderwood.leading import room
 from oleanderwood.leading import state as states
 from oleanderwood.leading import term
 from oleanderwood.leading import watcher
@@ -258,7 +258,7 @@
             (
                 peer_clients.STATE_PATH,
                 peer_clients.PENDING_PATH,
-                peer_clients.ROOM_PATH,
+                peer_clients.MEMORY_PATH,
             )
         ):
             return _tell(server, path)
@@ -295,7 +295,7 @@
         return http.Response(409, [], b'does not lead\n')
     jobs = codec.decode(body, list[model.Job])
     await leading_intake.add_jobs(leader, jobs)
-    return _json(room.left(leader))
+    return _json(memory_budget.remaining(leader))
 
 
 async def _told_cancel(server: states.Server, job: ids.JobId) -> http.Response:
@@ -314,11 +314,13 @@
     if path.startswith(peer_clients.STATE_PATH):
         job = ids.JobId(path.removeprefix(peer_clients.STATE_PATH))
         return _json(peer_clients.answer_state(leader, job))
-    if path.startswith(peer_clients.ROOM_PATH):
-        job, _, size = path.removeprefix(peer_clients.ROOM_PATH).partition('/')
+    if path.startswith(peer_clients.MEMORY_PATH):
+        job, _, size = path.removeprefix(peer_clients.MEMORY_PATH).partition(
+            '/'
+        )
         if not size.isdecimal():
             return http.Response(400, [], b'no size\n')
-        return _json(room.ask(leader, ids.JobId(job), int(size)))
+        return _json(memory_budget.reserve(leader, ids.JobId(job), int(size)))
     queue = urllib.parse.unquote(path.removeprefix(peer_clients.PENDING_PATH))
     return _json(peer_clients.answer_pending(leader, queue))
 
--- a/oleanderwood/server_metrics.py
+++ b/oleanderwood/server_metrics.py
@@ -113,8 +113,8 @@
     registry=REGISTRY,
 )
 
-ROOM_LEFT = prometheus_client.Gauge(
-    'oleander_server_room_left',
+JOB_MEMORY_LEFT = prometheus_client.Gauge(
+    'oleander_server_job_memory_left',
     'Part of the memory for jobs that is left, as this leader last answered.',
     registry=REGISTRY,
 )
--- a/tests/test_room.py
+++ b/tests/test_memory_budget.py
@@ -13,7 +13,7 @@
 from oleanderwood.frontend import admitting
 from oleanderwood.jobs import memory
 from oleanderwood.jobs import model
-from oleanderwood.leading import room
+from oleanderwood.leading import memory_budget
 from tests import utils_admitting as admission
 from tests import utils_jobs
 from tests import utils_servers as build
@@ -172,7 +172,7 @@
             utils_jobs.job(utils_jobs.step(count)).work
             for count in (8, 100, 1000)
         ]
-        return [admitting.needs_room(state, work) for work in works]
+        return [admitting.needs_reservation(state, work) for work in works]
 
     assert tenants.run(main) == [False, False, True]
 
@@ -181,11 +181,11 @@
     # Its server may die before it writes the job.
     async def main(world, rows):
         leader = admission.leading(rows).state.leader
-        size_bytes = int(room.left(leader).left_bytes)
-        answers = [room.ask(leader, 'a' * 16, size_bytes)]
-        answers.append(room.ask(leader, 'b' * 16, size_bytes))
-        await curio.sleep(room.PROMISE_S)
-        answers.append(room.ask(leader, 'b' * 16, size_bytes))
-        return [row.has_room for row in answers]
+        size_bytes = int(memory_budget.remaining(leader).left_bytes)
+        answers = [memory_budget.reserve(leader, 'a' * 16, size_bytes)]
+        answers.append(memory_budget.reserve(leader, 'b' * 16, size_bytes))
+        await curio.sleep(memory_budget.RESERVATION_S)
+        answers.append(memory_budget.reserve(leader, 'b' * 16, size_bytes))
+        return [row.fits for row in answers]
 
     assert tenants.run(main) == [True, False, True]
