Let the jobs of a tenant take turns at the advice; emulated large jobs and odd values

Within a tenant, jobs now take turns. test_jobs_of_a_tenant_take_turns fails without that part of the order.

The emulator's callers hand in jobs of 200 steps, some of which wait for all others, and jobs that repeat 200 times; another writer puts odd values under followed keys and under those that only a takeover reads.

--- a/emulator/features.py
+++ b/emulator/features.py
@@ -37,6 +37,12 @@
     CRASHES = 'crashes'
     """Some tasks crash the executors that start them."""
 
+    MANY_STEPS = 'many-steps'
+    """Some jobs have hundreds of steps, some of which wait for all others."""
+
+    MANY_REPEATS = 'many-repeats'
+    """Some jobs run a hundred times, faster than they end."""
+
 
 KINDS = ('a', 'b')
 """Kinds of machines on days that ask for labels."""
@@ -46,6 +52,15 @@
 SHARE = 0.5
 """Part of the jobs that ask for a feature of the day."""
 
+LARGE_SHARE = 0.1
+"""Part of the jobs that have many steps, or repeat often."""
+
+MANY = 200
+"""Steps of such a job, or times that it runs."""
+
+WAITING_STEPS = 3
+"""Steps that wait for all others."""
+
 CRASHING_SHARE = 0.1
 """Part of the jobs with a task that crashes executors."""
 
@@ -56,7 +71,7 @@
 Features = collections.abc.Collection[Feature]
 
 
-LATER = (Feature.CRASHES,)
+LATER = (Feature.CRASHES, Feature.MANY_STEPS, Feature.MANY_REPEATS)
 """Features that were added since seeds were first kept; days ask for them by
 name."""
 
@@ -140,6 +155,28 @@
         step['estimate_ms'] *= 4
 
 
+def _small_step(after: collections.abc.Iterable[int] = ()) -> dict:
+    step = {'count': 1, 'cpu': 100, 'mem_mb': 10, 'estimate_ms': 100}
+    return {**step, 'after': list(after)} if after else step
+
+
+def _many_steps(rng, spec) -> None:
+    if rng.random() < LARGE_SHARE / SHARE:
+        first = [_small_step() for _ in range(MANY)]
+        last = [_small_step(range(MANY)) for _ in range(WAITING_STEPS)]
+        spec['phases'] = [*first, *last]
+        spec['large'] = True
+
+
+def _many_repeats(rng, spec) -> None:
+    if rng.random() < LARGE_SHARE / SHARE:
+        spec['phases'] = [_small_step()]
+        spec['repeat_count'] = MANY
+        spec['start_time_ms'] = int(clock.wall_ms())
+        spec['interval_ms'] = 30
+        spec['large'] = True
+
+
 def _crashes(rng, spec) -> None:
     if rng.random() < CRASHING_SHARE / SHARE:
         step = rng.choice(spec['phases'])
@@ -158,6 +195,8 @@
     Feature.LEFTOVERS: _fills,
     Feature.PRIORITIES: _later,
     Feature.CRASHES: _crashes,
+    Feature.MANY_STEPS: _many_steps,
+    Feature.MANY_REPEATS: _many_repeats,
 }
 
 _FIELDS = {
@@ -190,6 +229,8 @@
         count[Feature.ADVICE] += Feature.ADVICE in features
         count[Feature.PRIORITIES] += bool(spec.get('later'))
         count[Feature.REPEATS] += bool(spec.get('repeat_count'))
+        for feature in (Feature.MANY_STEPS, Feature.MANY_REPEATS):
+            count[feature] += feature in features and bool(spec.get('large'))
         place = evidence.places.get(sight.place)
         count[Feature.UNGUARDED] += place is not None and not place.guards
     return count
--- a/emulator/spoiling.py
+++ b/emulator/spoiling.py
@@ -80,6 +80,27 @@
 )
 """Entries that can't be read."""
 
+ODD_VALUES = (
+    *VALUES,
+    b'{"more":' + b'[' * 20_000 + b']' * 20_000 + b'}',
+    b'{"wave":1e400,"job":' + b'9' * 5000 + b'}',
+    b'{"wave":"\\ud800","text":"\\ud800"}',
+)
+"""Values that no server can use under any key."""
+
+FOLLOWED = (
+    'op/wave/900',
+    'ow/in/job/' + 'f' * 16,
+    'ow/in/cancel/' + 'f' * 16,
+    'ow/in/policy',
+    'ow/roles/server/nobody',
+    'servers/nobody',
+)
+"""Keys below the prefixes that servers follow."""
+
+READ_IN_TAKEOVERS = ('ow/progress/' + 'f' * 16, 'ow/waves/900')
+"""Keys that only a new leader reads."""
+
 NAMES = ('', 'two words', 'i-\u00fc', 'a/b', 'i-nobody', 'line\r\nend')
 
 
@@ -140,6 +161,22 @@
     spoiled.discard(executor.name)
 
 
+async def write_elsewhere(
+    fleet: fleets.Fleet, rng: random.Random, for_s: float
+) -> None:
+    """Write odd values under other keys, one after the other.
+
+    Each stands until the end, so that a takeover meets it, too.
+    """
+    keys = [*FOLLOWED, *READ_IN_TAKEOVERS]
+    rng.shuffle(keys)
+    for key in keys:
+        await _put(fleet, key, rng.choice(ODD_VALUES))
+        await curio.sleep(for_s / len(keys))
+    for key in keys:
+        await _remove(fleet, key)
+
+
 def _sound(fleet: fleets.Fleet, spoiled: set[str]) -> list[executors.Executor]:
     """Give the executors that live and aren't written over."""
     return [
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -78,6 +78,7 @@
     MACHINE_ORDER_HELD_UP = 'machine-order-held-up'
     MACHINE_ANSWERS_LOST = 'machine-answers-lost'
     EXECUTOR_LOST_AT_START = 'executor-lost-at-start'
+    ODD_VALUES = 'odd-values'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,6 +135,9 @@
 )
 """Orders that are held up past their sender, or have no answer."""
 
+VALUE_KINDS = (Kind.ODD_VALUES,)
+"""Values that nobody's own code writes, under keys that servers follow."""
+
 TENANT_KINDS = (Kind.KEY_REVOKED, Kind.KEYS_REVOKED, Kind.LIMITS_FALL)
 """What operators do to tenants; nothing on days without any."""
 
@@ -179,6 +183,7 @@
     *RESIZE_KINDS,
     *TENANT_KINDS,
     *ORDER_KINDS,
+    *VALUE_KINDS,
 )
 """Kinds that were added since seeds were first kept."""
 
@@ -195,6 +200,7 @@
         *RESIZE_KINDS,
         *TENANT_KINDS,
         *ORDER_KINDS,
+        *VALUE_KINDS,
     )
 )
 """The same for days of the lab; others are asked for by a count of theirs."""
@@ -407,6 +413,10 @@
     await spoil_entries(scene, spoiling.draw(scene.rng, trouble.for_s))
 
 
+async def _odd_values(scene, trouble) -> None:
+    await spoiling.write_elsewhere(scene.fleet, scene.rng, trouble.for_s)
+
+
 async def spoil_entries(
     scene: scenes.Scene, rows: collections.abc.Iterable[spoiling.Written]
 ) -> None:
@@ -477,4 +487,5 @@
     Kind.MACHINE_ORDER_HELD_UP: machine_orders.held_up,
     Kind.MACHINE_ANSWERS_LOST: machine_orders.answers_lost,
     Kind.EXECUTOR_LOST_AT_START: machine_orders.executor_lost,
+    Kind.ODD_VALUES: _odd_values,
 }
--- a/oleanderwood/leading/advising.py
+++ b/oleanderwood/leading/advising.py
@@ -209,10 +209,7 @@
     step = group.tasks[0].name.rpartition('.')[0]
     asked_s = clock.now_s()
     group.advised_until_s = asked_s + RETRY_S
-    group.advice_since_s = asked_s
-    advice_order.note_asked(
-        leader.advice_turns, queue.name, group.entry.job.tenant, asked_s
-    )
+    advice_order.note_asked(leader.advice_turns, queue.name, group, asked_s)
     group.asked = frozenset(workers)
     # The old tickets may expire before the answer arrives.
     group.tickets = None
--- a/tests/test_advice_order.py
+++ b/tests/test_advice_order.py
@@ -68,12 +68,14 @@
         self.leader.workers[ids.VmId(name)] = worker
         return worker
 
-    def add_step(self, pool, step=None, tenant='', queue='') -> ledgers.Group:
+    def add_step(
+        self, pool, step=None, tenant='', queue='', steps=1
+    ) -> ledgers.Group:
         self.count += 1
         job = model.Job(
             ids.JobId(f'{self.count:016x}'),
             _queue(pool, queue),
-            model.Work('text', (step or build.step(),)),
+            model.Work('text', (step or build.step(),) * steps),
             tenant=ids.TenantId(tenant),
         )
         entry = ledgers.add(self.leader.ledger, job, self.now_s)
@@ -193,6 +195,20 @@
     _play(monkeypatch, play)
 
 
+def test_jobs_of_a_tenant_take_turns(monkeypatch):
+    # One job of hundreds of steps, or often repeated, must not keep the small
+    # jobs beside it waiting for a minute.
+    async def play(scene):
+        scene.add_step(BUSY, build.step(cpu=1), steps=100)
+        for _ in range(5):
+            await scene.question()
+        small = [scene.add_step(BUSY, build.step(cpu=1)) for _ in range(3)]
+        asked = [await scene.question() for _ in range(8)]
+        assert [row for row in asked if row in small] == small
+
+    _play(monkeypatch, play)
+
+
 def test_each_step_that_could_start_is_asked_about_in_turn(monkeypatch):
     # Within a queue, the step goes first that has waited longest since it was
     # last asked about, also if tickets expire before all have had a turn.
