Forget ended repeated jobs at once; tell how many steps of a job are done

The calendar held the entry of a job that was cancelled and forgotten until its next occurrence was due. Now it names the job.

oleanderctl job lists the steps of open occurrences only, so it says how many of all steps are done.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 import heapq
-import itertools
 
 from oleanderwood import errors
 from oleanderwood import ids
@@ -277,7 +276,7 @@
     :ivar open_groups: groups with waiting tasks, in the order in which they
         were opened
     :ivar calendar: repeated jobs by the time at which their next occurrence is
-        due; a number makes jobs of equal times comparable
+        due, as a heap; jobs that have ended stay until then
     :ivar overdue: repeated jobs with an occurrence that is due and not open
     :ivar over: open occurrences of which all groups are done
     :ivar open_bytes: estimated memory of all open occurrences
@@ -296,7 +295,7 @@
     term: int = 1
     entries: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
     open_groups: dict[Group, None] = dataclasses.field(default_factory=dict)
-    calendar: list[tuple[float, int, Entry]] = dataclasses.field(
+    calendar: list[tuple[float, ids.JobId]] = dataclasses.field(
         default_factory=list
     )
     overdue: dict[Entry, None] = dataclasses.field(default_factory=dict)
@@ -306,9 +305,6 @@
     open_bytes: int = 0
     claimed_bytes: int = 0
     max_open_bytes: float = memory.max_open_bytes(0)
-    numbers: collections.abc.Iterator[int] = dataclasses.field(
-        default_factory=itertools.count
-    )
     dirty: dict[ids.JobId, Entry] = dataclasses.field(default_factory=dict)
     under_way: dict[ids.JobId, int] = dataclasses.field(default_factory=dict)
     changes: int = 0
@@ -366,8 +362,9 @@
     """
     _close_over(ledger)
     while ledger.calendar and ledger.calendar[0][0] <= wall_ms:
-        _due_ms, _number, entry = heapq.heappop(ledger.calendar)
-        if ledger.entries.get(entry.job.job) is entry:
+        _due_ms, job = heapq.heappop(ledger.calendar)
+        entry = ledger.entries.get(job)
+        if entry is not None:
             ledger.overdue[entry] = None
     opened = 0
     waiting = list(ledger.overdue)
@@ -413,7 +410,7 @@
 
 def _schedule_next(ledger: Ledger, entry: Entry) -> None:
     due_ms = model.due_ms(entry.job, entry.next_occurrence)
-    heapq.heappush(ledger.calendar, (due_ms, next(ledger.numbers), entry))
+    heapq.heappush(ledger.calendar, (due_ms, entry.job.job))
 
 
 def _skip_known(entry: Entry) -> None:
--- a/oleanderwood/operators/messages.py
+++ b/oleanderwood/operators/messages.py
@@ -202,7 +202,12 @@
 
 
 class JobReply(msgspec.Struct, frozen=True):
-    """One job, as the leader sees it."""
+    """One job, as the leader sees it.
+
+    :ivar steps: those of open occurrences
+    :ivar step_count: number of steps over all occurrences
+    :ivar steps_done: how many of them are done
+    """
 
     job: ids.JobId
     queue: str
@@ -211,3 +216,5 @@
     age_s: float
     cause: str
     steps: tuple[StepRow, ...] = ()
+    step_count: int = 0
+    steps_done: int = 0
--- a/oleanderwood/operators/text.py
+++ b/oleanderwood/operators/text.py
@@ -90,6 +90,8 @@
     ]
     if reply.cause:
         lines.append(reply.cause)
+    if reply.step_count > len(reply.steps):
+        lines.append(f'{reply.steps_done} of {reply.step_count} steps done')
     rows = [
         (
             f'{row.occurrence}.{row.step}',
--- a/oleanderwood/operators/view.py
+++ b/oleanderwood/operators/view.py
@@ -6,6 +6,8 @@
 from oleanderwood import ids
 from oleanderwood.jobs import isolation
 from oleanderwood.jobs import ledger as ledgers
+from oleanderwood.jobs import model
+from oleanderwood.jobs import ranges
 from oleanderwood.leading import state as states
 from oleanderwood.maintenance import fleet
 from oleanderwood.maintenance import rolling
@@ -147,6 +149,8 @@
         round(clock.now_s() - entry.arrived_s, 3),
         entry.cause,
         tuple(_step(group) for group in entry.groups.values()),
+        model.occurrences(entry.job) * len(entry.job.work.steps),
+        ranges.count(entry.done_groups),
     )
 
 
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -257,3 +257,17 @@
     progress = record.Progress(model.State.RUNNING, compact)
     with pytest.raises(ValueError):
         _taken_over(_repeated(), progress)
+
+
+def test_cancelled_job_is_not_held_until_its_next_occurrence():
+    # Its objects would stay in memory for as long as its interval.
+    ledger = build.ledger_with(_repeated(every_ms=86_400_000.0))
+    ledgers.open_due(ledger, 0.0)
+    ledgers.end(ledger, ledger.entries[build.JOB], model.State.CANCELLED, 1.0)
+    ledgers.forget(ledger, build.JOB)
+    assert ledger.calendar == [(86_400_000.0, build.JOB)]
+    assert not ledger.open_bytes
+    assert not ledger.claimed_bytes
+    ledgers.open_due(ledger, 86_400_000.0)
+    assert not ledger.calendar
+    assert not ledger.overdue
