Count memory of unended jobs only; one metric label per followed prefix

Jobs that have ended stay for two minutes so that callers can ask for them. They counted against the memory for repeated jobs' further occurrences, so that on a busy site these could not overlap.

A writer of odd keys could make any number of metric labels.

--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -26,8 +26,9 @@
 
 
 MAX_SHARE_OF_ONE_JOB = 1 / 32
-"""Largest part of this memory for the open occurrences of one repeated job.
-One whose tasks cannot be started would otherwise keep out all others."""
+"""Largest part of the memory for jobs that the open occurrences of a repeated
+job may take. One whose tasks cannot be started would otherwise keep out all
+others."""
 
 MAX_OPENED_PER_PASS = 500
 """Largest number of occurrences that are opened at once; after an outage, many
@@ -279,7 +280,8 @@
         due, as a heap; jobs that have ended stay until then
     :ivar overdue: repeated jobs with an occurrence that is due and not open
     :ivar over: open occurrences of which all groups are done
-    :ivar open_bytes: estimated memory of all open occurrences
+    :ivar open_bytes: estimated memory of all open occurrences of jobs that
+        haven't ended
     :ivar claimed_bytes: estimated memory of one occurrence of each job that
         hasn't ended
     :ivar max_open_bytes: memory beyond which a job with an open occurrence
@@ -372,13 +374,13 @@
         waiting = [
             entry
             for entry in waiting
-            if _has_room(ledger, entry)
+            if _has_memory(ledger, entry)
             and _open_next_due(ledger, entry, wall_ms)
         ]
         opened += len(waiting)
 
 
-def _has_room(ledger: Ledger, entry: Entry) -> bool:
+def _has_memory(ledger: Ledger, entry: Entry) -> bool:
     """Return whether a further occurrence of a job may be opened.
 
     One of each job always may: without it, the job would stand still.
@@ -477,7 +479,8 @@
         for group in groups:
             del entry.groups[occurrence, group.number]
         del entry.groups_left[occurrence]
-        _add_open_bytes(ledger, entry, -1)
+        if not is_final(entry):
+            _add_open_bytes(ledger, entry, -1)
 
 
 def group_number(group: Group) -> int:
@@ -750,6 +753,8 @@
     entry.state = state
     entry.ended_s = now_s
     ledger.claimed_bytes -= model.open_bytes(entry.job.work)
+    ledger.open_bytes -= entry.open_bytes
+    entry.open_bytes = 0
     for group in entry.groups.values():
         group.waiting.clear()
         ledger.open_groups.pop(group, None)
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -287,7 +287,7 @@
     except errors.InvariantBreach:
         raise
     except Exception as error:
-        watcher.refuse(item, error)
+        watcher.refuse(record.INTAKE_PREFIX, item, error)
 
 
 async def _register_previous_workers(
@@ -379,7 +379,7 @@
         intake.apply_intake(leader, item, taking_over=False)
 
     async def apply(items: list[stores.Item], whole: bool) -> None:
-        await watcher.apply_each(items, apply_one)
+        await watcher.apply_each(record.INTAKE_PREFIX, items, apply_one)
         await intake.wake_after_intake(leader)
 
     await watcher.follow(
@@ -395,7 +395,9 @@
 async def _follow_workers(leader: states.Leader) -> None:
     async def apply(items: list[stores.Item], whole: bool) -> None:
         await watcher.apply_each(
-            items, functools.partial(intake.apply_worker, leader)
+            executors.PREFIX,
+            items,
+            functools.partial(intake.apply_worker, leader),
         )
         if whole:
             await intake.mark_absent_unlisted(leader, items)
@@ -415,7 +417,7 @@
         intake.apply_wave(leader, item)
 
     async def apply(items: list[stores.Item], whole: bool) -> None:
-        await watcher.apply_each(items, apply_one)
+        await watcher.apply_each(operator.WAVES_PREFIX, items, apply_one)
 
     await watcher.follow(
         leader.server.store,
--- a/oleanderwood/leading/watcher.py
+++ b/oleanderwood/leading/watcher.py
@@ -45,6 +45,7 @@
 
 
 async def apply_each(
+    prefix: str,
     items: collections.abc.Iterable[stores.Item],
     apply: collections.abc.Callable[
         [stores.Item], collections.abc.Awaitable[None]
@@ -55,6 +56,8 @@
     Anybody may write anything below a followed prefix, and an exception would
     end the server's process or its term, and each following one, for as long
     as the value stands.
+
+    :param prefix: the prefix that is followed, for the metric
     """
     for item in items:
         try:
@@ -63,12 +66,11 @@
             # These concern the server and not the value.
             raise
         except Exception as error:
-            refuse(item, error)
+            refuse(prefix, item, error)
 
 
-def refuse(item: stores.Item, error: Exception) -> None:
+def refuse(prefix: str, item: stores.Item, error: Exception) -> None:
     """Count and log a value that can't be applied."""
-    prefix = item.key.rpartition('/')[0]
     server_metrics.VALUES_REFUSED.labels(prefix).inc()
     if not log_limit.allows(_refusals, MAX_LINES_PER_S, clock.now_s()):
         return
--- a/oleanderwood/pools/advice_order.py
+++ b/oleanderwood/pools/advice_order.py
@@ -17,8 +17,8 @@
 from oleanderwood.pools import shortage
 
 MAX_PREFETCHED = 8
-"""Number of steps of a pool that are asked about before there is room for
-them, so that room is used as soon as it is there; those that go first."""
+"""Number of steps of a pool that are asked about before they fit on a worker,
+so that free capacity is used at once; those that go first."""
 
 HOPELESS_RETRY_S = 15.0
 """Time between two questions about a step that its pool could not start even
@@ -30,7 +30,7 @@
     """How near the start of a step is, in the order of the questions."""
 
     NOW = 0
-    """There is room for it, or its runs are about to move."""
+    """It fits on a worker, or its runs are about to move."""
 
     NEXT = 1
     """It is among the first in its pool that wait for capacity."""
@@ -117,7 +117,7 @@
 
     :ivar free: free capacity of the workers that accept tasks
     :ivar idle: capacity of all workers as if they were idle
-    :ivar held: number of steps met so far that wait for room
+    :ivar held: number of steps met so far that wait for free capacity
     :ivar known: whether requests fit, by what only depends on the request
     """
 
--- a/oleanderwood/server.py
+++ b/oleanderwood/server.py
@@ -332,7 +332,9 @@
 async def _follow_configuration(server: states.Server) -> None:
     async def take(items: list[stores.Item], whole: bool) -> None:
         await watcher.apply_each(
-            items, functools.partial(_take_configuration, server)
+            operator.CONFIGURATION_KEY,
+            items,
+            functools.partial(_take_configuration, server),
         )
 
     async def note(sent_s: float) -> None:
@@ -414,7 +416,7 @@
     async def take(items: list[stores.Item], whole: bool) -> None:
         if whole:
             roles_.reset(roles, clock.now_s())
-        await watcher.apply_each(items, apply_role)
+        await watcher.apply_each(roles_.PREFIX, items, apply_role)
         roles.is_loaded = True
         await server.roles_changed.set()
 
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -271,3 +271,35 @@
     ledgers.open_due(ledger, 86_400_000.0)
     assert not ledger.calendar
     assert not ledger.overdue
+
+
+def test_ended_jobs_leave_the_memory_to_others(monkeypatch):
+    # They are kept for two minutes, so that callers can ask for them.
+    ended = [build.job(build.step(8), name=f'{n:016x}') for n in range(50)]
+    ledger = build.ledger_with(*ended, _repeated())
+    size_bytes = model.open_bytes(_repeated().work)
+    monkeypatch.setattr(ledgers, 'MAX_SHARE_OF_ONE_JOB', 1.0)
+    ledger.max_open_bytes = max(ledger.open_bytes, 10 * size_bytes)
+    for entry in list(ledger.entries.values())[:-1]:
+        _finish(ledger, entry, 0)
+    ledgers.open_due(ledger, 9 * INTERVAL_MS)
+    assert len(ledger.entries[build.JOB].groups) == 10
+    assert ledger.open_bytes == 10 * size_bytes
+
+
+@pytest.mark.parametrize('state', [model.State.FAILED, model.State.CANCELLED])
+def test_ended_large_job_keeps_what_has_to_be_stopped_and_no_more(state):
+    # Thousands of tasks of each would stay in memory for two minutes.
+    ledger = build.ledger_with(build.job(build.step(1000)))
+    entry = ledger.entries[build.JOB]
+    task = build.task(ledger, index=7)
+    build.start(ledger, task, build.worker())
+    ledgers.end(ledger, entry, state, 1.0)
+    ledgers.open_due(ledger, 0.0)
+    assert list(ledgers.runs(entry)) == [task]
+    ledgers.end_run(ledger, task, 2.0)
+    ledgers.open_due(ledger, 0.0)
+    assert not entry.groups
+    assert ledgers.find(ledger, task.name) is None
+    assert not ledger.open_bytes
+    assert not ledger.claimed_bytes
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -120,11 +120,11 @@
         applied.append(item)
 
     name = 'oleander_server_values_refused_total'
-    labels = {'prefix': 'op/wave'}
+    labels = {'prefix': 'op/wave/'}
     registry = server_metrics.REGISTRY
     before = registry.get_sample_value(name, labels) or 0
     items = [_item(), _item(), _item()]
-    curio.run(watcher.apply_each, items, apply)
+    curio.run(watcher.apply_each, 'op/wave/', items, apply)
     assert applied[1:] == items[1:]
     assert registry.get_sample_value(name, labels) == before + 1
 
@@ -134,7 +134,7 @@
         raise ValueError('odd')
 
     limit = watcher._refusals
-    curio.run(watcher.apply_each, [_item()] * 100, apply)
+    curio.run(watcher.apply_each, 'op/wave/', [_item()] * 100, apply)
     assert limit.line_count <= watcher.MAX_LINES_PER_S
     assert limit.suppressed >= 100 - watcher.MAX_LINES_PER_S
 
@@ -144,7 +144,7 @@
         raise errors.InvariantBreach('two runs')
 
     with pytest.raises(errors.InvariantBreach):
-        curio.run(watcher.apply_each, [_item()], apply)
+        curio.run(watcher.apply_each, 'op/wave/', [_item()], apply)
 
 
 @pytest.mark.parametrize(
