Undo a test's clock before the virtual one

The advice tests' clock replaced the virtual one and was undone after it, so that the process's clock stayed virtual. Traced by the log of its servers; the same two modules in one process hang before and pass now (15 tests).

--- a/tests/test_advice_order.py
+++ b/tests/test_advice_order.py
@@ -104,7 +104,9 @@
 def _play(monkeypatch, play):
     async def main(world):
         leader = await utils_leading.lead(world)
-        return await play(_Scene(leader, monkeypatch))
+        # Undone before the virtual clock is, which it replaces.
+        with monkeypatch.context() as patches:
+            return await play(_Scene(leader, patches))
 
     return servers.run(main, day.configuration(('drafts', 'finals')))
 
