--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -210,7 +210,6 @@
     :ivar done_groups: numbers of the groups that are done, see
         :func:`group_number`, of closed occurrences as well
     :ivar left: number of groups of all occurrences that aren't done
-    :ivar advice_asked_s: when advice was last asked about one of its steps
     :ivar has_run: a run of one of its tasks was seen: a worker took the order
         to start it, or listed it or its end
     :ivar state: present state
@@ -241,7 +240,6 @@
     open_bytes: int = 0
     done_groups: list[ranges.Range] = dataclasses.field(default_factory=list)
     left: int = 0
-    advice_asked_s: float | None = None
     has_run: bool = False
     state: model.State = model.State.QUEUED
     stored_state: model.State = model.State.QUEUED
--- a/oleanderwood/pools/advice_order.py
+++ b/oleanderwood/pools/advice_order.py
@@ -73,9 +73,9 @@
     """Return the step to ask about; None if no question is due.
 
     Steps that could start now go before all others. Queues take turns, then
-    the tenants of a queue, then their jobs, so that the steps of one cannot
-    keep the others from being asked about. Of a job, the step goes first that
-    has waited longest since it was last asked about.
+    the tenants of a queue, so that the steps of one cannot keep the others
+    from being asked about. Within these, the step goes first that has waited
+    longest since it was last asked about.
     """
     due = [row for row in candidates if _is_due(row, now_s)]
     return min(due, key=lambda row: _order(row, turns), default=None)
@@ -90,13 +90,11 @@
 
 
 def _order(row: Candidate, turns: Turns) -> tuple:
-    entry = row.group.entry
-    asked_s = entry.advice_asked_s
+    tenant = row.group.entry.job.tenant
     return (
         row.nearness,
         turns.queues.get(row.queue, 0.0),
-        turns.tenants.get((row.queue, entry.job.tenant), 0.0),
-        row.since_s if asked_s is None else asked_s,
+        turns.tenants.get((row.queue, tenant), 0.0),
         row.since_s,
     )
 
@@ -108,7 +106,7 @@
     entry = group.entry
     turns.queues[queue] = now_s
     turns.tenants[queue, entry.job.tenant] = now_s
-    entry.advice_asked_s = group.advice_since_s = now_s
+    group.advice_since_s = now_s
 
 
 @dataclasses.dataclass
