Fold what this change wrote twice

Read again after the landing; behaviour stays. - A takeover applied stored items by a copy of watcher.apply_each(); it calls that now. - The handler logged a job that the store has by a copy of the log line for other outcomes; both go one way. - The memory of all known servers was listed twice, for the smallest and the largest limit. - A group that is done was recorded by three functions with one caller. - advice_order.nearness() checked free and idle capacity by the same lines.

--- a/oleanderwood/frontend/handler.py
+++ b/oleanderwood/frontend/handler.py
@@ -306,18 +306,10 @@
         admitting.log(frontend.refusals, queue, job, tenant, outcome)
         return _not_admitted(outcome)
     if outcome is admitting.Outcome.STORED:
-        _log(
-            'handed-in',
-            job,
-            began_s,
-            queue=queue.name,
-            tenant=tenant,
-            verdict=verdicts.Verdict.RAN.value,
-            why='known',
-        )
-        return _state_response(model.State.QUEUED)
-    record = model.Job(job, queue, work, clock.wall_ms(), tenant=tenant)
-    result = await _persist(frontend, record)
+        result = forwarding.RelayResult(verdicts.Verdict.RAN, 'known')
+    else:
+        record = model.Job(job, queue, work, clock.wall_ms(), tenant=tenant)
+        result = await _persist(frontend, record)
     _log(
         'handed-in',
         job,
--- a/oleanderwood/jobs/ledger.py
+++ b/oleanderwood/jobs/ledger.py
@@ -675,35 +675,21 @@
     group.left -= 1
     touch(ledger, group.entry)
     if not group.left:
-        note_group_done(ledger, group.entry, group_number(group))
-        _unblock_dependents(group)
-        _note_group_over(ledger, group)
+        _note_group_done(ledger, group)
     end_if_completed(ledger, group.entry, now_s)
     return True
 
 
-def note_group_done(ledger: Ledger, entry: Entry, number: int) -> None:
-    """Record that all tasks of a group are done.
-
-    :param number: see :func:`group_number`
-    """
-    if ranges.add(entry.done_groups, number):
+def _note_group_done(ledger: Ledger, group: Group) -> None:
+    """Record that all tasks of a group are done."""
+    entry, occurrence = group.entry, group.occurrence
+    if ranges.add(entry.done_groups, group_number(group)):
         entry.left -= 1
-
-
-def _unblock_dependents(group: Group) -> None:
-    """Record that the steps which wait for a step no longer wait for it."""
-    entry = group.entry
     for number in entry.dependents[group.number]:
-        entry.groups[group.occurrence, number].blockers -= 1
-
-
-def _note_group_over(ledger: Ledger, group: Group) -> None:
-    """Record that one group less of an open occurrence is left."""
-    entry = group.entry
-    entry.groups_left[group.occurrence] -= 1
-    if not entry.groups_left[group.occurrence]:
-        ledger.over[entry, group.occurrence] = None
+        entry.groups[occurrence, number].blockers -= 1
+    entry.groups_left[occurrence] -= 1
+    if not entry.groups_left[occurrence]:
+        ledger.over[entry, occurrence] = None
 
 
 def mark_failed(
--- a/oleanderwood/jobs/memory.py
+++ b/oleanderwood/jobs/memory.py
@@ -5,8 +5,6 @@
 jobs stay in the store.
 """
 
-import collections.abc
-
 from oleanderwood.jobs import model
 
 JOBS_SHARE = 0.3
@@ -33,14 +31,6 @@
     return JOBS_SHARE * (memory_mb or DEFAULT_MEMORY_MB) * 2**20
 
 
-def common_open_bytes(memories_mb: collections.abc.Iterable[float]) -> float:
-    """Return the memory for jobs on the smallest server: any may lead.
-
-    :param memories_mb: memory of each server; 0 if unknown
-    """
-    return min(map(max_open_bytes, memories_mb))
-
-
 def is_large(work: model.Work) -> bool:
     """Return whether a job takes so much that memory is reserved for it."""
     return model.open_bytes(work) >= LARGE_BYTES
--- a/oleanderwood/leading/memory_budget.py
+++ b/oleanderwood/leading/memory_budget.py
@@ -1,5 +1,6 @@
 """Reserves memory of the leader for jobs that servers are about to write."""
 
+import collections.abc
 import math
 
 import msgspec
@@ -28,18 +29,22 @@
 
 
 def limit_bytes(server: states.Server) -> float:
-    """Return the memory for jobs on the smallest server that may lead."""
-    others = roles_.peers(server.roles, server.process)
-    return memory.common_open_bytes(
-        (server.settings.memory_mb, *(row.memory_mb for row in others))
-    )
+    """Return the memory for jobs on the smallest server: any may lead."""
+    return min(_open_bytes_of_servers(server))
 
 
 def largest_bytes(server: states.Server) -> float:
     """Return the memory for jobs on the largest known server."""
-    others = roles_.peers(server.roles, server.process)
-    known = (server.settings.memory_mb, *(row.memory_mb for row in others))
-    return max(map(memory.max_open_bytes, known))
+    return max(_open_bytes_of_servers(server))
+
+
+def _open_bytes_of_servers(
+    server: states.Server,
+) -> collections.abc.Iterator[float]:
+    """Yield the memory for jobs on each known server, this one included."""
+    yield memory.max_open_bytes(server.settings.memory_mb)
+    for row in roles_.peers(server.roles, server.process):
+        yield memory.max_open_bytes(row.memory_mb)
 
 
 def remaining(leader: states.Leader) -> Budget:
--- a/oleanderwood/leading/term.py
+++ b/oleanderwood/leading/term.py
@@ -262,32 +262,24 @@
     """Apply the stored jobs and policy, then progress, then cancels."""
     now_s = clock.now_s()
     work = turns.begin('takeover')
+
+    async def apply(item: stores.Item) -> None:
+        intake.apply_intake(leader, item, taking_over=True)
+        await turns.give(work)
+
     cancels = []
+    others = []
     for item in stored.jobs.items:
-        if item.key.startswith(record.CANCEL_PREFIX):
-            cancels.append(item)
-        else:
-            _apply_stored(leader, item)
-            await turns.give(work)
+        is_cancel = item.key.startswith(record.CANCEL_PREFIX)
+        (cancels if is_cancel else others).append(item)
+    await watcher.apply_each(record.INTAKE_PREFIX, others, apply)
     for item in stored.progress.items:
         job = ids.JobId(item.key.removeprefix(record.PROGRESS_PREFIX))
         entry = leader.ledger.entries.get(job)
         if entry is not None:
             _restore_progress(leader, entry, item.value, now_s)
             await turns.give(work)
-    for item in cancels:
-        _apply_stored(leader, item)
-        await turns.give(work)
-
-
-def _apply_stored(leader: states.Leader, item: stores.Item) -> None:
-    """Apply an item that was in the store; pass over one that can't be."""
-    try:
-        intake.apply_intake(leader, item, taking_over=True)
-    except errors.InvariantBreach:
-        raise
-    except Exception as error:
-        watcher.refuse(record.INTAKE_PREFIX, item, error)
+    await watcher.apply_each(record.INTAKE_PREFIX, cancels, apply)
 
 
 async def _register_previous_workers(
--- a/oleanderwood/pools/advice_order.py
+++ b/oleanderwood/pools/advice_order.py
@@ -103,9 +103,8 @@
     turns: Turns, queue: str, group: ledgers.Group, now_s: float
 ) -> None:
     """Record that a step of a queue is asked about."""
-    entry = group.entry
     turns.queues[queue] = now_s
-    turns.tenants[queue, entry.job.tenant] = now_s
+    turns.tenants[queue, group.entry.job.tenant] = now_s
     group.advice_since_s = now_s
 
 
@@ -137,14 +136,16 @@
 
     :param is_allowed: quotas and limits allow one more task of the step
     """
-    if is_allowed and _may_fit(capacity, capacity.free, 'free', group):
-        refused = advised.refused_machines(group, now_s)
-        if not shortage.fits_nowhere(group, capacity.free, refused):
-            return Nearness.NOW
-    if not _may_fit(capacity, capacity.idle, 'idle', group):
-        return Nearness.HOPELESS
     refused = advised.refused_machines(group, now_s)
-    if shortage.fits_nowhere(group, capacity.idle, refused):
+
+    def fits(candidates: list[placing.FreeCapacity], name: str) -> bool:
+        return _may_fit(
+            capacity, candidates, name, group
+        ) and not shortage.fits_nowhere(group, candidates, refused)
+
+    if is_allowed and fits(capacity.free, 'free'):
+        return Nearness.NOW
+    if not fits(capacity.idle, 'idle'):
         return Nearness.HOPELESS
     if not is_allowed:
         return Nearness.LATER
@@ -163,8 +164,8 @@
     Equal requests are looked at once: in a burst, thousands wait.
     """
     step = group.step
-    key = name, step.needs, step.label, step.uses_leftover
-    key = *key, step.is_long_running
+    kind = step.uses_leftover, step.is_long_running
+    key = name, step.needs, step.label, kind
     if step.max_per_worker or key not in capacity.known:
         capacity.known[key] = any(
             placing.has_capacity(candidate, group) for candidate in candidates
